--- /dev/null
+++ b/schema/hickory.capnp
@@ -0,0 +1,133 @@
+@0xb3f1c9a47d52e608;
+# RPC between the processes of hickoryroad. Times are milliseconds; a duration unless the name ends in "At".
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("hickory::rpc");
+
+struct ConfigRecord {
+  generation @0 :UInt64;
+  digest @1 :Text;      # BLAKE2b-256 of the text, hex
+  changeId @2 :Text;
+  text @3 :Text;        # the operators' TOML text
+}
+
+struct RankLoad {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+}
+
+struct AgentStatus {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;         # rises with each status of one incarnation
+  service @3 :Text;
+  ready @4 :Bool;
+  leaving @5 :Bool;
+  model @6 :Text;
+  version @7 :Text;
+  generation @8 :UInt64;       # configuration in force at the agent
+  limit @9 :UInt32;            # concurrency limit in force
+  ranks @10 :List(RankLoad);   # by rank index
+  queuedTokens @11 :UInt64;
+  latencyMs @12 :UInt32;       # smoothed time to the first part
+  wantedVersion @13 :Text;     # version being fetched or loaded, empty when none
+  chunksHave @14 :UInt32;
+  chunksTotal @15 :UInt32;
+  detail @16 :Text;            # why the upstream is not ready, or why a rollout stopped here
+  failures @17 :UInt32;        # requests failed since the present version became ready
+  adapters @18 :List(Text);
+  role @19 :Text;
+  place @20 :Text;
+}
+
+struct DispatchCall {
+  entry @0 :Text;
+  request @1 :UInt64;
+  attempt @2 :UInt32;
+  service @3 :Text;
+  workspace @4 :Text;
+  rank @5 :UInt8;
+  method @6 :Text;
+  path @7 :Text;
+  contentType @8 :Text;
+  body @9 :Data;
+  bodyDigest @10 :Text;
+  timeoutMs @11 :UInt64;       # time left until the caller's deadline
+  version @12 :Text;           # pinned model version, empty for plain services
+  resumeFrom @13 :UInt32;      # parts already delivered to the caller
+  costTokens @14 :UInt64;
+  idempotencyKey @15 :Text;    # empty when the call may be repeated
+  rowVersion @16 :UInt64;      # version of the call row that the entry saw
+  suspect @17 :Bool;           # must run with no other suspect on the replica
+}
+
+enum DispatchResultKind {
+  completed @0;        # the whole answer was sent
+  notRun @1;           # refused; the upstream was never given the request
+  failed @2;           # the upstream answered with an error after it was given the request
+  unknown @3;          # the upstream may have run the request
+  crashed @4;          # the upstream died with the request in flight
+  preempted @5;        # cancelled in favour of more urgent work; may resume
+  recordedDone @6;     # the call row holds the answer, which was sent
+  recordedRunning @7;  # the call row says that another attempt runs
+  recordedUnknown @8;  # the call row says started by an incarnation that is gone
+  keyConflict @9;      # the same key was used with another body
+}
+
+struct DispatchResult {
+  kind @0 :DispatchResultKind;
+  reason @1 :Text;
+  status @2 :UInt16;           # HTTP status of the upstream, 0 when there was none
+  contentType @3 :Text;
+  parts @4 :UInt32;            # parts sent in this attempt
+  load @5 :AgentStatus;        # piggybacked status
+}
+
+interface ResponseSink {
+  # Sequence numbers start at resumeFrom. status and contentType are set on the first part.
+  part @0 (sequence :UInt32, data :Data, status :UInt16, contentType :Text) -> ();
+}
+
+interface AgentListener {
+  status @0 (status :AgentStatus) -> ();
+}
+
+interface Agent {
+  attach @0 (entry :Text, listener :AgentListener) -> (status :AgentStatus);
+  heartbeat @1 (entry :Text, generation :UInt64) -> (status :AgentStatus);
+  dispatch @2 (call :DispatchCall, sink :ResponseSink) -> (result :DispatchResult);
+  cancel @3 (entry :Text, request :UInt64, attempt :UInt32) -> ();
+  pushConfig @4 (config :ConfigRecord) -> (generation :UInt64);
+  chunkMap @5 (manifest :Text) -> (have :Data);   # one bit a chunk, lowest bit first
+  chunk @6 (manifest :Text, index :UInt32) -> (data :Data);
+}
+
+struct Suspicion {
+  service @0 :Text;
+  bodyDigest @1 :Text;
+  crashes @2 :UInt32;
+  ageMs @3 :UInt64;            # time since the last crash
+}
+
+struct Demand {
+  service @0 :Text;
+  rank @1 :UInt8;
+  tokens @2 :UInt64;           # queued and running tokens at the sending entry
+}
+
+struct GossipMessage {
+  from @0 :Text;
+  generation @1 :UInt64;
+  leaving @2 :List(Text);      # hosts whose own leaving notice was seen
+  suspicions @3 :List(Suspicion);
+  demand @4 :List(Demand);
+  fromLeaving @5 :Bool;        # the sender itself is leaving
+}
+
+interface Entry {
+  gossip @0 (message :GossipMessage) -> (message :GossipMessage);
+  pushConfig @1 (config :ConfigRecord) -> (generation :UInt64);
+  fetchConfig @2 (known :UInt64) -> (config :ConfigRecord);  # generation 0 when nothing newer is known
+  report @3 (status :AgentStatus) -> (config :ConfigRecord); # from an agent to its home entry
+  localStatus @4 () -> (generation :UInt64, leaving :Bool, agents :List(AgentStatus));
+}
