--- /dev/null
+++ b/src/settings_func.cpp
@@ -0,0 +1,249 @@
+#include "settings_func.h"
+
+#include "table/settings_limits.h"
+#include "toml_func.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace hickory {
+
+namespace {
+
+    using Problem = std::optional<TomlProblem>;
+
+    Error settingsError(const std::string& path, const std::string& detail)
+    {
+        return {
+            .code = make_error_code(ErrorCode::InvalidSettings), .step = "load-settings", .peer = path, .detail = detail
+        };
+    }
+
+    Result<std::string> readFile(const std::string& path)
+    {
+        std::ifstream file(path, std::ios::binary);
+        std::ostringstream content;
+        if (!file || !(content << file.rdbuf()))
+            return settingsError(path, "the file cannot be read or is empty");
+        return content.str();
+    }
+
+    bool isPort(std::string_view text, bool zeroAllowed)
+    {
+        constexpr std::size_t maxDigits = 5;
+        constexpr int maxPort = 65535;
+        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string_view::npos)
+            return false;
+        const int port = std::stoi(std::string(text));
+        return port <= maxPort && (zeroAllowed || port > 0);
+    }
+
+    bool isAddress(std::string_view text, bool zeroAllowed)
+    {
+        const std::size_t colon = text.rfind(':');
+        return colon != std::string_view::npos && colon > 0
+            && text.substr(0, colon).find_first_of("/ \t") == std::string_view::npos
+            && isPort(text.substr(colon + 1), zeroAllowed);
+    }
+
+    std::string readListen(TomlReader& reader, std::string_view key, const std::string& fallback)
+    {
+        std::string value = reader.text(key, fallback);
+        if (!isAddress(value, true))
+            reader.fail(key, "\"" + value + "\" is not an address; expected \"ip:port\", port 0 to 65535");
+        return value;
+    }
+
+    bool isUrl(const std::string& value, bool secureAllowed)
+    {
+        const std::size_t scheme = value.starts_with("http://") ? 7
+            : secureAllowed && value.starts_with("https://")    ? 8
+                                                                : 0;
+        return scheme > 0 && isAddress(std::string_view(value).substr(scheme), false);
+    }
+
+    std::string readUrl(TomlReader& reader, std::string_view key)
+    {
+        std::string value = reader.text(key, {}, Presence::Required);
+        if (!isUrl(value, false))
+            reader.fail(key, "\"" + value + "\" is not an address; expected \"http://ip:port\", port 1 to 65535");
+        return value;
+    }
+
+    /// @param settingsPath settings file; a relative path is taken from its folder
+    std::string readTokenFile(TomlReader& reader, const std::string& settingsPath)
+    {
+        constexpr std::string_view key = "operator_token_file";
+        const std::string name = reader.text(key, {});
+        if (name.empty())
+            return {};
+        const std::filesystem::path path = std::filesystem::path(settingsPath).parent_path() / name;
+        std::ifstream file(path);
+        std::string token;
+        constexpr std::size_t shortestToken = 16; // shorter tokens can be guessed
+        if (!std::getline(file, token) || token.size() < shortestToken)
+            reader.fail(
+                key, "\"" + path.string() + "\" cannot be read or its first line is shorter than 16 characters");
+        return token;
+    }
+
+    /// @return the table that the key names, or an empty one, so that defaults are filled in and required keys reported
+    const TomlNode& section(TomlReader& root, std::string_view key, const TomlNode& empty)
+    {
+        const TomlNode* table = root.table(key);
+        return table ? *table : empty;
+    }
+
+    template <typename Value> std::span<const NamedValue<Value>> names(const auto& table) { return table; }
+
+    ProcessSettings readProcess(const TomlNode& table, Problem& problem)
+    {
+        TomlReader reader(table, "process", problem);
+        ProcessSettings process;
+        process.host = { reader.name("host") };
+        process.place = { reader.name("place") };
+        process.region = { reader.name("region") };
+        process.rpcListen = readListen(reader, "rpc_listen", process.rpcListen);
+        process.httpListen = readListen(reader, "http_listen", process.httpListen);
+        process.platform = readUrl(reader, "platform");
+        process.logLevel = reader.choice("log_level", process.logLevel, names<LogLevel>(logLevelNames));
+        process.logFile = reader.text("log_file", {});
+        process.seed = static_cast<std::uint64_t>(reader.integer("seed", 0, seedRange));
+        reader.finish();
+        return process;
+    }
+
+    void readHttp(const TomlNode& table, const std::string& path, EntrySettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "http", problem);
+        settings.operatorToken = readTokenFile(reader, path);
+        settings.tlsCertificate = reader.text("tls_certificate", {});
+        settings.tlsKey = reader.text("tls_key", {});
+        if (settings.tlsCertificate.empty() != settings.tlsKey.empty())
+            reader.fail("tls_certificate", "tls_certificate and tls_key are given together or not at all");
+        settings.httpWorkers
+            = static_cast<std::uint32_t>(reader.integer("workers", settings.httpWorkers, httpWorkersRange));
+        settings.maxBody.value = static_cast<std::uint64_t>(
+            reader.integer("max_body_bytes", static_cast<std::int64_t>(settings.maxBody.value), maxBodyRange));
+        settings.entriesTimeToLive
+            = { reader.integer("entries_ttl_ms", settings.entriesTimeToLive.value, entriesTimeToLiveRange) };
+        reader.finish();
+    }
+
+    void readEntryPolicy(const TomlNode& table, EntrySettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "policy", problem);
+        settings.routePolicy = reader.choice("route", settings.routePolicy, names<RoutePolicy>(routePolicyNames));
+        settings.queuePolicy = reader.choice("queue", settings.queuePolicy, names<QueuePolicy>(queuePolicyNames));
+        settings.growthPolicy = reader.choice("growth", settings.growthPolicy, names<GrowthPolicy>(growthPolicyNames));
+        settings.subsetSize = static_cast<std::uint32_t>(reader.integer("subset", settings.subsetSize, subsetRange));
+        settings.retryBudget = reader.number("retry_budget", settings.retryBudget, retryBudgetRange);
+        settings.maxQueued
+            = static_cast<std::uint32_t>(reader.integer("max_queued", settings.maxQueued, entryQueueRange));
+        settings.acceptTimeout
+            = { reader.integer("accept_timeout_ms", settings.acceptTimeout.value, acceptTimeoutRange) };
+        settings.defaultTimeout
+            = { reader.integer("default_timeout_ms", settings.defaultTimeout.value, defaultTimeoutRange) };
+        reader.finish();
+    }
+
+    void readUpstream(const TomlNode& table, AgentSettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "upstream", problem);
+        settings.upstream = readUrl(reader, "url");
+        settings.engine = reader.choice("kind", false, names<bool>(upstreamKindNames), Presence::Required);
+        settings.service = { reader.name("service", Presence::Optional) };
+        if (settings.engine && !settings.service.empty())
+            reader.fail("service", "an engine's service follows from placement and is not set here");
+        if (!settings.engine && settings.service.empty())
+            reader.fail("service", "is missing; a plain upstream names its service");
+        reader.finish();
+    }
+
+    void readWeights(const TomlNode& table, AgentSettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "weights", problem);
+        settings.weightsDirectory = reader.text("directory", {});
+        if (settings.engine && settings.weightsDirectory.empty())
+            reader.fail("directory", "is missing; an engine's agent needs a memory-backed folder for weights");
+        settings.weightsLimit.value = static_cast<std::uint64_t>(
+            reader.integer("max_bytes", static_cast<std::int64_t>(settings.weightsLimit.value), weightsLimitRange));
+        settings.linkRate.value = static_cast<std::uint64_t>(reader.integer("link_bytes_per_s", 0, linkRateRange));
+        settings.linkShare = reader.number("link_share", settings.linkShare, linkShareRange);
+        settings.fetchPolicy = reader.choice("fetch", settings.fetchPolicy, names<FetchPolicy>(fetchPolicyNames));
+        reader.finish();
+    }
+
+    void readAgentPolicy(const TomlNode& table, AgentSettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "policy", problem);
+        settings.slotPolicy = reader.choice("slots", settings.slotPolicy, names<SlotPolicy>(slotPolicyNames));
+        settings.maxQueued
+            = static_cast<std::uint32_t>(reader.integer("max_queued", settings.maxQueued, agentQueueRange));
+        settings.lease = { reader.integer("lease_ms", settings.lease.value, leaseRange) };
+        constexpr std::int64_t millisecondsPerSecond = 1000;
+        settings.callRowTimeToLive = Milliseconds { millisecondsPerSecond }
+            * reader.integer(
+                "call_row_ttl_s", settings.callRowTimeToLive.value / millisecondsPerSecond, callRowTimeToLiveRange);
+        reader.finish();
+    }
+
+    /// Reads and parses a file, lets `fill` read its tables, and reports the first problem.
+    template <typename Settings, typename Fill> Result<Settings> load(const std::string& path, Fill fill)
+    {
+        const Result<std::string> content = readFile(path);
+        if (!content)
+            return content.error();
+        const std::variant<TomlNode, TomlProblem> parsed = parseToml(content.value());
+        if (const auto* syntax = std::get_if<TomlProblem>(&parsed))
+            return settingsError(path, syntax->text());
+        Problem problem;
+        Settings settings;
+        TomlReader root(std::get<TomlNode>(parsed), {}, problem);
+        fill(root, settings, problem);
+        root.finish();
+        if (problem)
+            return settingsError(path, problem->text());
+        return settings;
+    }
+
+    /// Stands for a table that the file leaves out.
+    const TomlNode emptyTable { .line = 1 };
+
+} // namespace
+
+Result<EntrySettings> loadEntrySettings(const std::string& path)
+{
+    return load<EntrySettings>(path, [&](TomlReader& root, EntrySettings& settings, Problem& problem) {
+        settings.process = readProcess(section(root, "process", emptyTable), problem);
+        readHttp(section(root, "http", emptyTable), path, settings, problem);
+        readEntryPolicy(section(root, "policy", emptyTable), settings, problem);
+    });
+}
+
+Result<AgentSettings> loadAgentSettings(const std::string& path)
+{
+    return load<AgentSettings>(path, [](TomlReader& root, AgentSettings& settings, Problem& problem) {
+        settings.process = readProcess(section(root, "process", emptyTable), problem);
+        readUpstream(section(root, "upstream", emptyTable), settings, problem);
+        readWeights(section(root, "weights", emptyTable), settings, problem);
+        readAgentPolicy(section(root, "policy", emptyTable), settings, problem);
+    });
+}
+
+Result<ControlSettings> loadControlSettings(const std::string& path)
+{
+    return load<ControlSettings>(path, [&](TomlReader& root, ControlSettings& settings, Problem&) {
+        settings.entries = root.texts("entries");
+        if (settings.entries.empty())
+            root.fail("entries", "expected at least one entry address");
+        for (const std::string& entry : settings.entries)
+            if (!isUrl(entry, true))
+                root.fail("entries", "\"" + entry + "\" is not an address; expected \"http://ip:port\"");
+        settings.operatorToken = readTokenFile(root, path);
+    });
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/table/settings_limits.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "settings_type.h"
+#include "toml_func.h"
+
+#include <array>
+
+namespace hickory {
+
+constexpr std::array<NamedValue<LogLevel>, 4> logLevelNames { {
+    { "debug", LogLevel::Debug },
+    { "info", LogLevel::Info },
+    { "warning", LogLevel::Warning },
+    { "error", LogLevel::Error },
+} };
+
+constexpr std::array<NamedValue<RoutePolicy>, 4> routePolicyNames { {
+    { "random", RoutePolicy::Random },
+    { "least-reported", RoutePolicy::LeastReported },
+    { "two-choices", RoutePolicy::TwoChoices },
+    { "affinity", RoutePolicy::Affinity },
+} };
+
+constexpr std::array<NamedValue<QueuePolicy>, 3> queuePolicyNames { {
+    { "fifo", QueuePolicy::Fifo },
+    { "rank-only", QueuePolicy::RankOnly },
+    { "rank-fair", QueuePolicy::RankFair },
+} };
+
+constexpr std::array<NamedValue<SlotPolicy>, 2> slotPolicyNames { {
+    { "fifo", SlotPolicy::Fifo },
+    { "floors", SlotPolicy::Floors },
+} };
+
+constexpr std::array<NamedValue<FetchPolicy>, 2> fetchPolicyNames { {
+    { "origin", FetchPolicy::Origin },
+    { "swarm", FetchPolicy::Swarm },
+} };
+
+constexpr std::array<NamedValue<GrowthPolicy>, 3> growthPolicyNames { {
+    { "single", GrowthPolicy::Single },
+    { "doubling", GrowthPolicy::Doubling },
+    { "proportional", GrowthPolicy::Proportional },
+} };
+
+constexpr std::array<NamedValue<bool>, 2> upstreamKindNames { { { "engine", true }, { "plain", false } } };
+
+constexpr IntegerRange seedRange { 0, INT64_MAX };
+constexpr IntegerRange httpWorkersRange { 4, 4096 }; ///< threads; each costs a stack
+constexpr IntegerRange maxBodyRange { 1024, 64LL << 20U }; ///< bytes
+constexpr IntegerRange entriesTimeToLiveRange { 500, 600000 }; ///< milliseconds
+constexpr IntegerRange subsetRange { 1, 1000 }; ///< replicas
+constexpr NumberRange retryBudgetRange { 0.0, 1.0 }; ///< retries for each success
+constexpr IntegerRange entryQueueRange { 1, 100000 }; ///< requests
+constexpr IntegerRange acceptTimeoutRange { 50, 60000 }; ///< milliseconds
+constexpr IntegerRange defaultTimeoutRange { 100, 3600000 }; ///< milliseconds
+constexpr IntegerRange weightsLimitRange { 1LL << 20U, 1LL << 44U }; ///< bytes
+constexpr IntegerRange linkRateRange { 0, 1LL << 40U }; ///< bytes a second, 0 for no limit
+constexpr NumberRange linkShareRange { 0.05, 1.0 }; ///< share of the link
+constexpr IntegerRange agentQueueRange { 0, 10000 }; ///< requests
+constexpr IntegerRange leaseRange { 500, 600000 }; ///< milliseconds
+/// Seconds. The least value is above the longest deadline of a dispatch with its resends, except in tests.
+constexpr IntegerRange callRowTimeToLiveRange { 1, 30LL * 86400 };
+
+} // namespace hickory
