Add the platform client and the parser of the membership list

Cause: reducers ask the table service, the object store and the membership list through effects. Keys are percent-encoded below the path. Ruled out: sending a write again after a broken connection, since it may have taken effect.

--- /dev/null
+++ b/src/http_client_io.cpp
@@ -0,0 +1,121 @@
+#include "http_client_io.h"
+
+#include <algorithm>
+#include <httplib.h>
+
+namespace hickory {
+
+struct HttpConnection::State {
+    explicit State(const std::string& url)
+        : url(url)
+        , client(url)
+    {
+        this->client.set_keep_alive(true);
+        this->client.set_tcp_nodelay(true);
+        this->client.set_url_encode(false); // paths arrive encoded
+    }
+
+    std::string url; ///< for errors
+    httplib::Client client; ///< one socket
+    bool used { false }; ///< a call succeeded, so that the socket may be one that the server closed meanwhile
+};
+
+HttpConnection::HttpConnection(const std::string& url)
+    : state(std::make_unique<State>(url))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+namespace {
+
+    /// Result of one transmission.
+    struct Transmission {
+        HttpReply reply; ///< set when error is Success
+        httplib::Error error { httplib::Error::Unknown }; ///< how it failed
+        bool late { false }; ///< the deadline passed in the middle of the answer
+    };
+
+    Transmission transmit(httplib::Client& client, const HttpCall& call, Milliseconds deadline)
+    {
+        const std::int64_t left = std::max<std::int64_t>((deadline - monotonicNow()).value, 1);
+        const std::chrono::milliseconds span(left);
+        client.set_connection_timeout(span);
+        client.set_read_timeout(span);
+        client.set_write_timeout(span);
+        Transmission result;
+        httplib::Request request;
+        request.method = call.method;
+        request.path = call.path;
+        for (const auto& [name, value] : call.headers)
+            request.headers.emplace(name, value);
+        request.body = call.body;
+        if (!call.body.empty())
+            request.headers.emplace("Content-Type", call.contentType);
+        constexpr int firstSuccess = 200;
+        constexpr int firstRedirect = 300;
+        bool success = false;
+        request.response_handler = [&](const httplib::Response& response) {
+            success = response.status >= firstSuccess && response.status < firstRedirect;
+            return true;
+        };
+        request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+            // The library's time-outs apply to each read; this bounds an answer that trickles.
+            result.late = monotonicNow() >= deadline;
+            if (result.late)
+                return false;
+            if (success && call.onPart)
+                return call.onPart({ data, size });
+            result.reply.body.append(data, size);
+            return true;
+        };
+        const httplib::Result answer = client.send(request);
+        result.error = answer.error();
+        if (!answer)
+            return result;
+        result.reply.status = static_cast<std::uint16_t>(answer->status);
+        for (const auto& [name, value] : answer->headers)
+            result.reply.headers.emplace_back(name, value);
+        return result;
+    }
+
+} // namespace
+
+Result<HttpReply> HttpConnection::send(const HttpCall& call)
+{
+    const Milliseconds deadline = monotonicNow() + call.timeout;
+    Transmission result = transmit(this->state->client, call, deadline);
+    // A read on a reused socket that the server had just closed fails although the server is up.
+    const bool closedMeanwhile = result.error == httplib::Error::Read || result.error == httplib::Error::Write;
+    if (closedMeanwhile && call.method == "GET" && this->state->used && !call.onPart && monotonicNow() < deadline)
+        result = transmit(this->state->client, call, deadline);
+    this->state->used = result.error == httplib::Error::Success;
+    if (result.error == httplib::Error::Success)
+        return std::move(result.reply);
+    const bool timedOut = result.late || monotonicNow() >= deadline;
+    return Error { .code = make_error_code(timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable),
+        .step = call.method + " " + call.path.substr(0, call.path.find('?')),
+        .peer = this->state->url,
+        .detail = httplib::to_string(result.error) };
+}
+
+std::string percentEncode(std::string_view text, bool keepSlashes)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char letter : text) {
+        const auto byte = static_cast<unsigned char>(letter);
+        const bool plain = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9')
+            || byte == '-' || byte == '.' || byte == '_' || byte == '~' || (keepSlashes && byte == '/');
+        if (plain) {
+            encoded += letter;
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[byte >> 4U];
+        encoded += digits[byte & 15U];
+    }
+    return encoded;
+}
+
+} // namespace hickory
--- a/src/member_func.cpp
+++ b/src/member_func.cpp
@@ -3,9 +3,73 @@
 #include "digest_func.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
 
 namespace hickory {
 
+namespace {
+
+    using Json = nlohmann::json;
+
+    Error membersError(const std::string& detail)
+    {
+        return { .code = make_error_code(ErrorCode::Protocol), .step = "read-members", .detail = detail };
+    }
+
+    std::string textOf(const Json& row, const char* key) { return row.value(key, std::string()); }
+
+    /// @return the member, or nothing when a field is missing or unknown
+    std::optional<Member> parseMember(const Json& row)
+    {
+        Member member;
+        member.host = { textOf(row, "host") };
+        member.service = { textOf(row, "service") };
+        member.place = { textOf(row, "place") };
+        member.region = { textOf(row, "region") };
+        member.address = textOf(row, "address");
+        member.http = textOf(row, "http");
+        const std::string role = textOf(row, "role");
+        const std::string kind = textOf(row, "kind");
+        const std::string state = textOf(row, "state");
+        const bool known = (role == "entry" || role == "upstream")
+            && (kind.empty() || kind == "engine" || kind == "plain") && (state == "live" || state == "leaving");
+        if (member.host.empty() || !known)
+            return std::nullopt;
+        member.role = role == "entry" ? MemberRole::Entry : MemberRole::Upstream;
+        member.kind = kind == "engine" ? ServiceKind::Engine : ServiceKind::Plain;
+        member.state = state == "live" ? HostState::Live : HostState::Leaving;
+        return member;
+    }
+
+} // namespace
+
+Result<MemberList> parseMembers(std::string_view json)
+{
+    const Json body = Json::parse(json, nullptr, false);
+    if (!body.is_object() || !body.contains("version") || !body["version"].is_number_unsigned()
+        || !body.contains("members") || !body["members"].is_array())
+        return membersError("expected an object with version and members");
+    MemberList list { .version = body["version"].get<std::uint64_t>() };
+    try {
+        for (const Json& row : body["members"]) {
+            std::optional<Member> member = row.is_object() ? parseMember(row) : std::nullopt;
+            if (!member)
+                return membersError("a member has no host, or an unknown role, kind or state: " + row.dump());
+            list.members.push_back(std::move(*member));
+        }
+    } catch (const Json::exception& error) {
+        return membersError(error.what());
+    }
+    std::sort(list.members.begin(), list.members.end(),
+        [](const Member& left, const Member& right) { return left.host < right.host; });
+    const auto twice = std::adjacent_find(list.members.begin(), list.members.end(),
+        [](const Member& left, const Member& right) { return left.host == right.host; });
+    if (twice != list.members.end())
+        return membersError("host " + twice->host.value + " stands twice");
+    return list;
+}
+
 const Member* findMember(const MemberState& state, const HostId& host)
 {
     const auto& members = state.list.members;
