--- /dev/null
+++ b/src/agent_loop_io.cpp
@@ -0,0 +1,250 @@
+#include "agent_loop_io.h"
+
+#include "agent_reduce_func.h"
+#include "agent_rpc_io.h"
+#include "http_io.h"
+#include "log_io.h"
+#include "metrics_io.h"
+#include "platform_io.h"
+#include "program_func.h"
+#include "upstream_io.h"
+#include "weights_io.h"
+
+#include <asio.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 50 };
+
+    /// Time that answers already on their way to entries get to leave before the process ends.
+    constexpr std::chrono::milliseconds exitDelay { 200 };
+
+    /// A dispatch whose request is being worked on.
+    struct OpenWork {
+        std::shared_ptr<RequestPayload> payload; ///< what the upstream is given
+        std::shared_ptr<PartChannel> channel; ///< where its answer goes
+    };
+
+} // namespace
+
+struct AgentLoop::State {
+    explicit State(AgentSettings settings);
+
+    void post(AgentEventBody body);
+    void step(AgentEventBody body);
+    void tick();
+    void exitSoon();
+
+    void perform(const StartUpstream& effect);
+    void perform(const CancelUpstream& effect) { this->upstream->cancel(effect); }
+    void perform(const AnswerDispatch& effect);
+    void perform(const PollUpstream&) { this->upstream->pollState(); }
+    void perform(const OrderLoad& effect) { this->upstream->orderLoad(effect, this->weights ? this->weights->path(effect.manifest) : std::string {}); }
+    void perform(const FetchManifest& effect) { this->weights->fetchManifest(effect); }
+    void perform(const QueryChunkMap& effect) { this->rpc->queryChunkMap(effect); }
+    void perform(const FetchChunk& effect) { this->weights->fetchChunk(effect); }
+    void perform(const DropWeights& effect) { this->weights->drop(effect); }
+    void perform(const SetChunkRate& effect) { this->weights->setRate(effect); }
+    void perform(const NotifyListeners& effect) { this->rpc->notifyListeners(effect); }
+    void perform(const ReportHome& effect);
+    void perform(const PublishStatus& effect);
+    void perform(const FetchConfig& effect);
+    void perform(const ReadMembers& effect) { this->platform->readMembers(effect.since); }
+    void perform(const StoreRead& effect) { this->platform->read(effect); }
+    void perform(const StoreWrite& effect) { this->platform->write(effect); }
+    void perform(const ObjectRead& effect) { this->platform->readObject(effect); }
+    void perform(const LogLine& effect) { writeLog(effect); }
+    void perform(const MetricSample& effect) { recordMetric(effect); }
+    void perform(const ExitProcess&) { this->exitSoon(); }
+
+    AgentRpcHandlers rpcHandlers();
+    void startWeights();
+
+    AgentState reducer; ///< used on the loop's thread only
+    asio::io_context io; ///< the loop
+    asio::steady_timer timer; ///< ticks
+    asio::steady_timer exitTimer; ///< delays the end
+    asio::signal_set signals; ///< SIGTERM and SIGINT
+    bool exiting { false }; ///< ExitProcess was seen
+    std::atomic<bool> ready { false }; ///< for /readyz
+    std::map<AttemptKey, OpenWork> work; ///< bodies and channels of dispatches, on the loop's thread
+    std::unique_ptr<PlatformClient> platform; ///< table service, object store, membership
+    std::unique_ptr<WeightsStore> weights; ///< chunks of this host, engines only
+    std::unique_ptr<UpstreamClient> upstream; ///< upstream on this host
+    std::unique_ptr<AgentRpc> rpc; ///< entries and other agents
+    StatusHttp http; ///< metrics and health
+};
+
+AgentLoop::State::State(AgentSettings settings)
+    : timer(this->io)
+    , exitTimer(this->io)
+    , signals(this->io, SIGTERM, SIGINT)
+{
+    this->reducer.settings = std::move(settings);
+    std::uint64_t& seed = this->reducer.settings.process.seed;
+    if (seed == 0)
+        seed = std::random_device {}();
+    this->reducer.random.seed(seed);
+    // Two lives of one agent must differ even with a fixed seed.
+    this->reducer.incarnation = { this->reducer.random() ^ static_cast<std::uint64_t>(wallNow().value) };
+}
+
+void AgentLoop::State::post(AgentEventBody body)
+{
+    asio::post(this->io, [this, body = std::move(body)]() mutable { this->step(std::move(body)); });
+}
+
+void AgentLoop::State::step(AgentEventBody body)
+{
+    const AgentEffects effects = reduce(this->reducer, { .now = monotonicNow(), .body = std::move(body) });
+    for (const AgentEffect& effect : effects)
+        std::visit([this](const auto& one) { this->perform(one); }, effect);
+}
+
+void AgentLoop::State::tick()
+{
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](std::error_code error) {
+        if (error)
+            return;
+        this->step(Tick {});
+        this->tick();
+    });
+}
+
+void AgentLoop::State::exitSoon()
+{
+    if (this->exiting)
+        return;
+    this->exiting = true;
+    this->exitTimer.expires_after(exitDelay);
+    this->exitTimer.async_wait([this](std::error_code) { this->io.stop(); });
+}
+
+void AgentLoop::State::perform(const StartUpstream& effect)
+{
+    const auto found = this->work.find(effect.key);
+    if (found != this->work.end())
+        this->upstream->start(effect, found->second.payload, found->second.channel);
+}
+
+void AgentLoop::State::perform(const AnswerDispatch& effect)
+{
+    this->work.erase(effect.key);
+    this->rpc->answerDispatch(effect);
+}
+
+void AgentLoop::State::perform(const ReportHome& effect)
+{
+    this->rpc->reportHome(effect, [this, from = effect.entry](Result<ConfigRecord> answer) {
+        if (answer)
+            this->post(ConfigReceived { .record = std::move(answer.value()), .from = from });
+    });
+}
+
+void AgentLoop::State::perform(const FetchConfig& effect)
+{
+    this->rpc->fetchConfig(effect, [this, from = effect.peer](Result<ConfigRecord> answer) {
+        if (answer)
+            this->post(ConfigReceived { .record = std::move(answer.value()), .from = from });
+    });
+}
+
+void AgentLoop::State::perform(const PublishStatus& effect)
+{
+    this->ready = effect.status.ready;
+    this->rpc->publishStatus(effect.status);
+}
+
+AgentRpcHandlers AgentLoop::State::rpcHandlers()
+{
+    return {
+        .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
+        .onDispatch = [this](DispatchCall call, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) { asio::post(this->io, [this, call = std::move(call), payload = std::move(payload), channel = std::move(channel)]() mutable {
+            this->work[call.key] = { .payload = std::move(payload), .channel = std::move(channel) };
+            this->step(DispatchReceived { .call = std::move(call) }); }); },
+        .chunkMap = [this](const ManifestDigest& manifest) { return this->weights ? this->weights->chunkMap(manifest) : std::string {}; },
+        .readChunk = [this](const ManifestDigest& manifest, ChunkIndex index) -> Result<std::string> {
+            if (!this->weights)
+                return Error { .code = ErrorCode::NotFound, .step = "read-chunk" };
+            return this->weights->readChunk(manifest, index);
+        },
+        .uploadDelay = [this](Bytes bytes) { return this->weights ? this->weights->uploadDelay(bytes) : Milliseconds {}; },
+    };
+}
+
+void AgentLoop::State::startWeights()
+{
+    const AgentSettings& settings = this->reducer.settings;
+    if (!settings.engine)
+        return;
+    this->weights = std::make_unique<WeightsStore>(WeightsOptions {
+        .platformUrl = settings.process.platform,
+        .directory = settings.weightsDirectory,
+        .limit = settings.weightsLimit,
+        .linkRate = settings.linkRate,
+        .fetchFromPeer = [this](const std::string& address, const ManifestDigest& manifest, ChunkIndex index, Milliseconds timeout, std::function<void(Result<std::string>)> done) {
+            this->rpc->fetchChunk(address, manifest, index, timeout, std::move(done));
+        },
+        .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
+    });
+}
+
+AgentLoop::AgentLoop(AgentSettings settings)
+    : state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+AgentLoop::~AgentLoop() = default;
+
+int AgentLoop::run()
+{
+    State& data = *this->state;
+    const AgentSettings& settings = data.reducer.settings;
+    const ProcessSettings& process = settings.process;
+    data.platform = std::make_unique<PlatformClient>(PlatformOptions {
+        .url = process.platform,
+        .onAnswer = [&data](StoreAnswer answer) { data.post(std::move(answer)); },
+        .onMembers = [&data](MemberList list) { data.post(MembersUpdated { .list = std::move(list) }); },
+    });
+    data.rpc = std::make_unique<AgentRpc>(data.rpcHandlers());
+    data.startWeights();
+    data.upstream = std::make_unique<UpstreamClient>(UpstreamOptions {
+        .url = settings.upstream,
+        .engine = settings.engine,
+        .onEvent = [&data](AgentEventBody body) { data.post(std::move(body)); },
+    });
+    unsigned rpcPort = 0;
+    unsigned httpPort = 0;
+    try {
+        rpcPort = data.rpc->start(process.rpcListen);
+        httpPort = data.http.start(process.httpListen, [&data] { return ProcessHealth { .ready = data.ready }; });
+    } catch (const std::exception& exception) {
+        writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "reason", exception.what() } } });
+        return exitFailure;
+    }
+    const auto withPort = [](const std::string& listen, unsigned port) { return listen.substr(0, listen.rfind(':') + 1) + std::to_string(port); };
+    writeLog({ .event = "listening",
+        .fields = { { "rpc", withPort(process.rpcListen, rpcPort) }, { "http", withPort(process.httpListen, httpPort) }, { "seed", std::to_string(process.seed) } } });
+    data.signals.async_wait([&data](std::error_code error, int) {
+        if (!error)
+            data.step(ShutdownRequested {});
+    });
+    data.tick();
+    data.io.run();
+    data.http.stop();
+    data.rpc->stop();
+    data.upstream.reset();
+    data.weights.reset();
+    data.platform.reset();
+    writeLog({ .event = "exit", .fields = { { "reason", "planned-stop" } } });
+    return exitSuccess;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/agent_loop_io.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "agent_effect_type.h"
+#include "agent_event_type.h"
+#include "settings_type.h"
+
+#include <memory>
+
+namespace hickory {
+
+/// Runs an agent: feeds events to the reducer on one thread and carries out its effects.
+class AgentLoop {
+public:
+    explicit AgentLoop(AgentSettings settings);
+    ~AgentLoop();
+    AgentLoop(const AgentLoop&) = delete;
+    AgentLoop& operator=(const AgentLoop&) = delete;
+
+    /// Serves until a planned stop is complete.
+    /// @return exit code
+    int run();
+
+private:
+    struct State;
+    std::unique_ptr<State> state; ///< reducer, I/O modules and event loop
+};
+
+} // namespace hickory
--- /dev/null
+++ b/src/agent_main.cpp
@@ -0,0 +1,28 @@
+#include "agent_loop_io.h"
+#include "log_io.h"
+#include "program_func.h"
+#include "settings_func.h"
+
+#include <csignal>
+#include <iostream>
+
+int main(int count, char** values)
+{
+    using namespace hickory;
+    int exitCode = exitSuccess;
+    const auto arguments = parseArguments(count, values, "hickory-agent", "Stands in front of the upstream on an upstream host.", exitCode);
+    if (!arguments)
+        return exitCode;
+    auto settings = loadAgentSettings(arguments->settings);
+    if (!settings) {
+        std::cerr << "hickory-agent: " << settings.error().text() << "\n";
+        return exitUsage;
+    }
+    if (arguments->check)
+        return exitSuccess;
+    std::signal(SIGPIPE, SIG_IGN);
+    const ProcessSettings& process = settings.value().process;
+    startLog("hickory-agent", process.host.value, process.logLevel, process.logFile);
+    AgentLoop loop(std::move(settings.value()));
+    return loop.run();
+}
--- /dev/null
+++ b/src/entry_loop_io.cpp
@@ -0,0 +1,214 @@
+#include "entry_loop_io.h"
+
+#include "control_cmd.h"
+#include "entry_reduce_func.h"
+#include "entry_rpc_io.h"
+#include "http_io.h"
+#include "log_io.h"
+#include "member_func.h"
+#include "metrics_io.h"
+#include "platform_io.h"
+#include "program_func.h"
+#include "request_cmd.h"
+#include "request_table_io.h"
+
+#include <asio.hpp>
+
+#include <atomic>
+#include <csignal>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 50 };
+
+    /// Time that answers already written to peers and callers get to leave before the process ends.
+    constexpr std::chrono::milliseconds exitDelay { 200 };
+
+} // namespace
+
+struct EntryLoop::State {
+    explicit State(EntrySettings settings);
+
+    void post(EntryEventBody body);
+    void step(EntryEventBody body);
+    void tick();
+    void exitSoon();
+
+    void perform(const DispatchAttempt& effect) { this->rpc->dispatch(effect); }
+    void perform(const CancelAttempt& effect) { this->rpc->cancel(effect); }
+    void perform(const RefuseRequest& effect) { this->table.finish(effect.request, effect); }
+    void perform(const FinishRequest& effect) { this->table.finish(effect.request, effect); }
+    void perform(const BreakRequest& effect) { this->table.finish(effect.request, effect); }
+    void perform(const ConnectAgent& effect) { this->rpc->connectAgent(effect); }
+    void perform(const DisconnectAgent& effect) { this->rpc->disconnectAgent(effect); }
+    void perform(const SetHeartbeatInterval& effect) { this->rpc->setHeartbeatInterval(effect); }
+    void perform(const SendGossip& effect) { this->rpc->sendGossip(effect); }
+    void perform(const PushConfig& effect) { this->rpc->pushConfig(effect); }
+    void perform(const FetchConfig& effect) { this->rpc->fetchConfig(effect); }
+    void perform(const QueryEntryStatus& effect) { this->rpc->queryStatus(effect); }
+    void perform(const ReadMembers& effect) { this->platform->readMembers(effect.since); }
+    void perform(const OperatorAnswer& effect) { this->http->answerOperator(effect); }
+    void perform(const StoreRead& effect) { this->platform->read(effect); }
+    void perform(const StoreWrite& effect) { this->platform->write(effect); }
+    void perform(const ObjectRead& effect) { this->platform->readObject(effect); }
+    void perform(const LogLine& effect) { writeLog(effect); }
+    void perform(const MetricSample& effect) { recordMetric(effect); }
+    void perform(const ExitProcess&) { this->exitSoon(); }
+
+    EntryRpcHandlers rpcHandlers();
+    EntryHttpOptions httpOptions();
+    GossipMessage gossipAnswer() const;
+    ConfigRecord configNewerThan(Generation known) const;
+
+    EntryState reducer; ///< used on the loop's thread only
+    asio::io_context io; ///< the loop
+    asio::steady_timer timer; ///< ticks
+    asio::steady_timer exitTimer; ///< delays the end
+    asio::signal_set signals; ///< SIGTERM and SIGINT
+    bool exiting { false }; ///< ExitProcess was seen
+    std::atomic<bool> ready { false }; ///< for /readyz
+    RequestTable table; ///< requests in progress
+    std::unique_ptr<PlatformClient> platform; ///< table service, object store, membership
+    std::unique_ptr<EntryRpc> rpc; ///< agents and other entries
+    std::unique_ptr<EntryHttp> http; ///< callers and operators
+};
+
+EntryLoop::State::State(EntrySettings settings)
+    : timer(this->io)
+    , exitTimer(this->io)
+    , signals(this->io, SIGTERM, SIGINT)
+{
+    this->reducer.settings = std::move(settings);
+    std::uint64_t& seed = this->reducer.settings.process.seed;
+    if (seed == 0)
+        seed = std::random_device {}();
+    this->reducer.random.seed(seed);
+    this->reducer.incarnation = { this->reducer.random() };
+}
+
+void EntryLoop::State::post(EntryEventBody body)
+{
+    asio::post(this->io, [this, body = std::move(body)]() mutable { this->step(std::move(body)); });
+}
+
+void EntryLoop::State::step(EntryEventBody body)
+{
+    const EntryEffects effects = reduce(this->reducer, { .now = monotonicNow(), .body = std::move(body) });
+    for (const EntryEffect& effect : effects)
+        std::visit([this](const auto& one) { this->perform(one); }, effect);
+    this->ready = this->reducer.config.config && !this->reducer.leaving;
+}
+
+void EntryLoop::State::tick()
+{
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](std::error_code error) {
+        if (error)
+            return;
+        this->step(Tick {});
+        this->tick();
+    });
+}
+
+void EntryLoop::State::exitSoon()
+{
+    if (this->exiting)
+        return;
+    this->exiting = true;
+    this->exitTimer.expires_after(exitDelay);
+    this->exitTimer.async_wait([this](std::error_code) { this->io.stop(); });
+}
+
+GossipMessage EntryLoop::State::gossipAnswer() const
+{
+    GossipMessage message = localGossip(this->reducer);
+    message.suspicions = localSuspicions(this->reducer);
+    return message;
+}
+
+ConfigRecord EntryLoop::State::configNewerThan(Generation known) const
+{
+    return this->reducer.config.record.generation > known ? this->reducer.config.record : ConfigRecord {};
+}
+
+EntryRpcHandlers EntryLoop::State::rpcHandlers()
+{
+    return {
+        .onEvent = [this](EntryEventBody body) { this->post(std::move(body)); },
+        .onGossip = [this](GossipMessage message, auto reply) { asio::post(this->io, [this, message = std::move(message), reply] {
+            this->step(GossipReceived { .message = message });
+            reply(this->gossipAnswer()); }); },
+        .onConfigPushed = [this](ConfigReceived pushed, auto reply) { asio::post(this->io, [this, pushed = std::move(pushed), reply] {
+            this->step(pushed);
+            reply(this->reducer.config.record.generation); }); },
+        .onFetchConfig = [this](Generation known, auto reply) { asio::post(this->io, [this, known, reply] { reply(this->configNewerThan(known)); }); },
+        .onReport = [this](AgentStatus status, auto reply) { asio::post(this->io, [this, status = std::move(status), reply] {
+            this->step(HomeReport { .status = status });
+            reply(this->configNewerThan(status.generation)); }); },
+        .onLocalStatus = [this](auto reply) { asio::post(this->io, [this, reply] { reply(localEntryStatus(this->reducer)); }); },
+    };
+}
+
+EntryHttpOptions EntryLoop::State::httpOptions()
+{
+    const EntrySettings& settings = this->reducer.settings;
+    return {
+        .listen = settings.process.httpListen,
+        .tlsCertificate = settings.tlsCertificate,
+        .tlsKey = settings.tlsKey,
+        .operatorToken = settings.operatorToken,
+        .workers = settings.httpWorkers,
+        .maxBody = settings.maxBody,
+        .defaultTimeout = settings.defaultTimeout,
+        .onEvent = [this](EntryEventBody body) { this->post(std::move(body)); },
+        .health = [this] { return ProcessHealth { .ready = this->ready }; },
+    };
+}
+
+EntryLoop::EntryLoop(EntrySettings settings)
+    : state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+EntryLoop::~EntryLoop() = default;
+
+int EntryLoop::run()
+{
+    State& data = *this->state;
+    const ProcessSettings& process = data.reducer.settings.process;
+    data.platform = std::make_unique<PlatformClient>(PlatformOptions {
+        .url = process.platform,
+        .onAnswer = [&data](StoreAnswer answer) { data.post(std::move(answer)); },
+        .onMembers = [&data](MemberList list) { data.post(MembersUpdated { .list = std::move(list) }); },
+    });
+    data.rpc = std::make_unique<EntryRpc>(process.host, data.table, data.rpcHandlers());
+    data.http = std::make_unique<EntryHttp>(data.httpOptions(), data.table);
+    unsigned rpcPort = 0;
+    unsigned httpPort = 0;
+    try {
+        rpcPort = data.rpc->start(process.rpcListen);
+        httpPort = data.http->start();
+    } catch (const std::exception& exception) {
+        writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "reason", exception.what() } } });
+        return exitFailure;
+    }
+    const auto withPort = [](const std::string& listen, unsigned port) { return listen.substr(0, listen.rfind(':') + 1) + std::to_string(port); };
+    writeLog({ .event = "listening",
+        .fields = { { "rpc", withPort(process.rpcListen, rpcPort) }, { "http", withPort(process.httpListen, httpPort) }, { "seed", std::to_string(process.seed) } } });
+    data.signals.async_wait([&data](std::error_code error, int) {
+        if (!error)
+            data.step(ShutdownRequested {});
+    });
+    data.tick();
+    data.io.run();
+    // Whoever still waits is told that nothing more will come before the workers are joined.
+    data.http->stop();
+    data.rpc->stop();
+    data.platform.reset();
+    writeLog({ .event = "exit", .fields = { { "reason", "planned-stop" } } });
+    return exitSuccess;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/program_func.cpp
@@ -0,0 +1,39 @@
+#include "program_func.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+namespace hickory {
+
+std::optional<ProgramArguments> parseArguments(int count, char** values, const std::string& program, const std::string& description, int& exitCode)
+{
+    cxxopts::Options options(program, description);
+    options.add_options()("s,settings", "settings file (TOML)", cxxopts::value<std::string>(), "FILE")(
+        "check", "check the settings file and exit: 0 when it is valid, 2 when not")("version", "print the version and exit")("h,help", "print this help and exit");
+    try {
+        const auto parsed = options.parse(count, values);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            exitCode = exitSuccess;
+            return std::nullopt;
+        }
+        if (parsed.count("version") > 0) {
+            std::cout << program << " " << HICKORY_VERSION << "\n";
+            exitCode = exitSuccess;
+            return std::nullopt;
+        }
+        if (parsed.count("settings") == 0) {
+            std::cerr << program << ": --settings FILE is required\n";
+            exitCode = exitUsage;
+            return std::nullopt;
+        }
+        return ProgramArguments { .settings = parsed["settings"].as<std::string>(), .check = parsed.count("check") > 0 };
+    } catch (const cxxopts::OptionException& exception) {
+        std::cerr << program << ": " << exception.what() << "\n";
+        exitCode = exitUsage;
+        return std::nullopt;
+    }
+}
+
+} // namespace hickory
