--- /dev/null
+++ b/tests/standin_http.cpp
@@ -0,0 +1,163 @@
+#include "standin_http.h"
+
+#include <arpa/inet.h>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+
+namespace hickory::standin {
+
+namespace {
+
+    /// Serves each connection on a thread. An idle connection keeps its thread, so threads are started on demand:
+    /// a fixed pool would either be too small for a large fleet or cost each small stand-in hundreds of threads.
+    class GrowingPool : public httplib::TaskQueue {
+    public:
+        explicit GrowingPool(unsigned maxThreads)
+            : maxThreads(maxThreads)
+        {
+        }
+
+        void enqueue(std::function<void()> task) override
+        {
+            const std::lock_guard lock(this->mutex);
+            this->tasks.push_back(std::move(task));
+            if (this->tasks.size() > this->idle && this->threads.size() < this->maxThreads) {
+                this->threads.emplace_back([this] { this->work(); });
+            }
+            this->wake.notify_one();
+        }
+
+        void shutdown() override
+        {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->stopping = true;
+            }
+            this->wake.notify_all();
+            for (std::thread& thread : this->threads) {
+                thread.join();
+            }
+        }
+
+    private:
+        void work()
+        {
+            std::unique_lock lock(this->mutex);
+            while (true) {
+                ++this->idle;
+                this->wake.wait(lock, [this] { return this->stopping || !this->tasks.empty(); });
+                --this->idle;
+                if (this->tasks.empty()) {
+                    return;
+                }
+                const std::function<void()> task = std::move(this->tasks.front());
+                this->tasks.pop_front();
+                lock.unlock();
+                task();
+                lock.lock();
+            }
+        }
+
+        const unsigned maxThreads; ///< most threads
+        std::mutex mutex; ///< protects everything below
+        std::condition_variable wake; ///< a task came or the pool stops
+        std::deque<std::function<void()>> tasks; ///< accepted connections
+        std::vector<std::thread> threads; ///< all threads
+        std::size_t idle { 0 }; ///< threads that wait
+        bool stopping { false }; ///< shutdown was called
+    };
+
+} // namespace
+
+std::string HostPort::text() const { return this->host + ":" + std::to_string(this->port); }
+
+HostPort parseHostPort(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon + 1 == text.size()) {
+        throw std::invalid_argument("not ip:port: " + text);
+    }
+    return { .host = text.substr(0, colon), .port = std::stoi(text.substr(colon + 1)) };
+}
+
+std::unique_ptr<httplib::Server> makeServer(unsigned maxThreads)
+{
+    constexpr int keepAliveSeconds = 60;
+    auto server = std::make_unique<httplib::Server>();
+    server->new_task_queue = [maxThreads] { return new GrowingPool(maxThreads); };
+    server->set_keep_alive_max_count(1'000'000'000);
+    server->set_keep_alive_timeout(keepAliveSeconds);
+    server->set_tcp_nodelay(true);
+    server->set_exception_handler([](const httplib::Request&, httplib::Response& response, std::exception_ptr error) {
+        try {
+            std::rethrow_exception(std::move(error));
+        } catch (const std::exception& exception) {
+            reply(response, 400, { { "error", exception.what() } });
+        }
+    });
+    return server;
+}
+
+HostPort bindServer(httplib::Server& server, const std::string& listen)
+{
+    HostPort address = parseHostPort(listen);
+    if (address.port == 0) {
+        address.port = server.bind_to_any_port(address.host);
+    } else if (!server.bind_to_port(address.host, address.port)) {
+        address.port = -1;
+    }
+    if (address.port <= 0) {
+        std::cerr << "event=bind-failed address=" << listen << std::endl;
+        std::exit(2);
+    }
+    return address;
+}
+
+void printListening(const std::string& fields) { std::cout << "event=listening " << fields << std::endl; }
+
+void reply(httplib::Response& response, int status, const Json& body)
+{
+    response.status = status;
+    response.set_content(body.dump(), "application/json");
+}
+
+void dropConnection(const httplib::Request& request)
+{
+    // cpp-httplib does not show a handler its socket, so the socket is found by the peer's port.
+    constexpr int maxDescriptors = 65536;
+    for (int descriptor = 3; descriptor < maxDescriptors; ++descriptor) {
+        sockaddr_in peer {};
+        socklen_t size = sizeof(peer);
+        if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET
+            && ntohs(peer.sin_port) == request.remote_port) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+}
+
+void Pacer::setRate(std::uint64_t perSecond)
+{
+    const std::lock_guard lock(this->mutex);
+    this->rate = perSecond;
+}
+
+SteadyClock::time_point Pacer::reserve(std::uint64_t units)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = SteadyClock::now();
+    if (this->rate == 0) {
+        return now;
+    }
+    this->free = std::max(this->free, now)
+        + std::chrono::nanoseconds(
+            static_cast<std::int64_t>(1e9 * static_cast<double>(units) / static_cast<double>(this->rate)));
+    return this->free;
+}
+
+} // namespace hickory::standin
