--- a/src/agent_loop_io.cpp
+++ b/src/agent_loop_io.cpp
@@ -45,7 +45,10 @@
     void perform(const CancelUpstream& effect) { this->upstream->cancel(effect); }
     void perform(const AnswerDispatch& effect);
     void perform(const PollUpstream&) { this->upstream->pollState(); }
-    void perform(const OrderLoad& effect) { this->upstream->orderLoad(effect, this->weights ? this->weights->path(effect.manifest) : std::string {}); }
+    void perform(const OrderLoad& effect)
+    {
+        this->upstream->orderLoad(effect, this->weights ? this->weights->path(effect.manifest) : std::string {});
+    }
     void perform(const FetchManifest& effect) { this->weights->fetchManifest(effect); }
     void perform(const QueryChunkMap& effect) { this->rpc->queryChunkMap(effect); }
     void perform(const FetchChunk& effect) { this->weights->fetchChunk(effect); }
@@ -166,16 +169,26 @@
 {
     return {
         .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
-        .onDispatch = [this](DispatchCall call, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) { asio::post(this->io, [this, call = std::move(call), payload = std::move(payload), channel = std::move(channel)]() mutable {
-            this->work[call.key] = { .payload = std::move(payload), .channel = std::move(channel) };
-            this->step(DispatchReceived { .call = std::move(call) }); }); },
-        .chunkMap = [this](const ManifestDigest& manifest) { return this->weights ? this->weights->chunkMap(manifest) : std::string {}; },
+        .onDispatch =
+            [this](DispatchCall call, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) {
+                asio::post(this->io,
+                    [this, call = std::move(call), payload = std::move(payload),
+                        channel = std::move(channel)]() mutable {
+                        this->work[call.key] = { .payload = std::move(payload), .channel = std::move(channel) };
+                        this->step(DispatchReceived { .call = std::move(call) });
+                    });
+            },
+        .chunkMap =
+            [this](const ManifestDigest& manifest) {
+                return this->weights ? this->weights->chunkMap(manifest) : std::string {};
+            },
         .readChunk = [this](const ManifestDigest& manifest, ChunkIndex index) -> Result<std::string> {
             if (!this->weights)
                 return Error { .code = ErrorCode::NotFound, .step = "read-chunk" };
             return this->weights->readChunk(manifest, index);
         },
-        .uploadDelay = [this](Bytes bytes) { return this->weights ? this->weights->uploadDelay(bytes) : Milliseconds {}; },
+        .uploadDelay
+        = [this](Bytes bytes) { return this->weights ? this->weights->uploadDelay(bytes) : Milliseconds {}; },
     };
 }
 
@@ -189,9 +202,11 @@
         .directory = settings.weightsDirectory,
         .limit = settings.weightsLimit,
         .linkRate = settings.linkRate,
-        .fetchFromPeer = [this](const std::string& address, const ManifestDigest& manifest, ChunkIndex index, Milliseconds timeout, std::function<void(Result<std::string>)> done) {
-            this->rpc->fetchChunk(address, manifest, index, timeout, std::move(done));
-        },
+        .fetchFromPeer =
+            [this](const std::string& address, const ManifestDigest& manifest, ChunkIndex index, Milliseconds timeout,
+                std::function<void(Result<std::string>)> done) {
+                this->rpc->fetchChunk(address, manifest, index, timeout, std::move(done));
+            },
         .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
     });
 }
@@ -229,9 +244,7 @@
         writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "reason", exception.what() } } });
         return exitFailure;
     }
-    const auto withPort = [](const std::string& listen, unsigned port) { return listen.substr(0, listen.rfind(':') + 1) + std::to_string(port); };
-    writeLog({ .event = "listening",
-        .fields = { { "rpc", withPort(process.rpcListen, rpcPort) }, { "http", withPort(process.httpListen, httpPort) }, { "seed", std::to_string(process.seed) } } });
+    writeLog(listeningLine(process, rpcPort, httpPort));
     data.signals.async_wait([&data](std::error_code error, int) {
         if (!error)
             data.step(ShutdownRequested {});
--- a/src/agent_main.cpp
+++ b/src/agent_main.cpp
@@ -10,7 +10,8 @@
 {
     using namespace hickory;
     int exitCode = exitSuccess;
-    const auto arguments = parseArguments(count, values, "hickory-agent", "Stands in front of the upstream on an upstream host.", exitCode);
+    const auto arguments = parseArguments(
+        count, values, "hickory-agent", "Stands in front of the upstream on an upstream host.", exitCode);
     if (!arguments)
         return exitCode;
     auto settings = loadAgentSettings(arguments->settings);
--- a/src/entry_loop_io.cpp
+++ b/src/entry_loop_io.cpp
@@ -137,17 +137,32 @@
 {
     return {
         .onEvent = [this](EntryEventBody body) { this->post(std::move(body)); },
-        .onGossip = [this](GossipMessage message, auto reply) { asio::post(this->io, [this, message = std::move(message), reply] {
-            this->step(GossipReceived { .message = message });
-            reply(this->gossipAnswer()); }); },
-        .onConfigPushed = [this](ConfigReceived pushed, auto reply) { asio::post(this->io, [this, pushed = std::move(pushed), reply] {
-            this->step(pushed);
-            reply(this->reducer.config.record.generation); }); },
-        .onFetchConfig = [this](Generation known, auto reply) { asio::post(this->io, [this, known, reply] { reply(this->configNewerThan(known)); }); },
-        .onReport = [this](AgentStatus status, auto reply) { asio::post(this->io, [this, status = std::move(status), reply] {
-            this->step(HomeReport { .status = status });
-            reply(this->configNewerThan(status.generation)); }); },
-        .onLocalStatus = [this](auto reply) { asio::post(this->io, [this, reply] { reply(localEntryStatus(this->reducer)); }); },
+        .onGossip =
+            [this](GossipMessage message, auto reply) {
+                asio::post(this->io, [this, message = std::move(message), reply] {
+                    this->step(GossipReceived { .message = message });
+                    reply(this->gossipAnswer());
+                });
+            },
+        .onConfigPushed =
+            [this](ConfigReceived pushed, auto reply) {
+                asio::post(this->io, [this, pushed = std::move(pushed), reply] {
+                    this->step(pushed);
+                    reply(this->reducer.config.record.generation);
+                });
+            },
+        .onFetchConfig
+        = [this](Generation known,
+              auto reply) { asio::post(this->io, [this, known, reply] { reply(this->configNewerThan(known)); }); },
+        .onReport =
+            [this](AgentStatus status, auto reply) {
+                asio::post(this->io, [this, status = std::move(status), reply] {
+                    this->step(HomeReport { .status = status });
+                    reply(this->configNewerThan(status.generation));
+                });
+            },
+        .onLocalStatus
+        = [this](auto reply) { asio::post(this->io, [this, reply] { reply(localEntryStatus(this->reducer)); }); },
     };
 }
 
@@ -194,9 +209,7 @@
         writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "reason", exception.what() } } });
         return exitFailure;
     }
-    const auto withPort = [](const std::string& listen, unsigned port) { return listen.substr(0, listen.rfind(':') + 1) + std::to_string(port); };
-    writeLog({ .event = "listening",
-        .fields = { { "rpc", withPort(process.rpcListen, rpcPort) }, { "http", withPort(process.httpListen, httpPort) }, { "seed", std::to_string(process.seed) } } });
+    writeLog(listeningLine(process, rpcPort, httpPort));
     data.signals.async_wait([&data](std::error_code error, int) {
         if (!error)
             data.step(ShutdownRequested {});
--- a/src/entry_main.cpp
+++ b/src/entry_main.cpp
@@ -10,7 +10,8 @@
 {
     using namespace hickory;
     int exitCode = exitSuccess;
-    const auto arguments = parseArguments(count, values, "hickory-entry", "Serves callers and operators on an entry host.", exitCode);
+    const auto arguments
+        = parseArguments(count, values, "hickory-entry", "Serves callers and operators on an entry host.", exitCode);
     if (!arguments)
         return exitCode;
     auto settings = loadEntrySettings(arguments->settings);
--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -273,7 +273,8 @@
         bool whole = false;
         {
             std::unique_lock lock(pending->mutex);
-            pending->changed.wait_for(lock, std::chrono::milliseconds(hangupProbeInterval.value), [&] { return pending->end || !pending->parts.empty(); });
+            pending->changed.wait_for(lock, std::chrono::milliseconds(hangupProbeInterval.value),
+                [&] { return pending->end || !pending->parts.empty(); });
             while (!pending->parts.empty()) {
                 data += pending->parts.front();
                 pending->parts.pop_front();
--- a/src/program_func.cpp
+++ b/src/program_func.cpp
@@ -6,11 +6,13 @@
 
 namespace hickory {
 
-std::optional<ProgramArguments> parseArguments(int count, char** values, const std::string& program, const std::string& description, int& exitCode)
+std::optional<ProgramArguments> parseArguments(
+    int count, char** values, const std::string& program, const std::string& description, int& exitCode)
 {
     cxxopts::Options options(program, description);
     options.add_options()("s,settings", "settings file (TOML)", cxxopts::value<std::string>(), "FILE")(
-        "check", "check the settings file and exit: 0 when it is valid, 2 when not")("version", "print the version and exit")("h,help", "print this help and exit");
+        "check", "check the settings file and exit: 0 when it is valid, 2 when not")(
+        "version", "print the version and exit")("h,help", "print this help and exit");
     try {
         const auto parsed = options.parse(count, values);
         if (parsed.count("help") > 0) {
@@ -28,12 +30,28 @@
             exitCode = exitUsage;
             return std::nullopt;
         }
-        return ProgramArguments { .settings = parsed["settings"].as<std::string>(), .check = parsed.count("check") > 0 };
-    } catch (const cxxopts::OptionException& exception) {
+        return ProgramArguments { .settings = parsed["settings"].as<std::string>(),
+            .check = parsed.count("check") > 0 };
+    } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << program << ": " << exception.what() << "\n";
         exitCode = exitUsage;
         return std::nullopt;
     }
 }
 
+LogLine listeningLine(const ProcessSettings& process, unsigned rpcPort, unsigned httpPort)
+{
+    const auto withPort = [](const std::string& listen, unsigned port) {
+        return listen.substr(0, listen.rfind(':') + 1) + std::to_string(port);
+    };
+    return {
+        .event = "listening",
+        .fields = {
+            { "rpc", withPort(process.rpcListen, rpcPort) },
+            { "http", withPort(process.httpListen, httpPort) },
+            { "seed", std::to_string(process.seed) },
+        },
+    };
+}
+
 } // namespace hickory
--- a/src/program_func.h
+++ b/src/program_func.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "log_type.h"
+#include "settings_type.h"
+
 #include <optional>
 #include <string>
 
@@ -23,6 +26,13 @@
 /// @param description one line for the help text
 /// @param[out] exitCode set when nothing is returned
 /// @return arguments, or nothing when the program shall exit
-std::optional<ProgramArguments> parseArguments(int count, char** values, const std::string& program, const std::string& description, int& exitCode);
+std::optional<ProgramArguments> parseArguments(
+    int count, char** values, const std::string& program, const std::string& description, int& exitCode);
+
+/// @param process settings with the addresses asked for
+/// @param rpcPort port bound for RPC
+/// @param httpPort port bound for HTTP
+/// @return the line that tells where a process listens
+LogLine listeningLine(const ProcessSettings& process, unsigned rpcPort, unsigned httpPort);
 
 } // namespace hickory
