--- a/src/agent_loop_io.cpp
+++ b/src/agent_loop_io.cpp
@@ -148,6 +148,8 @@
     this->rpc->reportHome(effect, [this, from = effect.entry](Result<ConfigRecord> answer) {
         if (answer)
             this->post(ConfigReceived { .record = std::move(answer.value()), .from = from });
+        else
+            this->post(HomeReportFailed { .entry = from });
     });
 }
 
--- /dev/null
+++ b/src/ctl_options_func.cpp
@@ -0,0 +1,166 @@
+#include "ctl_options_func.h"
+
+#include "program_func.h"
+#include "settings_func.h"
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <sstream>
+
+namespace hickory {
+
+namespace {
+
+    constexpr const char* commandHelp = R"(
+Commands:
+  check FILE             check an operators' text, without any entry
+  diff FILE              show what a text would change in services and replicas
+  apply FILE             have a text accepted; --wait until it is in force on every host
+  show                   print the text in force, or that of --generation N
+  history                list the newest generations
+  status                 list every host with its generation and work; --watch
+  upstreams              list the upstreams as the asked entry sees them; --watch
+  rollout                show the progress of model versions; --watch
+  request SERVICE PATH   send a caller's request and print the answer as it arrives
+  publish FILE           upload weights and their manifest; prints the digest for the text
+
+FILE may be - for standard input.
+Exit codes: 0 success, 1 failure, 2 bad usage or settings, 3 conflict, 4 unavailable.
+)";
+
+    cxxopts::Options makeParser()
+    {
+        cxxopts::Options parser("hickoryctl", "Operators' command line of hickoryroad.");
+        parser.positional_help("COMMAND [ARGUMENT...]");
+        cxxopts::OptionAdder add = parser.add_options();
+        const auto text = [] { return cxxopts::value<std::string>()->default_value(""); };
+        const auto number
+            = [](const char* fallback) { return cxxopts::value<std::uint64_t>()->default_value(fallback); };
+        add("entries", "entry addresses, http://ip:port,...; also HICKORY_ENTRIES", text());
+        add("settings", "settings file; also HICKORYCTL_SETTINGS", text());
+        add("json", "machine-readable output");
+        add("wait", "apply: wait until in force");
+        add("watch", "status, upstreams, rollout: repeat every 2 s");
+        add("base", "apply: generation that the text was made from (default: the newest)", number("0"));
+        add("change-id", "apply: id of the change; sending the same change twice is harmless (default: drawn)", text());
+        add("generation", "show: generation (default: the newest)", number("0"));
+        add("timeout", "apply --wait, request: longest time in seconds", number("60"));
+        add("workspace", "request: X-Workspace", text());
+        add("rank", "request: X-Rank", text());
+        add("key", "request: Idempotency-Key", text());
+        add("data", "request: body, or @FILE", text());
+        add("method", "request: HTTP method", cxxopts::value<std::string>()->default_value("POST"));
+        add("platform", "publish: http://ip:port of the platform", text());
+        add("model", "publish: model name", text());
+        add("version", "publish: model version; without a command: show the program's version", text());
+        add("chunk-bytes", "publish: bytes in a chunk (default: chosen by size)", number("0"));
+        add("h,help", "show this help");
+        add("words", "command and arguments", cxxopts::value<std::vector<std::string>>());
+        parser.parse_positional({ "words" });
+        return parser;
+    }
+
+    std::vector<std::string> splitEntries(const std::string& list)
+    {
+        std::vector<std::string> entries;
+        std::istringstream stream(list);
+        for (std::string entry; std::getline(stream, entry, ',');)
+            if (!entry.empty())
+                entries.push_back(entry.find("://") == std::string::npos ? "http://" + entry : entry);
+        return entries;
+    }
+
+    std::string environment(const char* name)
+    {
+        const char* value = std::getenv(name);
+        return value ? value : "";
+    }
+
+    /// Fills in entries and token.
+    /// @return false when the settings file is bad
+    bool readPlaces(const cxxopts::ParseResult& parsed, CtlOptions& options)
+    {
+        std::string settingsPath = parsed["settings"].as<std::string>();
+        if (settingsPath.empty())
+            settingsPath = environment("HICKORYCTL_SETTINGS");
+        if (!settingsPath.empty()) {
+            const Result<ControlSettings> settings = loadControlSettings(settingsPath);
+            if (!settings) {
+                std::cerr << "hickoryctl: " << settings.error().text() << "\n";
+                return false;
+            }
+            options.entries = settings.value().entries;
+            options.token = settings.value().operatorToken;
+        }
+        const std::string flag = parsed["entries"].as<std::string>();
+        const std::string list = flag.empty() ? environment("HICKORY_ENTRIES") : flag;
+        if (!list.empty())
+            options.entries = splitEntries(list);
+        return true;
+    }
+
+    void readValues(const cxxopts::ParseResult& parsed, CtlOptions& options)
+    {
+        constexpr std::int64_t millisecondsPerSecond = 1000;
+        const auto text = [&](const char* name) { return parsed[name].as<std::string>(); };
+        const auto number = [&](const char* name) { return parsed[name].as<std::uint64_t>(); };
+        options.json = parsed.count("json") > 0;
+        options.wait = parsed.count("wait") > 0;
+        options.watch = parsed.count("watch") > 0;
+        options.baseGiven = parsed.count("base") > 0;
+        options.base = { number("base") };
+        options.generation = { number("generation") };
+        options.changeId = { text("change-id") };
+        options.timeout = Milliseconds { millisecondsPerSecond } * static_cast<std::int64_t>(number("timeout"));
+        options.workspace = text("workspace");
+        options.rank = text("rank");
+        options.key = text("key");
+        options.data = text("data");
+        options.method = text("method");
+        options.platform = text("platform");
+        options.model = text("model");
+        options.version = text("version");
+        options.chunkBytes = number("chunk-bytes");
+    }
+
+} // namespace
+
+std::optional<CtlOptions> parseCtlOptions(int count, char** values, int& exitCode)
+{
+    // With a command, --version has a value: the model version to publish.
+    if (count == 2 && std::string_view(values[1]) == "--version") {
+        std::cout << "hickoryctl " << HICKORY_VERSION << "\n";
+        exitCode = exitSuccess;
+        return std::nullopt;
+    }
+    cxxopts::Options parser = makeParser();
+    try {
+        const cxxopts::ParseResult parsed = parser.parse(count, values);
+        exitCode = exitSuccess;
+        if (parsed.count("help") > 0) {
+            std::cout << parser.help() << commandHelp;
+            return std::nullopt;
+        }
+        CtlOptions options;
+        if (parsed.count("words") > 0)
+            options.arguments = parsed["words"].as<std::vector<std::string>>();
+        exitCode = exitUsage;
+        if (options.arguments.empty()) {
+            std::cerr << "hickoryctl: no command, see --help\n";
+            return std::nullopt;
+        }
+        options.command = options.arguments.front();
+        options.arguments.erase(options.arguments.begin());
+        readValues(parsed, options);
+        if (!readPlaces(parsed, options))
+            return std::nullopt;
+        return options;
+    } catch (const std::exception& error) {
+        std::cerr << "hickoryctl: " << error.what() << "\n";
+        exitCode = exitUsage;
+        return std::nullopt;
+    }
+}
+
+} // namespace hickory
--- a/src/http_client_io.cpp
+++ b/src/http_client_io.cpp
@@ -93,8 +93,11 @@
     if (result.error == httplib::Error::Success)
         return std::move(result.reply);
     const bool timedOut = result.late || monotonicNow() >= deadline;
+    const bool connected = result.error != httplib::Error::Connection
+        && result.error != httplib::Error::ConnectionTimeout && result.error != httplib::Error::SSLConnection
+        && result.error != httplib::Error::SSLServerVerification;
     return Error { .code = make_error_code(timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable),
-        .step = call.method + " " + call.path.substr(0, call.path.find('?')),
+        .step = !connected ? connectStep : call.method + " " + call.path.substr(0, call.path.find('?')),
         .peer = this->state->url,
         .detail = httplib::to_string(result.error) };
 }
--- a/src/http_client_io.h
+++ b/src/http_client_io.h
@@ -13,6 +13,9 @@
 
 namespace hickory {
 
+/// Step of an error before which nothing was sent.
+constexpr const char* connectStep = "connect";
+
 /// One HTTP call of a client.
 struct HttpCall {
     std::string method { "GET" }; ///< GET, PUT, POST or DELETE
@@ -42,7 +45,8 @@
 
     /// Sends a call and waits for its answer. A GET whose connection had been closed by the server is sent again once;
     /// anything else is sent at most once.
-    /// @return the answer, or Unavailable or Timeout with the URL as peer
+    /// @return the answer, or Unavailable or Timeout with the URL as peer; the step is connectStep when nothing was
+    /// sent
     Result<HttpReply> send(const HttpCall& call);
 
 private:
--- a/src/table/control_limits.h
+++ b/src/table/control_limits.h
@@ -25,7 +25,9 @@
 constexpr Milliseconds noticeRelayAge { 15000 };
 constexpr Milliseconds unreachableAge { 10000 }; ///< how long a failed gossip round counts against an entry
 constexpr Milliseconds statusTimeout { 2000 }; ///< for entries' answers to an operator's Status call
-constexpr Milliseconds settleTimeout { 15000 }; ///< for finding out whether a write took effect
+/// For finding out whether a write took effect. With the steps before it and a last operation (2 s each), the operator
+/// has the answer before the HTTP layer gives up on the call after 15 s.
+constexpr Milliseconds settleTimeout { 7000 };
 constexpr Milliseconds settleInterval { 500 }; ///< between reads while the store does not answer
 constexpr std::size_t maxPendingApplies = 8; ///< each holds up to three texts of up to 1 MiB
 constexpr std::size_t maxPendingCalls = 64; ///< other operator calls in progress
