--- a/src/weights_cmd.cpp
+++ b/src/weights_cmd.cpp
@@ -1,13 +1,133 @@
 #include "weights_cmd.h"
 
+#include "weights_assign_cmd.h"
+#include "weights_fetch_cmd.h"
+
 namespace hickory {
 
-void applyManifestReceived(AgentState&, const ManifestReceived&, AgentEffects&) { }
+namespace {
+
+    /// Sets the engine's target once the weights are whole and nothing stands in the way.
+    void updateTarget(AgentState& state, AgentEffects& effects)
+    {
+        WeightsState& weights = state.weights;
+        if (!weights.wanted) {
+            // Before the rows were read nothing says that this host is unassigned.
+            if (state.engine.target && !weights.placements.empty()) {
+                effects.emplace_back(LogLine { .event = "target-removed",
+                    .fields = { { "service", state.engine.target->service.value },
+                        { "generation", std::to_string(weights.generation.value) },
+                        { "fence", std::to_string(state.engine.fence.value) } } });
+                state.engine.target.reset();
+            }
+            return;
+        }
+        const Wanted& wanted = *weights.wanted;
+        if (state.engine.target && runsWanted(*state.engine.target, wanted))
+            return;
+        const auto download = weights.downloads.find(wanted.model.manifest);
+        if (download == weights.downloads.end() || !download->second.whole)
+            return;
+        if (state.engine.serving && state.engine.serving->service == wanted.service)
+            return;
+        state.engine.target = engineTarget(wanted, download->second.manifest->totalDigest);
+        effects.emplace_back(LogLine { .event = "target-set",
+            .fields = { { "host", state.settings.process.host.value }, { "service", wanted.service.value },
+                { "model", wanted.model.name.value }, { "version", wanted.model.version.value },
+                { "reason", "first-load" }, { "generation", std::to_string(weights.generation.value) },
+                { "fence", std::to_string(state.engine.fence.value) } } });
+    }
+
+    void updateWeights(AgentState& state, AgentEffects& effects)
+    {
+        updateWanted(state, effects);
+        updateDownloads(state, effects);
+        if (state.weights.wanted) {
+            const auto download = state.weights.downloads.find(state.weights.wanted->model.manifest);
+            if (download != state.weights.downloads.end())
+                startFetches(state, download->first, download->second, effects);
+        }
+        updateTarget(state, effects);
+    }
+
+    bool active(const AgentState& state) { return state.settings.engine && state.config.config; }
+
+} // namespace
+
+void applyManifestReceived(AgentState& state, const ManifestReceived& event, AgentEffects& effects)
+{
+    const auto found = state.weights.downloads.find(event.digest);
+    if (found == state.weights.downloads.end() || found->second.manifest)
+        return;
+    Download& download = found->second;
+    download.manifestAsked = false;
+    if (!event.ok) {
+        download.detail = "manifest: " + event.detail;
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "manifest-failed",
+            .fields = { { "manifest", event.digest.value }, { "reason", event.detail } } });
+        return;
+    }
+    download.detail.clear();
+    download.manifest = event.manifest;
+    download.started = state.now;
+    download.chunks.resize(event.manifest.chunks.size());
+    effects.emplace_back(LogLine { .event = "fetch-begins",
+        .fields = { { "manifest", event.digest.value }, { "version", event.manifest.version.value },
+            { "chunks", std::to_string(event.manifest.chunks.size()) } } });
+    updateWeights(state, effects);
+}
+
 void applyChunkMap(AgentState&, const ChunkMapReceived&, AgentEffects&) { }
-void applyChunkFetched(AgentState&, const ChunkFetched&, AgentEffects&) { }
-void applyWeightsStoreAnswer(AgentState&, const StoreAnswer&, AgentEffects&) { }
-void applyConfigToWeights(AgentState&, AgentEffects&) { }
-void tickWeights(AgentState&, AgentEffects&) { }
-void fillWeightsStatus(const AgentState&, AgentStatus&) { }
+
+void applyChunkFetched(AgentState& state, const ChunkFetched& event, AgentEffects& effects)
+{
+    finishFetch(state, event, effects);
+    if (active(state))
+        updateWeights(state, effects);
+}
+
+void applyWeightsStoreAnswer(AgentState& state, const StoreAnswer& answer, AgentEffects& effects)
+{
+    if (!active(state))
+        return;
+    if (answer.token.purpose == StorePurpose::Placement)
+        applyPlacementAnswer(state, answer, effects);
+    updateWeights(state, effects);
+}
+
+void applyConfigToWeights(AgentState& state, AgentEffects& effects)
+{
+    if (!active(state))
+        return;
+    if (state.weights.generation != state.config.record.generation)
+        adoptConfigForPlacement(state, effects);
+    ++state.weights.candidatesVersion;
+    updateWeights(state, effects);
+}
+
+void tickWeights(AgentState& state, AgentEffects& effects)
+{
+    if (!active(state))
+        return;
+    tickPlacementReads(state, effects);
+    updateWeights(state, effects);
+}
+
+void fillWeightsStatus(const AgentState& state, AgentStatus& status)
+{
+    const WeightsState& weights = state.weights;
+    if (!weights.wanted)
+        return;
+    status.wantedVersion = weights.wanted->model.version;
+    const auto found = weights.downloads.find(weights.wanted->model.manifest);
+    if (found == weights.downloads.end())
+        return;
+    const Download& download = found->second;
+    status.chunksHave = download.held;
+    status.chunksTotal = static_cast<std::uint32_t>(download.chunks.size());
+    if (!download.detail.empty())
+        status.detail = download.detail;
+}
 
 } // namespace hickory
--- /dev/null
+++ b/src/weights_fetch_cmd.cpp
@@ -0,0 +1,229 @@
+#include "weights_fetch_cmd.h"
+
+#include "manifest_func.h"
+#include "member_func.h"
+#include "placement_row_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint32_t maxOriginStreams = 2;
+    constexpr Milliseconds manifestRetryInterval { 2000 };
+    /// Before anything was measured a chunk may take this long: origin shared by a whole region on a slow link.
+    constexpr Milliseconds firstTimeout { 30000 };
+    constexpr Milliseconds shortestTimeout { 1500 };
+    constexpr Milliseconds longestTimeout { 60000 };
+    /// A fetch is given up when it takes this many times as long as the measured rate says.
+    constexpr double stallFactor = 4.0;
+    constexpr double rateSmoothing = 0.2;
+    /// Fewer bytes a second than this are not believed, so that one stalled fetch does not make time-outs endless.
+    constexpr double slowestRate = 4096;
+    constexpr Milliseconds retryDelay { 200 };
+    constexpr std::uint16_t maxBackoffFailures = 6;
+    constexpr Milliseconds demotion { 30000 };
+
+    /// @return manifests that this host serves, is about to serve, or may have to return to
+    std::set<ManifestDigest> neededManifests(const AgentState& state)
+    {
+        std::set<ManifestDigest> needed;
+        if (state.weights.wanted) {
+            const Wanted& wanted = *state.weights.wanted;
+            needed.insert(wanted.model.manifest);
+            const auto permit = state.weights.permits.find(wanted.service);
+            if (permit != state.weights.permits.end() && !permit->second.row.passed && permit->second.row.previous
+                && sameTarget(permit->second.row.model, wanted.model)) {
+                const ManifestDigest& previous = permit->second.row.previous->manifest;
+                if (state.weights.downloads.contains(previous))
+                    needed.insert(previous);
+            }
+        }
+        if (state.engine.serving)
+            needed.insert(state.engine.serving->manifest);
+        if (state.engine.target)
+            needed.insert(state.engine.target->manifest);
+        return needed;
+    }
+
+    void countBytes(AgentState& state, Download& download, const ChunkFetched& event, AgentEffects& effects)
+    {
+        if (event.received.value == 0)
+            return;
+        std::string source = "origin";
+        if (event.source.peer.empty()) {
+            download.fromOrigin.value += event.received.value;
+        } else {
+            const Member* peer = findMember(state.members, event.source.peer);
+            const bool near = peer && peer->region == state.settings.process.region;
+            (near ? download.fromRegion : download.fromOtherRegions).value += event.received.value;
+            source = near ? "region" : "other-region";
+        }
+        effects.emplace_back(MetricSample { .name = "weights_bytes_total",
+            .labels = "source=\"" + source + "\"",
+            .value = static_cast<double>(event.received.value) });
+    }
+
+    void countRate(WeightsState& weights, const ChunkFetched& event)
+    {
+        if (event.result == ChunkResult::Verified && event.received.value > 0) {
+            const double seconds = std::max(0.001, static_cast<double>(event.elapsed.value) / 1000);
+            const double rate = static_cast<double>(event.received.value) / seconds;
+            weights.chunkRate
+                = weights.chunkRate == 0 ? rate : weights.chunkRate * (1 - rateSmoothing) + rate * rateSmoothing;
+        } else if (event.result == ChunkResult::Failed) {
+            // A time-out shows only that the rate is lower than believed.
+            weights.chunkRate *= 1 - rateSmoothing;
+        }
+        if (weights.chunkRate > 0)
+            weights.chunkRate = std::max(weights.chunkRate, slowestRate);
+    }
+
+    void finishWhole(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
+    {
+        download.whole = true;
+        download.detail.clear();
+        effects.emplace_back(LogLine { .event = "weights-complete",
+            .fields = { { "manifest", digest.value }, { "version", download.manifest->version.value },
+                { "bytes", std::to_string(manifestSize(*download.manifest).value) },
+                { "ms", std::to_string((state.now - download.started).value) },
+                { "from-origin", std::to_string(download.fromOrigin.value) },
+                { "from-region", std::to_string(download.fromRegion.value) },
+                { "from-other-regions", std::to_string(download.fromOtherRegions.value) } } });
+        effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
+            .name = "weights_download_ms",
+            .value = static_cast<double>((state.now - download.started).value) });
+    }
+
+    void noteBadSource(AgentState& state, Download& download, const ChunkFetched& event, AgentEffects& effects)
+    {
+        const bool corrupt = event.result == ChunkResult::Corrupt;
+        effects.emplace_back(
+            MetricSample { .name = corrupt ? "weights_chunks_corrupt_total" : "weights_chunks_failed_total" });
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = corrupt ? "chunk-corrupt" : "chunk-failed",
+            .fields = { { "manifest", event.manifest.value }, { "chunk", std::to_string(event.index.value) },
+                { "source", event.source.peer.empty() ? "origin" : event.source.peer.value },
+                { "received", std::to_string(event.received.value) },
+                { "ms", std::to_string(event.elapsed.value) } } });
+        const auto peer = download.peers.find(event.source.peer);
+        if (peer == download.peers.end())
+            return;
+        if (corrupt)
+            ++peer->second.corrupt;
+        peer->second.demotedUntil
+            = state.now + demotion * (corrupt ? 1 + peer->second.corrupt : 1) / (corrupt ? 1 : 10);
+    }
+
+    /// Baseline: every chunk from the origin, each host from its own starting point.
+    void startFromOrigin(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
+    {
+        for (std::uint32_t index = 0; index < download.chunks.size(); ++index) {
+            if (download.originStreams >= maxOriginStreams)
+                return;
+            const ChunkProgress& chunk = download.chunks[index];
+            if (!chunk.have && !chunk.fetching && state.now >= chunk.notBefore)
+                startFetch(state, digest, download, { index }, {}, effects);
+        }
+    }
+
+} // namespace
+
+Milliseconds chunkTimeout(const AgentState& state, Bytes size, std::uint32_t failures)
+{
+    if (state.weights.chunkRate == 0)
+        return firstTimeout;
+    const double expected = static_cast<double>(size.value) / state.weights.chunkRate * 1000;
+    const Milliseconds timeout { static_cast<std::int64_t>(expected * stallFactor * (1 + failures)) };
+    return std::clamp(timeout, shortestTimeout, longestTimeout);
+}
+
+void updateDownloads(AgentState& state, AgentEffects& effects)
+{
+    const std::set<ManifestDigest> needed = neededManifests(state);
+    std::erase_if(state.weights.downloads, [&](const auto& entry) {
+        if (needed.contains(entry.first))
+            return false;
+        effects.emplace_back(DropWeights { .manifest = entry.first });
+        effects.emplace_back(LogLine { .event = "weights-dropped", .fields = { { "manifest", entry.first.value } } });
+        return true;
+    });
+    if (!state.weights.wanted)
+        return;
+    const ManifestDigest& digest = state.weights.wanted->model.manifest;
+    Download& download = state.weights.downloads[digest];
+    if (download.manifest || download.manifestAsked || state.now < download.manifestRetry)
+        return;
+    download.manifestAsked = true;
+    download.manifestRetry = state.now + manifestRetryInterval;
+    effects.emplace_back(FetchManifest { .digest = digest });
+}
+
+void startFetch(AgentState& state, const ManifestDigest& digest, Download& download, ChunkIndex index,
+    const ChunkSource& source, AgentEffects& effects)
+{
+    ChunkProgress& chunk = download.chunks[index.value];
+    chunk.fetching = true;
+    if (source.peer.empty()) {
+        ++download.originStreams;
+    } else {
+        ++download.peerStreams;
+        ++download.peers[source.peer].streams;
+    }
+    effects.emplace_back(FetchChunk { .manifest = digest,
+        .index = index,
+        .source = source,
+        .timeout = chunkTimeout(state, download.manifest->chunks[index.value].size, chunk.failures) });
+}
+
+void startFetches(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
+{
+    if (!download.manifest || download.whole || download.broken)
+        return;
+    startFromOrigin(state, digest, download, effects);
+}
+
+void finishFetch(AgentState& state, const ChunkFetched& event, AgentEffects& effects)
+{
+    const auto found = state.weights.downloads.find(event.manifest);
+    if (found == state.weights.downloads.end() || event.index.value >= found->second.chunks.size())
+        return;
+    Download& download = found->second;
+    ChunkProgress& chunk = download.chunks[event.index.value];
+    // An answer to a fetch of an earlier download of the same manifest is not counted.
+    if (!chunk.fetching)
+        return;
+    chunk.fetching = false;
+    if (event.source.peer.empty()) {
+        --download.originStreams;
+    } else {
+        --download.peerStreams;
+        PeerProgress& peer = download.peers[event.source.peer];
+        peer.streams -= peer.streams > 0 ? 1 : 0;
+    }
+    countBytes(state, download, event, effects);
+    countRate(state.weights, event);
+    if (event.result != ChunkResult::Verified) {
+        chunk.failures = std::min<std::uint16_t>(chunk.failures + 1, maxBackoffFailures);
+        chunk.notBefore = state.now + retryDelay * (1 << chunk.failures) / 2;
+        noteBadSource(state, download, event, effects);
+        return;
+    }
+    if (!chunk.have) {
+        chunk.have = true;
+        ++download.held;
+    }
+    if (event.whole && download.held == download.chunks.size()) {
+        finishWhole(state, event.manifest, download, effects);
+    } else if (event.wholeMismatch) {
+        download.broken = true;
+        download.detail = "total digest differs from the manifest";
+        effects.emplace_back(LogLine { .level = LogLevel::Error,
+            .event = "weights-total-mismatch",
+            .fields = { { "manifest", event.manifest.value } } });
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/weights_io.cpp
@@ -0,0 +1,407 @@
+#include "weights_io.h"
+
+#include "digest_func.h"
+#include "manifest_func.h"
+#include "weights_pace_type.h"
+
+#include <httplib.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace hickory {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr std::chrono::seconds manifestTimeout { 5 };
+    constexpr std::size_t maxManifestBytes = 80U << 20U;
+    /// Longest wait of a fetch thread for its pace between looks at the deadline.
+    constexpr std::chrono::milliseconds paceStep { 100 };
+    constexpr std::size_t digestBlock = 1U << 20U;
+
+    std::chrono::milliseconds duration(Milliseconds time) { return std::chrono::milliseconds(time.value); }
+
+    Milliseconds since(Clock::time_point start)
+    {
+        return { std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start).count() };
+    }
+
+    /// One version on this host. The file is closed when the last user drops it, so that a read in progress
+    /// never sees another version's bytes.
+    struct StoredVersion {
+        Manifest manifest; ///< its content
+        std::vector<bool> have; ///< verified chunks
+        std::size_t held { 0 }; ///< count of `have`
+        int file { -1 }; ///< open file of manifestSize bytes
+        std::string path; ///< name of the file
+
+        StoredVersion() = default;
+        StoredVersion(const StoredVersion&) = delete;
+        StoredVersion& operator=(const StoredVersion&) = delete;
+        ~StoredVersion()
+        {
+            if (this->file >= 0)
+                close(this->file);
+        }
+
+        std::uint64_t offset(ChunkIndex index) const { return this->manifest.chunkSize.value * index.value; }
+    };
+
+    bool writeAll(int file, const std::string& data, std::uint64_t offset)
+    {
+        std::size_t done = 0;
+        while (done < data.size()) {
+            const ssize_t count
+                = pwrite(file, data.data() + done, data.size() - done, static_cast<off_t>(offset + done));
+            if (count <= 0)
+                return false;
+            done += static_cast<std::size_t>(count);
+        }
+        return true;
+    }
+
+    bool readAll(int file, std::string& data, std::uint64_t offset)
+    {
+        std::size_t done = 0;
+        while (done < data.size()) {
+            const ssize_t count
+                = pread(file, data.data() + done, data.size() - done, static_cast<off_t>(offset + done));
+            if (count <= 0)
+                return false;
+            done += static_cast<std::size_t>(count);
+        }
+        return true;
+    }
+
+    bool totalMatches(const StoredVersion& version)
+    {
+        Digester digester;
+        std::uint64_t left = manifestSize(version.manifest).value;
+        std::uint64_t offset = 0;
+        while (left > 0) {
+            std::string block(std::min<std::uint64_t>(left, digestBlock), '\0');
+            if (!readAll(version.file, block, offset))
+                return false;
+            digester.update(block);
+            offset += block.size();
+            left -= block.size();
+        }
+        return digester.finishHex() == version.manifest.totalDigest;
+    }
+
+} // namespace
+
+struct WeightsStore::State {
+    WeightsOptions options; ///< as given
+    mutable std::mutex mutex; ///< guards everything below
+    std::condition_variable wake; ///< a task was added, or the end
+    std::multimap<Clock::time_point, std::function<void()>> tasks; ///< by the time at which they may start
+    bool stopping { false }; ///< the threads shall end
+    std::map<ManifestDigest, std::shared_ptr<StoredVersion>> versions; ///< bounded by options.limit
+    TokenBucket download; ///< pace of chunks to this host
+    TokenBucket upload; ///< pace of chunks from this host
+    std::vector<std::thread> threads; ///< run tasks
+
+    void add(Clock::time_point when, std::function<void()> task)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->tasks.emplace(when, std::move(task));
+        this->wake.notify_one();
+    }
+
+    void run()
+    {
+        std::unique_lock lock(this->mutex);
+        while (!this->stopping) {
+            if (this->tasks.empty()) {
+                this->wake.wait(lock);
+                continue;
+            }
+            const auto first = this->tasks.begin();
+            if (first->first > Clock::now()) {
+                this->wake.wait_until(lock, Clock::time_point(first->first));
+                continue;
+            }
+            const std::function<void()> task = std::move(first->second);
+            this->tasks.erase(first);
+            lock.unlock();
+            task();
+            lock.lock();
+        }
+    }
+
+    std::shared_ptr<StoredVersion> find(const ManifestDigest& digest) const
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->versions.find(digest);
+        return found == this->versions.end() ? nullptr : found->second;
+    }
+
+    Clock::duration reserveDownload(std::uint64_t bytes)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->download.reserve(bytes, Clock::now());
+    }
+
+    /// Opens the file of a new version.
+    /// @return reason when the version cannot be kept, empty when it is
+    std::string open(const Manifest& manifest)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->versions.contains(manifest.digest))
+            return {};
+        std::uint64_t used = manifestSize(manifest).value;
+        for (const auto& [digest, version] : this->versions)
+            used += manifestSize(version->manifest).value;
+        if (used > this->options.limit.value)
+            return "max_bytes of " + std::to_string(this->options.limit.value) + " exceeded: " + std::to_string(used)
+                + " needed";
+        auto version = std::make_shared<StoredVersion>();
+        version->path = this->options.directory + "/" + manifest.digest.value + ".weights";
+        version->file = ::open(version->path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+        if (version->file < 0 || ftruncate(version->file, static_cast<off_t>(manifestSize(manifest).value)) != 0)
+            return "cannot create " + version->path;
+        version->manifest = manifest;
+        version->have.resize(manifest.chunks.size());
+        this->versions[manifest.digest] = std::move(version);
+        return {};
+    }
+
+    ManifestReceived readManifest(const ManifestDigest& digest)
+    {
+        ManifestReceived answer { .digest = digest };
+        httplib::Client client(this->options.platformUrl);
+        client.set_connection_timeout(manifestTimeout);
+        client.set_read_timeout(manifestTimeout);
+        std::string body;
+        const std::string path = "/objects/" + manifestObject(digest);
+        const auto result = client.Get(path.c_str(), [&](const char* data, std::size_t length) {
+            body.append(data, length);
+            return body.size() <= maxManifestBytes;
+        });
+        if (!result || result->status != 200) {
+            answer.detail = result ? "status " + std::to_string(result->status) : "no answer from the object store";
+            return answer;
+        }
+        Result<Manifest> parsed = parseManifest(body);
+        if (digestHex(body) != digest.value)
+            answer.detail = "digest of the manifest differs from the pinned one";
+        else if (!parsed)
+            answer.detail = parsed.error().text();
+        else
+            answer.detail = this->open(parsed.value());
+        answer.ok = answer.detail.empty();
+        if (answer.ok)
+            answer.manifest = std::move(parsed.value());
+        return answer;
+    }
+
+    /// Verifies and stores a chunk's bytes.
+    void finish(const std::shared_ptr<StoredVersion>& version, const std::string& data, ChunkFetched& event)
+    {
+        const ManifestChunk& chunk = version->manifest.chunks[event.index.value];
+        if (digestHex(data) != chunk.digest) {
+            event.result = ChunkResult::Corrupt;
+            return;
+        }
+        if (!writeAll(version->file, data, version->offset(event.index)))
+            return;
+        event.result = ChunkResult::Verified;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!version->have[event.index.value]) {
+                version->have[event.index.value] = true;
+                ++version->held;
+            }
+            if (version->held < version->have.size())
+                return;
+        }
+        event.whole = totalMatches(*version);
+        event.wholeMismatch = !event.whole;
+    }
+
+    /// Reads a chunk from the origin, paced, on a fetch thread.
+    /// @return the bytes; incomplete when the origin failed or the time-out passed
+    std::string readOrigin(const StoredVersion& version, const FetchChunk& effect)
+    {
+        const std::uint64_t size = version.manifest.chunks[effect.index.value].size.value;
+        const std::uint64_t begin = version.offset(effect.index);
+        const Clock::time_point deadline = Clock::now() + duration(effect.timeout);
+        httplib::Client client(this->options.platformUrl);
+        client.set_connection_timeout(duration(effect.timeout));
+        client.set_read_timeout(duration(effect.timeout));
+        const httplib::Headers headers { httplib::make_range_header(
+            { { static_cast<ssize_t>(begin), static_cast<ssize_t>(begin + size - 1) } }) };
+        std::string data;
+        bool partial = false;
+        const std::string path = "/weights/" + version.manifest.object;
+        const auto result = client.Get(
+            path.c_str(), headers,
+            [&](const httplib::Response& response) {
+                partial = response.status == 206 || (response.status == 200 && version.manifest.chunks.size() == 1);
+                return partial;
+            },
+            [&](const char* piece, std::size_t length) {
+                data.append(piece, length);
+                const Clock::time_point until = Clock::now() + this->reserveDownload(length);
+                while (Clock::now() < until && Clock::now() < deadline)
+                    std::this_thread::sleep_until(std::min(until, Clock::now() + paceStep));
+                return data.size() <= size && Clock::now() < deadline;
+            });
+        return data;
+    }
+
+    void fetchOrigin(const FetchChunk& effect)
+    {
+        ChunkFetched event { .manifest = effect.manifest, .index = effect.index, .source = effect.source };
+        const Clock::time_point start = Clock::now();
+        const std::shared_ptr<StoredVersion> version = this->find(effect.manifest);
+        if (version && effect.index.value < version->have.size()) {
+            const std::string data = this->readOrigin(*version, effect);
+            event.received = { data.size() };
+            event.elapsed = since(start);
+            if (data.size() == version->manifest.chunks[effect.index.value].size.value)
+                this->finish(version, data, event);
+        }
+        this->options.onEvent(event);
+    }
+
+    void fetchPeer(const FetchChunk& effect)
+    {
+        const Clock::time_point start = Clock::now();
+        this->options.fetchFromPeer(effect.source.address, effect.manifest, effect.index, effect.timeout,
+            [this, effect, start](Result<std::string> answer) {
+                // The transport's thread must not wait for the digest and the file.
+                this->add(Clock::now(), [this, effect, start, answer = std::move(answer)] {
+                    ChunkFetched event { .manifest = effect.manifest, .index = effect.index, .source = effect.source };
+                    event.elapsed = since(start);
+                    const std::shared_ptr<StoredVersion> version = this->find(effect.manifest);
+                    if (answer && version && effect.index.value < version->have.size()) {
+                        event.received = { answer.value().size() };
+                        this->finish(version, answer.value(), event);
+                    }
+                    this->options.onEvent(event);
+                });
+            });
+    }
+};
+
+WeightsStore::WeightsStore(WeightsOptions options)
+    : state(std::make_unique<State>())
+{
+    this->state->options = std::move(options);
+    std::error_code ignored;
+    const std::filesystem::path directory(this->state->options.directory);
+    std::filesystem::create_directories(directory, ignored);
+    // A restarted agent starts afresh: nothing says that old files are whole.
+    for (const auto& entry : std::filesystem::directory_iterator(directory, ignored))
+        if (entry.path().extension() == ".weights")
+            std::filesystem::remove(entry.path(), ignored);
+    this->state->download.setRate(this->state->options.linkRate.value);
+    this->state->upload.setRate(this->state->options.linkRate.value);
+    for (unsigned count = 0; count < std::max(1U, this->state->options.threads); ++count)
+        this->state->threads.emplace_back([state = this->state.get()] { state->run(); });
+}
+
+WeightsStore::~WeightsStore()
+{
+    {
+        const std::lock_guard lock(this->state->mutex);
+        this->state->stopping = true;
+        this->state->wake.notify_all();
+    }
+    for (std::thread& thread : this->state->threads)
+        thread.join();
+}
+
+void WeightsStore::fetchManifest(const FetchManifest& effect)
+{
+    State* const shared = this->state.get();
+    shared->add(Clock::now(), [shared, effect] { shared->options.onEvent(shared->readManifest(effect.digest)); });
+}
+
+void WeightsStore::fetchChunk(const FetchChunk& effect)
+{
+    State* const shared = this->state.get();
+    if (effect.source.peer.empty()) {
+        shared->add(Clock::now(), [shared, effect] { shared->fetchOrigin(effect); });
+        return;
+    }
+    const std::shared_ptr<StoredVersion> version = shared->find(effect.manifest);
+    std::uint64_t size = 0;
+    if (version && effect.index.value < version->have.size())
+        size = version->manifest.chunks[effect.index.value].size.value;
+    // A peer sends a chunk in one answer, so the pace is kept by the time between requests.
+    shared->add(Clock::now() + shared->reserveDownload(size), [shared, effect] { shared->fetchPeer(effect); });
+}
+
+void WeightsStore::drop(const DropWeights& effect)
+{
+    const std::lock_guard lock(this->state->mutex);
+    const auto found = this->state->versions.find(effect.manifest);
+    if (found == this->state->versions.end())
+        return;
+    unlink(found->second->path.c_str());
+    this->state->versions.erase(found);
+}
+
+void WeightsStore::setRate(const SetChunkRate& effect)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->download.setRate(effect.bytesPerSecond.value);
+    this->state->upload.setRate(effect.bytesPerSecond.value);
+}
+
+std::string WeightsStore::chunkMap(const ManifestDigest& manifest) const
+{
+    const std::lock_guard lock(this->state->mutex);
+    const auto found = this->state->versions.find(manifest);
+    if (found == this->state->versions.end())
+        return {};
+    const std::vector<bool>& have = found->second->have;
+    std::string map((have.size() + 7) / 8, '\0');
+    for (std::size_t index = 0; index < have.size(); ++index)
+        if (have[index])
+            map[index / 8] = static_cast<char>(static_cast<unsigned char>(map[index / 8]) | (1U << (index % 8)));
+    return map;
+}
+
+Result<std::string> WeightsStore::readChunk(const ManifestDigest& manifest, ChunkIndex index) const
+{
+    const std::shared_ptr<StoredVersion> version = this->state->find(manifest);
+    bool held = false;
+    if (version) {
+        const std::lock_guard lock(this->state->mutex);
+        held = index.value < version->have.size() && version->have[index.value];
+    }
+    if (!held)
+        return Error { .code = ErrorCode::NotFound, .step = "read-chunk", .detail = std::to_string(index.value) };
+    std::string data(version->manifest.chunks[index.value].size.value, '\0');
+    if (!readAll(version->file, data, version->offset(index)))
+        return Error { .code = ErrorCode::Unavailable, .step = "read-chunk", .detail = version->path };
+    return data;
+}
+
+Milliseconds WeightsStore::uploadDelay(Bytes bytes)
+{
+    const std::lock_guard lock(this->state->mutex);
+    const Clock::duration wait = this->state->upload.reserve(bytes.value, Clock::now());
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(wait).count() };
+}
+
+std::string WeightsStore::path(const ManifestDigest& manifest) const
+{
+    return this->state->options.directory + "/" + manifest.value + ".weights";
+}
+
+} // namespace hickory
--- a/src/weights_state_type.h
+++ b/src/weights_state_type.h
@@ -1,8 +1,129 @@
 #pragma once
 
+#include "clock_type.h"
+#include "config_type.h"
+#include "id_type.h"
+#include "placement_row_type.h"
+#include "weights_type.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace hickory {
 
+/// Progress of one chunk.
+struct ChunkProgress {
+    bool have { false }; ///< verified and stored
+    bool fetching { false }; ///< a FetchChunk is out
+    std::uint16_t holders { 0 }; ///< peers of the region known to hold it
+    std::uint16_t failures { 0 }; ///< failed fetches since the last success of any chunk
+    std::uint16_t position { 0 }; ///< this host's position in the chunk's rendezvous order of its region
+    HostId lead; ///< best host of the chunk's order in this region
+    Milliseconds notBefore { 0 }; ///< no fetch before this time
+};
+
+/// What is known of a peer for one manifest.
+struct PeerProgress {
+    std::vector<bool> have; ///< by chunk index; empty before the first answer
+    std::uint32_t held { 0 }; ///< count of `have`
+    Milliseconds lastQuery { 0 }; ///< when its map was last asked for
+    Milliseconds lastGain { 0 }; ///< when its map last grew
+    std::uint32_t streams { 0 }; ///< fetches from it in progress
+    std::uint32_t silent { 0 }; ///< map queries without an answer in a row
+    Milliseconds demotedUntil { 0 }; ///< not used as a source before this time
+    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served
+    bool querying { false }; ///< a QueryChunkMap is out
+};
+
+/// The fetch of one version.
+struct Download {
+    std::optional<Manifest> manifest; ///< once read
+    Milliseconds manifestRetry { 0 }; ///< when to read the manifest again
+    bool manifestAsked { false }; ///< a FetchManifest is out
+    std::vector<ChunkProgress> chunks; ///< by index
+    std::uint32_t held { 0 }; ///< chunks held
+    bool whole { false }; ///< all chunks are held and the total digest matched
+    bool broken { false }; ///< the total digest differs though every chunk matches: never loaded
+    std::string detail; ///< why it does not get on
+    Milliseconds started { 0 }; ///< when the manifest was known
+    std::map<HostId, PeerProgress> peers; ///< bounded by the membership list
+    std::uint32_t originStreams { 0 }; ///< fetches from the origin in progress
+    std::uint32_t peerStreams { 0 }; ///< fetches from peers in progress
+    std::uint64_t candidatesVersion { 0 }; ///< value of WeightsState::candidatesVersion that `chunks` was ordered for
+    Bytes fromOrigin; ///< bytes received from the origin
+    Bytes fromRegion; ///< bytes received from peers of this region
+    Bytes fromOtherRegions; ///< bytes received from peers of other regions
+};
+
+/// A placement row as last read.
+struct PlacementView {
+    bool known { false }; ///< read at least once, even when absent
+    RowVersion version; ///< its version, 0 when absent
+    PlacementRow row; ///< its content
+};
+
+/// A permit row as last read, with what is needed to see that a holder has expired.
+struct PermitView {
+    bool known { false }; ///< read at least once, even when absent
+    RowVersion version; ///< its version, 0 when absent
+    PermitRow row; ///< its content, default when absent
+    Milliseconds readAt { 0 }; ///< when it was read
+    std::map<HostId, std::pair<std::uint64_t, Milliseconds>> seen; ///< holder's renewal and when it was first seen
+};
+
+/// What this host shall serve.
+struct Wanted {
+    ServiceId service; ///< by the placement rows
+    ModelConfig model; ///< by the text, or the previous model while a rollout is stopped
+    std::uint32_t maxOut { 1 }; ///< of the service
+
+    bool operator==(const Wanted&) const = default;
+};
+
+/// Steps of this host's part in a rollout.
+enum class RolloutStep : std::uint8_t {
+    Idle, ///< holds no permit
+    Taking, ///< a write that takes a permit is out, or its answer was lost
+    Holding, ///< holds a permit
+    Releasing, ///< a write that gives it back is out, or its answer was lost
+};
+
+/// This host's part in the rollout of its service.
+struct RolloutState {
+    RolloutStep step { RolloutStep::Idle }; ///< progress
+    std::uint64_t operation { 0 }; ///< number of the last store operation; other answers are ignored
+    bool waiting { false }; ///< that operation's answer has not arrived
+    Milliseconds nextStore { 0 }; ///< earliest time of the next store operation
+    Milliseconds renewedAt { 0 }; ///< when the permit was last renewed
+    std::uint64_t renewal { 0 }; ///< renewal number last written
+    Milliseconds servingSince { 0 }; ///< when `watched` was first seen in service
+    std::optional<ModelConfig> watched; ///< model whose failures are counted
+    std::uint32_t failuresBefore { 0 }; ///< failures of the model served before it
+    Milliseconds servedBefore { 0 }; ///< how long that one served
+    Milliseconds failedSince { 0 }; ///< when the load was first seen to have failed, 0 when it has not
+    bool reported { false }; ///< the row lists this host as done with the wanted model
+    std::string waitsFor; ///< why no permit was taken, for operators
+};
+
 /// Manifests, chunks, peers, placement and permits as seen by an agent.
-struct WeightsState { };
+struct WeightsState {
+    std::map<ServiceId, PlacementView> placements; ///< engine services of the configuration
+    std::map<ServiceId, PermitView> permits; ///< this host's service and those it depends on
+    Generation generation; ///< configuration last taken over
+    Milliseconds nextPlacementRead { 0 }; ///< when to read the next row
+    std::uint32_t placementCursor { 0 }; ///< which row comes next
+    std::optional<Wanted> wanted; ///< what this host shall serve
+    std::map<ManifestDigest, Download> downloads; ///< wanted, serving and previous versions only
+    std::uint64_t candidatesVersion { 1 }; ///< rises when the hosts that take part in the swarm change
+    Milliseconds nextRound { 0 }; ///< when peers' maps are next asked for
+    double chunkRate { 0 }; ///< measured bytes a second of one chunk fetch, 0 before the first
+    double latencyBase { 0 }; ///< smoothed latency of live traffic while no chunks move, in ms
+    Bytes paceInForce; ///< last SetChunkRate
+    Milliseconds nextPace { 0 }; ///< when the pace is next considered
+    RolloutState rollout; ///< permits
+};
 
 } // namespace hickory
--- a/src/weights_type.h
+++ b/src/weights_type.h
@@ -63,6 +63,8 @@
     ChunkResult result { ChunkResult::Failed }; ///< how it ended
     Bytes received; ///< bytes that came over the link
     Milliseconds elapsed; ///< time from the request to the end
+    bool whole { false }; ///< this chunk was the last and the total digest matches: the version may be loaded
+    bool wholeMismatch { false }; ///< this chunk was the last and the total digest differs: the manifest is wrong
 };
 
 } // namespace hickory
