--- a/src/agent_effect_type.h
+++ b/src/agent_effect_type.h
@@ -86,8 +86,7 @@
     AgentStatus status; ///< the status
 };
 
-/// Report to the home entry. A newer configuration in the answer arrives as ConfigReceived;
-/// a report without an answer as HomeReportFailed.
+/// Report to the home entry. A newer configuration in the answer arrives as ConfigReceived.
 struct ReportHome {
     HostId entry; ///< home entry
     std::string address; ///< "ip:port"
