--- a/src/agent_effect_type.h
+++ b/src/agent_effect_type.h
@@ -86,7 +86,8 @@
     AgentStatus status; ///< the status
 };
 
-/// Report to the home entry. A newer configuration in the answer arrives as ConfigReceived.
+/// Report to the home entry. A newer configuration in the answer arrives as ConfigReceived;
+/// a report without an answer as HomeReportFailed.
 struct ReportHome {
     HostId entry; ///< home entry
     std::string address; ///< "ip:port"
--- a/src/agent_event_type.h
+++ b/src/agent_event_type.h
@@ -86,9 +86,14 @@
     std::string detail; ///< reason when not ok
 };
 
+/// A report to the home entry was not answered.
+struct HomeReportFailed {
+    HostId entry; ///< as in ReportHome
+};
+
 using AgentEventBody = std::variant<DispatchReceived, CancelReceived, EntryAttached, EntryDetached, UpstreamFirstPart,
     UpstreamEnded, UpstreamStateReceived, LoadEnded, ChunkMapReceived, ChunkFetched, ManifestReceived, MembersUpdated,
-    ConfigReceived, StoreAnswer, Tick, ShutdownRequested>;
+    ConfigReceived, HomeReportFailed, StoreAnswer, Tick, ShutdownRequested>;
 
 /// One input of the agent's reducer.
 struct AgentEvent {
--- a/src/agent_link_io.cpp
+++ b/src/agent_link_io.cpp
@@ -258,6 +258,12 @@
     this->loop.detach(request.send().ignoreResult());
 }
 
+void AgentLinks::clear()
+{
+    this->flights.clear();
+    this->links.clear();
+}
+
 void AgentLinks::heartbeat(const HostId& host, Link& link)
 {
     link.lastHeartbeat = monotonicNow();
--- a/src/agent_link_io.h
+++ b/src/agent_link_io.h
@@ -27,6 +27,9 @@
     void dispatch(const DispatchAttempt& effect);
     void cancel(const CancelAttempt& effect);
 
+    /// Drops all connections without events. Capabilities must be destroyed on the RPC thread, before it ends.
+    void clear();
+
     /// Sends due heartbeats and gives up attempts whose agent is silent. Called every 100 ms.
     void tick();
 
--- a/src/agent_reduce_func.cpp
+++ b/src/agent_reduce_func.cpp
@@ -98,6 +98,11 @@
         applyConfigToWeights(state, effects);
     }
 
+    void handle(AgentState& state, const HomeReportFailed& event, AgentEffects& effects)
+    {
+        applyHomeReportFailed(state, event, effects);
+    }
+
     void handle(AgentState& state, const StoreAnswer& event, AgentEffects& effects)
     {
         switch (event.token.purpose) {
--- /dev/null
+++ b/src/call_row_cmd.cpp
@@ -0,0 +1,371 @@
+#include "call_row_cmd.h"
+
+#include "call_row_func.h"
+#include "slot_cmd.h"
+#include "slot_dispatch_cmd.h"
+#include "slot_func.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace hickory {
+
+namespace {
+
+    /// Rows that may be in recording or release before further calls of this kind are refused.
+    constexpr std::size_t maxOpenRows = 256;
+
+    /// An operation without an answer counts as unavailable after this. The platform client's own limit is 2 s.
+    constexpr Milliseconds operationTimeout { 5000 };
+
+    /// After an operation without an answer only one call row is tried at a time for this long.
+    constexpr Milliseconds storeProbeInterval { 5000 };
+
+    /// Writes of the move to `started` before the call is refused.
+    constexpr std::uint32_t maxMoveWrites = 3;
+
+    constexpr Milliseconds firstRetry { 100 };
+    constexpr Milliseconds longestRetry { 5000 };
+
+    CallRow rowOf(const AgentState& state, const Dispatch& dispatch, CallRowState rowState)
+    {
+        CallRow row;
+        row.state = rowState;
+        row.attempt = dispatch.call.key;
+        row.incarnation = state.incarnation;
+        row.bodyDigest = dispatch.call.bodyDigest;
+        return row;
+    }
+
+    StoreToken nextOperation(AgentState& state, CallRowStep& step)
+    {
+        step.operation = ++state.slots.lastOperation;
+        step.sentAt = state.now;
+        return { .purpose = StorePurpose::CallRow, .subject = step.key, .number = step.operation };
+    }
+
+    void write(AgentState& state, CallRowStep& step, const CallRow& row, AgentEffects& effects)
+    {
+        step.reading = false;
+        effects.emplace_back(StoreWrite { .token = nextOperation(state, step),
+            .key = step.key,
+            .ifVersion = step.version,
+            .value = encodeCallRow(row),
+            .timeToLive = state.settings.callRowTimeToLive });
+    }
+
+    void read(AgentState& state, CallRowStep& step, AgentEffects& effects)
+    {
+        step.reading = true;
+        effects.emplace_back(StoreRead { .token = nextOperation(state, step), .key = step.key });
+    }
+
+    void scheduleRetry(const AgentState& state, CallRowStep& step)
+    {
+        const std::uint32_t doublings = std::min<std::uint32_t>(step.failures, 6);
+        step.retryAt = state.now + std::min(firstRetry * (1 << doublings), longestRetry);
+        ++step.failures;
+    }
+
+    std::optional<CallRow> decode(const StoreAnswer& answer)
+    {
+        if (answer.version.value == 0)
+            return std::nullopt;
+        auto row = decodeCallRow(answer.value);
+        if (!row)
+            return std::nullopt;
+        return std::move(row.value());
+    }
+
+    void logRow(const char* event, const Dispatch& dispatch, const char* reason, AgentEffects& effects,
+        LogLevel level = LogLevel::Info)
+    {
+        auto fields = attemptFields(dispatch.call);
+        fields.emplace_back("row", dispatch.row.key);
+        fields.emplace_back("reason", reason);
+        effects.emplace_back(LogLine { .level = level, .event = event, .fields = std::move(fields) });
+        effects.emplace_back(
+            MetricSample { .name = "call_rows_total", .labels = "event=\"" + std::string(event) + "\"" });
+    }
+
+    void addRelease(AgentState& state, const Dispatch& dispatch)
+    {
+        RowRelease release { .row = rowOf(state, dispatch, CallRowState::Cancelled), .step = dispatch.row };
+        release.step.operation = 0;
+        release.step.failures = 0;
+        release.step.retryAt = state.now;
+        state.slots.releases.push_back(std::move(release));
+    }
+
+    /// The row cannot be read: the call does not run, and a write that arrives late must not leave it `started`.
+    void giveUpMove(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
+    {
+        logRow("call-row-given-up", dispatch, "store-unavailable", effects, LogLevel::Warning);
+        addRelease(state, dispatch);
+        scheduleRetry(state, state.slots.releases.back().step);
+        endDispatch(state, dispatch.call.key, resultOf(DispatchResultKind::NotRun, "store-unavailable"), effects);
+    }
+
+    void retryMove(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
+    {
+        if (++dispatch.row.failures >= maxMoveWrites || state.now >= dispatch.deadline)
+            giveUpMove(state, dispatch, effects);
+        else
+            write(state, dispatch.row, rowOf(state, dispatch, CallRowState::Started), effects);
+    }
+
+    /// The row is `started` by this attempt. The call is not given to the upstream when time or a cancellation
+    /// overtook it, e.g. because this process was paused.
+    void continueStarted(AgentState& state, Dispatch& dispatch, RowVersion version, AgentEffects& effects)
+    {
+        dispatch.row.version = version;
+        dispatch.row.failures = 0;
+        const std::string_view obstacle = startObstacle(state, dispatch);
+        if (dispatch.abandoned)
+            releaseRow(state, dispatch, "cancelled", effects);
+        else if (!obstacle.empty())
+            releaseRow(state, dispatch, std::string(obstacle), effects);
+        else {
+            logRow("call-row-started", dispatch, "moved", effects, LogLevel::Debug);
+            startUpstream(state, dispatch, effects);
+        }
+    }
+
+    /// @return true when the attempt of a `started` row is between the move and the end of its recording here
+    bool inProgressHere(const AgentState& state, const CallRow& row)
+    {
+        const auto found = state.slots.dispatches.find(row.attempt);
+        return found != state.slots.dispatches.end() && found->second.phase != DispatchPhase::Waiting
+            && found->second.phase != DispatchPhase::Releasing;
+    }
+
+    bool inRelease(const AgentState& state, const CallRow& row)
+    {
+        return std::any_of(state.slots.releases.begin(), state.slots.releases.end(),
+            [&](const RowRelease& release) { return release.row.attempt == row.attempt; });
+    }
+
+    DispatchResult resultOfRow(const AgentState& state, const Dispatch& dispatch, const CallRow& row)
+    {
+        if (row.state == CallRowState::Cancelled)
+            return resultOf(DispatchResultKind::NotRun, "cancelled");
+        if (row.bodyDigest != dispatch.call.bodyDigest)
+            return resultOf(DispatchResultKind::KeyConflict, "other-body");
+        if (row.state == CallRowState::Done) {
+            DispatchResult result = resultOf(DispatchResultKind::RecordedDone, "recorded");
+            result.status = row.status;
+            return result;
+        }
+        if (row.incarnation != state.incarnation)
+            return resultOf(DispatchResultKind::RecordedUnknown, "started-elsewhere");
+        if (inRelease(state, row))
+            return resultOf(DispatchResultKind::NotRun, "cancelled");
+        if (inProgressHere(state, row))
+            return resultOf(DispatchResultKind::RecordedRunning, "running");
+        return resultOf(DispatchResultKind::RecordedUnknown, "outcome-unknown");
+    }
+
+    /// The row is not at the version that the entry saw.
+    void settleMove(AgentState& state, Dispatch& dispatch, const StoreAnswer& answer, AgentEffects& effects)
+    {
+        if (answer.version.value == 0) {
+            endDispatch(state, dispatch.call.key, resultOf(DispatchResultKind::NotRun, "row-changed"), effects);
+            return;
+        }
+        auto row = decode(answer);
+        if (!row) {
+            logRow("call-row-unreadable", dispatch, "decode-failed", effects, LogLevel::Error);
+            endDispatch(
+                state, dispatch.call.key, resultOf(DispatchResultKind::RecordedUnknown, "row-unreadable"), effects);
+            return;
+        }
+        if (row->state == CallRowState::Started && row->attempt == dispatch.call.key
+            && row->incarnation == state.incarnation) {
+            continueStarted(state, dispatch, answer.version, effects);
+            return;
+        }
+        DispatchResult result = resultOfRow(state, dispatch, *row);
+        logRow("call-row-found", dispatch, result.reason.c_str(), effects);
+        const bool done = result.kind == DispatchResultKind::RecordedDone;
+        endDispatch(state, dispatch.call.key, std::move(result), effects, done ? std::move(row->answer) : "",
+            done ? std::move(row->contentType) : "");
+    }
+
+    void handleMove(AgentState& state, Dispatch& dispatch, const StoreAnswer& answer, AgentEffects& effects)
+    {
+        const bool reading = dispatch.row.reading;
+        const bool unchanged = answer.version == dispatch.row.version;
+        if (answer.status == StoreStatus::Unavailable && reading)
+            giveUpMove(state, dispatch, effects);
+        else if (answer.status == StoreStatus::Unavailable)
+            read(state, dispatch.row, effects);
+        else if (!reading && answer.status == StoreStatus::Ok)
+            continueStarted(state, dispatch, answer.version, effects);
+        else if (reading && unchanged)
+            retryMove(state, dispatch, effects);
+        else
+            settleMove(state, dispatch, answer, effects);
+    }
+
+    void writeOutcome(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
+    {
+        CallRow row = rowOf(state, dispatch, CallRowState::Done);
+        row.status = dispatch.result.status;
+        row.contentType = dispatch.contentType;
+        row.answer = dispatch.answer;
+        write(state, dispatch.row, row, effects);
+    }
+
+    void handleRecording(AgentState& state, Dispatch& dispatch, const StoreAnswer& answer, AgentEffects& effects)
+    {
+        if (answer.status == StoreStatus::Unavailable) {
+            scheduleRetry(state, dispatch.row);
+            return;
+        }
+        if (answer.status != StoreStatus::Ok) {
+            if (answer.version.value == 0) {
+                // The row expired; the outcome is recorded afresh.
+                dispatch.row.version = {};
+                writeOutcome(state, dispatch, effects);
+                return;
+            }
+            const auto row = decode(answer);
+            if (!row || row->attempt != dispatch.call.key || row->state != CallRowState::Done)
+                logRow("call-row-overwritten", dispatch, "unexpected-row", effects, LogLevel::Error);
+        }
+        logRow("call-row-done", dispatch, "recorded", effects, LogLevel::Debug);
+        endDispatch(state, dispatch.call.key, std::move(dispatch.result), effects);
+    }
+
+    void handleRelease(AgentState& state, std::size_t index, const StoreAnswer& answer, AgentEffects& effects)
+    {
+        RowRelease& release = state.slots.releases[index];
+        const AttemptKey attempt = release.row.attempt;
+        if (answer.status == StoreStatus::Unavailable) {
+            scheduleRetry(state, release.step);
+        } else {
+            const auto row = answer.status == StoreStatus::Conflict ? decode(answer) : std::nullopt;
+            if (row && row->state == CallRowState::Started && row->attempt == attempt
+                && row->incarnation == state.incarnation) {
+                release.step.version = answer.version;
+                write(state, release.step, release.row, effects);
+                return;
+            }
+            effects.emplace_back(LogLine { .event = "call-row-released",
+                .fields = { { "row", release.step.key }, { "request", std::to_string(attempt.request.value) },
+                    { "attempt", std::to_string(attempt.attempt.value) },
+                    { "reason", answer.status == StoreStatus::Ok ? "moved" : "superseded" } } });
+            state.slots.releases.erase(state.slots.releases.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        const auto found = state.slots.dispatches.find(attempt);
+        if (found != state.slots.dispatches.end() && found->second.phase == DispatchPhase::Releasing)
+            endDispatch(state, attempt, std::move(found->second.result), effects);
+    }
+
+    void noteStoreHealth(AgentState& state, StoreStatus status)
+    {
+        state.slots.storeDownUntil
+            = status == StoreStatus::Unavailable ? state.now + storeProbeInterval : Milliseconds { 0 };
+    }
+
+    /// @return operations whose answer counts as lost
+    std::vector<StoreToken> lostOperations(const AgentState& state)
+    {
+        std::vector<StoreToken> lost;
+        const auto collect = [&](const CallRowStep& step) {
+            if (step.operation != 0 && state.now - step.sentAt > operationTimeout)
+                lost.push_back({ .purpose = StorePurpose::CallRow, .subject = step.key, .number = step.operation });
+        };
+        for (const auto& [key, dispatch] : state.slots.dispatches)
+            collect(dispatch.row);
+        for (const RowRelease& release : state.slots.releases)
+            collect(release.step);
+        return lost;
+    }
+
+} // namespace
+
+void beginRowMove(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
+{
+    dispatch.phase = DispatchPhase::MovingRow;
+    dispatch.row.key = callRowKey(dispatch.call.service, dispatch.call.workspace, dispatch.call.idempotencyKey);
+    dispatch.row.version = dispatch.call.rowVersion;
+    write(state, dispatch.row, rowOf(state, dispatch, CallRowState::Started), effects);
+}
+
+void recordOutcome(AgentState& state, Dispatch& dispatch, DispatchResult result, std::string answer,
+    std::string contentType, AgentEffects& effects)
+{
+    dispatch.phase = DispatchPhase::Recording;
+    dispatch.result = std::move(result);
+    dispatch.answer = std::move(answer);
+    dispatch.contentType = std::move(contentType);
+    writeOutcome(state, dispatch, effects);
+}
+
+void releaseRow(AgentState& state, Dispatch& dispatch, std::string reason, AgentEffects& effects)
+{
+    dispatch.phase = DispatchPhase::Releasing;
+    dispatch.result = resultOf(DispatchResultKind::NotRun, std::move(reason));
+    addRelease(state, dispatch);
+    RowRelease& release = state.slots.releases.back();
+    write(state, release.step, release.row, effects);
+}
+
+bool callRowsAvailable(const AgentState& state)
+{
+    const SlotUse use = slotUse(state.slots);
+    if (state.now < state.slots.storeDownUntil && use.movingRows > 0)
+        return false;
+    return use.recording + state.slots.releases.size() < maxOpenRows;
+}
+
+void tickCallRows(AgentState& state, AgentEffects& effects)
+{
+    for (const StoreToken& token : lostOperations(state)) {
+        StoreAnswer answer;
+        answer.token = token;
+        applyCallRowAnswer(state, answer, effects);
+    }
+    for (auto& [key, dispatch] : state.slots.dispatches) {
+        if (dispatch.phase != DispatchPhase::Recording)
+            continue;
+        if (dispatch.row.operation == 0 && state.now >= dispatch.row.retryAt)
+            writeOutcome(state, dispatch, effects);
+    }
+    for (RowRelease& release : state.slots.releases)
+        if (release.step.operation == 0 && state.now >= release.step.retryAt)
+            write(state, release.step, release.row, effects);
+}
+
+void applyCallRowAnswer(AgentState& state, const StoreAnswer& answer, AgentEffects& effects)
+{
+    noteStoreHealth(state, answer.status);
+    SlotState& slots = state.slots;
+    const std::uint64_t number = answer.token.number;
+    for (auto& [key, dispatch] : slots.dispatches) {
+        if (dispatch.row.operation != number)
+            continue;
+        dispatch.row.operation = 0;
+        if (dispatch.phase == DispatchPhase::MovingRow)
+            handleMove(state, dispatch, answer, effects);
+        else if (dispatch.phase == DispatchPhase::Recording)
+            handleRecording(state, dispatch, answer, effects);
+        serveWaiting(state, effects);
+        return;
+    }
+    for (std::size_t index = 0; index < slots.releases.size(); ++index) {
+        if (slots.releases[index].step.operation != number)
+            continue;
+        slots.releases[index].step.operation = 0;
+        handleRelease(state, index, answer, effects);
+        return;
+    }
+    // A late answer: the operation was given up and its row has been settled since.
+    effects.emplace_back(LogLine { .level = LogLevel::Debug,
+        .event = "call-row-answer-dropped",
+        .fields = { { "row", answer.token.subject }, { "reason", "not-awaited" } } });
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/call_row_cmd.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "agent_effect_type.h"
+#include "agent_state_type.h"
+
+#include <cstddef>
+#include <string>
+
+namespace hickory {
+
+/// Moves the call row of a dispatch from the version that its entry saw to `started`. The call is given to the
+/// upstream only after the move is known to have succeeded.
+/// @pre the dispatch has an idempotency key and holds a slot
+void beginRowMove(AgentState& state, Dispatch& dispatch, AgentEffects& effects);
+
+/// Writes the outcome of a call to its row until that succeeds, then answers the dispatch.
+/// @param result answer to be sent afterwards
+void recordOutcome(AgentState& state, Dispatch& dispatch, DispatchResult result, std::string answer,
+    std::string contentType, AgentEffects& effects);
+
+/// Moves the `started` row of a call that was not given to the upstream to `cancelled`, then answers not-run.
+/// @param reason reason of the answer
+void releaseRow(AgentState& state, Dispatch& dispatch, std::string reason, AgentEffects& effects);
+
+/// @return true when another call that may not be repeated can be taken
+bool callRowsAvailable(const AgentState& state);
+
+/// Periodic work: repeats store operations and gives up on answers that were lost.
+void tickCallRows(AgentState& state, AgentEffects& effects);
+
+} // namespace hickory
--- a/src/control_cmd.cpp
+++ b/src/control_cmd.cpp
@@ -1,18 +1,252 @@
 #include "control_cmd.h"
 
+#include "config_record_func.h"
+#include "control_apply_cmd.h"
+#include "control_spread_cmd.h"
+#include "member_func.h"
+#include "operator_cmd.h"
+#include "request_cmd.h"
+#include "table/control_limits.h"
+
+#include <algorithm>
+
 namespace hickory {
 
-bool applyConfigReceived(EntryState&, const ConfigReceived&, EntryEffects&) { return false; }
-bool applyConfigStoreAnswer(EntryState&, const StoreAnswer&, EntryEffects&) { return false; }
-void applyMembersUpdated(EntryState&, const MembersUpdated&, EntryEffects&) { }
-void applyLeavingNotice(EntryState&, const HostId&, EntryEffects&) { }
-void applyGossip(EntryState&, const GossipReceived&, EntryEffects&) { }
-void applyGossipFailed(EntryState&, const GossipFailed&, EntryEffects&) { }
-void applyHomeReport(EntryState&, const HomeReport&, EntryEffects&) { }
-void applyOperatorCalled(EntryState&, const OperatorCalled&, EntryEffects&) { }
-void applyEntryStatus(EntryState&, const EntryStatusReceived&, EntryEffects&) { }
-void tickControl(EntryState&, EntryEffects&) { }
-GossipMessage localGossip(const EntryState&) { return {}; }
-EntryStatus localEntryStatus(const EntryState&) { return {}; }
+namespace {
+
+    bool hasEntry(const MemberList& list)
+    {
+        return std::any_of(list.members.begin(), list.members.end(),
+            [](const Member& member) { return member.role == MemberRole::Entry; });
+    }
+
+    /// A host that was replaced or started again under the same name is not the one that said it was leaving.
+    void forgetOldNotices(MemberState& members, const MemberState& before)
+    {
+        std::erase_if(members.leavingNotices, [&](const auto& notice) {
+            const Member* now = findMember(members, notice.first);
+            const Member* then = findMember(before, notice.first);
+            return !now || !then || now->address != then->address
+                || (then->state == HostState::Leaving && now->state == HostState::Live);
+        });
+    }
+
+    void expire(EntryState& state)
+    {
+        std::erase_if(
+            state.members.leavingNotices, [&](const auto& notice) { return state.now - notice.second > noticeAge; });
+        std::erase_if(state.control.unreachable, [&](const auto& entry) { return state.now > entry.second; });
+        std::erase_if(state.control.homeAgents,
+            [&](const auto& entry) { return state.now - entry.second.reported > homeAgentAge; });
+    }
+
+    void tickMembers(EntryState& state, EntryEffects& effects)
+    {
+        if (state.now < state.members.nextRead)
+            return;
+        const auto hosts = static_cast<std::int64_t>(state.members.list.members.size());
+        state.members.nextRead = state.now + std::max(membersInterval, membersIntervalPerHost * hosts);
+        effects.emplace_back(ReadMembers { .since = state.members.list.version });
+    }
+
+    void tickPoll(EntryState& state, EntryEffects& effects)
+    {
+        if (state.now < state.control.nextPoll)
+            return;
+        state.control.nextPoll = state.now + configPollInterval;
+        const bool none = state.config.record.generation.value == 0;
+        if (none || isDesignatedPoller(state))
+            effects.emplace_back(
+                StoreRead { .token = { .purpose = StorePurpose::ConfigPoll }, .key = currentConfigKey });
+    }
+
+    void tickGossip(EntryState& state, EntryEffects& effects)
+    {
+        if (state.now < state.control.nextGossip)
+            return;
+        state.control.nextGossip = state.now + gossipInterval;
+        std::vector<HostId> peers = liveEntries(state.members);
+        std::erase(peers, state.settings.process.host);
+        if (peers.empty())
+            return;
+        // Unreachable entries are drawn as well: a round that succeeds shows that they are back.
+        const HostId& peer = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(state.random)];
+        const Member* member = findMember(state.members, peer);
+        GossipMessage message = localGossip(state);
+        message.suspicions = localSuspicions(state);
+        effects.emplace_back(SendGossip { .peer = peer, .address = member->address, .message = std::move(message) });
+        if (state.config.record.generation.value == 0)
+            fetchFrom(state, peer, effects);
+    }
+
+    bool applyPollAnswer(EntryState& state, const StoreAnswer& answer, EntryEffects& effects)
+    {
+        if (answer.status != StoreStatus::Ok)
+            return false;
+        const Result<ConfigRecord> record = recordFromJson(answer.value);
+        if (record)
+            return adoptAndSpread(state, record.value(), {}, "store", effects);
+        effects.emplace_back(LogLine { .level = LogLevel::Error,
+            .event = "config-row-unreadable",
+            .fields = { { "key", currentConfigKey }, { "reason", record.error().text() } } });
+        return false;
+    }
+
+} // namespace
+
+bool applyConfigReceived(EntryState& state, const ConfigReceived& event, EntryEffects& effects)
+{
+    const std::string source = event.from.empty() ? "store" : event.from.value;
+    const bool adopted = adoptAndSpread(state, event.record, event.from, source, effects);
+    if (adopted)
+        settleAppliesByRecord(state, event.record, effects);
+    return adopted;
+}
+
+bool applyConfigStoreAnswer(EntryState& state, const StoreAnswer& answer, EntryEffects& effects)
+{
+    if (answer.token.purpose == StorePurpose::ConfigPoll) {
+        const bool adopted = applyPollAnswer(state, answer, effects);
+        if (adopted)
+            settleAppliesByRecord(state, state.config.record, effects);
+        return adopted;
+    }
+    if (applyOperatorRead(state, answer, effects))
+        return false;
+    return applyAcceptanceAnswer(state, answer, effects);
+}
+
+void applyMembersUpdated(EntryState& state, const MembersUpdated& event, EntryEffects& effects)
+{
+    // This entry is listed by whoever started it; a list without any entry is a fault and would stop all routing.
+    if (!hasEntry(event.list) && hasEntry(state.members.list)) {
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "members-ignored",
+            .fields
+            = { { "version", std::to_string(event.list.version) }, { "reason", "the list names no entry host" } } });
+        return;
+    }
+    const MemberState before { .list = std::move(state.members.list) };
+    state.members.list = event.list;
+    forgetOldNotices(state.members, before);
+    std::erase_if(
+        state.control.unreachable, [&](const auto& entry) { return !findMember(state.members, entry.first); });
+    effects.emplace_back(LogLine { .event = "members",
+        .fields = { { "version", std::to_string(event.list.version) },
+            { "previous", std::to_string(before.list.version) }, { "hosts", std::to_string(event.list.members.size()) },
+            { "live_entries", std::to_string(liveEntries(state.members).size()) } } });
+}
+
+void applyLeavingNotice(EntryState& state, const HostId& host, EntryEffects& effects)
+{
+    // Only listed hosts, so that the notices are bounded by the list. The first notice sets the age.
+    if (!findMember(state.members, host) || !state.members.leavingNotices.try_emplace(host, state.now).second)
+        return;
+    effects.emplace_back(LogLine { .event = "host-leaving", .fields = { { "subject", host.value } } });
+}
+
+void applyGossip(EntryState& state, const GossipReceived& event, EntryEffects& effects)
+{
+    const GossipMessage& message = event.message;
+    state.control.unreachable.erase(message.from);
+    if (message.fromLeaving)
+        applyLeavingNotice(state, message.from, effects);
+    else
+        state.members.leavingNotices.erase(message.from);
+    for (const HostId& host : message.leaving)
+        if (host != message.from && host != state.settings.process.host)
+            applyLeavingNotice(state, host, effects);
+    const Generation own = state.config.record.generation;
+    if (message.generation > own && message.generation != state.config.refused)
+        fetchFrom(state, message.from, effects);
+    // A peer without any configuration may lack the membership list as well, and then cannot ask for it.
+    const Member* member = findMember(state.members, message.from);
+    if (message.generation.value == 0 && own.value > 0 && member)
+        effects.emplace_back(
+            PushConfig { .peer = message.from, .address = member->address, .record = state.config.record });
+}
+
+void applyGossipFailed(EntryState& state, const GossipFailed& event, EntryEffects& effects)
+{
+    if (!findMember(state.members, event.peer))
+        return;
+    const bool fresh = !state.control.unreachable.contains(event.peer);
+    state.control.unreachable[event.peer] = state.now + unreachableAge;
+    if (fresh)
+        effects.emplace_back(LogLine {
+            .level = LogLevel::Warning, .event = "entry-unreachable", .fields = { { "peer", event.peer.value } } });
+}
+
+void applyHomeReport(EntryState& state, const HomeReport& event, EntryEffects& effects)
+{
+    const AgentStatus& status = event.status;
+    const auto known = state.control.homeAgents.find(status.host);
+    if (known != state.control.homeAgents.end()) {
+        const AgentStatus& held = known->second.status;
+        if (held.incarnation == status.incarnation && held.sequence > status.sequence)
+            return;
+        if (held.incarnation != status.incarnation && !status.leaving)
+            state.members.leavingNotices.erase(status.host);
+        known->second = { .status = status, .reported = state.now };
+        return;
+    }
+    if (state.control.homeAgents.size() >= maxHomeAgents) {
+        effects.emplace_back(MetricSample { .name = "home_reports_dropped_total" });
+        return;
+    }
+    state.control.homeAgents[status.host] = { .status = status, .reported = state.now };
+}
+
+void repairAgentConfig(EntryState& state, const AgentStatus& status, EntryEffects& effects)
+{
+    const Member* member = findMember(state.members, status.host);
+    if (status.generation.value == 0 && state.config.record.generation.value > 0 && member)
+        effects.emplace_back(PushConfig {
+            .peer = status.host, .address = member->address, .toEntry = false, .record = state.config.record });
+}
+
+void applyOperatorCalled(EntryState& state, const OperatorCalled& event, EntryEffects& effects)
+{
+    if (event.call.kind == OperatorCallKind::ApplyConfig)
+        startApply(state, event.call, effects);
+    else
+        startOperatorCall(state, event.call, effects);
+}
+
+void applyEntryStatus(EntryState& state, const EntryStatusReceived& event, EntryEffects& effects)
+{
+    collectEntryStatus(state, event, effects);
+}
+
+void tickControl(EntryState& state, EntryEffects& effects)
+{
+    expire(state);
+    tickMembers(state, effects);
+    tickPoll(state, effects);
+    tickGossip(state, effects);
+    tickApplies(state, effects);
+    tickOperatorCalls(state, effects);
+}
+
+GossipMessage localGossip(const EntryState& state)
+{
+    GossipMessage message {
+        .from = state.settings.process.host, .fromLeaving = state.leaving, .generation = state.config.record.generation
+    };
+    for (const auto& [host, since] : state.members.leavingNotices)
+        if (state.now - since <= noticeRelayAge)
+            message.leaving.push_back(host);
+    return message;
+}
+
+EntryStatus localEntryStatus(const EntryState& state)
+{
+    EntryStatus status {
+        .host = state.settings.process.host, .leaving = state.leaving, .generation = state.config.record.generation
+    };
+    for (const auto& [host, agent] : state.control.homeAgents)
+        status.agents.push_back(agent.status);
+    return status;
+}
 
 } // namespace hickory
--- a/src/control_cmd.h
+++ b/src/control_cmd.h
@@ -29,6 +29,9 @@
 /// Stores the report of an agent whose home is this entry.
 void applyHomeReport(EntryState& state, const HomeReport& event, EntryEffects& effects);
 
+/// Pushes the configuration to a connected agent that has none: without the membership list it finds no home to ask.
+void repairAgentConfig(EntryState& state, const AgentStatus& status, EntryEffects& effects);
+
 /// Starts or answers an operator's call.
 void applyOperatorCalled(EntryState& state, const OperatorCalled& event, EntryEffects& effects);
 
--- a/src/engine_cmd.h
+++ b/src/engine_cmd.h
@@ -18,6 +18,9 @@
 /// Periodic work: takes the fencing number, polls the upstream, drains and orders loads.
 void tickEngine(AgentState& state, AgentEffects& effects);
 
+/// Counts failures of requests and notices from them that the upstream is gone before the next poll does.
+void noteUpstreamResult(AgentState& state, UpstreamResult result, AgentEffects& effects);
+
 /// @return true when the upstream may be given work: it answers and, for engines, runs a verified version
 bool upstreamReady(const AgentState& state);
 
--- a/src/entry_reduce_func.cpp
+++ b/src/entry_reduce_func.cpp
@@ -42,6 +42,7 @@
 
     void handle(EntryState& state, const AgentConnected& event, EntryEffects& effects)
     {
+        repairAgentConfig(state, event.status, effects);
         applyAgentConnected(state, event, effects);
     }
 
--- a/src/entry_rpc_io.cpp
+++ b/src/entry_rpc_io.cpp
@@ -153,7 +153,11 @@
     return port;
 }
 
-void EntryRpc::stop() { this->state->loop.stop(); }
+void EntryRpc::stop()
+{
+    this->state->loop.post([data = this->state.get()] { data->links.clear(); });
+    this->state->loop.stop();
+}
 
 void EntryRpc::connectAgent(const ConnectAgent& effect)
 {
--- a/src/follow_cmd.cpp
+++ b/src/follow_cmd.cpp
@@ -1,9 +1,112 @@
 #include "follow_cmd.h"
 
+#include "config_record_func.h"
+#include "member_func.h"
+#include "table/control_limits.h"
+
+#include <algorithm>
+
 namespace hickory {
 
-bool applyConfigReceived(AgentState&, const ConfigReceived&, AgentEffects&) { return false; }
-void applyMembersUpdated(AgentState&, const MembersUpdated&, AgentEffects&) { }
-void tickFollow(AgentState&, const AgentStatus&, AgentEffects&) { }
+namespace {
+
+    /// @return entries in the order in which this agent takes them as its home, those that failed lately at the end
+    std::vector<HostId> homeOrder(const AgentState& state)
+    {
+        std::vector<HostId> ordered = rendezvousOrder(state.settings.process.host.value, liveEntries(state.members));
+        std::stable_partition(ordered.begin(), ordered.end(),
+            [&](const HostId& entry) { return !state.follow.failedEntries.contains(entry); });
+        return ordered;
+    }
+
+    void tickMembers(AgentState& state, AgentEffects& effects)
+    {
+        if (state.now < state.members.nextRead)
+            return;
+        const auto hosts = static_cast<std::int64_t>(state.members.list.members.size());
+        state.members.nextRead = state.now + std::max(membersInterval, membersIntervalPerHost * hosts);
+        effects.emplace_back(ReadMembers { .since = state.members.list.version });
+    }
+
+    /// Without a configuration the entries are asked in turn, beginning with the home.
+    void tickFetch(AgentState& state, const std::vector<HostId>& entries, AgentEffects& effects)
+    {
+        if (state.config.record.generation.value > 0 || state.now < state.follow.nextFetch || entries.empty())
+            return;
+        state.follow.nextFetch = state.now + fetchInterval;
+        const HostId& entry = entries[state.follow.fetches++ % entries.size()];
+        effects.emplace_back(FetchConfig { .peer = entry, .address = findMember(state.members, entry)->address });
+    }
+
+} // namespace
+
+bool applyConfigReceived(AgentState& state, const ConfigReceived& event, AgentEffects& effects)
+{
+    std::vector<LogLine> log;
+    const bool adopted = adoptConfig(state.config, event.record, event.from.value, log);
+    for (LogLine& line : log)
+        effects.emplace_back(std::move(line));
+    if (!adopted)
+        return false;
+    effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Gauge,
+        .name = "config_generation",
+        .value = static_cast<double>(event.record.generation.value) });
+    // The home tells operators which hosts have the generation in force; a report at once saves up to an interval.
+    state.follow.nextReport = state.now;
+    return true;
+}
+
+void applyMembersUpdated(AgentState& state, const MembersUpdated& event, AgentEffects& effects)
+{
+    const auto isEntry = [](const Member& member) { return member.role == MemberRole::Entry; };
+    const auto hasEntry
+        = [&](const MemberList& list) { return std::any_of(list.members.begin(), list.members.end(), isEntry); };
+    // A list without any entry is a fault; without the old one the agent would lose its home.
+    if (!hasEntry(event.list) && hasEntry(state.members.list)) {
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "members-ignored",
+            .fields
+            = { { "version", std::to_string(event.list.version) }, { "reason", "the list names no entry host" } } });
+        return;
+    }
+    effects.emplace_back(LogLine { .event = "members",
+        .fields = { { "version", std::to_string(event.list.version) },
+            { "previous", std::to_string(state.members.list.version) },
+            { "hosts", std::to_string(event.list.members.size()) } } });
+    state.members.list = event.list;
+    std::erase_if(
+        state.follow.failedEntries, [&](const auto& failed) { return !findMember(state.members, failed.first); });
+}
+
+void applyHomeReportFailed(AgentState& state, const HomeReportFailed& event, AgentEffects& effects)
+{
+    if (!findMember(state.members, event.entry))
+        return;
+    const bool fresh = !state.follow.failedEntries.contains(event.entry);
+    state.follow.failedEntries[event.entry] = state.now + unreachableAge;
+    if (!fresh)
+        return;
+    // The next entry in order takes over at once; a second failure of the same entry waits for the interval.
+    state.follow.nextReport = state.now;
+    effects.emplace_back(LogLine {
+        .level = LogLevel::Warning, .event = "home-unreachable", .fields = { { "entry", event.entry.value } } });
+}
+
+void tickFollow(AgentState& state, const AgentStatus& status, AgentEffects& effects)
+{
+    std::erase_if(state.follow.failedEntries, [&](const auto& failed) { return state.now > failed.second; });
+    tickMembers(state, effects);
+    const bool fetchDue = state.config.record.generation.value == 0 && state.now >= state.follow.nextFetch;
+    const bool reportDue = state.now >= state.follow.nextReport;
+    if (!fetchDue && !reportDue)
+        return;
+    const std::vector<HostId> entries = homeOrder(state);
+    tickFetch(state, entries, effects);
+    if (!reportDue || entries.empty())
+        return;
+    state.follow.nextReport = state.now + reportInterval;
+    effects.emplace_back(ReportHome {
+        .entry = entries.front(), .address = findMember(state.members, entries.front())->address, .status = status });
+}
 
 } // namespace hickory
--- a/src/follow_cmd.h
+++ b/src/follow_cmd.h
@@ -13,6 +13,9 @@
 /// Takes over a new membership list.
 void applyMembersUpdated(AgentState& state, const MembersUpdated& event, AgentEffects& effects);
 
+/// Takes the next entry in order as home for some time.
+void applyHomeReportFailed(AgentState& state, const HomeReportFailed& event, AgentEffects& effects);
+
 /// Periodic work: membership reads and reports to the home entry.
 /// @param status the agent's present status
 void tickFollow(AgentState& state, const AgentStatus& status, AgentEffects& effects);
--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -27,7 +27,7 @@
     constexpr std::size_t keepAliveRequests = 10000;
 
     /// Characters of a prompt that decide its prefix hash: requests that share them can share cached prompt prefixes.
-    constexpr std::size_t prefixCharacters = 256;
+    constexpr std::size_t prefixCharacters = 64;
 
     /// Characters for each token, for the estimated cost of a prompt.
     constexpr std::uint64_t charactersPerToken = 4;
--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -35,6 +35,20 @@
         capnp::TwoPartyClient client; ///< RPC over it
     };
 
+    /// One accepted connection. The members are destroyed in reverse order, the RPC system before its network.
+    struct Incoming {
+        Incoming(kj::Own<kj::AsyncIoStream> connection, capnp::Capability::Client bootstrap)
+            : stream(kj::mv(connection))
+            , network(*this->stream, capnp::rpc::twoparty::Side::SERVER)
+            , system(capnp::makeRpcServer(this->network, kj::mv(bootstrap)))
+        {
+        }
+
+        kj::Own<kj::AsyncIoStream> stream; ///< TCP connection
+        capnp::TwoPartyVatNetwork network; ///< messages over it
+        capnp::RpcSystem<capnp::rpc::twoparty::VatId> system; ///< RPC over the messages
+    };
+
     /// A shared outgoing connection, or the attempt to make one.
     struct SharedPeer {
         kj::Maybe<kj::ForkedPromise<kj::Own<Outgoing>>> pending; ///< resolves to the connection
@@ -109,10 +123,9 @@
     kj::Function<kj::Promise<void>()> accept = [&]() -> kj::Promise<void> {
         return receiver->accept().then([&](kj::Own<kj::AsyncIoStream>&& stream) {
             auto accepted = factory();
-            auto network = kj::heap<capnp::TwoPartyVatNetwork>(*stream, capnp::rpc::twoparty::Side::SERVER);
-            auto system = kj::heap(capnp::makeRpcServer(*network, accepted.bootstrap));
-            auto done = network->onDisconnect().then([closed = accepted.onClosed] { closed(); });
-            local.background.add(done.attach(kj::mv(system), kj::mv(network), kj::mv(stream)));
+            auto connection = kj::heap<Incoming>(kj::mv(stream), kj::mv(accepted.bootstrap));
+            auto done = connection->network.onDisconnect().then([closed = accepted.onClosed] { closed(); });
+            local.background.add(done.attach(kj::mv(connection)));
             return accept();
         });
     };
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -1,16 +1,229 @@
 #include "slot_cmd.h"
 
+#include "call_row_cmd.h"
+#include "engine_cmd.h"
+#include "slot_dispatch_cmd.h"
+#include "slot_func.h"
+#include "slot_limit_cmd.h"
+
+#include <cmath>
+#include <optional>
+#include <string_view>
+#include <utility>
+
 namespace hickory {
 
-void applyDispatchReceived(AgentState&, const DispatchReceived&, AgentEffects&) { }
-void applyCancelReceived(AgentState&, const CancelReceived&, AgentEffects&) { }
-void applyEntryDetached(AgentState&, const EntryDetached&, AgentEffects&) { }
-void applyUpstreamFirstPart(AgentState&, const UpstreamFirstPart&, AgentEffects&) { }
-void applyUpstreamEnded(AgentState&, const UpstreamEnded&, AgentEffects&) { }
-void applyCallRowAnswer(AgentState&, const StoreAnswer&, AgentEffects&) { }
-void applyConfigToSlots(AgentState&, AgentEffects&) { }
-void tickSlots(AgentState&, AgentEffects&) { }
-std::size_t dispatchesInProgress(const AgentState&) { return 0; }
-void fillSlotStatus(const AgentState&, AgentStatus&) { }
+namespace {
+
+    /// Longest time that an agent which leaves waits for the store to record outcomes and to release rows. It equals
+    /// the longest deadline of a dispatch.
+    constexpr Milliseconds longestRecording { 600000 };
+
+    /// @return why an arriving dispatch cannot be admitted, or an empty text
+    std::string_view arrivalObstacle(const AgentState& state, const Dispatch& dispatch)
+    {
+        if (state.leaving)
+            return "leaving";
+        if (!state.config.config)
+            return "no-config";
+        if (!state.settings.engine && dispatch.call.service != state.settings.service)
+            return "wrong-service";
+        if (hasCallRow(dispatch) && isClosed(state.slots, dispatch.call.key))
+            return "cancelled";
+        const std::string_view obstacle = startObstacle(state, dispatch);
+        if (!obstacle.empty())
+            return obstacle;
+        return hasCallRow(dispatch) && !callRowsAvailable(state) ? "store-unavailable" : "";
+    }
+
+    void refuse(AgentState& state, const AttemptKey& key, std::string_view reason, AgentEffects& effects)
+    {
+        endDispatch(state, key, resultOf(DispatchResultKind::NotRun, std::string(reason)), effects);
+    }
+
+    /// Places an admitted dispatch in the queue, or refuses it or the one that it displaces.
+    void enqueue(AgentState& state, const AttemptKey& key, AgentEffects& effects)
+    {
+        SlotState& slots = state.slots;
+        const std::size_t places = state.settings.maxQueued;
+        slots.waiting.push_back(key);
+        serveWaiting(state, effects);
+        if (slots.waiting.size() <= places)
+            return;
+        if (places == 0) {
+            refuse(state, key, "no-slot", effects);
+            return;
+        }
+        slots.waiting.pop_back();
+        const auto displaced = displacedByArrival(state, slots.dispatches.at(key));
+        slots.waiting.push_back(key);
+        refuse(state, displaced ? AttemptKey(slots.waiting[*displaced]) : key, "queue-full", effects);
+    }
+
+    /// Ends an attempt that nobody waits for any more.
+    void abandon(AgentState& state, const AttemptKey& key, CancelCause cause, AgentEffects& effects)
+    {
+        Dispatch& dispatch = state.slots.dispatches.at(key);
+        dispatch.abandoned = true;
+        if (dispatch.phase == DispatchPhase::Waiting)
+            refuse(state, key, "cancelled", effects);
+        else if (dispatch.phase == DispatchPhase::Running && !hasCallRow(dispatch))
+            cancelRunning(dispatch, cause, effects);
+        else
+            // A call that may not be repeated runs to its end so that its outcome is recorded.
+            effects.emplace_back(LogLine { .event = "cancel-deferred",
+                .fields = { { "request", std::to_string(key.request.value) }, { "row", dispatch.row.key },
+                    { "reason", "not-repeatable" } } });
+    }
+
+    DispatchResult resultOfEnd(const Dispatch& dispatch, const UpstreamEnded& event)
+    {
+        DispatchResult result = resultOf(DispatchResultKind::Unknown, "");
+        switch (event.result) {
+        case UpstreamResult::Completed:
+            result = resultOf(DispatchResultKind::Completed, "");
+            break;
+        case UpstreamResult::Refused:
+            result = resultOf(DispatchResultKind::NotRun, "upstream-refused");
+            break;
+        case UpstreamResult::ConnectFailed:
+            result = resultOf(DispatchResultKind::NotRun, "upstream-unreachable");
+            break;
+        case UpstreamResult::Failed:
+            result = resultOf(DispatchResultKind::Failed, "upstream-error");
+            break;
+        case UpstreamResult::Crashed:
+            result = resultOf(DispatchResultKind::Crashed, "upstream-crashed");
+            break;
+        case UpstreamResult::Cancelled:
+            result = dispatch.cancel == CancelCause::Preempted ? resultOf(DispatchResultKind::Preempted, "preempted")
+                                                               : resultOf(DispatchResultKind::Unknown, "cancelled");
+            break;
+        case UpstreamResult::TimedOut:
+            result = resultOf(DispatchResultKind::Unknown, "deadline");
+            break;
+        }
+        result.status = event.status;
+        result.parts = event.parts;
+        return result;
+    }
+
+} // namespace
+
+void applyDispatchReceived(AgentState& state, const DispatchReceived& event, AgentEffects& effects)
+{
+    const AttemptKey& key = event.call.key;
+    if (state.slots.dispatches.contains(key)) {
+        // The first dispatch of the attempt is answered; a second one must not run beside it.
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "dispatch-dropped",
+            .fields = { { "request", std::to_string(key.request.value) }, { "reason", "duplicate-attempt" } } });
+        return;
+    }
+    const Dispatch dispatch { .call = event.call, .arrivedAt = state.now, .deadline = state.now + event.call.timeout };
+    state.slots.dispatches.emplace(key, dispatch);
+    const std::string_view obstacle = arrivalObstacle(state, dispatch);
+    if (!obstacle.empty())
+        refuse(state, key, obstacle, effects);
+    else
+        enqueue(state, key, effects);
+}
+
+void applyCancelReceived(AgentState& state, const CancelReceived& event, AgentEffects& effects)
+{
+    if (state.slots.dispatches.contains(event.key)) {
+        abandon(state, event.key, CancelCause::Caller, effects);
+        serveWaiting(state, effects);
+    } else if (!isClosed(state.slots, event.key)) {
+        // The dispatch of this attempt may still arrive.
+        closeAttempt(state.slots, event.key);
+    }
+}
+
+void applyEntryDetached(AgentState& state, const EntryDetached& event, AgentEffects& effects)
+{
+    std::vector<AttemptKey> lost;
+    for (const auto& [key, dispatch] : state.slots.dispatches)
+        if (key.entry == event.entry)
+            lost.push_back(key);
+    effects.emplace_back(LogLine { .event = "entry-detached",
+        .fields = { { "entry", event.entry.value }, { "attempts", std::to_string(lost.size()) } } });
+    for (const AttemptKey& key : lost)
+        abandon(state, key, CancelCause::EntryLost, effects);
+    serveWaiting(state, effects);
+}
+
+void applyUpstreamFirstPart(AgentState& state, const UpstreamFirstPart& event, AgentEffects& effects)
+{
+    const auto found = state.slots.dispatches.find(event.key);
+    if (found == state.slots.dispatches.end() || found->second.phase != DispatchPhase::Running
+        || found->second.firstPart)
+        return;
+    found->second.firstPart = true;
+    const Milliseconds latency = state.now - found->second.startedAt;
+    effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
+        .name = "first_part_ms",
+        .labels = "rank=\"" + std::to_string(found->second.call.rank.value) + "\"",
+        .value = static_cast<double>(latency.value) });
+    adaptLimit(state, latency, effects);
+}
+
+void applyUpstreamEnded(AgentState& state, const UpstreamEnded& event, AgentEffects& effects)
+{
+    const auto found = state.slots.dispatches.find(event.key);
+    if (found == state.slots.dispatches.end() || found->second.phase != DispatchPhase::Running) {
+        effects.emplace_back(LogLine { .level = LogLevel::Debug,
+            .event = "upstream-end-dropped",
+            .fields = { { "request", std::to_string(event.key.request.value) }, { "reason", "not-running" } } });
+        return;
+    }
+    Dispatch& dispatch = found->second;
+    noteUpstreamResult(state, event.result, effects);
+    DispatchResult result = resultOfEnd(dispatch, event);
+    const bool outcomeKnown = result.kind == DispatchResultKind::Completed || result.kind == DispatchResultKind::Failed;
+    if (hasCallRow(dispatch) && outcomeKnown)
+        recordOutcome(state, dispatch, std::move(result), event.answer, event.contentType, effects);
+    else if (hasCallRow(dispatch) && result.kind == DispatchResultKind::NotRun)
+        releaseRow(state, dispatch, result.reason, effects);
+    else
+        endDispatch(state, event.key, std::move(result), effects);
+    serveWaiting(state, effects);
+}
+
+void applyConfigToSlots(AgentState& state, AgentEffects& effects)
+{
+    refreshShares(state, effects);
+    serveWaiting(state, effects);
+}
+
+void tickSlots(AgentState& state, AgentEffects& effects)
+{
+    if (state.leaving && state.slots.leavingSince.value < 0)
+        state.slots.leavingSince = state.now;
+    tickCallRows(state, effects);
+    serveWaiting(state, effects);
+}
+
+std::size_t dispatchesInProgress(const AgentState& state)
+{
+    const SlotState& slots = state.slots;
+    if (slots.leavingSince.value >= 0 && state.now - slots.leavingSince > longestRecording)
+        return slotUse(slots).total + slots.waiting.size();
+    return slots.dispatches.size() + slots.releases.size();
+}
+
+void fillSlotStatus(const AgentState& state, AgentStatus& status)
+{
+    const SlotState& slots = state.slots;
+    const SlotUse use = slotUse(slots);
+    status.limit = slotLimit(slots);
+    status.ranks.resize(slots.ranks.size());
+    for (std::size_t rank = 0; rank < slots.ranks.size(); ++rank)
+        status.ranks[rank] = { .running = use.running[rank], .queued = use.waiting[rank] };
+    status.queuedTokens = {};
+    for (const AttemptKey& key : slots.waiting)
+        status.queuedTokens.value += slots.dispatches.at(key).call.cost.value;
+    status.latency = { std::lround(slots.limit.shortLatency) };
+}
 
 } // namespace hickory
--- /dev/null
+++ b/tests/agent_harness.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "agent_reduce_func.h"
+#include "call_row_func.h"
+#include "slot_cmd.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace hickory {
+
+/// Drives an agent's reducer and keeps the effects of the last event.
+struct AgentHarness {
+    AgentState state; ///< the agent
+    AgentEffects effects; ///< of the last event
+    Milliseconds now { 1000 }; ///< time of the next event
+
+    /// An agent of service "svc" with three ranks (floors 0.5, 0.25, 0.125 of 8 slots).
+    explicit AgentHarness(bool engine = false, std::uint32_t concurrency = 8)
+    {
+        this->state.settings.process.host = { "host-1" };
+        this->state.settings.engine = engine;
+        this->state.settings.service = { engine ? "" : "svc" };
+        this->state.incarnation = { 77 };
+        Config config;
+        config.ranks = { { .name = "urgent", .weight = 8, .floor = 0.5 },
+            { .name = "normal", .weight = 3, .floor = 0.25 }, { .name = "bulk", .weight = 1, .floor = 0.125 } };
+        config.workspaces = { { .name = { "large" } }, { .name = { "small" } } };
+        config.services = { { .name = { "svc" }, .concurrency = concurrency } };
+        this->state.config.config = std::make_shared<const Config>(config);
+        applyConfigToSlots(this->state, this->effects);
+    }
+
+    const AgentEffects& send(AgentEventBody body)
+    {
+        return this->effects = reduce(this->state, { .now = this->now, .body = std::move(body) });
+    }
+
+    /// Sends ticks until the time has passed and keeps the effects of them all.
+    void pass(std::int64_t milliseconds)
+    {
+        AgentEffects collected;
+        for (std::int64_t end = this->now.value + milliseconds; this->now.value < end;) {
+            this->now.value = std::min(end, this->now.value + 50);
+            for (const AgentEffect& effect : this->send(Tick {}))
+                collected.push_back(effect);
+        }
+        this->effects = std::move(collected);
+    }
+
+    template <typename Effect> std::vector<Effect> all() const
+    {
+        std::vector<Effect> found;
+        for (const AgentEffect& effect : this->effects)
+            if (const auto* match = std::get_if<Effect>(&effect))
+                found.push_back(*match);
+        return found;
+    }
+
+    /// @pre the last event had such an effect
+    template <typename Effect> Effect only() const { return this->all<Effect>().at(0); }
+
+    /// A plain upstream that answers.
+    void reachable() { this->send(UpstreamStateReceived { .state = { .reachable = true, .ready = true } }); }
+
+    static DispatchCall call(std::uint64_t request, std::uint8_t rank = 0, std::string workspace = "small")
+    {
+        DispatchCall call;
+        call.key = { .entry = { "entry-1" }, .request = { request }, .attempt = { 1 } };
+        call.service = { "svc" };
+        call.workspace = { std::move(workspace) };
+        call.rank = { rank };
+        call.bodyDigest = { "body" };
+        call.timeout = { 60000 };
+        call.cost = { 10 };
+        return call;
+    }
+
+    static DispatchCall keyedCall(std::uint64_t request, std::uint64_t rowVersion = 0)
+    {
+        DispatchCall call = AgentHarness::call(request);
+        call.idempotencyKey = "pay-1";
+        call.rowVersion = { rowVersion };
+        return call;
+    }
+
+    void end(std::uint64_t request, UpstreamResult result = UpstreamResult::Completed)
+    {
+        this->send(UpstreamEnded { .key = AgentHarness::call(request).key,
+            .result = result,
+            .status = 200,
+            .parts = 1,
+            .answer = "paid",
+            .contentType = "text/plain" });
+    }
+
+    void storeAnswer(const StoreToken& token, StoreStatus status, std::uint64_t version = 0, std::string value = {})
+    {
+        this->send(StoreAnswer { .token = token, .status = status, .version = { version }, .value = std::move(value) });
+    }
+};
+
+} // namespace hickory
--- /dev/null
+++ b/tests/unit_slot.cpp
@@ -0,0 +1,62 @@
+#include "agent_harness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+// Guards against a refusal without a machine-readable reason and against work given to an upstream that cannot serve.
+TEST_CASE("A dispatch is refused as not-run with the reason")
+{
+    AgentHarness agent;
+    agent.send(DispatchReceived { AgentHarness::call(1) });
+    REQUIRE(agent.only<AnswerDispatch>().result.reason == "not-ready");
+    agent.reachable();
+    DispatchCall other = AgentHarness::call(2);
+    other.service = { "other" };
+    agent.send(DispatchReceived { other });
+    REQUIRE(agent.only<AnswerDispatch>().result.reason == "wrong-service");
+    DispatchCall late = AgentHarness::call(3);
+    late.timeout = { 0 };
+    agent.send(DispatchReceived { late });
+    REQUIRE(agent.only<AnswerDispatch>().result.reason == "deadline");
+    agent.send(ShutdownRequested {});
+    agent.send(DispatchReceived { AgentHarness::call(4) });
+    REQUIRE(agent.only<AnswerDispatch>().result.reason == "leaving");
+    REQUIRE(agent.only<AnswerDispatch>().result.kind == DispatchResultKind::NotRun);
+    REQUIRE(agent.all<StartUpstream>().empty());
+}
+
+// Guards against a queue without a bound and against slots that stay empty while work waits.
+TEST_CASE("The queue is bounded and a freed slot goes to waiting work")
+{
+    AgentHarness agent(false, 1);
+    agent.state.settings.maxQueued = 1;
+    agent.reachable();
+    agent.send(DispatchReceived { AgentHarness::call(1) });
+    REQUIRE(agent.only<StartUpstream>().key.request.value == 1);
+    agent.send(DispatchReceived { AgentHarness::call(2) });
+    REQUIRE(agent.all<AnswerDispatch>().empty());
+    agent.send(DispatchReceived { AgentHarness::call(3) });
+    REQUIRE(agent.only<AnswerDispatch>().result.reason == "queue-full");
+    agent.end(1);
+    REQUIRE(agent.only<AnswerDispatch>().result.kind == DispatchResultKind::Completed);
+    REQUIRE(agent.only<StartUpstream>().key.request.value == 2);
+}
+
+// Guards against a planned stop that cuts off a request or accepts a new one.
+TEST_CASE("A leaving agent finishes what it admitted and then exits")
+{
+    AgentHarness agent(false, 1);
+    agent.reachable();
+    agent.send(DispatchReceived { AgentHarness::call(1) });
+    agent.send(DispatchReceived { AgentHarness::call(2) });
+    agent.send(ShutdownRequested {});
+    agent.pass(500);
+    REQUIRE(agent.all<ExitProcess>().empty());
+    agent.reachable();
+    agent.end(1);
+    REQUIRE(agent.only<StartUpstream>().key.request.value == 2);
+    agent.end(2);
+    agent.send(Tick {});
+    REQUIRE(agent.all<ExitProcess>().size() == 1);
+}
