Let a leaving agent answer dispatches that are on their way

Cause: an idle agent exited 200 ms after SIGTERM; a dispatch sent before the entry saw the notice met a closed connection and ended as unknown.

Ruled out: waiting for every listener's acknowledgement, a frozen entry would hold the stop.

--- a/src/agent_reduce_func.cpp
+++ b/src/agent_reduce_func.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    /// Dispatches that were on their way when the leaving notice went out are still answered in this time.
+    constexpr Milliseconds minLeavingTime { 1000 };
+
     AgentStatus currentStatus(AgentState& state)
     {
         AgentStatus status;
@@ -123,7 +126,7 @@
         tickWeights(state, effects);
         tickSlots(state, effects);
         tickFollow(state, currentStatus(state), effects);
-        if (state.leaving && dispatchesInProgress(state) == 0)
+        if (state.leaving && dispatchesInProgress(state) == 0 && state.now - state.leavingSince >= minLeavingTime)
             effects.emplace_back(ExitProcess {});
     }
 
@@ -132,6 +135,7 @@
         if (state.leaving)
             return;
         state.leaving = true;
+        state.leavingSince = state.now;
         effects.emplace_back(LogLine { .event = "leaving", .fields = { { "reason", "shutdown-requested" } } });
     }
 
--- a/src/agent_state_type.h
+++ b/src/agent_state_type.h
@@ -21,6 +21,7 @@
     Milliseconds now { 0 }; ///< time of the event being reduced
     Incarnation incarnation; ///< life of this process
     bool leaving { false }; ///< a planned stop has begun
+    Milliseconds leavingSince { 0 }; ///< when it began
     std::uint64_t statusSequence { 0 }; ///< sequence of the last status
     AgentStatus published; ///< status after the last event
     std::mt19937_64 random; ///< seeded at start
