--- /dev/null
+++ b/src/admission_func.cpp
@@ -0,0 +1,176 @@
+#include "admission_func.h"
+
+#include "admission_queue_func.h"
+#include "suspect_func.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace hickory {
+
+namespace {
+
+    /// Longest Idempotency-Key; it becomes part of a row's key.
+    constexpr std::size_t maxKeyLength = 200;
+    /// Retry-After of refusals whose cause usually passes within a reconnect or a heartbeat.
+    constexpr Milliseconds shortRetry { 1000 };
+    /// A wait estimate may be off by this factor before a waiting request is given up.
+    constexpr std::int64_t waitTolerance = 2;
+    /// Share of the target that the queue may use even where upstreams alone miss the target.
+    constexpr double minWaitShare = 0.25;
+
+    int hexValue(char digit)
+    {
+        if (digit >= '0' && digit <= '9')
+            return digit - '0';
+        const int lower = digit | 0x20;
+        return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+    }
+
+    std::string percentDecode(std::string_view text)
+    {
+        std::string decoded;
+        for (std::size_t place = 0; place < text.size(); ++place) {
+            const bool coded = text[place] == '%' && place + 2 < text.size() && hexValue(text[place + 1]) >= 0
+                && hexValue(text[place + 2]) >= 0;
+            if (coded) {
+                decoded += static_cast<char>(hexValue(text[place + 1]) * 16 + hexValue(text[place + 2]));
+                place += 2;
+            } else {
+                decoded += text[place];
+            }
+        }
+        return decoded;
+    }
+
+    bool validKey(const std::string& key)
+    {
+        return key.size() <= maxKeyLength
+            && std::all_of(key.begin(), key.end(), [](char letter) { return letter > ' ' && letter < 127; });
+    }
+
+    std::optional<Refusal> checkService(const EntryState& state, const RequestArrived& call)
+    {
+        const ServiceConfig* service = state.config.config->findService(call.service);
+        if (!service)
+            return Refusal { .status = 404, .reason = "unknown-service" };
+        if (runsAtMostOnce(*service, call.path)) {
+            if (call.idempotencyKey.empty())
+                return Refusal { .status = 400, .reason = "missing-idempotency-key" };
+            if (!validKey(call.idempotencyKey))
+                return Refusal { .status = 400, .reason = "bad-idempotency-key" };
+        }
+        const auto pool = state.requests.pools.find(call.service);
+        if (pool == state.requests.pools.end() || pool->second.upstreams.ready == 0)
+            return Refusal { .status = 503, .reason = "no-ready-upstream", .retryAfter = shortRetry };
+        if (!pool->second.offered)
+            return Refusal { .status = 503, .reason = "dependency-not-ready", .retryAfter = shortRetry };
+        const Milliseconds quarantine = quarantineLeft(state, *service, call.bodyDigest);
+        if (quarantine > Milliseconds {})
+            return Refusal { .status = 503, .reason = "quarantined", .retryAfter = quarantine };
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::string normalisePath(std::string_view path)
+{
+    const std::string decoded = percentDecode(path.substr(0, path.find_first_of("?#")));
+    std::vector<std::string> segments;
+    std::size_t begin = 0;
+    while (begin <= decoded.size()) {
+        const std::size_t end = std::min(decoded.find('/', begin), decoded.size());
+        const std::string segment = decoded.substr(begin, end - begin);
+        if (segment == "..") {
+            if (!segments.empty())
+                segments.pop_back();
+        } else if (!segment.empty() && segment != ".") {
+            segments.push_back(segment);
+        }
+        begin = end + 1;
+    }
+    std::string normalised;
+    for (const std::string& segment : segments)
+        normalised += "/" + segment;
+    return normalised.empty() ? "/" : normalised;
+}
+
+bool runsAtMostOnce(const ServiceConfig& service, std::string_view path)
+{
+    if (!service.repeatable)
+        return true;
+    if (service.nonRepeatable.empty())
+        return false;
+    const std::string normalised = normalisePath(path);
+    return std::any_of(service.nonRepeatable.begin(), service.nonRepeatable.end(),
+        [&](const std::string& prefix) { return normalised.starts_with(prefix) || path.starts_with(prefix); });
+}
+
+std::optional<Refusal> checkRequest(const EntryState& state, const RequestArrived& call)
+{
+    if (!state.config.config)
+        return Refusal { .status = 503, .reason = "no-configuration", .retryAfter = shortRetry };
+    if (state.requests.requests.contains(call.request))
+        return Refusal { .status = 400, .reason = "duplicate-request" };
+    if (!state.config.config->findRank(call.rank))
+        return Refusal { .status = 400, .reason = "unknown-rank" };
+    if (!state.requests.workspaces.contains(call.workspace))
+        return Refusal { .status = 400, .reason = "unknown-workspace" };
+    return checkService(state, call);
+}
+
+Milliseconds expectedWait(
+    const EntryState& state, const ServicePool& pool, RankIndex rank, const WorkspaceId& workspace)
+{
+    const std::size_t index = queueIndex(state, rank);
+    const RankStats& stats = pool.ranks[index];
+    const double slots = std::max<std::uint32_t>(1, stats.inFlight);
+    const double ahead = tokensAhead(pool.queues[index], flowName(state, workspace), flowWeight(state, workspace));
+    // By Little's law the slots in use free up every msPerRequest / slots; the request itself waits for one of them.
+    return { std::llround((ahead * stats.msPerToken + stats.msPerRequest) / slots) };
+}
+
+std::optional<Refusal> checkWait(const EntryState& state, const ServicePool& pool, const Request& request)
+{
+    const auto share = state.requests.workspaces.find(request.call.workspace);
+    if (share != state.requests.workspaces.end() && share->second.queued >= share->second.maxQueued)
+        return Refusal { .status = 429, .reason = "workspace-queue-full", .retryAfter = shortRetry };
+    const Milliseconds wait = expectedWait(state, pool, request.rank, request.call.workspace);
+    const Milliseconds target = state.config.config->ranks[request.rank.value].firstTokenTarget;
+    const double firstPart = pool.ranks[queueIndex(state, request.rank)].firstPartMs;
+    const double left
+        = std::max(static_cast<double>(target.value) - firstPart, static_cast<double>(target.value) * minWaitShare);
+    const Milliseconds retryAfter = std::max(shortRetry, wait - Milliseconds { std::llround(left) });
+    if (static_cast<double>(wait.value) > left)
+        return Refusal { .status = 503, .reason = "wait-exceeds-target", .retryAfter = retryAfter };
+    if (state.now + wait >= request.deadline)
+        return Refusal { .status = 503, .reason = "wait-exceeds-deadline", .retryAfter = retryAfter };
+    return std::nullopt;
+}
+
+std::size_t queueIndex(const EntryState& state, RankIndex rank)
+{
+    return state.settings.queuePolicy == QueuePolicy::Fifo ? 0 : rank.value;
+}
+
+WorkspaceId flowName(const EntryState& state, const WorkspaceId& workspace)
+{
+    return state.settings.queuePolicy == QueuePolicy::RankFair ? workspace : WorkspaceId {};
+}
+
+double flowWeight(const EntryState& state, const WorkspaceId& workspace)
+{
+    constexpr double minWeight = 1e-6;
+    if (state.settings.queuePolicy != QueuePolicy::RankFair)
+        return 1.0;
+    const auto share = state.requests.workspaces.find(workspace);
+    return share != state.requests.workspaces.end() ? std::max(minWeight, share->second.weight) : 1.0;
+}
+
+Milliseconds waitLimit(const EntryState& state, RankIndex rank)
+{
+    return state.config.config->ranks[rank.value].firstTokenTarget * waitTolerance;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/request_agent_cmd.cpp
@@ -0,0 +1,117 @@
+#include "request_cmd.h"
+#include "request_dispatch_cmd.h"
+#include "request_end_cmd.h"
+#include "request_log_func.h"
+#include "suspect_cmd.h"
+#include "upstream_view_cmd.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Time in which the I/O layer tells the end of each attempt after a connection is gone.
+    constexpr Milliseconds endsToldWithin { 2000 };
+    /// Unknown ends this long before the loss of the connection are blamed on the same crash.
+    constexpr Milliseconds unknownWindow { 1000 };
+    /// Heartbeats in a row after which an agent counts as frozen.
+    constexpr std::uint32_t frozenAfter = 3;
+
+    void awaitEnds(EntryState& state, const UpstreamView& view)
+    {
+        for (const RequestId id : view.requests) {
+            Request& request = state.requests.requests.at(id);
+            request.connectionLost = true;
+            setWake(state, request, state.now + endsToldWithin);
+        }
+    }
+
+    /// Marks as suspect all that was in flight at an agent whose connection was lost.
+    void suspectAll(EntryState& state, UpstreamView& view, EntryEffects& effects)
+    {
+        correlateLosses(state, view, effects);
+        std::vector<SuspectKey> keys;
+        for (const RequestId id : view.requests) {
+            const Request& request = state.requests.requests.at(id);
+            keys.emplace_back(request.call.service, request.call.bodyDigest);
+        }
+        for (const auto& [at, key] : view.unknowns)
+            if (at + unknownWindow >= state.now)
+                keys.push_back(key);
+        view.unknowns.clear();
+        std::sort(keys.begin(), keys.end());
+        keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+        if (keys.empty() || placeWasLost(state, view.place))
+            return;
+        for (const SuspectKey& key : keys)
+            recordCrash(state, key, view.host, effects);
+        spreadSuspicions(state, effects);
+    }
+
+} // namespace
+
+void applyAgentConnected(EntryState& state, const AgentConnected& event, EntryEffects& effects)
+{
+    UpstreamView* view = findView(state, event.host);
+    if (!view)
+        return;
+    connectView(state, *view);
+    updateViewStatus(state, *view, event.status);
+    effects.emplace_back(LogLine { .event = "agent-connected",
+        .fields = { { "host", event.host.value }, { "service", event.status.service.value },
+            { "ready", event.status.ready ? "true" : "false" } } });
+    pumpService(state, event.status.service, effects);
+}
+
+void applyAgentDisconnected(EntryState& state, const AgentDisconnected& event, EntryEffects& effects)
+{
+    UpstreamView* view = findView(state, event.host);
+    if (!view)
+        return;
+    const bool wasConnected = view->connected;
+    disconnectView(state, *view);
+    if (wasConnected) {
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "agent-lost",
+            .fields = { { "host", event.host.value }, { "in_flight", std::to_string(view->requests.size()) },
+                { "reason", event.reason } } });
+        countMetric(effects, "agents_lost_total", "");
+        suspectAll(state, *view, effects);
+        awaitEnds(state, *view);
+    }
+    rebuildPools(state, effects);
+}
+
+void applyAgentStatus(EntryState& state, const AgentStatus& status, EntryEffects& effects)
+{
+    UpstreamView* view = findView(state, status.host);
+    if (!view || !view->connected || !updateViewStatus(state, *view, status))
+        return;
+    pumpService(state, status.service, effects);
+}
+
+void applyHeartbeatMissed(EntryState& state, const HeartbeatMissed& event, EntryEffects& effects)
+{
+    UpstreamView* view = findView(state, event.host);
+    if (!view || !view->connected || ++view->missed < frozenAfter)
+        return;
+    const ServiceId service = view->status.service;
+    markPoolStale(state, service);
+    rebuildPools(state, effects);
+    const auto pool = state.requests.pools.find(service);
+    // When most agents seem frozen, this entry's own network is the likely cause and the connections are kept.
+    const bool panic = pool != state.requests.pools.end() && pool->second.upstreams.panic;
+    effects.emplace_back(LogLine { .level = LogLevel::Warning,
+        .event = "agent-frozen",
+        .fields = { { "host", event.host.value }, { "missed", std::to_string(view->missed) },
+            { "in_flight", std::to_string(view->requests.size()) }, { "kept", panic ? "true" : "false" } } });
+    if (panic)
+        return;
+    effects.emplace_back(DisconnectAgent { .host = view->host });
+    disconnectView(state, *view);
+    awaitEnds(state, *view);
+    rebuildPools(state, effects);
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/request_attempt_cmd.cpp
@@ -0,0 +1,224 @@
+#include "request_attempt_cmd.h"
+
+#include "admission_func.h"
+#include "request_cmd.h"
+#include "request_dispatch_cmd.h"
+#include "request_end_cmd.h"
+#include "request_log_func.h"
+#include "request_row_cmd.h"
+#include "retry_cmd.h"
+#include "suspect_cmd.h"
+#include "upstream_view_cmd.h"
+#include "upstream_view_health_cmd.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Weight of the newest sample in the smoothed times of a rank.
+    constexpr double timeSmoothing = 0.1;
+    /// Unknown ends that are kept until it is clear whether the connection was lost.
+    constexpr std::size_t maxUnknowns = 256;
+    /// Retry-After for a call that another attempt is running.
+    constexpr Milliseconds runningRetry { 1000 };
+
+    void smooth(double& value, double sample) { value = value > 0 ? value + timeSmoothing * (sample - value) : sample; }
+
+    void noteServiceTime(EntryState& state, const Request& request)
+    {
+        const auto pool = state.requests.pools.find(request.call.service);
+        if (pool == state.requests.pools.end() || request.replay)
+            return;
+        RankStats& stats = pool->second.ranks[queueIndex(state, request.rank)];
+        const auto time = static_cast<double>(std::max<std::int64_t>(1, (state.now - request.dispatchedAt).value));
+        smooth(stats.msPerRequest, time);
+        smooth(stats.msPerToken, time / static_cast<double>(std::max<std::uint64_t>(1, request.call.cost.value)));
+        creditRetries(state, pool->second);
+    }
+
+    bool blamesUpstream(const DispatchResult& result)
+    {
+        switch (result.kind) {
+        case DispatchResultKind::Unknown:
+        case DispatchResultKind::Crashed:
+            return true;
+        case DispatchResultKind::Failed:
+            return result.status == 0 || result.status >= 500;
+        default:
+            return false;
+        }
+    }
+
+    /// An attempt ended and it is not known whether it ran.
+    void endUnknown(EntryState& state, Request& request, std::string reason, EntryEffects& effects)
+    {
+        if (!request.repeatable) {
+            resolveCallRow(state, request, effects);
+            return;
+        }
+        retryOrFail(state, request,
+            { .outcome = Outcome::Unknown, .status = 502, .reason = std::move(reason), .step = "dispatch" }, effects);
+    }
+
+    /// The upstream answered with an error.
+    void endFailed(EntryState& state, Request& request, const DispatchResult& result, EntryEffects& effects)
+    {
+        const RequestFailure failure { .outcome = Outcome::Ran,
+            .status = result.status >= 400 ? result.status : std::uint16_t { 502 },
+            .reason = result.reason.empty() ? "upstream-failed" : result.reason,
+            .step = "upstream" };
+        if (request.repeatable && blamesUpstream(result))
+            retryOrFail(state, request, failure, effects);
+        else
+            failRequest(state, request, failure, effects);
+    }
+
+    /// What the call row says ended the attempt.
+    void endRecorded(EntryState& state, Request& request, const DispatchResult& result, EntryEffects& effects)
+    {
+        RequestFailure failure { .outcome = Outcome::Unknown, .status = 503, .step = "call-row" };
+        if (result.kind == DispatchResultKind::KeyConflict) {
+            failure.outcome = Outcome::NotRun;
+            failure.status = 409;
+            failure.reason = "key-conflict";
+        } else if (result.kind == DispatchResultKind::RecordedRunning) {
+            failure.reason = "running";
+            failure.retryAfter = runningRetry;
+        } else {
+            failure.reason = "recorded-unknown";
+        }
+        failRequest(state, request, std::move(failure), effects);
+    }
+
+    void endAttempt(EntryState& state, Request& request, const DispatchResult& result, EntryEffects& effects)
+    {
+        switch (result.kind) {
+        case DispatchResultKind::Completed:
+            clearSuspicion(state, request, effects);
+            [[fallthrough]];
+        case DispatchResultKind::RecordedDone:
+            finishRequest(state, request, effects);
+            break;
+        case DispatchResultKind::NotRun:
+            retryOrFail(state, request,
+                { .outcome = Outcome::NotRun,
+                    .status = 503,
+                    .reason = result.reason.empty() ? "agent-refused" : result.reason,
+                    .retryAfter = runningRetry,
+                    .step = "agent" },
+                effects);
+            break;
+        case DispatchResultKind::Failed:
+            endFailed(state, request, result, effects);
+            break;
+        case DispatchResultKind::Crashed:
+            recordCrash(state, { request.call.service, request.call.bodyDigest }, request.host, effects);
+            spreadSuspicions(state, effects);
+            endUnknown(state, request, "upstream-crashed", effects);
+            break;
+        case DispatchResultKind::Unknown:
+            endUnknown(state, request, result.reason.empty() ? "no-answer" : result.reason, effects);
+            break;
+        case DispatchResultKind::Preempted:
+            if (request.repeatable)
+                requeuePreempted(state, request, effects);
+            else
+                endUnknown(state, request, "preempted", effects);
+            break;
+        case DispatchResultKind::RecordedRunning:
+        case DispatchResultKind::RecordedUnknown:
+        case DispatchResultKind::KeyConflict:
+            endRecorded(state, request, result, effects);
+            break;
+        }
+    }
+
+    /// Keeps an unknown end for the case that the loss of the connection is told after it.
+    void rememberUnknown(EntryState& state, UpstreamView& view, const Request& request)
+    {
+        view.unknowns.emplace_back(state.now, std::pair { request.call.service, request.call.bodyDigest });
+        if (view.unknowns.size() > maxUnknowns)
+            view.unknowns.pop_front();
+    }
+
+    void logLate(const RequestId& request, Attempt attempt, const HostId& host, EntryEffects& effects)
+    {
+        effects.emplace_back(LogLine { .event = "late-answer",
+            .fields = { { "request", requestText(request) }, { "attempt", std::to_string(attempt.value) },
+                { "host", host.value }, { "reason", "attempt-is-over" } } });
+        countMetric(effects, "late_answers_total", "");
+    }
+
+} // namespace
+
+void giveUpAttempt(EntryState& state, Request& request, const char* reason, EntryEffects& effects)
+{
+    effects.emplace_back(
+        CancelAttempt { .host = request.host, .request = request.call.request, .attempt = request.attempt });
+    UpstreamView& view = state.requests.views.views[request.upstream];
+    const ServiceId service = request.call.service;
+    releaseAttempt(state, request);
+    request.phase = RequestPhase::Backoff;
+    noteAttemptEnd(state, view, true, effects);
+    endUnknown(state, request, reason, effects);
+    pumpService(state, service, effects);
+}
+
+bool versionExists(const EntryState& state, const Request& request)
+{
+    const auto& views = state.requests.views.views;
+    return std::any_of(views.begin(), views.end(), [&](const UpstreamView& view) {
+        return view.connected && view.status.service == request.call.service && view.status.version == request.version;
+    });
+}
+
+void applyFirstPart(EntryState& state, const FirstPart& event, EntryEffects& effects)
+{
+    const auto found = state.requests.requests.find(event.request);
+    if (found == state.requests.requests.end() || found->second.phase != RequestPhase::InFlight
+        || found->second.attempt != event.attempt) {
+        logLate(event.request, event.attempt, event.host, effects);
+        return;
+    }
+    Request& request = found->second;
+    request.firstPart = true;
+    const Milliseconds latency = state.now - request.dispatchedAt;
+    noteFirstPart(state.requests.views.views[request.upstream], latency);
+    if (const auto pool = state.requests.pools.find(request.call.service); pool != state.requests.pools.end())
+        smooth(pool->second.ranks[queueIndex(state, request.rank)].firstPartMs, static_cast<double>(latency.value));
+    if (request.delivered == 0)
+        observeMetric(effects, "first_part_ms",
+            "service=\"" + request.call.service.value + "\",rank=\"" + request.call.rank + "\"",
+            state.now - request.arrived);
+}
+
+void applyAttemptEnded(EntryState& state, const AttemptEnded& event, EntryEffects& effects)
+{
+    if (!event.result.load.host.empty())
+        if (UpstreamView* view = findView(state, event.result.load.host))
+            updateViewStatus(state, *view, event.result.load);
+    const auto found = state.requests.requests.find(event.request);
+    if (found == state.requests.requests.end() || found->second.phase != RequestPhase::InFlight
+        || found->second.attempt != event.attempt) {
+        logLate(event.request, event.attempt, event.host, effects);
+        return;
+    }
+    Request& request = found->second;
+    UpstreamView& view = state.requests.views.views[request.upstream];
+    request.delivered = std::max(request.delivered, event.delivered);
+    request.firstPart = false; // the count of delivered parts says more
+    if (event.result.kind == DispatchResultKind::Completed)
+        noteServiceTime(state, request);
+    if (event.result.kind == DispatchResultKind::Unknown && !request.connectionLost)
+        rememberUnknown(state, view, request);
+    const ServiceId service = request.call.service;
+    releaseAttempt(state, request);
+    request.phase = RequestPhase::Backoff;
+    noteAttemptEnd(state, view, blamesUpstream(event.result), effects);
+    endAttempt(state, request, event.result, effects);
+    pumpService(state, service, effects);
+}
+
+} // namespace hickory
--- a/src/request_cmd.cpp
+++ b/src/request_cmd.cpp
@@ -1,23 +1,304 @@
 #include "request_cmd.h"
 
+#include "admission_func.h"
+#include "admission_queue_func.h"
+#include "request_attempt_cmd.h"
+#include "request_dispatch_cmd.h"
+#include "request_end_cmd.h"
+#include "request_log_func.h"
+#include "request_row_cmd.h"
+#include "retry_cmd.h"
+#include "suspect_cmd.h"
+#include "upstream_view_cmd.h"
+#include "upstream_view_health_cmd.h"
+
+#include <algorithm>
+
 namespace hickory {
 
-void applyRequestArrived(EntryState&, const RequestArrived&, EntryEffects&) { }
-void applyCallerGone(EntryState&, const CallerGone&, EntryEffects&) { }
-void applyFirstPart(EntryState&, const FirstPart&, EntryEffects&) { }
-void applyAttemptEnded(EntryState&, const AttemptEnded&, EntryEffects&) { }
-void applyAgentConnected(EntryState&, const AgentConnected&, EntryEffects&) { }
-void applyAgentDisconnected(EntryState&, const AgentDisconnected&, EntryEffects&) { }
-void applyAgentStatus(EntryState&, const AgentStatus&, EntryEffects&) { }
-void applyHeartbeatMissed(EntryState&, const HeartbeatMissed&, EntryEffects&) { }
-void applyCallRowAnswer(EntryState&, const StoreAnswer&, EntryEffects&) { }
-void applyConfigToRequests(EntryState&, EntryEffects&) { }
-void applyMembersToRequests(EntryState&, EntryEffects&) { }
-void applySuspicions(EntryState&, const std::vector<Suspicion>&, EntryEffects&) { }
-void tickRequests(EntryState&, EntryEffects&) { }
-std::vector<Suspicion> localSuspicions(const EntryState&) { return {}; }
-std::vector<Demand> localDemand(const EntryState&) { return {}; }
-std::size_t requestsInProgress(const EntryState&) { return 0; }
-std::string upstreamsJson(const EntryState&) { return "[]"; }
+namespace {
+
+    /// Longest time that a dispatch may live; rows of calls outlive it by far.
+    constexpr Milliseconds maxTimeout { 600000 };
+    /// Period of gauges.
+    constexpr Milliseconds figuresPeriod { 1000 };
+    /// Retry-After when the entry's queues are full.
+    constexpr Milliseconds fullRetry { 1000 };
+    /// Time for which a begun stream waits for an upstream of its version before it is broken.
+    constexpr Milliseconds resumeWait { 3000 };
+
+    void refuseArrival(const RequestArrived& call, const Refusal& refusal, EntryEffects& effects)
+    {
+        LogLine line { .event = "refuse" };
+        line.fields = { { "request", requestText(call.request) }, { "service", call.service.value },
+            { "rank", call.rank }, { "workspace", call.workspace.value }, { "outcome", "not-run" },
+            { "reason", refusal.reason }, { "step", "admission" } };
+        effects.emplace_back(std::move(line));
+        countMetric(effects, "requests_refused_total", "reason=\"" + refusal.reason + "\",outcome=\"not-run\"");
+        effects.emplace_back(RefuseRequest { .request = call.request,
+            .outcome = Outcome::NotRun,
+            .status = refusal.status,
+            .reason = refusal.reason,
+            .retryAfter = refusal.retryAfter,
+            .step = "admission",
+            .peer = {} });
+    }
+
+    /// Gives up the newest waiting request of the largest flow that is no more urgent than the new one.
+    /// @return true when there is room for the new one
+    bool evictFor(EntryState& state, const Request& arriving, EntryEffects& effects)
+    {
+        const std::size_t rank = queueIndex(state, arriving.rank);
+        for (auto& [service, pool] : state.requests.pools)
+            for (std::size_t other = pool.queues.size(); other-- > rank;) {
+                const auto item = largestFlowsNewest(pool.queues[other]);
+                if (!item)
+                    continue;
+                Request& victim = state.requests.requests.at(item->request);
+                if (other == rank && victim.call.workspace == arriving.call.workspace)
+                    continue;
+                failRequest(state, victim,
+                    { .outcome = Outcome::NotRun,
+                        .reason = "queue-full",
+                        .retryAfter = fullRetry,
+                        .step = "admission" },
+                    effects);
+                return true;
+            }
+        return false;
+    }
+
+    /// @return requests that may be held at once: those that may wait and those in flight
+    std::size_t maxRequests(const EntryState& state)
+    {
+        std::size_t held = state.settings.maxQueued;
+        for (const auto& [service, pool] : state.requests.pools)
+            for (const RankStats& stats : pool.ranks)
+                held += stats.inFlight;
+        return held;
+    }
+
+    Request makeRequest(EntryState& state, const RequestArrived& call)
+    {
+        const Milliseconds asked = call.timeout > Milliseconds {} ? call.timeout : state.settings.defaultTimeout;
+        Request request { .call = call };
+        request.rank = *state.config.config->findRank(call.rank);
+        request.sequence = state.requests.nextSequence++;
+        request.arrived = state.now;
+        request.queuedAt = state.now;
+        request.deadline = state.now + std::min(asked, maxTimeout);
+        request.repeatable = !runsAtMostOnce(*state.config.config->findService(call.service), call.path);
+        return request;
+    }
+
+    /// A request that was queued and could not be dispatched at once stays only if it may wait.
+    void settleArrival(EntryState& state, RequestId id, EntryEffects& effects)
+    {
+        const auto found = state.requests.requests.find(id);
+        if (found == state.requests.requests.end() || found->second.phase != RequestPhase::Queued)
+            return;
+        Request& request = found->second;
+        const ServicePool& pool = state.requests.pools.at(request.call.service);
+        // The checks look at what waits before the request.
+        dequeueRequest(state, request);
+        request.phase = RequestPhase::Backoff;
+        std::optional<Refusal> refusal = checkWait(state, pool, request);
+        if (!refusal && state.requests.queued >= state.settings.maxQueued && !evictFor(state, request, effects))
+            refusal = Refusal { .status = 503, .reason = "queue-full", .retryAfter = fullRetry };
+        if (refusal) {
+            failRequest(state, request,
+                { .outcome = Outcome::NotRun,
+                    .status = refusal->status,
+                    .reason = refusal->reason,
+                    .retryAfter = refusal->retryAfter,
+                    .step = "admission" },
+                effects);
+            return;
+        }
+        enqueueRequest(state, request);
+        LogLine line = requestLine("queue", request);
+        line.fields.emplace_back("queued", std::to_string(state.requests.queued));
+        effects.emplace_back(std::move(line));
+    }
+
+    void expireRequest(EntryState& state, Request& request, EntryEffects& effects)
+    {
+        if (request.phase == RequestPhase::InFlight) {
+            giveUpAttempt(state, request, "deadline", effects);
+            return;
+        }
+        failRequest(state, request,
+            { .outcome = Outcome::NotRun, .status = 504, .reason = "deadline", .step = "queue" }, effects);
+    }
+
+    /// A begun stream waits only for a while for an upstream of its version.
+    void limitResumeWait(EntryState& state, Request& request)
+    {
+        if (request.delivered > 0 && !versionExists(state, request))
+            setWake(state, request, state.now + resumeWait);
+    }
+
+    void wakeQueued(EntryState& state, Request& request, EntryEffects& effects)
+    {
+        if (request.attempt.value == 0) {
+            failRequest(state, request,
+                { .outcome = Outcome::NotRun,
+                    .status = 503,
+                    .reason = "waited-too-long",
+                    .retryAfter = fullRetry,
+                    .step = "queue" },
+                effects);
+            return;
+        }
+        if (request.delivered == 0 || versionExists(state, request)) {
+            setWake(state, request, request.deadline);
+            return;
+        }
+        failRequest(state, request,
+            { .outcome = Outcome::Unknown, .status = 503, .reason = "version-gone", .step = "resume" }, effects);
+    }
+
+    void wakeRequest(EntryState& state, Request& request, EntryEffects& effects)
+    {
+        const RequestId id = request.call.request;
+        const bool resolving = request.phase == RequestPhase::ResolvingRow;
+        if (!resolving && state.now >= request.deadline) {
+            expireRequest(state, request, effects);
+            return;
+        }
+        switch (request.phase) {
+        case RequestPhase::ReadingRow:
+        case RequestPhase::ResolvingRow:
+            wakeRowRequest(state, request, effects);
+            break;
+        case RequestPhase::Queued:
+            wakeQueued(state, request, effects);
+            break;
+        case RequestPhase::Backoff:
+            endBackoff(state, request, effects);
+            if (const auto found = state.requests.requests.find(id);
+                found != state.requests.requests.end() && found->second.phase == RequestPhase::Queued)
+                limitResumeWait(state, found->second);
+            break;
+        case RequestPhase::InFlight:
+            giveUpAttempt(state, request, "connection-lost", effects);
+            break;
+        }
+    }
+
+    void writeFigures(EntryState& state, EntryEffects& effects)
+    {
+        state.requests.nextFigures = state.now + figuresPeriod;
+        const auto gauge = [&](std::string name, std::string labels, double value) {
+            effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Gauge,
+                .name = std::move(name),
+                .labels = std::move(labels),
+                .value = value });
+        };
+        for (const auto& [service, pool] : state.requests.pools) {
+            const std::string label = "service=\"" + service.value + "\"";
+            gauge("upstreams_ready", label, pool.upstreams.ready);
+            gauge("upstreams_candidates", label, pool.upstreams.candidates);
+            gauge("retry_balance", label, pool.retryBalance);
+            for (std::size_t rank = 0; rank < pool.queues.size(); ++rank) {
+                const std::string both = label + ",rank=\"" + state.config.config->ranks[rank].name + "\"";
+                gauge("queued", both, static_cast<double>(pool.queues[rank].queued));
+                gauge("in_flight", both, pool.ranks[rank].inFlight);
+            }
+        }
+    }
+
+} // namespace
+
+void applyRequestArrived(EntryState& state, const RequestArrived& event, EntryEffects& effects)
+{
+    rebuildPools(state, effects);
+    if (const auto refusal = checkRequest(state, event)) {
+        refuseArrival(event, *refusal, effects);
+        return;
+    }
+    countMetric(effects, "requests_total", "service=\"" + event.service.value + "\",rank=\"" + event.rank + "\"");
+    Request& request = state.requests.requests.emplace(event.request, makeRequest(state, event)).first->second;
+    if (!request.repeatable) {
+        if (state.requests.requests.size() > maxRequests(state)) {
+            failRequest(state, request,
+                { .outcome = Outcome::NotRun,
+                    .reason = "too-many-requests",
+                    .retryAfter = fullRetry,
+                    .step = "admission" },
+                effects);
+            return;
+        }
+        readCallRow(state, request, effects);
+        return;
+    }
+    enqueueRequest(state, request);
+    pumpService(state, event.service, effects);
+    settleArrival(state, event.request, effects);
+}
+
+void applyCallerGone(EntryState& state, const CallerGone& event, EntryEffects& effects)
+{
+    const auto found = state.requests.requests.find(event.request);
+    if (found == state.requests.requests.end())
+        return;
+    Request& request = found->second;
+    effects.emplace_back(requestLine("caller-gone", request));
+    countMetric(effects, "callers_gone_total", "service=\"" + request.call.service.value + "\"");
+    const bool busy = request.phase == RequestPhase::InFlight || request.phase == RequestPhase::ResolvingRow;
+    if (busy && !request.repeatable) {
+        // A call that may run at most once goes on, so that its row says how it ended when the caller asks again.
+        request.detached = true;
+        return;
+    }
+    const ServiceId service = request.call.service;
+    if (request.phase == RequestPhase::InFlight)
+        effects.emplace_back(
+            CancelAttempt { .host = request.host, .request = request.call.request, .attempt = request.attempt });
+    forgetRequest(state, request);
+    pumpService(state, service, effects);
+}
+
+void applyCallRowAnswer(EntryState& state, const StoreAnswer& answer, EntryEffects& effects)
+{
+    const auto found = state.requests.requests.find(RequestId { answer.token.number });
+    if (found == state.requests.requests.end())
+        return;
+    const bool first = found->second.phase == RequestPhase::ReadingRow && found->second.attempt.value == 0;
+    continueWithRow(state, found->second, answer, effects);
+    if (first)
+        settleArrival(state, RequestId { answer.token.number }, effects);
+}
+
+void applyMembersToRequests(EntryState& state, EntryEffects& effects)
+{
+    refreshSubset(state, effects);
+    pumpAll(state, effects);
+}
+
+void applySuspicions(EntryState& state, const std::vector<Suspicion>& suspicions, EntryEffects& effects)
+{
+    if (mergeSuspicions(state, suspicions))
+        spreadSuspicions(state, effects);
+}
+
+void tickRequests(EntryState& state, EntryEffects& effects)
+{
+    auto& timers = state.requests.timers;
+    while (!timers.empty() && timers.begin()->first <= state.now) {
+        const RequestId id = timers.begin()->second;
+        timers.erase(timers.begin());
+        if (const auto found = state.requests.requests.find(id); found != state.requests.requests.end())
+            wakeRequest(state, found->second, effects);
+    }
+    tickViews(state, effects);
+    tickHealth(state, effects);
+    expireSuspicions(state);
+    pumpAll(state, effects);
+    if (state.now >= state.requests.nextFigures && state.config.config)
+        writeFigures(state, effects);
+}
+
+std::size_t requestsInProgress(const EntryState& state) { return state.requests.requests.size(); }
 
 } // namespace hickory
--- /dev/null
+++ b/src/request_dispatch_cmd.cpp
@@ -0,0 +1,209 @@
+#include "request_dispatch_cmd.h"
+
+#include "admission_func.h"
+#include "admission_queue_func.h"
+#include "request_end_cmd.h"
+#include "request_log_func.h"
+#include "route_func.h"
+#include "suspect_func.h"
+#include "upstream_view_cmd.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Suspect and pinned requests of a rank that are tried each time; the others wait for the next event.
+    constexpr std::size_t constrainedProbes = 32;
+
+    RouteQuery queryFor(const EntryState& state, const Request& request)
+    {
+        RouteQuery query { .rank = request.rank, .prefixHash = request.call.prefixHash };
+        if (request.delivered > 0)
+            query.pinned = request.version;
+        if (request.constrained)
+            query.suspect = crashesOf(state, request.call.service, request.call.bodyDigest) > 0;
+        query.avoid = request.host;
+        return query;
+    }
+
+    void logRoute(const EntryState& state, const Request& request, RouteChoice& choice, EntryEffects& effects)
+    {
+        LogLine line = requestLine("route", request);
+        line.fields.emplace_back("attempt", std::to_string(request.attempt.value));
+        line.fields.emplace_back("candidates", std::move(choice.candidates));
+        line.fields.emplace_back("chosen", request.host.value);
+        line.fields.emplace_back("reason", choice.reason);
+        effects.emplace_back(std::move(line));
+        const std::string labels = "service=\"" + request.call.service.value + "\",rank=\"" + request.call.rank + "\"";
+        countMetric(effects, request.attempt.value == 1 ? "dispatches_total" : "redispatches_total", labels);
+        observeMetric(effects, "queue_wait_ms", labels, state.now - request.queuedAt);
+    }
+
+    /// @pre the request is in no queue
+    void dispatch(EntryState& state, const ServiceConfig& service, ServicePool& pool, Request& request,
+        RouteChoice choice, EntryEffects& effects)
+    {
+        UpstreamView& view = state.requests.views.views[choice.upstream];
+        const std::size_t rank = request.rank.value;
+        request.phase = RequestPhase::InFlight;
+        ++request.attempt.value;
+        request.upstream = choice.upstream;
+        request.host = view.host;
+        request.version = view.status.version;
+        request.firstPart = false;
+        request.connectionLost = false;
+        request.suspect = request.constrained && crashesOf(state, service.name, request.call.bodyDigest) > 0;
+        request.dispatchedAt = state.now;
+        if (view.own.size() <= rank)
+            view.own.resize(rank + 1, 0);
+        ++view.own[rank];
+        ++view.ownTotal;
+        view.suspects += request.suspect ? 1 : 0;
+        view.requests.insert(request.call.request);
+        ++pool.upstreams.inFlight[view.tier];
+        RankStats& stats = pool.ranks[queueIndex(state, request.rank)];
+        ++stats.inFlight;
+        stats.inFlightTokens += request.call.cost.value;
+        setWake(state, request, request.deadline);
+        logRoute(state, request, choice, effects);
+        effects.emplace_back(DispatchAttempt { .host = view.host,
+            .call = { .key
+                = { .entry = state.settings.process.host, .request = request.call.request, .attempt = request.attempt },
+                .service = service.name,
+                .workspace = request.call.workspace,
+                .rank = request.rank,
+                .bodyDigest = request.call.bodyDigest,
+                .timeout = request.deadline - state.now,
+                .version = request.version,
+                .resumeFrom = request.delivered,
+                .cost = request.call.cost,
+                .idempotencyKey = request.repeatable ? std::string {} : request.call.idempotencyKey,
+                .rowVersion = request.replay ? RowVersion {} : request.rowVersion,
+                .suspect = request.suspect },
+            .acceptTimeout = state.settings.acceptTimeout });
+    }
+
+    void leaveQueue(EntryState& state, Request& request)
+    {
+        --state.requests.queued;
+        if (const auto share = state.requests.workspaces.find(request.call.workspace);
+            share != state.requests.workspaces.end() && share->second.queued > 0)
+            --share->second.queued;
+    }
+
+    void failQuarantined(EntryState& state, Request& request, Milliseconds left, EntryEffects& effects)
+    {
+        failRequest(state, request,
+            { .outcome = Outcome::NotRun, .reason = "quarantined", .retryAfter = left, .step = "route" }, effects);
+    }
+
+    /// Dispatches what may of the suspect and pinned requests of a rank.
+    void pumpConstrained(
+        EntryState& state, const ServiceConfig& service, ServicePool& pool, std::size_t rank, EntryEffects& effects)
+    {
+        auto position = pool.constrained.lower_bound({ static_cast<std::uint8_t>(rank), 0 });
+        for (std::size_t tried = 0;
+             tried < constrainedProbes && position != pool.constrained.end() && position->first.first == rank;
+             ++tried) {
+            Request& request = state.requests.requests.at(position->second);
+            const Milliseconds quarantine = quarantineLeft(state, service, request.call.bodyDigest);
+            if (quarantine > Milliseconds {}) {
+                ++position;
+                failQuarantined(state, request, quarantine, effects);
+                continue;
+            }
+            auto choice = chooseUpstream(state, service, pool, queryFor(state, request));
+            if (!choice) {
+                ++position;
+                continue;
+            }
+            position = pool.constrained.erase(position);
+            leaveQueue(state, request);
+            dispatch(state, service, pool, request, std::move(*choice), effects);
+        }
+    }
+
+    /// Moves a request that became suspect while it waited out of its flow's way.
+    /// @return true when the request is no longer at the front of the queue
+    bool divertSuspect(EntryState& state, const ServiceConfig& service, Request& request, EntryEffects& effects)
+    {
+        if (state.requests.suspects.entries.empty() || crashesOf(state, service.name, request.call.bodyDigest) == 0)
+            return false;
+        const Milliseconds quarantine = quarantineLeft(state, service, request.call.bodyDigest);
+        if (quarantine > Milliseconds {}) {
+            failQuarantined(state, request, quarantine, effects);
+            return true;
+        }
+        dequeueRequest(state, request);
+        enqueueRequest(state, request);
+        return true;
+    }
+
+    void pumpQueue(
+        EntryState& state, const ServiceConfig& service, ServicePool& pool, std::size_t rank, EntryEffects& effects)
+    {
+        FairQueue& queue = pool.queues[rank];
+        while (const auto item = frontItem(queue)) {
+            Request& request = state.requests.requests.at(item->request);
+            if (divertSuspect(state, service, request, effects))
+                continue;
+            auto choice = chooseUpstream(state, service, pool, queryFor(state, request));
+            if (!choice)
+                return;
+            popItem(queue);
+            request.charged = true;
+            leaveQueue(state, request);
+            dispatch(state, service, pool, request, std::move(*choice), effects);
+        }
+    }
+
+} // namespace
+
+void enqueueRequest(EntryState& state, Request& request)
+{
+    const auto pool = state.requests.pools.find(request.call.service);
+    if (pool == state.requests.pools.end())
+        return;
+    request.phase = RequestPhase::Queued;
+    request.queuedAt = state.now;
+    request.constrained = request.delivered > 0 || crashesOf(state, request.call.service, request.call.bodyDigest) > 0;
+    ++state.requests.queued;
+    if (const auto share = state.requests.workspaces.find(request.call.workspace);
+        share != state.requests.workspaces.end())
+        ++share->second.queued;
+    const std::size_t index = queueIndex(state, request.rank);
+    if (request.constrained)
+        pool->second.constrained.emplace(
+            std::pair { static_cast<std::uint8_t>(index), request.sequence }, request.call.request);
+    else
+        pushItem(pool->second.queues[index], flowName(state, request.call.workspace),
+            flowWeight(state, request.call.workspace), request.sequence,
+            { .request = request.call.request, .tokens = request.call.cost.value, .charged = request.charged });
+    const bool first = request.attempt.value == 0;
+    setWake(state, request, first ? state.now + waitLimit(state, request.rank) : request.deadline);
+}
+
+void pumpService(EntryState& state, const ServiceId& service, EntryEffects& effects)
+{
+    rebuildPools(state, effects);
+    const auto pool = state.requests.pools.find(service);
+    if (!state.config.config || pool == state.requests.pools.end() || state.requests.queued == 0)
+        return;
+    const ServiceConfig* config = state.config.config->findService(service);
+    if (!config || pool->second.upstreams.candidates == 0)
+        return;
+    for (std::size_t rank = 0; rank < pool->second.queues.size(); ++rank) {
+        pumpConstrained(state, *config, pool->second, rank, effects);
+        pumpQueue(state, *config, pool->second, rank, effects);
+    }
+}
+
+void pumpAll(EntryState& state, EntryEffects& effects)
+{
+    for (const auto& [service, pool] : state.requests.pools)
+        pumpService(state, service, effects);
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/suspect_cmd.cpp
@@ -0,0 +1,181 @@
+#include "suspect_cmd.h"
+
+#include "control_cmd.h"
+#include "member_func.h"
+#include "request_log_func.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace hickory {
+
+namespace {
+
+    /// Suspicions kept; a crash adds at most the requests in flight on one upstream.
+    constexpr std::size_t maxSuspects = 1024;
+    /// Peers that are told of a new suspicion at once; each forwards what is new to it.
+    constexpr std::size_t spreadPeers = 4;
+    /// Connections of one place lost within this time are taken for one event.
+    constexpr Milliseconds lossWindow { 1000 };
+    /// Connections of one place that must be lost together to blame the place.
+    constexpr std::size_t placeLosses = 3;
+    /// Equal requests that one crash ended are reported within this time; no upstream restarts faster.
+    constexpr Milliseconds sameCrashWindow { 1000 };
+    /// Suspicions are forgotten after this time when the service has no longer quarantine.
+    constexpr Milliseconds minMemory { 600000 };
+
+    void storeSuspect(SuspectTable& table, const SuspectKey& key, const Suspect& suspect)
+    {
+        if (const auto found = table.entries.find(key); found != table.entries.end())
+            table.byAge.erase({ found->second.changed, key.first, key.second });
+        table.entries[key] = suspect;
+        table.byAge.emplace(suspect.changed, key.first, key.second);
+        while (table.entries.size() > maxSuspects) {
+            const auto oldest = table.byAge.begin();
+            table.entries.erase({ std::get<ServiceId>(*oldest), std::get<BodyDigest>(*oldest) });
+            table.byAge.erase(oldest);
+        }
+    }
+
+    std::size_t lossesOf(const EntryState& state, const PlaceId& place)
+    {
+        const auto& losses = state.requests.suspects.losses;
+        return static_cast<std::size_t>(
+            std::count_if(losses.begin(), losses.end(), [&](const RecentLoss& loss) { return loss.place == place; }));
+    }
+
+    void withdrawLoss(EntryState& state, const RecentLoss& loss)
+    {
+        SuspectTable& table = state.requests.suspects;
+        for (const SuspectKey& key : loss.keys) {
+            const auto found = table.entries.find(key);
+            if (found == table.entries.end() || found->second.crashes == 0)
+                continue;
+            Suspect suspect = found->second;
+            --suspect.crashes;
+            suspect.changed = state.now;
+            storeSuspect(table, key, suspect);
+        }
+    }
+
+} // namespace
+
+void recordCrash(EntryState& state, const SuspectKey& key, const HostId& host, EntryEffects& effects)
+{
+    SuspectTable& table = state.requests.suspects;
+    const auto found = table.entries.find(key);
+    Suspect suspect = found == table.entries.end() ? Suspect {} : found->second;
+    // Equal requests in flight on the same upstream die by the same crash.
+    const bool sameCrash
+        = suspect.crashes > 0 && suspect.lastHost == host && suspect.changed + sameCrashWindow >= state.now;
+    if (sameCrash)
+        return;
+    ++suspect.crashes;
+    suspect.changed = state.now;
+    suspect.lastHost = host;
+    storeSuspect(table, key, suspect);
+    if (!table.losses.empty() && table.losses.back().host == host && table.losses.back().at == state.now)
+        table.losses.back().keys.push_back(key);
+    effects.emplace_back(LogLine { .level = LogLevel::Warning,
+        .event = "suspect",
+        .fields = { { "service", key.first.value }, { "digest", key.second.value }, { "host", host.value },
+            { "crashes", std::to_string(suspect.crashes) } } });
+    countMetric(effects, "suspicions_total", "service=\"" + key.first.value + "\"");
+}
+
+void clearSuspicion(EntryState& state, const Request& request, EntryEffects& effects)
+{
+    SuspectTable& table = state.requests.suspects;
+    if (table.entries.empty())
+        return;
+    const SuspectKey key { request.call.service, request.call.bodyDigest };
+    const auto found = table.entries.find(key);
+    if (found == table.entries.end() || found->second.crashes == 0 || found->second.changed > request.dispatchedAt)
+        return;
+    storeSuspect(table, key, Suspect { .crashes = 0, .changed = state.now });
+    LogLine line = requestLine("suspicion-cleared", request);
+    line.fields.emplace_back("host", request.host.value);
+    effects.emplace_back(std::move(line));
+}
+
+bool mergeSuspicions(EntryState& state, const std::vector<Suspicion>& suspicions)
+{
+    /// Clocks and delays of messages make the same moment differ by this much between two entries.
+    constexpr Milliseconds tolerance { 100 };
+    bool learned = false;
+    for (const Suspicion& told : suspicions) {
+        const SuspectKey key { told.service, told.bodyDigest };
+        const Milliseconds changed = state.now - std::max(Milliseconds {}, told.age);
+        const auto found = state.requests.suspects.entries.find(key);
+        if (found == state.requests.suspects.entries.end()) {
+            if (told.crashes == 0)
+                continue;
+            storeSuspect(state.requests.suspects, key, { .crashes = told.crashes, .changed = changed });
+            learned = true;
+            continue;
+        }
+        const Suspect known = found->second;
+        const bool newer = changed > known.changed + tolerance;
+        const bool raises = told.crashes > known.crashes && (known.crashes > 0 || newer);
+        const bool clears = told.crashes == 0 && known.crashes > 0 && newer;
+        if (!raises && !clears)
+            continue;
+        storeSuspect(state.requests.suspects, key,
+            { .crashes = told.crashes, .changed = std::max(known.changed, changed), .lastHost = known.lastHost });
+        learned = true;
+    }
+    return learned;
+}
+
+void spreadSuspicions(EntryState& state, EntryEffects& effects)
+{
+    std::vector<HostId> peers = liveEntries(state.members);
+    std::erase(peers, state.settings.process.host);
+    for (std::size_t told = 0; told < spreadPeers && !peers.empty(); ++told) {
+        const std::size_t place = state.random() % peers.size();
+        const HostId peer = peers[place];
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(place));
+        if (const Member* member = findMember(state.members, peer))
+            effects.emplace_back(
+                SendGossip { .peer = peer, .address = member->address, .message = localGossip(state) });
+    }
+}
+
+void correlateLosses(EntryState& state, const UpstreamView& view, EntryEffects& effects)
+{
+    std::deque<RecentLoss>& losses = state.requests.suspects.losses;
+    while (!losses.empty() && losses.front().at + lossWindow < state.now)
+        losses.pop_front();
+    losses.push_back({ .at = state.now, .place = view.place, .host = view.host });
+    if (!placeWasLost(state, view.place))
+        return;
+    for (RecentLoss& loss : losses) {
+        if (loss.place != view.place)
+            continue;
+        withdrawLoss(state, loss);
+        loss.keys.clear();
+    }
+    effects.emplace_back(LogLine { .level = LogLevel::Warning,
+        .event = "place-lost",
+        .fields = { { "place", view.place.value }, { "agents", std::to_string(lossesOf(state, view.place)) },
+            { "reason", "connections-lost-together" } } });
+}
+
+bool placeWasLost(const EntryState& state, const PlaceId& place) { return lossesOf(state, place) >= placeLosses; }
+
+void expireSuspicions(EntryState& state)
+{
+    SuspectTable& table = state.requests.suspects;
+    while (!table.byAge.empty()) {
+        const auto oldest = table.byAge.begin();
+        const ServiceId& name = std::get<ServiceId>(*oldest);
+        const ServiceConfig* service = state.config.config ? state.config.config->findService(name) : nullptr;
+        const Milliseconds memory = service ? std::max(minMemory, service->quarantine) : minMemory;
+        if (std::get<Milliseconds>(*oldest) + memory > state.now)
+            return;
+        table.entries.erase({ name, std::get<BodyDigest>(*oldest) });
+        table.byAge.erase(oldest);
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/suspect_func.cpp
@@ -0,0 +1,37 @@
+#include "suspect_func.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Crashes after which a request is refused.
+    constexpr std::uint32_t quarantineCrashes = 2;
+
+    const Suspect* find(const EntryState& state, const ServiceId& service, const BodyDigest& digest)
+    {
+        const auto& entries = state.requests.suspects.entries;
+        if (entries.empty())
+            return nullptr;
+        const auto found = entries.find({ service, digest });
+        return found == entries.end() ? nullptr : &found->second;
+    }
+
+} // namespace
+
+std::uint32_t crashesOf(const EntryState& state, const ServiceId& service, const BodyDigest& digest)
+{
+    const Suspect* suspect = find(state, service, digest);
+    return suspect ? suspect->crashes : 0;
+}
+
+Milliseconds quarantineLeft(const EntryState& state, const ServiceConfig& service, const BodyDigest& digest)
+{
+    const Suspect* suspect = find(state, service.name, digest);
+    if (!suspect || suspect->crashes < quarantineCrashes)
+        return {};
+    return std::max(Milliseconds {}, suspect->changed + service.quarantine - state.now);
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/suspect_func.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "entry_state_type.h"
+
+namespace hickory {
+
+/// @return upstreams that died lately with an equal request in flight, 0 when it is not suspect
+std::uint32_t crashesOf(const EntryState& state, const ServiceId& service, const BodyDigest& digest);
+
+/// @return time for which equal requests are still refused, 0 when they are not
+Milliseconds quarantineLeft(const EntryState& state, const ServiceConfig& service, const BodyDigest& digest);
+
+} // namespace hickory
--- /dev/null
+++ b/tests/request_fixture.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "entry_reduce_func.h"
+#include "request_cmd.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickory {
+
+/// An entry's reducer with a fleet, driven event by event.
+struct RequestFixture {
+    EntryState state; ///< the entry
+    Config config; ///< configuration given to it
+    std::vector<AgentStatus> statuses; ///< one for each agent
+    Milliseconds now { 1000 }; ///< time of the next event
+    std::uint64_t nextRequest { 1 }; ///< next request id
+
+    /// One engine service "llm" with `replicas` agents "r0", "r1", ... that are connected and ready.
+    explicit RequestFixture(std::size_t replicas, std::uint64_t seed = 1)
+    {
+        this->state.settings.process = { .host = { "e1" }, .place = { "a" }, .region = { "north" } };
+        this->state.settings.subsetSize = 1000;
+        this->state.settings.routePolicy = RoutePolicy::TwoChoices;
+        this->state.random.seed(seed);
+        this->config.ranks = { { .name = "urgent", .firstTokenTarget = { 400 }, .weight = 4, .floor = 0.5 },
+            { .name = "normal", .firstTokenTarget = { 2000 }, .weight = 2, .floor = 0.25 },
+            { .name = "bulk", .firstTokenTarget = { 10000 }, .weight = 1, .floor = 0.125 } };
+        for (const char* name : { "w0", "w1", "w2", "w3" })
+            this->config.workspaces.push_back({ .name = { name }, .weight = 1, .maxQueued = 256 });
+        this->config.services = { { .name = { "llm" },
+            .kind = ServiceKind::Engine,
+            .nonRepeatable = { "/repayments" },
+            .concurrency = 8,
+            .model = ModelConfig { .name = { "m" }, .version = { "v1" } } } };
+        for (std::size_t replica = 0; replica < replicas; ++replica)
+            this->statuses.push_back(this->makeStatus("r" + std::to_string(replica), "llm"));
+    }
+
+    AgentStatus makeStatus(const std::string& host, const std::string& service) const
+    {
+        return { .host = { host },
+            .place = { "a" },
+            .incarnation = { std::hash<std::string> {}(host) },
+            .sequence = 1,
+            .service = { service },
+            .ready = true,
+            .version = { "v1" },
+            .limit = 8,
+            .ranks = std::vector<RankLoad>(3) };
+    }
+
+    EntryEffects run(EntryEventBody body) { return reduce(this->state, { .now = this->now, .body = std::move(body) }); }
+
+    /// Gives the entry its configuration and connects all agents.
+    EntryEffects start()
+    {
+        EntryEffects effects;
+        this->state.now = this->now;
+        this->state.config.config = std::make_shared<const Config>(this->config);
+        this->state.config.record.generation = { 1 };
+        this->state.members.list.version = 1;
+        for (const AgentStatus& status : this->statuses)
+            this->state.members.list.members.push_back({ .host = status.host,
+                .role = MemberRole::Upstream,
+                .kind = this->config.findService(status.service)->kind,
+                .service = status.service,
+                .place = status.place,
+                .region = { status.place.value == "c" ? "south" : "north" },
+                .address = status.host.value + ":1" });
+        std::sort(this->state.members.list.members.begin(), this->state.members.list.members.end(),
+            [](const Member& left, const Member& right) { return left.host < right.host; });
+        applyConfigToRequests(this->state, effects);
+        for (const AgentStatus& status : this->statuses) {
+            const EntryEffects more = this->run(AgentConnected { .host = status.host, .status = status });
+            effects.insert(effects.end(), more.begin(), more.end());
+        }
+        return effects;
+    }
+
+    RequestArrived call(const std::string& rank = "urgent", const std::string& workspace = "w0")
+    {
+        const RequestId id { this->nextRequest++ };
+        return { .request = id,
+            .service = { "llm" },
+            .workspace = { workspace },
+            .rank = rank,
+            .path = "/v1/completions",
+            .bodyDigest = { "digest-" + std::to_string(id.value) },
+            .cost = { 100 },
+            .timeout = { 60000 } };
+    }
+
+    AttemptEnded ended(const DispatchAttempt& dispatch, DispatchResultKind kind, std::uint32_t delivered = 0) const
+    {
+        return { .request = dispatch.call.key.request,
+            .attempt = dispatch.call.key.attempt,
+            .host = dispatch.host,
+            .result = { .kind = kind },
+            .delivered = delivered };
+    }
+
+    /// Advances time in steps of the timer.
+    EntryEffects advance(Milliseconds span)
+    {
+        EntryEffects effects;
+        const Milliseconds end = this->now + span;
+        while (this->now < end) {
+            this->now += Milliseconds { 50 };
+            const EntryEffects more = this->run(Tick {});
+            effects.insert(effects.end(), more.begin(), more.end());
+        }
+        return effects;
+    }
+};
+
+/// @return all effects of one kind, in order
+template <typename Kind> std::vector<Kind> all(const EntryEffects& effects)
+{
+    std::vector<Kind> found;
+    for (const EntryEffect& effect : effects)
+        if (const Kind* match = std::get_if<Kind>(&effect))
+            found.push_back(*match);
+    return found;
+}
+
+} // namespace hickory
