--- a/tests/standin_engine.cpp
+++ b/tests/standin_engine.cpp
@@ -23,14 +23,12 @@
     {
         constexpr std::size_t pieceBytes = 1U << 20U;
         std::ifstream file(path, std::ios::binary);
-        if (!file) {
+        if (!file)
             return "";
-        }
         Digester digester;
         std::string piece(pieceBytes, '\0');
-        while (file.read(piece.data(), pieceBytes), file.gcount() > 0) {
+        while (file.read(piece.data(), pieceBytes), file.gcount() > 0)
             digester.update(std::string_view(piece).substr(0, static_cast<std::size_t>(file.gcount())));
-        }
         return digester.finishHex();
     }
 
@@ -39,9 +37,8 @@
 Engine::Engine(EngineOptions givenOptions)
     : options(std::move(givenOptions))
 {
-    if (!this->options.runsLog.empty()) {
+    if (!this->options.runsLog.empty())
         this->runsLog.open(this->options.runsLog, std::ios::app);
-    }
 }
 
 std::shared_ptr<EngineRequest> Engine::submit(const httplib::Request& request, httplib::Response& response)
@@ -88,9 +85,8 @@
         request->cancelled = true;
         return false;
     }
-    if (done) {
+    if (done)
         sink.done();
-    }
     return true;
 }
 
@@ -114,16 +110,14 @@
 {
     std::unique_lock lock(this->mutex);
     const std::uint64_t number = order.value("fence", std::uint64_t { 0 });
-    if (this->options.fencing && number < this->fence) {
+    if (this->options.fencing && number < this->fence)
         return reply(response, 409, { { "error", "fence" }, { "fence", this->fence } });
-    }
     this->fence = std::max(this->fence, number);
     this->role = order.value("role", this->role);
     this->adapters = order.value("adapters", this->adapters);
     if (this->ready && this->model == order.at("model") && this->version == order.at("version")
-        && this->manifest == order.value("manifest", "")) {
+        && this->manifest == order.value("manifest", ""))
         return reply(response, 200, { { "digest", this->digest } });
-    }
     // A load replaces the weights at once: whatever still runs is cut off. A graceful system drains first.
     for (const auto* list : { &this->waiting, &this->batch }) {
         for (const auto& request : *list) {
@@ -139,12 +133,10 @@
     const std::string found = digestFile(order.at("path"));
     lock.lock();
     --this->loading;
-    if (found.empty() || order.at("version") == this->options.failVersion) {
+    if (found.empty() || order.at("version") == this->options.failVersion)
         return reply(response, 500, { { "error", found.empty() ? "cannot read the file" : "version cannot run" } });
-    }
-    if (this->options.fencing && number < this->fence) {
+    if (this->options.fencing && number < this->fence)
         return reply(response, 409, { { "error", "fence" }, { "fence", this->fence } });
-    }
     this->model = order.at("model");
     this->version = order.at("version");
     this->manifest = order.value("manifest", "");
@@ -175,9 +167,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto newest = SteadyClock::now() - std::chrono::milliseconds(this->options.loadLagMs);
-    while (this->reports.size() > 1 && this->reports[1].first <= newest) {
+    while (this->reports.size() > 1 && this->reports[1].first <= newest)
         this->reports.pop_front();
-    }
     return this->reports.empty() ? this->loadNow() : this->reports.front().second;
 }
 
@@ -205,11 +196,9 @@
 void Engine::importCache(const Json& exported)
 {
     const std::lock_guard lock(this->mutex);
-    if (exported.at("version") == this->version) {
-        for (const Json& prefix : exported.at("kv")) {
+    if (exported.at("version") == this->version)
+        for (const Json& prefix : exported.at("kv"))
             this->touchPrefix(prefix);
-        }
-    }
 }
 
 void Engine::noteCacheEvent(const std::string& type, const std::string& prefix)
@@ -219,9 +208,8 @@
         this->events.push_back({ .time = SteadyClock::now(),
             .event = { { "seq", sequence }, { "type", type }, { "prefix", digestHex(prefix) } } });
     }
-    if (this->events.size() > eventsKept) {
+    if (this->events.size() > eventsKept)
         this->events.pop_front();
-    }
 }
 
 bool Engine::touchPrefix(const std::string& prefix)
@@ -253,9 +241,8 @@
             this->runsLog << request->id << ' ' << digestHex(request->prompt) << ' ' << request->next << ' '
                           << this->version << ' ' << this->digest << std::endl;
         }
-        if (request->prompt.find("CRASH") != std::string::npos) {
+        if (request->prompt.find("CRASH") != std::string::npos)
             _exit(134);
-        }
         const bool hit = this->touchPrefix(request->prompt.substr(0, this->options.prefixChars));
         this->hits += hit ? 1 : 0;
         request->due = now + milliseconds(this->options.firstTokenMs * (hit ? this->options.hitShare : 1));
@@ -288,9 +275,8 @@
     constexpr auto reportInterval = std::chrono::milliseconds(50);
     std::unique_lock lock(this->mutex);
     while (true) {
-        if (this->batch.empty() && this->waiting.empty()) {
+        if (this->batch.empty() && this->waiting.empty())
             this->changed.wait_for(lock, reportInterval);
-        }
         const auto now = SteadyClock::now();
         this->startWaiting(now);
         bool anything = false;
@@ -301,18 +287,14 @@
             anything = anything || request->ready.size() != before;
             next = std::min(next, request->due);
         }
-        if (anything) {
+        if (anything)
             this->produced.notify_all();
-        }
-        if (this->reports.empty() || now - this->reports.back().first >= reportInterval) {
+        if (this->reports.empty() || now - this->reports.back().first >= reportInterval)
             this->reports.emplace_back(now, this->loadNow());
-        }
-        if (this->reports.size() > eventsKept) {
+        if (this->reports.size() > eventsKept)
             this->reports.pop_front();
-        }
-        if (!this->batch.empty()) {
+        if (!this->batch.empty())
             this->changed.wait_until(lock, std::max(next, now + tick));
-        }
     }
 }
 
--- a/tests/standin_http.cpp
+++ b/tests/standin_http.cpp
@@ -27,9 +27,8 @@
         {
             const std::lock_guard lock(this->mutex);
             this->tasks.push_back(std::move(task));
-            if (this->tasks.size() > this->idle && this->threads.size() < this->maxThreads) {
+            if (this->tasks.size() > this->idle && this->threads.size() < this->maxThreads)
                 this->threads.emplace_back([this] { this->work(); });
-            }
             this->wake.notify_one();
         }
 
@@ -40,9 +39,8 @@
                 this->stopping = true;
             }
             this->wake.notify_all();
-            for (std::thread& thread : this->threads) {
+            for (std::thread& thread : this->threads)
                 thread.join();
-            }
         }
 
     private:
@@ -53,9 +51,8 @@
                 ++this->idle;
                 this->wake.wait(lock, [this] { return this->stopping || !this->tasks.empty(); });
                 --this->idle;
-                if (this->tasks.empty()) {
+                if (this->tasks.empty())
                     return;
-                }
                 const std::function<void()> task = std::move(this->tasks.front());
                 this->tasks.pop_front();
                 lock.unlock();
@@ -80,9 +77,8 @@
 HostPort parseHostPort(const std::string& text)
 {
     const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || colon + 1 == text.size()) {
+    if (colon == std::string::npos || colon + 1 == text.size())
         throw std::invalid_argument("not ip:port: " + text);
-    }
     return { .host = text.substr(0, colon), .port = std::stoi(text.substr(colon + 1)) };
 }
 
@@ -107,11 +103,10 @@
 HostPort bindServer(httplib::Server& server, const std::string& listen)
 {
     HostPort address = parseHostPort(listen);
-    if (address.port == 0) {
+    if (address.port == 0)
         address.port = server.bind_to_any_port(address.host);
-    } else if (!server.bind_to_port(address.host, address.port)) {
+    else if (!server.bind_to_port(address.host, address.port))
         address.port = -1;
-    }
     if (address.port <= 0) {
         std::cerr << "event=bind-failed address=" << listen << std::endl;
         std::exit(2);
@@ -135,9 +130,8 @@
         sockaddr_in peer {};
         socklen_t size = sizeof(peer);
         if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET
-            && ntohs(peer.sin_port) == request.remote_port) {
+            && ntohs(peer.sin_port) == request.remote_port)
             shutdown(descriptor, SHUT_RDWR);
-        }
     }
 }
 
@@ -151,9 +145,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto now = SteadyClock::now();
-    if (this->rate == 0) {
+    if (this->rate == 0)
         return now;
-    }
     this->free = std::max(this->free, now)
         + std::chrono::nanoseconds(
             static_cast<std::int64_t>(1e9 * static_cast<double>(units) / static_cast<double>(this->rate)));
--- a/tests/tool_standin_engine.cpp
+++ b/tests/tool_standin_engine.cpp
@@ -14,16 +14,14 @@
 {
     server.Post("/v1/completions", [&engine](const httplib::Request& request, httplib::Response& response) {
         const auto submitted = engine.submit(request, response);
-        if (submitted != nullptr) {
+        if (submitted != nullptr)
             response.set_chunked_content_provider(
                 "text/event-stream",
                 [&engine, submitted](std::size_t, httplib::DataSink& sink) { return engine.stream(submitted, sink); },
                 [&engine, submitted](bool complete) {
-                    if (!complete) {
+                    if (!complete)
                         engine.cancel(submitted->id);
-                    }
                 });
-        }
     });
     server.Delete("/v1/requests/(.+)", [&engine](const httplib::Request& request, httplib::Response& response) {
         const bool found = engine.cancel(request.matches[1]);
--- a/tests/tool_standin_platform.cpp
+++ b/tests/tool_standin_platform.cpp
@@ -88,9 +88,8 @@
 {
     const std::string key = request.matches[1];
     const std::uint64_t ifVersion = std::stoull(request.get_param_value("if_version"));
-    if (!enterStore(platform, key, true, response)) {
+    if (!enterStore(platform, key, true, response))
         return;
-    }
     const std::lock_guard lock(platform.mutex);
     const Row* present = findRow(platform, key);
     const std::uint64_t version = present == nullptr ? 0 : present->version;
@@ -100,9 +99,8 @@
         return;
     }
     Row row { .version = ++platform.lastVersion, .value = request.body };
-    if (request.has_param("ttl_s")) {
+    if (request.has_param("ttl_s"))
         row.expires = SteadyClock::now() + std::chrono::seconds(std::stoull(request.get_param_value("ttl_s")));
-    }
     platform.rows[key] = row;
     if (platform.faults.loseAnswers > 0) {
         --platform.faults.loseAnswers;
@@ -116,14 +114,12 @@
 {
     server.Get("/table/(.+)", [&platform](const httplib::Request& request, httplib::Response& response) {
         const std::string key = request.matches[1];
-        if (!enterStore(platform, key, false, response)) {
+        if (!enterStore(platform, key, false, response))
             return;
-        }
         const std::lock_guard lock(platform.mutex);
         const Row* row = findRow(platform, key);
-        if (row == nullptr) {
+        if (row == nullptr)
             return reply(response, 404, { { "error", "absent" } });
-        }
         reply(response, 200, { { "version", row->version }, { "value", row->value } });
     });
     server.Put("/table/(.+)", [&platform](const httplib::Request& request, httplib::Response& response) {
@@ -150,14 +146,12 @@
 void addObjects(Platform& platform, httplib::Server& server)
 {
     server.Get("/objects/(.+)", [&platform](const httplib::Request& request, httplib::Response& response) {
-        if (!enterStore(platform, "objects", false, response)) {
+        if (!enterStore(platform, "objects", false, response))
             return;
-        }
         const std::lock_guard lock(platform.mutex);
         const auto object = platform.objects.find(request.matches[1]);
-        if (object == platform.objects.end()) {
+        if (object == platform.objects.end())
             return reply(response, 404, { { "error", "absent" } });
-        }
         response.set_content(*object->second, "application/octet-stream");
     });
     server.Put("/objects/(.+)", [&platform](const httplib::Request& request, httplib::Response& response) {
@@ -176,10 +170,9 @@
         const std::string name = request.matches[1];
         const std::lock_guard lock(platform.mutex);
         const auto found = platform.weights.find(name);
-        if (platform.faults.weightsDown || found == platform.weights.end()) {
+        if (platform.faults.weightsDown || found == platform.weights.end())
             return reply(
                 response, platform.faults.weightsDown ? 503 : 404, { { "error", "no such weights, or down" } });
-        }
         // cpp-httplib applies the Range header to a content provider.
         const auto send = [&platform, name, object = found->second](
                               std::size_t offset, std::size_t length, httplib::DataSink& sink) {
@@ -188,9 +181,8 @@
             std::this_thread::sleep_until(platform.weightsPace.reserve(size));
             {
                 const std::lock_guard sendLock(platform.mutex);
-                if (platform.faults.weightsDown) {
+                if (platform.faults.weightsDown)
                     return false;
-                }
                 platform.weightBytes[name] += size;
             }
             return sink.write(object->data() + offset, size);
@@ -209,15 +201,13 @@
 void readMembers(
     Platform& platform, const std::string& name, const httplib::Request& request, httplib::Response& response)
 {
-    if (!enterStore(platform, "members", false, response)) {
+    if (!enterStore(platform, "members", false, response))
         return;
-    }
     const std::lock_guard lock(platform.mutex);
     const auto newest = SteadyClock::now() - std::chrono::milliseconds(platform.faults.memberLagMs);
     auto view = platform.views.rbegin();
-    while (view + 1 != platform.views.rend() && view->since > newest) {
+    while (view + 1 != platform.views.rend() && view->since > newest)
         ++view;
-    }
     if (request.has_param("since") && std::stoull(request.get_param_value("since")) == view->version) {
         response.status = 304;
         return;
@@ -244,9 +234,8 @@
     view.since = SteadyClock::now();
     ++view.version;
     platform.views.push_back(std::move(view));
-    if (platform.views.size() > viewsKept) {
+    if (platform.views.size() > viewsKept)
         platform.views.pop_front();
-    }
 }
 
 void addAdmin(Platform& platform, httplib::Server& server)
@@ -313,11 +302,9 @@
     platform.weightsPace.setRate(flags["weights-rate"].as<std::uint64_t>());
 
     std::vector<std::string> names { "" };
-    for (const std::string& name : flags["view"].as<std::vector<std::string>>()) {
-        if (!name.empty()) {
+    for (const std::string& name : flags["view"].as<std::vector<std::string>>())
+        if (!name.empty())
             names.push_back(name);
-        }
-    }
     std::vector<std::unique_ptr<httplib::Server>> servers;
     std::vector<std::thread> threads;
     std::string listening;
@@ -336,9 +323,8 @@
         threads.emplace_back([&server] { server.listen_after_bind(); });
     }
     printListening(listening);
-    for (std::thread& thread : threads) {
+    for (std::thread& thread : threads)
         thread.join();
-    }
     return 0;
 } catch (const std::exception& error) {
     std::cerr << "error: " << error.what() << std::endl;
