--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -5,6 +5,7 @@
 #include "request_end_cmd.h"
 #include "request_log_func.h"
 #include "route_func.h"
+#include "route_room_cmd.h"
 #include "suspect_func.h"
 #include "upstream_view_cmd.h"
 
@@ -66,6 +67,7 @@
         RankStats& stats = pool.ranks[queueIndex(state, request.rank)];
         ++stats.inFlight;
         stats.inFlightTokens += request.call.cost.value;
+        refreshRoom(state, choice.upstream);
         setWake(state, request, request.deadline);
         logRoute(state, request, choice, effects);
         effects.emplace_back(DispatchAttempt { .host = view.host,
--- a/src/request_end_cmd.cpp
+++ b/src/request_end_cmd.cpp
@@ -3,6 +3,7 @@
 #include "admission_func.h"
 #include "admission_queue_func.h"
 #include "request_log_func.h"
+#include "route_room_cmd.h"
 
 #include <algorithm>
 
@@ -55,6 +56,7 @@
     RankStats& stats = pool->second.ranks[queueIndex(state, request.rank)];
     stats.inFlight -= std::min(stats.inFlight, 1U);
     stats.inFlightTokens -= std::min(stats.inFlightTokens, request.call.cost.value);
+    refreshRoom(state, request.upstream);
 }
 
 void dequeueRequest(EntryState& state, Request& request)
--- a/src/route_func.cpp
+++ b/src/route_func.cpp
@@ -14,7 +14,7 @@
     /// Time in which a returning upstream's share grows from a fifth to the whole.
     constexpr double slowStartMs = 5000;
     constexpr double slowStartShare = 0.2;
-    /// Upstreams of a tier that are looked at before it counts as full; a smaller tier is searched whole.
+    /// Upstreams with room that are looked at for a request that not every one may run.
     constexpr std::size_t probeCount = 16;
     /// Hosts on the ring that are tried for a prefix, and the bound of their load relative to the tier's average.
     constexpr std::size_t ringProbes = 4;
@@ -67,14 +67,16 @@
                 / slotsOf(this->state, this->service, this->view(index));
         }
 
-        bool usable(std::uint32_t index) const
+        bool roomy(std::uint32_t index) const { return this->view(index).roomPlace[this->query.rank.value] != noRoom; }
+
+        /// Whether the request may go to an upstream that has room.
+        bool permitted(std::uint32_t index) const
         {
             const UpstreamView& view = this->view(index);
             if (view.host == this->query.avoid && this->pool.upstreams.candidates > 1)
                 return false;
             return !this->state.members.leavingNotices.contains(view.host)
-                && permitsRequest(this->pool, view, this->query)
-                && hasRoom(this->state, this->service, view, this->query.rank);
+                && permitsRequest(this->pool, view, this->query);
         }
 
         void note(std::uint32_t index, double value)
@@ -93,22 +95,22 @@
             return RouteChoice { .upstream = index, .reason = reason, .candidates = std::move(this->candidates) };
         }
 
-        std::optional<RouteChoice> best(const std::vector<std::uint32_t>& tier);
-        std::optional<RouteChoice> twoChoices(const std::vector<std::uint32_t>& tier);
+        std::optional<RouteChoice> best(const std::vector<std::uint32_t>& roomy);
+        std::optional<RouteChoice> twoChoices(const std::vector<std::uint32_t>& roomy);
         std::optional<RouteChoice> affine(std::size_t tier);
         std::optional<RouteChoice> random();
         std::optional<RouteChoice> leastReported();
     };
 
-    /// Best of a bounded number of neighbours, from a random start.
-    std::optional<RouteChoice> Chooser::best(const std::vector<std::uint32_t>& tier)
+    /// Best of a bounded number of neighbours, from a random start; for requests that not every upstream may run.
+    std::optional<RouteChoice> Chooser::best(const std::vector<std::uint32_t>& roomy)
     {
-        const std::size_t start = this->draw(tier.size());
+        const std::size_t start = this->draw(roomy.size());
         std::optional<std::uint32_t> best;
         double bestScore = 0;
-        for (std::size_t step = 0; step < std::min(tier.size(), probeCount); ++step) {
-            const std::uint32_t index = tier[(start + step) % tier.size()];
-            if (!this->usable(index))
+        for (std::size_t step = 0; step < std::min(roomy.size(), probeCount); ++step) {
+            const std::uint32_t index = roomy[(start + step) % roomy.size()];
+            if (!this->permitted(index))
                 continue;
             const double score = this->score(index);
             if (!best || score < bestScore) {
@@ -119,26 +121,28 @@
         if (!best)
             return std::nullopt;
         this->note(*best, bestScore);
-        return this->chosen(*best, "only-room");
+        return this->chosen(*best, "only-permitted");
     }
 
-    std::optional<RouteChoice> Chooser::twoChoices(const std::vector<std::uint32_t>& tier)
+    std::optional<RouteChoice> Chooser::twoChoices(const std::vector<std::uint32_t>& roomy)
     {
-        if (tier.size() == 1)
-            return this->best(tier);
-        const std::size_t first = this->draw(tier.size());
-        std::size_t second = this->draw(tier.size() - 1);
+        if (roomy.empty())
+            return std::nullopt;
+        if (roomy.size() == 1)
+            return this->best(roomy);
+        const std::size_t first = this->draw(roomy.size());
+        std::size_t second = this->draw(roomy.size() - 1);
         second += second >= first ? 1 : 0;
-        const bool firstUsable = this->usable(tier[first]);
-        const bool secondUsable = this->usable(tier[second]);
-        if (!firstUsable && !secondUsable)
-            return tier.size() > 2 ? this->best(tier) : std::nullopt;
-        const double firstScore = this->score(tier[first]);
-        const double secondScore = this->score(tier[second]);
-        this->note(tier[first], firstScore);
-        this->note(tier[second], secondScore);
-        const bool takeFirst = firstUsable && (!secondUsable || firstScore <= secondScore);
-        return this->chosen(takeFirst ? tier[first] : tier[second], "two-choices");
+        const bool firstPermitted = this->permitted(roomy[first]);
+        const bool secondPermitted = this->permitted(roomy[second]);
+        if (!firstPermitted && !secondPermitted)
+            return roomy.size() > 2 ? this->best(roomy) : std::nullopt;
+        const double firstScore = this->score(roomy[first]);
+        const double secondScore = this->score(roomy[second]);
+        this->note(roomy[first], firstScore);
+        this->note(roomy[second], secondScore);
+        const bool takeFirst = firstPermitted && (!secondPermitted || firstScore <= secondScore);
+        return this->chosen(takeFirst ? roomy[first] : roomy[second], "two-choices");
     }
 
     /// Hashing with bounded load: the first host on the ring whose load is near the average.
@@ -159,7 +163,7 @@
             ++tried;
             const UpstreamView& view = this->view(last);
             this->note(last, this->score(last));
-            if (view.ownTotal < bound && this->usable(last))
+            if (view.ownTotal < bound && this->roomy(last) && this->permitted(last))
                 return this->chosen(last, tried == 1 ? "affinity" : "affinity-next");
         }
         return std::nullopt;
@@ -175,7 +179,8 @@
                 continue;
             }
             this->note(tier[place], this->score(tier[place]));
-            return this->usable(tier[place]) ? this->chosen(tier[place], "random") : std::nullopt;
+            return this->roomy(tier[place]) && this->permitted(tier[place]) ? this->chosen(tier[place], "random")
+                                                                            : std::nullopt;
         }
         return std::nullopt;
     }
@@ -255,13 +260,14 @@
         return chooser.random();
     if (policy == RoutePolicy::LeastReported)
         return chooser.leastReported();
+    const auto& roomy = pool.upstreams.roomy[query.rank.value];
     for (std::size_t tier = 0; tier < tierCount; ++tier) {
-        if (pool.upstreams.tiers[tier].empty())
+        if (roomy[tier].empty())
             continue;
         if (policy == RoutePolicy::Affinity && query.prefixHash != 0)
             if (auto choice = chooser.affine(tier))
                 return choice;
-        if (auto choice = chooser.twoChoices(pool.upstreams.tiers[tier]))
+        if (auto choice = chooser.twoChoices(roomy[tier]))
             return choice;
     }
     return std::nullopt;
--- a/src/upstream_view_cmd.cpp
+++ b/src/upstream_view_cmd.cpp
@@ -3,6 +3,7 @@
 #include "digest_func.h"
 #include "member_func.h"
 #include "request_log_func.h"
+#include "route_room_cmd.h"
 #include "upstream_view_subset_func.h"
 
 #include <algorithm>
@@ -133,7 +134,9 @@
     {
         UpstreamViews& all = state.requests.views;
         std::uint32_t sound = 0;
+        const std::size_t ranks = state.config.config ? state.config.config->ranks.size() : 0;
         pool = { .stale = false };
+        pool.roomy.resize(ranks);
         for (const UpstreamView& view : all.views) {
             if (view.host.empty() || view.status.service != service || !isCandidate(state, view, true))
                 continue;
@@ -147,7 +150,9 @@
             if (view.host.empty() || view.status.service != service)
                 continue;
             pool.inFlight[view.tier] += view.ownTotal;
-            if (!isCandidate(state, view, pool.panic)) {
+            view.roomPlace.assign(ranks, noRoom);
+            view.candidate = isCandidate(state, view, pool.panic);
+            if (!view.candidate) {
                 view.eligibleSince = {};
                 continue;
             }
@@ -155,6 +160,7 @@
                 view.eligibleSince = state.now;
             pool.tiers[view.tier].push_back(index);
             ++pool.candidates;
+            refreshRoom(state, index);
         }
         for (std::size_t tier = 0; tier < tierCount; ++tier)
             buildRing(all, pool.tiers[tier], pool.rings[tier]);
@@ -255,6 +261,7 @@
             state.requests.views.subsetStale = true;
         placed = status.service;
     }
+    view.candidate = view.candidate && !changed;
     view.status = status;
     view.statusAt = state.now;
     view.missed = 0;
@@ -264,6 +271,7 @@
         const std::uint32_t own = rank < view.own.size() ? view.own[rank] : 0;
         view.others[rank] = reported > own ? reported - own : 0;
     }
+    refreshRoom(state, state.requests.views.byHost.at(view.host));
     return true;
 }
 
@@ -316,6 +324,7 @@
             && view.connectAt <= state.now)
             requestConnection(view, effects);
     setHeartbeatInterval(state, effects);
+    refreshAllRoom(state);
 }
 
 } // namespace hickory
--- a/src/upstream_view_type.h
+++ b/src/upstream_view_type.h
@@ -16,6 +16,9 @@
 
 namespace hickory {
 
+/// Place of an upstream without room for a rank.
+constexpr std::uint32_t noRoom = ~0U;
+
 /// What an entry knows about one agent. Load figures are hints; the agent decides.
 struct UpstreamView {
     HostId host; ///< the agent's host, empty when the slot of the view is free
@@ -36,6 +39,8 @@
     std::uint32_t ownTotal { 0 }; ///< sum of own
     std::uint32_t suspects { 0 }; ///< attempts of this entry that are suspect
     std::unordered_set<RequestId> requests; ///< requests of this entry in flight there
+    bool candidate { false }; ///< it is in the tiers of its service
+    std::vector<std::uint32_t> roomPlace; ///< by rank: its place in UpstreamPool::roomy, or noRoom
     Milliseconds eligibleSince { 0 }; ///< when it last became a candidate
     Milliseconds ejectedUntil { 0 }; ///< no new work until then
     std::uint32_t ejections { 0 }; ///< ejections in a row
@@ -74,6 +79,7 @@
     bool stale { true }; ///< must be built again
     bool panic { false }; ///< ejections are ignored because most upstreams look dead
     std::array<std::vector<std::uint32_t>, tierCount> tiers; ///< candidates by distance
+    std::vector<std::array<std::vector<std::uint32_t>, tierCount>> roomy; ///< by rank: candidates with room
     std::array<std::vector<RingPoint>, tierCount> rings; ///< hash rings for prefix affinity
     std::array<std::uint32_t, tierCount> inFlight {}; ///< attempts of this entry by distance
     std::uint32_t ready { 0 }; ///< connected upstreams that say they are ready
