--- a/src/call_row_cmd.cpp
+++ b/src/call_row_cmd.cpp
@@ -14,7 +14,11 @@
 namespace {
 
     /// Rows that may be in recording or release before further calls of this kind are refused.
-    constexpr std::size_t maxOpenRows = 256;
+    /// With answers of at most 64 KiB this bounds their memory to 8 MiB.
+    constexpr std::size_t maxOpenRows = 128;
+
+    /// Writes of rows to be released that may be awaited at once, so that a store that comes back is not flooded.
+    constexpr std::size_t maxReleaseWrites = 4;
 
     /// An operation without an answer counts as unavailable after this. The platform client's own limit is 2 s.
     constexpr Milliseconds operationTimeout { 5000 };
@@ -89,21 +93,32 @@
             MetricSample { .name = "call_rows_total", .labels = "event=\"" + std::string(event) + "\"" });
     }
 
-    void addRelease(AgentState& state, const Dispatch& dispatch)
+    RowRelease& addRelease(AgentState& state, const Dispatch& dispatch, CallRowState rowState)
     {
-        RowRelease release { .row = rowOf(state, dispatch, CallRowState::Cancelled), .step = dispatch.row };
+        RowRelease release { .row = rowOf(state, dispatch, rowState), .step = dispatch.row };
+        if (rowState == CallRowState::Started)
+            release.row.incarnation = {};
         release.step.operation = 0;
         release.step.failures = 0;
         release.step.retryAt = state.now;
-        state.slots.releases.push_back(std::move(release));
+        return state.slots.releases.emplace_back(std::move(release));
+    }
+
+    /// Moves the row of a dispatch that does not run any more; the first answer of the store ends the dispatch.
+    void beginRelease(
+        AgentState& state, Dispatch& dispatch, DispatchResult result, CallRowState rowState, AgentEffects& effects)
+    {
+        dispatch.phase = DispatchPhase::Releasing;
+        dispatch.result = std::move(result);
+        RowRelease& release = addRelease(state, dispatch, rowState);
+        write(state, release.step, release.row, effects);
     }
 
     /// The row cannot be read: the call does not run, and a write that arrives late must not leave it `started`.
     void giveUpMove(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
     {
         logRow("call-row-given-up", dispatch, "store-unavailable", effects, LogLevel::Warning);
-        addRelease(state, dispatch);
-        scheduleRetry(state, state.slots.releases.back().step);
+        scheduleRetry(state, addRelease(state, dispatch, CallRowState::Cancelled).step);
         endDispatch(state, dispatch.call.key, resultOf(DispatchResultKind::NotRun, "store-unavailable"), effects);
     }
 
@@ -123,9 +138,9 @@
         dispatch.row.failures = 0;
         const std::string_view obstacle = startObstacle(state, dispatch);
         if (dispatch.abandoned)
-            releaseRow(state, dispatch, "cancelled", effects);
+            releaseRow(state, dispatch, resultOf(DispatchResultKind::NotRun, "cancelled"), effects);
         else if (!obstacle.empty())
-            releaseRow(state, dispatch, std::string(obstacle), effects);
+            releaseRow(state, dispatch, resultOf(DispatchResultKind::NotRun, std::string(obstacle)), effects);
         else {
             logRow("call-row-started", dispatch, "moved", effects, LogLevel::Debug);
             startUpstream(state, dispatch, effects);
@@ -140,10 +155,12 @@
             && found->second.phase != DispatchPhase::Releasing;
     }
 
+    /// @return true when the attempt of a `started` row never ran and the row is about to say so
     bool inRelease(const AgentState& state, const CallRow& row)
     {
-        return std::any_of(state.slots.releases.begin(), state.slots.releases.end(),
-            [&](const RowRelease& release) { return release.row.attempt == row.attempt; });
+        return std::any_of(state.slots.releases.begin(), state.slots.releases.end(), [&](const RowRelease& release) {
+            return release.row.attempt == row.attempt && release.row.state == CallRowState::Cancelled;
+        });
     }
 
     DispatchResult resultOfRow(const AgentState& state, const Dispatch& dispatch, const CallRow& row)
@@ -255,6 +272,7 @@
             effects.emplace_back(LogLine { .event = "call-row-released",
                 .fields = { { "row", release.step.key }, { "request", std::to_string(attempt.request.value) },
                     { "attempt", std::to_string(attempt.attempt.value) },
+                    { "to", release.row.state == CallRowState::Cancelled ? "cancelled" : "unknown" },
                     { "reason", answer.status == StoreStatus::Ok ? "moved" : "superseded" } } });
             state.slots.releases.erase(state.slots.releases.begin() + static_cast<std::ptrdiff_t>(index));
         }
@@ -263,6 +281,28 @@
             endDispatch(state, attempt, std::move(found->second.result), effects);
     }
 
+    void retryReleases(AgentState& state, AgentEffects& effects)
+    {
+        auto& releases = state.slots.releases;
+        const auto awaited = static_cast<std::size_t>(std::count_if(
+            releases.begin(), releases.end(), [](const RowRelease& release) { return release.step.operation != 0; }));
+        // While the store is down one row after the other finds out whether it is back.
+        const std::size_t most = state.now < state.slots.storeDownUntil ? 1 : maxReleaseWrites;
+        std::size_t free = most - std::min(most, awaited);
+        for (RowRelease& release : releases) {
+            if (free == 0)
+                return;
+            if (release.step.operation != 0)
+                continue;
+            if (state.now >= release.step.retryAt) {
+                write(state, release.step, release.row, effects);
+                --free;
+            } else if (most == 1) {
+                return;
+            }
+        }
+    }
+
     void noteStoreHealth(AgentState& state, StoreStatus status)
     {
         state.slots.storeDownUntil
@@ -304,13 +344,14 @@
     writeOutcome(state, dispatch, effects);
 }
 
-void releaseRow(AgentState& state, Dispatch& dispatch, std::string reason, AgentEffects& effects)
+void releaseRow(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects)
+{
+    beginRelease(state, dispatch, std::move(result), CallRowState::Cancelled, effects);
+}
+
+void disownRow(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects)
 {
-    dispatch.phase = DispatchPhase::Releasing;
-    dispatch.result = resultOf(DispatchResultKind::NotRun, std::move(reason));
-    addRelease(state, dispatch);
-    RowRelease& release = state.slots.releases.back();
-    write(state, release.step, release.row, effects);
+    beginRelease(state, dispatch, std::move(result), CallRowState::Started, effects);
 }
 
 bool callRowsAvailable(const AgentState& state)
@@ -331,12 +372,13 @@
     for (auto& [key, dispatch] : state.slots.dispatches) {
         if (dispatch.phase != DispatchPhase::Recording)
             continue;
+        // The entry has given up by now; recording goes on without it.
+        if (state.now >= dispatch.deadline)
+            answerDispatch(state, dispatch, resultOf(DispatchResultKind::Unknown, "not-recorded"), effects);
         if (dispatch.row.operation == 0 && state.now >= dispatch.row.retryAt)
             writeOutcome(state, dispatch, effects);
     }
-    for (RowRelease& release : state.slots.releases)
-        if (release.step.operation == 0 && state.now >= release.step.retryAt)
-            write(state, release.step, release.row, effects);
+    retryReleases(state, effects);
 }
 
 void applyCallRowAnswer(AgentState& state, const StoreAnswer& answer, AgentEffects& effects)
--- a/src/call_row_cmd.h
+++ b/src/call_row_cmd.h
@@ -18,9 +18,14 @@
 void recordOutcome(AgentState& state, Dispatch& dispatch, DispatchResult result, std::string answer,
     std::string contentType, AgentEffects& effects);
 
-/// Moves the `started` row of a call that was not given to the upstream to `cancelled`, then answers not-run.
-/// @param reason reason of the answer
-void releaseRow(AgentState& state, Dispatch& dispatch, std::string reason, AgentEffects& effects);
+/// Moves the `started` row of a call that was not given to the upstream to `cancelled`, then answers the dispatch.
+/// @param result answer of kind NotRun
+void releaseRow(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects);
+
+/// Removes the incarnation from the `started` row of a call whose outcome will never be known, so that nobody takes the
+/// call for running, then answers the dispatch.
+/// @param result answer of kind Unknown or Crashed
+void disownRow(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects);
 
 /// @return true when another call that may not be repeated can be taken
 bool callRowsAvailable(const AgentState& state);
--- a/src/engine_cmd.cpp
+++ b/src/engine_cmd.cpp
@@ -165,6 +165,7 @@
             engine.orderFailures = 0;
             enterPhase(state, EnginePhase::Serving, "verified", effects);
             refreshShares(state, effects);
+            resetLatency(state.slots);
         } else if (engine.ordered != engine.target) {
             enterPhase(state, EnginePhase::Idle, "target-changed", effects);
         } else if (differs != engineNotReady && state.now - engine.phaseSince > verifyTimeout) {
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -165,7 +165,7 @@
         .name = "first_part_ms",
         .labels = "rank=\"" + std::to_string(found->second.call.rank.value) + "\"",
         .value = static_cast<double>(latency.value) });
-    adaptLimit(state, latency, effects);
+    noteLatency(state.slots, latency);
 }
 
 void applyUpstreamEnded(AgentState& state, const UpstreamEnded& event, AgentEffects& effects)
@@ -184,7 +184,9 @@
     if (hasCallRow(dispatch) && outcomeKnown)
         recordOutcome(state, dispatch, std::move(result), event.answer, event.contentType, effects);
     else if (hasCallRow(dispatch) && result.kind == DispatchResultKind::NotRun)
-        releaseRow(state, dispatch, result.reason, effects);
+        releaseRow(state, dispatch, std::move(result), effects);
+    else if (hasCallRow(dispatch))
+        disownRow(state, dispatch, std::move(result), effects);
     else
         endDispatch(state, event.key, std::move(result), effects);
     serveWaiting(state, effects);
@@ -201,6 +203,7 @@
     if (state.leaving && state.slots.leavingSince.value < 0)
         state.slots.leavingSince = state.now;
     tickCallRows(state, effects);
+    tickLimit(state, effects);
     serveWaiting(state, effects);
 }
 
--- a/src/slot_dispatch_cmd.cpp
+++ b/src/slot_dispatch_cmd.cpp
@@ -115,18 +115,12 @@
         { "rank", std::to_string(call.rank.value) }, { "workspace", call.workspace.value } };
 }
 
-void endDispatch(AgentState& state, AttemptKey key, DispatchResult result, AgentEffects& effects,
+void answerDispatch(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects,
     std::string storedAnswer, std::string contentType)
 {
-    const auto found = state.slots.dispatches.find(key);
-    const Dispatch dispatch = std::move(found->second);
-    state.slots.dispatches.erase(found);
-    if (dispatch.phase == DispatchPhase::Waiting)
-        removeWaiting(state.slots, key);
-    if (hasCallRow(dispatch) && result.kind == DispatchResultKind::NotRun)
-        closeAttempt(state.slots, key);
     if (dispatch.answered)
         return;
+    dispatch.answered = true;
     auto fields = attemptFields(dispatch.call);
     fields.emplace_back("result", nameOf(result.kind));
     fields.emplace_back("reason", result.reason);
@@ -138,12 +132,26 @@
     effects.emplace_back(MetricSample { .name = "dispatches_total",
         .labels = std::string("result=\"") + nameOf(result.kind) + "\",reason=\"" + result.reason + "\"" });
     result.load = loadStatus(state);
-    effects.emplace_back(AnswerDispatch { .key = std::move(key),
+    effects.emplace_back(AnswerDispatch { .key = dispatch.call.key,
         .result = std::move(result),
         .storedAnswer = std::move(storedAnswer),
         .contentType = std::move(contentType) });
 }
 
+void endDispatch(AgentState& state, const AttemptKey& key, DispatchResult result, AgentEffects& effects,
+    std::string storedAnswer, std::string contentType)
+{
+    const auto found = state.slots.dispatches.find(key);
+    Dispatch dispatch = std::move(found->second);
+    // The key may belong to the dispatch; from here on only the moved copy is used.
+    state.slots.dispatches.erase(found);
+    if (dispatch.phase == DispatchPhase::Waiting)
+        removeWaiting(state.slots, dispatch.call.key);
+    if (hasCallRow(dispatch) && result.kind == DispatchResultKind::NotRun)
+        closeAttempt(state.slots, dispatch.call.key);
+    answerDispatch(state, dispatch, std::move(result), effects, std::move(storedAnswer), std::move(contentType));
+}
+
 void closeAttempt(SlotState& slots, const AttemptKey& key)
 {
     slots.closed.push_back(key);
--- a/src/slot_dispatch_cmd.h
+++ b/src/slot_dispatch_cmd.h
@@ -18,13 +18,17 @@
 /// Fields that identify an attempt in log lines.
 std::vector<std::pair<std::string, std::string>> attemptFields(const DispatchCall& call);
 
+/// Answers a dispatch that goes on, e.g. because its outcome is still being recorded. Nothing is answered twice.
+void answerDispatch(AgentState& state, Dispatch& dispatch, DispatchResult result, AgentEffects& effects,
+    std::string storedAnswer = {}, std::string contentType = {});
+
 /// Answers a dispatch for good and forgets it.
 /// @param key the dispatch
 /// @param result how it ended; the agent's load is added
 /// @param storedAnswer RecordedDone: recorded body
 /// @param contentType RecordedDone: type of the body
 /// @pre the dispatch exists
-void endDispatch(AgentState& state, AttemptKey key, DispatchResult result, AgentEffects& effects,
+void endDispatch(AgentState& state, const AttemptKey& key, DispatchResult result, AgentEffects& effects,
     std::string storedAnswer = {}, std::string contentType = {});
 
 /// Remembers an attempt that must not start any more, whatever arrives later. Bounded.
--- a/src/slot_limit_cmd.cpp
+++ b/src/slot_limit_cmd.cpp
@@ -12,6 +12,25 @@
     /// Share that a rank without weight keeps, so that it is served when nobody else waits for long.
     constexpr double leastShare = 1e-3;
 
+    /// Weight of one sample in the short and in the long average of the latency.
+    constexpr double shortWeight = 0.1;
+    constexpr double longWeight = 0.005;
+
+    /// Latency above the long average that is still taken for noise. Prompts differ in length and in cache hits.
+    constexpr double tolerance = 1.5;
+
+    /// The limit falls by at most half in one step.
+    constexpr double steepest = 0.5;
+
+    /// Share of the computed change that one adaptation takes over.
+    constexpr double smoothing = 0.5;
+
+    /// Samples before the averages say anything.
+    constexpr std::uint32_t enoughSamples = 20;
+
+    /// The limit is routing information for every entry; adapting it more often would send more notices than needed.
+    constexpr Milliseconds adaptInterval { 1000 };
+
     const ServiceConfig* serviceOf(const AgentState& state)
     {
         const ServiceId& name = state.settings.engine && state.engine.serving ? state.engine.serving->service
@@ -35,6 +54,7 @@
             floors += rank.floor;
             weights += rank.weight;
         }
+        slots.limit.least = std::max(1.0, std::ceil(floors * slots.concurrency - 1e-9));
         const double spare = std::max(0.0, 1.0 - floors) * slots.concurrency;
         for (std::size_t rank = 0; rank < configured.size(); ++rank) {
             // A floor of 0.3 of 10 slots must not become 2 because 0.3 * 10 is a little below 3.
@@ -63,19 +83,60 @@
         slots.workspaceWeights[workspace.name] = std::max(leastShare, workspace.weight);
     deriveRanks(state);
     if (before != slots.concurrency) {
-        slots.limit = { .value = static_cast<double>(slots.concurrency) };
+        slots.limit.value = slots.concurrency;
         effects.emplace_back(LogLine { .event = "limit-changed",
             .fields = { { "service", slots.service.value }, { "limit", std::to_string(slots.concurrency) },
                 { "reason", "configuration" } } });
     }
 }
 
-void adaptLimit(AgentState& state, Milliseconds latency, AgentEffects&)
+void resetLatency(SlotState& slots)
+{
+    slots.limit.samples = 0;
+    slots.limit.loaded = false;
+    slots.limit.value = slots.concurrency;
+}
+
+void noteLatency(SlotState& slots, Milliseconds latency)
 {
-    AdaptiveLimit& limit = state.slots.limit;
+    AdaptiveLimit& limit = slots.limit;
     const auto sample = static_cast<double>(latency.value);
-    limit.shortLatency = limit.samples == 0 ? sample : limit.shortLatency + 0.1 * (sample - limit.shortLatency);
-    ++limit.samples;
+    limit.samples = std::min(limit.samples + 1, std::uint32_t { 1000000 });
+    const double first = 1.0 / limit.samples;
+    limit.shortLatency += std::max(shortWeight, first) * (sample - limit.shortLatency);
+    limit.longLatency += std::max(longWeight, first) * (sample - limit.longLatency);
+    limit.loaded = limit.loaded || slotUse(slots).total * 2 >= slotLimit(slots);
+}
+
+void tickLimit(AgentState& state, AgentEffects& effects)
+{
+    SlotState& slots = state.slots;
+    AdaptiveLimit& limit = slots.limit;
+    if (state.now - limit.adaptedAt < adaptInterval)
+        return;
+    limit.adaptedAt = state.now;
+    effects.emplace_back(MetricSample {
+        .kind = MetricSample::Kind::Gauge, .name = "slot_limit", .value = static_cast<double>(slotLimit(slots)) });
+    effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Gauge,
+        .name = "slots_waiting",
+        .value = static_cast<double>(slots.waiting.size()) });
+    if (state.settings.slotPolicy == SlotPolicy::Fifo || !limit.loaded || limit.samples < enoughSamples)
+        return;
+    limit.loaded = false;
+    // After a long overload the long average is too high to notice the next one.
+    if (limit.longLatency > 2.0 * limit.shortLatency)
+        limit.longLatency *= 0.95;
+    const double ratio = tolerance * std::max(1.0, limit.longLatency) / std::max(1.0, limit.shortLatency);
+    const double wanted = limit.value * std::clamp(ratio, steepest, 1.0) + 1.0;
+    const std::uint32_t before = slotLimit(slots);
+    const double most = std::max<double>(limit.least, slots.concurrency);
+    limit.value = std::clamp(limit.value + smoothing * (wanted - limit.value), limit.least, most);
+    if (before == slotLimit(slots))
+        return;
+    effects.emplace_back(LogLine { .event = "limit-changed",
+        .fields = { { "service", slots.service.value }, { "limit", std::to_string(slotLimit(slots)) },
+            { "latency_ms", std::to_string(std::lround(limit.shortLatency)) },
+            { "usual_ms", std::to_string(std::lround(limit.longLatency)) }, { "reason", "latency" } } });
 }
 
 } // namespace hickory
--- a/src/slot_state_type.h
+++ b/src/slot_state_type.h
@@ -18,7 +18,7 @@
     MovingRow, ///< holds a slot while its call row is moved to `started`
     Running, ///< given to the upstream
     Recording, ///< the upstream ended; the outcome is being written to the call row
-    Releasing, ///< did not start; its call row is being moved to `cancelled`
+    Releasing, ///< did not start or ended without an outcome; its call row is being moved accordingly
 };
 
 /// Why an agent cancelled a running dispatch.
@@ -57,7 +57,8 @@
     std::string contentType; ///< Recording: type of the answer
 };
 
-/// A call row that must become `cancelled` because its attempt will never run.
+/// A call row that must be moved because its attempt does not run: to `cancelled` when it never ran, to `started`
+/// without an incarnation when its outcome will never be known.
 struct RowRelease {
     CallRow row; ///< content to write
     CallRowStep step; ///< progress
@@ -80,16 +81,19 @@
 /// Concurrency limit that follows the measured latency.
 struct AdaptiveLimit {
     double value { 0.0 }; ///< limit in force before rounding, 0 before the first configuration
+    double least { 1.0 }; ///< slots that the floors need
     double shortLatency { 0.0 }; ///< ms, follows the last few samples
     double longLatency { 0.0 }; ///< ms, follows the last few hundred samples
-    std::uint32_t samples { 0 }; ///< samples seen, saturating
+    std::uint32_t samples { 0 }; ///< samples since the upstream changed, saturating
+    bool loaded { false }; ///< at least half the slots were in use at a sample since the last adaptation
+    Milliseconds adaptedAt; ///< when the limit was last adapted
 };
 
 /// Slots, waiting dispatches and call rows at an agent.
 struct SlotState {
     std::map<AttemptKey, Dispatch> dispatches; ///< all that are not answered yet
     std::deque<AttemptKey> waiting; ///< dispatches in phase Waiting in order of arrival
-    std::deque<RowRelease> releases; ///< rows to be moved to `cancelled`
+    std::deque<RowRelease> releases; ///< rows to be moved although their attempts do not run
     std::deque<AttemptKey> closed; ///< attempts that must never start any more, oldest first, bounded
     std::vector<RankShare> ranks; ///< by rank index
     std::vector<RankFairness> fairness; ///< by rank index
