--- a/src/ctl_options_func.cpp
+++ b/src/ctl_options_func.cpp
@@ -35,26 +35,25 @@
         parser.positional_help("COMMAND [ARGUMENT...]");
         cxxopts::OptionAdder add = parser.add_options();
         const auto text = [] { return cxxopts::value<std::string>()->default_value(""); };
-        const auto number
-            = [](const char* fallback) { return cxxopts::value<std::uint64_t>()->default_value(fallback); };
+        const auto number = [] { return cxxopts::value<std::uint64_t>(); };
         add("entries", "entry addresses, http://ip:port,...; also HICKORY_ENTRIES", text());
         add("settings", "settings file; also HICKORYCTL_SETTINGS", text());
         add("json", "machine-readable output");
         add("wait", "apply: wait until in force");
         add("watch", "status, upstreams, rollout: repeat every 2 s");
-        add("base", "apply: generation that the text was made from (default: the newest)", number("0"));
+        add("base", "apply: generation that the text was made from (default: the newest)", number());
         add("change-id", "apply: id of the change; sending the same change twice is harmless (default: drawn)", text());
-        add("generation", "show: generation (default: the newest)", number("0"));
-        add("timeout", "apply --wait, request: longest time in seconds", number("60"));
+        add("generation", "show: generation (default: the newest)", number());
+        add("timeout", "apply --wait, request: longest time in seconds (default: 60)", number());
         add("workspace", "request: X-Workspace", text());
         add("rank", "request: X-Rank", text());
         add("key", "request: Idempotency-Key", text());
         add("data", "request: body, or @FILE", text());
-        add("method", "request: HTTP method", cxxopts::value<std::string>()->default_value("POST"));
+        add("method", "request: HTTP method (default: POST)", text());
         add("platform", "publish: http://ip:port of the platform", text());
         add("model", "publish: model name", text());
         add("version", "publish: model version; without a command: show the program's version", text());
-        add("chunk-bytes", "publish: bytes in a chunk (default: chosen by size)", number("0"));
+        add("chunk-bytes", "publish: bytes in a chunk (default: chosen by size)", number());
         add("h,help", "show this help");
         add("words", "command and arguments", cxxopts::value<std::vector<std::string>>());
         parser.parse_positional({ "words" });
@@ -71,6 +70,12 @@
         return entries;
     }
 
+    /// @return the option's value, empty when it was not given
+    std::string textOption(const cxxopts::ParseResult& parsed, const char* name)
+    {
+        return parsed.count(name) > 0 ? parsed[name].as<std::string>() : "";
+    }
+
     std::string environment(const char* name)
     {
         const char* value = std::getenv(name);
@@ -81,7 +86,7 @@
     /// @return false when the settings file is bad
     bool readPlaces(const cxxopts::ParseResult& parsed, CtlOptions& options)
     {
-        std::string settingsPath = parsed["settings"].as<std::string>();
+        std::string settingsPath = textOption(parsed, "settings");
         if (settingsPath.empty())
             settingsPath = environment("HICKORYCTL_SETTINGS");
         if (!settingsPath.empty()) {
@@ -93,7 +98,7 @@
             options.entries = settings.value().entries;
             options.token = settings.value().operatorToken;
         }
-        const std::string flag = parsed["entries"].as<std::string>();
+        const std::string flag = textOption(parsed, "entries");
         const std::string list = flag.empty() ? environment("HICKORY_ENTRIES") : flag;
         if (!list.empty())
             options.entries = splitEntries(list);
@@ -103,8 +108,10 @@
     void readValues(const cxxopts::ParseResult& parsed, CtlOptions& options)
     {
         constexpr std::int64_t millisecondsPerSecond = 1000;
-        const auto text = [&](const char* name) { return parsed[name].as<std::string>(); };
-        const auto number = [&](const char* name) { return parsed[name].as<std::uint64_t>(); };
+        const auto text = [&](const char* name) { return textOption(parsed, name); };
+        const auto number = [&](const char* name) {
+            return parsed.count(name) > 0 ? parsed[name].as<std::uint64_t>() : std::uint64_t { 0 };
+        };
         options.json = parsed.count("json") > 0;
         options.wait = parsed.count("wait") > 0;
         options.watch = parsed.count("watch") > 0;
@@ -112,12 +119,14 @@
         options.base = { number("base") };
         options.generation = { number("generation") };
         options.changeId = { text("change-id") };
-        options.timeout = Milliseconds { millisecondsPerSecond } * static_cast<std::int64_t>(number("timeout"));
+        if (parsed.count("timeout") > 0)
+            options.timeout = Milliseconds { millisecondsPerSecond } * static_cast<std::int64_t>(number("timeout"));
         options.workspace = text("workspace");
         options.rank = text("rank");
         options.key = text("key");
         options.data = text("data");
-        options.method = text("method");
+        if (parsed.count("method") > 0)
+            options.method = text("method");
         options.platform = text("platform");
         options.model = text("model");
         options.version = text("version");
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
+#include <iterator>
 
 namespace hickory {
 
@@ -24,10 +24,9 @@
     Result<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path, std::ios::binary);
-        std::ostringstream content;
-        if (!file || !(content << file.rdbuf()))
-            return settingsError(path, "the file cannot be read or is empty");
-        return content.str();
+        if (!file)
+            return settingsError(path, "the file cannot be read");
+        return std::string { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
     }
 
     bool isPort(std::string_view text, bool zeroAllowed)
