--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,6 +42,7 @@
 
 # Ends whatever is still running, by process id.
 stop_all() {
+  disown -a 2>/dev/null || true
   local pid
   for pid in "${pids[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry_reduce_func.h"
+#include "placement_cmd.h"
 #include "request_cmd.h"
 
 #include <memory>
@@ -73,6 +74,7 @@
         std::sort(this->state.members.list.members.begin(), this->state.members.list.members.end(),
             [](const Member& left, const Member& right) { return left.host < right.host; });
         applyConfigToRequests(this->state, effects);
+        applyConfigToPlacement(this->state, effects);
         for (const AgentStatus& status : this->statuses) {
             const EntryEffects more = this->run(AgentConnected { .host = status.host, .status = status });
             effects.insert(effects.end(), more.begin(), more.end());
--- a/tests/unit_slot.cpp
+++ b/tests/unit_slot.cpp
@@ -58,5 +58,9 @@
     REQUIRE(agent.only<StartUpstream>().key.request.value == 2);
     agent.end(2);
     agent.send(Tick {});
+    // Dispatches that were on their way when the notice went out are still answered for 1 s.
+    REQUIRE(agent.all<ExitProcess>().empty());
+    agent.pass(500);
+    agent.send(Tick {});
     REQUIRE(agent.all<ExitProcess>().size() == 1);
 }
