Distribute weight chunks as a swarm and pace them under live traffic

Cause: every host pulled every chunk from the origin, whose link carries about four copies in the time that a rollout may take.

Change: for each chunk, rendezvous order over the live hosts of the placement row names the host of a region that fetches it from outside; everyone else takes it from peers, rarest first, with at most 4 peer streams, 2 streams from one peer, 2 outside streams and 4 map queries at once. A lead that gains none of its chunks for a time derived from chunk size and measured rate, or that does not answer, is replaced by the next of at most 3. One region only reads from the origin ([weights] store_region; by default the region of the first place by name). A peer that served a corrupt chunk is used last; one that does not answer is avoided. SetChunkRate halves the pace while the latency of live traffic is above what it was without chunk traffic.

Ruled out: excluding peers after a corrupt chunk. Taking over a lead by age of the chunk alone: a lead with many chunks is slow for good reasons, so only its own progress counts.

--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -173,6 +173,7 @@
         settings.linkRate.value = static_cast<std::uint64_t>(reader.integer("link_bytes_per_s", 0, linkRateRange));
         settings.linkShare = reader.number("link_share", settings.linkShare, linkShareRange);
         settings.fetchPolicy = reader.choice("fetch", settings.fetchPolicy, names<FetchPolicy>(fetchPolicyNames));
+        settings.storeRegion = { reader.name("store_region", Presence::Optional) };
         reader.finish();
     }
 
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -87,6 +87,7 @@
     Bytes linkRate { 0 }; ///< [weights] link_bytes_per_s: this host's link, 0 for no limit
     double linkShare { 0.8 }; ///< [weights] link_share: share of the link for chunks
     FetchPolicy fetchPolicy { FetchPolicy::Swarm }; ///< [weights] fetch
+    RegionId storeRegion; ///< [weights] store_region: region of the weight store; empty for that of the first place
     SlotPolicy slotPolicy { SlotPolicy::Floors }; ///< [policy] slots
     std::uint32_t maxQueued { 64 }; ///< [policy] max_queued: admitted requests that may wait for a slot
     Milliseconds lease { 10000 }; ///< [policy] lease_ms: a longer pause makes the agent check its fencing number
--- a/src/weights_cmd.cpp
+++ b/src/weights_cmd.cpp
@@ -2,6 +2,8 @@
 
 #include "weights_assign_cmd.h"
 #include "weights_fetch_cmd.h"
+#include "weights_pace_cmd.h"
+#include "weights_swarm_cmd.h"
 
 namespace hickory {
 
@@ -78,7 +80,12 @@
     updateWeights(state, effects);
 }
 
-void applyChunkMap(AgentState&, const ChunkMapReceived&, AgentEffects&) { }
+void applyChunkMap(AgentState& state, const ChunkMapReceived& event, AgentEffects& effects)
+{
+    takeChunkMap(state, event);
+    if (active(state))
+        updateWeights(state, effects);
+}
 
 void applyChunkFetched(AgentState& state, const ChunkFetched& event, AgentEffects& effects)
 {
@@ -111,6 +118,7 @@
     if (!active(state))
         return;
     tickPlacementReads(state, effects);
+    tickChunkPace(state, effects);
     updateWeights(state, effects);
 }
 
--- a/src/weights_fetch_cmd.cpp
+++ b/src/weights_fetch_cmd.cpp
@@ -3,6 +3,7 @@
 #include "manifest_func.h"
 #include "member_func.h"
 #include "placement_row_func.h"
+#include "weights_swarm_cmd.h"
 
 #include <algorithm>
 #include <set>
@@ -14,7 +15,7 @@
     constexpr std::uint32_t maxOriginStreams = 2;
     constexpr Milliseconds manifestRetryInterval { 2000 };
     /// Before anything was measured a chunk may take this long: origin shared by a whole region on a slow link.
-    constexpr Milliseconds firstTimeout { 30000 };
+    constexpr Milliseconds firstTimeout { 15000 };
     constexpr Milliseconds shortestTimeout { 1500 };
     constexpr Milliseconds longestTimeout { 60000 };
     /// A fetch is given up when it takes this many times as long as the measured rate says.
@@ -23,8 +24,11 @@
     /// Fewer bytes a second than this are not believed, so that one stalled fetch does not make time-outs endless.
     constexpr double slowestRate = 4096;
     constexpr Milliseconds retryDelay { 200 };
-    constexpr std::uint16_t maxBackoffFailures = 6;
-    constexpr Milliseconds demotion { 30000 };
+    /// The longest pause of a chunk is 1.6 s, so that an outage of the origin costs little more than itself.
+    constexpr std::uint16_t maxBackoffFailures = 4;
+    constexpr Milliseconds demotion { 1000 };
+    constexpr Milliseconds failurePause { 500 };
+    constexpr std::uint32_t maxPauseDoublings = 5;
 
     /// @return manifests that this host serves, is about to serve, or may have to return to
     std::set<ManifestDigest> neededManifests(const AgentState& state)
@@ -66,24 +70,24 @@
             .value = static_cast<double>(event.received.value) });
     }
 
-    void countRate(WeightsState& weights, const ChunkFetched& event)
+    void countRate(double& rate, const ChunkFetched& event)
     {
         if (event.result == ChunkResult::Verified && event.received.value > 0) {
             const double seconds = std::max(0.001, static_cast<double>(event.elapsed.value) / 1000);
-            const double rate = static_cast<double>(event.received.value) / seconds;
-            weights.chunkRate
-                = weights.chunkRate == 0 ? rate : weights.chunkRate * (1 - rateSmoothing) + rate * rateSmoothing;
-        } else if (event.result == ChunkResult::Failed) {
-            // A time-out shows only that the rate is lower than believed.
-            weights.chunkRate *= 1 - rateSmoothing;
+            const double seen = static_cast<double>(event.received.value) / seconds;
+            rate = rate == 0 ? seen : rate * (1 - rateSmoothing) + seen * rateSmoothing;
+        } else if (event.result == ChunkResult::Failed && event.received.value > 0) {
+            // A time-out in mid-transfer shows only that the rate is lower than believed.
+            rate *= 1 - rateSmoothing;
         }
-        if (weights.chunkRate > 0)
-            weights.chunkRate = std::max(weights.chunkRate, slowestRate);
+        if (rate > 0)
+            rate = std::max(rate, slowestRate);
     }
 
     void finishWhole(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
     {
         download.whole = true;
+        download.peers.clear();
         download.detail.clear();
         effects.emplace_back(LogLine { .event = "weights-complete",
             .fields = { { "manifest", digest.value }, { "version", download.manifest->version.value },
@@ -111,10 +115,13 @@
         const auto peer = download.peers.find(event.source.peer);
         if (peer == download.peers.end())
             return;
+        PeerProgress& progress = peer->second;
+        // A corrupt chunk may be the link's fault, so such a peer is a last resort and no outcast; one that does not
+        // answer would hold a stream until each time-out.
         if (corrupt)
-            ++peer->second.corrupt;
-        peer->second.demotedUntil
-            = state.now + demotion * (corrupt ? 1 + peer->second.corrupt : 1) / (corrupt ? 1 : 10);
+            progress.demotedUntil = state.now + demotion * (1 << std::min(progress.corrupt++, maxPauseDoublings));
+        else
+            progress.avoidUntil = state.now + failurePause * (1 << std::min(progress.failures++, maxPauseDoublings));
     }
 
     /// Baseline: every chunk from the origin, each host from its own starting point.
@@ -131,15 +138,22 @@
 
 } // namespace
 
-Milliseconds chunkTimeout(const AgentState& state, Bytes size, std::uint32_t failures)
+Milliseconds chunkTimeout(const AgentState& state, Bytes size, std::uint32_t failures, bool outside)
 {
-    if (state.weights.chunkRate == 0)
+    const double rate = outside ? state.weights.outsideRate : state.weights.regionRate;
+    if (rate == 0)
         return firstTimeout;
-    const double expected = static_cast<double>(size.value) / state.weights.chunkRate * 1000;
+    const double expected = static_cast<double>(size.value) / rate * 1000;
     const Milliseconds timeout { static_cast<std::int64_t>(expected * stallFactor * (1 + failures)) };
     return std::clamp(timeout, shortestTimeout, longestTimeout);
 }
 
+bool isOutside(const AgentState& state, const HostId& peer)
+{
+    const Member* member = peer.empty() ? nullptr : findMember(state.members, peer);
+    return !member || member->region != state.settings.process.region;
+}
+
 void updateDownloads(AgentState& state, AgentEffects& effects)
 {
     const std::set<ManifestDigest> needed = neededManifests(state);
@@ -166,6 +180,9 @@
 {
     ChunkProgress& chunk = download.chunks[index.value];
     chunk.fetching = true;
+    const bool outside = isOutside(state, source.peer);
+    chunk.takeover = outside && chunk.position > 0 && state.settings.fetchPolicy == FetchPolicy::Swarm;
+    download.takeoverStreams += chunk.takeover ? 1 : 0;
     if (source.peer.empty()) {
         ++download.originStreams;
     } else {
@@ -175,14 +192,17 @@
     effects.emplace_back(FetchChunk { .manifest = digest,
         .index = index,
         .source = source,
-        .timeout = chunkTimeout(state, download.manifest->chunks[index.value].size, chunk.failures) });
+        .timeout = chunkTimeout(state, download.manifest->chunks[index.value].size, chunk.failures, outside) });
 }
 
 void startFetches(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
 {
     if (!download.manifest || download.whole || download.broken)
         return;
-    startFromOrigin(state, digest, download, effects);
+    if (state.settings.fetchPolicy == FetchPolicy::Origin)
+        startFromOrigin(state, digest, download, effects);
+    else
+        swarmRound(state, digest, download, effects);
 }
 
 void finishFetch(AgentState& state, const ChunkFetched& event, AgentEffects& effects)
@@ -196,6 +216,9 @@
     if (!chunk.fetching)
         return;
     chunk.fetching = false;
+    const bool outside = isOutside(state, event.source.peer);
+    download.takeoverStreams -= chunk.takeover ? 1 : 0;
+    chunk.takeover = false;
     if (event.source.peer.empty()) {
         --download.originStreams;
     } else {
@@ -204,17 +227,20 @@
         peer.streams -= peer.streams > 0 ? 1 : 0;
     }
     countBytes(state, download, event, effects);
-    countRate(state.weights, event);
+    countRate(outside ? state.weights.outsideRate : state.weights.regionRate, event);
     if (event.result != ChunkResult::Verified) {
+        if (outside)
+            download.outsideFailure = state.now;
         chunk.failures = std::min<std::uint16_t>(chunk.failures + 1, maxBackoffFailures);
         chunk.notBefore = state.now + retryDelay * (1 << chunk.failures) / 2;
         noteBadSource(state, download, event, effects);
         return;
     }
-    if (!chunk.have) {
-        chunk.have = true;
-        ++download.held;
-    }
+    chunk.have = true;
+    ++download.held;
+    chunk.failures = 0;
+    if (const auto peer = download.peers.find(event.source.peer); peer != download.peers.end())
+        peer->second.failures = peer->second.corrupt = 0;
     if (event.whole && download.held == download.chunks.size()) {
         finishWhole(state, event.manifest, download, effects);
     } else if (event.wholeMismatch) {
--- a/src/weights_fetch_cmd.h
+++ b/src/weights_fetch_cmd.h
@@ -16,8 +16,12 @@
 void startFetch(AgentState& state, const ManifestDigest& digest, Download& download, ChunkIndex index,
     const ChunkSource& source, AgentEffects& effects);
 
+/// @param outside the source is the origin or a peer of another region
 /// @return time after which a chunk of that size counts as stalled, by the rate measured so far
-Milliseconds chunkTimeout(const AgentState& state, Bytes size, std::uint32_t failures);
+Milliseconds chunkTimeout(const AgentState& state, Bytes size, std::uint32_t failures, bool outside);
+
+/// @return true when the source is the origin or a peer of another region
+bool isOutside(const AgentState& state, const HostId& peer);
 
 /// Counts the end of a fetch.
 void finishFetch(AgentState& state, const ChunkFetched& event, AgentEffects& effects);
--- a/src/weights_io.cpp
+++ b/src/weights_io.cpp
@@ -1,11 +1,10 @@
 #include "weights_io.h"
 
 #include "digest_func.h"
+#include "http_client_io.h"
 #include "manifest_func.h"
 #include "weights_pace_type.h"
 
-#include <httplib.h>
-
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -23,7 +22,8 @@
 
     using Clock = std::chrono::steady_clock;
 
-    constexpr std::chrono::seconds manifestTimeout { 5 };
+    constexpr Milliseconds manifestTimeout { 5000 };
+    constexpr std::uint16_t httpOk = 200;
     constexpr std::size_t maxManifestBytes = 80U << 20U;
     /// Longest wait of a fetch thread for its pace between looks at the deadline.
     constexpr std::chrono::milliseconds paceStep { 100 };
@@ -180,17 +180,17 @@
     ManifestReceived readManifest(const ManifestDigest& digest)
     {
         ManifestReceived answer { .digest = digest };
-        httplib::Client client(this->options.platformUrl);
-        client.set_connection_timeout(manifestTimeout);
-        client.set_read_timeout(manifestTimeout);
         std::string body;
-        const std::string path = "/objects/" + manifestObject(digest);
-        const auto result = client.Get(path.c_str(), [&](const char* data, std::size_t length) {
-            body.append(data, length);
-            return body.size() <= maxManifestBytes;
-        });
-        if (!result || result->status != 200) {
-            answer.detail = result ? "status " + std::to_string(result->status) : "no answer from the object store";
+        HttpConnection connection(this->options.platformUrl);
+        const Result<HttpReply> reply
+            = connection.send({ .path = "/objects/" + percentEncode(manifestObject(digest), true),
+                .timeout = manifestTimeout,
+                .onPart = [&](std::string_view part) {
+                    body.append(part);
+                    return body.size() <= maxManifestBytes;
+                } });
+        if (!reply || reply.value().status != httpOk) {
+            answer.detail = reply ? "status " + std::to_string(reply.value().status) : reply.error().text();
             return answer;
         }
         Result<Manifest> parsed = parseManifest(body);
@@ -237,27 +237,20 @@
         const std::uint64_t size = version.manifest.chunks[effect.index.value].size.value;
         const std::uint64_t begin = version.offset(effect.index);
         const Clock::time_point deadline = Clock::now() + duration(effect.timeout);
-        httplib::Client client(this->options.platformUrl);
-        client.set_connection_timeout(duration(effect.timeout));
-        client.set_read_timeout(duration(effect.timeout));
-        const httplib::Headers headers { httplib::make_range_header(
-            { { static_cast<ssize_t>(begin), static_cast<ssize_t>(begin + size - 1) } }) };
         std::string data;
-        bool partial = false;
-        const std::string path = "/weights/" + version.manifest.object;
-        const auto result = client.Get(
-            path.c_str(), headers,
-            [&](const httplib::Response& response) {
-                partial = response.status == 206 || (response.status == 200 && version.manifest.chunks.size() == 1);
-                return partial;
-            },
-            [&](const char* piece, std::size_t length) {
-                data.append(piece, length);
-                const Clock::time_point until = Clock::now() + this->reserveDownload(length);
+        HttpConnection connection(this->options.platformUrl);
+        // What was read before a failure counts as received; the size tells whether the chunk is complete.
+        (void)connection.send({ .path = "/weights/" + percentEncode(version.manifest.object, true),
+            .headers = { { "Range", "bytes=" + std::to_string(begin) + "-" + std::to_string(begin + size - 1) } },
+            .timeout = effect.timeout,
+            .onPart = [&](std::string_view part) {
+                data.append(part);
+                const Clock::time_point until = Clock::now() + this->reserveDownload(part.size());
                 while (Clock::now() < until && Clock::now() < deadline)
                     std::this_thread::sleep_until(std::min(until, Clock::now() + paceStep));
+                // A server that ignores the range sends more than the chunk.
                 return data.size() <= size && Clock::now() < deadline;
-            });
+            } });
         return data;
     }
 
--- a/src/weights_state_type.h
+++ b/src/weights_state_type.h
@@ -18,10 +18,12 @@
 struct ChunkProgress {
     bool have { false }; ///< verified and stored
     bool fetching { false }; ///< a FetchChunk is out
+    bool takeover { false }; ///< that fetch is in place of a slow or dead lead
     std::uint16_t holders { 0 }; ///< peers of the region known to hold it
     std::uint16_t failures { 0 }; ///< failed fetches since the last success of any chunk
     std::uint16_t position { 0 }; ///< this host's position in the chunk's rendezvous order of its region
-    HostId lead; ///< best host of the chunk's order in this region
+    HostId lead; ///< best host of the chunk's order in this region: it fetches the chunk from outside
+    HostId sourceLead; ///< best host of the chunk's order in the region that reads from the origin
     Milliseconds notBefore { 0 }; ///< no fetch before this time
 };
 
@@ -30,11 +32,13 @@
     std::vector<bool> have; ///< by chunk index; empty before the first answer
     std::uint32_t held { 0 }; ///< count of `have`
     Milliseconds lastQuery { 0 }; ///< when its map was last asked for
-    Milliseconds lastGain { 0 }; ///< when its map last grew
+    Milliseconds lastGain { 0 }; ///< when it last gained a chunk that it leads
     std::uint32_t streams { 0 }; ///< fetches from it in progress
     std::uint32_t silent { 0 }; ///< map queries without an answer in a row
-    Milliseconds demotedUntil { 0 }; ///< not used as a source before this time
-    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served
+    Milliseconds avoidUntil { 0 }; ///< not used as a source before this time
+    Milliseconds demotedUntil { 0 }; ///< used only when no other peer will do before this time
+    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served since its last correct one
+    std::uint32_t failures { 0 }; ///< fetches from it that failed in a row
     bool querying { false }; ///< a QueryChunkMap is out
 };
 
@@ -53,6 +57,12 @@
     std::uint32_t originStreams { 0 }; ///< fetches from the origin in progress
     std::uint32_t peerStreams { 0 }; ///< fetches from peers in progress
     std::uint64_t candidatesVersion { 0 }; ///< value of WeightsState::candidatesVersion that `chunks` was ordered for
+    std::vector<HostId> regionHosts; ///< live hosts of this region that fetch this version, sorted
+    std::vector<HostId> sourceHosts; ///< the same of the region that reads from the origin, sorted
+    bool readsOrigin { false }; ///< this region is the one that reads from the origin
+    std::uint32_t takeoverStreams { 0 }; ///< fetches in place of a slow or dead lead in progress
+    Milliseconds outsideFailure { 0 }; ///< when a fetch from outside the region last failed
+    std::uint32_t queries { 0 }; ///< map queries in progress
     Bytes fromOrigin; ///< bytes received from the origin
     Bytes fromRegion; ///< bytes received from peers of this region
     Bytes fromOtherRegions; ///< bytes received from peers of other regions
@@ -119,7 +129,8 @@
     std::map<ManifestDigest, Download> downloads; ///< wanted, serving and previous versions only
     std::uint64_t candidatesVersion { 1 }; ///< rises when the hosts that take part in the swarm change
     Milliseconds nextRound { 0 }; ///< when peers' maps are next asked for
-    double chunkRate { 0 }; ///< measured bytes a second of one chunk fetch, 0 before the first
+    double outsideRate { 0 }; ///< measured bytes a second of one fetch from outside the region, 0 before the first
+    double regionRate { 0 }; ///< the same within the region
     double latencyBase { 0 }; ///< smoothed latency of live traffic while no chunks move, in ms
     Bytes paceInForce; ///< last SetChunkRate
     Milliseconds nextPace { 0 }; ///< when the pace is next considered
