--- a/src/weights_cmd.cpp
+++ b/src/weights_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "weights_assign_cmd.h"
 #include "weights_fetch_cmd.h"
+#include "weights_pace_cmd.h"
 #include "weights_swarm_cmd.h"
 
 namespace hickory {
@@ -117,6 +118,7 @@
     if (!active(state))
         return;
     tickPlacementReads(state, effects);
+    tickChunkPace(state, effects);
     updateWeights(state, effects);
 }
 
--- a/src/weights_fetch_cmd.cpp
+++ b/src/weights_fetch_cmd.cpp
@@ -26,7 +26,7 @@
     constexpr Milliseconds retryDelay { 200 };
     /// The longest pause of a chunk is 1.6 s, so that an outage of the origin costs little more than itself.
     constexpr std::uint16_t maxBackoffFailures = 4;
-    constexpr Milliseconds corruptPause { 100 };
+    constexpr Milliseconds demotion { 1000 };
     constexpr Milliseconds failurePause { 500 };
     constexpr std::uint32_t maxPauseDoublings = 5;
 
@@ -116,11 +116,12 @@
         if (peer == download.peers.end())
             return;
         PeerProgress& progress = peer->second;
-        ++(corrupt ? progress.corrupt : progress.failures);
-        // A corrupt chunk may be the link's fault, so such a peer is a last resort (see sourceFor) and no outcast; one
-        // that does not answer would hold a stream until each time-out.
-        progress.avoidUntil = state.now
-            + (corrupt ? corruptPause : failurePause * (1 << std::min(progress.failures, maxPauseDoublings)));
+        // A corrupt chunk may be the link's fault, so such a peer is a last resort and no outcast; one that does not
+        // answer would hold a stream until each time-out.
+        if (corrupt)
+            progress.demotedUntil = state.now + demotion * (1 << std::min(progress.corrupt++, maxPauseDoublings));
+        else
+            progress.avoidUntil = state.now + failurePause * (1 << std::min(progress.failures++, maxPauseDoublings));
     }
 
     /// Baseline: every chunk from the origin, each host from its own starting point.
@@ -239,7 +240,7 @@
     ++download.held;
     chunk.failures = 0;
     if (const auto peer = download.peers.find(event.source.peer); peer != download.peers.end())
-        peer->second.failures = 0;
+        peer->second.failures = peer->second.corrupt = 0;
     if (event.whole && download.held == download.chunks.size()) {
         finishWhole(state, event.manifest, download, effects);
     } else if (event.wholeMismatch) {
--- a/src/weights_state_type.h
+++ b/src/weights_state_type.h
@@ -36,7 +36,8 @@
     std::uint32_t streams { 0 }; ///< fetches from it in progress
     std::uint32_t silent { 0 }; ///< map queries without an answer in a row
     Milliseconds avoidUntil { 0 }; ///< not used as a source before this time
-    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served
+    Milliseconds demotedUntil { 0 }; ///< used only when no other peer will do before this time
+    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served since its last correct one
     std::uint32_t failures { 0 }; ///< fetches from it that failed in a row
     bool querying { false }; ///< a QueryChunkMap is out
 };
