--- /dev/null
+++ b/tests/scenario_check.cpp
@@ -0,0 +1,210 @@
+#include "digest_func.h"
+#include "scenario_steps.h"
+
+#include <fnmatch.h>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace hickory::scenario {
+
+namespace {
+
+    /// @return empty when `seen` compares to the condition's "value" by its "op" ("==" unless given)
+    std::string compare(const Json& seen, const Json& condition)
+    {
+        const Json value = condition.value("value", Json(true));
+        const std::string op = condition.value("op", "==");
+        const bool holds = op == "==" ? seen == value
+            : op == "!="              ? seen != value
+            : op == ">="              ? seen >= value
+            : op == "<="              ? seen <= value
+            : op == ">"               ? seen > value
+            : op == "<"               ? seen < value
+                                      : throw std::runtime_error("unknown op " + op);
+        return holds ? "" : seen.dump() + " is not " + op + " " + value.dump();
+    }
+
+    Json at(const Json& json, const std::string& pointer)
+    {
+        const Json::json_pointer place(pointer);
+        return json.contains(place) ? json.at(place) : Json();
+    }
+
+    /// @return status of the fleet from the first entry that answers, null when none does
+    Json fleetStatus(Scenario& scenario)
+    {
+        for (const std::string& name : scenario.fleet.match("entry-*")) {
+            if (!scenario.fleet.processes.at(name).running())
+                continue;
+            const Json answer = scenario.fleet.call(name, "GET", "/v1/status");
+            if (answer.at("status") == 200)
+                return Json::parse(answer.at("body").get<std::string>());
+        }
+        return {};
+    }
+
+    /// Hosts that are ready for a service, each once.
+    std::size_t countReady(Scenario& scenario, const Json& condition)
+    {
+        std::set<std::string> ready;
+        const Json status = fleetStatus(scenario);
+        for (const Json& entry : status.value("entries", Json::array()))
+            for (const Json& agent : entry.value("agents", Json::array()))
+                if (agent.at("ready") == true && agent.at("service") == condition.at("ready")
+                    && (!condition.contains("version") || agent.at("version") == condition.at("version")))
+                    ready.insert(agent.at("host"));
+        return ready.size();
+    }
+
+    std::vector<std::vector<std::string>> readRows(const std::string& text)
+    {
+        std::vector<std::vector<std::string>> rows;
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            std::istringstream words(line);
+            rows.emplace_back(std::istream_iterator<std::string>(words), std::istream_iterator<std::string>());
+        }
+        return rows;
+    }
+
+    /// Lines in the runs logs of the matching hosts, of one request body if the condition names one.
+    std::size_t countRuns(Scenario& scenario, const Json& condition)
+    {
+        std::size_t count = 0;
+        for (const FleetHost& host : scenario.fleet.hosts)
+            if (!host.runsLog.empty()
+                && fnmatch(condition.at("runs").get<std::string>().c_str(), host.name.c_str(), 0) == 0)
+                for (const auto& row : readRows(readFile(host.runsLog)))
+                    count
+                        += !condition.contains("body") || row.at(1) == digestHex(condition["body"].get<std::string>());
+        return count;
+    }
+
+    std::size_t countLog(Scenario& scenario, const Json& condition)
+    {
+        const std::regex pattern(condition.at("log").get<std::string>());
+        std::size_t count = 0;
+        for (const std::string& name : scenario.fleet.match(condition.value("process", "*"))) {
+            const std::string text = scenario.fleet.processes.at(name).output();
+            count += std::distance(std::sregex_iterator(text.begin(), text.end(), pattern), std::sregex_iterator());
+        }
+        return count;
+    }
+
+    void checkGenerations(const Scenario& scenario, std::vector<std::string>& broken)
+    {
+        const std::regex adopted("event=config-in-force[^\n]* generation=([0-9]+)");
+        for (const auto& [name, process] : scenario.fleet.processes)
+            for (const std::string& log : process.logs) {
+                const std::string text = readFile(log);
+                std::uint64_t last = 0;
+                for (std::sregex_iterator match(text.begin(), text.end(), adopted), end; match != end; ++match) {
+                    const std::uint64_t generation = std::stoull((*match)[1]);
+                    if (generation < last)
+                        broken.push_back(log + ": generation fell from " + std::to_string(last));
+                    last = generation;
+                }
+            }
+    }
+
+    void checkRuns(const Scenario& scenario, std::vector<std::string>& broken)
+    {
+        std::map<std::string, std::size_t> runs;
+        for (const FleetHost& host : scenario.fleet.hosts)
+            for (const auto& row : readRows(host.runsLog.empty() ? "" : readFile(host.runsLog))) {
+                ++runs[row.at(1)];
+                if (host.kind != "engine")
+                    continue;
+                const auto digest = scenario.fleet.weightDigests.find(row.at(3));
+                if (digest == scenario.fleet.weightDigests.end() || digest->second != row.at(4))
+                    broken.push_back(host.name + " ran " + row.at(3) + " with other weights");
+            }
+        // A request that was sent again may have run in another attempt, so only those refused each time count.
+        std::map<std::string, bool> onlyRefused;
+        std::set<std::string> keyed;
+        for (const auto& [name, process] : scenario.loads)
+            for (const auto& row : readRows(readFile(scenario.fleet.directory + "/" + name + ".requests"))) {
+                const bool refused = row.at(0) == "not_run";
+                const auto [known, added] = onlyRefused.emplace(row.at(1), refused);
+                known->second = known->second && refused;
+                if (row.at(2) != "-")
+                    keyed.insert(row.at(1));
+            }
+        for (const auto& [digest, count] : runs) {
+            const auto sent = onlyRefused.find(digest);
+            if (sent != onlyRefused.end() && sent->second)
+                broken.push_back("request " + digest + " was refused as not-run and ran");
+            if (count > 1 && keyed.contains(digest))
+                broken.push_back("keyed request " + digest + " ran " + std::to_string(count) + " times");
+        }
+    }
+
+} // namespace
+
+// A condition is one of these tables; most take "op" and "value":
+//   get = "process:/path", pointer = "/json/pointer"; ready = "service" [version]; in_force = true;
+//   log = "regex" [process = "pattern"]; runs = "host pattern" [body]; load = "name", pointer; exited = "process
+//   pattern".
+std::string unmet(Scenario& scenario, const Json& condition)
+{
+    if (condition.contains("get")) {
+        const std::string target = condition["get"];
+        const std::size_t colon = target.find(':');
+        const Json answer = scenario.fleet.call(target.substr(0, colon), "GET", target.substr(colon + 1));
+        const Json body = Json::parse(answer.at("body").get<std::string>(), nullptr, false);
+        return compare(at(body, condition.value("pointer", "")), condition);
+    }
+    if (condition.contains("ready")) {
+        Json wanted = condition;
+        if (wanted.at("value") == "engines") // all engines of the fleet, whatever their number
+            wanted["value"] = scenario.fleet.plan.value("engines", 0);
+        return compare(countReady(scenario, condition), wanted);
+    }
+    if (condition.contains("in_force")) {
+        const Json status = fleetStatus(scenario);
+        const bool newest = status.value("generation", std::uint64_t { 0 }) >= scenario.generation;
+        return newest && status.value("in_force", false) ? ""
+                                                         : "generation " + status.value("generation", Json()).dump()
+                + " waits for " + status.value("waiting_for", Json()).dump();
+    }
+    if (condition.contains("log"))
+        return compare(countLog(scenario, condition), condition);
+    if (condition.contains("runs"))
+        return compare(countRuns(scenario, condition), condition);
+    if (condition.contains("load"))
+        return compare(at(scenario.summaries.at(condition["load"]), condition.at("pointer")), condition);
+    if (condition.contains("exited")) {
+        std::string seen;
+        for (const std::string& name : scenario.fleet.match(condition["exited"])) {
+            Process& process = scenario.fleet.processes.at(name);
+            const std::string mistake
+                = process.running() ? "still runs" : compare(process.status.value_or(0), condition);
+            seen += mistake.empty() ? "" : name + ": " + mistake + " ";
+        }
+        return seen;
+    }
+    throw std::runtime_error("unknown condition " + condition.dump());
+}
+
+std::vector<std::string> checkInvariants(Scenario& scenario)
+{
+    std::vector<std::string> broken;
+    for (const auto& [name, summary] : scenario.summaries)
+        if (summary.at("/all/wrong"_json_pointer) != 0)
+            broken.push_back(name + ": wrong answers: " + summary.at("mistakes").dump());
+    for (const FleetHost& host : scenario.fleet.hosts) {
+        if (host.kind != "engine" || !scenario.fleet.processes.at(host.name + ".upstream").running())
+            continue;
+        const Json answer = scenario.fleet.call(host.name + ".upstream", "GET", "/admin/state");
+        const Json state = Json::parse(answer.at("body").get<std::string>(), nullptr, false);
+        if (state.is_object() && state.at("broken_by_load") != 0)
+            broken.push_back(host.name + ": a load order cut off " + state.at("broken_by_load").dump() + " streams");
+    }
+    checkGenerations(scenario, broken);
+    checkRuns(scenario, broken);
+    return broken;
+}
+
+} // namespace hickory::scenario
--- /dev/null
+++ b/tests/scenario_steps.cpp
@@ -0,0 +1,215 @@
+#include "scenario_steps.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace hickory::scenario {
+
+namespace {
+
+    constexpr auto pollInterval = std::chrono::milliseconds(50);
+
+    void require(bool holds, const std::string& reason)
+    {
+        if (!holds)
+            throw std::runtime_error(reason);
+    }
+
+    void replaceAll(std::string& text, const std::string& from, const std::string& to)
+    {
+        for (std::size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size())
+            text.replace(at, from.size(), to);
+    }
+
+    /// @param step names the text; "replace" has pairs of old and new parts
+    /// @return the text with "{manifest:model/version}" replaced by digests and "{engines}" by their number
+    std::string fillText(const Scenario& scenario, const Json& step, const std::string& name)
+    {
+        std::string text = scenario.texts.at(name);
+        for (const Json& pair : step.value("replace", Json::array()))
+            replaceAll(text, pair.at(0), pair.at(1));
+        replaceAll(text, "{engines}", std::to_string(scenario.fleet.plan.value("engines", 0)));
+        for (const auto& [version, digest] : scenario.manifests)
+            replaceAll(text, "{manifest:" + version + "}", digest);
+        return text;
+    }
+
+    void apply(Scenario& scenario, const Json& step)
+    {
+        const std::string id = "scenario-" + std::to_string(++scenario.changes);
+        const std::uint64_t base = step.value("base", scenario.generation);
+        const Json answer = scenario.fleet.call(step.value("entry", "entry-0"), "POST", "/v1/config",
+            fillText(scenario, step, step.at("text")),
+            { { "X-Base-Generation", std::to_string(base) }, { "X-Change-Id", id } });
+        require(answer.at("status") == step.value("status", 200), "apply: " + answer.dump());
+        const Json body = Json::parse(answer.at("body").get<std::string>(), nullptr, false);
+        if (answer.at("status") == 200)
+            scenario.generation = body.at("generation");
+    }
+
+    /// Several operators apply different texts on the same base at once; exactly one may be accepted.
+    void applyRace(Scenario& scenario, const Json& step)
+    {
+        std::vector<std::thread> threads;
+        std::vector<Json> answers(step.at("texts").size());
+        for (std::size_t index = 0; index < answers.size(); ++index) {
+            const std::string id = "race-" + std::to_string(++scenario.changes);
+            threads.emplace_back([&scenario, &step, &answers, index, id] {
+                answers[index] = scenario.fleet.call(step.at("entries").at(index), "POST", "/v1/config",
+                    fillText(scenario, step, step.at("texts").at(index)),
+                    { { "X-Base-Generation", std::to_string(scenario.generation) }, { "X-Change-Id", id } });
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        std::size_t accepted = 0;
+        for (const Json& answer : answers) {
+            accepted += answer.at("status") == 200 ? 1 : 0;
+            require(answer.at("status") == 200 || answer.at("status") == 409, "race: " + answer.dump());
+            require(
+                answer.at("status") == 200 || answer.at("body").get<std::string>().find("race-") < std::string::npos,
+                "the conflict does not name the other change: " + answer.dump());
+        }
+        require(accepted == 1, std::to_string(accepted) + " changes were accepted");
+        ++scenario.generation;
+    }
+
+    void request(Scenario& scenario, const Json& step)
+    {
+        httplib::Headers headers { { "X-Workspace", step.at("workspace") }, { "X-Rank", step.at("rank") } };
+        if (step.contains("key"))
+            headers.emplace("Idempotency-Key", step["key"]);
+        if (step.contains("timeout_ms"))
+            headers.emplace("X-Timeout-Ms", std::to_string(step["timeout_ms"].get<int>()));
+        const Json answer = scenario.fleet.call(step.value("entry", "entry-0"), "POST",
+            "/v1/services/" + step.at("service").get<std::string>() + step.at("path").get<std::string>(),
+            step.at("body"), headers);
+        require(answer.at("status") == step.value("status", 200), "request: " + answer.dump());
+        const std::string outcome = answer.at("headers").value("X-Outcome", "");
+        require(!step.contains("outcome") || outcome == step["outcome"], "request: " + answer.dump());
+        const std::string body = answer.at("body");
+        require(body.find(step.value("contains", "")) != std::string::npos, "request: " + answer.dump());
+    }
+
+    void startLoad(Scenario& scenario, const Json& step)
+    {
+        const std::string name = step.at("name");
+        const std::string base = scenario.fleet.directory + "/" + name;
+        std::ofstream(base + ".plan") << step.at("plan").get<std::string>();
+        std::vector<std::string> command { scenario.fleet.bin + "/tests/load-generator", base + ".plan", "--seed",
+            std::to_string(scenario.fleet.seed), "--log", base + ".requests", "--threads",
+            std::to_string(step.value("threads", 128)) };
+        for (const std::string& entry : scenario.fleet.match("entry-*"))
+            if (scenario.fleet.processes.at(entry).running())
+                command.insert(command.end(), { "--entries", scenario.fleet.http(entry) });
+        scenario.loads[name].start(command, base + ".log");
+    }
+
+    /// @param stop end it now rather than at the end of its plan
+    void finishLoad(Scenario& scenario, const std::string& name, bool stop, std::chrono::milliseconds timeout)
+    {
+        Process& load = scenario.loads.at(name);
+        if (stop)
+            load.signal(SIGTERM);
+        const auto status = load.wait(timeout);
+        require(status == 0, name + (status ? " failed: " : " did not end: ") + load.output());
+        scenario.summaries[name] = Json::parse(load.output());
+        const Json& all = scenario.summaries[name].at("all");
+        std::cout << "  " << name << ":";
+        for (const auto& [key, value] : all.items())
+            if (value.is_number() && value != 0)
+                std::cout << ' ' << key << '=' << value;
+        std::cout << " first_p95=" << all.at("first_token_ms").at("p95") << std::endl;
+    }
+
+    void signalAll(Scenario& scenario, const Json& step, int number)
+    {
+        for (const std::string& name : scenario.fleet.match(step.at("process"))) {
+            Process& process = scenario.fleet.processes.at(name);
+            process.endWanted = process.endWanted || number == SIGKILL || number == SIGTERM;
+            process.signal(number);
+        }
+    }
+
+    void waitFor(Scenario& scenario, const Json& step, std::chrono::milliseconds timeout)
+    {
+        const auto end = std::chrono::steady_clock::now() + timeout;
+        std::string seen;
+        do {
+            seen.clear();
+            for (const Json& condition : step.at("until")) {
+                const std::string reason = unmet(scenario, condition);
+                seen += reason.empty() ? "" : condition.dump() + ": " + reason + "; ";
+            }
+            if (seen.empty())
+                return;
+            std::this_thread::sleep_for(pollInterval);
+        } while (std::chrono::steady_clock::now() < end);
+        throw std::runtime_error("not in time: " + seen);
+    }
+
+} // namespace
+
+void runStep(Scenario& scenario, const Json& step)
+{
+    const std::string kind = step.at("do");
+    const std::chrono::milliseconds timeout(static_cast<std::int64_t>(step.value("timeout_s", 30.0) * 1000));
+    Fleet& fleet = scenario.fleet;
+    if (kind == "publish") {
+        const std::string model = step.at("model");
+        const std::string version = step.at("version");
+        scenario.manifests[model + "/" + version]
+            = fleet.publish(model, version, step.value("bytes", 1U << 20U), step.value("chunk_bytes", 1U << 16U));
+    } else if (kind == "apply") {
+        apply(scenario, step);
+    } else if (kind == "apply_race") {
+        applyRace(scenario, step);
+    } else if (kind == "request") {
+        request(scenario, step);
+    } else if (kind == "load") {
+        startLoad(scenario, step);
+    } else if (kind == "finish" || kind == "stop_load") {
+        finishLoad(scenario, step.at("name"), kind == "stop_load", timeout);
+    } else if (kind == "kill") {
+        signalAll(scenario, step, SIGKILL);
+        for (const std::string& name : fleet.match(step.at("process")))
+            fleet.processes.at(name).wait(timeout);
+    } else if (kind == "stop") {
+        signalAll(scenario, step, SIGTERM);
+    } else if (kind == "freeze") {
+        signalAll(scenario, step, SIGSTOP);
+    } else if (kind == "thaw") {
+        signalAll(scenario, step, SIGCONT);
+    } else if (kind == "start") {
+        fleet.startProcesses(fleet.match(step.at("process")));
+    } else if (kind == "links") {
+        fleet.setLinks(step.at("links"), step.at("set"));
+    } else if (kind == "faults") {
+        fleet.call("platform", "POST", "/admin/faults", step.at("set").dump());
+    } else if (kind == "member") {
+        const std::string host = step.at("host");
+        if (step.at("state") == "gone")
+            fleet.call("platform", "DELETE", "/admin/members/" + host);
+        else
+            fleet.call("platform", "POST", "/admin/members",
+                Json::array({ { { "host", host }, { "state", step["state"] } } }).dump());
+    } else if (kind == "wait") {
+        waitFor(scenario, step, timeout);
+    } else if (kind == "check") {
+        waitFor(scenario, step, std::chrono::milliseconds(0));
+    } else {
+        throw std::runtime_error("unknown step " + kind);
+    }
+}
+
+void stopLoads(Scenario& scenario)
+{
+    constexpr auto timeout = std::chrono::seconds(30);
+    for (auto& [name, load] : scenario.loads)
+        if (load.running())
+            finishLoad(scenario, name, true, timeout);
+}
+
+} // namespace hickory::scenario
