--- a/src/request_row_cmd.cpp
+++ b/src/request_row_cmd.cpp
@@ -94,6 +94,7 @@
             return;
         }
         request.replay = true;
+        request.mayHaveRun = true;
         enqueueRequest(state, request);
         pumpService(state, ServiceId(request.call.service), effects);
     }
--- a/src/request_state_type.h
+++ b/src/request_state_type.h
@@ -31,7 +31,7 @@
 struct Request {
     RequestArrived call; ///< as it arrived
     RankIndex rank; ///< rank in the present configuration
-    RequestPhase phase { RequestPhase::Queued }; ///< where it is
+    RequestPhase phase { RequestPhase::Backoff }; ///< where it is
     std::uint64_t sequence { 0 }; ///< order of arrival at this entry
     Milliseconds arrived { 0 }; ///< time of arrival
     Milliseconds deadline { 0 }; ///< time by which it must have ended
