--- a/src/admission_func.cpp
+++ b/src/admission_func.cpp
@@ -15,10 +15,13 @@
     constexpr std::size_t maxKeyLength = 200;
     /// Retry-After of refusals whose cause usually passes within a reconnect or a heartbeat.
     constexpr Milliseconds shortRetry { 1000 };
-    /// A wait estimate may be off by this factor before a waiting request is given up.
-    constexpr std::int64_t waitTolerance = 2;
     /// Share of the target that the queue may use even where upstreams alone miss the target.
     constexpr double minWaitShare = 0.25;
+    /// Deviations above the mean that nearly all times to the first part stay under.
+    constexpr double deviations = 2;
+    /// Share of the target up to which the expected wait may go: the estimate is a mean, and 95 in 100 requests shall
+    /// be within the target.
+    constexpr double waitMargin = 0.75;
 
     int hexValue(char digit)
     {
@@ -137,10 +140,7 @@
     if (share != state.requests.workspaces.end() && share->second.queued >= share->second.maxQueued)
         return Refusal { .status = 429, .reason = "workspace-queue-full", .retryAfter = shortRetry };
     const Milliseconds wait = expectedWait(state, pool, request.rank, request.call.workspace);
-    const Milliseconds target = state.config.config->ranks[request.rank.value].firstTokenTarget;
-    const double firstPart = pool.ranks[queueIndex(state, request.rank)].firstPartMs;
-    const double left
-        = std::max(static_cast<double>(target.value) - firstPart, static_cast<double>(target.value) * minWaitShare);
+    const double left = waitMargin * static_cast<double>(waitLimit(state, pool, request.rank).value);
     const Milliseconds retryAfter = std::max(shortRetry, wait - Milliseconds { std::llround(left) });
     if (static_cast<double>(wait.value) > left)
         return Refusal { .status = 503, .reason = "wait-exceeds-target", .retryAfter = retryAfter };
@@ -168,9 +168,12 @@
     return share != state.requests.workspaces.end() ? std::max(minWeight, share->second.weight) : 1.0;
 }
 
-Milliseconds waitLimit(const EntryState& state, RankIndex rank)
+Milliseconds waitLimit(const EntryState& state, const ServicePool& pool, RankIndex rank)
 {
-    return state.config.config->ranks[rank.value].firstTokenTarget * waitTolerance;
+    const auto target = static_cast<double>(state.config.config->ranks[rank.value].firstTokenTarget.value);
+    const RankStats& stats = pool.ranks[queueIndex(state, rank)];
+    const double firstPart = stats.firstPartMs + deviations * stats.firstPartDeviationMs;
+    return { std::llround(std::max(target - firstPart, target * minWaitShare)) };
 }
 
 } // namespace hickory
--- a/src/admission_func.h
+++ b/src/admission_func.h
@@ -52,7 +52,8 @@
 /// @return weight of a workspace's flow under the queue policy
 double flowWeight(const EntryState& state, const WorkspaceId& workspace);
 
-/// @return longest time that a request may wait in a queue before its first dispatch
-Milliseconds waitLimit(const EntryState& state, RankIndex rank);
+/// @return longest time that a request may wait in a queue before its first dispatch: what its rank's target leaves
+/// after the time that upstreams take to the first part
+Milliseconds waitLimit(const EntryState& state, const ServicePool& pool, RankIndex rank);
 
 } // namespace hickory
--- a/src/request_attempt_cmd.cpp
+++ b/src/request_attempt_cmd.cpp
@@ -12,6 +12,7 @@
 #include "upstream_view_health_cmd.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickory {
 
@@ -186,8 +187,13 @@
     request.firstPart = true;
     const Milliseconds latency = state.now - request.dispatchedAt;
     noteFirstPart(state.requests.views.views[request.upstream], latency);
-    if (const auto pool = state.requests.pools.find(request.call.service); pool != state.requests.pools.end())
-        smooth(pool->second.ranks[queueIndex(state, request.rank)].firstPartMs, static_cast<double>(latency.value));
+    if (const auto pool = state.requests.pools.find(request.call.service); pool != state.requests.pools.end()) {
+        RankStats& stats = pool->second.ranks[queueIndex(state, request.rank)];
+        const auto sample = static_cast<double>(latency.value);
+        stats.firstPartDeviationMs
+            += timeSmoothing * (std::abs(sample - stats.firstPartMs) - stats.firstPartDeviationMs);
+        smooth(stats.firstPartMs, sample);
+    }
     if (request.delivered == 0)
         observeMetric(effects, "first_part_ms",
             "service=\"" + request.call.service.value + "\",rank=\"" + request.call.rank + "\"",
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -184,7 +184,7 @@
             flowWeight(state, request.call.workspace), request.sequence,
             { .request = request.call.request, .tokens = request.call.cost.value, .charged = request.charged });
     const bool first = request.attempt.value == 0;
-    setWake(state, request, first ? state.now + waitLimit(state, request.rank) : request.deadline);
+    setWake(state, request, first ? state.now + waitLimit(state, pool->second, request.rank) : request.deadline);
 }
 
 void pumpService(EntryState& state, const ServiceId& service, EntryEffects& effects)
--- a/src/request_state_type.h
+++ b/src/request_state_type.h
@@ -66,6 +66,7 @@
     double msPerToken { 0 }; ///< smoothed time in flight for each token of cost, 0 before the first sample
     double msPerRequest { 0 }; ///< smoothed time in flight
     double firstPartMs { 0 }; ///< smoothed time from dispatch to the first part
+    double firstPartDeviationMs { 0 }; ///< smoothed deviation from it
 };
 
 /// One service: its upstreams, queues and budget.
--- a/src/route_func.cpp
+++ b/src/route_func.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-    /// Age at which a report of other entries' load counts half.
+    /// A report of other entries' load counts whole up to the first age, the usual time between reports, and half after
+    /// the second time more.
+    constexpr double freshReportMs = 1000;
     constexpr double reportHalfLifeMs = 2000;
     /// Requests that may wait at an agent so that a slot is not idle for the time of a round trip.
     constexpr double waitingAtAgent = 1;
@@ -29,8 +31,8 @@
 
     double reportShareOf(const EntryState& state, const UpstreamView& view)
     {
-        const auto age = static_cast<double>(std::max<std::int64_t>(0, (state.now - view.statusAt).value));
-        return 1.0 / (1.0 + age / reportHalfLifeMs);
+        const double age = static_cast<double>((state.now - view.statusAt).value) - freshReportMs;
+        return 1.0 / (1.0 + std::max(0.0, age) / reportHalfLifeMs);
     }
 
     double floorSlots(const Config& config, std::size_t rank, double limit)
