--- a/src/request_state_type.h
+++ b/src/request_state_type.h
@@ -31,7 +31,7 @@
 struct Request {
     RequestArrived call; ///< as it arrived
     RankIndex rank; ///< rank in the present configuration
-    RequestPhase phase { RequestPhase::Queued }; ///< where it is
+    RequestPhase phase { RequestPhase::Backoff }; ///< where it is
     std::uint64_t sequence { 0 }; ///< order of arrival at this entry
     Milliseconds arrived { 0 }; ///< time of arrival
     Milliseconds deadline { 0 }; ///< time by which it must have ended
@@ -66,6 +66,7 @@
     double msPerToken { 0 }; ///< smoothed time in flight for each token of cost, 0 before the first sample
     double msPerRequest { 0 }; ///< smoothed time in flight
     double firstPartMs { 0 }; ///< smoothed time from dispatch to the first part
+    double firstPartDeviationMs { 0 }; ///< smoothed deviation from it
 };
 
 /// One service: its upstreams, queues and budget.
