--- a/src/call_row_cmd.cpp
+++ b/src/call_row_cmd.cpp
@@ -38,6 +38,7 @@
         row.state = rowState;
         row.attempt = dispatch.call.key;
         row.incarnation = state.incarnation;
+        row.move = dispatch.row.move;
         row.bodyDigest = dispatch.call.bodyDigest;
         return row;
     }
@@ -147,19 +148,26 @@
         }
     }
 
-    /// @return true when the attempt of a `started` row is between the move and the end of its recording here
+    /// @return true when the row was moved to `started` by this step. An earlier dispatch of the same attempt may have
+    /// moved it too, thus the attempt alone does not tell.
+    bool startedBy(const AgentState& state, const CallRow& row, const CallRowStep& step)
+    {
+        return row.state == CallRowState::Started && row.incarnation == state.incarnation && row.move == step.move;
+    }
+
+    /// @return true when the call of a `started` row is between the move and the end of its recording here
     bool inProgressHere(const AgentState& state, const CallRow& row)
     {
         const auto found = state.slots.dispatches.find(row.attempt);
-        return found != state.slots.dispatches.end() && found->second.phase != DispatchPhase::Waiting
+        return found != state.slots.dispatches.end() && found->second.row.move == row.move
             && found->second.phase != DispatchPhase::Releasing;
     }
 
-    /// @return true when the attempt of a `started` row never ran and the row is about to say so
+    /// @return true when the call of a `started` row never ran and the row is about to say so
     bool inRelease(const AgentState& state, const CallRow& row)
     {
         return std::any_of(state.slots.releases.begin(), state.slots.releases.end(), [&](const RowRelease& release) {
-            return release.row.attempt == row.attempt && release.row.state == CallRowState::Cancelled;
+            return release.step.move == row.move && release.row.state == CallRowState::Cancelled;
         });
     }
 
@@ -197,8 +205,7 @@
                 state, dispatch.call.key, resultOf(DispatchResultKind::RecordedUnknown, "row-unreadable"), effects);
             return;
         }
-        if (row->state == CallRowState::Started && row->attempt == dispatch.call.key
-            && row->incarnation == state.incarnation) {
+        if (startedBy(state, *row, dispatch.row)) {
             continueStarted(state, dispatch, answer.version, effects);
             return;
         }
@@ -259,12 +266,12 @@
     {
         RowRelease& release = state.slots.releases[index];
         const AttemptKey attempt = release.row.attempt;
+        const std::uint64_t move = release.step.move;
         if (answer.status == StoreStatus::Unavailable) {
             scheduleRetry(state, release.step);
         } else {
             const auto row = answer.status == StoreStatus::Conflict ? decode(answer) : std::nullopt;
-            if (row && row->state == CallRowState::Started && row->attempt == attempt
-                && row->incarnation == state.incarnation) {
+            if (row && startedBy(state, *row, release.step)) {
                 release.step.version = answer.version;
                 write(state, release.step, release.row, effects);
                 return;
@@ -277,7 +284,8 @@
             state.slots.releases.erase(state.slots.releases.begin() + static_cast<std::ptrdiff_t>(index));
         }
         const auto found = state.slots.dispatches.find(attempt);
-        if (found != state.slots.dispatches.end() && found->second.phase == DispatchPhase::Releasing)
+        if (found != state.slots.dispatches.end() && found->second.phase == DispatchPhase::Releasing
+            && found->second.row.move == move)
             endDispatch(state, attempt, std::move(found->second.result), effects);
     }
 
@@ -331,6 +339,7 @@
     dispatch.phase = DispatchPhase::MovingRow;
     dispatch.row.key = callRowKey(dispatch.call.service, dispatch.call.workspace, dispatch.call.idempotencyKey);
     dispatch.row.version = dispatch.call.rowVersion;
+    dispatch.row.move = state.slots.lastOperation + 1;
     write(state, dispatch.row, rowOf(state, dispatch, CallRowState::Started), effects);
 }
 
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -113,7 +113,10 @@
 void applyDispatchReceived(AgentState& state, const DispatchReceived& event, AgentEffects& effects)
 {
     const AttemptKey& key = event.call.key;
-    if (state.slots.dispatches.contains(key)) {
+    const auto known = state.slots.dispatches.find(key);
+    if (known != state.slots.dispatches.end()) {
+        if (std::exchange(known->second.answered, false))
+            answerDispatch(state, known->second, resultOf(DispatchResultKind::RecordedRunning, "recording"), effects);
         // The first dispatch of the attempt is answered; a second one must not run beside it.
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "dispatch-dropped",
--- a/src/slot_state_type.h
+++ b/src/slot_state_type.h
@@ -34,6 +34,7 @@
     std::string key; ///< key of the row
     RowVersion version; ///< version that the row must have for the next move
     std::uint64_t operation { 0 }; ///< number of the awaited operation, 0 when none
+    std::uint64_t move { 0 }; ///< number in the row that shows which dispatch moved it
     bool reading { false }; ///< the awaited operation is a read that settles a lost answer
     Milliseconds sentAt; ///< when the awaited operation was sent
     Milliseconds retryAt; ///< earliest time of the next operation when none is awaited
--- a/tests/unit_call_row.cpp
+++ b/tests/unit_call_row.cpp
@@ -80,7 +80,8 @@
 TEST_CASE("A call whose row cannot be read does not run and its row is cancelled later")
 {
     AgentHarness agent = movingAgent();
-    agent.storeAnswer(agent.only<StoreWrite>().token, StoreStatus::Unavailable);
+    const auto move = agent.only<StoreWrite>();
+    agent.storeAnswer(move.token, StoreStatus::Unavailable);
     agent.storeAnswer(agent.only<StoreRead>().token, StoreStatus::Unavailable);
     REQUIRE(agent.only<AnswerDispatch>().result.reason == "store-unavailable");
     agent.send(DispatchReceived { AgentHarness::keyedCall(1) });
@@ -89,8 +90,7 @@
     const auto release = agent.only<StoreWrite>();
     REQUIRE(decodeCallRow(release.value).value().state == CallRowState::Cancelled);
     // The first write took effect late.
-    agent.storeAnswer(
-        release.token, StoreStatus::Conflict, 1, encodeCallRow(rowOfRequest(1, CallRowState::Started, 77)));
+    agent.storeAnswer(release.token, StoreStatus::Conflict, 1, move.value);
     REQUIRE(agent.only<StoreWrite>().ifVersion.value == 1);
     agent.storeAnswer(agent.only<StoreWrite>().token, StoreStatus::Ok, 2);
     REQUIRE(agent.state.slots.releases.empty());
