Put versions into service in waves by permits

Cause: a host that serves a version had no way to change it; without permits the whole fleet would leave service together.

Change: row permits/{service} tracks the newest rollout: at most max_out holders, hosts that are done, hosts that failed, whether the first wave has passed, and what served before. A host takes a permit by compare-and-set once its weights are whole and the services it depends on are at their versions. A host of the first wave serves 5 s under observation. A failed load or more failed requests than before stop the rollout; every host then goes back to the previous model under the same permits, and a text with another model begins anew from there. A host that serves nothing needs no permit. The row is also written by hosts that loaded without a permit, so that it always lists the hosts at a version.

Permits expire by observation: a holder renews a number every 15 s, and whoever sees the number stand still for 60 s of its own clock removes it.

Ruled out: an expiry time in the row, which needs one clock for all hosts; a time to live on the row, which would drop the record of the rollout with it.

Figures (unit tests, simulated time): 8 hosts with max_out 2 never have more than 2 out; a dead holder with max_out 1 delays the rest by its expiry.

Conclusion: rollouts work in the reducer, with stop, return and skip; the engine module's drain and load order carry them out.

--- a/src/placement_cmd.cpp
+++ b/src/placement_cmd.cpp
@@ -171,16 +171,15 @@
     }
     if (answer.token.number == 2) {
         placement.writing = false;
-        if (answer.status != StoreStatus::Conflict) {
-            // Whether it took effect or its answer was lost, the row says.
+        if (answer.status == StoreStatus::Unavailable) {
+            // It may have taken effect: the row says.
             placement.nextRead = state.now;
-            if (answer.status == StoreStatus::Unavailable)
-                placement.nextWrite = state.now + writeRetry * 2;
-            return;
+            placement.nextWrite = state.now + writeRetry * 2;
+        } else if (answer.status == StoreStatus::Conflict) {
+            effects.emplace_back(LogLine { .level = LogLevel::Debug,
+                .event = "placement-conflict",
+                .fields = { { "service", found->first.value }, { "row", std::to_string(answer.version.value) } } });
         }
-        effects.emplace_back(LogLine { .level = LogLevel::Debug,
-            .event = "placement-conflict",
-            .fields = { { "service", found->first.value }, { "row", std::to_string(answer.version.value) } } });
     }
     if (answer.status != StoreStatus::Unavailable)
         adoptRow(placement.version, placement.row, placement.known, answer, parsePlacementRow(answer.value));
--- /dev/null
+++ b/src/rollout_row_func.cpp
@@ -0,0 +1,107 @@
+#include "rollout_row_func.h"
+
+#include "placement_row_func.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Changes with each renewal and with each life of the holder.
+    std::uint64_t renewalMark(const PermitHolder& holder) { return holder.incarnation.value + holder.renewal; }
+
+} // namespace
+
+PermitRow beginRollout(
+    const PermitRow& before, Generation generation, const ModelConfig& model, const std::optional<ModelConfig>& served)
+{
+    PermitRow row { .generation = generation, .model = model, .out = before.out };
+    const bool present = before.generation.value > 0;
+    if (present && before.passed && !before.stopped)
+        row.previous = before.model;
+    else
+        row.previous = present && before.previous ? before.previous : served;
+    if (row.previous && sameTarget(*row.previous, model))
+        row.previous.reset();
+    return row;
+}
+
+std::string permitRefusal(const PermitRow& row, const ModelConfig& model, const HostId& host, std::uint32_t maxOut)
+{
+    const auto others = static_cast<std::size_t>(
+        std::count_if(row.out.begin(), row.out.end(), [&](const PermitHolder& holder) { return holder.host != host; }));
+    if (others >= maxOut)
+        return "max-out";
+    if (!sameTarget(row.model, model))
+        return {};
+    if (row.stopped)
+        return "stopped";
+    // Once the first wave's hosts are all done or gone, one host that serves the model is proof enough.
+    const bool judged = row.passed || (others == 0 && !row.done.empty());
+    if (!judged && others + row.done.size() >= maxOut)
+        return "first-wave";
+    return {};
+}
+
+void addHolder(PermitRow& row, const PermitHolder& holder)
+{
+    removeHolder(row, holder.host);
+    row.passed = row.passed || (row.out.empty() && !row.done.empty());
+    row.out.push_back(holder);
+}
+
+void removeHolder(PermitRow& row, const HostId& host)
+{
+    std::erase_if(row.out, [&](const PermitHolder& holder) { return holder.host == host; });
+}
+
+void finishHost(PermitRow& row, const HostId& host, bool held, std::uint32_t maxOut)
+{
+    removeHolder(row, host);
+    insertHost(row.done, host);
+    eraseHost(row.failed, host);
+    if (held && (row.out.empty() || row.done.size() >= maxOut))
+        row.passed = true;
+}
+
+void failHost(PermitRow& row, const HostId& host, const std::string& reason, std::uint32_t maxOut)
+{
+    eraseHost(row.done, host);
+    insertHost(row.failed, host);
+    if (row.stopped || (row.passed && row.failed.size() < maxOut))
+        return;
+    row.stopped = true;
+    row.reason = host.value + ": " + reason;
+}
+
+void adoptPermitRow(PermitView& view, RowVersion version, PermitRow row, Milliseconds now)
+{
+    std::map<HostId, std::pair<std::uint64_t, Milliseconds>> seen;
+    for (const PermitHolder& holder : row.out) {
+        const auto before = view.seen.find(holder.host);
+        const bool same = before != view.seen.end() && before->second.first == renewalMark(holder);
+        seen[holder.host] = { renewalMark(holder), same ? before->second.second : now };
+    }
+    view.known = true;
+    view.version = version;
+    view.row = std::move(row);
+    view.readAt = now;
+    view.seen = std::move(seen);
+}
+
+std::vector<HostId> removeExpired(PermitRow& row, const PermitView& view, Milliseconds now)
+{
+    std::vector<HostId> removed;
+    std::erase_if(row.out, [&](const PermitHolder& holder) {
+        const auto seen = view.seen.find(holder.host);
+        if (seen == view.seen.end() || seen->second.first != renewalMark(holder)
+            || now - seen->second.second < permitLife)
+            return false;
+        removed.push_back(holder.host);
+        return true;
+    });
+    return removed;
+}
+
+} // namespace hickory
--- a/src/weights_assign_cmd.cpp
+++ b/src/weights_assign_cmd.cpp
@@ -135,7 +135,6 @@
     line.fields.emplace_back("fence", std::to_string(state.engine.fence.value));
     effects.emplace_back(std::move(line));
     weights.wanted = std::move(wanted);
-    weights.rollout.reported = false;
     weights.rollout.failedSince = { 0 };
     weights.rollout.waitsFor.clear();
     ++weights.candidatesVersion;
--- a/src/weights_cmd.cpp
+++ b/src/weights_cmd.cpp
@@ -1,5 +1,7 @@
 #include "weights_cmd.h"
 
+#include "placement_row_func.h"
+#include "rollout_cmd.h"
 #include "weights_assign_cmd.h"
 #include "weights_fetch_cmd.h"
 #include "weights_pace_cmd.h"
@@ -30,13 +32,14 @@
         const auto download = weights.downloads.find(wanted.model.manifest);
         if (download == weights.downloads.end() || !download->second.whole)
             return;
-        if (state.engine.serving && state.engine.serving->service == wanted.service)
+        const std::string reason = loadReason(state);
+        if (reason.empty())
             return;
         state.engine.target = engineTarget(wanted, download->second.manifest->totalDigest);
         effects.emplace_back(LogLine { .event = "target-set",
             .fields = { { "host", state.settings.process.host.value }, { "service", wanted.service.value },
-                { "model", wanted.model.name.value }, { "version", wanted.model.version.value },
-                { "reason", "first-load" }, { "generation", std::to_string(weights.generation.value) },
+                { "model", wanted.model.name.value }, { "version", wanted.model.version.value }, { "reason", reason },
+                { "generation", std::to_string(weights.generation.value) },
                 { "fence", std::to_string(state.engine.fence.value) } } });
     }
 
@@ -100,6 +103,8 @@
         return;
     if (answer.token.purpose == StorePurpose::Placement)
         applyPlacementAnswer(state, answer, effects);
+    else if (answer.token.purpose == StorePurpose::Permit)
+        applyPermitAnswer(state, answer, effects);
     updateWeights(state, effects);
 }
 
@@ -119,6 +124,7 @@
         return;
     tickPlacementReads(state, effects);
     tickChunkPace(state, effects);
+    tickRollout(state, effects);
     updateWeights(state, effects);
 }
 
@@ -128,6 +134,12 @@
     if (!weights.wanted)
         return;
     status.wantedVersion = weights.wanted->model.version;
+    const auto permit = weights.permits.find(weights.wanted->service);
+    if (permit != weights.permits.end() && permit->second.row.stopped)
+        status.detail
+            = "rollout of " + permit->second.row.model.version.value + " stopped: " + permit->second.row.reason;
+    else if (!weights.rollout.waitsFor.empty() && status.detail.empty())
+        status.detail = "waits for a permit: " + weights.rollout.waitsFor;
     const auto found = weights.downloads.find(weights.wanted->model.manifest);
     if (found == weights.downloads.end())
         return;
--- a/src/weights_state_type.h
+++ b/src/weights_state_type.h
@@ -93,28 +93,33 @@
     bool operator==(const Wanted&) const = default;
 };
 
-/// Steps of this host's part in a rollout.
-enum class RolloutStep : std::uint8_t {
-    Idle, ///< holds no permit
-    Taking, ///< a write that takes a permit is out, or its answer was lost
-    Holding, ///< holds a permit
-    Releasing, ///< a write that gives it back is out, or its answer was lost
+/// What a write of a permit row is for.
+enum class PermitWrite : std::uint8_t {
+    None, ///< the operation is a read
+    Take, ///< takes this host's permit
+    Renew, ///< keeps it
+    Finish, ///< reports this host as done and gives the permit back
+    Fail, ///< reports this host as failed; it keeps the permit until the previous model serves
+    Release, ///< gives the permit back
 };
 
 /// This host's part in the rollout of its service.
 struct RolloutState {
-    RolloutStep step { RolloutStep::Idle }; ///< progress
-    std::uint64_t operation { 0 }; ///< number of the last store operation; other answers are ignored
+    bool holding { false }; ///< the row lists this incarnation as a holder, by the last answer
+    ServiceId service; ///< whose permit is held
+    PermitWrite write { PermitWrite::None }; ///< what the operation in progress is
+    std::uint64_t operation { 0 }; ///< number of the last store operation; answers to others only update the view
     bool waiting { false }; ///< that operation's answer has not arrived
     Milliseconds nextStore { 0 }; ///< earliest time of the next store operation
-    Milliseconds renewedAt { 0 }; ///< when the permit was last renewed
+    Milliseconds takenAt { 0 }; ///< when the permit was taken
+    Milliseconds renewedAt { 0 }; ///< when the permit was last taken or renewed
     std::uint64_t renewal { 0 }; ///< renewal number last written
-    Milliseconds servingSince { 0 }; ///< when `watched` was first seen in service
-    std::optional<ModelConfig> watched; ///< model whose failures are counted
-    std::uint32_t failuresBefore { 0 }; ///< failures of the model served before it
-    Milliseconds servedBefore { 0 }; ///< how long that one served
-    Milliseconds failedSince { 0 }; ///< when the load was first seen to have failed, 0 when it has not
-    bool reported { false }; ///< the row lists this host as done with the wanted model
+    std::optional<ModelConfig> watched; ///< model that was last in service
+    Milliseconds servingSince { 0 }; ///< when `watched` came into service
+    std::uint32_t failures { 0 }; ///< requests that failed with `watched`
+    Milliseconds servedBefore { 0 }; ///< how long the model before it served
+    std::uint32_t failuresBefore { 0 }; ///< requests that failed with the model before it
+    Milliseconds failedSince { 0 }; ///< since when the load counts as failed, 0 when it does not
     std::string waitsFor; ///< why no permit was taken, for operators
 };
 
--- /dev/null
+++ b/tests/unit_rollout.cpp
@@ -0,0 +1,148 @@
+#include "rollout_row_func.h"
+#include "weights_fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+/// A fleet that serves v1.
+struct RolloutFleet : WeightsFleet {
+    hickory::ManifestDigest v1;
+    hickory::ManifestDigest v2;
+    hickory::ManifestDigest v3;
+
+    void begin(std::size_t hosts)
+    {
+        this->start(hosts, { "r1", "r2" }, hickory::FetchPolicy::Swarm);
+        this->v1 = this->publish("v1", 20);
+        this->v2 = this->publish("v2", 20);
+        this->v3 = this->publish("v3", 20);
+        this->place("llm", this->allHosts());
+        this->configure(1, { engineService("llm", "v1", this->v1) });
+        REQUIRE(this->runUntil([&] { return this->row().done.size() == hosts; }, 60000));
+    }
+    hickory::PermitRow row(const std::string& service = "llm") const
+    {
+        const auto found = this->table.find("permits/" + service);
+        return found == this->table.end() ? hickory::PermitRow {}
+                                          : hickory::parsePermitRow(found->second.second).value();
+    }
+};
+
+} // namespace
+
+// Guards against more replicas out of service at once than the text allows, and against a rollout that does not end.
+TEST_CASE_METHOD(RolloutFleet, "A rollout goes in waves of max_out hosts")
+{
+    this->begin(8);
+    REQUIRE(this->mostOut == 0);
+    this->configure(2, { engineService("llm", "v2", this->v2) });
+    REQUIRE(this->runUntil([&] { return this->row().done.size() == 8 && this->row().passed; }, 120000));
+    REQUIRE(this->serving("v2") == 8);
+    REQUIRE(this->mostOut == 2);
+    REQUIRE(this->row().out.empty());
+    REQUIRE(this->runUntil([&] { return !this->agents[0].weights.downloads.contains(this->v1); }, 10000));
+}
+
+// Guards against a bad version that takes the whole fleet out of service, and against a fleet that cannot move on.
+TEST_CASE_METHOD(RolloutFleet, "A version that fails to load stops its rollout, and a newer text moves on")
+{
+    this->begin(6);
+    this->failingVersions = { "v2" };
+    this->configure(2, { engineService("llm", "v2", this->v2) });
+    REQUIRE(this->runUntil([&] { return this->row().stopped && this->serving("v1") == 6; }, 120000));
+    REQUIRE(this->row().reason.find("load failed") != std::string::npos);
+    REQUIRE(this->mostOut <= 2);
+    hickory::AgentStatus status;
+    this->runUntil([] { return false; }, 20000);
+    hickory::fillWeightsStatus(this->agents[5], status);
+    REQUIRE(status.detail.find("v2 stopped") != std::string::npos);
+    REQUIRE(this->serving("v1") == 6);
+    this->configure(3, { engineService("llm", "v3", this->v3) });
+    REQUIRE(this->runUntil([&] { return this->serving("v3") == 6; }, 120000));
+    REQUIRE(this->mostOut <= 2);
+}
+
+// Guards against a version that loads but answers requests with errors.
+TEST_CASE_METHOD(RolloutFleet, "A version with which more requests fail stops its rollout")
+{
+    this->begin(6);
+    this->configure(2, { engineService("llm", "v2", this->v2) });
+    const bool stopped = this->runUntil(
+        [&] {
+            for (hickory::AgentState& agent : this->agents)
+                agent.engine.failures = agent.engine.serving && agent.engine.serving->version.value == "v2" ? 10 : 0;
+            return this->row().stopped && this->serving("v1") == 6;
+        },
+        120000);
+    REQUIRE(stopped);
+    REQUIRE(this->row().reason.find("10 requests failed") != std::string::npos);
+}
+
+// Guards against a fleet that first finishes a version that is no longer wanted.
+TEST_CASE_METHOD(RolloutFleet, "A version that changes in mid-rollout is skipped")
+{
+    this->begin(8);
+    this->configure(2, { engineService("llm", "v2", this->v2) });
+    REQUIRE(this->runUntil([&] { return this->serving("v2") == 1; }, 60000));
+    this->configure(3, { engineService("llm", "v3", this->v3) });
+    std::size_t most = 0;
+    REQUIRE(this->runUntil(
+        [&] {
+            most = std::max(most, this->serving("v2"));
+            return this->serving("v3") == 8;
+        },
+        120000));
+    REQUIRE(most <= 2);
+    REQUIRE(this->mostOut <= 2);
+}
+
+// Guards against a rollout that begins without a permit, and against fetching that waits for the store.
+TEST_CASE_METHOD(RolloutFleet, "While the store is down weights spread and nothing is taken out")
+{
+    this->begin(6);
+    this->storeDown = true;
+    this->configure(2, { engineService("llm", "v2", this->v2) });
+    REQUIRE(this->runUntil([&] { return this->whole(this->v2) == 6; }, 60000));
+    this->runUntil([] { return false; }, 10000);
+    REQUIRE(this->serving("v1") == 6);
+    this->storeDown = false;
+    REQUIRE(this->runUntil([&] { return this->serving("v2") == 6; }, 120000));
+    REQUIRE(this->mostOut <= 2);
+}
+
+// Guards against a permit that its dead holder keeps for ever.
+TEST_CASE_METHOD(RolloutFleet, "The permit of a dead host expires")
+{
+    this->begin(6);
+    this->configure(2, { engineService("llm", "v2", this->v2, 1) });
+    REQUIRE(this->runUntil([&] { return this->row().out.size() == 1; }, 60000));
+    const hickory::HostId holder = this->row().out[0].host;
+    this->dead.insert(static_cast<std::size_t>(std::stoi(holder.value.substr(1))));
+    REQUIRE(this->runUntil([&] { return this->serving("v2") == 5; }, 300000));
+}
+
+// Guards against a service that is rolled out before one that it depends on.
+TEST_CASE_METHOD(WeightsFleet, "A rollout waits for the services that it depends on")
+{
+    this->start(6, { "r1" }, hickory::FetchPolicy::Swarm);
+    const auto manifests
+        = std::array { this->publish("v1", 5), this->publish("v2", 5), this->publish("w1", 5), this->publish("w2", 5) };
+    this->place("base", { { "h000" }, { "h001" }, { "h002" } });
+    this->place("chat", { { "h003" }, { "h004" }, { "h005" } });
+    hickory::ServiceConfig chat = engineService("chat", "w1", manifests[2]);
+    chat.dependsOn = { { "base" } };
+    this->configure(1, { engineService("base", "v1", manifests[0]), chat });
+    REQUIRE(this->runUntil([&] { return this->serving("v1") == 3 && this->serving("w1") == 3; }, 60000));
+    chat.model->version = { "w2" };
+    chat.model->manifest = manifests[3];
+    this->configure(2, { engineService("base", "v2", manifests[1]), chat });
+    std::size_t early = 0;
+    REQUIRE(this->runUntil(
+        [&] {
+            early += this->serving("v2") < 3 && this->serving("w1") < 3 ? 1 : 0;
+            return this->serving("w2") == 3;
+        },
+        120000));
+    REQUIRE(early == 0);
+}
--- a/tests/weights_fleet.h
+++ b/tests/weights_fleet.h
@@ -54,6 +54,7 @@
             agent.settings.process = { .host = member.host, .place = member.place, .region = member.region };
             agent.settings.engine = true;
             agent.settings.fetchPolicy = policy;
+            agent.engine.upstream.reachable = true;
             agent.incarnation = { this->random() };
             agent.random.seed(this->random());
             agent.members.list = list;
