Keep HTTP workers in reserve for urgent callers in a flood

Cause: each waiting request occupies an HTTP worker. With bulk work at about ten times capacity all 256 workers of each entry held waiting bulk requests, and callers of every rank were refused unread (too-many-callers).

Ruled out: more workers alone, a larger flood fills them too; an asynchronous HTTP server, cpp-httplib gives a thread to each connection.

--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -106,6 +106,7 @@
     EntryHttpOptions options; ///< fixed
     RequestTable& table; ///< requests in progress
     std::unique_ptr<httplib::Server> server; ///< plain or TLS
+    std::atomic<HttpTaskQueue*> queue { nullptr }; ///< owned by the server, set before the first connection
     std::thread thread; ///< accepts connections
     std::mutex mutex; ///< guards calls
     std::uint64_t nextCall { 1 }; ///< number of the next operator call
@@ -129,7 +130,11 @@
             = std::make_unique<httplib::SSLServer>(data.options.tlsCertificate.c_str(), data.options.tlsKey.c_str());
     if (!data.server->is_valid())
         throw std::runtime_error("cannot use the TLS certificate " + data.options.tlsCertificate);
-    data.server->new_task_queue = [workers = data.options.workers] { return new HttpTaskQueue(workers); };
+    data.server->new_task_queue = [&data] {
+        auto* queue = new HttpTaskQueue(data.options.workers);
+        data.queue = queue;
+        return queue;
+    };
     data.server->set_tcp_nodelay(true);
     data.server->set_keep_alive_timeout(keepAliveSeconds);
     data.server->set_keep_alive_max_count(keepAliveRequests);
@@ -160,17 +165,9 @@
 
 void EntryHttp::State::addRoutes()
 {
-    this->server->set_pre_routing_handler([](const httplib::Request&, httplib::Response& response) {
-        if (!HttpTaskQueue::overloaded())
-            return httplib::Server::HandlerResponse::Unhandled;
-        response.set_header("Connection", "close");
-        answerRefused({ .outcome = Outcome::NotRun,
-                          .status = 503,
-                          .reason = "too-many-callers",
-                          .retryAfter = { 1000 },
-                          .step = "accept" },
-            response);
-        return httplib::Server::HandlerResponse::Handled;
+    this->server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
+        if (HttpTaskQueue::overloaded() || this->queue.load()->busy())
+            response.set_header("Connection", "close");
     });
     const auto caller = [this](const httplib::Request& request, httplib::Response& response) {
         this->serveCaller(request, response);
@@ -204,6 +201,16 @@
 
 void EntryHttp::State::serveCaller(const httplib::Request& request, httplib::Response& response)
 {
+    // The body was read by now: an answer before that is lost when the connection is closed.
+    if (HttpTaskQueue::overloaded()) {
+        answerRefused({ .outcome = Outcome::NotRun,
+                          .status = 503,
+                          .reason = "too-many-callers",
+                          .retryAfter = { 1000 },
+                          .step = "accept" },
+            response);
+        return;
+    }
     const std::string path = request.matches[2].matched ? request.matches[2].str() : "/";
     Milliseconds timeout = this->options.defaultTimeout;
     if (request.has_header("X-Timeout-Ms")) {
--- a/src/http_server_func.cpp
+++ b/src/http_server_func.cpp
@@ -14,7 +14,10 @@
 namespace {
 
     /// Threads that only refuse connections.
-    constexpr unsigned overflowThreads = 2;
+    constexpr unsigned overflowThreads = 16;
+
+    /// Share of busy workers from which callers are asked to close their connections after an answer.
+    constexpr double busyFrom = 0.5;
 
     thread_local bool servingOverflow = false;
 
@@ -78,6 +81,8 @@
     this->overflow.shutdown();
 }
 
+bool HttpTaskQueue::busy() const { return this->pool.busyShare() >= busyFrom; }
+
 bool HttpTaskQueue::overloaded() { return servingOverflow; }
 
 std::pair<std::string, int> splitAddress(const std::string& address)
--- a/src/http_server_func.h
+++ b/src/http_server_func.h
@@ -20,6 +20,9 @@
     void enqueue(std::function<void()> task) override;
     void shutdown() override;
 
+    /// @return true when callers shall not keep idle connections, because each occupies a worker
+    bool busy() const;
+
     /// @return true on a thread that serves a connection beyond the limit
     static bool overloaded();
 
--- a/src/request_cmd.cpp
+++ b/src/request_cmd.cpp
@@ -91,6 +91,18 @@
         return request;
     }
 
+    /// Each request in progress occupies an HTTP worker. Without workers in reserve, waiting requests of the lowest
+    /// rank would keep urgent callers from being read at all.
+    /// @return requests that may wait at once
+    std::size_t maxWaiting(const EntryState& state)
+    {
+        constexpr std::size_t reserveDivisor = 4;
+        const std::size_t usable = state.settings.httpWorkers - state.settings.httpWorkers / reserveDivisor;
+        const std::size_t inFlight
+            = state.requests.requests.size() - std::min(state.requests.requests.size(), state.requests.queued);
+        return std::min<std::size_t>(state.settings.maxQueued, usable > inFlight ? usable - inFlight : 0);
+    }
+
     /// A request that was queued and could not be dispatched at once stays only if it may wait.
     void settleArrival(EntryState& state, RequestId id, EntryEffects& effects)
     {
@@ -103,7 +115,7 @@
         dequeueRequest(state, request);
         request.phase = RequestPhase::Backoff;
         std::optional<Refusal> refusal = checkWait(state, pool, request);
-        if (!refusal && state.requests.queued >= state.settings.maxQueued && !evictFor(state, request, effects))
+        if (!refusal && state.requests.queued >= maxWaiting(state) && !evictFor(state, request, effects))
             refusal = Refusal { .status = 503, .reason = "queue-full", .retryAfter = fullRetry };
         if (refusal) {
             failRequest(state, request,
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -63,7 +63,7 @@
     std::string operatorToken; ///< read from [http] operator_token_file; empty allows loopback only
     std::string tlsCertificate; ///< [http] tls_certificate, PEM path, empty for plain HTTP
     std::string tlsKey; ///< [http] tls_key, PEM path
-    std::uint32_t httpWorkers { 256 }; ///< [http] workers: concurrent callers
+    std::uint32_t httpWorkers { 512 }; ///< [http] workers: concurrent callers
     Bytes maxBody { 1U << 20U }; ///< [http] max_body_bytes: longest request body
     Milliseconds entriesTimeToLive { 5000 }; ///< [http] entries_ttl_ms: how long callers keep /v1/entries
     RoutePolicy routePolicy { RoutePolicy::Affinity }; ///< [policy] route
--- a/src/worker_pool_func.cpp
+++ b/src/worker_pool_func.cpp
@@ -27,6 +27,12 @@
     return this->threads.size() >= this->maxThreads && this->tasks.size() > this->idle;
 }
 
+double WorkerPool::busyShare() const
+{
+    const std::lock_guard lock(this->mutex);
+    return static_cast<double>(this->threads.size() - this->idle) / this->maxThreads;
+}
+
 void WorkerPool::shutdown()
 {
     {
--- a/src/worker_pool_func.h
+++ b/src/worker_pool_func.h
@@ -24,6 +24,9 @@
     /// @return true when all threads that may run are busy and tasks wait
     bool saturated() const;
 
+    /// @return share of the threads that may run which are busy, 0 to 1
+    double busyShare() const;
+
     /// Runs what is queued, then ends all threads.
     void shutdown();
 
