--- a/src/route_func.cpp
+++ b/src/route_func.cpp
@@ -69,7 +69,7 @@
                 / slotsOf(this->state, this->service, this->view(index));
         }
 
-        bool roomy(std::uint32_t index) const { return this->view(index).roomPlace[this->query.rank.value] != noRoom; }
+        Room room(std::uint32_t index) const { return this->view(index).rooms[this->query.rank.value].room; }
 
         /// Whether the request may go to an upstream that has room.
         bool permitted(std::uint32_t index) const
@@ -99,7 +99,7 @@
 
         std::optional<RouteChoice> best(const std::vector<std::uint32_t>& roomy);
         std::optional<RouteChoice> twoChoices(const std::vector<std::uint32_t>& roomy);
-        std::optional<RouteChoice> affine(std::size_t tier);
+        std::optional<RouteChoice> affine(std::size_t tier, Room room);
         std::optional<RouteChoice> random();
         std::optional<RouteChoice> leastReported();
     };
@@ -148,7 +148,7 @@
     }
 
     /// Hashing with bounded load: the first host on the ring whose load is near the average.
-    std::optional<RouteChoice> Chooser::affine(std::size_t tier)
+    std::optional<RouteChoice> Chooser::affine(std::size_t tier, Room room)
     {
         const std::vector<RingPoint>& ring = this->pool.upstreams.rings[tier];
         const auto members = static_cast<double>(this->pool.upstreams.tiers[tier].size());
@@ -165,7 +165,7 @@
             ++tried;
             const UpstreamView& view = this->view(last);
             this->note(last, this->score(last));
-            if (view.ownTotal < bound && this->roomy(last) && this->permitted(last))
+            if (view.ownTotal < bound && this->room(last) == room && this->permitted(last))
                 return this->chosen(last, tried == 1 ? "affinity" : "affinity-next");
         }
         return std::nullopt;
@@ -181,8 +181,9 @@
                 continue;
             }
             this->note(tier[place], this->score(tier[place]));
-            return this->roomy(tier[place]) && this->permitted(tier[place]) ? this->chosen(tier[place], "random")
-                                                                            : std::nullopt;
+            return this->room(tier[place]) != Room::None && this->permitted(tier[place])
+                ? this->chosen(tier[place], "random")
+                : std::nullopt;
         }
         return std::nullopt;
     }
@@ -231,14 +232,17 @@
     return std::max(1.0, limit * std::max(slowStartShare, age / slowStartMs));
 }
 
-bool hasRoom(const EntryState& state, const ServiceConfig& service, const UpstreamView& view, RankIndex rank)
+Room roomOf(const EntryState& state, const ServiceConfig& service, const UpstreamView& view, RankIndex rank)
 {
     const double slots = slotsOf(state, service, view);
     const Config& config = *state.config.config;
     if (state.settings.queuePolicy != QueuePolicy::Fifo && rank.value < config.ranks.size()
         && loadOf(view, rank.value, reportShareOf(state, view)) < floorSlots(config, rank.value, slots))
-        return true;
-    return depthFor(state, service, view, rank) < slots + waitingAtAgent;
+        return Room::Free;
+    const double depth = depthFor(state, service, view, rank);
+    if (depth < slots)
+        return Room::Free;
+    return depth < slots + waitingAtAgent ? Room::Waiting : Room::None;
 }
 
 bool permitsRequest(const ServicePool& pool, const UpstreamView& view, const RouteQuery& query)
@@ -262,16 +266,18 @@
         return chooser.random();
     if (policy == RoutePolicy::LeastReported)
         return chooser.leastReported();
-    const auto& roomy = pool.upstreams.roomy[query.rank.value];
-    for (std::size_t tier = 0; tier < tierCount; ++tier) {
-        if (roomy[tier].empty())
-            continue;
-        if (policy == RoutePolicy::Affinity && query.prefixHash != 0)
-            if (auto choice = chooser.affine(tier))
+    // A free slot far away is better than a wait nearby: the way takes milliseconds, the wait a request's time.
+    for (const Room room : { Room::Free, Room::Waiting })
+        for (std::size_t tier = 0; tier < tierCount; ++tier) {
+            const auto& roomy = pool.upstreams.roomy[query.rank.value][static_cast<std::size_t>(room)][tier];
+            if (roomy.empty())
+                continue;
+            if (policy == RoutePolicy::Affinity && query.prefixHash != 0)
+                if (auto choice = chooser.affine(tier, room))
+                    return choice;
+            if (auto choice = chooser.twoChoices(roomy))
                 return choice;
-        if (auto choice = chooser.twoChoices(roomy[tier]))
-            return choice;
-    }
+        }
     return std::nullopt;
 }
 
--- a/src/route_func.h
+++ b/src/route_func.h
@@ -33,8 +33,8 @@
 /// @return slots that the upstream may be given now; fewer than its limit while it starts slowly
 double slotsOf(const EntryState& state, const ServiceConfig& service, const UpstreamView& view);
 
-/// @return true when a request of the rank should be sent to the upstream now rather than wait at the entry
-bool hasRoom(const EntryState& state, const ServiceConfig& service, const UpstreamView& view, RankIndex rank);
+/// @return what the upstream can do with a request of the rank
+Room roomOf(const EntryState& state, const ServiceConfig& service, const UpstreamView& view, RankIndex rank);
 
 /// Chooses an upstream that has room.
 /// @param state entry; its random generator advances
--- a/src/route_room_cmd.cpp
+++ b/src/route_room_cmd.cpp
@@ -6,27 +6,29 @@
 
 namespace {
 
-    void enter(UpstreamViews& all, UpstreamPool& pool, std::uint32_t index, std::size_t rank)
+    std::vector<std::uint32_t>& listOf(UpstreamPool& pool, const UpstreamView& view, std::size_t rank, Room room)
     {
-        UpstreamView& view = all.views[index];
-        std::vector<std::uint32_t>& list = pool.roomy[rank][view.tier];
-        if (view.roomPlace[rank] != noRoom)
-            return;
-        view.roomPlace[rank] = static_cast<std::uint32_t>(list.size());
-        list.push_back(index);
+        return pool.roomy[rank][static_cast<std::size_t>(room)][view.tier];
     }
 
-    void leave(UpstreamViews& all, UpstreamPool& pool, std::uint32_t index, std::size_t rank)
+    void moveTo(UpstreamViews& all, UpstreamPool& pool, std::uint32_t index, std::size_t rank, Room room)
     {
         UpstreamView& view = all.views[index];
-        std::vector<std::uint32_t>& list = pool.roomy[rank][view.tier];
-        const std::uint32_t place = view.roomPlace[rank];
-        if (place == noRoom)
+        RoomPlace& held = view.rooms[rank];
+        if (held.room == room)
             return;
-        all.views[list.back()].roomPlace[rank] = place;
-        list[place] = list.back();
-        list.pop_back();
-        view.roomPlace[rank] = noRoom;
+        if (held.room != Room::None) {
+            std::vector<std::uint32_t>& list = listOf(pool, view, rank, held.room);
+            all.views[list.back()].rooms[rank].place = held.place;
+            list[held.place] = list.back();
+            list.pop_back();
+        }
+        held.room = room;
+        if (room == Room::None)
+            return;
+        std::vector<std::uint32_t>& list = listOf(pool, view, rank, room);
+        held.place = static_cast<std::uint32_t>(list.size());
+        list.push_back(index);
     }
 
 } // namespace
@@ -43,10 +45,8 @@
     if (!service)
         return;
     for (std::size_t rank = 0; rank < pool->second.upstreams.roomy.size(); ++rank)
-        if (hasRoom(state, *service, view, { static_cast<std::uint8_t>(rank) }))
-            enter(all, pool->second.upstreams, index, rank);
-        else
-            leave(all, pool->second.upstreams, index, rank);
+        moveTo(all, pool->second.upstreams, index, rank,
+            roomOf(state, *service, view, { static_cast<std::uint8_t>(rank) }));
 }
 
 void refreshAllRoom(EntryState& state)
--- a/src/upstream_view_cmd.cpp
+++ b/src/upstream_view_cmd.cpp
@@ -137,20 +137,21 @@
         const std::size_t ranks = state.config.config ? state.config.config->ranks.size() : 0;
         pool = { .stale = false };
         pool.roomy.resize(ranks);
+        std::uint32_t expected = 0;
         for (const UpstreamView& view : all.views) {
-            if (view.host.empty() || view.status.service != service || !isCandidate(state, view, true))
+            if (view.host.empty() || view.status.service != service)
                 continue;
-            ++pool.ready;
-            if (isCandidate(state, view, false))
-                ++sound;
+            expected += view.wanted ? 1 : 0;
+            pool.ready += isCandidate(state, view, true) ? 1 : 0;
+            sound += isCandidate(state, view, false) ? 1 : 0;
         }
-        pool.panic = pool.ready > 0 && sound * 2 < pool.ready;
+        pool.panic = pool.ready > sound && sound * 2 < expected;
         for (std::uint32_t index = 0; index < all.views.size(); ++index) {
             UpstreamView& view = all.views[index];
             if (view.host.empty() || view.status.service != service)
                 continue;
             pool.inFlight[view.tier] += view.ownTotal;
-            view.roomPlace.assign(ranks, noRoom);
+            view.rooms.assign(ranks, {});
             view.candidate = isCandidate(state, view, pool.panic);
             if (!view.candidate) {
                 view.eligibleSince = {};
--- a/src/upstream_view_type.h
+++ b/src/upstream_view_type.h
@@ -16,8 +16,18 @@
 
 namespace hickory {
 
-/// Place of an upstream without room for a rank.
-constexpr std::uint32_t noRoom = ~0U;
+/// What an upstream can do with one more request of a rank.
+enum class Room : std::uint8_t {
+    Free, ///< a slot is free for it
+    Waiting, ///< it may wait at the agent until a slot is free
+    None, ///< it should wait at the entry
+};
+
+/// Place of an upstream in the list of those with the same room.
+struct RoomPlace {
+    Room room { Room::None }; ///< which list
+    std::uint32_t place { 0 }; ///< place in it
+};
 
 /// What an entry knows about one agent. Load figures are hints; the agent decides.
 struct UpstreamView {
@@ -40,7 +50,7 @@
     std::uint32_t suspects { 0 }; ///< attempts of this entry that are suspect
     std::unordered_set<RequestId> requests; ///< requests of this entry in flight there
     bool candidate { false }; ///< it is in the tiers of its service
-    std::vector<std::uint32_t> roomPlace; ///< by rank: its place in UpstreamPool::roomy, or noRoom
+    std::vector<RoomPlace> rooms; ///< by rank: its place in UpstreamPool::roomy
     Milliseconds eligibleSince { 0 }; ///< when it last became a candidate
     Milliseconds ejectedUntil { 0 }; ///< no new work until then
     std::uint32_t ejections { 0 }; ///< ejections in a row
@@ -79,7 +89,7 @@
     bool stale { true }; ///< must be built again
     bool panic { false }; ///< ejections are ignored because most upstreams look dead
     std::array<std::vector<std::uint32_t>, tierCount> tiers; ///< candidates by distance
-    std::vector<std::array<std::vector<std::uint32_t>, tierCount>> roomy; ///< by rank: candidates with room
+    std::vector<std::array<std::array<std::vector<std::uint32_t>, tierCount>, 2>> roomy; ///< by rank, room, distance
     std::array<std::vector<RingPoint>, tierCount> rings; ///< hash rings for prefix affinity
     std::array<std::uint32_t, tierCount> inFlight {}; ///< attempts of this entry by distance
     std::uint32_t ready { 0 }; ///< connected upstreams that say they are ready
--- /dev/null
+++ b/tests/unit_route_policy.cpp
@@ -0,0 +1,163 @@
+#include "request_simulation.h"
+
+#include "digest_func.h"
+#include "upstream_view_subset_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace hickory;
+
+namespace {
+
+struct RouteFigures {
+    double p95 { 0 }; ///< ms from arrival to the start
+    int peakWaiting { 0 }; ///< most requests that waited at one replica
+    double hits { 0 }; ///< share of attempts whose prefix was cached
+};
+
+/// Twelve replicas at three quarters of their capacity, four entries.
+RouteFigures simulate(RoutePolicy policy, std::size_t prefixes)
+{
+    RequestSimulation simulation(4, 12, { { "normal", "w0", 144, prefixes } },
+        [&](RequestFixture& entry) { entry.state.settings.routePolicy = policy; });
+    simulation.warmUp({ 5000 });
+    simulation.runFor({ 20000 });
+    SimulatedResult& result = simulation.results[0];
+    return { .p95 = result.percentile(0.95),
+        .peakWaiting = simulation.peakWaiting,
+        .hits = static_cast<double>(result.cacheHits) / std::max(1, result.dispatches) };
+}
+
+std::vector<Member> makeMembers(std::size_t count, std::size_t places)
+{
+    std::vector<Member> members;
+    for (std::size_t host = 0; host < count; ++host)
+        members.push_back({ .host = { "h" + std::to_string(host) },
+            .role = MemberRole::Upstream,
+            .place = { "p" + std::to_string(host % places) } });
+    return members;
+}
+
+std::vector<HostId> subsetOf(const std::vector<Member>& members, const std::string& key, std::size_t size)
+{
+    std::vector<const Member*> candidates;
+    for (const Member& member : members)
+        candidates.push_back(&member);
+    return chooseSubset(key, candidates, size);
+}
+
+} // namespace
+
+// Guards against a policy that is no better than its baseline: herding by lagging reports, or chance.
+TEST_CASE("Two choices by queue depth keep replicas even where the baselines do not")
+{
+    const RouteFigures random = simulate(RoutePolicy::Random, 0);
+    const RouteFigures reported = simulate(RoutePolicy::LeastReported, 0);
+    const RouteFigures choices = simulate(RoutePolicy::TwoChoices, 0);
+    WARN("p95 ms / peak waiting: random " << random.p95 << "/" << random.peakWaiting << ", least-reported "
+                                          << reported.p95 << "/" << reported.peakWaiting << ", two-choices "
+                                          << choices.p95 << "/" << choices.peakWaiting);
+    CHECK(choices.p95 <= random.p95);
+    CHECK(choices.p95 < reported.p95);
+    CHECK(choices.peakWaiting < reported.peakWaiting);
+}
+
+// Guards against affinity that finds no cached prefixes, or that pays for them with waiting.
+TEST_CASE("Prefix affinity finds cached prefixes without longer waits")
+{
+    const RouteFigures choices = simulate(RoutePolicy::TwoChoices, 60);
+    const RouteFigures affinity = simulate(RoutePolicy::Affinity, 60);
+    WARN("hits: two-choices " << choices.hits << ", affinity " << affinity.hits << "; p95 " << choices.p95 << " and "
+                              << affinity.p95 << " ms");
+    CHECK(affinity.hits >= 1.5 * choices.hits);
+    CHECK(affinity.p95 <= choices.p95 + 10);
+}
+
+// Guards against a subset that a place's loss empties, that differs between runs, or that moves as a whole.
+TEST_CASE("A subset is spread over places and changes little")
+{
+    std::vector<Member> members = makeMembers(660, 9);
+    const std::vector<HostId> before = subsetOf(members, "subset/e1/llm", 12);
+    REQUIRE(before.size() == 12);
+    CHECK(before == subsetOf(members, "subset/e1/llm", 12));
+    CHECK(before != subsetOf(members, "subset/e2/llm", 12));
+    std::map<PlaceId, int> places;
+    for (const HostId& host : before)
+        ++places[members[static_cast<std::size_t>(std::stoi(host.value.substr(1)))].place];
+    CHECK(places.size() == 9);
+    members.erase(
+        std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.host == before[0]; }));
+    const std::vector<HostId> after = subsetOf(members, "subset/e1/llm", 12);
+    std::set<HostId> kept(before.begin(), before.end());
+    CHECK(std::count_if(after.begin(), after.end(), [&](const HostId& host) { return kept.contains(host); }) == 11);
+    CHECK(subsetOf(makeMembers(5, 3), "subset/e1/llm", 12).size() == 5);
+}
+
+// Guards against work that crosses places while the own place has room, and that stays when it has none.
+TEST_CASE("Work stays in the own place until it is full or lost")
+{
+    RequestFixture fixture(4);
+    for (std::size_t replica = 0; replica < 4; ++replica)
+        fixture.statuses[replica].place = { replica < 2 ? "a" : replica == 2 ? "b" : "c" };
+    fixture.start();
+    std::map<std::string, int> hosts;
+    const auto send = [&](int count) {
+        hosts.clear();
+        for (int number = 0; number < count; ++number)
+            for (const auto& dispatch : all<DispatchAttempt>(fixture.run(fixture.call("normal"))))
+                ++hosts[dispatch.host.value];
+    };
+    send(16);
+    CHECK(hosts["r0"] + hosts["r1"] == 16);
+    send(8);
+    CHECK(hosts["r2"] == 8); // own region before elsewhere
+    send(2);
+    CHECK(hosts["r3"] == 2);
+    fixture.run(AgentDisconnected { .host = { "r0" }, .reason = "lost" });
+    fixture.run(AgentDisconnected { .host = { "r1" }, .reason = "lost" });
+    send(4);
+    CHECK(hosts["r3"] == 4);
+}
+
+// Guards against a failing or slow replica that keeps its share, and against ejecting too many.
+TEST_CASE("A replica that fails most attempts is ejected, and no more than a third of them are")
+{
+    RequestFixture fixture(6);
+    fixture.start();
+    const std::set<std::string> bad { "r0", "r1", "r2" };
+    std::map<std::string, int> late;
+    std::size_t ejected = 0;
+    for (int number = 0; number < 400; ++number) {
+        const EntryEffects effects = fixture.run(fixture.call());
+        for (const DispatchAttempt& dispatch : all<DispatchAttempt>(effects)) {
+            if (number >= 200)
+                ++late[dispatch.host.value];
+            const bool fails = bad.contains(dispatch.host.value);
+            const EntryEffects more = fixture.run(
+                fixture.ended(dispatch, fails ? DispatchResultKind::Failed : DispatchResultKind::Completed));
+            for (const LogLine& line : all<LogLine>(more))
+                ejected += line.event == "eject" ? 1 : 0;
+        }
+        fixture.now += Milliseconds { 5 };
+    }
+    CHECK(ejected == 2);
+    CHECK(late["r0"] + late["r1"] + late["r2"] < 100);
+    // They come back, with a small share at first.
+    fixture.advance({ 6000 });
+    CHECK(fixture.state.requests.pools.at({ "llm" }).upstreams.candidates == 6);
+}
+
+// Guards against routing that stops altogether when most upstreams look dead at once.
+TEST_CASE("When most agents miss heartbeats at once their connections are kept and used")
+{
+    RequestFixture fixture(3);
+    fixture.start();
+    std::size_t dropped = 0;
+    for (const char* host : { "r0", "r1", "r2" })
+        for (int missed = 0; missed < 3; ++missed)
+            dropped += all<DisconnectAgent>(fixture.run(HeartbeatMissed { .host = { host } })).size();
+    CHECK(dropped == 1); // until the second, the first looks frozen alone
+    CHECK(all<DispatchAttempt>(fixture.run(fixture.call())).size() == 1);
+}
