--- a/tests/tool_standin_platform.cpp
+++ b/tests/tool_standin_platform.cpp
@@ -34,6 +34,8 @@
     bool weightsDown { false }; ///< the weight store answers 503 and breaks off what it sends
     std::uint64_t delayMs { 0 }; ///< before each table and object answer
     std::uint64_t loseAnswers { 0 }; ///< table writes that still take effect without an answer
+    std::string losePrefix; ///< only writes of keys that begin so lose their answers
+    std::uint64_t corruptEvery { 0 }; ///< one in that many pieces of weights has a changed byte, 0 for none
     std::uint64_t memberLagMs { 0 }; ///< age of the membership list shown
 };
 
@@ -50,6 +52,7 @@
     std::map<std::string, std::uint64_t> writes; ///< by first part of the key
     std::uint64_t conflicts { 0 }; ///< refused writes
     std::map<std::string, std::uint64_t> weightBytes; ///< bytes served by object
+    std::uint64_t weightPieces { 0 }; ///< pieces of weights sent
     Pacer readPace; ///< table and object reads
     Pacer writePace; ///< table and object writes
     Pacer weightsPace; ///< the origin's link
@@ -102,7 +105,7 @@
     if (request.has_param("ttl_s"))
         row.expires = SteadyClock::now() + std::chrono::seconds(std::stoull(request.get_param_value("ttl_s")));
     platform.rows[key] = row;
-    if (platform.faults.loseAnswers > 0) {
+    if (platform.faults.loseAnswers > 0 && key.starts_with(platform.faults.losePrefix)) {
         --platform.faults.loseAnswers;
         dropConnection(request);
         return;
@@ -179,13 +182,17 @@
             constexpr std::size_t pieceBytes = 16384;
             const std::size_t size = std::min(length, pieceBytes);
             std::this_thread::sleep_until(platform.weightsPace.reserve(size));
+            std::string piece = object->substr(offset, size);
             {
                 const std::lock_guard sendLock(platform.mutex);
                 if (platform.faults.weightsDown)
                     return false;
                 platform.weightBytes[name] += size;
+                const std::uint64_t every = platform.faults.corruptEvery;
+                if (every > 0 && ++platform.weightPieces % every == 0)
+                    piece[size / 2] = static_cast<char>(piece[size / 2] ^ 0x55);
             }
-            return sink.write(object->data() + offset, size);
+            return sink.write(piece.data(), size);
         };
         response.set_content_provider(found->second->size(), "application/octet-stream", send);
     });
@@ -266,6 +273,8 @@
         faults.weightsDown = wanted.value("weights_down", faults.weightsDown);
         faults.delayMs = wanted.value("delay_ms", faults.delayMs);
         faults.loseAnswers = wanted.value("lose_answers", faults.loseAnswers);
+        faults.losePrefix = wanted.value("lose_prefix", faults.losePrefix);
+        faults.corruptEvery = wanted.value("weights_corrupt_every", faults.corruptEvery);
         faults.memberLagMs = wanted.value("member_lag_ms", faults.memberLagMs);
         reply(response, 200, { { "down", faults.down }, { "lose_answers", faults.loseAnswers } });
     });
