--- a/src/weights_state_type.h
+++ b/src/weights_state_type.h
@@ -18,10 +18,12 @@
 struct ChunkProgress {
     bool have { false }; ///< verified and stored
     bool fetching { false }; ///< a FetchChunk is out
+    bool takeover { false }; ///< that fetch is in place of a slow or dead lead
     std::uint16_t holders { 0 }; ///< peers of the region known to hold it
     std::uint16_t failures { 0 }; ///< failed fetches since the last success of any chunk
     std::uint16_t position { 0 }; ///< this host's position in the chunk's rendezvous order of its region
-    HostId lead; ///< best host of the chunk's order in this region
+    HostId lead; ///< best host of the chunk's order in this region: it fetches the chunk from outside
+    HostId sourceLead; ///< best host of the chunk's order in the region that reads from the origin
     Milliseconds notBefore { 0 }; ///< no fetch before this time
 };
 
@@ -30,11 +32,13 @@
     std::vector<bool> have; ///< by chunk index; empty before the first answer
     std::uint32_t held { 0 }; ///< count of `have`
     Milliseconds lastQuery { 0 }; ///< when its map was last asked for
-    Milliseconds lastGain { 0 }; ///< when its map last grew
+    Milliseconds lastGain { 0 }; ///< when it last gained a chunk that it leads
     std::uint32_t streams { 0 }; ///< fetches from it in progress
     std::uint32_t silent { 0 }; ///< map queries without an answer in a row
-    Milliseconds demotedUntil { 0 }; ///< not used as a source before this time
-    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served
+    Milliseconds avoidUntil { 0 }; ///< not used as a source before this time
+    Milliseconds demotedUntil { 0 }; ///< used only when no other peer will do before this time
+    std::uint32_t corrupt { 0 }; ///< corrupt chunks it served since its last correct one
+    std::uint32_t failures { 0 }; ///< fetches from it that failed in a row
     bool querying { false }; ///< a QueryChunkMap is out
 };
 
@@ -53,6 +57,12 @@
     std::uint32_t originStreams { 0 }; ///< fetches from the origin in progress
     std::uint32_t peerStreams { 0 }; ///< fetches from peers in progress
     std::uint64_t candidatesVersion { 0 }; ///< value of WeightsState::candidatesVersion that `chunks` was ordered for
+    std::vector<HostId> regionHosts; ///< live hosts of this region that fetch this version, sorted
+    std::vector<HostId> sourceHosts; ///< the same of the region that reads from the origin, sorted
+    bool readsOrigin { false }; ///< this region is the one that reads from the origin
+    std::uint32_t takeoverStreams { 0 }; ///< fetches in place of a slow or dead lead in progress
+    Milliseconds outsideFailure { 0 }; ///< when a fetch from outside the region last failed
+    std::uint32_t queries { 0 }; ///< map queries in progress
     Bytes fromOrigin; ///< bytes received from the origin
     Bytes fromRegion; ///< bytes received from peers of this region
     Bytes fromOtherRegions; ///< bytes received from peers of other regions
@@ -83,28 +93,33 @@
     bool operator==(const Wanted&) const = default;
 };
 
-/// Steps of this host's part in a rollout.
-enum class RolloutStep : std::uint8_t {
-    Idle, ///< holds no permit
-    Taking, ///< a write that takes a permit is out, or its answer was lost
-    Holding, ///< holds a permit
-    Releasing, ///< a write that gives it back is out, or its answer was lost
+/// What a write of a permit row is for.
+enum class PermitWrite : std::uint8_t {
+    None, ///< the operation is a read
+    Take, ///< takes this host's permit
+    Renew, ///< keeps it
+    Finish, ///< reports this host as done and gives the permit back
+    Fail, ///< reports this host as failed; it keeps the permit until the previous model serves
+    Release, ///< gives the permit back
 };
 
 /// This host's part in the rollout of its service.
 struct RolloutState {
-    RolloutStep step { RolloutStep::Idle }; ///< progress
-    std::uint64_t operation { 0 }; ///< number of the last store operation; other answers are ignored
+    bool holding { false }; ///< the row lists this incarnation as a holder, by the last answer
+    ServiceId service; ///< whose permit is held
+    PermitWrite write { PermitWrite::None }; ///< what the operation in progress is
+    std::uint64_t operation { 0 }; ///< number of the last store operation; answers to others only update the view
     bool waiting { false }; ///< that operation's answer has not arrived
     Milliseconds nextStore { 0 }; ///< earliest time of the next store operation
-    Milliseconds renewedAt { 0 }; ///< when the permit was last renewed
+    Milliseconds takenAt { 0 }; ///< when the permit was taken
+    Milliseconds renewedAt { 0 }; ///< when the permit was last taken or renewed
     std::uint64_t renewal { 0 }; ///< renewal number last written
-    Milliseconds servingSince { 0 }; ///< when `watched` was first seen in service
-    std::optional<ModelConfig> watched; ///< model whose failures are counted
-    std::uint32_t failuresBefore { 0 }; ///< failures of the model served before it
-    Milliseconds servedBefore { 0 }; ///< how long that one served
-    Milliseconds failedSince { 0 }; ///< when the load was first seen to have failed, 0 when it has not
-    bool reported { false }; ///< the row lists this host as done with the wanted model
+    std::optional<ModelConfig> watched; ///< model that was last in service
+    Milliseconds servingSince { 0 }; ///< when `watched` came into service
+    std::uint32_t failures { 0 }; ///< requests that failed with `watched`
+    Milliseconds servedBefore { 0 }; ///< how long the model before it served
+    std::uint32_t failuresBefore { 0 }; ///< requests that failed with the model before it
+    Milliseconds failedSince { 0 }; ///< since when the load counts as failed, 0 when it does not
     std::string waitsFor; ///< why no permit was taken, for operators
 };
 
@@ -119,7 +134,8 @@
     std::map<ManifestDigest, Download> downloads; ///< wanted, serving and previous versions only
     std::uint64_t candidatesVersion { 1 }; ///< rises when the hosts that take part in the swarm change
     Milliseconds nextRound { 0 }; ///< when peers' maps are next asked for
-    double chunkRate { 0 }; ///< measured bytes a second of one chunk fetch, 0 before the first
+    double outsideRate { 0 }; ///< measured bytes a second of one fetch from outside the region, 0 before the first
+    double regionRate { 0 }; ///< the same within the region
     double latencyBase { 0 }; ///< smoothed latency of live traffic while no chunks move, in ms
     Bytes paceInForce; ///< last SetChunkRate
     Milliseconds nextPace { 0 }; ///< when the pace is next considered
