--- /dev/null
+++ b/tests/unit_member.cpp
@@ -0,0 +1,83 @@
+#include "member_func.h"
+#include "unit_control_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+using namespace hickory::test;
+
+// Guards against a field that is read under another name.
+TEST_CASE("The membership list is read and sorted")
+{
+    const Result<MemberList> list = parseMembers(
+        R"({"version":3,"members":[{"host":"b","role":"upstream","kind":"engine","service":"","place":"p","region":"r",)"
+        R"("address":"1.2.3.4:5","state":"leaving"},{"host":"a","role":"entry","place":"p","region":"r",)"
+        R"("address":"1.2.3.4:6","http":"1.2.3.4:7","state":"live"}]})");
+    REQUIRE(list.ok());
+    REQUIRE(list.value().version == 3);
+    REQUIRE(list.value().members[0].host.value == "a");
+    REQUIRE(list.value().members[0].http == "1.2.3.4:7");
+    REQUIRE(list.value().members[1].kind == ServiceKind::Engine);
+    REQUIRE(list.value().members[1].state == HostState::Leaving);
+}
+
+// Guards against a broken answer that is taken for an empty fleet.
+TEST_CASE("A malformed membership list is refused")
+{
+    const std::string body = GENERATE("", "[]", "{}", R"({"version":-1,"members":[]})", R"({"version":1,"members":{}})",
+        R"({"version":1,"members":[{"host":"a"}]})", R"({"version":1,"members":[{"host":1,"role":"entry"}]})",
+        R"({"version":1,"members":[7]})",
+        R"({"version":1,"members":[{"host":"a","role":"entry","state":"live"},{"host":"a","role":"entry","state":"live"}]})");
+    CAPTURE(body);
+    REQUIRE_FALSE(parseMembers(body).ok());
+}
+
+// Guards against a list that a fault emptied: every host would count as leaving.
+TEST_CASE("A list without any entry is ignored")
+{
+    EntryHarness entry;
+    entry.send(MembersUpdated { .list = { .version = 2 } });
+    REQUIRE(liveEntries(entry.state.members).size() == 3);
+}
+
+// Guards against a host that was started again under its name and gets no work for the age of the old notice.
+TEST_CASE("A notice is forgotten when the list shows another process or a return")
+{
+    EntryHarness entry;
+    entry.send(GossipReceived { .message = { .from = { "e2" }, .leaving = { { "a1" } } } });
+    REQUIRE(isLeaving(entry.state.members, { "a1" }));
+    MemberList list = makeMembers(3, 2);
+    list.version = 2;
+    entry.send(MembersUpdated { .list = list });
+    REQUIRE(isLeaving(entry.state.members, { "a1" }));
+    list.members[0].address = "10.0.1.99:1";
+    list.version = 3;
+    entry.send(MembersUpdated { .list = list });
+    REQUIRE_FALSE(isLeaving(entry.state.members, { "a1" }));
+}
+
+// Guards against a fleet in which one host's coming or going moves others to another home.
+TEST_CASE("The rendezvous order of two hosts does not depend on the others")
+{
+    const std::vector<HostId> all = rendezvousOrder("key", { { "a" }, { "b" }, { "c" }, { "d" } });
+    std::vector<HostId> fewer = all;
+    fewer.erase(fewer.begin() + 1);
+    REQUIRE(rendezvousOrder("key", { fewer[2], fewer[0], fewer[1] }) == fewer);
+}
+
+// Guards against reads of the list that grow with the fleet.
+TEST_CASE("The membership list is read every 2 s, and more seldom in a large fleet")
+{
+    const auto readsIn = [](EntryHarness& entry, int milliseconds) {
+        std::size_t reads = 0;
+        for (int time = 0; time < milliseconds; time += 50) {
+            entry.advance(50);
+            reads += entry.all<ReadMembers>().size();
+        }
+        return reads;
+    };
+    EntryHarness small;
+    EntryHarness large("e1", 3, 997);
+    REQUIRE(readsIn(small, 20000) == 10);
+    REQUIRE(readsIn(large, 20000) == 4);
+}
