Grow and shrink engine services by demand

Cause: placement kept the minimum of replicas whatever the load was, and an entry saw only the agents that it is connected to or the home of.

Change: entries send their demand in tokens by service and rank to the first two entries in rendezvous order of each service; these also ask the other entries for their home agents' status at a bounded rate.

Ruled out: a fixed number of tokens for each replica, which never fits both services' requests; taking hosts out of another service's row directly, since two proposers would then choose different hosts and move one needlessly.

--- a/src/entry_reduce_func.cpp
+++ b/src/entry_reduce_func.cpp
@@ -43,6 +43,7 @@
     void handle(EntryState& state, const AgentConnected& event, EntryEffects& effects)
     {
         repairAgentConfig(state, event.status, effects);
+        noteHostStatus(state, event.status);
         applyAgentConnected(state, event, effects);
     }
 
@@ -56,6 +57,7 @@
         if (event.status.leaving)
             applyLeavingNotice(state, event.status.host, effects);
         applyAgentStatus(state, event.status, effects);
+        noteHostStatus(state, event.status);
     }
 
     void handle(EntryState& state, const HeartbeatMissed& event, EntryEffects& effects)
@@ -68,6 +70,7 @@
         if (event.status.leaving)
             applyLeavingNotice(state, event.status.host, effects);
         applyHomeReport(state, event, effects);
+        noteHostStatus(state, event.status);
     }
 
     void handle(EntryState& state, const MembersUpdated& event, EntryEffects& effects)
@@ -103,6 +106,8 @@
     void handle(EntryState& state, const EntryStatusReceived& event, EntryEffects& effects)
     {
         applyEntryStatus(state, event, effects);
+        for (const AgentStatus& status : event.status.agents)
+            noteHostStatus(state, status);
     }
 
     void handle(EntryState& state, const StoreAnswer& event, EntryEffects& effects)
--- a/src/placement_cmd.cpp
+++ b/src/placement_cmd.cpp
@@ -1,6 +1,7 @@
 #include "placement_cmd.h"
 
 #include "member_func.h"
+#include "placement_demand_cmd.h"
 #include "placement_plan_func.h"
 #include "placement_row_func.h"
 
@@ -20,14 +21,8 @@
     /// An entry at position p proposes only when a change has been due for p times this.
     constexpr Milliseconds standInDelay { 5000 };
     constexpr Milliseconds writeRetry { 1000 };
-
-    /// @return this entry's position in the order of proposers of a service
-    std::size_t proposerPosition(const EntryState& state, const ServiceId& service)
-    {
-        const std::vector<HostId> order = rendezvousOrder(placementKey(service), liveEntries(state.members));
-        const auto found = std::find(order.begin(), order.end(), state.settings.process.host);
-        return static_cast<std::size_t>(found - order.begin());
-    }
+    /// Services times ranks that a peer may tell of.
+    constexpr std::size_t maxDemand = 4096;
 
     void readRows(EntryState& state, const ServiceId& service, ServicePlacement& placement, std::size_t position,
         EntryEffects& effects)
@@ -185,7 +180,24 @@
         adoptRow(placement.version, placement.row, placement.known, answer, parsePlacementRow(answer.value));
 }
 
-void applyDemand(EntryState&, const HostId&, const std::vector<Demand>&, EntryEffects&) { }
+void applyDemand(EntryState& state, const HostId& from, const std::vector<Demand>& demand, EntryEffects&)
+{
+    // Ordinary gossip carries no demand, and says nothing about it.
+    if (demand.empty() || demand.size() > maxDemand || !findMember(state.members, from))
+        return;
+    state.placement.demand[from] = { .demand = demand, .at = state.now };
+}
+
+void noteHostStatus(EntryState& state, const AgentStatus& status)
+{
+    const Member* member = findMember(state.members, status.host);
+    if (!member || member->kind != ServiceKind::Engine)
+        return;
+    HostView& view = state.placement.hosts[status.host];
+    if (view.status.incarnation == status.incarnation && status.sequence <= view.status.sequence)
+        return;
+    view = { .status = status, .at = state.now };
+}
 
 void applyConfigToPlacement(EntryState& state, EntryEffects&)
 {
@@ -210,6 +222,7 @@
         readRows(state, service, placement, proposerPosition(state, service), effects);
         allKnown = allKnown && placement.known;
     }
+    tickDemand(state, effects);
     // Without all rows a host that another service has would look free.
     if (!allKnown)
         return;
--- a/src/placement_cmd.h
+++ b/src/placement_cmd.h
@@ -15,6 +15,9 @@
 /// Takes over a peer's demand.
 void applyDemand(EntryState& state, const HostId& from, const std::vector<Demand>& demand, EntryEffects& effects);
 
+/// Takes over what an agent says of itself, from whichever side it came; an older status is ignored.
+void noteHostStatus(EntryState& state, const AgentStatus& status);
+
 /// Reacts to a new configuration or membership.
 void applyConfigToPlacement(EntryState& state, EntryEffects& effects);
 
--- a/src/placement_state_type.h
+++ b/src/placement_state_type.h
@@ -54,6 +54,7 @@
     std::map<HostId, HostView> hosts; ///< bounded by the membership list
     std::map<HostId, EntryDemand> demand; ///< bounded by the entries of the membership list
     Milliseconds nextDemand { 0 }; ///< when to send demand to the proposers
+    bool demandTold { false }; ///< the last demand sent was not zero
     Milliseconds nextGrowth { 0 }; ///< when growth is next considered
     Milliseconds nextStatus { 0 }; ///< when to ask other entries for the status of their home agents
 };
