Answer heartbeats of an unchanged agent without its status

Cause: an idle entry received 6.2 KB/s in a fleet of 4 entries and 16 agents, most of it the same agent statuses every second; the budget is 8 KB/s.

Change: the status sequence rises only when the status changes; a heartbeat names the sequence that the entry holds and an unchanged status is not sent again; an unchanged status is not handed to the RPC thread every 50 ms either.

Ruled out: longer heartbeat intervals, they delay the detection of a frozen agent.

--- a/schema/hickory.capnp
+++ b/schema/hickory.capnp
@@ -94,7 +94,9 @@
 
 interface Agent {
   attach @0 (entry :Text, listener :AgentListener) -> (status :AgentStatus);
-  heartbeat @1 (entry :Text, generation :UInt64) -> (status :AgentStatus);
+  # `known` is the sequence of the newest status that the entry holds of this incarnation. An unchanged status is not
+  # sent again: it would make up most of the control traffic of an idle fleet.
+  heartbeat @1 (entry :Text, generation :UInt64, known :UInt64) -> (status :AgentStatus, unchanged :Bool);
   dispatch @2 (call :DispatchCall, sink :ResponseSink) -> (result :DispatchResult);
   cancel @3 (entry :Text, request :UInt64, attempt :UInt32) -> ();
   pushConfig @4 (config :ConfigRecord) -> (generation :UInt64);
--- a/src/agent_link_io.cpp
+++ b/src/agent_link_io.cpp
@@ -81,22 +81,19 @@
     /// Receives status changes that an agent sends on its own.
     class ListenerServer final : public rpc::AgentListener::Server {
     public:
-        ListenerServer(std::function<void()> heard, std::function<void(EntryEventBody)> onEvent)
-            : heard(std::move(heard))
-            , onEvent(std::move(onEvent))
+        explicit ListenerServer(std::function<void(AgentStatus)> onStatus)
+            : onStatus(std::move(onStatus))
         {
         }
 
         kj::Promise<void> status(StatusContext context) override
         {
-            this->heard();
-            this->onEvent(AgentStatusReceived { .status = decode(context.getParams().getStatus()) });
+            this->onStatus(decode(context.getParams().getStatus()));
             return kj::READY_NOW;
         }
 
     private:
-        std::function<void()> heard; ///< called for each message
-        std::function<void(EntryEventBody)> onEvent; ///< AgentStatusReceived
+        std::function<void(AgentStatus)> onStatus; ///< called for each status
     };
 
     DispatchResult unreachable(const char* reason, DispatchResultKind kind = DispatchResultKind::Unknown)
@@ -140,24 +137,35 @@
     link.agent = agent;
     auto request = agent.attachRequest();
     request.setEntry(this->self.value);
-    request.setListener(kj::heap<ListenerServer>([this, host, serial] { this->heard(host, serial); }, this->onEvent));
+    request.setListener(kj::heap<ListenerServer>(
+        [this, host, serial](AgentStatus status) { this->statusSeen(host, serial, std::move(status)); }));
     auto answered = this->loop
                         .within(heartbeatTimeout,
                             request.send().then([](auto&& response) { return decode(response.getStatus()); }))
                         .then(
                             [this, host, serial](AgentStatus&& status) {
-                                this->heard(host, serial);
+                                if (Link* link = this->heard(host, serial))
+                                    link->status = status;
                                 this->onEvent(AgentConnected { .host = host, .status = std::move(status) });
                             },
                             [this, host, serial](kj::Exception&&) { this->lost(host, serial, "attach-failed"); });
     this->loop.detach(kj::mv(answered));
 }
 
-void AgentLinks::heard(const HostId& host, std::uint64_t serial)
+AgentLinks::Link* AgentLinks::heard(const HostId& host, std::uint64_t serial)
 {
     const auto found = this->links.find(host);
-    if (found != this->links.end() && found->second.serial == serial)
-        found->second.lastHeard = monotonicNow();
+    if (found == this->links.end() || found->second.serial != serial)
+        return nullptr;
+    found->second.lastHeard = monotonicNow();
+    return &found->second;
+}
+
+void AgentLinks::statusSeen(const HostId& host, std::uint64_t serial, AgentStatus status)
+{
+    if (Link* link = this->heard(host, serial))
+        link->status = status;
+    this->onEvent(AgentStatusReceived { .status = std::move(status) });
 }
 
 void AgentLinks::lost(const HostId& host, std::uint64_t serial, const std::string& reason)
@@ -271,17 +279,19 @@
     const std::uint64_t serial = link.serial;
     auto request = KJ_ASSERT_NONNULL(link.agent).heartbeatRequest();
     request.setEntry(this->self.value);
-    auto answered = request.send().then([](auto&& response) { return decode(response.getStatus()); });
-    auto handled = answered.then(
-        [this, host, serial](AgentStatus&& status) {
-            this->heard(host, serial);
-            const auto found = this->links.find(host);
-            if (found != this->links.end() && found->second.serial == serial)
-                found->second.heartbeatOpen = false;
-            this->onEvent(AgentStatusReceived { .status = std::move(status) });
+    request.setKnown(link.status.sequence);
+    auto answered = request.send().then(
+        [this, host, serial](auto&& response) {
+            Link* answering = this->heard(host, serial);
+            if (!answering)
+                return;
+            answering->heartbeatOpen = false;
+            if (!response.getUnchanged())
+                answering->status = decode(response.getStatus());
+            this->onEvent(AgentStatusReceived { .status = answering->status });
         },
         [](kj::Exception&&) {});
-    this->loop.detach(kj::mv(handled));
+    this->loop.detach(kj::mv(answered));
 }
 
 void AgentLinks::tick()
--- a/src/agent_link_io.h
+++ b/src/agent_link_io.h
@@ -41,6 +41,7 @@
         kj::Maybe<rpc::Agent::Client> agent; ///< set once attached
         Milliseconds lastHeard { 0 }; ///< last message of any kind from the agent
         Milliseconds lastHeartbeat { 0 }; ///< when the last heartbeat was sent
+        AgentStatus status; ///< newest status that came over this connection
         bool heartbeatOpen { false }; ///< the last heartbeat is not answered
         std::uint32_t attempts { 0 }; ///< attempts in flight
     };
@@ -57,7 +58,10 @@
 
     void attached(const HostId& host, std::uint64_t serial, RpcLoop::Connection connection);
     void heartbeat(const HostId& host, Link& link);
-    void heard(const HostId& host, std::uint64_t serial);
+    /// Notes that an agent is alive.
+    /// @return the connection, or nullptr when it was replaced
+    Link* heard(const HostId& host, std::uint64_t serial);
+    void statusSeen(const HostId& host, std::uint64_t serial, AgentStatus status);
     void endFlight(FlightKey key, DispatchResult result);
     void lost(const HostId& host, std::uint64_t serial, const std::string& reason);
 
--- a/src/agent_reduce_func.cpp
+++ b/src/agent_reduce_func.cpp
@@ -14,13 +14,13 @@
     /// Dispatches that were on their way when the leaving notice went out are still answered in this time.
     constexpr Milliseconds minLeavingTime { 1000 };
 
-    AgentStatus currentStatus(AgentState& state)
+    AgentStatus currentStatus(const AgentState& state)
     {
         AgentStatus status;
         status.host = state.settings.process.host;
         status.place = state.settings.process.place;
         status.incarnation = state.incarnation;
-        status.sequence = ++state.statusSequence;
+        status.sequence = state.statusSequence;
         status.service = state.settings.service;
         status.leaving = state.leaving;
         status.generation = state.config.record.generation;
@@ -154,6 +154,9 @@
     state.now = event.now;
     std::visit([&](const auto& body) { handle(state, body, effects); }, event.body);
     AgentStatus status = currentStatus(state);
+    if (status == state.published)
+        return effects;
+    status.sequence = ++state.statusSequence;
     if (differsForRouting(state.published, status))
         effects.emplace_back(NotifyListeners { .status = status });
     state.published = status;
--- a/src/agent_rpc_io.cpp
+++ b/src/agent_rpc_io.cpp
@@ -115,7 +115,11 @@
 
         kj::Promise<void> heartbeat(HeartbeatContext context) override
         {
-            encode(this->shared.status, context.getResults().initStatus());
+            auto results = context.getResults();
+            if (context.getParams().getKnown() == this->shared.status.sequence)
+                results.setUnchanged(true);
+            else
+                encode(this->shared.status, results.initStatus());
             return kj::READY_NOW;
         }
 
--- a/src/placement_cmd.cpp
+++ b/src/placement_cmd.cpp
@@ -194,7 +194,7 @@
     if (!member || member->kind != ServiceKind::Engine)
         return;
     HostView& view = state.placement.hosts[status.host];
-    if (view.status.incarnation == status.incarnation && status.sequence <= view.status.sequence)
+    if (view.status.incarnation == status.incarnation && status.sequence < view.status.sequence)
         return;
     view = { .status = status, .at = state.now };
 }
--- a/src/status_type.h
+++ b/src/status_type.h
@@ -13,6 +13,8 @@
 struct RankLoad {
     std::uint32_t running { 0 }; ///< streams or calls in a slot
     std::uint32_t queued { 0 }; ///< admitted and waiting for a slot
+
+    bool operator==(const RankLoad&) const = default;
 };
 
 /// What an agent says about itself and its upstream.
@@ -20,7 +22,7 @@
     HostId host; ///< the agent's host
     PlaceId place; ///< data centre of the host
     Incarnation incarnation; ///< life of the agent process
-    std::uint64_t sequence { 0 }; ///< rises with each status of one incarnation
+    std::uint64_t sequence { 0 }; ///< rises with each change of the status in one incarnation
     ServiceId service; ///< service it stands before, empty when an engine has no placement
     bool ready { false }; ///< the upstream answers and, for engines, runs the verified version
     bool leaving { false }; ///< refuses new work and will exit
@@ -38,6 +40,8 @@
     std::uint32_t chunksTotal { 0 }; ///< chunks of wantedVersion
     std::uint32_t failures { 0 }; ///< requests failed since the present version became ready
     std::string detail; ///< why the upstream is not ready or a rollout stopped here
+
+    bool operator==(const AgentStatus&) const = default;
 };
 
 } // namespace hickory
--- a/src/upstream_view_cmd.cpp
+++ b/src/upstream_view_cmd.cpp
@@ -246,7 +246,7 @@
 
 bool updateViewStatus(EntryState& state, UpstreamView& view, const AgentStatus& status)
 {
-    if (status.incarnation == view.status.incarnation && status.sequence <= view.status.sequence)
+    if (status.incarnation == view.status.incarnation && status.sequence < view.status.sequence)
         return false;
     const bool changed = status.ready != view.status.ready || status.leaving != view.status.leaving
         || status.service != view.status.service || status.version != view.status.version || view.missed >= missedLimit;
