--- a/src/request_agent_cmd.cpp
+++ b/src/request_agent_cmd.cpp
@@ -5,7 +5,7 @@
 #include "suspect_cmd.h"
 #include "upstream_view_cmd.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -18,35 +18,27 @@
     /// Heartbeats in a row after which an agent counts as frozen.
     constexpr std::uint32_t frozenAfter = 3;
 
-    void awaitEnds(EntryState& state, const UpstreamView& view)
+    /// The end of each attempt is told next. Only that says whether the agent was given the request.
+    /// @param crashed the agent may have died of one of its requests
+    void awaitEnds(EntryState& state, const UpstreamView& view, bool crashed)
     {
         for (const RequestId id : view.requests) {
             Request& request = state.requests.requests.at(id);
             request.connectionLost = true;
+            request.lostByCrash = crashed;
             setWake(state, request, state.now + endsToldWithin);
         }
     }
 
-    /// Marks as suspect all that was in flight at an agent whose connection was lost.
-    void suspectAll(EntryState& state, UpstreamView& view, EntryEffects& effects)
+    /// Marks as suspect what was told as unknown just before the loss of the connection was.
+    void suspectUnknowns(EntryState& state, UpstreamView& view, EntryEffects& effects)
     {
-        correlateLosses(state, view, effects);
-        std::vector<SuspectKey> keys;
-        for (const RequestId id : view.requests) {
-            const Request& request = state.requests.requests.at(id);
-            keys.emplace_back(request.call.service, request.call.bodyDigest);
-        }
-        for (const auto& [at, key] : view.unknowns)
+        bool marked = false;
+        for (const auto& [at, key] : std::exchange(view.unknowns, {}))
             if (at + unknownWindow >= state.now)
-                keys.push_back(key);
-        view.unknowns.clear();
-        std::sort(keys.begin(), keys.end());
-        keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
-        if (keys.empty() || placeWasLost(state, view.place))
-            return;
-        for (const SuspectKey& key : keys)
-            recordCrash(state, key, view.host, effects);
-        spreadSuspicions(state, effects);
+                marked = recordCrash(state, key, view.host, effects) || marked;
+        if (marked)
+            spreadSuspicions(state, effects);
     }
 
 } // namespace
@@ -77,8 +69,9 @@
             .fields = { { "host", event.host.value }, { "in_flight", std::to_string(view->requests.size()) },
                 { "reason", event.reason } } });
         countMetric(effects, "agents_lost_total", "");
-        suspectAll(state, *view, effects);
-        awaitEnds(state, *view);
+        correlateLosses(state, *view, effects);
+        suspectUnknowns(state, *view, effects);
+        awaitEnds(state, *view, true);
     }
     rebuildPools(state, effects);
 }
@@ -110,7 +103,7 @@
         return;
     effects.emplace_back(DisconnectAgent { .host = view->host });
     disconnectView(state, *view);
-    awaitEnds(state, *view);
+    awaitEnds(state, *view, false);
     rebuildPools(state, effects);
 }
 
--- a/src/request_attempt_cmd.cpp
+++ b/src/request_attempt_cmd.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hickory {
 
@@ -93,8 +94,15 @@
         failRequest(state, request, std::move(failure), effects);
     }
 
+    void suspectRequest(EntryState& state, const Request& request, EntryEffects& effects)
+    {
+        if (recordCrash(state, { request.call.service, request.call.bodyDigest }, request.host, effects))
+            spreadSuspicions(state, effects);
+    }
+
     void endAttempt(EntryState& state, Request& request, const DispatchResult& result, EntryEffects& effects)
     {
+        const bool lostByCrash = std::exchange(request.lostByCrash, false);
         switch (result.kind) {
         case DispatchResultKind::Completed:
             clearSuspicion(state, request, effects);
@@ -115,11 +123,12 @@
             endFailed(state, request, result, effects);
             break;
         case DispatchResultKind::Crashed:
-            recordCrash(state, { request.call.service, request.call.bodyDigest }, request.host, effects);
-            spreadSuspicions(state, effects);
+            suspectRequest(state, request, effects);
             endUnknown(state, request, "upstream-crashed", effects);
             break;
         case DispatchResultKind::Unknown:
+            if (lostByCrash)
+                suspectRequest(state, request, effects);
             endUnknown(state, request, result.reason.empty() ? "no-answer" : result.reason, effects);
             break;
         case DispatchResultKind::Preempted:
@@ -163,6 +172,8 @@
     releaseAttempt(state, request);
     request.phase = RequestPhase::Backoff;
     noteAttemptEnd(state, view, true, effects);
+    if (std::exchange(request.lostByCrash, false))
+        suspectRequest(state, request, effects);
     endUnknown(state, request, reason, effects);
     pumpService(state, service, effects);
 }
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -55,6 +55,7 @@
         request.version = view.status.version;
         request.firstPart = false;
         request.connectionLost = false;
+        request.lostByCrash = false;
         request.suspect = request.constrained && crashesOf(state, service.name, request.call.bodyDigest) > 0;
         request.dispatchedAt = state.now;
         if (view.own.size() <= rank)
--- a/src/request_state_type.h
+++ b/src/request_state_type.h
@@ -48,6 +48,7 @@
     bool suspect { false }; ///< the present attempt was dispatched as a suspect
     bool replay { false }; ///< the row holds the answer; the attempt only fetches it
     bool connectionLost { false }; ///< the agent of the present attempt is gone; its end is about to be told
+    bool lostByCrash { false }; ///< the agent may have died of one of its requests
     Attempt attempt; ///< present or last attempt, 0 before the first
     std::uint32_t upstream { 0 }; ///< index of the view that has the present attempt
     HostId host; ///< host of the present or last attempt
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -17,11 +17,16 @@
     constexpr Milliseconds backoffMin { 20 };
     constexpr Milliseconds backoffMax { 1000 };
 
+    /// A suspect waits until its suspicion has reached the other entries and other losses of the same cause are seen,
+    /// so that an innocent request does not meet the next loss of a series.
+    constexpr Milliseconds suspectDelay { 250 };
+
     Milliseconds backoff(EntryState& state, const Request& request)
     {
         const std::uint32_t doublings = std::min(request.retries, 6U);
         const Milliseconds whole = std::min(backoffMax, backoffMin * (std::int64_t { 1 } << doublings));
-        return whole / 2
+        const bool suspect = crashesOf(state, request.call.service, request.call.bodyDigest) > 0;
+        return (suspect ? suspectDelay : Milliseconds {}) + whole / 2
             + Milliseconds { static_cast<std::int64_t>(
                 state.random() % static_cast<std::uint64_t>(whole.value / 2 + 1)) };
     }
--- a/src/suspect_cmd.cpp
+++ b/src/suspect_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "control_cmd.h"
 #include "member_func.h"
+#include "request_cmd.h"
 #include "request_log_func.h"
 
 #include <algorithm>
@@ -44,6 +45,15 @@
             std::count_if(losses.begin(), losses.end(), [&](const RecentLoss& loss) { return loss.place == place; }));
     }
 
+    /// @return the loss of the host's connection in the last second, or nullptr
+    RecentLoss* lossOf(EntryState& state, const HostId& host)
+    {
+        for (RecentLoss& loss : state.requests.suspects.losses)
+            if (loss.host == host && loss.at + lossWindow >= state.now)
+                return &loss;
+        return nullptr;
+    }
+
     void withdrawLoss(EntryState& state, const RecentLoss& loss)
     {
         SuspectTable& table = state.requests.suspects;
@@ -60,8 +70,11 @@
 
 } // namespace
 
-void recordCrash(EntryState& state, const SuspectKey& key, const HostId& host, EntryEffects& effects)
+bool recordCrash(EntryState& state, const SuspectKey& key, const HostId& host, EntryEffects& effects)
 {
+    RecentLoss* loss = lossOf(state, host);
+    if (loss && placeWasLost(state, loss->place))
+        return false;
     SuspectTable& table = state.requests.suspects;
     const auto found = table.entries.find(key);
     Suspect suspect = found == table.entries.end() ? Suspect {} : found->second;
@@ -69,18 +82,19 @@
     const bool sameCrash
         = suspect.crashes > 0 && suspect.lastHost == host && suspect.changed + sameCrashWindow >= state.now;
     if (sameCrash)
-        return;
+        return false;
     ++suspect.crashes;
     suspect.changed = state.now;
     suspect.lastHost = host;
     storeSuspect(table, key, suspect);
-    if (!table.losses.empty() && table.losses.back().host == host && table.losses.back().at == state.now)
-        table.losses.back().keys.push_back(key);
+    if (loss)
+        loss->keys.push_back(key);
     effects.emplace_back(LogLine { .level = LogLevel::Warning,
         .event = "suspect",
         .fields = { { "service", key.first.value }, { "digest", key.second.value }, { "host", host.value },
             { "crashes", std::to_string(suspect.crashes) } } });
     countMetric(effects, "suspicions_total", "service=\"" + key.first.value + "\"");
+    return true;
 }
 
 void clearSuspicion(EntryState& state, const Request& request, EntryEffects& effects)
@@ -131,13 +145,14 @@
 {
     std::vector<HostId> peers = liveEntries(state.members);
     std::erase(peers, state.settings.process.host);
+    GossipMessage message = localGossip(state);
+    message.suspicions = localSuspicions(state);
     for (std::size_t told = 0; told < spreadPeers && !peers.empty(); ++told) {
         const std::size_t place = state.random() % peers.size();
         const HostId peer = peers[place];
         peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(place));
         if (const Member* member = findMember(state.members, peer))
-            effects.emplace_back(
-                SendGossip { .peer = peer, .address = member->address, .message = localGossip(state) });
+            effects.emplace_back(SendGossip { .peer = peer, .address = member->address, .message = message });
     }
 }
 
--- a/src/suspect_cmd.h
+++ b/src/suspect_cmd.h
@@ -9,7 +9,8 @@
 /// Records that an upstream died with a request in flight. Equal requests that the same crash ended count once.
 /// @param key service and body digest of the request
 /// @param host host of the upstream
-void recordCrash(EntryState& state, const SuspectKey& key, const HostId& host, EntryEffects& effects);
+/// @return false when nothing was recorded: the crash was counted before, or the place of the host is to blame
+bool recordCrash(EntryState& state, const SuspectKey& key, const HostId& host, EntryEffects& effects);
 
 /// Records that a suspect request ran to its end, which clears it.
 void clearSuspicion(EntryState& state, const Request& request, EntryEffects& effects);
--- a/tests/unit_request_suspect.cpp
+++ b/tests/unit_request_suspect.cpp
@@ -91,6 +91,20 @@
         CHECK(suspicion.crashes == 0);
 }
 
+// Guards against a request that was never given to the lost agent being blamed for the loss.
+TEST_CASE("A dispatch that did not reach the lost agent is not suspect")
+{
+    RequestFixture fixture(2);
+    fixture.start();
+    const DispatchAttempt dispatch = all<DispatchAttempt>(fixture.run(fixture.call()))[0];
+    fixture.run(AgentDisconnected { .host = dispatch.host, .reason = "lost" });
+    fixture.run(fixture.ended(dispatch, DispatchResultKind::NotRun));
+    CHECK(localSuspicions(fixture.state).empty());
+    const auto again = all<DispatchAttempt>(fixture.advance({ 200 }));
+    REQUIRE(again.size() == 1);
+    CHECK_FALSE(again[0].call.suspect);
+}
+
 // Guards against a resend through another entry being taken for a new request.
 TEST_CASE("Suspicions reach other entries and are merged without being counted twice")
 {
