--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -17,6 +17,10 @@
     constexpr Milliseconds backoffMin { 20 };
     constexpr Milliseconds backoffMax { 1000 };
 
+    /// A suspect waits until its suspicion has reached the other entries and other losses of the same cause are seen,
+    /// so that an innocent request does not meet the next loss of a series.
+    constexpr Milliseconds suspectDelay { 250 };
+
     Milliseconds backoff(EntryState& state, const Request& request)
     {
         const std::uint32_t doublings = std::min(request.retries, 6U);
@@ -118,6 +122,11 @@
 
 void endBackoff(EntryState& state, Request& request, EntryEffects& effects)
 {
+    const Milliseconds ready = suspectedAt(state, request.call.service, request.call.bodyDigest) + suspectDelay;
+    if (state.now < ready) {
+        setWake(state, request, ready);
+        return;
+    }
     if (!request.repeatable) {
         readCallRow(state, request, effects);
         return;
