Keep floors as shares of the limit in force and end streams after their deadline

Cause: with absolute floors the examples' floors (0.875 of 8 slots) left the limit only 7 to 8 to adapt in, and a burst of cache misses could have lowered it although no target was in danger. An upstream that streams past the deadline kept its slot, because the client's time limit is that of one read. A host whose target returned to what it serves stayed out of service until its running requests had ended.

Change: floors and spare shares are derived from the limit in force; the least limit is one slot for each rank with a floor; the limit falls only when the latency exceeds twice the usual and half the most urgent target. Overdue streams are cancelled and answered Unknown. A failed load polls the engine at once, so that a death during the load is seen.

Ruled out: a limit that follows the latency below the targets; fewer slots would cost throughput for nothing asked for.

--- a/src/engine_cmd.cpp
+++ b/src/engine_cmd.cpp
@@ -140,15 +140,18 @@
             enterPhase(state, EnginePhase::Draining, "no-target", effects);
         else if (orderDue(state))
             enterPhase(state, EnginePhase::Draining, "target-not-serving", effects);
-        if (engine.phase != EnginePhase::Draining || slotUse(state.slots).total > 0)
+        if (engine.phase != EnginePhase::Draining)
+            return;
+        if (engine.target && engine.serving == engine.target) {
+            // The target returned to what is loaded before an order was given.
+            enterPhase(state, EnginePhase::Serving, "already-serving", effects);
+            return;
+        }
+        if (slotUse(state.slots).total > 0)
             return;
         if (!engine.target) {
             engine.serving.reset();
             enterPhase(state, EnginePhase::Idle, "no-target", effects);
-        } else if (engine.serving == engine.target && engine.upstreamKnown
-            && difference(engine.upstream, *engine.target).empty()) {
-            // The target returned to what is loaded before an order was given.
-            enterPhase(state, EnginePhase::Serving, "already-serving", effects);
         } else if (engine.fenceCurrent && engine.upstreamKnown && engine.upstream.reachable
             && state.now >= engine.orderAt) {
             orderLoad(state, effects);
@@ -164,8 +167,7 @@
             engine.failures = 0;
             engine.orderFailures = 0;
             enterPhase(state, EnginePhase::Serving, "verified", effects);
-            refreshShares(state, effects);
-            resetLatency(state.slots);
+            resetLatency(state, effects);
         } else if (engine.ordered != engine.target) {
             enterPhase(state, EnginePhase::Idle, "target-changed", effects);
         } else if (differs != engineNotReady && state.now - engine.phaseSince > verifyTimeout) {
@@ -251,6 +253,9 @@
     }
     scheduleOrder(state);
     enterPhase(state, EnginePhase::Failed, event.detail.empty() ? "load-failed" : event.detail, effects);
+    // An engine that died while loading is seen as unreachable now, and as restarted by a later poll.
+    if (!engine.pollPending)
+        poll(state, effects);
 }
 
 void tickEngine(AgentState& state, AgentEffects& effects)
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -76,6 +76,14 @@
                     { "reason", "not-repeatable" } } });
     }
 
+    /// Cancels streams that go on after the deadline. A call that may not be repeated runs to its end.
+    void cancelOverdue(AgentState& state, AgentEffects& effects)
+    {
+        for (auto& [key, dispatch] : state.slots.dispatches)
+            if (dispatch.phase == DispatchPhase::Running && !hasCallRow(dispatch) && state.now >= dispatch.deadline)
+                cancelRunning(dispatch, CancelCause::Deadline, effects);
+    }
+
     DispatchResult resultOfEnd(const Dispatch& dispatch, const UpstreamEnded& event)
     {
         DispatchResult result = resultOf(DispatchResultKind::Unknown, "");
@@ -96,8 +104,10 @@
             result = resultOf(DispatchResultKind::Crashed, "upstream-crashed");
             break;
         case UpstreamResult::Cancelled:
-            result = dispatch.cancel == CancelCause::Preempted ? resultOf(DispatchResultKind::Preempted, "preempted")
-                                                               : resultOf(DispatchResultKind::Unknown, "cancelled");
+            result = dispatch.cancel == CancelCause::Preempted
+                ? resultOf(DispatchResultKind::Preempted, "preempted")
+                : resultOf(
+                    DispatchResultKind::Unknown, dispatch.cancel == CancelCause::Deadline ? "deadline" : "cancelled");
             break;
         case UpstreamResult::TimedOut:
             result = resultOf(DispatchResultKind::Unknown, "deadline");
@@ -205,6 +215,7 @@
 {
     if (state.leaving && state.slots.leavingSince.value < 0)
         state.slots.leavingSince = state.now;
+    cancelOverdue(state, effects);
     tickCallRows(state, effects);
     tickLimit(state, effects);
     serveWaiting(state, effects);
--- a/src/slot_limit_cmd.cpp
+++ b/src/slot_limit_cmd.cpp
@@ -17,7 +17,11 @@
     constexpr double longWeight = 0.005;
 
     /// Latency above the long average that is still taken for noise. Prompts differ in length and in cache hits.
-    constexpr double tolerance = 1.5;
+    constexpr double tolerance = 2.0;
+
+    /// Share of the most urgent rank's target below which no latency lowers the limit. Fewer slots would cost
+    /// throughput there and gain nothing that anybody asked for.
+    constexpr double harmlessShare = 0.5;
 
     /// The limit falls by at most half in one step.
     constexpr double steepest = 0.5;
@@ -42,6 +46,7 @@
         return found == services.end() ? nullptr : &*found;
     }
 
+    /// Derives floors and shares from the limit in force.
     void deriveRanks(AgentState& state)
     {
         SlotState& slots = state.slots;
@@ -54,11 +59,10 @@
             floors += rank.floor;
             weights += rank.weight;
         }
-        slots.limit.least = std::max(1.0, std::ceil(floors * slots.concurrency - 1e-9));
-        const double spare = std::max(0.0, 1.0 - floors) * slots.concurrency;
+        const double spare = std::max(0.0, 1.0 - floors) * slotLimit(slots);
         for (std::size_t rank = 0; rank < configured.size(); ++rank) {
             // A floor of 0.3 of 10 slots must not become 2 because 0.3 * 10 is a little below 3.
-            const double floorSlots = configured[rank].floor * slots.concurrency + 1e-9;
+            const double floorSlots = configured[rank].floor * slotLimit(slots) + 1e-9;
             RankShare& share = slots.ranks[rank];
             share.floor = configured[rank].floor;
             share.reserved = static_cast<std::uint32_t>(floorSlots);
@@ -67,6 +71,22 @@
         }
     }
 
+    /// @return the least limit: one slot for each rank that has a floor
+    double leastLimit(const AgentState& state)
+    {
+        const auto& ranks = state.config.config->ranks;
+        const auto withFloor
+            = std::count_if(ranks.begin(), ranks.end(), [](const RankConfig& rank) { return rank.floor > 0.0; });
+        return std::clamp<double>(static_cast<double>(withFloor), 1.0, std::max(1U, state.slots.concurrency));
+    }
+
+    /// @return latency that must be exceeded before the limit falls, ms
+    double harmlessLatency(const AgentState& state)
+    {
+        const auto& ranks = state.config.config->ranks;
+        return ranks.empty() ? 1.0 : harmlessShare * static_cast<double>(ranks.front().firstTokenTarget.value);
+    }
+
 } // namespace
 
 void refreshShares(AgentState& state, AgentEffects& effects)
@@ -81,20 +101,24 @@
     slots.workspaceWeights.clear();
     for (const WorkspaceConfig& workspace : state.config.config->workspaces)
         slots.workspaceWeights[workspace.name] = std::max(leastShare, workspace.weight);
-    deriveRanks(state);
+    slots.limit.least = leastLimit(state);
     if (before != slots.concurrency) {
         slots.limit.value = slots.concurrency;
         effects.emplace_back(LogLine { .event = "limit-changed",
             .fields = { { "service", slots.service.value }, { "limit", std::to_string(slots.concurrency) },
                 { "reason", "configuration" } } });
     }
+    slots.limit.value = std::clamp<double>(slots.limit.value, slots.limit.least, std::max(1U, slots.concurrency));
+    deriveRanks(state);
 }
 
-void resetLatency(SlotState& slots)
+void resetLatency(AgentState& state, AgentEffects& effects)
 {
-    slots.limit.samples = 0;
-    slots.limit.loaded = false;
-    slots.limit.value = slots.concurrency;
+    AdaptiveLimit& limit = state.slots.limit;
+    limit.samples = 0;
+    limit.loaded = false;
+    limit.value = state.slots.concurrency;
+    refreshShares(state, effects);
 }
 
 void noteLatency(SlotState& slots, Milliseconds latency)
@@ -120,19 +144,22 @@
     effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Gauge,
         .name = "slots_waiting",
         .value = static_cast<double>(slots.waiting.size()) });
-    if (state.settings.slotPolicy == SlotPolicy::Fifo || !limit.loaded || limit.samples < enoughSamples)
+    const bool adapts = state.settings.slotPolicy == SlotPolicy::Floors && state.config.config;
+    if (!adapts || !limit.loaded || limit.samples < enoughSamples)
         return;
     limit.loaded = false;
     // After a long overload the long average is too high to notice the next one.
     if (limit.longLatency > 2.0 * limit.shortLatency)
         limit.longLatency *= 0.95;
-    const double ratio = tolerance * std::max(1.0, limit.longLatency) / std::max(1.0, limit.shortLatency);
+    const double usual = std::max(tolerance * limit.longLatency, harmlessLatency(state));
+    const double ratio = usual / std::max(1.0, limit.shortLatency);
     const double wanted = limit.value * std::clamp(ratio, steepest, 1.0) + 1.0;
     const std::uint32_t before = slotLimit(slots);
     const double most = std::max<double>(limit.least, slots.concurrency);
     limit.value = std::clamp(limit.value + smoothing * (wanted - limit.value), limit.least, most);
     if (before == slotLimit(slots))
         return;
+    deriveRanks(state);
     effects.emplace_back(LogLine { .event = "limit-changed",
         .fields = { { "service", slots.service.value }, { "limit", std::to_string(slotLimit(slots)) },
             { "latency_ms", std::to_string(std::lround(limit.shortLatency)) },
--- a/src/slot_state_type.h
+++ b/src/slot_state_type.h
@@ -25,6 +25,7 @@
 enum class CancelCause : std::uint8_t {
     None, ///< it was not cancelled
     Caller, ///< its entry cancelled it
+    Deadline, ///< its caller's deadline passed and the upstream goes on
     EntryLost, ///< the connection of its entry was lost
     Preempted, ///< more urgent work takes its slot
 };
@@ -82,7 +83,7 @@
 /// Concurrency limit that follows the measured latency.
 struct AdaptiveLimit {
     double value { 0.0 }; ///< limit in force before rounding, 0 before the first configuration
-    double least { 1.0 }; ///< slots that the floors need
+    double least { 1.0 }; ///< limit is never lower: one slot for each rank that has a floor
     double shortLatency { 0.0 }; ///< ms, follows the last few samples
     double longLatency { 0.0 }; ///< ms, follows the last few hundred samples
     std::uint32_t samples { 0 }; ///< samples since the upstream changed, saturating
