Keep waiting work through a short doubt about the engine; poll after refusals

Cause: one broken stream made the agent doubt its engine until the next poll and refuse its whole queue at once, which costs the entries' retry budgets. An engine that another agent changed was noticed only by the next regular poll.

Change: waiting dispatches of an engine are refused at once only when it must be loaded first or a poll did not reach it; otherwise they stay for 1 s as with plain upstreams. A refusal by the upstream causes a poll, at most ten a second.

Ruled out: ignoring a broken stream until the next poll, because requests would go to a dead engine for 500 ms.

Conclusion: a doubt costs at most one poll.

--- a/src/engine_cmd.cpp
+++ b/src/engine_cmd.cpp
@@ -18,6 +18,9 @@
     /// A poll without an answer is repeated after this.
     constexpr Milliseconds pollTimeout { 3000 };
 
+    /// Least time between polls that are caused by refusals, since a full engine refuses often.
+    constexpr Milliseconds refusedPollInterval { 100 };
+
     /// An order without an answer counts as failed after this. Loading takes minutes at most.
     constexpr Milliseconds loadTimeout { 900000 };
 
@@ -282,15 +285,18 @@
         ++engine.failures;
         effects.emplace_back(MetricSample { .name = "upstream_failures_total" });
     }
-    if (result == UpstreamResult::Crashed || result == UpstreamResult::ConnectFailed) {
+    const bool gone = result == UpstreamResult::Crashed || result == UpstreamResult::ConnectFailed;
+    if (gone) {
         engine.upstreamKnown = false;
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "upstream-suspected",
             .fields = { { "host", state.settings.process.host.value },
                 { "reason", result == UpstreamResult::Crashed ? "crashed" : "connect-failed" } } });
-        if (!engine.pollPending)
-            poll(state, effects);
     }
+    // An engine refuses what it does not run any more: another agent may have changed it.
+    const bool refused = result == UpstreamResult::Refused && state.now - engine.pollSentAt >= refusedPollInterval;
+    if ((gone || refused) && !engine.pollPending)
+        poll(state, effects);
 }
 
 bool upstreamReady(const AgentState& state)
--- a/src/slot_dispatch_cmd.cpp
+++ b/src/slot_dispatch_cmd.cpp
@@ -43,6 +43,16 @@
             slots.waiting.erase(found);
     }
 
+    /// @return true when an engine has to be loaded before it can serve again, which takes long
+    bool engineAway(const AgentState& state)
+    {
+        const EngineState& engine = state.engine;
+        if (!state.settings.engine)
+            return false;
+        return engine.phase != EnginePhase::Serving || engine.serving != engine.target
+            || (engine.upstreamKnown && !engine.upstream.reachable);
+    }
+
     void refuseObsolete(AgentState& state, AgentEffects& effects)
     {
         SlotState& slots = state.slots;
@@ -51,8 +61,7 @@
             slots.notReadySince = { -1 };
         else if (slots.notReadySince.value < 0)
             slots.notReadySince = state.now;
-        // An engine that changes its version stays out of service for long; a plain upstream may be back at once.
-        const bool refuseAll = !ready && (state.settings.engine || state.now - slots.notReadySince > notReadyGrace);
+        const bool refuseAll = !ready && (engineAway(state) || state.now - slots.notReadySince > notReadyGrace);
         std::vector<std::pair<AttemptKey, std::string>> refused;
         for (const AttemptKey& key : slots.waiting) {
             const Dispatch& dispatch = slots.dispatches.at(key);
--- a/tests/agent_harness.h
+++ b/tests/agent_harness.h
@@ -5,6 +5,7 @@
 #include "slot_cmd.h"
 
 #include <memory>
+#include <rapidcheck.h>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,6 +13,14 @@
 
 namespace hickory {
 
+/// @param most length of the longest list
+/// @return lists of random numbers, each of which a test decodes into one step
+inline rc::Gen<std::vector<std::uint32_t>> randomSteps(int most)
+{
+    const auto number = rc::gen::resize(100, rc::gen::arbitrary<std::uint32_t>());
+    return rc::gen::resize(most, rc::gen::container<std::vector<std::uint32_t>>(number));
+}
+
 /// Drives an agent's reducer and keeps the effects of the last event.
 struct AgentHarness {
     AgentState state; ///< the agent
--- a/tests/unit_call_row_property.cpp
+++ b/tests/unit_call_row_property.cpp
@@ -1,6 +1,6 @@
 #include "agent_harness.h"
 #include "call_row_cmd.h"
-#include "property_check.h"
+#include "fixed_seed.h"
 
 #include <algorithm>
 #include <deque>
@@ -267,7 +267,7 @@
 // the dispatches and the agents; and against rows and dispatches that never settle.
 TEST_CASE("A call of one key runs at most once under any order of events")
 {
-    requireProperty(21, 500, [] {
+    test::checkProperty("at most one run", 21, 500, [] {
         const auto steps = *randomSteps(200);
         RowWorld world;
         for (const std::uint32_t step : steps)
--- a/tests/unit_slot_property.cpp
+++ b/tests/unit_slot_property.cpp
@@ -1,6 +1,6 @@
 #include "agent_harness.h"
 #include "engine_cmd.h"
-#include "property_check.h"
+#include "fixed_seed.h"
 #include "slot_func.h"
 
 #include <map>
@@ -175,7 +175,7 @@
 
 void checkSlots(std::uint64_t seed, bool engine, SlotPolicy policy)
 {
-    requireProperty(seed, 200, [=] {
+    test::checkProperty("rules of slots", seed, 200, [=] {
         const auto steps = *randomSteps(300);
         SlotWorld world(engine, policy);
         for (const std::uint32_t step : steps)
