--- a/tests/scenario_check.cpp
+++ b/tests/scenario_check.cpp
@@ -69,19 +69,6 @@
         return rows;
     }
 
-    /// Lines in the runs logs of the matching hosts, of one request body if the condition names one.
-    std::size_t countRuns(Scenario& scenario, const Json& condition)
-    {
-        std::size_t count = 0;
-        for (const FleetHost& host : scenario.fleet.hosts)
-            if (!host.runsLog.empty()
-                && fnmatch(condition.at("runs").get<std::string>().c_str(), host.name.c_str(), 0) == 0)
-                for (const auto& row : readRows(readFile(host.runsLog)))
-                    count
-                        += !condition.contains("body") || row.at(1) == digestHex(condition["body"].get<std::string>());
-        return count;
-    }
-
     std::size_t countLog(Scenario& scenario, const Json& condition)
     {
         const std::regex pattern(condition.at("log").get<std::string>());
@@ -143,6 +130,17 @@
 
 } // namespace
 
+std::size_t countRuns(Scenario& scenario, const Json& condition)
+{
+    std::size_t count = 0;
+    for (const FleetHost& host : scenario.fleet.hosts)
+        if (!host.runsLog.empty()
+            && fnmatch(condition.at("runs").get<std::string>().c_str(), host.name.c_str(), 0) == 0)
+            for (const auto& row : readRows(readFile(host.runsLog)))
+                count += !condition.contains("body") || row.at(1) == digestHex(condition["body"].get<std::string>());
+    return count;
+}
+
 // A condition is one of these tables; most take "op" and "value":
 //   get = "process:/path", pointer = "/json/pointer"; ready = "service" [version]; in_force = true;
 //   log = "regex" [process = "pattern"]; runs = "host pattern" [body]; load = "name", pointer; exited = "process
--- /dev/null
+++ b/tests/scenario_metric.cpp
@@ -0,0 +1,96 @@
+#include "scenario_steps.h"
+
+#include <regex>
+
+namespace hickory::scenario {
+
+namespace {
+
+    double number(Scenario& scenario, const Json& spec)
+    {
+        const Json& summary = scenario.summaries.at(spec.at("load"));
+        const Json::json_pointer pointer(spec.at("pointer").get<std::string>());
+        return summary.contains(pointer) ? summary.at(pointer).get<double>() : 0;
+    }
+
+    /// Jain's index over the values, each divided by its weight if there are any.
+    double jain(Scenario& scenario, const Json& spec)
+    {
+        double sum = 0;
+        double squares = 0;
+        for (const Json& pointer : spec.at("jain")) {
+            const double value = number(scenario, { { "load", spec.at("load") }, { "pointer", pointer } });
+            sum += value;
+            squares += value * value;
+        }
+        return squares == 0 ? 0 : sum * sum / (static_cast<double>(spec.at("jain").size()) * squares);
+    }
+
+    /// Seconds from a mark until the end of the last time slice in which the rank's targets were not met.
+    double recovery(Scenario& scenario, const Json& spec)
+    {
+        const auto begin = scenario.marks.at(spec.at("load"));
+        const double mark
+            = std::chrono::duration<double, std::milli>(scenario.marks.at(spec.at("recovery")) - begin).count();
+        constexpr double sliceMs = 500; // the load generator's default
+        double last = mark;
+        for (const Json& slice : scenario.summaries.at(spec.at("load")).at("timeline")) {
+            const double end = slice.at("ms").get<double>() + sliceMs;
+            const bool met = slice.at("first_token_p95_ms") <= spec.at("first_token_ms")
+                && slice.at("between_tokens_p95_ms") <= spec.at("between_tokens_ms");
+            if (slice.at("rank") == spec.at("rank") && end > mark && !met)
+                last = std::max(last, end);
+        }
+        return (last - mark) / 1000;
+    }
+
+    /// Largest value of one series on the metrics pages of the matching processes.
+    double series(Scenario& scenario, const Json& spec)
+    {
+        const std::regex line(
+            "(?:^|\n)[a-z_]*" + spec.at("series").get<std::string>() + "(?:\\{[^\n]*\\})? ([0-9.e+-]+)");
+        double largest = 0;
+        for (const std::string& name : scenario.fleet.match(spec.at("process"))) {
+            const std::string page = scenario.fleet.call(name, "GET", "/metrics").at("body");
+            for (std::sregex_iterator match(page.begin(), page.end(), line), end; match != end; ++match)
+                largest = std::max(largest, std::stod((*match)[1]));
+        }
+        return largest;
+    }
+
+} // namespace
+
+// A metric is one of these tables; "scale" multiplies it, and "divide" is a further table that it is divided by:
+//   load, pointer; jain = [pointers], load; recovery = "mark", load, rank, first_token_ms, between_tokens_ms;
+//   series = "name", process = "pattern"; from = "mark", to = "mark"; get = "process:/path", pointer; number.
+double measure(Scenario& scenario, const Json& spec)
+{
+    double value = 0;
+    if (spec.contains("jain")) {
+        value = jain(scenario, spec);
+    } else if (spec.contains("recovery")) {
+        value = recovery(scenario, spec);
+    } else if (spec.contains("series")) {
+        value = series(scenario, spec);
+    } else if (spec.contains("from")) {
+        value = std::chrono::duration<double>(scenario.marks.at(spec.at("to")) - scenario.marks.at(spec.at("from")))
+                    .count();
+    } else if (spec.contains("get")) {
+        const std::string target = spec["get"];
+        const std::size_t colon = target.find(':');
+        const Json answer = scenario.fleet.call(target.substr(0, colon), "GET", target.substr(colon + 1));
+        const Json body = Json::parse(answer.at("body").get<std::string>());
+        const Json::json_pointer pointer(spec.at("pointer").get<std::string>());
+        value = body.contains(pointer) ? body.at(pointer).get<double>() : 0;
+    } else if (spec.contains("runs")) {
+        value = static_cast<double>(countRuns(scenario, spec));
+    } else if (spec.contains("number")) {
+        value = spec["number"];
+    } else {
+        value = number(scenario, spec);
+    }
+    const double divisor = spec.contains("divide") ? measure(scenario, spec["divide"]) : 1;
+    return divisor == 0 ? 0 : value * spec.value("scale", 1.0) / divisor;
+}
+
+} // namespace hickory::scenario
--- a/tests/scenario_steps.cpp
+++ b/tests/scenario_steps.cpp
@@ -105,6 +105,7 @@
             if (scenario.fleet.processes.at(entry).running())
                 command.insert(command.end(), { "--entries", scenario.fleet.http(entry) });
         scenario.loads[name].start(command, base + ".log");
+        scenario.marks[name] = standin::SteadyClock::now();
     }
 
     /// @param stop end it now rather than at the end of its plan
@@ -195,6 +196,8 @@
         else
             fleet.call("platform", "POST", "/admin/members",
                 Json::array({ { { "host", host }, { "state", step["state"] } } }).dump());
+    } else if (kind == "mark") {
+        scenario.marks[step.at("name")] = standin::SteadyClock::now();
     } else if (kind == "wait") {
         waitFor(scenario, step, timeout);
     } else if (kind == "check") {
--- a/tests/scenario_steps.h
+++ b/tests/scenario_steps.h
@@ -16,6 +16,7 @@
     std::uint64_t changes { 0 }; ///< change ids drawn
     std::map<std::string, Process> loads; ///< load generators by name
     std::map<std::string, Json> summaries; ///< what they printed
+    std::map<std::string, standin::SteadyClock::time_point> marks; ///< times of "mark" steps and starts of loads
 };
 
 /// Carries out one step; throws std::runtime_error with the reason when it fails.
@@ -31,6 +32,14 @@
 /// @return what does not hold
 std::vector<std::string> checkInvariants(Scenario& scenario);
 
+/// @param condition "runs" names the hosts, "body" the request if only its runs count
+/// @return lines in the runs logs of the matching hosts
+std::size_t countRuns(Scenario& scenario, const Json& condition);
+
+/// @param spec table [[metric]], see scenario_metric.cpp
+/// @return the measured value
+double measure(Scenario& scenario, const Json& spec);
+
 /// Ends load generators that still run.
 void stopLoads(Scenario& scenario);
 
--- a/tests/tool_scenario_runner.cpp
+++ b/tests/tool_scenario_runner.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -28,9 +29,18 @@
     return base;
 }
 
+/// @return one line of build/bench.jsonl
+Json metricLine(Scenario& scenario, const Json& spec)
+{
+    return { { "name", spec.at("bench") }, { "metric", spec.at("metric") }, { "value", measure(scenario, spec) },
+        { "unit", spec.at("unit") },
+        { "baseline", spec.contains("baseline") ? Json(measure(scenario, spec["baseline"])) : Json() },
+        { "target", spec.value("target", Json()) }, { "better", spec.at("better") } };
+}
+
 /// Runs all steps, then the checks that hold for every scenario.
 /// @return what went wrong
-std::vector<std::string> runScenario(Scenario& scenario, const Json& file)
+std::vector<std::string> runScenario(Scenario& scenario, const Json& file, std::ostream& metrics)
 {
     const auto start = std::chrono::steady_clock::now();
     std::vector<std::string> failures;
@@ -53,6 +63,9 @@
         label = "invariants";
         for (const std::string& broken : checkInvariants(scenario))
             failures.push_back("invariant: " + broken);
+        label = "metrics";
+        for (const Json& spec : file.value("metric", Json::array()))
+            metrics << metricLine(scenario, spec).dump() << std::endl;
     } catch (const std::exception& error) {
         failures.push_back(label + ": " + error.what());
     }
@@ -69,8 +82,11 @@
 try {
     cxxopts::Options options("scenario-runner", "Runs a scenario with real processes");
     options.add_options()("bin", "build directory", cxxopts::value<std::string>()->default_value("build"))(
-        "seed", "0 draws one", cxxopts::value<std::uint64_t>()->default_value("0"))("keep",
-        "keep the directory of a run that passes")("file", "TOML file", cxxopts::value<std::string>())("help", "");
+        "seed", "0 draws one", cxxopts::value<std::uint64_t>()->default_value("0"))(
+        "keep", "keep the directory of a run that passes")("metrics",
+        "file that gets the scenario's metrics, one JSON object a line",
+        cxxopts::value<std::string>()->default_value(""))("file", "TOML file", cxxopts::value<std::string>())(
+        "help", "");
     options.parse_positional({ "file" });
     const auto flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
@@ -88,7 +104,8 @@
 
     Fleet fleet(std::filesystem::absolute(flags["bin"].as<std::string>()), directory, seed, file.at("fleet"));
     Scenario scenario { .fleet = fleet, .texts = file.value("texts", Json::object()) };
-    const std::vector<std::string> failures = runScenario(scenario, file);
+    std::ofstream metrics(flags["metrics"].as<std::string>(), std::ios::app);
+    const std::vector<std::string> failures = runScenario(scenario, file, metrics);
     for (const std::string& failure : failures)
         std::cout << "FAILED " << failure << std::endl;
     if (failures.empty()) {
