Fix use of freed memory when a connection to a peer ends

AddressSanitizer: heap-use-after-free in RpcLoop::peer at the call of forgetThis. kj::evalLater keeps a reference to a named function, and the function ends with the callback that named it. Change: evalLater gets a function of its own.

--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -188,7 +188,9 @@
                 this->state->peers.erase(found);
         };
         auto opened = this->state->open(address).then([this, forgetThis](kj::Own<Outgoing>&& outgoing) {
-            this->detach(outgoing->client.onDisconnect().then([forgetThis] { return kj::evalLater(forgetThis); }));
+            // evalLater keeps a reference to a named function, which would end with this callback, so it gets a copy.
+            this->detach(outgoing->client.onDisconnect().then(
+                [forgetThis] { return kj::evalLater([forgetThis] { forgetThis(); }); }));
             return kj::mv(outgoing);
         });
         shared.pending = opened.fork();
