Repeat lost answers before the write, and report nothing in force without a membership list

Cause: in a trial with 4 entries and 6 agents, a lost answer to the history row refused a change that nothing stood against, and an entry that had not read the membership list reported a generation as in force everywhere after 5 ms. Change: steps before the write are repeated for 2.5 s; status counts an entry that is not listed itself as behind. Ruled out: a longer time for the first steps, since the operator's call has 15 s in all and the write needs 9 s.

--- a/src/control_apply_cmd.cpp
+++ b/src/control_apply_cmd.cpp
@@ -190,14 +190,11 @@
         return changed;
     }
 
-    /// A read without an answer ends the acceptance, unless the change was written: then it is read again.
+    /// Repeats a step whose answer was lost. Reads and the history row may be repeated freely; before the change is
+    /// written they are only repeated for a short time, so that an operator soon learns that the store is down.
     void waitForStore(EntryState& state, std::uint64_t operation, ApplyStep step, EntryEffects& effects)
     {
         PendingApply& apply = state.control.applies.at(operation);
-        if (!apply.written) {
-            finishWithoutStore(state, operation, "the store does not answer", effects);
-            return;
-        }
         apply.step = step;
         apply.waiting = true;
         apply.retryAt = state.now + settleInterval;
@@ -252,7 +249,8 @@
         .proposed = { .generation = { call.generation.value + 1 },
             .digest = digestHex(call.body),
             .changeId = call.changeId,
-            .text = call.body } };
+            .text = call.body },
+        .deadline = state.now + beginTimeout };
     enter(state, operation, ApplyStep::ReadCurrent, effects);
 }
 
--- a/src/control_state_type.h
+++ b/src/control_state_type.h
@@ -39,7 +39,7 @@
     std::uint32_t settles { 0 }; ///< compare-and-sets whose answer was lost
     bool waiting { false }; ///< no operation is in progress: the next one starts at `retryAt`
     Milliseconds retryAt { 0 }; ///< next read while the store does not answer
-    Milliseconds deadline { 0 }; ///< afterwards the operator is told that the outcome is unknown
+    Milliseconds deadline { 0 }; ///< afterwards the operator is told that the store does not answer
 };
 
 /// An operator's wish to see an older generation.
--- a/src/operator_cmd.cpp
+++ b/src/operator_cmd.cpp
@@ -98,8 +98,8 @@
             pending.answers.push_back({ .host = host, .reachable = false, .leaving = isLeaving(state.members, host) });
         std::sort(pending.answers.begin(), pending.answers.end(),
             [](const EntryStatus& left, const EntryStatus& right) { return left.host < right.host; });
-        effects.emplace_back(
-            OperatorAnswer { .call = pending.call, .body = statusJson(state.members, pending.answers) });
+        effects.emplace_back(OperatorAnswer {
+            .call = pending.call, .body = statusJson(state.members, state.settings.process.host, pending.answers) });
         state.control.statuses.erase(operation);
     }
 
--- a/src/operator_json_func.cpp
+++ b/src/operator_json_func.cpp
@@ -86,13 +86,16 @@
     return dumped({ { "history", std::move(rows) } });
 }
 
-std::string statusJson(const MemberState& members, const std::vector<EntryStatus>& entries)
+std::string statusJson(const MemberState& members, const HostId& self, const std::vector<EntryStatus>& entries)
 {
     const std::map<HostId, Generation> generations = generationsByHost(entries);
     Generation newest;
     for (const auto& [host, generation] : generations)
         newest = std::max(newest, generation);
     Json waiting = Json::array();
+    // An entry that is not listed itself has not read the list yet and does not know whom to wait for.
+    if (!findMember(members, self))
+        waiting.push_back(self.value);
     for (const Member& member : members.list.members) {
         if (isLeaving(members, member.host))
             continue;
--- a/src/operator_json_func.h
+++ b/src/operator_json_func.h
@@ -33,10 +33,11 @@
 std::string historyJson(const std::vector<HistoryEntry>& entries);
 
 /// @param members the platform's list
+/// @param self the entry that was asked
 /// @param entries status of every listed entry
 /// @return {"generation","entries":[{"host","generation","reachable","leaving","agents":[...]}],"in_force",
 /// "waiting_for":[hosts]}
-std::string statusJson(const MemberState& members, const std::vector<EntryStatus>& entries);
+std::string statusJson(const MemberState& members, const HostId& self, const std::vector<EntryStatus>& entries);
 
 /// @param state this entry; its random generator spreads callers over equally good entries
 /// @return {"ttl_ms","entries":[{"host","address","place"}]} in order of preference
--- a/src/table/control_limits.h
+++ b/src/table/control_limits.h
@@ -25,6 +25,7 @@
 constexpr Milliseconds noticeRelayAge { 15000 };
 constexpr Milliseconds unreachableAge { 10000 }; ///< how long a failed gossip round counts against an entry
 constexpr Milliseconds statusTimeout { 2000 }; ///< for entries' answers to an operator's Status call
+constexpr Milliseconds beginTimeout { 2500 }; ///< for the steps before the write while the store does not answer
 /// For finding out whether a write took effect. With the steps before it and a last operation (2 s each), the operator
 /// has the answer before the HTTP layer gives up on the call after 15 s.
 constexpr Milliseconds settleTimeout { 7000 };
--- a/tests/unit_control_apply.cpp
+++ b/tests/unit_control_apply.cpp
@@ -201,10 +201,41 @@
     EntryHarness entry;
     entry.apply(4, "mine", configText("a"));
     entry.send(lost(entry.all<StoreRead>().front().token));
+    for (int step = 0; step < 60 && entry.answer().is_null(); ++step) {
+        REQUIRE(entry.all<StoreWrite>().empty());
+        for (const StoreRead& read : entry.all<StoreRead>())
+            if (read.token.purpose == StorePurpose::ConfigWrite)
+                entry.send(lost(read.token));
+        entry.advance(50);
+    }
     REQUIRE(entry.answer()["http"] == 503);
     REQUIRE(entry.answer()["accepted"] == false);
 }
 
+// Guards against a change that is refused because one answer before its write was lost.
+TEST_CASE("A lost answer before the write is asked for again")
+{
+    EntryHarness entry;
+    TableModel table = tableWith(4);
+    entry.apply(4, "mine", configText("a"));
+    entry.send(lost(entry.all<StoreRead>().front().token));
+    const auto asksAgain = [&] {
+        const std::vector<StoreRead> reads = entry.all<StoreRead>();
+        return !reads.empty() && reads.front().token.purpose == StorePurpose::ConfigWrite;
+    };
+    for (int step = 0; step < 20 && !asksAgain(); ++step)
+        entry.advance(50);
+    REQUIRE(asksAgain());
+    entry.send(table.perform(entry.all<StoreRead>().front()));
+    const StoreWrite history = entry.all<StoreWrite>().front();
+    table.perform(history);
+    entry.send(lost(history.token));
+    for (int step = 0; step < 20 && entry.all<StoreWrite>().empty(); ++step)
+        entry.advance(50);
+    settle(entry, table);
+    REQUIRE(entry.answer()["http"] == 200);
+}
+
 // Guards against the fleet falling behind a store that was restored from an old copy.
 TEST_CASE("A store that holds less than what is in force accepts nothing")
 {
--- a/tests/unit_control_spread.cpp
+++ b/tests/unit_control_spread.cpp
@@ -212,6 +212,16 @@
     }
 }
 
+// Guards against "in force" from an entry that has not read the membership list and so waits for nobody.
+TEST_CASE("Without a membership list nothing counts as in force")
+{
+    EntryHarness entry("e1", 0, 0);
+    entry.adopt(makeRecord(5, "c"));
+    entry.send(OperatorCalled { .call = { .call = 1, .kind = OperatorCallKind::Status } });
+    REQUIRE(entry.answer()["in_force"] == false);
+    REQUIRE(entry.answer()["waiting_for"] == nlohmann::json { "e1" });
+}
+
 // Guards against an agent without a home after its home died, and against one that never returns to it.
 TEST_CASE("An agent reports to its home and to the next entry while the home does not answer")
 {
