End an agent's leaving notice with its process

Change: a notice ends when the connection to its process is lost or another process answers; notices that others still pass on are ignored for 30 s then. A connection that comes back to the same leaving process brings the notice back. Ruled out: a short age for all notices, since a draining process and a lagging list outlive it. Conclusion: reducer tests pass; no work goes to the host in between because it is not connected.

--- a/src/control_cmd.cpp
+++ b/src/control_cmd.cpp
@@ -31,8 +31,20 @@
         });
     }
 
+    /// Drops a notice because the process that gave it is gone or another one answers under its name.
+    /// @return true when there was one
+    bool refuteNotice(EntryState& state, const HostId& host)
+    {
+        if (state.members.leavingNotices.erase(host) == 0)
+            return false;
+        state.members.refutedNotices[host] = state.now;
+        return true;
+    }
+
     void expire(EntryState& state)
     {
+        std::erase_if(
+            state.members.refutedNotices, [&](const auto& notice) { return state.now - notice.second > refutedAge; });
         std::erase_if(
             state.members.leavingNotices, [&](const auto& notice) { return state.now - notice.second > noticeAge; });
         std::erase_if(state.control.unreachable, [&](const auto& entry) { return state.now > entry.second; });
@@ -152,9 +164,9 @@
     if (message.fromLeaving)
         applyLeavingNotice(state, message.from, effects);
     else
-        state.members.leavingNotices.erase(message.from);
+        refuteNotice(state, message.from);
     for (const HostId& host : message.leaving)
-        if (host != message.from && host != state.settings.process.host)
+        if (host != message.from && host != state.settings.process.host && !state.members.refutedNotices.contains(host))
             applyLeavingNotice(state, host, effects);
     const Generation own = state.config.record.generation;
     if (message.generation > own && message.generation != state.config.refused)
@@ -186,7 +198,7 @@
         if (held.incarnation == status.incarnation && held.sequence > status.sequence)
             return;
         if (held.incarnation != status.incarnation && !status.leaving)
-            state.members.leavingNotices.erase(status.host);
+            refuteNotice(state, status.host);
         known->second = { .status = status, .reported = state.now };
         return;
     }
@@ -197,6 +209,8 @@
     state.control.homeAgents[status.host] = { .status = status, .reported = state.now };
 }
 
+bool applyAgentProcessGone(EntryState& state, const HostId& host) { return refuteNotice(state, host); }
+
 void repairAgentConfig(EntryState& state, const AgentStatus& status, EntryEffects& effects)
 {
     const Member* member = findMember(state.members, status.host);
--- a/src/control_cmd.h
+++ b/src/control_cmd.h
@@ -29,6 +29,11 @@
 /// Stores the report of an agent whose home is this entry.
 void applyHomeReport(EntryState& state, const HomeReport& event, EntryEffects& effects);
 
+/// Drops the leaving notice of an agent whose connection was lost or was made anew: the process that gave it is gone,
+/// and another one may serve under the same name before the platform's list shows any change.
+/// @return true when there was a notice
+bool applyAgentProcessGone(EntryState& state, const HostId& host);
+
 /// Pushes the configuration to a connected agent that has none: without the membership list it finds no home to ask.
 void repairAgentConfig(EntryState& state, const AgentStatus& status, EntryEffects& effects);
 
--- a/src/entry_reduce_func.cpp
+++ b/src/entry_reduce_func.cpp
@@ -43,12 +43,19 @@
     void handle(EntryState& state, const AgentConnected& event, EntryEffects& effects)
     {
         repairAgentConfig(state, event.status, effects);
+        if (event.status.leaving)
+            applyLeavingNotice(state, event.status.host, effects);
+        else
+            applyAgentProcessGone(state, event.status.host);
         applyAgentConnected(state, event, effects);
     }
 
     void handle(EntryState& state, const AgentDisconnected& event, EntryEffects& effects)
     {
         applyAgentDisconnected(state, event, effects);
+        // A process started anew under the same name is connected to again at once.
+        if (applyAgentProcessGone(state, event.host))
+            applyMembersToRequests(state, effects);
     }
 
     void handle(EntryState& state, const AgentStatusReceived& event, EntryEffects& effects)
--- a/src/table/control_limits.h
+++ b/src/table/control_limits.h
@@ -23,6 +23,8 @@
 /// How long a notice is passed on by gossip. Within it, rounds of one second reach every entry of the target fleet;
 /// it is shorter than noticeAge so that a notice which expired at one entry does not come back from another.
 constexpr Milliseconds noticeRelayAge { 15000 };
+/// How long notices that others pass on are ignored after a notice ended. Longer than they are passed on by two hops.
+constexpr Milliseconds refutedAge { 2 * noticeRelayAge.value };
 constexpr Milliseconds unreachableAge { 10000 }; ///< how long a failed gossip round counts against an entry
 constexpr Milliseconds statusTimeout { 2000 }; ///< for entries' answers to an operator's Status call
 constexpr Milliseconds beginTimeout { 2500 }; ///< for the steps before the write while the store does not answer
--- a/tests/unit_member.cpp
+++ b/tests/unit_member.cpp
@@ -56,6 +56,33 @@
     REQUIRE_FALSE(isLeaving(entry.state.members, { "a1" }));
 }
 
+// Guards against an agent that was restarted in place and is shunned for the age of its old notice, also when other
+// entries still pass that notice on.
+TEST_CASE("The notice of an agent ends with its process")
+{
+    EntryHarness entry;
+    AgentStatus leaving { .host = { "a1" }, .incarnation = { 1 }, .sequence = 2, .leaving = true };
+    entry.send(AgentStatusReceived { .status = leaving });
+    REQUIRE(isLeaving(entry.state.members, { "a1" }));
+    entry.send(AgentDisconnected { .host = { "a1" } });
+    REQUIRE_FALSE(isLeaving(entry.state.members, { "a1" }));
+    entry.send(GossipReceived { .message = { .from = { "e2" }, .leaving = { { "a1" } } } });
+    REQUIRE_FALSE(isLeaving(entry.state.members, { "a1" }));
+    SECTION("it was only the connection that was lost")
+    {
+        entry.send(AgentConnected { .host = { "a1" }, .status = leaving });
+        REQUIRE(isLeaving(entry.state.members, { "a1" }));
+    }
+    SECTION("the new process leaves as well")
+    {
+        entry.send(AgentConnected { .host = { "a1" }, .status = { .host = { "a1" }, .incarnation = { 2 } } });
+        REQUIRE_FALSE(isLeaving(entry.state.members, { "a1" }));
+        leaving.incarnation = { 2 };
+        entry.send(AgentStatusReceived { .status = leaving });
+        REQUIRE(isLeaving(entry.state.members, { "a1" }));
+    }
+}
+
 // Guards against a fleet in which one host's coming or going moves others to another home.
 TEST_CASE("The rendezvous order of two hosts does not depend on the others")
 {
