Let hickoryctl trust an authority of the operators' own

Cause: entries can serve TLS, but hickoryctl only trusted the system's authorities, so a certificate of one's own could not be used. Change: setting tls_ca of hickoryctl, used for operators' calls and requests. Ruled out: an option that skips the check of the certificate, since the token would go to whoever answers.

--- a/src/ctl_call_io.cpp
+++ b/src/ctl_call_io.cpp
@@ -14,7 +14,7 @@
         .code = make_error_code(ErrorCode::Unavailable), .step = "call-entry", .detail = "no entry address is known"
     };
     for (const std::string& entry : options.entries) {
-        last = HttpConnection(entry).send(call);
+        last = HttpConnection(entry, options.tlsAuthority).send(call);
         if (last)
             return last;
     }
--- a/src/ctl_options_func.cpp
+++ b/src/ctl_options_func.cpp
@@ -97,6 +97,7 @@
             }
             options.entries = settings.value().entries;
             options.token = settings.value().operatorToken;
+            options.tlsAuthority = settings.value().tlsAuthority;
         }
         const std::string flag = textOption(parsed, "entries");
         const std::string list = flag.empty() ? environment("HICKORY_ENTRIES") : flag;
--- a/src/ctl_request_cmd.cpp
+++ b/src/ctl_request_cmd.cpp
@@ -78,7 +78,7 @@
     const HttpCall call = makeCall(options, body);
     Error last;
     for (const std::string& url : entries.value()) {
-        const Result<HttpReply> reply = HttpConnection(url).send(call);
+        const Result<HttpReply> reply = HttpConnection(url, options.tlsAuthority).send(call);
         if (reply && succeeded(reply.value()))
             return {};
         if (reply)
--- a/src/ctl_type.h
+++ b/src/ctl_type.h
@@ -15,6 +15,7 @@
     std::vector<std::string> arguments; ///< after the command
     std::vector<std::string> entries; ///< "http://ip:port", tried in order
     std::string token; ///< operator token, may be empty
+    std::string tlsAuthority; ///< PEM path for https entries, empty for the system's authorities
     bool json { false }; ///< machine-readable output
     bool wait { false }; ///< apply: wait until in force
     bool watch { false }; ///< status, rollout: repeat until interrupted
--- a/src/http_client_io.cpp
+++ b/src/http_client_io.cpp
@@ -6,13 +6,15 @@
 namespace hickory {
 
 struct HttpConnection::State {
-    explicit State(const std::string& url)
+    State(const std::string& url, const std::string& authority)
         : url(url)
         , client(url)
     {
         this->client.set_keep_alive(true);
         this->client.set_tcp_nodelay(true);
         this->client.set_url_encode(false); // paths arrive encoded
+        if (!authority.empty())
+            this->client.set_ca_cert_path(authority);
     }
 
     std::string url; ///< for errors
@@ -20,8 +22,8 @@
     bool used { false }; ///< a call succeeded, so that the socket may be one that the server closed meanwhile
 };
 
-HttpConnection::HttpConnection(const std::string& url)
-    : state(std::make_unique<State>(url))
+HttpConnection::HttpConnection(const std::string& url, const std::string& authority)
+    : state(std::make_unique<State>(url, authority))
 {
 }
 
--- a/src/http_client_io.h
+++ b/src/http_client_io.h
@@ -38,7 +38,8 @@
 class HttpConnection {
 public:
     /// @param url "http://ip:port" or "https://ip:port"
-    explicit HttpConnection(const std::string& url);
+    /// @param authority PEM path of the authority that signed an https server's certificate, empty for the system's
+    explicit HttpConnection(const std::string& url, const std::string& authority = {});
     ~HttpConnection();
     HttpConnection(const HttpConnection&) = delete;
     HttpConnection& operator=(const HttpConnection&) = delete;
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -243,6 +243,12 @@
             if (!isUrl(entry, true))
                 root.fail("entries", "\"" + entry + "\" is not an address; expected \"http://ip:port\"");
         settings.operatorToken = readTokenFile(root, path);
+        const std::string authority = root.text("tls_ca", {});
+        if (authority.empty())
+            return;
+        settings.tlsAuthority = (std::filesystem::path(path).parent_path() / authority).string();
+        if (!std::ifstream(settings.tlsAuthority))
+            root.fail("tls_ca", "\"" + settings.tlsAuthority + "\" cannot be read");
     });
 }
 
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -98,6 +98,7 @@
 struct ControlSettings {
     std::vector<std::string> entries; ///< "http://ip:port", tried in order
     std::string operatorToken; ///< from operator_token_file, may be empty
+    std::string tlsAuthority; ///< tls_ca: PEM path of the authority that signed the entries' certificates, may be empty
 };
 
 } // namespace hickory
