--- a/tests/scenario_steps.cpp
+++ b/tests/scenario_steps.cpp
@@ -153,6 +153,11 @@
 
 } // namespace
 
+// Steps; "process" and "links" are shell patterns, "why" is printed, "timeout_s" is 30 unless given:
+//   publish model, version [bytes, chunk_bytes]; apply text [entry, base, replace, status]; apply_race texts, entries;
+//   request service, path, workspace, rank, body [entry, key, timeout_ms, status, outcome, contains];
+//   load name, plan [threads]; finish name; stop_load name; kill, stop, freeze, thaw, start process;
+//   links links, set; faults set; member host, state; mark name; wait until; check until.
 void runStep(Scenario& scenario, const Json& step)
 {
     const std::string kind = step.at("do");
