--- a/src/entry_reduce_func.cpp
+++ b/src/entry_reduce_func.cpp
@@ -44,12 +44,19 @@
     {
         repairAgentConfig(state, event.status, effects);
         noteHostStatus(state, event.status);
+        if (event.status.leaving)
+            applyLeavingNotice(state, event.status.host, effects);
+        else
+            applyAgentProcessGone(state, event.status.host);
         applyAgentConnected(state, event, effects);
     }
 
     void handle(EntryState& state, const AgentDisconnected& event, EntryEffects& effects)
     {
         applyAgentDisconnected(state, event, effects);
+        // A process started anew under the same name is connected to again at once.
+        if (applyAgentProcessGone(state, event.host))
+            applyMembersToRequests(state, effects);
     }
 
     void handle(EntryState& state, const AgentStatusReceived& event, EntryEffects& effects)
