Ask the leads that hold up a region for their maps first

Cause: map queries went round all useful peers by age. In a large region a lead learned late that its chunk was at the other region, and a dead lead that still looked least used was chosen again as a source.

Change: the leads of the source region on which this host's own chunks wait are asked first, and at the usual rate while plenty of other chunks are in reach. Silent peers are no source, and are asked at the usual rate until they count as gone. A corrupt chunk no longer counts as a failure of the source, which had put off takeovers for as long as chunks were corrupted.

--- a/src/weights_fetch_cmd.cpp
+++ b/src/weights_fetch_cmd.cpp
@@ -27,7 +27,7 @@
     /// The longest pause of a chunk is 1.6 s, so that an outage of the origin costs little more than itself.
     constexpr std::uint16_t maxBackoffFailures = 4;
     constexpr Milliseconds demotion { 1000 };
-    constexpr Milliseconds failurePause { 500 };
+    constexpr Milliseconds failurePause { 1000 };
     constexpr std::uint32_t maxPauseDoublings = 5;
 
     /// @return manifests that this host serves, is about to serve, or may have to return to
@@ -229,7 +229,8 @@
     countBytes(state, download, event, effects);
     countRate(outside ? state.weights.outsideRate : state.weights.regionRate, event);
     if (event.result != ChunkResult::Verified) {
-        if (outside)
+        // A corrupt chunk shows that the source answers.
+        if (outside && event.result == ChunkResult::Failed)
             download.outsideFailure = state.now;
         chunk.failures = std::min<std::uint16_t>(chunk.failures + 1, maxBackoffFailures);
         chunk.notBefore = state.now + retryDelay * (1 << chunk.failures) / 2;
--- a/src/weights_swarm_cmd.cpp
+++ b/src/weights_swarm_cmd.cpp
@@ -7,6 +7,7 @@
 #include "weights_fetch_cmd.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace hickory {
@@ -25,7 +26,7 @@
     constexpr std::uint32_t maxQueries = 4;
     constexpr Milliseconds queryInterval { 250 };
     constexpr std::uint32_t maxQueryDoublings = 5;
-    /// With as many chunks known to be in reach, maps are asked for at a tenth of the rate.
+    /// With as many chunks known to be in reach, a peer is asked for its map at a tenth of the rate.
     constexpr std::size_t plentyOfChunks = 16;
     /// A lead without progress for this long is replaced; longer when chunks take longer.
     constexpr Milliseconds shortestTakeover { 3000 };
@@ -134,7 +135,7 @@
         const Member* found = nullptr;
         for (const auto& [host, peer] : download.peers) {
             if (index >= peer.have.size() || !peer.have[index] || peer.streams >= maxStreamsFromPeer
-                || state.now < peer.avoidUntil)
+                || state.now < peer.avoidUntil || peer.silent > 0)
                 continue;
             const Member* member = findMember(state.members, host);
             if (!member || (member->region != state.settings.process.region) != outside)
@@ -217,21 +218,39 @@
         return peers;
     }
 
-    void queryMaps(AgentState& state, const ManifestDigest& digest, Download& download, AgentEffects& effects)
+    /// Hosts of the source region on which this host's own chunks wait, and with them the whole region.
+    std::set<HostId> urgentPeers(const Download& download)
     {
-        std::vector<std::pair<Milliseconds, HostId>> due;
+        std::set<HostId> peers;
+        if (download.readsOrigin)
+            return peers;
+        for (const ChunkProgress& chunk : download.chunks)
+            if (!chunk.have && !chunk.fetching && chunk.holders == 0 && chunk.position == 0)
+                peers.insert(chunk.sourceLead);
+        return peers;
+    }
+
+    void queryMaps(
+        AgentState& state, const ManifestDigest& digest, Download& download, bool plenty, AgentEffects& effects)
+    {
+        const std::set<HostId> urgent = urgentPeers(download);
+        std::vector<std::tuple<bool, Milliseconds, HostId>> due;
         for (HostId& host : usefulPeers(state, download)) {
             const PeerProgress& peer = download.peers[host];
-            const Milliseconds pause = queryInterval * (1 << std::min(peer.silent, maxQueryDoublings));
+            // Up to the limit a silent peer is asked at the usual rate, so that a dead lead is noticed soon.
+            const std::uint32_t excess = peer.silent > silentLimit ? peer.silent - silentLimit : 0;
+            const Milliseconds pause = queryInterval * (1 << std::min(excess, maxQueryDoublings));
+            const bool ordinary = !urgent.contains(host);
             if (!peer.querying && peer.held < download.chunks.size()
-                && (peer.lastQuery.value == 0 || state.now - peer.lastQuery >= pause))
-                due.emplace_back(peer.lastQuery, std::move(host));
+                && (peer.lastQuery.value == 0 || state.now - peer.lastQuery >= pause * (ordinary && plenty ? 10 : 1)))
+                due.emplace_back(ordinary, peer.lastQuery, std::move(host));
         }
         std::shuffle(due.begin(), due.end(), state.random);
-        std::stable_sort(
-            due.begin(), due.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+        std::stable_sort(due.begin(), due.end(), [](const auto& left, const auto& right) {
+            return std::tie(std::get<0>(left), std::get<1>(left)) < std::tie(std::get<0>(right), std::get<1>(right));
+        });
         std::uint32_t started = 0;
-        for (const auto& [last, host] : due) {
+        for (const auto& [ordinary, last, host] : due) {
             const Member* member = findMember(state.members, host);
             if (!member || started >= queriesInRound || download.queries >= maxQueries)
                 continue;
@@ -256,8 +275,8 @@
             reachable.push_back(index);
     }
     if (state.now >= state.weights.nextRound) {
-        state.weights.nextRound = state.now + roundInterval * (reachable.size() >= plentyOfChunks ? 10 : 1);
-        queryMaps(state, digest, download, effects);
+        state.weights.nextRound = state.now + roundInterval;
+        queryMaps(state, digest, download, reachable.size() >= plentyOfChunks, effects);
     }
     if (!reachable.empty() && download.peerStreams < maxPeerStreams)
         fetchFromRegion(state, digest, download, std::move(reachable), effects);
--- a/tests/unit_weights_fetch.cpp
+++ b/tests/unit_weights_fetch.cpp
@@ -62,6 +62,15 @@
     REQUIRE(this->crossRegionBytes <= 2 * 1.1 * 2000000);
 }
 
+// Guards against a swarm whose time grows with the number of hosts, e.g. because a lead hears too late that its chunk
+// is at the other region.
+TEST_CASE_METHOD(SwarmFleet, "Four times as many hosts take hardly longer")
+{
+    this->begin(56, 200);
+    REQUIRE(this->runUntil([&] { return this->whole(this->manifest) == 56; }, 1.6 * 2000));
+    REQUIRE(this->copies() <= 1.05);
+}
+
 // Guards against counting a corrupt chunk and against a swarm that a few of them stall.
 TEST_CASE_METHOD(SwarmFleet, "Corrupt chunks are fetched again elsewhere")
 {
