Confirm cancels at the engine, and never replay a cut or expired answer

(2) Recorded answers beyond 64 KiB were cut and would have been replayed as whole. (3) A dispatch that only fetches a recorded answer carried row version 0 and would have run the call if the row expired in between.

Change: the stream is closed only after the engine answered the cancel; longer answers are marked as not recorded and reported as 'ran'; a fetching dispatch carries a version that no row has. The check of version 0 in unit_request_row becomes a check of that version: it is as strict and the old value was the fault. A file that a unit test wrote into the repository is removed; the test now uses the temporary folder.

Ruled out: an unlimited recorded answer, the table service carries several hundred writes a second for all purposes.

--- a/src/agent_event_type.h
+++ b/src/agent_event_type.h
@@ -58,6 +58,7 @@
     std::uint32_t parts { 0 }; ///< parts read and passed on
     std::string answer; ///< whole answer of a non-repeatable call, to be recorded (bounded)
     std::string contentType; ///< of the answer
+    bool answerTooLong { false }; ///< the answer exceeds what is recorded; `answer` is empty
 };
 
 /// State that the upstream reports about itself.
--- a/src/call_row_cmd.cpp
+++ b/src/call_row_cmd.cpp
@@ -177,6 +177,8 @@
             return resultOf(DispatchResultKind::NotRun, "cancelled");
         if (row.bodyDigest != dispatch.call.bodyDigest)
             return resultOf(DispatchResultKind::KeyConflict, "other-body");
+        if (row.state == CallRowState::Done && row.status == 0)
+            return resultOf(DispatchResultKind::Failed, "recorded-answer-too-long");
         if (row.state == CallRowState::Done) {
             DispatchResult result = resultOf(DispatchResultKind::RecordedDone, "recorded");
             result.status = row.status;
@@ -235,7 +237,7 @@
     void writeOutcome(AgentState& state, Dispatch& dispatch, AgentEffects& effects)
     {
         CallRow row = rowOf(state, dispatch, CallRowState::Done);
-        row.status = dispatch.result.status;
+        row.status = dispatch.answerTooLong ? 0 : dispatch.result.status;
         row.contentType = dispatch.contentType;
         row.answer = dispatch.answer;
         write(state, dispatch.row, row, effects);
--- a/src/call_row_type.h
+++ b/src/call_row_type.h
@@ -22,7 +22,7 @@
     Incarnation incarnation; ///< life of the agent that started the attempt, 0 in a row cancelled by an entry
     std::uint64_t move { 0 }; ///< number of the dispatch at that agent; tells two dispatches of one attempt apart
     BodyDigest bodyDigest; ///< digest of method, path and body
-    std::uint16_t status { 0 }; ///< HTTP status of the recorded answer
+    std::uint16_t status { 0 }; ///< HTTP status of the recorded answer, 0 when the answer was too long to record
     std::string contentType; ///< of the recorded answer
     std::string answer; ///< body of the recorded answer, any bytes
 };
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -10,6 +10,7 @@
 #include "upstream_view_cmd.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace hickory {
 
@@ -17,6 +18,9 @@
 
     /// Suspect and pinned requests of a rank that are tried each time; the others wait for the next event.
     constexpr std::size_t constrainedProbes = 32;
+    /// No row has this version: a dispatch that only fetches a recorded answer must not run the call, even when the row
+    /// expired in between.
+    constexpr RowVersion neverVersion { std::numeric_limits<std::uint64_t>::max() };
 
     RouteQuery queryFor(const EntryState& state, const Request& request)
     {
@@ -83,7 +87,7 @@
                 .resumeFrom = request.delivered,
                 .cost = request.call.cost,
                 .idempotencyKey = request.repeatable ? std::string {} : request.call.idempotencyKey,
-                .rowVersion = request.replay ? RowVersion {} : request.rowVersion,
+                .rowVersion = request.replay ? neverVersion : request.rowVersion,
                 .suspect = request.suspect },
             .acceptTimeout = state.settings.acceptTimeout });
     }
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -194,6 +194,7 @@
     noteUpstreamResult(state, event.result, effects);
     DispatchResult result = resultOfEnd(dispatch, event);
     const bool outcomeKnown = result.kind == DispatchResultKind::Completed || result.kind == DispatchResultKind::Failed;
+    dispatch.answerTooLong = event.answerTooLong;
     if (hasCallRow(dispatch) && outcomeKnown)
         recordOutcome(state, dispatch, std::move(result), event.answer, event.contentType, effects);
     else if (hasCallRow(dispatch) && result.kind == DispatchResultKind::NotRun)
--- a/src/slot_state_type.h
+++ b/src/slot_state_type.h
@@ -57,6 +57,7 @@
     DispatchResult result; ///< Recording and Releasing: answer to be sent afterwards
     std::string answer; ///< Recording: answer to be stored
     std::string contentType; ///< Recording: type of the answer
+    bool answerTooLong { false }; ///< Recording: the answer exceeds what is recorded
 };
 
 /// A call row that must be moved because its attempt does not run: to `cancelled` when it never ran, to `started`
--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -21,9 +21,12 @@
     /// An engine reads its weights from memory; a load that takes longer has failed.
     constexpr Milliseconds loadTimeout { 600000 };
 
-    /// Answers that are recorded in the table service are cut off at this size.
+    /// Longer answers are not recorded in the table service; their rows say only that the call ran.
     constexpr std::size_t maxRecordedBytes = 64 * 1024;
 
+    /// State polls, cancel orders and a load order that takes long.
+    constexpr unsigned controlThreads = 4;
+
     constexpr int statusConflict = 409;
     constexpr int statusUnavailable = 503;
     constexpr int firstServerError = 500;
@@ -75,8 +78,8 @@
         /// @return false to abort
         bool receive(const char* data, std::size_t size)
         {
-            if (this->record && this->answer.size() < maxRecordedBytes)
-                this->answer.append(data, size);
+            if (this->record)
+                this->keep(data, size);
             // Server errors are reported as outcomes, not passed on.
             if (this->status >= firstServerError || (this->engine && this->status == statusConflict))
                 return true;
@@ -94,11 +97,22 @@
             return true;
         }
 
+        /// Keeps a piece of the answer for the call row. A cut answer must never be replayed as a whole one.
+        void keep(const char* data, std::size_t size)
+        {
+            this->tooLong = this->tooLong || this->answer.size() + size > maxRecordedBytes;
+            if (this->tooLong)
+                this->answer.clear();
+            else
+                this->answer.append(data, size);
+        }
+
         bool pass(std::string part)
         {
-            // A recorded call runs to its end even when nobody waits, so that its outcome can be stored.
+            // A recorded call runs to its end even when nobody waits, so that its outcome can be stored. An engine's
+            // stream ends by the cancel order that follows; until the engine has confirmed it, the slot is in use.
             if (!this->channel.send(std::move(part), static_cast<std::uint16_t>(this->status), this->contentType))
-                return this->record;
+                return this->record || this->engine;
             if (this->parts++ == 0)
                 this->onFirst();
             return true;
@@ -111,6 +125,7 @@
         int status { 0 }; ///< HTTP status, 0 before the header
         std::string contentType; ///< of the answer
         std::string answer; ///< recorded bytes
+        bool tooLong { false }; ///< the answer exceeds maxRecordedBytes
         std::string pendingEvent; ///< incomplete event
         std::uint32_t parts { 0 }; ///< parts passed on
         bool done { false }; ///< the final event was seen
@@ -146,7 +161,7 @@
     explicit State(UpstreamOptions settings)
         : options(std::move(settings))
         , pool(this->options.maxThreads)
-        , control(2)
+        , control(controlThreads)
     {
     }
 
@@ -187,11 +202,10 @@
     }
     request.response_handler = [&](const httplib::Response& response) {
         reader.begin(response.status, response.get_header_value("Content-Type"));
-        return !running.cancelled;
-    };
-    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return !running.cancelled && reader.receive(data, size);
+        return true;
     };
+    request.content_receiver
+        = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) { return reader.receive(data, size); };
     const httplib::Result result = running.client.send(request);
     const bool timedOut = monotonicNow() - started >= effect.timeout;
     UpstreamEnded ended { .key = effect.key,
@@ -202,6 +216,7 @@
         reader.pass({});
     ended.parts = reader.parts;
     ended.answer = std::move(reader.answer);
+    ended.answerTooLong = reader.tooLong;
     ended.contentType = reader.contentType;
     {
         const std::lock_guard lock(this->mutex);
@@ -241,13 +256,17 @@
         running = found->second;
     }
     running->cancelled = true;
-    running->client.stop();
-    if (!this->state->options.engine)
+    if (!this->state->options.engine) {
+        running->client.stop();
         return;
-    this->state->control.enqueue([data = this->state.get(), key = effect.key] {
+    }
+    // The engine confirms before the stream is closed: a slot that looks free while the engine still runs the request
+    // could be followed by a load order that cuts it off.
+    this->state->control.enqueue([data = this->state.get(), key = effect.key, running] {
         httplib::Client client(data->options.url);
         setTimeouts(client, stateTimeout);
         client.Delete(("/v1/requests/" + engineRequestId(key)).c_str());
+        running->client.stop();
     });
 }
 
--- a/tests/unit_call_row.cpp
+++ b/tests/unit_call_row.cpp
@@ -71,6 +71,11 @@
     // The same attempt, started by an earlier agent of this host.
     REQUIRE(resultFor(rowOfRequest(1, CallRowState::Started, 3)).result.kind == DispatchResultKind::RecordedUnknown);
     REQUIRE(resultFor(rowOfRequest(1, CallRowState::Cancelled, 0)).result.kind == DispatchResultKind::NotRun);
+    // An answer that was too long to record must not be replayed as if it were whole.
+    CallRow tooLong = rowOfRequest(9, CallRowState::Done, 3);
+    tooLong.status = 0;
+    tooLong.answer.clear();
+    REQUIRE(resultFor(tooLong).result.kind == DispatchResultKind::Failed);
     CallRow otherBody = rowOfRequest(9, CallRowState::Done, 3);
     otherBody.bodyDigest = { "another body" };
     REQUIRE(resultFor(otherBody).result.kind == DispatchResultKind::KeyConflict);
--- a/tests/unit_request_row.cpp
+++ b/tests/unit_request_row.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace hickory;
 
 namespace {
@@ -105,7 +107,8 @@
         = fixture.run(answerTo(rowReads(arrived)[0].token, StoreStatus::Ok, 2, rowText(CallRowState::Done)));
     REQUIRE(all<DispatchAttempt>(effects).size() == 1);
     const DispatchAttempt fetch = all<DispatchAttempt>(effects)[0];
-    CHECK(fetch.call.rowVersion.value == 0);
+    // Version 0 would run the call if the row expired in between.
+    CHECK(fetch.call.rowVersion.value == std::numeric_limits<std::uint64_t>::max());
     CHECK(all<FinishRequest>(fixture.run(fixture.ended(fetch, DispatchResultKind::RecordedDone, 1))).size() == 1);
 }
 
--- a/tests/unit_weights_store.cpp
+++ b/tests/unit_weights_store.cpp
@@ -3,6 +3,10 @@
 #include "weights_io.h"
 
 #include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <filesystem>
 #include <httplib.h>
 
 #include <condition_variable>
@@ -83,13 +87,14 @@
         this->origin.content = sampleBytes(25000);
         this->manifest = buildManifest({ "m" }, { "v1" }, "m-v1", this->origin.content, { 10000 });
         this->origin.manifest = manifestJson(this->manifest);
-        this->store = std::make_unique<WeightsStore>(
-            WeightsOptions { .platformUrl = "http://127.0.0.1:" + std::to_string(this->origin.port),
-                .directory = "unit-weights-store",
-                .limit = { 30000 },
-                .fetchFromPeer = [this](const std::string&, const ManifestDigest&, ChunkIndex, Milliseconds,
-                                     const std::function<void(Result<std::string>)>& done) { done(this->fromPeer); },
-                .onEvent = [this](AgentEventBody event) { this->events.add(std::move(event)); } });
+        this->store = std::make_unique<WeightsStore>(WeightsOptions {
+            .platformUrl = "http://127.0.0.1:" + std::to_string(this->origin.port),
+            .directory
+            = (std::filesystem::temp_directory_path() / ("unit-weights-store-" + std::to_string(getpid()))).string(),
+            .limit = { 30000 },
+            .fetchFromPeer = [this](const std::string&, const ManifestDigest&, ChunkIndex, Milliseconds,
+                                 const std::function<void(Result<std::string>)>& done) { done(this->fromPeer); },
+            .onEvent = [this](AgentEventBody event) { this->events.add(std::move(event)); } });
     }
 
     ChunkFetched fetch(std::uint32_t index, const ChunkSource& source = {})
