Ask for a peer's bootstrap capability once for each connection

TwoPartyClient::bootstrap on a connection that has ended builds a new connection state over the closed network, throws while it sends, and throws again while that state is destroyed. RpcLoop::peer called it for each use, also between the end of a connection and the moment when it is forgotten. Change: the capability is asked for when the connection is made and kept with it; calls on an ended connection fail as any other call does. Ruled out: catching the exception at the call; the second throw ends the process before any handler.

--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -26,6 +26,7 @@
         Outgoing(kj::Own<kj::AsyncIoStream> connection)
             : stream(kj::mv(connection))
             , client(*this->stream)
+            , bootstrap(this->client.bootstrap())
         {
         }
 
@@ -33,6 +34,8 @@
 
         kj::Own<kj::AsyncIoStream> stream; ///< TCP connection
         capnp::TwoPartyClient client; ///< RPC over it
+        /// Asked for once: on a connection that has ended, TwoPartyClient::bootstrap ends the process.
+        capnp::Capability::Client bootstrap;
     };
 
     /// One accepted connection. The members are destroyed in reverse order, the RPC system before its network.
@@ -201,8 +204,7 @@
         this->detach(kj::mv(failed));
     }
     auto branch = KJ_ASSERT_NONNULL(shared.pending).addBranch();
-    return branch.then(
-        [](kj::Own<Outgoing>&& outgoing) -> capnp::Capability::Client { return outgoing->client.bootstrap(); });
+    return branch.then([](kj::Own<Outgoing>&& outgoing) -> capnp::Capability::Client { return outgoing->bootstrap; });
 }
 
 kj::Promise<RpcLoop::Connection> RpcLoop::connect(const std::string& address, std::function<void()> onDisconnect)
@@ -210,7 +212,7 @@
     return this->state->open(address).then(
         [this, onDisconnect = std::move(onDisconnect)](kj::Own<Outgoing>&& outgoing) {
             this->detach(outgoing->client.onDisconnect().then([onDisconnect] { onDisconnect(); }));
-            capnp::Capability::Client bootstrap = outgoing->client.bootstrap();
+            capnp::Capability::Client bootstrap = outgoing->bootstrap;
             auto holder = std::make_shared<kj::Own<Outgoing>>(kj::mv(outgoing));
             return Connection { .bootstrap = kj::mv(bootstrap), .handle = kj::mv(holder) };
         });
