Let the most urgent rank take borrowed slots back at once

Cause: urgent work was entitled to its floor only. Above it, a request waited until a borrowed slot ended by itself: with 4 slots of 650 ms answers its first token took 616 ms at p95 in flood-bulk, and 243 ms without the flood.

Change: the most urgent rank is entitled to all slots that the floors of the other ranks leave, both when a slot is given out and when a stream is preempted. The Idempotency-Key is passed on to the upstream.

--- a/src/rpc_codec_func.cpp
+++ b/src/rpc_codec_func.cpp
@@ -113,6 +113,7 @@
         .path = text(from.getPath()),
         .contentType = text(from.getContentType()),
         .body = { reinterpret_cast<const char*>(body.begin()), body.size() },
+        .idempotencyKey = text(from.getIdempotencyKey()),
     };
 }
 
--- a/src/rpc_codec_func.h
+++ b/src/rpc_codec_func.h
@@ -18,6 +18,7 @@
     std::string path; ///< path below the service, with query
     std::string contentType; ///< type of the body
     std::string body; ///< request body
+    std::string idempotencyKey; ///< passed on to the upstream, empty when the call may be repeated
 };
 
 ConfigRecord decode(rpc::ConfigRecord::Reader from);
--- a/src/slot_func.cpp
+++ b/src/slot_func.cpp
@@ -57,6 +57,19 @@
         return use.running[rank] < slots.ranks[rank].reserved;
     }
 
+    /// The most urgent rank is entitled to all that the floors of the others leave: a request that waits for a borrowed
+    /// slot to end by itself misses a target that is shorter than an answer. The others are entitled to their floors.
+    /// @return slots that a rank may take from less urgent work
+    std::uint32_t entitledSlots(const SlotState& slots, std::size_t rank)
+    {
+        if (rank > 0)
+            return slots.ranks[rank].reserved;
+        std::uint32_t left = slotLimit(slots);
+        for (std::size_t other = 1; other < slots.ranks.size(); ++other)
+            left -= std::min(left, slots.ranks[other].reserved);
+        return std::max(left, slots.ranks[rank].reserved);
+    }
+
 } // namespace
 
 bool hasCallRow(const Dispatch& dispatch) { return !dispatch.call.idempotencyKey.empty(); }
@@ -119,19 +132,22 @@
     }
     const auto next = nextByRank(state, use);
     std::optional<SlotPick> pick;
+    std::optional<SlotPick> urgent;
     double best = 0.0;
     for (std::size_t rank = 0; rank < next.size(); ++rank) {
         if (!next[rank])
             continue;
         if (underFloor(slots, use, rank))
             return SlotPick { .index = *next[rank], .reason = "floor" };
+        if (rank == 0 && use.running[rank] < entitledSlots(slots, rank))
+            urgent = SlotPick { .index = *next[rank], .reason = "urgent" };
         const double start = std::max(slots.ranks[rank].finish, slots.spareVirtualTime);
         if (!pick || start < best) {
             pick = SlotPick { .index = *next[rank], .reason = "spare" };
             best = start;
         }
     }
-    return pick;
+    return urgent ? urgent : pick;
 }
 
 void chargeStart(SlotState& slots, const Dispatch& dispatch, std::string_view reason)
@@ -160,8 +176,8 @@
     std::uint32_t coming = use.freeing;
     std::optional<std::size_t> claimant;
     for (std::size_t rank = 0; rank < slots.ranks.size() && !claimant; ++rank) {
-        const std::uint32_t reserved = slots.ranks[rank].reserved;
-        const std::uint32_t missing = reserved > use.running[rank] ? reserved - use.running[rank] : 0;
+        const std::uint32_t entitled = entitledSlots(slots, rank);
+        const std::uint32_t missing = entitled > use.running[rank] ? entitled - use.running[rank] : 0;
         const std::uint32_t claims = std::min(missing, use.waiting[rank]);
         if (claims > coming)
             claimant = rank;
--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -195,6 +195,8 @@
     request.set_header("Content-Type", payload.contentType.empty() ? "application/octet-stream" : payload.contentType);
     request.set_header("X-Request-Id", engineRequestId(effect.key));
     request.set_header("X-Priority", std::to_string(effect.rank.value));
+    if (!payload.idempotencyKey.empty())
+        request.set_header("Idempotency-Key", payload.idempotencyKey);
     request.set_header("Connection", "close");
     if (this->options.engine) {
         request.set_header("X-Model-Version", effect.version.value);
--- a/tests/unit_slot_share.cpp
+++ b/tests/unit_slot_share.cpp
@@ -135,14 +135,15 @@
     agent.end(8, UpstreamResult::Cancelled);
     REQUIRE(agent.only<AnswerDispatch>().result.kind == DispatchResultKind::Preempted);
     REQUIRE(agent.only<StartUpstream>().key.request.value == 9);
-    // Four urgent slots are kept and one of them is taken. Bulk keeps the one slot of its floor.
+    // Urgent work is entitled to the five slots that the floors of the others leave, and holds one. Normal work keeps
+    // the two slots of its floor, bulk work its one.
     std::vector<std::uint64_t> taken;
     for (std::uint64_t request = 10; request <= 20; ++request) {
         agent.send(DispatchReceived { AgentHarness::call(request, 0) });
         for (const auto& cancel : agent.all<CancelUpstream>())
             taken.push_back(cancel.key.request.value);
     }
-    REQUIRE(taken == std::vector<std::uint64_t> { 7, 5, 4 });
+    REQUIRE(taken == std::vector<std::uint64_t> { 7, 5, 4, 3 });
 }
 
 // Guards against a limit that ignores a slow upstream, stays low after it recovered, or falls below the floors' need.
