Share the process loop of both servers and the names of outcomes

Cause: entry_loop_io and agent_loop_io held the same timer, signal and exit code, and two files the same names of outcomes.

Change: ProcessLoop and outcome_func; no change of behaviour.

Ruled out: a common base class for both loops, their effects differ.

--- a/src/agent_loop_io.cpp
+++ b/src/agent_loop_io.cpp
@@ -6,25 +6,18 @@
 #include "log_io.h"
 #include "metrics_io.h"
 #include "platform_io.h"
+#include "process_loop_io.h"
 #include "program_func.h"
 #include "upstream_io.h"
 #include "weights_io.h"
 
-#include <asio.hpp>
-
 #include <atomic>
-#include <csignal>
 #include <map>
 
 namespace hickory {
 
 namespace {
 
-    constexpr std::chrono::milliseconds tickInterval { 50 };
-
-    /// Time that answers already on their way to entries get to leave before the process ends.
-    constexpr std::chrono::milliseconds exitDelay { 200 };
-
     /// A dispatch whose request is being worked on.
     struct OpenWork {
         std::shared_ptr<RequestPayload> payload; ///< what the upstream is given
@@ -38,8 +31,6 @@
 
     void post(AgentEventBody body);
     void step(AgentEventBody body);
-    void tick();
-    void exitSoon();
 
     void perform(const StartUpstream& effect);
     void perform(const CancelUpstream& effect) { this->upstream->cancel(effect); }
@@ -64,17 +55,13 @@
     void perform(const ObjectRead& effect) { this->platform->readObject(effect); }
     void perform(const LogLine& effect) { writeLog(effect); }
     void perform(const MetricSample& effect) { recordMetric(effect); }
-    void perform(const ExitProcess&) { this->exitSoon(); }
+    void perform(const ExitProcess&) { this->loop.exitSoon(); }
 
     AgentRpcHandlers rpcHandlers();
     void startWeights();
 
     AgentState reducer; ///< used on the loop's thread only
-    asio::io_context io; ///< the loop
-    asio::steady_timer timer; ///< ticks
-    asio::steady_timer exitTimer; ///< delays the end
-    asio::signal_set signals; ///< SIGTERM and SIGINT
-    bool exiting { false }; ///< ExitProcess was seen
+    ProcessLoop loop; ///< the loop
     std::atomic<bool> ready { false }; ///< for /readyz
     std::map<AttemptKey, OpenWork> work; ///< bodies and channels of dispatches, on the loop's thread
     std::unique_ptr<PlatformClient> platform; ///< table service, object store, membership
@@ -85,22 +72,16 @@
 };
 
 AgentLoop::State::State(AgentSettings settings)
-    : timer(this->io)
-    , exitTimer(this->io)
-    , signals(this->io, SIGTERM, SIGINT)
 {
     this->reducer.settings = std::move(settings);
-    std::uint64_t& seed = this->reducer.settings.process.seed;
-    if (seed == 0)
-        seed = std::random_device {}();
-    this->reducer.random.seed(seed);
+    this->reducer.random.seed(drawSeed(this->reducer.settings.process));
     // Two lives of one agent must differ even with a fixed seed.
     this->reducer.incarnation = { this->reducer.random() ^ static_cast<std::uint64_t>(wallNow().value) };
 }
 
 void AgentLoop::State::post(AgentEventBody body)
 {
-    asio::post(this->io, [this, body = std::move(body)]() mutable { this->step(std::move(body)); });
+    this->loop.post([this, body = std::move(body)]() mutable { this->step(std::move(body)); });
 }
 
 void AgentLoop::State::step(AgentEventBody body)
@@ -110,26 +91,6 @@
         std::visit([this](const auto& one) { this->perform(one); }, effect);
 }
 
-void AgentLoop::State::tick()
-{
-    this->timer.expires_after(tickInterval);
-    this->timer.async_wait([this](std::error_code error) {
-        if (error)
-            return;
-        this->step(Tick {});
-        this->tick();
-    });
-}
-
-void AgentLoop::State::exitSoon()
-{
-    if (this->exiting)
-        return;
-    this->exiting = true;
-    this->exitTimer.expires_after(exitDelay);
-    this->exitTimer.async_wait([this](std::error_code) { this->io.stop(); });
-}
-
 void AgentLoop::State::perform(const StartUpstream& effect)
 {
     const auto found = this->work.find(effect.key);
@@ -173,12 +134,11 @@
         .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
         .onDispatch =
             [this](DispatchCall call, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) {
-                asio::post(this->io,
-                    [this, call = std::move(call), payload = std::move(payload),
-                        channel = std::move(channel)]() mutable {
-                        this->work[call.key] = { .payload = std::move(payload), .channel = std::move(channel) };
-                        this->step(DispatchReceived { .call = std::move(call) });
-                    });
+                this->loop.post([this, call = std::move(call), payload = std::move(payload),
+                                    channel = std::move(channel)]() mutable {
+                    this->work[call.key] = { .payload = std::move(payload), .channel = std::move(channel) };
+                    this->step(DispatchReceived { .call = std::move(call) });
+                });
             },
         .chunkMap =
             [this](const ManifestDigest& manifest) {
@@ -247,12 +207,7 @@
         return exitFailure;
     }
     writeLog(listeningLine(process, rpcPort, httpPort));
-    data.signals.async_wait([&data](std::error_code error, int) {
-        if (!error)
-            data.step(ShutdownRequested {});
-    });
-    data.tick();
-    data.io.run();
+    data.loop.run([&data] { data.step(Tick {}); }, [&data] { data.step(ShutdownRequested {}); });
     data.http.stop();
     data.rpc->stop();
     data.upstream.reset();
--- a/src/entry_loop_io.cpp
+++ b/src/entry_loop_io.cpp
@@ -8,33 +8,20 @@
 #include "member_func.h"
 #include "metrics_io.h"
 #include "platform_io.h"
+#include "process_loop_io.h"
 #include "program_func.h"
 #include "request_cmd.h"
 #include "request_table_io.h"
 
-#include <asio.hpp>
-
 #include <atomic>
-#include <csignal>
 
 namespace hickory {
 
-namespace {
-
-    constexpr std::chrono::milliseconds tickInterval { 50 };
-
-    /// Time that answers already written to peers and callers get to leave before the process ends.
-    constexpr std::chrono::milliseconds exitDelay { 200 };
-
-} // namespace
-
 struct EntryLoop::State {
     explicit State(EntrySettings settings);
 
     void post(EntryEventBody body);
     void step(EntryEventBody body);
-    void tick();
-    void exitSoon();
 
     void perform(const DispatchAttempt& effect) { this->rpc->dispatch(effect); }
     void perform(const CancelAttempt& effect) { this->rpc->cancel(effect); }
@@ -55,7 +42,7 @@
     void perform(const ObjectRead& effect) { this->platform->readObject(effect); }
     void perform(const LogLine& effect) { writeLog(effect); }
     void perform(const MetricSample& effect) { recordMetric(effect); }
-    void perform(const ExitProcess&) { this->exitSoon(); }
+    void perform(const ExitProcess&) { this->loop.exitSoon(); }
 
     EntryRpcHandlers rpcHandlers();
     EntryHttpOptions httpOptions();
@@ -63,11 +50,7 @@
     ConfigRecord configNewerThan(Generation known) const;
 
     EntryState reducer; ///< used on the loop's thread only
-    asio::io_context io; ///< the loop
-    asio::steady_timer timer; ///< ticks
-    asio::steady_timer exitTimer; ///< delays the end
-    asio::signal_set signals; ///< SIGTERM and SIGINT
-    bool exiting { false }; ///< ExitProcess was seen
+    ProcessLoop loop; ///< the loop
     std::atomic<bool> ready { false }; ///< for /readyz
     RequestTable table; ///< requests in progress
     std::unique_ptr<PlatformClient> platform; ///< table service, object store, membership
@@ -76,21 +59,15 @@
 };
 
 EntryLoop::State::State(EntrySettings settings)
-    : timer(this->io)
-    , exitTimer(this->io)
-    , signals(this->io, SIGTERM, SIGINT)
 {
     this->reducer.settings = std::move(settings);
-    std::uint64_t& seed = this->reducer.settings.process.seed;
-    if (seed == 0)
-        seed = std::random_device {}();
-    this->reducer.random.seed(seed);
+    this->reducer.random.seed(drawSeed(this->reducer.settings.process));
     this->reducer.incarnation = { this->reducer.random() };
 }
 
 void EntryLoop::State::post(EntryEventBody body)
 {
-    asio::post(this->io, [this, body = std::move(body)]() mutable { this->step(std::move(body)); });
+    this->loop.post([this, body = std::move(body)]() mutable { this->step(std::move(body)); });
 }
 
 void EntryLoop::State::step(EntryEventBody body)
@@ -101,26 +78,6 @@
     this->ready = this->reducer.config.config && !this->reducer.leaving;
 }
 
-void EntryLoop::State::tick()
-{
-    this->timer.expires_after(tickInterval);
-    this->timer.async_wait([this](std::error_code error) {
-        if (error)
-            return;
-        this->step(Tick {});
-        this->tick();
-    });
-}
-
-void EntryLoop::State::exitSoon()
-{
-    if (this->exiting)
-        return;
-    this->exiting = true;
-    this->exitTimer.expires_after(exitDelay);
-    this->exitTimer.async_wait([this](std::error_code) { this->io.stop(); });
-}
-
 GossipMessage EntryLoop::State::gossipAnswer() const
 {
     GossipMessage message = localGossip(this->reducer);
@@ -139,30 +96,30 @@
         .onEvent = [this](EntryEventBody body) { this->post(std::move(body)); },
         .onGossip =
             [this](GossipMessage message, auto reply) {
-                asio::post(this->io, [this, message = std::move(message), reply] {
+                this->loop.post([this, message = std::move(message), reply] {
                     this->step(GossipReceived { .message = message });
                     reply(this->gossipAnswer());
                 });
             },
         .onConfigPushed =
             [this](ConfigReceived pushed, auto reply) {
-                asio::post(this->io, [this, pushed = std::move(pushed), reply] {
+                this->loop.post([this, pushed = std::move(pushed), reply] {
                     this->step(pushed);
                     reply(this->reducer.config.record.generation);
                 });
             },
         .onFetchConfig
         = [this](Generation known,
-              auto reply) { asio::post(this->io, [this, known, reply] { reply(this->configNewerThan(known)); }); },
+              auto reply) { this->loop.post([this, known, reply] { reply(this->configNewerThan(known)); }); },
         .onReport =
             [this](AgentStatus status, auto reply) {
-                asio::post(this->io, [this, status = std::move(status), reply] {
+                this->loop.post([this, status = std::move(status), reply] {
                     this->step(HomeReport { .status = status });
                     reply(this->configNewerThan(status.generation));
                 });
             },
         .onLocalStatus
-        = [this](auto reply) { asio::post(this->io, [this, reply] { reply(localEntryStatus(this->reducer)); }); },
+        = [this](auto reply) { this->loop.post([this, reply] { reply(localEntryStatus(this->reducer)); }); },
     };
 }
 
@@ -210,12 +167,7 @@
         return exitFailure;
     }
     writeLog(listeningLine(process, rpcPort, httpPort));
-    data.signals.async_wait([&data](std::error_code error, int) {
-        if (!error)
-            data.step(ShutdownRequested {});
-    });
-    data.tick();
-    data.io.run();
+    data.loop.run([&data] { data.step(Tick {}); }, [&data] { data.step(ShutdownRequested {}); });
     // Whoever still waits is told that nothing more will come before the workers are joined.
     data.http->stop();
     data.rpc->stop();
--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -2,6 +2,7 @@
 
 #include "digest_func.h"
 #include "http_server_func.h"
+#include "outcome_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,19 +33,6 @@
     /// Characters for each token, for the estimated cost of a prompt.
     constexpr std::uint64_t charactersPerToken = 4;
 
-    const char* outcomeName(Outcome outcome)
-    {
-        switch (outcome) {
-        case Outcome::NotRun:
-            return "not-run";
-        case Outcome::Ran:
-            return "ran";
-        case Outcome::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
     void answerRefused(const RefuseRequest& refusal, httplib::Response& response)
     {
         constexpr std::int64_t millisecondsPerSecond = 1000;
--- a/src/request_end_cmd.cpp
+++ b/src/request_end_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_func.h"
 #include "admission_queue_func.h"
+#include "outcome_func.h"
 #include "request_log_func.h"
 #include "route_room_cmd.h"
 
@@ -9,23 +10,6 @@
 
 namespace hickory {
 
-namespace {
-
-    const char* outcomeName(Outcome outcome)
-    {
-        switch (outcome) {
-        case Outcome::NotRun:
-            return "not-run";
-        case Outcome::Ran:
-            return "ran";
-        case Outcome::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
-} // namespace
-
 void setWake(EntryState& state, Request& request, Milliseconds at)
 {
     state.requests.timers.erase({ request.wakeAt, request.call.request });
