Bound the agent's queue to one round of its slots

Cause: when a burst reaches all entries at once, each dispatches as if it were alone.

Change: at most as many dispatches wait at an agent as it has slots (and at most max_queued). Work over its rank's or workspace's share gives up its place.

The wait of small callers behind full slots remains.

--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -6,6 +6,7 @@
 #include "slot_func.h"
 #include "slot_limit_cmd.h"
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 #include <string_view>
@@ -45,7 +46,7 @@
     void enqueue(AgentState& state, const AttemptKey& key, AgentEffects& effects)
     {
         SlotState& slots = state.slots;
-        const std::size_t places = state.settings.maxQueued;
+        const std::size_t places = maxWaiting(state);
         slots.waiting.push_back(key);
         serveWaiting(state, effects);
         if (slots.waiting.size() <= places)
--- a/src/slot_func.cpp
+++ b/src/slot_func.cpp
@@ -110,6 +110,11 @@
     return std::min(slots.concurrency, static_cast<std::uint32_t>(std::lround(slots.limit.value)));
 }
 
+std::size_t maxWaiting(const AgentState& state)
+{
+    return std::min<std::size_t>(state.settings.maxQueued, std::max(1U, slotLimit(state.slots)));
+}
+
 std::size_t rankOf(const SlotState& slots, const Dispatch& dispatch)
 {
     const std::size_t last = slots.ranks.empty() ? 0 : slots.ranks.size() - 1;
@@ -216,7 +221,7 @@
         ++byWorkspace[{ rankOf(slots, dispatch), dispatch.call.workspace }];
     }
     const auto places = [&](std::size_t rank) {
-        return static_cast<std::uint32_t>(slots.ranks[rank].floor * state.settings.maxQueued);
+        return static_cast<std::uint32_t>(slots.ranks[rank].floor * static_cast<double>(maxWaiting(state)));
     };
     const std::size_t own = rankOf(slots, arriving);
     std::optional<std::size_t> victimRank;
--- a/src/slot_func.h
+++ b/src/slot_func.h
@@ -39,6 +39,12 @@
 /// @return slots that may be in use at once
 std::uint32_t slotLimit(const SlotState& slots);
 
+/// A burst that reaches all entries at once is dispatched several times over, because none sees the others' work yet.
+/// What exceeds one round of the slots is given back at once, so that it waits at the entries, where any replica can
+/// take it.
+/// @return dispatches that may wait for a slot
+std::size_t maxWaiting(const AgentState& state);
+
 /// @return rank of a dispatch, limited to the ranks of the configuration
 std::size_t rankOf(const SlotState& slots, const Dispatch& dispatch);
 
