Close connections to peers that were idle for 90 s

Cause: an entry gossips with another random entry each second and kept every connection; its memory rose by 0.033 MB a host (measure-control, 10 to 80 hosts), 48.8 MB extrapolated to 1,060 hosts.

Ruled out: a connection for each gossip round, it would cost a handshake a second.

--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -15,6 +15,10 @@
     /// A peer that does not accept within this time counts as unreachable.
     constexpr Milliseconds connectTimeout { 2000 };
 
+    /// Longer than the longest time-out of a call, 60 s for a chunk, so that no call is in progress on an idle connection.
+    constexpr Milliseconds peerIdleLimit { 90000 };
+    constexpr Milliseconds peerSweepInterval { 10000 };
+
     /// Ignores failures of detached promises; whoever cares handled them before.
     class QuietErrors : public kj::TaskSet::ErrorHandler {
     public:
@@ -56,6 +60,7 @@
     struct SharedPeer {
         kj::Maybe<kj::ForkedPromise<kj::Own<Outgoing>>> pending; ///< resolves to the connection
         std::uint64_t serial { 0 }; ///< tells a replaced connection from its successor
+        Milliseconds lastUsed { 0 }; ///< when it was last asked for
     };
 
 } // namespace
@@ -67,6 +72,17 @@
     {
     }
 
+    /// Closes connections that were not used for a while: gossip goes to another random entry each second, and memory
+    /// would grow with the number of entries.
+    void dropIdlePeers()
+    {
+        const Milliseconds now = monotonicNow();
+        if (now - this->lastSweep < peerSweepInterval)
+            return;
+        this->lastSweep = now;
+        std::erase_if(this->peers, [now](const auto& entry) { return now - entry.second.lastUsed >= peerIdleLimit; });
+    }
+
     kj::Promise<kj::Own<Outgoing>> open(const std::string& address)
     {
         auto connecting = this->io.provider->getNetwork()
@@ -85,6 +101,7 @@
     kj::TaskSet background; ///< accepted connections and detached promises
     std::map<std::string, SharedPeer> peers; ///< shared connections by address
     std::uint64_t nextSerial { 1 }; ///< serial of the next shared connection
+    Milliseconds lastSweep { 0 }; ///< when idle connections were last closed
 };
 
 RpcLoop::~RpcLoop() { this->stop(); }
@@ -181,7 +198,9 @@
 
 kj::Promise<capnp::Capability::Client> RpcLoop::peer(const std::string& address)
 {
+    this->state->dropIdlePeers();
     SharedPeer& shared = this->state->peers[address];
+    shared.lastUsed = monotonicNow();
     if (shared.pending == nullptr) {
         shared.serial = this->state->nextSerial++;
         const std::uint64_t serial = shared.serial;
