Keep prefix affinity from filling the slots of one replica

Cause: all entries prefer the same replica for a prefix and learn late of each other's requests.

Change: a replica takes a request for its prefix only while at most 60% of its slots are in use by what the entry knows, and the bound on the entry's own requests has no slack of one.

Fresher load reports between entries are the next thing to try.

--- a/src/route_func.cpp
+++ b/src/route_func.cpp
@@ -21,6 +21,9 @@
     /// Hosts on the ring that are tried for a prefix, and the bound of their load relative to the tier's average.
     constexpr std::size_t ringProbes = 4;
     constexpr double ringBound = 1.25;
+    /// Load, as a share of the slots, up to which a replica takes a request for its prefix. All entries prefer the same
+    /// replica for a prefix and learn of each other's requests late; beyond this its slots fill before they notice.
+    constexpr double affineLoad = 0.6;
 
     double loadOf(const UpstreamView& view, std::size_t rank, double reportShare)
     {
@@ -152,7 +155,7 @@
     {
         const std::vector<RingPoint>& ring = this->pool.upstreams.rings[tier];
         const auto members = static_cast<double>(this->pool.upstreams.tiers[tier].size());
-        const double bound = ringBound * (this->pool.upstreams.inFlight[tier] + 1) / members + 1;
+        const double bound = std::ceil(ringBound * (this->pool.upstreams.inFlight[tier] + 1) / members);
         auto point = std::lower_bound(ring.begin(), ring.end(), RingPoint { this->query.prefixHash, 0 });
         std::size_t tried = 0;
         std::uint32_t last = ~0U;
@@ -165,7 +168,8 @@
             ++tried;
             const UpstreamView& view = this->view(last);
             this->note(last, this->score(last));
-            if (view.ownTotal < bound && this->room(last) == room && this->permitted(last))
+            const bool light = view.ownTotal < bound && this->score(last) <= affineLoad;
+            if (light && this->room(last) == room && this->permitted(last))
                 return this->chosen(last, tried == 1 ? "affinity" : "affinity-next");
         }
         return std::nullopt;
--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -15,7 +15,8 @@
     /// A peer that does not accept within this time counts as unreachable.
     constexpr Milliseconds connectTimeout { 2000 };
 
-    /// Longer than the longest time-out of a call, 60 s for a chunk, so that no call is in progress on an idle connection.
+    /// Longer than the longest time-out of a call, 60 s for a chunk, so that no call is in progress on an idle
+    /// connection.
     constexpr Milliseconds peerIdleLimit { 90000 };
     constexpr Milliseconds peerSweepInterval { 10000 };
 
