Keep a begun stream through refusals of full replicas

Change: a stream that has begun counts only attempts that may have run against the limit of four; refusals are bounded by the backoff (up to 1 s) and the deadline.

Ruled out: more attempts for all, it would raise the amplification in overload.

--- a/src/request_state_type.h
+++ b/src/request_state_type.h
@@ -55,6 +55,7 @@
     ModelVersion version; ///< version of the present or last attempt
     std::uint32_t delivered { 0 }; ///< parts given to the caller over all ended attempts
     std::uint32_t retries { 0 }; ///< retries after attempts that may have run or were refused
+    std::uint32_t lostAttempts { 0 }; ///< attempts that ended after an upstream may have been given the request
     RowVersion rowVersion; ///< version of the call row that was last seen
     std::uint32_t rowTries { 0 }; ///< failed operations on the row in the present read or resolution
     bool rowPending { false }; ///< an operation on the row has not been answered
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -48,7 +48,9 @@
             return "cannot-resume";
         if (request.firstPart && !begun)
             return "delivered-count-unknown";
-        if (request.retries + 1 >= maxAttempts)
+        // A stream that has begun breaks visibly when it ends here. Refusals cost no upstream any work, so they do not
+        // count against it; they are bounded by the backoff and the deadline.
+        if ((begun ? request.lostAttempts : request.retries + 1) >= maxAttempts)
             return "attempts";
         if (quarantineLeft(state, *service, request.call.bodyDigest) > Milliseconds {})
             return "quarantined";
@@ -80,8 +82,10 @@
 void retryOrFail(EntryState& state, Request& request, RequestFailure failure, EntryEffects& effects)
 {
     request.phase = RequestPhase::Backoff;
-    if (failure.outcome != Outcome::NotRun)
+    if (failure.outcome != Outcome::NotRun) {
         request.mayHaveRun = true;
+        ++request.lostAttempts;
+    }
     const char* forbidden = forbidsRetry(state, request, failure);
     const auto pool = state.requests.pools.find(request.call.service);
     // A resumed stream goes on where it was and adds no load, so it does not draw on the budget.
--- a/tests/unit_request_path.cpp
+++ b/tests/unit_request_path.cpp
@@ -88,3 +88,27 @@
     }
     CHECK(asked == 5);
 }
+
+// Guards against a stream that breaks because replicas were full when it had to move (bench replica-loss, seed 2).
+TEST_CASE("Refusals do not break a stream that has begun")
+{
+    RequestFixture fixture(6);
+    fixture.start();
+    DispatchAttempt attempt = all<DispatchAttempt>(fixture.run(fixture.call()))[0];
+    const auto refuse = [&](DispatchResultKind kind, std::uint32_t delivered) {
+        EntryEffects effects = fixture.run(fixture.ended(attempt, kind, delivered));
+        const EntryEffects later = fixture.advance({ 3000 });
+        effects.insert(effects.end(), later.begin(), later.end());
+        REQUIRE(all<BreakRequest>(effects).empty());
+        REQUIRE(all<DispatchAttempt>(effects).size() == 1);
+        attempt = all<DispatchAttempt>(effects)[0];
+    };
+    refuse(DispatchResultKind::NotRun, 0);
+    refuse(DispatchResultKind::NotRun, 0);
+    fixture.run(
+        FirstPart { .request = attempt.call.key.request, .attempt = attempt.call.key.attempt, .host = attempt.host });
+    refuse(DispatchResultKind::Unknown, 1);
+    for (int refusal = 0; refusal < 6; ++refusal)
+        refuse(DispatchResultKind::NotRun, 1);
+    CHECK(attempt.call.resumeFrom == 1);
+}
