Give gossip, membership reads and drained dispatches one place each

Four places built a gossip message and three of them had to add the suspicions themselves; forgetting it once had kept suspicions from spreading. Entry and agent held the same rule for reading the membership list, and two functions the same end of a drained dispatch.

Change: localGossip carries the suspicions; beginMembersRead holds the interval; answerDispatch ends through finishIfDrained. The gossip of demand and of a leaving entry now carries the suspicions too; they are hints that peers merge.

Ruled out: merging EntryLoop and AgentLoop, their effects and events differ; one bound for repeatable and non-repeatable arrivals (maxWaiting and maxRequests), it would change what is refused.

--- a/src/agent_rpc_io.cpp
+++ b/src/agent_rpc_io.cpp
@@ -67,6 +67,7 @@
 struct AgentRpc::State {
     void sendPart(const AttemptKey& key, std::uint32_t sequence, const std::string& data, std::uint16_t status,
         const std::string& contentType);
+    void partTaken(const AttemptKey& key);
     void finishIfDrained(const AttemptKey& key);
     void connectionClosed(std::uint64_t connection);
 
@@ -227,23 +228,31 @@
     auto taken = request.send().ignoreResult().then(
         [this, key, channel = open.channel] {
             channel->acknowledge();
-            this->finishIfDrained(key);
+            this->partTaken(key);
         },
         [this, key, channel = open.channel](kj::Exception&&) {
             channel->acknowledge();
             channel->close();
-            this->finishIfDrained(key);
+            this->partTaken(key);
         });
     this->loop.detach(kj::mv(taken));
 }
 
+void AgentRpc::State::partTaken(const AttemptKey& key)
+{
+    const auto found = this->dispatches.find(key);
+    if (found == this->dispatches.end())
+        return;
+    --found->second.unacknowledged;
+    this->finishIfDrained(key);
+}
+
 void AgentRpc::State::finishIfDrained(const AttemptKey& key)
 {
     const auto found = this->dispatches.find(key);
     if (found == this->dispatches.end())
         return;
     OpenDispatch& open = found->second;
-    --open.unacknowledged;
     if (open.unacknowledged > 0 || !open.ended)
         return;
     open.result->fulfill(std::move(*open.ended));
@@ -335,10 +344,7 @@
         open.ended = effect.result;
         if (effect.result.kind == DispatchResultKind::RecordedDone)
             data->sendPart(effect.key, 0, effect.storedAnswer, effect.result.status, effect.contentType);
-        if (open.unacknowledged > 0)
-            return;
-        open.result->fulfill(std::move(*open.ended));
-        data->dispatches.erase(found);
+        data->finishIfDrained(effect.key);
     });
 }
 
--- a/src/control_cmd.cpp
+++ b/src/control_cmd.cpp
@@ -54,11 +54,8 @@
 
     void tickMembers(EntryState& state, EntryEffects& effects)
     {
-        if (state.now < state.members.nextRead)
-            return;
-        const auto hosts = static_cast<std::int64_t>(state.members.list.members.size());
-        state.members.nextRead = state.now + std::max(membersInterval, membersIntervalPerHost * hosts);
-        effects.emplace_back(ReadMembers { .since = state.members.list.version });
+        if (beginMembersRead(state.members, state.now))
+            effects.emplace_back(ReadMembers { .since = state.members.list.version });
     }
 
     void tickPoll(EntryState& state, EntryEffects& effects)
@@ -85,7 +82,6 @@
         const HostId& peer = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(state.random)];
         const Member* member = findMember(state.members, peer);
         GossipMessage message = localGossip(state);
-        message.suspicions = localSuspicions(state);
         effects.emplace_back(SendGossip { .peer = peer, .address = member->address, .message = std::move(message) });
         if (state.config.record.generation.value == 0)
             fetchFrom(state, peer, effects);
@@ -250,6 +246,7 @@
     for (const auto& [host, since] : state.members.leavingNotices)
         if (state.now - since <= noticeRelayAge)
             message.leaving.push_back(host);
+    message.suspicions = localSuspicions(state);
     return message;
 }
 
--- a/src/control_cmd.h
+++ b/src/control_cmd.h
@@ -46,7 +46,7 @@
 /// Periodic work: membership reads, configuration polls, gossip rounds, time-outs of operator calls.
 void tickControl(EntryState& state, EntryEffects& effects);
 
-/// Builds this entry's gossip message, without demand.
+/// Builds this entry's gossip message with its leaving notices and suspicions, without demand.
 GossipMessage localGossip(const EntryState& state);
 
 /// @return this entry's status with its home agents, for a peer's QueryEntryStatus
--- a/src/entry_loop_io.cpp
+++ b/src/entry_loop_io.cpp
@@ -10,7 +10,6 @@
 #include "platform_io.h"
 #include "process_loop_io.h"
 #include "program_func.h"
-#include "request_cmd.h"
 #include "request_table_io.h"
 
 #include <atomic>
@@ -46,7 +45,6 @@
 
     EntryRpcHandlers rpcHandlers();
     EntryHttpOptions httpOptions();
-    GossipMessage gossipAnswer() const;
     ConfigRecord configNewerThan(Generation known) const;
 
     EntryState reducer; ///< used on the loop's thread only
@@ -78,13 +76,6 @@
     this->ready = this->reducer.config.config && !this->reducer.leaving;
 }
 
-GossipMessage EntryLoop::State::gossipAnswer() const
-{
-    GossipMessage message = localGossip(this->reducer);
-    message.suspicions = localSuspicions(this->reducer);
-    return message;
-}
-
 ConfigRecord EntryLoop::State::configNewerThan(Generation known) const
 {
     return this->reducer.config.record.generation > known ? this->reducer.config.record : ConfigRecord {};
@@ -98,7 +89,7 @@
             [this](GossipMessage message, auto reply) {
                 this->loop.post([this, message = std::move(message), reply] {
                     this->step(GossipReceived { .message = message });
-                    reply(this->gossipAnswer());
+                    reply(localGossip(this->reducer));
                 });
             },
         .onConfigPushed =
--- a/src/follow_cmd.cpp
+++ b/src/follow_cmd.cpp
@@ -21,11 +21,8 @@
 
     void tickMembers(AgentState& state, AgentEffects& effects)
     {
-        if (state.now < state.members.nextRead)
-            return;
-        const auto hosts = static_cast<std::int64_t>(state.members.list.members.size());
-        state.members.nextRead = state.now + std::max(membersInterval, membersIntervalPerHost * hosts);
-        effects.emplace_back(ReadMembers { .since = state.members.list.version });
+        if (beginMembersRead(state.members, state.now))
+            effects.emplace_back(ReadMembers { .since = state.members.list.version });
     }
 
     /// Without a configuration the entries are asked in turn, beginning with the home.
--- a/src/member_func.cpp
+++ b/src/member_func.cpp
@@ -1,6 +1,7 @@
 #include "member_func.h"
 
 #include "digest_func.h"
+#include "table/control_limits.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -111,4 +112,13 @@
     return hosts;
 }
 
+bool beginMembersRead(MemberState& state, Milliseconds now)
+{
+    if (now < state.nextRead)
+        return false;
+    const auto hosts = static_cast<std::int64_t>(state.list.members.size());
+    state.nextRead = now + std::max(membersInterval, membersIntervalPerHost * hosts);
+    return true;
+}
+
 } // namespace hickory
--- a/src/member_func.h
+++ b/src/member_func.h
@@ -34,4 +34,11 @@
 /// @return live entry hosts, sorted
 std::vector<HostId> liveEntries(const MemberState& state);
 
+/// Tells whether the membership list is due to be read, and if so sets the time of the next read. The interval grows
+/// with the number of hosts, so that all together read at most 200 times a second.
+/// @param state membership
+/// @param now time of the event being reduced
+/// @return true when the list shall be read now
+bool beginMembersRead(MemberState& state, Milliseconds now);
+
 } // namespace hickory
--- a/src/suspect_cmd.cpp
+++ b/src/suspect_cmd.cpp
@@ -145,8 +145,7 @@
 {
     std::vector<HostId> peers = liveEntries(state.members);
     std::erase(peers, state.settings.process.host);
-    GossipMessage message = localGossip(state);
-    message.suspicions = localSuspicions(state);
+    const GossipMessage message = localGossip(state);
     for (std::size_t told = 0; told < spreadPeers && !peers.empty(); ++told) {
         const std::size_t place = state.random() % peers.size();
         const HostId peer = peers[place];
