--- a/src/agent_main.cpp
+++ b/src/agent_main.cpp
@@ -1,4 +1,6 @@
 #include "agent_loop_io.h"
+#include "host_program_func.h"
+#include "loader_loop_io.h"
 #include "log_io.h"
 #include "program_func.h"
 #include "settings_func.h"
@@ -14,6 +16,11 @@
         count, values, "hickory-agent", "Stands in front of the upstream on an upstream host.", exitCode);
     if (!arguments)
         return exitCode;
+    if (hasSettingsTable(arguments->settings, "loader"))
+        return runOnHost("hickory-agent", *arguments, loadLoaderSettings, [](LoaderSettings&& settings) {
+            LoaderLoop loop(std::move(settings));
+            return loop.run();
+        });
     auto settings = loadAgentSettings(arguments->settings);
     if (!settings) {
         std::cerr << "hickory-agent: " << settings.error().text() << "\n";
--- a/src/digest_func.cpp
+++ b/src/digest_func.cpp
@@ -38,6 +38,13 @@
     return toHex(digest.data(), digest.size());
 }
 
+std::string sha256Hex(std::string_view data)
+{
+    std::array<unsigned char, crypto_hash_sha256_BYTES> digest {};
+    crypto_hash_sha256(digest.data(), reinterpret_cast<const unsigned char*>(data.data()), data.size());
+    return toHex(digest.data(), digest.size());
+}
+
 Digester::Digester()
     : state(sizeof(crypto_generichash_state) + 64)
 {
--- a/src/digest_func.h
+++ b/src/digest_func.h
@@ -11,6 +11,10 @@
 /// @return BLAKE2b-256 of the bytes as 64 hex digits
 std::string digestHex(std::string_view data);
 
+/// @param data bytes
+/// @return SHA-256 of the bytes as 64 hex digits, the digest of outside systems
+std::string sha256Hex(std::string_view data);
+
 /// BLAKE2b-256 over data that arrives in pieces.
 class Digester {
 public:
--- a/src/entry_main.cpp
+++ b/src/entry_main.cpp
@@ -1,6 +1,8 @@
 #include "entry_loop_io.h"
+#include "host_program_func.h"
 #include "log_io.h"
 #include "program_func.h"
+#include "relay_loop_io.h"
 #include "settings_func.h"
 
 #include <csignal>
@@ -14,6 +16,11 @@
         = parseArguments(count, values, "hickory-entry", "Serves callers and operators on an entry host.", exitCode);
     if (!arguments)
         return exitCode;
+    if (hasSettingsTable(arguments->settings, "relay"))
+        return runOnHost("hickory-entry", *arguments, loadRelaySettings, [&](RelaySettings&& settings) {
+            RelayLoop loop(std::move(settings), arguments->settings);
+            return loop.run();
+        });
     auto settings = loadEntrySettings(arguments->settings);
     if (!settings) {
         std::cerr << "hickory-entry: " << settings.error().text() << "\n";
--- /dev/null
+++ b/src/front_io.cpp
@@ -0,0 +1,347 @@
+#include "front_io.h"
+
+#include "wire_parser_func.h"
+
+#include <array>
+#include <charconv>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint16_t statusBadRequest = 400;
+    constexpr std::uint16_t statusTooLarge = 413;
+    constexpr std::uint16_t statusHeadTooLarge = 431;
+    constexpr int listenBacklog = 1024; ///< opening packets beyond it are sent again only after seconds
+
+    std::string chunkHead(std::size_t size)
+    {
+        std::array<char, 20> text {};
+        const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
+        return std::string(text.data(), end) + "\r\n";
+    }
+
+} // namespace
+
+std::string_view reasonPhrase(std::uint16_t status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 413:
+        return "Content Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+/// One connection of a caller.
+struct FrontServer::Connection : WireSink {
+    Connection(std::uint64_t number, std::size_t maxHeadBytes)
+        : number(number)
+        , parser(WireKind::Request, maxHeadBytes)
+    {
+    }
+
+    void onHead(WireHead&& received) override
+    {
+        this->request.head = std::move(received);
+        const std::string* expect = this->request.head.find("Expect");
+        if (expect && equalNames(*expect, "100-continue"))
+            this->link->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    void onBody(std::string_view bytes) override
+    {
+        if (this->request.body.size() + bytes.size() > this->maxBody)
+            this->bodyTooLarge = true;
+        else
+            this->request.body.append(bytes);
+    }
+    void onComplete() override { this->complete = true; }
+
+    std::uint64_t number; ///< key in the server's table
+    std::uint16_t port { 0 }; ///< local port
+    std::shared_ptr<TcpLink> link; ///< the connection
+    WireParser parser; ///< of requests
+    std::string unread; ///< bytes received and not parsed yet
+    FrontRequest request; ///< under construction
+    std::size_t maxBody { 0 }; ///< limit
+    bool bodyTooLarge { false }; ///< the body exceeded the limit
+    bool complete { false }; ///< the request is complete
+    bool ended { false }; ///< the connection is gone
+    CallId call; ///< request without a complete answer, 0 when none
+    bool chunked { false }; ///< the answer under way is chunked
+    bool closeAfter { false }; ///< close when the answer is complete
+    Milliseconds since { 0 }; ///< start of the request being read, or of idleness
+};
+
+FrontServer::FrontServer(asio::io_context& io, const LinkOptions& link, Handlers handlers)
+    : io(io)
+    , link(link)
+    , handlers(std::move(handlers))
+{
+}
+
+FrontServer::~FrontServer() = default;
+
+Result<std::uint16_t> FrontServer::listen(const std::string& address)
+{
+    const auto endpoint = parseEndpoint(address);
+    std::error_code code = make_error_code(ErrorCode::InvalidSettings);
+    if (endpoint) {
+        auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(this->io);
+        acceptor->open(endpoint->protocol(), code);
+        if (!code)
+            acceptor->set_option(asio::socket_base::reuse_address(true), code);
+        if (!code)
+            acceptor->bind(*endpoint, code);
+        if (!code)
+            acceptor->listen(listenBacklog, code);
+        if (!code) {
+            const std::uint16_t port = acceptor->local_endpoint().port();
+            this->acceptors.push_back(std::move(acceptor));
+            this->accept(*this->acceptors.back());
+            return port;
+        }
+    }
+    return Error { .code = code, .step = "listen", .peer = address, .detail = {} };
+}
+
+void FrontServer::accept(asio::ip::tcp::acceptor& acceptor)
+{
+    acceptor.async_accept([this, &acceptor](const std::error_code& code, asio::ip::tcp::socket socket) {
+        if (code == asio::error::operation_aborted)
+            return;
+        if (!code) {
+            std::error_code ignored; // a connection that is already gone ends with its first read
+            const auto local = socket.local_endpoint(ignored);
+            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits.headBytes.value);
+            connection->port = local.port();
+            connection->since = monotonicNow();
+            connection->link = std::make_shared<TcpLink>(std::move(socket), this->link);
+            this->connections[connection->number] = connection;
+            connection->link->start([this, connection](std::string_view bytes) { this->onData(connection, bytes); },
+                [this, connection](LinkEnd) { this->drop(connection); });
+        }
+        this->accept(acceptor);
+    });
+}
+
+void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
+{
+    constexpr std::size_t maxPipelined = 64U << 10U;
+    connection->unread.append(bytes);
+    if (connection->call.value != 0) {
+        // The next request waits until the answer to this one is complete.
+        if (connection->unread.size() > maxPipelined)
+            connection->link->pauseReading(true);
+        return;
+    }
+    this->parse(connection);
+}
+
+void FrontServer::parse(const ConnectionPointer& connection)
+{
+    Connection& own = *connection;
+    if (own.unread.empty() || own.ended || own.call.value != 0)
+        return;
+    if (!own.parser.inMessage()) {
+        own.since = monotonicNow();
+        own.request = {};
+        own.request.firstByteAt = own.since;
+        own.maxBody = this->limits.bodyBytes.value;
+    }
+    const std::size_t used = own.parser.feed(own.unread, own);
+    own.unread.erase(0, used);
+    if (own.parser.fault())
+        this->refuse(connection,
+            *own.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest);
+    else if (own.bodyTooLarge)
+        this->refuse(connection, statusTooLarge);
+    else if (own.complete)
+        this->deliver(connection);
+}
+
+void FrontServer::deliver(const ConnectionPointer& connection)
+{
+    Connection& own = *connection;
+    own.complete = false;
+    own.call = { ++this->lastNumber };
+    own.closeAfter = !own.parser.keepAlive();
+    own.request.id = own.call;
+    own.request.port = own.port;
+    this->calls[own.call] = connection;
+    this->handlers.onRequest(std::move(own.request));
+}
+
+void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status)
+{
+    connection->closeAfter = true;
+    this->sendHead(connection, status, {}, 0);
+    connection->link->closeAfterWrite();
+    this->drop(connection);
+}
+
+void FrontServer::drop(const ConnectionPointer& connection)
+{
+    if (connection->ended)
+        return;
+    connection->ended = true;
+    const CallId call = connection->call;
+    connection->call = {};
+    this->connections.erase(connection->number);
+    if (connection->link->pending() == 0)
+        connection->link->close();
+    if (call.value != 0 && this->calls.erase(call) > 0)
+        this->handlers.onGone(call);
+}
+
+FrontServer::ConnectionPointer FrontServer::find(CallId id) const
+{
+    const auto found = this->calls.find(id);
+    return found == this->calls.end() ? nullptr : found->second;
+}
+
+void FrontServer::sendHead(const ConnectionPointer& connection, std::uint16_t status,
+    const std::vector<WireHeader>& headers, std::optional<std::size_t> length)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(reasonPhrase(status));
+    text += "\r\n";
+    for (const WireHeader& header : headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    if (length)
+        text += "Content-Length: " + std::to_string(*length) + "\r\n";
+    else
+        text += "Transfer-Encoding: chunked\r\n";
+    connection->closeAfter = connection->closeAfter || this->draining;
+    if (connection->closeAfter)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    connection->chunked = !length;
+    connection->link->write(text);
+}
+
+void FrontServer::answer(
+    CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, std::string_view body)
+{
+    const ConnectionPointer connection = this->find(id);
+    if (!connection)
+        return;
+    this->sendHead(connection, status, headers, body.size());
+    if (!body.empty())
+        connection->link->write(body);
+    this->completeAnswer(id, connection);
+}
+
+void FrontServer::begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers)
+{
+    if (const ConnectionPointer connection = this->find(id))
+        this->sendHead(connection, status, headers, std::nullopt);
+}
+
+void FrontServer::body(CallId id, std::string_view bytes)
+{
+    const ConnectionPointer connection = this->find(id);
+    if (!connection || bytes.empty())
+        return;
+    std::string chunk = chunkHead(bytes.size());
+    chunk.append(bytes).append("\r\n");
+    connection->link->write(chunk);
+}
+
+void FrontServer::finish(CallId id)
+{
+    const ConnectionPointer connection = this->find(id);
+    if (!connection)
+        return;
+    connection->link->write("0\r\n\r\n");
+    this->completeAnswer(id, connection);
+}
+
+void FrontServer::completeAnswer(CallId id, const ConnectionPointer& connection)
+{
+    this->calls.erase(id);
+    connection->call = {};
+    connection->since = monotonicNow();
+    if (connection->closeAfter) {
+        connection->link->closeAfterWrite();
+        this->drop(connection);
+        return;
+    }
+    connection->link->pauseReading(false);
+    if (!connection->unread.empty())
+        asio::post(this->io, [this, connection] { this->parse(connection); });
+}
+
+void FrontServer::abort(CallId id)
+{
+    const ConnectionPointer connection = this->find(id);
+    if (!connection)
+        return;
+    this->calls.erase(id);
+    connection->call = {};
+    connection->link->reset();
+    this->drop(connection);
+}
+
+std::size_t FrontServer::pending(CallId id) const
+{
+    const ConnectionPointer connection = this->find(id);
+    return connection ? connection->link->pending() : 0;
+}
+
+void FrontServer::closeIdle()
+{
+    for (const auto& acceptor : this->acceptors) {
+        std::error_code code; // the process ends next
+        acceptor->close(code);
+    }
+    std::vector<ConnectionPointer> idle;
+    for (const auto& [number, connection] : this->connections)
+        if (connection->call.value == 0)
+            idle.push_back(connection);
+    for (const ConnectionPointer& connection : idle) {
+        connection->link->closeAfterWrite();
+        this->drop(connection);
+    }
+}
+
+void FrontServer::sweep(Milliseconds now)
+{
+    std::vector<ConnectionPointer> late;
+    for (const auto& [number, connection] : this->connections) {
+        if (connection->call.value != 0)
+            continue;
+        const Milliseconds limit
+            = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
+        if (now - connection->since > limit)
+            late.push_back(connection);
+    }
+    for (const ConnectionPointer& connection : late) {
+        connection->link->closeAfterWrite();
+        this->drop(connection);
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/loader_loop_io.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "call_pool_io.h"
+#include "front_io.h"
+#include "peer_io.h"
+#include "peer_state_type.h"
+#include "peer_table_func.h"
+#include "platform_decode_func.h"
+#include "settings_type.h"
+#include "stage_reduce_func.h"
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// hickory-agent where entries reach engines directly: brings weights to the engine on this host, gives pieces to
+/// other agents, and tells the entries what the engine reports. It asks entries for the store's tables, so that many
+/// agents cost the store nothing.
+class LoaderLoop {
+public:
+    explicit LoaderLoop(LoaderSettings settings);
+    ~LoaderLoop();
+    LoaderLoop(const LoaderLoop&) = delete;
+    LoaderLoop& operator=(const LoaderLoop&) = delete;
+
+    /// Runs until the process was told to stop.
+    /// @return exit code
+    int run();
+
+private:
+    /// Pieces of one version in memory.
+    struct HeldVersion {
+        std::string manifestText; ///< as the origin gave it, empty until known
+        std::vector<std::string> digests; ///< of the pieces
+        std::vector<std::string> pieces; ///< bytes, empty when not held
+    };
+    /// A peer's question that waits for a piece.
+    struct Waiter {
+        CallId call; ///< to answer
+        WeightsVersion version; ///< asked for
+        std::uint32_t index { 0 }; ///< of the piece
+        Milliseconds until; ///< answered with 404 then
+    };
+    struct CheckRun;
+
+    void dispatch(const StageEvent& event);
+    void apply(const StageEffect& effect);
+    void fetchManifest(const AskManifest& effect);
+    void fetchPiece(const FetchPiece& effect);
+    void stagePiece(const StagePiece& effect);
+    void checkStage(const CheckStage& effect);
+    void checkNext(const std::shared_ptr<CheckRun>& run);
+    void giveOrder(const GiveOrder& effect);
+    bool keepPiece(WeightsVersion version, std::uint32_t index, const std::string& bytes);
+
+    void onRequest(FrontRequest&& request);
+    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index);
+    void answerWaiters();
+    void onBeacon(const PeerBeacon& beacon, const std::string& ip);
+    void askTables();
+    void learnTables(const PeerTables& tables);
+    std::string nextEntry();
+
+    void everyReport();
+    void everyBeacon();
+    void everyTables();
+    void sendBeacon(bool ordering);
+    void armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)());
+
+    LoaderSettings settings; ///< as read at start
+    asio::io_context io; ///< the loop
+    CallPool pool; ///< client of engine, origin, agents and entries
+    FrontServer front; ///< server of other agents
+    PeerSocket peerSocket; ///< beacons
+    PeerTable peers; ///< entries
+    StageState state; ///< all decisions
+    PeerTables tables; ///< copies of the store's tables
+    std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest two are kept
+    std::vector<Waiter> waiters; ///< questions for pieces that are under way
+    asio::steady_timer reportTimer; ///< reads the engine's report
+    asio::steady_timer beaconTimer; ///< beacons
+    asio::steady_timer tablesTimer; ///< asks for tables
+    asio::signal_set signals; ///< SIGTERM, SIGINT, SIGHUP
+    Incarnation incarnation; ///< start of the process, Unix ms
+    std::string entry; ///< control address of the entry that is asked for tables
+    bool askingTables { false }; ///< a question is under way
+    bool askingReport { false }; ///< a question is under way
+    bool ordering { false }; ///< an order was announced and not answered yet
+};
+
+} // namespace hickory
--- a/src/log_io.cpp
+++ b/src/log_io.cpp
@@ -90,7 +90,7 @@
     namespace sinks = boost::log::sinks;
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
     if (file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     else
         backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
     // A line must be on disk before the next step: crashes are diagnosed from it.
--- a/src/log_io.h
+++ b/src/log_io.h
@@ -10,7 +10,7 @@
 /// @param program written as program=... on each line
 /// @param host written as host=... on each line, empty for none
 /// @param level least severity written
-/// @param file path, empty for standard error
+/// @param file path, empty for standard output
 void startLog(const std::string& program, const std::string& host, LogLevel level, const std::string& file);
 
 /// Writes one line: time, level, program, host, event and the fields as key=value; values with spaces are quoted.
--- /dev/null
+++ b/src/peer_codec_func.cpp
@@ -0,0 +1,128 @@
+#include "peer_codec_func.h"
+
+#include "peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace hickory {
+
+namespace {
+
+    void writeEntry(peer::Entry::Builder out, const PeerEntry& entry)
+    {
+        out.setHost(entry.host.value);
+        out.setIncarnation(entry.incarnation.value);
+        out.setFront(entry.front);
+        out.setControl(entry.control);
+        out.setPlace(entry.place.value);
+        out.setReady(entry.ready);
+    }
+
+    PeerEntry readEntry(peer::Entry::Reader in)
+    {
+        PeerEntry entry;
+        entry.host = { in.getHost().cStr() };
+        entry.incarnation = { in.getIncarnation() };
+        entry.front = in.getFront().cStr();
+        entry.control = in.getControl().cStr();
+        entry.place = { in.getPlace().cStr() };
+        entry.ready = in.getReady();
+        entry.ip = entry.control.substr(0, entry.control.rfind(':'));
+        return entry;
+    }
+
+    void writeEngine(peer::Engine::Builder out, const EngineReported& engine)
+    {
+        out.setAddress(engine.address);
+        out.setOrdering(engine.ordering);
+        out.setBusy(engine.report.busy);
+        out.setOrders(engine.report.orders);
+        out.setWaiting(engine.report.waiting);
+        out.setRunning(engine.report.running);
+        out.setMemoryUsed(engine.report.memoryUsed);
+        out.setMemoryTotal(engine.report.memoryTotal);
+        out.setPace(engine.report.pace);
+        out.setBornAt(engine.report.bornAt);
+        auto held = out.initHeld(static_cast<unsigned>(engine.report.models.size()));
+        for (unsigned index = 0; index < held.size(); ++index) {
+            held[index].setModel(engine.report.models[index].model.value);
+            held[index].setVersion(engine.report.models[index].version.value);
+            held[index].setWhole(engine.report.models[index].whole);
+        }
+    }
+
+    EngineReported readEngine(peer::Engine::Reader in)
+    {
+        EngineReported engine;
+        engine.address = in.getAddress().cStr();
+        engine.ordering = in.getOrdering();
+        engine.report.busy = in.getBusy();
+        engine.report.orders = in.getOrders();
+        engine.report.waiting = in.getWaiting();
+        engine.report.running = in.getRunning();
+        engine.report.memoryUsed = in.getMemoryUsed();
+        engine.report.memoryTotal = in.getMemoryTotal();
+        engine.report.pace = in.getPace();
+        engine.report.bornAt = in.getBornAt();
+        for (const auto held : in.getHeld())
+            engine.report.models.push_back({ .model = { held.getModel().cStr() },
+                .version = { held.getVersion() },
+                .whole = held.getWhole() });
+        return engine;
+    }
+
+} // namespace
+
+std::string encodeBeacon(const PeerBeacon& beacon)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<peer::Beacon>();
+    writeEntry(root.initFrom(), beacon.from);
+    root.setConfigVersion(beacon.configVersion.value);
+    auto loads = root.initLoads(static_cast<unsigned>(beacon.loads.size()));
+    for (unsigned index = 0; index < loads.size(); ++index) {
+        loads[index].setUpstream(beacon.loads[index].upstream);
+        loads[index].setSent(beacon.loads[index].sent);
+        loads[index].setUnreadTokens(beacon.loads[index].unreadTokens);
+    }
+    if (beacon.engine)
+        writeEngine(root.initEngine(), *beacon.engine);
+    auto known = root.initKnown(static_cast<unsigned>(beacon.known.size()));
+    for (unsigned index = 0; index < known.size(); ++index)
+        writeEntry(known[index], beacon.known[index]);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+Result<PeerBeacon> decodeBeacon(std::string_view bytes)
+{
+    try {
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader message(in);
+        const auto root = message.getRoot<peer::Beacon>();
+        PeerBeacon beacon;
+        beacon.from = readEntry(root.getFrom());
+        beacon.configVersion = { root.getConfigVersion() };
+        for (const auto load : root.getLoads())
+            beacon.loads.push_back({ .upstream = load.getUpstream(),
+                .sent = load.getSent(),
+                .unreadTokens = load.getUnreadTokens() });
+        if (root.hasEngine())
+            beacon.engine = readEngine(root.getEngine());
+        for (const auto entry : root.getKnown())
+            beacon.known.push_back(readEntry(entry));
+        return beacon;
+    } catch (const kj::Exception& problem) {
+        return Error { .code = make_error_code(ErrorCode::Protocol),
+            .step = "decode-beacon",
+            .peer = {},
+            .detail = problem.getDescription().cStr() };
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/peer_state_type.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "peer_type.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// A peer and when it was last heard.
+struct PeerKnown {
+    PeerEntry entry; ///< as it said itself
+    Milliseconds heardAt { -1000000 }; ///< its own last beacon; hearsay does not count
+    Milliseconds firstAt { 0 }; ///< when it became known
+};
+
+/// Live processes of the fleet as one of them knows them.
+struct PeerTable {
+    std::map<HostId, PeerKnown> entries; ///< other entries
+    std::map<std::string, Milliseconds> agents; ///< ips of agents and when they were last heard
+    std::set<std::string> seeds; ///< ips from the settings
+};
+
+/// Notes a beacon: its sender, and entries that the sender knows.
+/// @param self name of this host
+/// @param ip where the datagram came from
+void notePeer(PeerTable& table, const HostId& self, const PeerBeacon& beacon, const std::string& ip, Milliseconds now);
+
+/// Forgets peers that were silent for so long that they were replaced.
+void forgetSilentPeers(PeerTable& table, Milliseconds now);
+
+/// @return ips to which an entry or agent tells its beacons: seeds and known entries, without this host
+std::vector<std::string> beaconTargets(const PeerTable& table, const std::string& selfIp);
+
+/// @return other entries that were heard lately
+std::vector<PeerEntry> liveEntries(const PeerTable& table, Milliseconds now);
+
+} // namespace hickory
--- /dev/null
+++ b/src/peer_table_func.cpp
@@ -0,0 +1,83 @@
+#include "peer_table_func.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace hickory {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    std::uint64_t readQuery(const std::string& target, const std::string& name)
+    {
+        const std::size_t at = target.find(name + "=");
+        std::uint64_t value = 0;
+        if (at != std::string::npos)
+            std::from_chars(target.data() + at + name.size() + 1, target.data() + target.size(), value);
+        return value;
+    }
+
+    Json encodeTable(const platform::TableSnapshot& copy, std::uint64_t have, Milliseconds now)
+    {
+        Json table { { "revision", copy.revision }, { "age_ms", (now - copy.asOf).value } };
+        if (copy.revision <= have)
+            return table;
+        Json rows = Json::array();
+        for (const auto& [key, row] : copy.rows)
+            rows.push_back({ { "key", key }, { "value", row.value }, { "revision", row.revision } });
+        table["rows"] = std::move(rows);
+        return table;
+    }
+
+    platform::TableSnapshot decodeTable(const Json& table, Milliseconds sentAt)
+    {
+        platform::TableSnapshot copy { .revision = table.at("revision").get<std::uint64_t>(),
+            .asOf = sentAt - Milliseconds { table.at("age_ms").get<std::int64_t>() } };
+        if (table.contains("rows"))
+            for (const Json& row : table.at("rows"))
+                copy.rows[row.at("key").get<std::string>()] = { .key = row.at("key").get<std::string>(),
+                    .value = row.at("value").get<std::string>(),
+                    .revision = row.at("revision").get<std::uint64_t>() };
+        return copy;
+    }
+
+} // namespace
+
+std::string peerTablesTarget(const PeerRevisions& have)
+{
+    return std::string(peerTablesPath) + "?operators=" + std::to_string(have.operators)
+        + "&upstreams=" + std::to_string(have.upstreams);
+}
+
+PeerRevisions decodePeerRevisions(const std::string& target)
+{
+    return { .operators = readQuery(target, "operators"), .upstreams = readQuery(target, "upstreams") };
+}
+
+std::string encodePeerTables(const platform::TableSnapshot& operators, const platform::TableSnapshot& upstreams,
+    const PeerRevisions& have, Milliseconds now)
+{
+    const Json document { { "operators", encodeTable(operators, have.operators, now) },
+        { "upstreams", encodeTable(upstreams, have.upstreams, now) } };
+    // Rows of other writers may hold any bytes.
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<PeerTables> decodePeerTables(const Result<FetchAnswer>& answer, Milliseconds sentAt)
+{
+    if (!answer)
+        return answer.error();
+    try {
+        const Json document = Json::parse(answer.value().body);
+        return PeerTables { .operators = decodeTable(document.at("operators"), sentAt),
+            .upstreams = decodeTable(document.at("upstreams"), sentAt) };
+    } catch (const Json::exception& problem) {
+        return Error { .code = make_error_code(ErrorCode::Protocol),
+            .step = "decode-peer-tables",
+            .peer = {},
+            .detail = problem.what() };
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/peer_type.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "relay_type.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// A process as its peers see it.
+struct PeerEntry {
+    HostId host; ///< name
+    Incarnation incarnation; ///< start of the process, Unix ms; a later one replaces an earlier one
+    std::string ip; ///< where its datagrams come from, filled in by the receiver or from `control`
+    std::string front; ///< "ip:port" for callers, empty for agents
+    std::string control; ///< "ip:port" for HTTP between peers, empty for agents
+    PlaceId place; ///< data centre
+    bool ready { false }; ///< callers may be sent there
+};
+
+/// What a process tells its peers several times a second.
+struct PeerBeacon {
+    PeerEntry from; ///< the sender
+    ConfigVersion configVersion; ///< that the sender acts on
+    std::vector<PeerLoad> loads; ///< requests under way, entries only
+    std::optional<EngineReported> engine; ///< agents only
+    std::vector<PeerEntry> known; ///< other live entries, sent now and then
+};
+
+} // namespace hickory
--- a/src/program_func.cpp
+++ b/src/program_func.cpp
@@ -2,6 +2,7 @@
 
 #include <cxxopts.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace hickory {
@@ -10,7 +11,7 @@
     int count, char** values, const std::string& program, const std::string& description, int& exitCode)
 {
     cxxopts::Options options(program, description);
-    options.add_options()("s,settings", "settings file (TOML)", cxxopts::value<std::string>(), "FILE")(
+    options.add_options()("s,settings", "settings file (TOML); default: the path in HICKORYROAD_SETTINGS", cxxopts::value<std::string>(), "FILE")(
         "check", "check the settings file and exit: 0 when it is valid, 2 when not")(
         "version", "print the version and exit")("h,help", "print this help and exit");
     try {
@@ -25,12 +26,14 @@
             exitCode = exitSuccess;
             return std::nullopt;
         }
-        if (parsed.count("settings") == 0) {
+        const char* fallback = std::getenv("HICKORYROAD_SETTINGS");
+        if (parsed.count("settings") == 0 && !fallback) {
             std::cerr << program << ": --settings FILE is required\n";
             exitCode = exitUsage;
             return std::nullopt;
         }
-        return ProgramArguments { .settings = parsed["settings"].as<std::string>(),
+        return ProgramArguments { .settings
+            = parsed.count("settings") > 0 ? parsed["settings"].as<std::string>() : std::string(fallback),
             .check = parsed.count("check") > 0 };
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << program << ": " << exception.what() << "\n";
--- /dev/null
+++ b/src/relay_admit_func.cpp
@@ -0,0 +1,94 @@
+#include "relay_admit_func.h"
+
+#include "relay_place_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+
+    const EngineProfile* engineOf(const RelayRequest& request)
+    {
+        const auto service = request.config->services.find(request.service);
+        return service != request.config->services.end() && service->second.engine && !request.facts.model.empty()
+            ? &*service->second.engine
+            : nullptr;
+    }
+
+    /// @return least time from placing a request to what its objective asks for
+    Milliseconds leadTime(const RelayRequest& request)
+    {
+        const EngineProfile* profile = engineOf(request);
+        if (!profile)
+            return plainMargin;
+        // A place that was just freed belongs to an engine in the middle of a pass.
+        const EngineLoad load { .requests = profile->slots - 1, .unreadTokens = 0, .pace = 1.0 };
+        return { static_cast<std::int64_t>(predictFirstToken(*profile, load, request.facts.promptTokens)) };
+    }
+
+    /// @return least time from placing a request to its last byte
+    Milliseconds serviceTime(const RelayRequest& request)
+    {
+        const EngineProfile* profile = engineOf(request);
+        if (!profile)
+            return plainMargin;
+        const double passes = static_cast<double>(std::max<std::uint32_t>(
+                                  request.facts.answerHint > 0 ? request.facts.answerHint : profile->usualAnswer, 1))
+            / std::max(1U, profile->stride);
+        const double passMs = profile->stride * (profile->stepMs + profile->slots * profile->stepPerRequestMs);
+        return leadTime(request) + Milliseconds { static_cast<std::int64_t>(passes * passMs) };
+    }
+
+} // namespace
+
+QueueKey queueKey(const RelayRequest& request, Milliseconds now)
+{
+    return { .late = now + leadTime(request) > request.objectiveAt,
+        .rank = request.rank,
+        .objectiveAt = request.objectiveAt,
+        .call = request.call.value };
+}
+
+Milliseconds predictWait(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    const auto service = state.services.find(request.service);
+    if (service == state.services.end())
+        return {};
+    const ServiceView& view = service->second;
+    const QueueKey key = queueKey(request, now);
+    const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
+    const auto recent = std::count_if(view.placedAt.begin(), view.placedAt.end(),
+        [&](Milliseconds at) { return now - at < rateWindow; });
+    const double rate = std::max(leastRate, static_cast<double>(recent));
+    return { static_cast<std::int64_t>(static_cast<double>(ahead) * millisecondsPerSecond / rate) };
+}
+
+bool mayWait(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    const auto service = state.services.find(request.service);
+    if (service != state.services.end() && service->second.queue.size() >= maxQueuedForService)
+        return false;
+    const Milliseconds left = request.deadlineAt - now - serviceTime(request);
+    return left.value > 0
+        && static_cast<double>(predictWait(state, request, now).value)
+        <= maxWaitShare * static_cast<double>(left.value);
+}
+
+bool isHopeless(const RelayRequest& request, Milliseconds now)
+{
+    return now + serviceTime(request) > request.deadlineAt;
+}
+
+Milliseconds returnTime(RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    const std::int64_t wait = std::max(predictWait(state, request, now), leastRetryAfter).value;
+    const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, wait / 2)(state.random);
+    const std::int64_t honoured = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
+    return { std::min(wait * 3 / 4 + spread, honoured) };
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_admit_func.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "relay_state_type.h"
+
+namespace hickory {
+
+/// Place of a request in its service's queue.
+/// Answers floods of a less urgent rank: urgent requests that can be on time go first, and requests that can no
+/// longer be on time wait until those that can are served.
+QueueKey queueKey(const RelayRequest& request, Milliseconds now);
+
+/// Predicts how long a request would wait in its service's queue.
+/// Answers overload in which all would wait until their time is over: who cannot be served is told at once.
+/// @return predicted wait, from the requests that go before it and the recent rate of placements
+Milliseconds predictWait(const RelayState& state, const RelayRequest& request, Milliseconds now);
+
+/// @return whether a request that found no room may wait
+bool mayWait(const RelayState& state, const RelayRequest& request, Milliseconds now);
+
+/// @return whether a waiting request can no longer be answered within its caller's time
+bool isHopeless(const RelayRequest& request, Milliseconds now);
+
+/// When a refused caller should come back: after the predicted wait, spread so that those refused together do not
+/// return together, and within the part of its time for which callers honour the advice.
+/// @return delay from now
+Milliseconds returnTime(RelayState& state, const RelayRequest& request, Milliseconds now);
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_budget_func.cpp
@@ -0,0 +1,44 @@
+#include "relay_budget_func.h"
+
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    RetryWindow::Bucket& currentBucket(RetryWindow& window, Milliseconds now, Milliseconds length)
+    {
+        while (!window.buckets.empty() && now - window.buckets.front().start > length)
+            window.buckets.pop_front();
+        if (window.buckets.empty() || now - window.buckets.back().start >= retryBucket)
+            window.buckets.push_back({ .start = now });
+        return window.buckets.back();
+    }
+
+} // namespace
+
+void countFirstSend(RetryWindow& window, Milliseconds now, Milliseconds length)
+{
+    ++currentBucket(window, now, length).firsts;
+}
+
+bool takeRepeat(RetryWindow& window, const RelayOptions& options, std::uint32_t entries, Milliseconds now)
+{
+    RetryWindow::Bucket& current = currentBucket(window, now, options.retryWindow);
+    double firsts = 0;
+    double repeats = 0;
+    for (const RetryWindow::Bucket& bucket : window.buckets) {
+        firsts += bucket.firsts;
+        repeats += bucket.repeats;
+    }
+    const double allowed
+        = retrySafety * (options.retryRatio * firsts + options.retryExtra / std::max<std::uint32_t>(entries, 1));
+    if (repeats + 1 > allowed)
+        return false;
+    ++current.repeats;
+    return true;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_loop_io.cpp
@@ -0,0 +1,589 @@
+#include "relay_loop_io.h"
+
+#include "event_splitter_func.h"
+#include "log_io.h"
+#include "metrics_io.h"
+#include "peer_table_func.h"
+#include "platform_decode_func.h"
+#include "platform_names.h"
+#include "platform_wire_func.h"
+#include "program_func.h"
+#include "settings_func.h"
+#include "table/relay_loop_limits.h"
+
+#include <csignal>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint16_t statusOk = 200;
+    constexpr std::uint16_t statusNotFound = 404;
+    constexpr std::uint16_t statusUnavailable = 503;
+    constexpr std::uint16_t statusBadRequest = 400;
+
+    RelayOptions relayOptions(const RelaySettings& settings)
+    {
+        return { .place = settings.host.place,
+            .keyTrust = settings.revokeWithin * keyTrustPercent / 100,
+            .weightsGrace = settings.weightsWithin - weightsMargin,
+            .retryRatio = settings.retryRatio,
+            .retryExtra = settings.retryExtra,
+            .retryWindow = settings.retryWindow,
+            .seed = settings.host.seed };
+    }
+
+    std::uint16_t portOf(const Result<std::uint16_t>& listening, bool& failed)
+    {
+        if (listening)
+            return listening.value();
+        writeLog(
+            { .level = LogLevel::Error, .event = "listen-failed", .fields = { { "error", listening.error().text() } } });
+        failed = true;
+        return 0;
+    }
+
+    LogLine storeLine(const char* event, const char* table, const std::string& detail)
+    {
+        return { .level = LogLevel::Warning,
+            .event = event,
+            .fields = { { "dependency", "store" }, { "table", table }, { "detail", detail } } };
+    }
+
+} // namespace
+
+/// Bytes of one request.
+struct RelayLoop::Call {
+    WireHead head; ///< as received
+    std::string body; ///< as received
+    std::string attemptId; ///< to match answers
+    std::shared_ptr<Sending> sending; ///< the last one
+    bool relaying { false }; ///< the caller has the head of a stream
+};
+
+/// One sending of a request to an upstream.
+struct RelayLoop::Sending : CallSink {
+    Sending(RelayLoop& loop, CallId call, SendNumber number, std::shared_ptr<Call> owner)
+        : loop(loop)
+        , call(call)
+        , number(number)
+        , owner(std::move(owner))
+    {
+    }
+
+    bool accepts(const WireHead& answer) override { return platform::answersAttempt(answer, this->owner->attemptId); }
+
+    void onHead(WireHead&& received) override
+    {
+        this->head = std::move(received);
+        const std::string* type = this->head.find("Content-Type");
+        this->stream = type && type->starts_with("text/event-stream") && this->head.status == statusOk;
+        AnswerBegan event = platform::decodeAnswer(this->head);
+        event.call = this->call;
+        event.send = this->number;
+        this->loop.dispatch(event);
+    }
+
+    void onBody(std::string_view bytes) override
+    {
+        if (!this->stream) {
+            this->body.append(bytes);
+            return;
+        }
+        const std::string whole = this->splitter.take(bytes);
+        if (whole.empty())
+            return;
+        if (this->owner->relaying)
+            this->loop.front.body(this->call, whole);
+        else
+            this->body.append(whole);
+        this->loop.dispatch(
+            StreamMoved { .call = this->call, .send = this->number, .lastEventId = this->splitter.lastId() });
+    }
+
+    void onEnd(CallEnd end) override
+    {
+        if (end == CallEnd::Complete && this->owner->relaying)
+            this->loop.front.body(this->call, this->splitter.rest());
+        const SendEnd how = end == CallEnd::Complete ? SendEnd::Complete
+            : end == CallEnd::NotSent                ? SendEnd::NotSent
+                                                     : SendEnd::Broken;
+        this->loop.dispatch(AnswerEnded { .call = this->call, .send = this->number, .end = how });
+    }
+
+    RelayLoop& loop; ///< owner of everything
+    CallId call; ///< request
+    SendNumber number; ///< sending
+    std::shared_ptr<Call> owner; ///< the request's bytes
+    OutCallId out; ///< call of the pool
+    WireHead head; ///< of the answer
+    std::string body; ///< of the answer, where it is not passed on piece by piece
+    EventSplitter splitter; ///< of a stream
+    bool stream { false }; ///< the answer is a stream of events
+};
+
+RelayLoop::RelayLoop(RelaySettings given, std::string path)
+    : settings(std::move(given))
+    , settingsPath(std::move(path))
+    , pool(this->io, upstreamLink)
+    , front(this->io, callerLink,
+          { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
+              .onGone = [this](CallId call) { this->onGone(call); } })
+    , peerSocket(
+          this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
+    , operatorRows(this->io, this->pool,
+          { .address = this->settings.host.store, .table = platform::operatorTable, .wait = operatorWait },
+          { .onChange = [this](const auto& rows) { this->onOperatorRows(rows); },
+              .onConfirmed = [this] { this->onConfirmed(); },
+              .onLost
+              = [](const Error& error) { writeLog(storeLine("dependency-lost", "operators", error.text())); },
+              .onRegained =
+                  [](Milliseconds downFor) {
+                      writeLog(storeLine("dependency-regained", "operators",
+                          "after " + std::to_string(downFor.value) + " ms"));
+                  } })
+    , upstreamRows(this->io, this->pool,
+          { .address = this->settings.host.store, .table = platform::upstreamTable, .wait = upstreamWait },
+          { .onChange = [this](const auto& rows) { this->onUpstreamRows(rows); },
+              .onConfirmed = [] {},
+              .onLost
+              = [](const Error& error) { writeLog(storeLine("dependency-lost", "upstreams", error.text())); },
+              .onRegained =
+                  [this](Milliseconds downFor) {
+                      writeLog(storeLine("dependency-regained", "upstreams",
+                          "after " + std::to_string(downFor.value) + " ms"));
+                      this->unsettledUntil = monotonicNow() + listReturn;
+                  } })
+    , state(makeRelayState(relayOptions(this->settings)))
+    , tickTimer(this->io)
+    , beaconTimer(this->io)
+    , secondTimer(this->io)
+    , signals(this->io, SIGTERM, SIGINT, SIGHUP)
+    , incarnation { static_cast<std::uint64_t>(wallNow().value) }
+{
+    for (const std::string& seed : this->settings.host.seeds)
+        this->peers.seeds.insert(seed.substr(0, seed.rfind(':')));
+}
+
+RelayLoop::~RelayLoop() = default;
+
+bool RelayLoop::open()
+{
+    bool failed = false;
+    portOf(this->front.listen(this->settings.front), failed);
+    this->readinessPort = portOf(this->front.listen(this->settings.readiness), failed);
+    this->lookupPort = portOf(this->front.listen(this->settings.lookup), failed);
+    this->controlPort = portOf(this->front.listen(this->settings.control), failed);
+    if (const auto error = this->peerSocket.open(this->settings.host.ip, this->settings.host.peerPort)) {
+        writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "error", error->text() } } });
+        failed = true;
+    }
+    return !failed;
+}
+
+int RelayLoop::run()
+{
+    if (!this->open())
+        return exitFailure;
+    writeLog({ .event = "start",
+        .fields = { { "version", HICKORY_VERSION }, { "front", this->settings.front },
+            { "store", this->settings.host.store }, { "place", this->settings.host.place.value },
+            { "seed", std::to_string(this->settings.host.seed) } } });
+    this->operatorRows.start();
+    this->upstreamRows.start();
+    this->everyTick();
+    this->everyBeacon();
+    this->everySecond();
+    std::function<void()> waitSignal = [this, &waitSignal] {
+        this->signals.async_wait([this, &waitSignal](const std::error_code& code, int number) {
+            if (code)
+                return;
+            if (number == SIGHUP)
+                this->reload();
+            else
+                this->startDrain();
+            waitSignal();
+        });
+    };
+    waitSignal();
+    this->io.run();
+    writeLog({ .event = "stop", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
+    return this->exitCode;
+}
+
+void RelayLoop::armTimer(asio::steady_timer& timer, Milliseconds period, void (RelayLoop::*handler)())
+{
+    timer.expires_after(std::chrono::milliseconds(period.value));
+    timer.async_wait([this, handler](const std::error_code& code) {
+        if (!code)
+            (this->*handler)();
+    });
+}
+
+// Decisions ---------------------------------------------------------------------------------------------------------
+
+void RelayLoop::dispatch(const RelayEvent& event)
+{
+    for (const RelayEffect& effect : reduceRelay(this->state, event, monotonicNow()))
+        this->apply(effect);
+}
+
+void RelayLoop::apply(const RelayEffect& effect)
+{
+    if (const auto* send = std::get_if<SendToUpstream>(&effect))
+        this->send(*send);
+    else if (const auto* answer = std::get_if<RelayAnswer>(&effect))
+        this->relay(*answer);
+    else if (const auto* refusal = std::get_if<RefuseCall>(&effect))
+        this->refuse(*refusal);
+    else if (const auto* cancel = std::get_if<CancelSend>(&effect)) {
+        const auto found = this->calls.find(cancel->call);
+        if (found != this->calls.end() && found->second->sending && found->second->sending->number == cancel->send)
+            this->pool.cancel(found->second->sending->out);
+    } else if (const auto* finish = std::get_if<FinishAnswer>(&effect)) {
+        const auto found = this->calls.find(finish->call);
+        if (found == this->calls.end())
+            return;
+        if (found->second->relaying)
+            this->front.finish(finish->call);
+        this->calls.erase(found);
+    } else if (const auto* abort = std::get_if<AbortAnswer>(&effect)) {
+        this->calls.erase(abort->call);
+        this->front.abort(abort->call);
+    } else if (const auto* line = std::get_if<LogLine>(&effect))
+        writeLog(*line);
+    else if (const auto* sample = std::get_if<MetricSample>(&effect))
+        recordMetric(*sample);
+}
+
+void RelayLoop::send(const SendToUpstream& effect)
+{
+    const auto found = this->calls.find(effect.call);
+    if (found == this->calls.end())
+        return;
+    const std::shared_ptr<Call>& call = found->second;
+    auto sending = std::make_shared<Sending>(*this, effect.call, effect.send, call);
+    call->sending = sending;
+    sending->out = this->pool.send({ .address = effect.address,
+                                       .bytes = platform::encodeUpstreamRequest(call->head, call->body, effect),
+                                       .maxIdle = effect.freshChannel ? freshChannelIdle : keptChannelIdle },
+        sending);
+}
+
+void RelayLoop::relay(const RelayAnswer& effect)
+{
+    const auto found = this->calls.find(effect.call);
+    if (found == this->calls.end() || !found->second->sending || found->second->sending->number != effect.send)
+        return;
+    Call& call = *found->second;
+    const Sending& sending = *call.sending;
+    const auto headers = platform::callerHeaders(sending.head);
+    if (!sending.stream) {
+        this->front.answer(effect.call, sending.head.status, headers, sending.body);
+        return;
+    }
+    this->front.begin(effect.call, sending.head.status, headers);
+    this->front.body(effect.call, sending.body);
+    call.relaying = true;
+}
+
+void RelayLoop::refuse(const RefuseCall& effect)
+{
+    const auto found = this->calls.find(effect.call);
+    const std::string attempt = found == this->calls.end() ? std::string {} : found->second->attemptId;
+    this->calls.erase(effect.call);
+    this->front.answer(effect.call, effect.status, platform::refusalHeaders(attempt, effect.retryAfter),
+        effect.reason + "\n");
+}
+
+// Callers -----------------------------------------------------------------------------------------------------------
+
+void RelayLoop::onRequest(FrontRequest&& request)
+{
+    if (request.port == this->readinessPort) {
+        const bool isReady = this->ready();
+        this->front.answer(request.id, isReady ? statusOk : statusUnavailable, {}, isReady ? "ready\n" : "not ready\n");
+        return;
+    }
+    if (request.port == this->lookupPort) {
+        this->onLookup(request);
+        return;
+    }
+    if (request.port == this->controlPort) {
+        this->onControl(request);
+        return;
+    }
+    CallArrived event { .call = request.id,
+        .firstByteAt = request.firstByteAt,
+        .facts = platform::decodeRequest(request.head) };
+    if (event.facts.attemptId.empty() || event.facts.host.empty()) {
+        this->front.answer(request.id, statusBadRequest, {}, "a request needs a host and an id\n");
+        return;
+    }
+    auto call = std::make_shared<Call>();
+    call->head = std::move(request.head);
+    call->body = std::move(request.body);
+    call->attemptId = event.facts.attemptId;
+    this->calls[request.id] = std::move(call);
+    this->dispatch(event);
+}
+
+void RelayLoop::onGone(CallId call)
+{
+    this->dispatch(CallerLeft { .call = call });
+    this->calls.erase(call);
+}
+
+void RelayLoop::onLookup(const FrontRequest& request)
+{
+    constexpr std::size_t maxAddresses = 64;
+    std::vector<std::string> addresses;
+    if (this->ready())
+        addresses.push_back(this->settings.front);
+    for (const PeerEntry& entry : liveEntries(this->peers, monotonicNow()))
+        if (entry.ready && addresses.size() < maxAddresses)
+            addresses.push_back(entry.front);
+    if (addresses.empty()) {
+        this->front.answer(request.id, statusUnavailable, {}, "no entry is ready\n");
+        return;
+    }
+    this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
+        platform::encodeLookup(addresses, this->settings.lookupTimeToLive));
+}
+
+void RelayLoop::onControl(const FrontRequest& request)
+{
+    if (request.head.target == "/metrics")
+        this->front.answer(request.id, statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsPage());
+    else if (request.head.target.starts_with(peerTablesPath)) {
+        const PeerRevisions have = decodePeerRevisions(request.head.target);
+        this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
+            encodePeerTables(
+                this->operatorRows.snapshot(), this->upstreamRows.snapshot(), have, monotonicNow()));
+    } else
+        this->front.answer(request.id, statusNotFound, {}, "no such page\n");
+}
+
+bool RelayLoop::ready() const
+{
+    return this->drainingSince.value == 0 && this->state.config && !this->upstreams.empty();
+}
+
+// Peers -------------------------------------------------------------------------------------------------------------
+
+PeerEntry RelayLoop::self() const
+{
+    return { .host = this->settings.host.host,
+        .incarnation = this->incarnation,
+        .ip = this->settings.host.ip,
+        .front = this->settings.front,
+        .control = this->settings.control,
+        .place = this->settings.host.place,
+        .ready = this->ready() };
+}
+
+void RelayLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
+{
+    const Milliseconds now = monotonicNow();
+    const bool isNew = !beacon.from.front.empty() && !this->peers.entries.contains(beacon.from.host);
+    notePeer(this->peers, this->settings.host.host, beacon, ip, now);
+    if (isNew)
+        writeLog({ .event = "peer-found",
+            .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
+    if (beacon.engine)
+        this->dispatch(*beacon.engine);
+    else if (beacon.from.host != this->settings.host.host)
+        this->dispatch(PeerLoadsLearned { .peer = beacon.from.host, .loads = beacon.loads });
+}
+
+void RelayLoop::everyBeacon()
+{
+    PeerBeacon beacon { .from = this->self(), .loads = ownLoads(this->state) };
+    if (this->state.config)
+        beacon.configVersion = this->state.config->version;
+    const Milliseconds now = monotonicNow();
+    const bool withKnown = this->beacons++ % beaconsPerIntroduction == 0;
+    if (withKnown)
+        beacon.known = liveEntries(this->peers, now);
+    this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
+    if (withKnown) {
+        beacon.loads.clear();
+        std::vector<std::string> agents;
+        for (const auto& [ip, heardAt] : this->peers.agents)
+            agents.push_back(ip);
+        this->peerSocket.send(beacon, agents);
+    }
+    this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::everyBeacon);
+}
+
+void RelayLoop::askPeer()
+{
+    const Milliseconds now = monotonicNow();
+    const Milliseconds age = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf);
+    if (this->askingPeer || age < askPeerAfter)
+        return;
+    const std::vector<PeerEntry> live = liveEntries(this->peers, now);
+    if (live.empty())
+        return;
+    this->askingPeer = true;
+    const PeerEntry& peer
+        = live.at(std::uniform_int_distribution<std::size_t>(0, live.size() - 1)(this->state.random));
+    const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
+        .upstreams = this->upstreamRows.snapshot().revision };
+    this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = askPeerTimeout },
+        [this, now, name = peer.host.value](const Result<FetchAnswer>& answer) {
+            this->askingPeer = false;
+            const Result<PeerTables> tables = decodePeerTables(answer, now);
+            if (!tables) {
+                writeLog({ .level = LogLevel::Warning,
+                    .event = "peer-tables-failed",
+                    .fields = { { "peer", name }, { "error", tables.error().text() } } });
+                return;
+            }
+            this->operatorRows.adopt(tables.value().operators);
+            this->upstreamRows.adopt(tables.value().upstreams);
+        });
+}
+
+// The platform's store ------------------------------------------------------------------------------------------
+
+void RelayLoop::onOperatorRows(const std::vector<platform::TableRow>& changed)
+{
+    for (const platform::TableRow& row : changed) {
+        if (row.deleted)
+            continue;
+        if (row.key == platform::configKey) {
+            const Result<RelayConfig> config = platform::decodeConfig(row.value);
+            if (!config) {
+                writeLog({ .level = LogLevel::Error,
+                    .event = "config-refused",
+                    .fields = { { "error", config.error().text() } } });
+                continue;
+            }
+            this->dispatch(ConfigLearned { std::make_shared<const RelayConfig>(config.value()) });
+            this->front.setLimits(this->state.config->limits);
+        } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
+            const Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
+            if (declared)
+                this->dispatch(declared.value());
+            else
+                writeLog({ .level = LogLevel::Error,
+                    .event = "weights-refused",
+                    .fields = { { "error", declared.error().text() } } });
+        }
+    }
+}
+
+void RelayLoop::onConfirmed()
+{
+    this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf });
+}
+
+void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
+{
+    const Milliseconds now = monotonicNow();
+    for (const platform::TableRow& row : changed) {
+        if (row.deleted) {
+            // Leases run out while the store is away; live upstreams are listed again soon after its return.
+            if (now < this->unsettledUntil && this->upstreams.contains(row.key))
+                this->lapsed[row.key] = this->unsettledUntil;
+            else
+                this->upstreams.erase(row.key);
+            continue;
+        }
+        const Result<UpstreamEntry> entry = platform::decodeUpstream(row.key, row.value);
+        this->lapsed.erase(row.key);
+        if (entry)
+            this->upstreams[row.key] = entry.value();
+        else {
+            this->upstreams.erase(row.key);
+            writeLog({ .level = LogLevel::Warning,
+                .event = "upstream-refused",
+                .fields = { { "upstream", row.key }, { "error", entry.error().text() } } });
+        }
+    }
+    this->publishUpstreams();
+}
+
+void RelayLoop::publishUpstreams()
+{
+    UpstreamsLearned event;
+    for (const auto& [key, entry] : this->upstreams)
+        event.entries.push_back(entry);
+    this->dispatch(event);
+}
+
+// Time --------------------------------------------------------------------------------------------------------------
+
+void RelayLoop::everyTick()
+{
+    this->dispatch(RelayTick {});
+    if (this->drainingSince.value != 0)
+        this->continueDrain();
+    this->armTimer(this->tickTimer, tickPeriod, &RelayLoop::everyTick);
+}
+
+void RelayLoop::everySecond()
+{
+    const Milliseconds now = monotonicNow();
+    this->front.sweep(now);
+    this->pool.sweep(now);
+    forgetSilentPeers(this->peers, now);
+    this->dispatch(EntriesCounted {
+        .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
+    this->askPeer();
+    bool gone = false;
+    for (auto row = this->lapsed.begin(); row != this->lapsed.end();) {
+        if (now < row->second) {
+            ++row;
+            continue;
+        }
+        this->upstreams.erase(row->first);
+        row = this->lapsed.erase(row);
+        gone = true;
+    }
+    if (gone)
+        this->publishUpstreams();
+    this->armTimer(this->secondTimer, sweepPeriod, &RelayLoop::everySecond);
+}
+
+void RelayLoop::reload()
+{
+    const Result<RelaySettings> read = loadRelaySettings(this->settingsPath);
+    writeLog({ .level = read ? LogLevel::Info : LogLevel::Error,
+        .event = "reload",
+        .fields = { { "result", read ? "ok" : read.error().text() } } });
+    if (!read)
+        return;
+    // Addresses stay as they are for the life of the process.
+    const std::uint64_t seed = this->settings.host.seed;
+    this->settings = read.value();
+    this->settings.host.seed = seed;
+    this->state.options = relayOptions(this->settings);
+}
+
+void RelayLoop::startDrain()
+{
+    if (this->drainingSince.value != 0)
+        return;
+    this->drainingSince = monotonicNow();
+    writeLog({ .event = "drain", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
+    this->front.startDrain();
+    // Peers leave this entry out of their answers to lookups from their next beacon on.
+    this->everyBeacon();
+}
+
+void RelayLoop::continueDrain()
+{
+    const Milliseconds elapsed = monotonicNow() - this->drainingSince;
+    const bool idle = this->calls.empty();
+    if ((elapsed > drainLeast && idle) || elapsed > drainAcceptFor)
+        this->front.closeIdle();
+    if ((elapsed > drainLeast && idle) || elapsed + drainReserve > this->settings.gracePeriod) {
+        // One more turn lets answers that are written reach their callers.
+        this->secondTimer.expires_after(std::chrono::milliseconds(drainFlush.value));
+        this->secondTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_place_func.cpp
@@ -0,0 +1,142 @@
+#include "relay_place_func.h"
+
+#include "digest_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    constexpr double otherPlaceMs = 6.0; ///< a request to another place must gain this much: bytes there cost
+    constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
+    constexpr double plainWaitMs = 60.0; ///< mean work of a plain service
+
+    const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model)
+    {
+        // The agent's report is fresher than the list.
+        const std::vector<HeldModel>& models = view.report ? view.report->models : view.entry.models;
+        for (const HeldModel& held : models)
+            if (held.model == model && held.whole)
+                return &held;
+        return nullptr;
+    }
+
+    bool hasWeights(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
+    {
+        const HeldModel* held = heldModel(view, request.facts.model);
+        if (!held)
+            return false;
+        const auto declared = state.declared.find(request.facts.model);
+        return declared == state.declared.end() || held->version >= declared->second.version
+            || now - declared->second.learnedAt < state.options.weightsGrace;
+    }
+
+    bool mayRun(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
+    {
+        if (!view.listed || view.entry.leaving || view.entry.service != request.service)
+            return false;
+        if (request.tried.contains(view.entry.id))
+            return false;
+        return request.facts.model.empty() || hasWeights(state, view, request, now);
+    }
+
+    double score(const RelayState& state, const RelayUpstream& view, const RelayRequest& request,
+        const EngineProfile* profile, std::uint32_t requests, Milliseconds now)
+    {
+        double cost = view.errorShare * errorPenaltyMs;
+        if (view.entry.place != state.options.place)
+            cost += otherPlaceMs;
+        if (!profile)
+            return cost + plainWaitMs * requests / std::max<std::uint32_t>(view.entry.slots, 1);
+        std::uint32_t unread = view.unreadTokens;
+        for (const auto& [host, peer] : state.peers) {
+            const auto found = peer.loads.find(view.key);
+            if (now - peer.at < reportTrust && found != peer.loads.end())
+                unread += found->second.unreadTokens;
+        }
+        const double pace = view.report && now - view.reportedAt < reportTrust ? view.report->pace : 1.0;
+        return cost
+            + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = pace },
+                request.facts.promptTokens);
+    }
+
+} // namespace
+
+std::uint64_t loadKey(const UpstreamId& upstream) { return placementHash("load", upstream.value); }
+
+double predictResidence(const EngineProfile& profile)
+{
+    const double passMs = profile.stride * (profile.stepMs + profile.slots * profile.stepPerRequestMs);
+    const double passes = std::max(1.0, static_cast<double>(profile.usualAnswer) / std::max(1U, profile.stride));
+    const double readMs = profile.usualPrompt / profile.readTokensPerMs;
+    // Each slot takes a new request once a residence; its prompt is read between the steps of all others.
+    return passes * passMs + profile.slots * readMs;
+}
+
+double predictFirstToken(const EngineProfile& profile, const EngineLoad& load, std::uint32_t promptTokens)
+{
+    const std::uint32_t writing = std::min(load.requests, profile.slots);
+    const double passMs = writing == 0 ? 0 : profile.stride * (profile.stepMs + writing * profile.stepPerRequestMs);
+    const double pairs = static_cast<double>(promptTokens) * promptTokens / 2e6;
+    const double readMs
+        = (load.unreadTokens + promptTokens) / profile.readTokensPerMs + pairs * profile.readPerMegaPairMs;
+    const std::uint32_t ahead = load.requests >= profile.slots ? load.requests - profile.slots + 1 : 0;
+    const double slotMs = ahead * predictResidence(profile) / std::max(1U, profile.slots);
+    // A full engine also slows down all that it runs: prefer the emptier of two that answer alike.
+    return load.pace * (passMs / 2 + readMs + slotMs + writing * 2.0);
+}
+
+std::uint32_t requestsAt(const RelayState& state, const RelayUpstream& view, Milliseconds now)
+{
+    std::uint32_t others = 0;
+    for (const auto& [host, peer] : state.peers) {
+        const auto found = peer.loads.find(view.key);
+        if (now - peer.at < reportTrust && found != peer.loads.end())
+            others += found->second.sent;
+    }
+    return view.sent + others;
+}
+
+std::uint32_t placeLimit(std::uint32_t slots, std::uint8_t rank, bool engine)
+{
+    if (!engine)
+        return slots;
+    constexpr std::uint32_t firstRankExtra = 6;
+    constexpr std::uint32_t secondRankExtra = 3;
+    constexpr std::uint32_t otherExtra = 1;
+    return slots + (rank == 0 ? firstRankExtra : rank == 1 ? secondRankExtra : otherExtra);
+}
+
+std::optional<UpstreamId> chooseUpstream(
+    const RelayState& state, const RelayRequest& request, Milliseconds now, bool mustHaveRoom)
+{
+    const auto service = request.config->services.find(request.service);
+    const EngineProfile* profile = service != request.config->services.end() && service->second.engine
+            && !request.facts.model.empty()
+        ? &*service->second.engine
+        : nullptr;
+    const RelayUpstream* best = nullptr;
+    double bestScore = 0;
+    for (const auto& [id, view] : state.upstreams) {
+        if (!mayRun(state, view, request, now))
+            continue;
+        if (!mustHaveRoom)
+            return id;
+        if (now < view.ejectedUntil || now < view.fullUntil || now < view.orderingUntil
+            || (view.report && view.report->busy))
+            continue;
+        const std::uint32_t requests = requestsAt(state, view, now);
+        if (requests >= placeLimit(view.entry.slots, request.rank, profile != nullptr))
+            continue;
+        const double cost = score(state, view, request, profile, requests, now);
+        if (!best || cost < bestScore) {
+            best = &view;
+            bestScore = cost;
+        }
+    }
+    return best ? std::optional(best->entry.id) : std::nullopt;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_reduce_func.cpp
@@ -0,0 +1,107 @@
+#include "relay_reduce_func.h"
+
+#include "relay_cmd.h"
+#include "relay_place_func.h"
+
+namespace hickory {
+
+namespace {
+
+    void applyConfig(RelayState& state, const ConfigLearned& event, Milliseconds now, RelayEffects& effects)
+    {
+        if (state.config && event.config->version <= state.config->version)
+            return;
+        state.config = event.config;
+        effects.emplace_back(LogLine { .event = "config-in-force",
+            .fields = { { "version", std::to_string(event.config->version.value) },
+                { "routes", std::to_string(event.config->routes.size()) },
+                { "keys", std::to_string(event.config->keys.size()) } } });
+        std::vector<ServiceId> services;
+        for (const auto& [service, view] : state.services)
+            services.push_back(service);
+        for (const ServiceId& service : services)
+            placeWaiting(state, service, now, effects);
+    }
+
+    void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
+    {
+        DeclaredWeights& declared = state.declared[event.model];
+        if (event.version <= declared.version)
+            return;
+        declared = { .version = event.version, .learnedAt = now };
+        effects.emplace_back(LogLine { .event = "weights-declared",
+            .fields
+            = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
+    }
+
+    void applyPeerLoads(RelayState& state, const PeerLoadsLearned& event, Milliseconds now)
+    {
+        PeerView& peer = state.peers[event.peer];
+        peer.at = now;
+        peer.loads.clear();
+        for (const PeerLoad& load : event.loads)
+            peer.loads[load.upstream] = load;
+    }
+
+    void tick(RelayState& state, Milliseconds now, RelayEffects& effects)
+    {
+        expireRequests(state, now, effects);
+        giveUpSilent(state, now, effects);
+        std::vector<ServiceId> services;
+        for (const auto& [service, view] : state.services)
+            if (!view.queue.empty())
+                services.push_back(service);
+        for (const ServiceId& service : services)
+            placeWaiting(state, service, now, effects);
+    }
+
+    template <typename... Handlers> struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+RelayState makeRelayState(const RelayOptions& options)
+{
+    RelayState state;
+    state.options = options;
+    state.random.seed(options.seed);
+    return state;
+}
+
+std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now)
+{
+    RelayEffects effects;
+    std::visit(
+        Overloaded {
+            [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
+            [&](const CallerLeft& left) { forgetCaller(state, left, now, effects); },
+            [&](const AnswerBegan& began) { applyAnswerBegan(state, began, now, effects); },
+            [&](const StreamMoved& moved) { applyStreamMoved(state, moved, now, effects); },
+            [&](const AnswerEnded& ended) { applyAnswerEnded(state, ended, now, effects); },
+            [&](const RelayTick&) { tick(state, now, effects); },
+            [&](const ConfigLearned& learned) { applyConfig(state, learned, now, effects); },
+            [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
+            [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
+            [&](const PeerLoadsLearned& learned) { applyPeerLoads(state, learned, now); },
+            [&](const EntriesCounted& counted) { state.entries = counted.entries; },
+            [&](const ConfigConfirmed& confirmed) {
+                state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
+            },
+            [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+        },
+        event);
+    return effects;
+}
+
+std::vector<PeerLoad> ownLoads(const RelayState& state)
+{
+    std::vector<PeerLoad> loads;
+    for (const auto& [id, view] : state.upstreams)
+        if (view.sent > 0)
+            loads.push_back({ .upstream = view.key, .sent = view.sent, .unreadTokens = view.unreadTokens });
+    return loads;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_request_cmd.cpp
@@ -0,0 +1,217 @@
+#include "relay_admit_func.h"
+#include "relay_budget_func.h"
+#include "relay_cmd.h"
+#include "relay_place_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint16_t statusUnauthorized = 401;
+    constexpr std::uint16_t statusNotFound = 404;
+    constexpr std::uint16_t statusUnavailable = 503;
+    constexpr std::uint16_t statusTimeout = 504;
+
+    /// @return the share that takes a request, drawn by weight
+    ServiceId drawService(const RelayRoute& route, std::mt19937_64& random)
+    {
+        double total = 0;
+        for (const RouteShare& share : route.shares)
+            total += share.weight;
+        double left = std::uniform_real_distribution<double>(0, std::max(total, 1e-9))(random);
+        for (const RouteShare& share : route.shares) {
+            left -= share.weight;
+            if (left <= 0)
+                return share.service;
+        }
+        return route.shares.back().service;
+    }
+
+    void refuseEarly(CallId call, const RequestFacts& facts, std::uint16_t status, const char* reason,
+        Milliseconds configAge, RelayEffects& effects)
+    {
+        constexpr Milliseconds retryAfter { 400 };
+        effects.emplace_back(RefuseCall { .call = call,
+            .status = status,
+            .retryAfter = status == statusUnavailable ? retryAfter : Milliseconds {},
+            .reason = reason });
+        effects.emplace_back(LogLine { .level = LogLevel::Info,
+            .event = "refuse",
+            .fields = { { "request", facts.attemptId }, { "status", std::to_string(status) }, { "reason", reason },
+                { "config_age_ms", std::to_string(configAge.value) }, { "host", facts.host } } });
+        effects.emplace_back(
+            MetricSample { .name = "refused_total", .labels = "reason=\"" + std::string(reason) + "\"" });
+    }
+
+    /// Finds route and workspace, or refuses the request.
+    /// @return whether the request may go on
+    bool authorize(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        const Milliseconds age = now - state.configConfirmedAt;
+        const auto refuse = [&](std::uint16_t status, const char* reason) {
+            refuseEarly(request.call, request.facts, status, reason, age, effects);
+            return false;
+        };
+        if (!state.config)
+            return refuse(statusUnavailable, "no-config");
+        request.config = state.config;
+        request.route = findRoute(*request.config, request.facts.host, request.facts.target);
+        if (!request.route)
+            return age < unknownStale ? refuse(statusNotFound, "no-route") : refuse(statusUnavailable, "stale-config");
+        request.rank = request.route->rank;
+        if (request.route->open || request.config->workspaces.empty())
+            return true;
+        if (age > state.options.keyTrust)
+            return refuse(statusUnavailable, "stale-config");
+        const auto key = request.config->keys.find(request.facts.key);
+        if (key == request.config->keys.end())
+            return age < unknownStale ? refuse(statusUnauthorized, "unknown-key")
+                                      : refuse(statusUnavailable, "stale-config");
+        const RelayWorkspace& workspace = request.config->workspaces.at(key->second);
+        request.workspace = workspace.name;
+        request.rank = workspace.rank.value_or(request.rank);
+        return true;
+    }
+
+} // namespace
+
+LogLine requestLine(const char* event, const RelayRequest& request, Milliseconds now)
+{
+    return { .event = event,
+        .fields = { { "request", request.facts.attemptId }, { "route", request.route->name },
+            { "service", request.service.value }, { "rank", std::to_string(request.rank) },
+            { "age_ms", std::to_string((now - request.arrivedAt).value) } } };
+}
+
+void admitRequest(RelayState& state, const CallArrived& event, Milliseconds now, RelayEffects& effects)
+{
+    RelayRequest request { .call = event.call, .facts = event.facts, .arrivedAt = event.firstByteAt };
+    if (!authorize(state, request, now, effects))
+        return;
+    const RelayRoute& route = *request.route;
+    request.service = drawService(route, state.random);
+    request.objectiveAt = request.arrivedAt + route.objective;
+    request.timeoutAt = request.arrivedAt + route.timeout;
+    request.deadlineAt = request.timeoutAt;
+    if (request.facts.patience.value > 0)
+        request.deadlineAt = std::min(request.deadlineAt, request.arrivedAt + request.facts.patience);
+    request.lastEventId = request.facts.resumeAfter;
+    RelayRequest& kept = state.requests.emplace(request.call, std::move(request)).first->second;
+    ServiceView& service = state.services[kept.service];
+    if (service.queue.empty() || kept.rank < service.queue.begin()->first.rank) {
+        if (const auto upstream = chooseUpstream(state, kept, now, true)) {
+            sendRequest(state, kept, *upstream, now, effects);
+            return;
+        }
+    }
+    if (!chooseUpstream(state, kept, now, false)) {
+        refuseRequest(state, kept, statusUnavailable, "no-upstream", now, effects);
+        return;
+    }
+    if (!mayWait(state, kept, now)) {
+        refuseRequest(state, kept, statusUnavailable, "overload", now, effects);
+        return;
+    }
+    enqueueRequest(state, kept, now);
+    placeWaiting(state, kept.service, now, effects);
+}
+
+void enqueueRequest(RelayState& state, RelayRequest& request, Milliseconds now)
+{
+    request.queued = queueKey(request, now);
+    state.services[request.service].queue[*request.queued] = request.call;
+}
+
+namespace {
+
+    void leaveQueue(RelayState& state, RelayRequest& request)
+    {
+        if (request.queued)
+            state.services[request.service].queue.erase(*request.queued);
+        request.queued.reset();
+    }
+
+} // namespace
+
+void forgetCaller(RelayState& state, const CallerLeft& event, Milliseconds now, RelayEffects& effects)
+{
+    const auto found = state.requests.find(event.call);
+    if (found == state.requests.end())
+        return;
+    RelayRequest& request = found->second;
+    effects.emplace_back(requestLine("caller-left", request, now));
+    leaveQueue(state, request);
+    releaseSend(state, request, true, effects);
+    const ServiceId service = request.service;
+    state.requests.erase(found);
+    placeWaiting(state, service, now, effects);
+}
+
+void refuseRequest(RelayState& state, RelayRequest& request, std::uint16_t status, const char* reason,
+    Milliseconds now, RelayEffects& effects)
+{
+    leaveQueue(state, request);
+    releaseSend(state, request, true, effects);
+    const bool notRun = status == statusUnavailable;
+    const Milliseconds retryAfter = notRun ? returnTime(state, request, now) : Milliseconds {};
+    LogLine line = requestLine("refuse", request, now);
+    line.fields.emplace_back("status", std::to_string(status));
+    line.fields.emplace_back("reason", reason);
+    line.fields.emplace_back("retry_after_ms", std::to_string(retryAfter.value));
+    line.fields.emplace_back("sends", std::to_string(request.sends));
+    line.fields.emplace_back("queued", std::to_string(state.services[request.service].queue.size()));
+    effects.emplace_back(std::move(line));
+    effects.emplace_back(MetricSample { .name = "refused_total",
+        .labels = "reason=\"" + std::string(reason) + "\",service=\"" + request.service.value + "\"" });
+    if (request.relayed)
+        effects.emplace_back(AbortAnswer { .call = request.call });
+    else
+        effects.emplace_back(
+            RefuseCall { .call = request.call, .status = status, .retryAfter = retryAfter, .reason = reason });
+    state.requests.erase(request.call);
+}
+
+void placeWaiting(RelayState& state, const ServiceId& service, Milliseconds now, RelayEffects& effects)
+{
+    auto& queue = state.services[service].queue;
+    while (!queue.empty()) {
+        RelayRequest& request = state.requests.at(queue.begin()->second);
+        const auto upstream = chooseUpstream(state, request, now, true);
+        if (!upstream)
+            return;
+        leaveQueue(state, request);
+        sendRequest(state, request, *upstream, now, effects);
+    }
+}
+
+void expireRequests(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    std::vector<CallId> over;
+    std::vector<CallId> hopeless;
+    for (auto& [call, request] : state.requests) {
+        if (now >= request.deadlineAt)
+            over.push_back(call);
+        else if (request.queued && isHopeless(request, now))
+            hopeless.push_back(call);
+        else if (request.queued && !request.queued->late && queueKey(request, now).late) {
+            leaveQueue(state, request);
+            enqueueRequest(state, request, now);
+        }
+    }
+    for (const CallId call : over) {
+        RelayRequest& request = state.requests.at(call);
+        const bool notRun = !request.mayHaveRun && !request.active;
+        refuseRequest(state, request, notRun ? statusUnavailable : statusTimeout,
+            notRun ? "no-time-left" : "timeout", now, effects);
+    }
+    for (const CallId call : hopeless) {
+        RelayRequest& request = state.requests.at(call);
+        refuseRequest(state, request, request.mayHaveRun ? statusTimeout : statusUnavailable, "no-time-left", now,
+            effects);
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_send_cmd.cpp
@@ -0,0 +1,293 @@
+#include "relay_budget_func.h"
+#include "relay_cmd.h"
+#include "relay_place_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint16_t statusOk = 200;
+    constexpr std::uint16_t statusMultiple = 300;
+    constexpr std::uint16_t statusMisdirected = 421;
+    constexpr std::uint16_t statusServerError = 500;
+    constexpr std::uint16_t statusBadGateway = 502;
+    constexpr std::uint16_t statusUnavailable = 503;
+    constexpr std::uint8_t leastUrgent = 9;
+
+    bool isSuccess(std::uint16_t status) { return status >= statusOk && status < statusMultiple; }
+
+    /// @return the request and its sending, when the event belongs to the sending under way
+    RelayRequest* findActive(RelayState& state, CallId call, SendNumber send)
+    {
+        const auto found = state.requests.find(call);
+        if (found == state.requests.end() || !found->second.active || found->second.active->send != send)
+            return nullptr;
+        return &found->second;
+    }
+
+    bool isEngineRequest(const RelayRequest& request) { return !request.facts.model.empty(); }
+
+    /// @return whether a request may be sent again after a sending that may have run
+    bool mayRepeat(const RelayRequest& request)
+    {
+        return request.route->kind == CallKind::Idempotent
+            || (request.route->kind == CallKind::Stream && request.route->resumable);
+    }
+
+    std::optional<WeightsVersion> requiredWeights(
+        const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        const auto declared = state.declared.find(request.facts.model);
+        if (declared == state.declared.end() || now - declared->second.learnedAt < state.options.weightsGrace)
+            return std::nullopt;
+        return declared->second.version;
+    }
+
+    /// Sends a request elsewhere after a failed sending, lets it wait, or ends it.
+    /// @param ranNot the upstream did not run it
+    void tryElsewhere(RelayState& state, RelayRequest& request, bool ranNot, bool unsent, const char* reason,
+        Milliseconds now, RelayEffects& effects)
+    {
+        if (!ranNot)
+            request.mayHaveRun = true;
+        const bool repeatable = ranNot || mayRepeat(request);
+        const bool attemptsLeft
+            = unsent ? request.unsent < maxUnsentTries : request.sends < request.route->maxAttempts;
+        if (repeatable && attemptsLeft && now < request.deadlineAt) {
+            if (unsent || takeRepeat(state.services[request.service].retries, state.options, state.entries, now)) {
+                LogLine line = requestLine("retry", request, now);
+                line.fields.emplace_back("reason", reason);
+                line.fields.emplace_back("resume_after", request.lastEventId);
+                effects.emplace_back(std::move(line));
+                effects.emplace_back(
+                    MetricSample { .name = "retries_total", .labels = "reason=\"" + std::string(reason) + "\"" });
+                if (const auto upstream = chooseUpstream(state, request, now, true)) {
+                    sendRequest(state, request, *upstream, now, effects);
+                    return;
+                }
+                if (chooseUpstream(state, request, now, false)) {
+                    enqueueRequest(state, request, now);
+                    return;
+                }
+            }
+        }
+        refuseRequest(
+            state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable, reason, now, effects);
+    }
+
+    void endWithAnswer(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        const ActiveSend send = *request.active;
+        const bool good = isSuccess(send.status);
+        noteAnswer(state, send.upstream, good);
+        LogLine line = requestLine("answer", request, now);
+        line.fields.emplace_back("status", std::to_string(send.status));
+        line.fields.emplace_back("upstream", send.upstream.value);
+        line.fields.emplace_back("sends", std::to_string(request.sends));
+        line.fields.emplace_back("sent_ms", std::to_string((send.sentAt - request.arrivedAt).value));
+        effects.emplace_back(std::move(line));
+        effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
+            .name = "answer_ms",
+            .labels = "service=\"" + request.service.value + "\",rank=\"" + std::to_string(request.rank) + "\"",
+            .value = static_cast<double>((now - request.arrivedAt).value) });
+        releaseSend(state, request, false, effects);
+        if (!request.relayed)
+            effects.emplace_back(RelayAnswer { .call = request.call, .send = send.send });
+        effects.emplace_back(FinishAnswer { .call = request.call });
+        const ServiceId service = request.service;
+        state.requests.erase(request.call);
+        placeWaiting(state, service, now, effects);
+    }
+
+} // namespace
+
+void sendRequest(
+    RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+{
+    RelayUpstream& view = state.upstreams.at(upstream);
+    ServiceView& service = state.services[request.service];
+    if (request.sends == 0)
+        countFirstSend(service.retries, now, state.options.retryWindow);
+    service.placedAt.push_back(now);
+    while (!service.placedAt.empty() && now - service.placedAt.front() > rateWindow)
+        service.placedAt.pop_front();
+    ++request.sends;
+    request.active = ActiveSend {
+        .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .movedAt = now
+    };
+    if (view.sent == 0)
+        view.heardAt = now;
+    ++view.sent;
+    view.unreadTokens += request.facts.promptTokens;
+    LogLine line = requestLine("send", request, now);
+    line.fields.emplace_back("upstream", upstream.value);
+    line.fields.emplace_back("try", std::to_string(request.sends));
+    line.fields.emplace_back("load", std::to_string(requestsAt(state, view, now)));
+    line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+    effects.emplace_back(std::move(line));
+    effects.emplace_back(SendToUpstream { .call = request.call,
+        .send = request.active->send,
+        .upstream = upstream,
+        .address = view.entry.address,
+        .timeLeft = request.deadlineAt - now,
+        .urgency = isEngineRequest(request) ? std::optional(std::min(request.rank, leastUrgent)) : std::nullopt,
+        .workspace = request.workspace,
+        .expectVersion = isEngineRequest(request) ? requiredWeights(state, request, now) : std::nullopt,
+        .resumeAfter = request.lastEventId,
+        .freshChannel = request.route->kind == CallKind::NonIdempotent });
+}
+
+void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
+{
+    if (!request.active)
+        return;
+    const auto found = state.upstreams.find(request.active->upstream);
+    if (found != state.upstreams.end()) {
+        RelayUpstream& view = found->second;
+        --view.sent;
+        if (request.active->reading)
+            view.unreadTokens -= request.facts.promptTokens;
+        if (!view.listed && view.sent == 0)
+            state.upstreams.erase(found);
+    }
+    if (cancel)
+        effects.emplace_back(CancelSend { .call = request.call, .send = request.active->send });
+    request.active.reset();
+}
+
+void applyAnswerBegan(RelayState& state, const AnswerBegan& event, Milliseconds now, RelayEffects& effects)
+{
+    RelayRequest* request = findActive(state, event.call, event.send);
+    if (!request)
+        return;
+    ActiveSend& send = *request->active;
+    const UpstreamId upstream = send.upstream;
+    RelayUpstream& view = state.upstreams.at(upstream);
+    view.heardAt = now;
+    if (event.running) {
+        view.reportedRunning = *event.running;
+        view.reportedWaiting = event.waiting.value_or(0);
+        view.loadAt = now;
+    }
+    send.headSeen = true;
+    send.status = event.status;
+    send.sealed = event.sealed;
+    send.movedAt = now;
+    if (event.notRun || event.status == statusMisdirected) {
+        const bool misdirected = event.status == statusMisdirected;
+        view.fullUntil = now + fullPause;
+        if (misdirected)
+            request->tried.insert(upstream);
+        LogLine line = requestLine("not-run", *request, now);
+        line.fields.emplace_back("upstream", upstream.value);
+        line.fields.emplace_back("status", std::to_string(event.status));
+        effects.emplace_back(std::move(line));
+        releaseSend(state, *request, true, effects);
+        tryElsewhere(state, *request, true, false, misdirected ? "misdirected" : "upstream-full", now, effects);
+        return;
+    }
+    if (isSuccess(event.status) && request->route->kind == CallKind::Stream && event.sealed) {
+        if (!request->relayed)
+            effects.emplace_back(RelayAnswer { .call = event.call, .send = event.send });
+        request->relayed = true;
+    }
+}
+
+void applyStreamMoved(RelayState& state, const StreamMoved& event, Milliseconds now, RelayEffects& effects)
+{
+    RelayRequest* request = findActive(state, event.call, event.send);
+    if (!request)
+        return;
+    ActiveSend& send = *request->active;
+    RelayUpstream& view = state.upstreams.at(send.upstream);
+    view.heardAt = now;
+    send.movedAt = now;
+    if (!event.lastEventId.empty())
+        request->lastEventId = event.lastEventId;
+    if (request->events++ == 0)
+        effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
+            .name = "first_event_ms",
+            .labels = "service=\"" + request->service.value + "\",rank=\"" + std::to_string(request->rank) + "\"",
+            .value = static_cast<double>((now - request->arrivedAt).value) });
+    if (send.reading) {
+        send.reading = false;
+        view.unreadTokens -= request->facts.promptTokens;
+    }
+}
+
+void applyAnswerEnded(RelayState& state, const AnswerEnded& event, Milliseconds now, RelayEffects& effects)
+{
+    RelayRequest* request = findActive(state, event.call, event.send);
+    if (!request)
+        return;
+    const UpstreamId upstream = request->active->upstream;
+    const std::uint16_t status = request->active->status;
+    const bool whole = event.end == SendEnd::Complete;
+    if (whole && (request->active->sealed || !isSuccess(status))) {
+        const bool retryable = status >= statusServerError && request->route->kind == CallKind::Idempotent
+            && request->sends < request->route->maxAttempts;
+        if (retryable) {
+            auto& retries = state.services[request->service].retries;
+            RetryWindow probe = retries;
+            if (takeRepeat(probe, state.options, state.entries, now)) {
+                noteAnswer(state, upstream, false);
+                request->tried.insert(upstream);
+                releaseSend(state, *request, false, effects);
+                tryElsewhere(state, *request, false, false, "upstream-error", now, effects);
+                return;
+            }
+        }
+        endWithAnswer(state, *request, now, effects);
+        return;
+    }
+    const ServiceId service = request->service;
+    const bool unsent = event.end == SendEnd::NotSent;
+    noteFailure(state, upstream, unsent ? "connect" : whole ? "unsealed" : "broken", now, effects);
+    request->tried.insert(upstream);
+    releaseSend(state, *request, false, effects);
+    if (unsent) {
+        --request->sends;
+        ++request->unsent;
+    }
+    tryElsewhere(state, *request, unsent, unsent, unsent ? "connect" : "broken", now, effects);
+    placeWaiting(state, service, now, effects);
+}
+
+void giveUpSilent(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    std::vector<CallId> silent;
+    for (auto& [call, request] : state.requests) {
+        if (!request.active || !mayRepeat(request) || request.sends >= request.route->maxAttempts)
+            continue;
+        const ActiveSend& send = *request.active;
+        const auto view = state.upstreams.find(send.upstream);
+        if (view == state.upstreams.end())
+            continue;
+        const bool engine = isEngineRequest(request);
+        const Milliseconds limit = engine
+            ? silenceLimit
+            : std::max(plainSilenceLimit, request.route->objective * plainSilenceFactor);
+        const bool upstreamSilent = !engine || now - view->second.heardAt > limit;
+        if (now - send.movedAt > limit && upstreamSilent)
+            silent.push_back(call);
+    }
+    for (const CallId call : silent) {
+        const auto found = state.requests.find(call);
+        if (found == state.requests.end())
+            continue;
+        RelayRequest& request = found->second;
+        RetryWindow probe = state.services[request.service].retries;
+        if (!takeRepeat(probe, state.options, state.entries, now) || !request.active)
+            continue;
+        const UpstreamId upstream = request.active->upstream;
+        noteFailure(state, upstream, "silent", now, effects);
+        request.tried.insert(upstream);
+        releaseSend(state, request, true, effects);
+        tryElsewhere(state, request, false, false, "silent", now, effects);
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_state_type.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "relay_type.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace hickory {
+
+/// Settings of the relay's decisions.
+struct RelayOptions {
+    PlaceId place; ///< data centre of this host
+    Milliseconds keyTrust { 3000 }; ///< requests with a key are refused on a configuration confirmed longer ago
+    Milliseconds weightsGrace { 6000 }; ///< after this time declared weights are required of an engine
+    double retryRatio { 0.2 }; ///< repeats allowed for each request, over all entries
+    double retryExtra { 106 }; ///< repeats allowed besides, over all entries
+    Milliseconds retryWindow { 10000 }; ///< over which repeats are counted
+    std::uint64_t seed { 1 }; ///< of random choices
+};
+
+/// Requests and repeats of one service in the last window, by buckets of time.
+struct RetryWindow {
+    struct Bucket {
+        Milliseconds start; ///< of the bucket
+        std::uint32_t firsts { 0 }; ///< requests sent for the first time
+        std::uint32_t repeats { 0 }; ///< sent once more
+    };
+    std::deque<Bucket> buckets; ///< oldest first
+};
+
+/// A sending under way.
+struct ActiveSend {
+    SendNumber send; ///< names it
+    UpstreamId upstream; ///< where
+    Milliseconds sentAt; ///< when
+    Milliseconds movedAt; ///< last sign of progress
+    bool headSeen { false }; ///< the answer began
+    std::uint16_t status { 0 }; ///< of the answer
+    bool sealed { false }; ///< the answer carries the proof of its upstream
+    bool reading { true }; ///< no event of a stream came yet: the prompt still has to be read
+};
+
+/// Order in which requests wait: those that can still be on time first, then by rank, then by objective.
+struct QueueKey {
+    bool late { false }; ///< cannot be on time any more
+    std::uint8_t rank { 0 }; ///< urgency
+    Milliseconds objectiveAt; ///< when it should be answered
+    std::uint64_t call { 0 }; ///< breaks ties in order of arrival
+
+    auto operator<=>(const QueueKey&) const = default;
+};
+
+/// A request without a complete answer.
+struct RelayRequest {
+    CallId call; ///< names it
+    RequestFacts facts; ///< decoded
+    std::shared_ptr<const RelayConfig> config; ///< owns route
+    const RelayRoute* route { nullptr }; ///< selected at arrival
+    ServiceId service; ///< selected share
+    WorkspaceId workspace; ///< holder of the key, empty on open routes
+    std::uint8_t rank { 0 }; ///< workspace's, else route's
+    Milliseconds arrivedAt; ///< first byte
+    Milliseconds objectiveAt; ///< on time until then
+    Milliseconds timeoutAt; ///< the route's limit
+    Milliseconds deadlineAt; ///< the caller's limit or the route's, whichever is first
+    std::uint32_t sends { 0 }; ///< sendings so far
+    std::uint32_t unsent { 0 }; ///< sendings of which no byte left
+    std::set<UpstreamId> tried; ///< upstreams that failed it
+    std::optional<ActiveSend> active; ///< sending under way
+    std::optional<QueueKey> queued; ///< place in the queue
+    bool relayed { false }; ///< the caller has the head of an answer
+    bool mayHaveRun { false }; ///< some sending may have run
+    std::string lastEventId; ///< last event passed on
+    std::uint32_t events { 0 }; ///< progress reports so far
+};
+
+/// What an entry believes about one upstream.
+struct RelayUpstream {
+    UpstreamEntry entry; ///< as listed
+    std::uint64_t key { 0 }; ///< loadKey() of its id
+    bool listed { true }; ///< still in the list; removed views wait for their last sending
+    std::uint32_t sent { 0 }; ///< our requests under way
+    std::uint32_t unreadTokens { 0 }; ///< prompt tokens of ours without a first event
+    std::optional<EngineReport> report; ///< last one of the agent beside it
+    Milliseconds reportedAt; ///< when the report came
+    std::uint32_t reportedRunning { 0 }; ///< requests in slots by the last answer's head or report
+    std::uint32_t reportedWaiting { 0 }; ///< requests in its queue, likewise
+    Milliseconds loadAt { -1000000 }; ///< when those two came
+    Milliseconds heardAt; ///< last bytes of an answer
+    Milliseconds ejectedUntil { 0 }; ///< no new work before
+    std::uint32_t failures { 0 }; ///< in a row
+    double errorShare { 0 }; ///< moving average of failed answers
+    Milliseconds fullUntil { 0 }; ///< said that it is full
+    Milliseconds orderingUntil { 0 }; ///< about to load weights
+};
+
+/// Another entry's requests at the upstreams.
+struct PeerView {
+    Milliseconds at; ///< when it told
+    std::unordered_map<std::uint64_t, PeerLoad> loads; ///< by upstream
+};
+
+/// Requests of one service that wait, and how fast they are placed.
+struct ServiceView {
+    std::map<QueueKey, CallId> queue; ///< in the order in which they are placed
+    RetryWindow retries; ///< repeats lately
+    std::deque<Milliseconds> placedAt; ///< placements within rateWindow
+};
+
+/// Weights that operators declared.
+struct DeclaredWeights {
+    WeightsVersion version; ///< newest
+    Milliseconds learnedAt; ///< when this process learned of it
+};
+
+/// All that the relay decides on.
+struct RelayState {
+    RelayOptions options; ///< from settings
+    std::shared_ptr<const RelayConfig> config; ///< newest known, empty at start
+    Milliseconds configConfirmedAt { -1000000 }; ///< no newer configuration existed then
+    std::unordered_map<CallId, RelayRequest> requests; ///< without a complete answer
+    std::map<UpstreamId, RelayUpstream> upstreams; ///< listed, or with work under way
+    std::map<ServiceId, ServiceView> services; ///< queues
+    std::map<HostId, PeerView> peers; ///< other entries
+    std::map<ModelId, DeclaredWeights> declared; ///< weights
+    std::uint32_t entries { 1 }; ///< alive in the fleet
+    std::uint64_t lastSend { 0 }; ///< number of the last sending
+    std::mt19937_64 random { 1 }; ///< seeded from the options
+};
+
+/// @param upstream id
+/// @return the short form of the id in messages between entries
+std::uint64_t loadKey(const UpstreamId& upstream);
+
+} // namespace hickory
--- /dev/null
+++ b/src/relay_upstream_cmd.cpp
@@ -0,0 +1,124 @@
+#include "relay_cmd.h"
+#include "relay_place_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    /// Forgets what was believed of an upstream that started again under its id.
+    void resetView(RelayUpstream& view)
+    {
+        view.report.reset();
+        view.failures = 0;
+        view.errorShare = 0;
+        view.ejectedUntil = {};
+        view.fullUntil = {};
+        view.orderingUntil = {};
+    }
+
+    LogLine upstreamLine(const char* event, const UpstreamEntry& entry)
+    {
+        return { .event = event,
+            .fields = { { "upstream", entry.id.value }, { "service", entry.service.value },
+                { "address", entry.address }, { "place", entry.place.value },
+                { "leaving", entry.leaving ? "true" : "false" } } };
+    }
+
+    void placeAll(RelayState& state, Milliseconds now, RelayEffects& effects)
+    {
+        std::vector<ServiceId> services;
+        for (const auto& [service, view] : state.services)
+            if (!view.queue.empty())
+                services.push_back(service);
+        for (const ServiceId& service : services)
+            placeWaiting(state, service, now, effects);
+    }
+
+} // namespace
+
+void applyUpstreams(RelayState& state, const UpstreamsLearned& event, Milliseconds now, RelayEffects& effects)
+{
+    std::set<UpstreamId> listed;
+    for (const UpstreamEntry& entry : event.entries) {
+        listed.insert(entry.id);
+        const auto [found, added] = state.upstreams.try_emplace(entry.id);
+        RelayUpstream& view = found->second;
+        if (added) {
+            view.key = loadKey(entry.id);
+            effects.emplace_back(upstreamLine("upstream-listed", entry));
+        } else {
+            if (view.entry.bornAt != entry.bornAt || !view.listed)
+                resetView(view);
+            if (view.entry.leaving != entry.leaving || view.entry.bornAt != entry.bornAt)
+                effects.emplace_back(upstreamLine("upstream-changed", entry));
+        }
+        view.entry = entry;
+        view.listed = true;
+    }
+    for (auto view = state.upstreams.begin(); view != state.upstreams.end();) {
+        if (listed.contains(view->first)) {
+            ++view;
+            continue;
+        }
+        if (view->second.listed)
+            effects.emplace_back(upstreamLine("upstream-gone", view->second.entry));
+        view->second.listed = false;
+        view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
+    }
+    placeAll(state, now, effects);
+}
+
+void applyEngineReport(RelayState& state, const EngineReported& event, Milliseconds now, RelayEffects& effects)
+{
+    for (auto& [id, view] : state.upstreams) {
+        if (view.entry.address != event.address || !view.listed)
+            continue;
+        // A report of another life of the process than the listed one says nothing about this entry.
+        if (view.entry.bornAt != 0 && event.report.bornAt != 0 && view.entry.bornAt != event.report.bornAt)
+            continue;
+        view.report = event.report;
+        view.reportedAt = now;
+        view.orderingUntil = event.ordering ? now + orderPause : Milliseconds {};
+    }
+    placeAll(state, now, effects);
+}
+
+void noteFailure(RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now,
+    RelayEffects& effects)
+{
+    const auto found = state.upstreams.find(upstream);
+    if (found == state.upstreams.end())
+        return;
+    RelayUpstream& view = found->second;
+    constexpr double failureWeight = 0.2;
+    view.errorShare += failureWeight * (1.0 - view.errorShare);
+    // Requests that were under way together fail together: they count as one failure.
+    if (now < view.ejectedUntil)
+        return;
+    constexpr std::uint32_t maxDoublings = 4;
+    const std::int64_t pause = firstEjection.value << std::min(view.failures, maxDoublings);
+    view.ejectedUntil = now + std::min(Milliseconds { pause }, longestEjection);
+    ++view.failures;
+    effects.emplace_back(LogLine { .level = LogLevel::Warning,
+        .event = "upstream-ejected",
+        .fields = { { "upstream", upstream.value }, { "address", view.entry.address }, { "reason", what },
+            { "failures", std::to_string(view.failures) },
+            { "for_ms", std::to_string((view.ejectedUntil - now).value) } } });
+    effects.emplace_back(MetricSample { .name = "ejections_total", .labels = "reason=\"" + std::string(what) + "\"" });
+}
+
+void noteAnswer(RelayState& state, const UpstreamId& upstream, bool good)
+{
+    const auto found = state.upstreams.find(upstream);
+    if (found == state.upstreams.end())
+        return;
+    constexpr double answerWeight = 0.05;
+    found->second.errorShare += answerWeight * ((good ? 0.0 : 1.0) - found->second.errorShare);
+    if (good)
+        found->second.failures = 0;
+}
+
+} // namespace hickory
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -190,6 +190,56 @@
         reader.finish();
     }
 
+    HostSettings readHost(const TomlNode& table, Problem& problem)
+    {
+        TomlReader reader(table, "host", problem);
+        HostSettings host;
+        host.host = { reader.name("name") };
+        host.place = { reader.name("place") };
+        host.region = { reader.name("region") };
+        host.ip = reader.text("ip", {}, Presence::Required);
+        host.peerPort = static_cast<std::uint16_t>(reader.integer("peer_port", 0, peerPortRange));
+        host.store = readListen(reader, "store", {});
+        host.seeds = reader.texts("seeds");
+        for (const std::string& seed : host.seeds)
+            if (!isAddress(seed, false))
+                reader.fail("seeds", "\"" + seed + "\" is not an address; expected \"ip:port\"");
+        host.logLevel = reader.choice("log_level", host.logLevel, names<LogLevel>(logLevelNames));
+        host.seed = static_cast<std::uint64_t>(reader.integer("seed", 0, seedRange));
+        reader.finish();
+        return host;
+    }
+
+    void readRelay(const TomlNode& table, RelaySettings& settings, Problem& problem)
+    {
+        constexpr std::int64_t millisecondsPerSecond = 1000;
+        TomlReader reader(table, "relay", problem);
+        settings.front = readListen(reader, "front", {});
+        settings.readiness = readListen(reader, "readiness", {});
+        settings.lookup = readListen(reader, "lookup", {});
+        settings.control = readListen(reader, "control", {});
+        settings.lookupTimeToLive
+            = { reader.integer("lookup_ttl_ms", settings.lookupTimeToLive.value, entriesTimeToLiveRange) };
+        settings.revokeWithin = { reader.integer("revoke_ms", settings.revokeWithin.value, boundRange) };
+        settings.weightsWithin = { reader.integer("weights_ms", settings.weightsWithin.value, boundRange) };
+        settings.gracePeriod = Milliseconds { millisecondsPerSecond }
+            * static_cast<std::int64_t>(reader.number("grace_s", 8, graceSecondsRange));
+        settings.retryRatio = reader.number("retry_ratio", settings.retryRatio, retryBudgetRange);
+        settings.retryExtra = reader.number("retry_extra", settings.retryExtra, retryExtraRange);
+        settings.retryWindow = Milliseconds { millisecondsPerSecond }
+            * static_cast<std::int64_t>(reader.number("retry_window_s", 10, graceSecondsRange));
+        reader.finish();
+    }
+
+    void readLoader(const TomlNode& table, LoaderSettings& settings, Problem& problem)
+    {
+        TomlReader reader(table, "loader", problem);
+        settings.engine = readListen(reader, "engine", {});
+        settings.service = { reader.name("service") };
+        settings.weightsWithin = { reader.integer("weights_ms", settings.weightsWithin.value, boundRange) };
+        reader.finish();
+    }
+
     /// Reads and parses a file, lets `fill` read its tables, and reports the first problem.
     template <typename Settings, typename Fill> Result<Settings> load(const std::string& path, Fill fill)
     {
@@ -233,6 +283,32 @@
     });
 }
 
+bool hasSettingsTable(const std::string& path, std::string_view table)
+{
+    const Result<std::string> content = readFile(path);
+    if (!content)
+        return false;
+    const std::variant<TomlNode, TomlProblem> parsed = parseToml(content.value());
+    const auto* root = std::get_if<TomlNode>(&parsed);
+    return root && root->find(table);
+}
+
+Result<RelaySettings> loadRelaySettings(const std::string& path)
+{
+    return load<RelaySettings>(path, [](TomlReader& root, RelaySettings& settings, Problem& problem) {
+        settings.host = readHost(section(root, "host", emptyTable), problem);
+        readRelay(section(root, "relay", emptyTable), settings, problem);
+    });
+}
+
+Result<LoaderSettings> loadLoaderSettings(const std::string& path)
+{
+    return load<LoaderSettings>(path, [](TomlReader& root, LoaderSettings& settings, Problem& problem) {
+        settings.host = readHost(section(root, "host", emptyTable), problem);
+        readLoader(section(root, "loader", emptyTable), settings, problem);
+    });
+}
+
 Result<ControlSettings> loadControlSettings(const std::string& path)
 {
     return load<ControlSettings>(path, [&](TomlReader& root, ControlSettings& settings, Problem&) {
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -53,7 +53,7 @@
     std::string platform; ///< "http://ip:port" of the platform's services
     std::string httpListen { "127.0.0.1:0" }; ///< "ip:port" for HTTP: callers and operators, or an agent's metrics
     LogLevel logLevel { LogLevel::Info }; ///< least severity written
-    std::string logFile; ///< empty for standard error
+    std::string logFile; ///< empty for standard output
     std::uint64_t seed { 0 }; ///< seed of random choices, 0 draws one and logs it
 };
 
@@ -94,6 +94,43 @@
     Milliseconds callRowTimeToLive { 86400000 }; ///< [policy] call_row_ttl_s: how long outcomes are kept
 };
 
+/// Where a process runs on a platform where entries reach upstreams directly.
+struct HostSettings {
+    HostId host; ///< name of this host
+    PlaceId place; ///< data centre
+    RegionId region; ///< region of the place
+    std::string ip; ///< address for messages between hosts
+    std::uint16_t peerPort { 0 }; ///< UDP port of such messages, the same on all hosts
+    std::string store; ///< "ip:port" of the platform's store
+    std::vector<std::string> seeds; ///< "ip:port" of some entries' control addresses; may be stale
+    LogLevel logLevel { LogLevel::Info }; ///< least severity written
+    std::uint64_t seed { 0 }; ///< of random choices, 0 draws one and logs it
+};
+
+/// Settings of hickory-entry where it reaches upstreams directly, table [relay].
+struct RelaySettings {
+    HostSettings host; ///< table [host]
+    std::string front; ///< "ip:port" for callers' requests
+    std::string readiness; ///< "ip:port" for the platform's checks
+    std::string lookup; ///< "ip:port" for callers that ask where to connect
+    std::string control; ///< "ip:port" for peers and metrics
+    Milliseconds lookupTimeToLive { 1000 }; ///< how long callers keep an answer
+    Milliseconds revokeWithin { 5000 }; ///< a key that was taken away must be refused after this time
+    Milliseconds weightsWithin { 8000 }; ///< older weights must not be used after this time
+    Milliseconds gracePeriod { 8000 }; ///< from SIGTERM to SIGKILL
+    double retryRatio { 0.2 }; ///< repeats allowed for each request, over all entries
+    double retryExtra { 100 }; ///< repeats allowed besides, over all entries
+    Milliseconds retryWindow { 10000 }; ///< over which repeats are counted
+};
+
+/// Settings of hickory-agent where it only loads weights, table [loader].
+struct LoaderSettings {
+    HostSettings host; ///< table [host]
+    std::string engine; ///< "ip:port" of the engine on this host
+    ServiceId service; ///< that the engine belongs to
+    Milliseconds weightsWithin { 8000 }; ///< declared weights must be in service after this time
+};
+
 /// Settings of hickoryctl.
 struct ControlSettings {
     std::vector<std::string> entries; ///< "http://ip:port", tried in order
--- /dev/null
+++ b/src/stage_state_type.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "stage_type.h"
+
+#include <random>
+
+namespace hickory {
+
+/// Settings of an agent's decisions on weights.
+struct StageOptions {
+    HostId host; ///< this host
+    std::string ip; ///< of this host
+    PlaceId place; ///< data centre
+    ServiceId service; ///< of the engine
+    Milliseconds weightsWithin { 8000 }; ///< declared weights must be in service after this time
+    std::uint64_t seed { 1 }; ///< of random choices
+};
+
+/// How far a piece has come.
+enum class PieceStep : std::uint8_t {
+    Missing, ///< not here
+    Fetching, ///< asked for
+    Held, ///< in memory, digest checked
+    Staging, ///< being written beside the engine
+    Staged, ///< written beside the engine
+};
+
+/// One piece of the wanted version.
+struct PieceState {
+    PieceStep step { PieceStep::Missing }; ///< how far it has come
+    std::uint32_t failures { 0 }; ///< sources that did not give it
+    Milliseconds retryAt { 0 }; ///< not asked for before
+};
+
+/// What an order to the engine waits for.
+enum class OrderStep : std::uint8_t {
+    None, ///< pieces are missing, or the engine holds the version
+    Checking, ///< what lies beside the engine is read back
+    Announced, ///< entries were told; the order follows
+    Given, ///< the engine was ordered
+};
+
+/// A host whose agent may give pieces.
+struct StagePeer {
+    std::string ip; ///< of the host
+    PlaceId place; ///< data centre
+    std::vector<HeldModel> models; ///< weights of its engine
+};
+
+/// All that an agent decides on.
+struct StageState {
+    StageOptions options; ///< from settings
+    ModelId model; ///< served by the engine, empty until known
+    std::string originAddress; ///< "ip:port" of the origin
+    std::vector<StagePeer> peers; ///< all hosts of the service, this one included, sorted by ip
+    WeightsVersion wanted; ///< version to bring into service, 0 until known
+    Milliseconds wantedSince { 0 }; ///< when it became known
+    bool manifestKnown { false }; ///< digests of the wanted version are here
+    bool manifestAsked { false }; ///< a question for them is under way
+    std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
+    Milliseconds manifestRetryAt { 0 }; ///< not asked for before
+    std::vector<PieceState> pieces; ///< of the wanted version
+    std::optional<EngineReport> report; ///< last one
+    std::int64_t bornAt { 0 }; ///< of the engine that the pieces were staged for
+    OrderStep order { OrderStep::None }; ///< how far the order has come
+    Milliseconds orderAt { 0 }; ///< when its step began
+    std::mt19937_64 random { 1 }; ///< seeded from the options
+};
+
+} // namespace hickory
--- /dev/null
+++ b/src/stage_type.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "log_type.h"
+#include "relay_type.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hickory {
+
+/// Where a piece or a manifest is fetched.
+struct StageSource {
+    std::string ip; ///< agent of that host, empty for the origin
+    bool operator==(const StageSource&) const = default;
+};
+
+// Events ----------------------------------------------------------------------------------------------------------
+
+/// Time passed.
+struct StageTick {
+};
+
+/// Configuration, declared weights or the list of upstreams may have changed.
+struct FleetLearned {
+    std::shared_ptr<const RelayConfig> config; ///< newest known
+    std::map<ModelId, WeightsVersion> declared; ///< newest declared weights
+    std::vector<UpstreamEntry> upstreams; ///< all that are listed
+};
+
+/// The engine answered or did not.
+struct ReportRead {
+    std::optional<EngineReport> report; ///< empty when it did not answer
+};
+
+/// A manifest arrived or not.
+struct ManifestFetched {
+    WeightsVersion version; ///< asked for
+    std::uint32_t chunks { 0 }; ///< digests in the manifest, 0 when it did not arrive
+};
+
+/// A piece arrived or not. Its digest was checked.
+struct PieceFetched {
+    WeightsVersion version; ///< asked for
+    std::uint32_t index { 0 }; ///< of the piece
+    StageSource source; ///< where it was asked for
+    bool good { false }; ///< it arrived and matches its digest
+};
+
+/// A piece was written beside the engine, or not.
+struct PieceStaged {
+    WeightsVersion version; ///< written
+    std::uint32_t index { 0 }; ///< of the piece
+    bool good { false }; ///< the engine took it
+};
+
+/// What lies beside the engine was read back.
+struct StageChecked {
+    WeightsVersion version; ///< compared with
+    std::vector<std::uint32_t> bad; ///< pieces that are missing or differ
+    bool failed { false }; ///< the engine did not answer
+};
+
+/// The engine answered an order, or did not.
+struct OrderAnswered {
+    WeightsVersion version; ///< ordered
+    std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
+};
+
+using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PieceStaged,
+    StageChecked, OrderAnswered>;
+
+// Effects ---------------------------------------------------------------------------------------------------------
+
+/// Fetch the digests of a version.
+struct AskManifest {
+    WeightsVersion version; ///< wanted
+    StageSource source; ///< where
+};
+
+/// Fetch a piece and check its digest.
+struct FetchPiece {
+    WeightsVersion version; ///< wanted
+    std::uint32_t index { 0 }; ///< of the piece
+    StageSource source; ///< where
+};
+
+/// Write a piece beside the engine.
+struct StagePiece {
+    WeightsVersion version; ///< held in memory
+    std::uint32_t index { 0 }; ///< of the piece
+};
+
+/// Read back all pieces that lie beside the engine and compare them with their digests.
+struct CheckStage {
+    WeightsVersion version; ///< compared with
+};
+
+/// Tell the entries that an order comes.
+struct AnnounceOrder {
+};
+
+/// Order the engine to load what lies beside it.
+struct GiveOrder {
+    WeightsVersion version; ///< to load
+    std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far
+};
+
+using StageEffect = std::variant<AskManifest, FetchPiece, StagePiece, CheckStage, AnnounceOrder, GiveOrder, LogLine,
+    MetricSample>;
+
+} // namespace hickory
--- /dev/null
+++ b/src/table/relay_limits.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "clock_type.h"
+
+#include <cstdint>
+
+namespace hickory {
+
+/// Limits of the relay's decisions. Those in ms come from the sites' sheets unless noted.
+
+constexpr Milliseconds retryBucket { 1000 }; ///< resolution of the retry window
+constexpr double retrySafety { 0.8 }; ///< share of the retry budget that is used: entries count their peers late
+
+constexpr std::uint32_t maxQueuedForService = 600; ///< requests that wait for one service, 3 s of the ordinary load
+constexpr double maxWaitShare = 0.5; ///< a request predicted to wait longer than this share of its time is refused
+constexpr Milliseconds leastRetryAfter { 200 }; ///< a return before this meets the same queue
+constexpr std::int64_t retryAfterDivisor = 3; ///< callers honour advice up to a third of the time they have left
+constexpr Milliseconds rateWindow { 1000 }; ///< over which the rate of placements is averaged
+constexpr double leastRate = 4.0; ///< placements a second assumed when none were seen lately
+
+constexpr Milliseconds silenceLimit { 900 }; ///< an engine with work that sent nothing for this long is taken as dead:
+                                             ///< a pass of a full engine takes 70 ms, of one five times slower 350 ms
+constexpr Milliseconds plainSilenceLimit { 300 }; ///< least wait before an idempotent call is tried elsewhere
+constexpr std::int64_t plainSilenceFactor = 2; ///< of the route's objective, likewise
+constexpr Milliseconds firstEjection { 300 }; ///< out of service after a failed connection
+constexpr Milliseconds longestEjection { 3000 }; ///< after repeated ones, as long as a replica takes to restart
+constexpr Milliseconds fullPause { 60 }; ///< no new work after an upstream said that it is full: about one pass
+constexpr Milliseconds orderPause { 1500 }; ///< an announced order ends or is reported within this time
+constexpr Milliseconds reportTrust { 1000 }; ///< older reports of load are ignored: gossip comes ten times a second
+constexpr std::uint32_t maxUnsentTries = 4; ///< connections tried for one request when none could be opened
+constexpr Milliseconds plainMargin { 40 }; ///< least time in which a plain service answers
+constexpr Milliseconds unknownStale { 1500 }; ///< a route or key that is not known is refused for good only on a
+                                              ///< configuration confirmed within this time
+
+} // namespace hickory
--- /dev/null
+++ b/src/table/relay_loop_limits.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "clock_type.h"
+#include "tcp_link_io.h"
+
+#include <cstdint>
+
+namespace hickory {
+
+constexpr LinkOptions upstreamLink { .userTimeout = { 1200 }, .keepAliveIdleSeconds = 1, .keepAliveProbes = 2 };
+constexpr LinkOptions callerLink { .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3 };
+
+constexpr std::int64_t keyTrustPercent = 55; ///< share of the bound for revoked keys for which a configuration is
+                                             ///< trusted; the rest covers the way of a request
+constexpr Milliseconds weightsMargin { 1500 }; ///< old weights are given up this long before their bound: waiting in
+                                               ///< an engine's queue takes up to a second
+constexpr Milliseconds operatorWait { 500 }; ///< how long the store holds a question for configuration
+constexpr Milliseconds upstreamWait { 1000 }; ///< likewise for the list of upstreams
+constexpr Milliseconds listReturn { 2200 }; ///< live upstreams are listed again within 2 s of the store's return
+constexpr Milliseconds tickPeriod { 20 }; ///< resolution of time-outs, a third of a pass of an engine
+constexpr Milliseconds beaconPeriod { 100 }; ///< between beacons, about one pass of an engine
+constexpr std::uint32_t beaconsPerIntroduction = 10; ///< each tenth beacon names the other live entries
+constexpr Milliseconds sweepPeriod { 500 }; ///< of idle connections and peers
+constexpr Milliseconds askPeerAfter { 1600 }; ///< both tables are confirmed about once a second while the store answers
+constexpr Milliseconds askPeerTimeout { 400 }; ///< of a question to a peer
+constexpr Milliseconds keptChannelIdle { 2000 }; ///< upstreams without a stated limit keep connections for seconds
+constexpr Milliseconds freshChannelIdle { 300 }; ///< for calls that cannot be repeated
+constexpr Milliseconds drainLeast { 3300 }; ///< some callers keep an answer to a lookup for three times its time
+constexpr Milliseconds drainAcceptFor { 5500 }; ///< after it nothing new is accepted
+constexpr Milliseconds drainReserve { 400 }; ///< before the end of the grace period
+constexpr Milliseconds drainFlush { 60 }; ///< for answers that are written
+
+} // namespace hickory
--- a/src/table/settings_limits.h
+++ b/src/table/settings_limits.h
@@ -51,6 +51,10 @@
 constexpr IntegerRange entriesTimeToLiveRange { 500, 600000 }; ///< milliseconds
 constexpr IntegerRange subsetRange { 1, 1000 }; ///< replicas
 constexpr NumberRange retryBudgetRange { 0.0, 1.0 }; ///< retries for each success
+constexpr IntegerRange peerPortRange { 1, 65535 }; ///< UDP port
+constexpr IntegerRange boundRange { 100, 600000 }; ///< milliseconds
+constexpr NumberRange graceSecondsRange { 1.0, 600.0 }; ///< seconds
+constexpr NumberRange retryExtraRange { 0.0, 1e9 }; ///< repeats over all entries
 constexpr IntegerRange entryQueueRange { 1, 100000 }; ///< requests
 constexpr IntegerRange acceptTimeoutRange { 50, 60000 }; ///< milliseconds
 constexpr IntegerRange defaultTimeoutRange { 100, 3600000 }; ///< milliseconds
--- /dev/null
+++ b/src/tcp_link_io.cpp
@@ -0,0 +1,171 @@
+#include "tcp_link_io.h"
+
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace hickory {
+
+namespace {
+
+    void setOption(int handle, int level, int option, int value)
+    {
+        // A kernel that lacks an option keeps its own timers; requests still have deadlines.
+        (void)::setsockopt(handle, level, option, &value, sizeof value);
+    }
+
+    void applyOptions(asio::ip::tcp::socket& socket, const LinkOptions& options)
+    {
+        const int handle = socket.native_handle();
+        setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+        setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, options.keepAliveIdleSeconds);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, options.keepAliveProbes);
+        setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.userTimeout.value));
+    }
+
+} // namespace
+
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    unsigned short port = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc {} || parsed.ptr != end)
+        return std::nullopt;
+    std::error_code code;
+    const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), code);
+    if (code)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint { address, port };
+}
+
+TcpLink::TcpLink(asio::ip::tcp::socket socket, const LinkOptions& options)
+    : socket(std::move(socket))
+{
+    std::error_code code;
+    this->socket.non_blocking(true, code);
+    applyOptions(this->socket, options);
+}
+
+void TcpLink::start(OnData data, OnEnd end)
+{
+    this->onData = std::move(data);
+    this->onEnd = std::move(end);
+    this->readSome();
+}
+
+void TcpLink::readSome()
+{
+    if (this->reading || this->paused || !this->socket.is_open())
+        return;
+    this->reading = true;
+    this->socket.async_read_some(asio::buffer(this->buffer),
+        [self = this->shared_from_this()](const std::error_code& code, std::size_t count) {
+            self->reading = false;
+            if (code) {
+                self->end(code == asio::error::eof ? LinkEnd::Closed : LinkEnd::Broken);
+                return;
+            }
+            if (self->onData) {
+                self->inData = true;
+                self->onData({ self->buffer.data(), count });
+                self->inData = false;
+            }
+            if (!self->socket.is_open())
+                self->onData = nullptr;
+            self->readSome();
+        });
+}
+
+void TcpLink::write(std::string_view bytes)
+{
+    if (!this->socket.is_open() || this->closing)
+        return;
+    this->queue.append(bytes);
+    if (!this->writing)
+        this->flush();
+}
+
+void TcpLink::flush()
+{
+    while (this->queueOffset < this->queue.size()) {
+        std::error_code code;
+        const std::size_t count = this->socket.write_some(
+            asio::buffer(this->queue.data() + this->queueOffset, this->queue.size() - this->queueOffset), code);
+        this->queueOffset += count;
+        if (code == asio::error::would_block || code == asio::error::try_again) {
+            this->waitWritable();
+            return;
+        }
+        if (code) {
+            // The reader reports the end; answering from inside write() would surprise the writer.
+            asio::post(this->socket.get_executor(),
+                [self = this->shared_from_this()] { self->end(LinkEnd::Broken); });
+            return;
+        }
+    }
+    this->queue.clear();
+    this->queueOffset = 0;
+    if (this->closing)
+        this->close();
+}
+
+void TcpLink::waitWritable()
+{
+    this->writing = true;
+    this->socket.async_wait(asio::ip::tcp::socket::wait_write,
+        [self = this->shared_from_this()](const std::error_code& code) {
+            self->writing = false;
+            if (code)
+                self->end(LinkEnd::Broken);
+            else if (self->socket.is_open())
+                self->flush();
+        });
+}
+
+void TcpLink::close()
+{
+    if (!this->inData)
+        this->onData = nullptr;
+    this->onEnd = nullptr;
+    std::error_code code;
+    this->socket.close(code);
+}
+
+void TcpLink::closeAfterWrite()
+{
+    this->closing = true;
+    if (this->pending() == 0)
+        this->close();
+}
+
+void TcpLink::reset()
+{
+    std::error_code code;
+    this->socket.set_option(asio::socket_base::linger(true, 0), code);
+    this->close();
+}
+
+void TcpLink::pauseReading(bool pause)
+{
+    this->paused = pause;
+    if (!pause)
+        this->readSome();
+}
+
+void TcpLink::end(LinkEnd how)
+{
+    if (!this->onEnd)
+        return;
+    const OnEnd handler = std::move(this->onEnd);
+    this->onEnd = nullptr;
+    handler(how);
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/upstream_entry_type.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "clock_type.h"
+#include "id_type.h"
+#include "relay_config_type.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+using UpstreamId = TextId<struct UpstreamTag>; ///< names one upstream in the list
+
+/// Weights that an engine holds.
+struct HeldModel {
+    ModelId model; ///< name
+    WeightsVersion version; ///< loaded version
+    bool whole { true }; ///< all layers are held
+};
+
+/// One upstream of the platform's list.
+struct UpstreamEntry {
+    UpstreamId id; ///< key in the list
+    ServiceId service; ///< what it serves
+    std::string address; ///< "ip:port"
+    PlaceId place; ///< data centre
+    std::uint32_t slots { 1 }; ///< requests that run at once
+    bool leaving { false }; ///< takes no new work
+    std::vector<HeldModel> models; ///< weights that it holds, engines only
+    std::int64_t bornAt { 0 }; ///< start of the process, Unix ms; differs after a restart under the same id
+};
+
+/// What an engine says of itself; fresh when it comes from the agent beside it.
+struct EngineReport {
+    std::vector<HeldModel> models; ///< weights that it holds
+    bool busy { false }; ///< an order is under way
+    std::uint64_t orders { 0 }; ///< orders accepted since its start
+    std::uint32_t waiting { 0 }; ///< requests in its queue
+    std::uint32_t running { 0 }; ///< requests in slots
+    std::uint64_t memoryUsed { 0 }; ///< tokens times layers that cannot yield
+    std::uint64_t memoryTotal { 0 }; ///< tokens times layers that fit
+    double pace { 1.0 }; ///< above 1 when it works slower than its profile
+    std::int64_t bornAt { 0 }; ///< start of the process, Unix ms
+};
+
+} // namespace hickory
--- /dev/null
+++ b/src/wire_head_type.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickory {
+
+/// One header field of an HTTP message, as received.
+struct WireHeader {
+    std::string name; ///< as spelled by the sender
+    std::string value; ///< without surrounding white space
+};
+
+/// Start line and header fields of an HTTP/1.1 request or response.
+struct WireHead {
+    std::string method; ///< requests only
+    std::string target; ///< requests only: path and query
+    std::uint16_t status { 0 }; ///< responses only
+    std::string reason; ///< responses only
+    std::vector<WireHeader> headers; ///< in order of arrival
+
+    /// @param name field name, compared without regard to case
+    /// @return the first value, or nullptr when there is none
+    const std::string* find(std::string_view name) const;
+};
+
+/// Compares header names and similar tokens without regard to ASCII case.
+bool equalNames(std::string_view left, std::string_view right);
+
+/// @param name field name
+/// @return whether the field concerns a single connection and is not forwarded
+bool isHopByHop(std::string_view name);
+
+} // namespace hickory
--- /dev/null
+++ b/src/wire_parser_func.cpp
@@ -0,0 +1,174 @@
+#include "wire_parser_func.h"
+
+#include <algorithm>
+#include <array>
+#include <http_parser.h>
+
+namespace hickory {
+
+namespace {
+
+    char lower(char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter; }
+
+} // namespace
+
+bool equalNames(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size()
+        && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) { return lower(a) == lower(b); });
+}
+
+bool isHopByHop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 10> names { "Connection", "Keep-Alive", "Proxy-Connection",
+        "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade", "Proxy-Authenticate",
+        "Proxy-Authorization" };
+    return std::any_of(names.begin(), names.end(), [&](std::string_view hop) { return equalNames(hop, name); });
+}
+
+const std::string* WireHead::find(std::string_view name) const
+{
+    for (const WireHeader& header : this->headers)
+        if (equalNames(header.name, name))
+            return &header.value;
+    return nullptr;
+}
+
+struct WireParser::State {
+    http_parser parser {}; ///< the library's state
+    WireHead head; ///< under construction
+    bool valueSeen { false }; ///< the last header has a value, the next field starts a new one
+    bool inMessage { false }; ///< between the first byte and the end of a message
+    bool headDone { false }; ///< the head was delivered
+    bool keepAlive { false }; ///< of the last complete message
+    std::size_t headBytes { 0 }; ///< bytes of the head so far
+    std::size_t maxHeadBytes { 0 }; ///< limit
+    std::optional<WireFault> fault; ///< why parsing failed
+    WireSink* sink { nullptr }; ///< set during feed and finish
+};
+
+namespace {
+
+    template <typename State> State& stateOf(http_parser* parser) { return *static_cast<State*>(parser->data); }
+
+    /// Callbacks of http_parser for one parser state.
+    template <typename State> http_parser_settings makeCallbacks()
+    {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser* parser) {
+            State& state = stateOf<State>(parser);
+            state.head = {};
+            state.valueSeen = true;
+            state.inMessage = true;
+            state.headDone = false;
+            state.headBytes = 0;
+            return 0;
+        };
+        callbacks.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+            stateOf<State>(parser).head.target.append(at, length);
+            return 0;
+        };
+        callbacks.on_status = [](http_parser* parser, const char* at, std::size_t length) {
+            stateOf<State>(parser).head.reason.append(at, length);
+            return 0;
+        };
+        callbacks.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+            State& state = stateOf<State>(parser);
+            if (state.headDone)
+                return 0; // trailers are dropped
+            if (state.valueSeen)
+                state.head.headers.emplace_back();
+            state.valueSeen = false;
+            state.head.headers.back().name.append(at, length);
+            return 0;
+        };
+        callbacks.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+            State& state = stateOf<State>(parser);
+            if (state.headDone)
+                return 0;
+            state.valueSeen = true;
+            state.head.headers.back().value.append(at, length);
+            return 0;
+        };
+        callbacks.on_headers_complete = [](http_parser* parser) {
+            State& state = stateOf<State>(parser);
+            state.headDone = true;
+            if (parser->type == HTTP_REQUEST)
+                state.head.method = http_method_str(static_cast<http_method>(parser->method));
+            state.head.status = static_cast<std::uint16_t>(parser->status_code);
+            for (WireHeader& header : state.head.headers)
+                while (!header.value.empty() && (header.value.back() == ' ' || header.value.back() == '\t'))
+                    header.value.pop_back();
+            state.sink->onHead(std::move(state.head));
+            return 0;
+        };
+        callbacks.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+            stateOf<State>(parser).sink->onBody({ at, length });
+            return 0;
+        };
+        callbacks.on_message_complete = [](http_parser* parser) {
+            State& state = stateOf<State>(parser);
+            state.inMessage = false;
+            state.keepAlive = http_should_keep_alive(parser) != 0;
+            state.sink->onComplete();
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return callbacks;
+    }
+
+} // namespace
+
+WireParser::WireParser(WireKind kind, std::size_t maxHeadBytes)
+    : state(std::make_unique<State>())
+{
+    http_parser_init(&this->state->parser, kind == WireKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->state->parser.data = this->state.get();
+    this->state->maxHeadBytes = maxHeadBytes;
+}
+
+WireParser::~WireParser() = default;
+
+std::size_t WireParser::feed(std::string_view bytes, WireSink& sink)
+{
+    static const http_parser_settings callbacks = makeCallbacks<State>();
+    State& own = *this->state;
+    if (own.fault)
+        return 0;
+    http_parser_pause(&own.parser, 0);
+    own.sink = &sink;
+    const std::size_t used = http_parser_execute(&own.parser, &callbacks, bytes.data(), bytes.size());
+    own.sink = nullptr;
+    const auto code = HTTP_PARSER_ERRNO(&own.parser);
+    if (!own.headDone && own.inMessage) {
+        own.headBytes += used;
+        if (own.headBytes > own.maxHeadBytes)
+            own.fault = WireFault::HeadTooLarge;
+    }
+    if (code == HPE_HEADER_OVERFLOW)
+        own.fault = WireFault::HeadTooLarge;
+    else if ((code != HPE_OK && code != HPE_PAUSED) || own.parser.upgrade != 0)
+        own.fault = WireFault::Malformed;
+    return used;
+}
+
+bool WireParser::finish(WireSink& sink)
+{
+    static const http_parser_settings callbacks = makeCallbacks<State>();
+    State& own = *this->state;
+    if (own.fault)
+        return false;
+    if (!own.inMessage)
+        return true;
+    own.sink = &sink;
+    http_parser_execute(&own.parser, &callbacks, nullptr, 0);
+    own.sink = nullptr;
+    return !own.inMessage;
+}
+
+std::optional<WireFault> WireParser::fault() const { return this->state->fault; }
+bool WireParser::keepAlive() const { return this->state->keepAlive; }
+bool WireParser::inMessage() const { return this->state->inMessage; }
+
+} // namespace hickory
