Fetch owed pieces first, and remember each declared version

Cause: agents filled their places with questions that wait at peers, so nobody fetched what all wait for; and an entry forgot the bound of a version once a newer one was declared.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -120,7 +120,7 @@
 {
     if (const auto* manifest = std::get_if<AskManifest>(&effect))
         this->fetchManifest(*manifest);
-    else if (const auto* piece = std::get_if<FetchPiece>(&effect))
+    else if (const auto* piece = std::get_if<AskPiece>(&effect))
         this->fetchPiece(*piece);
     else if (const auto* stage = std::get_if<StagePiece>(&effect))
         this->stagePiece(*stage);
@@ -179,7 +179,7 @@
     return true;
 }
 
-void LoaderLoop::fetchPiece(const FetchPiece& effect)
+void LoaderLoop::fetchPiece(const AskPiece& effect)
 {
     const bool origin = effect.source.ip.empty();
     FetchCall call { .address = origin ? this->state.originAddress
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -50,7 +50,7 @@
     void dispatch(const StageEvent& event);
     void apply(const StageEffect& effect);
     void fetchManifest(const AskManifest& effect);
-    void fetchPiece(const FetchPiece& effect);
+    void fetchPiece(const AskPiece& effect);
     void stagePiece(const StagePiece& effect);
     void checkStage(const CheckStage& effect);
     void checkNext(const std::shared_ptr<CheckRun>& run);
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -13,24 +13,12 @@
     constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
     constexpr double plainWaitMs = 60.0; ///< mean work of a plain service
 
-    const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model)
-    {
-        // The agent's report is fresher than the list.
-        const std::vector<HeldModel>& models = view.report ? view.report->models : view.entry.models;
-        for (const HeldModel& held : models)
-            if (held.model == model && held.whole)
-                return &held;
-        return nullptr;
-    }
-
     bool hasWeights(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
     {
         const HeldModel* held = heldModel(view, request.facts.model);
         if (!held)
             return false;
-        const auto declared = state.declared.find(request.facts.model);
-        return declared == state.declared.end() || held->version >= declared->second.version
-            || now - declared->second.learnedAt < state.options.weightsGrace;
+        return held->version >= requiredWeights(state, request.facts.model, now);
     }
 
     bool mayRun(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
@@ -64,6 +52,28 @@
 
 } // namespace
 
+const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model)
+{
+    // The agent's report is fresher than the list.
+    const std::vector<HeldModel>& models = view.report ? view.report->models : view.entry.models;
+    for (const HeldModel& held : models)
+        if (held.model == model && held.whole)
+            return &held;
+    return nullptr;
+}
+
+WeightsVersion requiredWeights(const RelayState& state, const ModelId& model, Milliseconds now)
+{
+    WeightsVersion required;
+    const auto declared = state.declared.find(model);
+    if (declared == state.declared.end())
+        return required;
+    for (const auto& [version, learnedAt] : declared->second)
+        if (now - learnedAt >= state.options.weightsGrace)
+            required = version;
+    return required;
+}
+
 std::uint64_t loadKey(const UpstreamId& upstream) { return placementHash("load", upstream.value); }
 
 double predictResidence(const EngineProfile& profile)
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -26,6 +26,9 @@
 /// @return ms
 double predictResidence(const EngineProfile& profile);
 
+/// @return the weights of a model that an engine holds whole, or nullptr
+const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model);
+
 /// @return requests under way at an upstream, of all entries, by what is known now
 std::uint32_t requestsAt(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -26,9 +26,9 @@
     void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
     {
         DeclaredWeights& declared = state.declared[event.model];
-        if (event.version <= declared.version)
+        if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared = { .version = event.version, .learnedAt = now };
+        declared[event.version] = now;
         effects.emplace_back(LogLine { .event = "weights-declared",
             .fields
             = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -37,13 +37,14 @@
             || (request.route->kind == CallKind::Stream && request.route->resumable);
     }
 
-    std::optional<WeightsVersion> requiredWeights(
-        const RelayState& state, const RelayRequest& request, Milliseconds now)
+    /// @return the version that the engine is believed to hold, once older ones are not allowed any more
+    std::optional<WeightsVersion> expectedWeights(
+        const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
     {
-        const auto declared = state.declared.find(request.facts.model);
-        if (declared == state.declared.end() || now - declared->second.learnedAt < state.options.weightsGrace)
+        const HeldModel* held = heldModel(view, request.facts.model);
+        if (!held || requiredWeights(state, request.facts.model, now).value == 0)
             return std::nullopt;
-        return declared->second.version;
+        return held->version;
     }
 
     /// Sends a request elsewhere after a failed sending, lets it wait, or ends it.
@@ -135,7 +136,7 @@
         .timeLeft = request.deadlineAt - now,
         .urgency = isEngineRequest(request) ? std::optional(std::min(request.rank, leastUrgent)) : std::nullopt,
         .workspace = request.workspace,
-        .expectVersion = isEngineRequest(request) ? requiredWeights(state, request, now) : std::nullopt,
+        .expectVersion = expectedWeights(state, view, request, now),
         .resumeAfter = request.lastEventId,
         .freshChannel = request.route->kind == CallKind::NonIdempotent });
 }
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -109,11 +109,8 @@
     std::deque<Milliseconds> placedAt; ///< placements within rateWindow
 };
 
-/// Weights that operators declared.
-struct DeclaredWeights {
-    WeightsVersion version; ///< newest
-    Milliseconds learnedAt; ///< when this process learned of it
-};
+/// Weights that operators declared: each version and when this process learned of it, oldest first.
+using DeclaredWeights = std::map<WeightsVersion, Milliseconds>;
 
 /// All that the relay decides on.
 struct RelayState {
@@ -130,6 +127,9 @@
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
 
+/// @return the oldest version of a model's weights that a request may still begin on; 0 when any will do
+WeightsVersion requiredWeights(const RelayState& state, const ModelId& model, Milliseconds now);
+
 /// @param upstream id
 /// @return the short form of the id in messages between entries
 std::uint64_t loadKey(const UpstreamId& upstream);
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -125,23 +125,43 @@
             .source = { peer ? state.peers[state.random() % state.peers.size()].ip : std::string {} } });
     }
 
+    /// What a host owes the others comes first: pieces that it fetches for all, then those for its place. Questions
+    /// to hosts that do not have their piece yet wait there, so those for itself have places of their own.
+    enum class PieceDuty : std::uint8_t { Own, Shared };
+
+    PieceDuty dutyOf(const StageState& state, const StageSource& source)
+    {
+        const bool near = std::any_of(state.peers.begin(), state.peers.end(), [&](const StagePeer& peer) {
+            return peer.ip == source.ip && peer.place == state.options.place;
+        });
+        return near ? PieceDuty::Own : PieceDuty::Shared;
+    }
+
     void askPieces(StageState& state, Milliseconds now, Effects& effects)
     {
-        auto inFlight = static_cast<std::size_t>(std::count_if(state.pieces.begin(), state.pieces.end(),
-            [](const PieceState& piece) { return piece.step == PieceStep::Fetching; }));
+        std::size_t shared = 0;
+        std::size_t own = 0;
+        for (const PieceState& piece : state.pieces)
+            if (piece.step == PieceStep::Fetching)
+                ++(piece.shared ? shared : own);
         // Each host starts elsewhere, so that hosts that load together ask different peers at a time.
         const std::size_t count = state.pieces.size();
         const std::size_t first = count == 0 ? 0 : placementHash("first-piece", state.options.ip) % count;
-        for (std::size_t step = 0; step < count && inFlight < piecesInFlight; ++step) {
+        for (std::size_t step = 0; step < count; ++step) {
             const auto index = static_cast<std::uint32_t>((first + step) % count);
             PieceState& piece = state.pieces[index];
             if (piece.step != PieceStep::Missing || now < piece.retryAt)
                 continue;
+            if (shared >= sharedInFlight && own >= ownInFlight)
+                return;
+            const StageSource source = chooseSource(state, std::to_string(index), piece.failures, state.random());
+            piece.shared = dutyOf(state, source) == PieceDuty::Shared;
+            std::size_t& inFlight = piece.shared ? shared : own;
+            if (inFlight >= (piece.shared ? sharedInFlight : ownInFlight))
+                continue;
             piece.step = PieceStep::Fetching;
             ++inFlight;
-            effects.emplace_back(FetchPiece { .version = state.wanted,
-                .index = index,
-                .source = chooseSource(state, std::to_string(index), piece.failures, state.random()) });
+            effects.emplace_back(AskPiece { .version = state.wanted, .index = index, .source = source });
         }
     }
 
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -81,7 +81,7 @@
 };
 
 /// Fetch a piece and check its digest.
-struct FetchPiece {
+struct AskPiece {
     WeightsVersion version; ///< wanted
     std::uint32_t index { 0 }; ///< of the piece
     StageSource source; ///< where
@@ -108,7 +108,7 @@
     std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far
 };
 
-using StageEffect = std::variant<AskManifest, FetchPiece, StagePiece, CheckStage, AnnounceOrder, GiveOrder, LogLine,
+using StageEffect = std::variant<AskManifest, AskPiece, StagePiece, CheckStage, AnnounceOrder, GiveOrder, LogLine,
     MetricSample>;
 
 } // namespace hickory
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -9,8 +9,8 @@
 constexpr Milliseconds engineBeaconPeriod { 200 }; ///< entries also count what they send themselves
 constexpr Milliseconds tablesPeriod { 350 }; ///< adds this to the time until declared weights are known
 constexpr Milliseconds tablesTimeout { 700 }; ///< then another entry is asked
-constexpr Milliseconds peerPieceTimeout { 2200 }; ///< a piece is sent in 35 ms over a free link; peers wait for theirs
-constexpr Milliseconds peerPieceWait { 1600 }; ///< how long a question waits for a piece that is under way
+constexpr Milliseconds peerPieceTimeout { 3500 }; ///< a piece is sent in 35 ms over a free link; peers wait for theirs
+constexpr Milliseconds peerPieceWait { 2500 }; ///< how long a question waits for a piece that is under way
 constexpr Milliseconds originTimeout { 3000 }; ///< the origin sends one copy in 1.7 s, to all hosts together
 constexpr Milliseconds engineTimeout { 800 }; ///< on the same host
 constexpr Milliseconds orderTimeout { 800 }; ///< of the answer to an order
