--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -312,7 +312,14 @@
 void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index)
 {
     const auto found = this->held.find(version.value);
-    if (found == this->held.end() || index >= found->second.pieces.size()) {
+    const bool known = found != this->held.end() && index < found->second.pieces.size();
+    if (!known && version >= this->state.wanted) {
+        // The peer learned of this version first.
+        this->waiters.push_back(
+            { .call = call, .version = version, .index = index, .until = monotonicNow() + peerPieceWait });
+        return;
+    }
+    if (!known) {
         this->front.answer(call, statusNotFound, {}, "not here\n");
         return;
     }
@@ -345,11 +352,12 @@
     waiting.swap(this->waiters);
     for (const Waiter& waiter : waiting) {
         const auto found = this->held.find(waiter.version.value);
-        const bool here = found != this->held.end() && !found->second.pieces.at(waiter.index).empty();
+        const bool here = found != this->held.end() && waiter.index < found->second.pieces.size()
+            && !found->second.pieces[waiter.index].empty();
         if (here)
             this->front.answer(waiter.call, statusOk, { { "Content-Type", "application/octet-stream" } },
                 found->second.pieces[waiter.index]);
-        else if (found == this->held.end() || now > waiter.until)
+        else if (waiter.version < this->state.wanted || now > waiter.until)
             this->front.answer(waiter.call, statusNotFound, {}, "not here yet\n");
         else
             this->waiters.push_back(waiter);
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -141,9 +141,13 @@
     {
         std::size_t shared = 0;
         std::size_t own = 0;
-        for (const PieceState& piece : state.pieces)
-            if (piece.step == PieceStep::Fetching)
-                ++(piece.shared ? shared : own);
+        std::size_t fromOrigin = 0;
+        for (const PieceState& piece : state.pieces) {
+            if (piece.step != PieceStep::Fetching)
+                continue;
+            ++(piece.shared ? shared : own);
+            fromOrigin += piece.fromOrigin ? 1 : 0;
+        }
         // Each host starts elsewhere, so that hosts that load together ask different peers at a time.
         const std::size_t count = state.pieces.size();
         const std::size_t first = count == 0 ? 0 : placementHash("first-piece", state.options.ip) % count;
@@ -155,12 +159,16 @@
             if (shared >= sharedInFlight && own >= ownInFlight)
                 return;
             const StageSource source = chooseSource(state, std::to_string(index), piece.failures, state.random());
+            if (source.ip.empty() && fromOrigin >= originInFlight)
+                continue;
+            piece.fromOrigin = source.ip.empty();
             piece.shared = dutyOf(state, source) == PieceDuty::Shared;
             std::size_t& inFlight = piece.shared ? shared : own;
             if (inFlight >= (piece.shared ? sharedInFlight : ownInFlight))
                 continue;
             piece.step = PieceStep::Fetching;
             ++inFlight;
+            fromOrigin += piece.fromOrigin ? 1 : 0;
             effects.emplace_back(AskPiece { .version = state.wanted, .index = index, .source = source });
         }
     }
@@ -246,7 +254,7 @@
         if (event.good)
             return;
         ++piece.failures;
-        piece.retryAt = now + sourceRetry;
+        piece.retryAt = now + sourceRetry + Milliseconds { static_cast<std::int64_t>(state.random() % sourceRetry.value) };
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "piece-failed",
             .fields = { { "version", std::to_string(event.version.value) },
@@ -340,20 +348,21 @@
     const auto holder = [&](const StagePeer& peer) {
         return other(peer) && holdsVersion(peer, state.model, state.wanted);
     };
-    // A third failure in a row asks the origin, the ones between ask any peer.
-    constexpr std::uint32_t originEvery = 3;
-    if (failures % originEvery == originEvery - 1)
-        return {};
-    if (failures > 0 && !state.peers.empty()) {
-        const StagePeer& any = state.peers[draw % state.peers.size()];
-        return { any.ip == state.options.ip ? std::string {} : any.ip };
-    }
-    if (const StagePeer* near = firstPeer(state, key + state.options.ip,
+    const std::string ownKey = key + state.options.ip + std::to_string(failures);
+    if (const StagePeer* near = firstPeer(state, ownKey,
             [&](const StagePeer& peer) { return holder(peer) && here(peer); }))
         return { near->ip };
-    if (const StagePeer* far = firstPeer(state, key + state.options.ip, holder))
+    if (const StagePeer* far = firstPeer(state, ownKey, holder))
         return { far->ip };
     const StagePeer* home = firstPeer(state, key, [](const StagePeer&) { return true; });
+    if (failures > 0 && home) {
+        // After its first source a host asks the one that fetches for all, then any, and at last the origin.
+        constexpr std::uint32_t originEvery = 4;
+        if (home->ip == state.options.ip || failures % originEvery == originEvery - 1)
+            return {};
+        const StagePeer& any = failures == 1 ? *home : state.peers[draw % state.peers.size()];
+        return { any.ip == state.options.ip ? home->ip : any.ip };
+    }
     const StagePeer* local = firstPeer(state, key, here);
     if (!home || home->ip == state.options.ip)
         return {};
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -28,6 +28,7 @@
 /// One piece of the wanted version.
 struct PieceState {
     PieceStep step { PieceStep::Missing }; ///< how far it has come
+    bool fromOrigin { false }; ///< asked for at the origin
     bool shared { false }; ///< asked for on behalf of other hosts, too
     std::uint32_t failures { 0 }; ///< sources that did not give it
     Milliseconds retryAt { 0 }; ///< not asked for before
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -7,6 +7,7 @@
 namespace hickory {
 
 constexpr std::size_t sharedInFlight = 6; ///< fills a link of 7.6 Mbit/s over round trips between regions
+constexpr std::size_t originInFlight = 1; ///< the origin accepts 48 connections from all hosts together
 constexpr std::size_t ownInFlight = 12; ///< most of these wait at a host that does not have the piece yet
 constexpr std::size_t writesInFlight = 4; ///< to the engine on the same host
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
