Pace uploads between agents: the engines' streams share their links

Cause: pieces filled the links of 7.6 Mbit/s on which the engines answer. Left: V2 is given up when V3 is declared 4 s later.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -42,6 +42,7 @@
                   [this](CallId call) {
                       std::erase_if(
                           this->waiters, [&](const Waiter& waiter) { return waiter.call == call; });
+                      std::erase_if(this->uploads, [&](const Upload& one) { return one.call == call; });
                   } })
     , peerSocket(
           this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
@@ -51,6 +52,7 @@
           .service = this->settings.service,
           .weightsWithin = this->settings.weightsWithin,
           .seed = this->settings.host.seed }))
+    , uploadTimer(this->io)
     , reportTimer(this->io)
     , beaconTimer(this->io)
     , tablesTimer(this->io)
@@ -127,7 +129,7 @@
     else if (const auto* check = std::get_if<CheckStage>(&effect))
         this->checkStage(*check);
     else if (std::holds_alternative<AnnounceOrder>(effect))
-        this->sendBeacon(true);
+        this->sendBeacon();
     else if (const auto* order = std::get_if<GiveOrder>(&effect))
         this->giveOrder(*order);
     else if (const auto* line = std::get_if<LogLine>(&effect))
@@ -277,7 +279,6 @@
         [this, version = effect.version](const Result<FetchAnswer>& answer) {
             this->dispatch(
                 OrderAnswered { .version = version, .status = answer ? answer.value().head.status : std::uint16_t {} });
-            this->ordering = false;
         });
 }
 
@@ -324,7 +325,7 @@
         return;
     }
     if (const std::string& bytes = found->second.pieces[index]; !bytes.empty()) {
-        this->front.answer(call, statusOk, { { "Content-Type", "application/octet-stream" } }, bytes);
+        this->upload(call, bytes);
         return;
     }
     if (version == this->state.wanted && !engineCurrent(this->state)) {
@@ -338,8 +339,7 @@
                          .timeout = engineTimeout },
         [this, call, version, index](const Result<FetchAnswer>& answer) {
             if (succeeded(answer) && this->keepPiece(version, index, answer.value().body))
-                this->front.answer(
-                    call, statusOk, { { "Content-Type", "application/octet-stream" } }, answer.value().body);
+                this->upload(call, answer.value().body);
             else
                 this->front.answer(call, statusNotFound, {}, "not here\n");
         });
@@ -355,8 +355,7 @@
         const bool here = found != this->held.end() && waiter.index < found->second.pieces.size()
             && !found->second.pieces[waiter.index].empty();
         if (here)
-            this->front.answer(waiter.call, statusOk, { { "Content-Type", "application/octet-stream" } },
-                found->second.pieces[waiter.index]);
+            this->upload(waiter.call, found->second.pieces[waiter.index]);
         else if (waiter.version < this->state.wanted || now > waiter.until)
             this->front.answer(waiter.call, statusNotFound, {}, "not here yet\n");
         else
@@ -364,6 +363,35 @@
     }
 }
 
+void LoaderLoop::upload(CallId call, const std::string& bytes)
+{
+    this->uploads.push_back({ .call = call, .bytes = bytes });
+    if (this->uploads.size() == 1)
+        this->uploadSlice();
+}
+
+void LoaderLoop::uploadSlice()
+{
+    if (this->uploads.empty())
+        return;
+    Upload& current = this->uploads.front();
+    if (current.sent == 0)
+        this->front.begin(current.call, statusOk, { { "Content-Type", "application/octet-stream" } });
+    this->front.body(current.call, std::string_view(current.bytes).substr(current.sent, uploadSliceBytes));
+    current.sent += uploadSliceBytes;
+    if (current.sent >= current.bytes.size()) {
+        this->front.finish(current.call);
+        this->uploads.pop_front();
+    }
+    const double bytesPerMs = this->settings.linkMbps * linkShareForWeights * megabitPerSecondInBytesPerMs;
+    this->uploadTimer.expires_after(
+        std::chrono::microseconds(static_cast<std::int64_t>(1000.0 * uploadSliceBytes / bytesPerMs)));
+    this->uploadTimer.async_wait([this](const std::error_code& code) {
+        if (!code)
+            this->uploadSlice();
+    });
+}
+
 // Entries -----------------------------------------------------------------------------------------------------------
 
 void LoaderLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
@@ -372,16 +400,15 @@
         notePeer(this->peers, this->settings.host.host, beacon, ip, monotonicNow());
 }
 
-void LoaderLoop::sendBeacon(bool announce)
+void LoaderLoop::sendBeacon()
 {
-    this->ordering = this->ordering || announce;
     PeerBeacon beacon { .from = { .host = this->settings.host.host,
                             .incarnation = this->incarnation,
                             .place = this->settings.host.place } };
     if (this->state.report)
         beacon.engine = EngineReported { .address = this->settings.engine,
             .report = *this->state.report,
-            .ordering = this->ordering };
+            .ordering = orderPending(this->state) };
     this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
 }
 
@@ -495,7 +522,7 @@
 
 void LoaderLoop::everyBeacon()
 {
-    this->sendBeacon(false);
+    this->sendBeacon();
     this->armTimer(this->beaconTimer, engineBeaconPeriod, &LoaderLoop::everyBeacon);
 }
 
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -10,6 +10,7 @@
 #include "stage_reduce_func.h"
 
 #include <asio.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,6 +46,12 @@
         std::uint32_t index { 0 }; ///< of the piece
         Milliseconds until; ///< answered with 404 then
     };
+    /// A piece on its way to a peer.
+    struct Upload {
+        CallId call; ///< to answer
+        std::string bytes; ///< of the piece
+        std::size_t sent { 0 }; ///< bytes handed to the connection
+    };
     struct CheckRun;
 
     void dispatch(const StageEvent& event);
@@ -60,6 +67,8 @@
     void onRequest(FrontRequest&& request);
     void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index);
     void answerWaiters();
+    void upload(CallId call, const std::string& bytes);
+    void uploadSlice();
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void askTables();
     void learnTables(const PeerTables& tables);
@@ -68,7 +77,7 @@
     void everyReport();
     void everyBeacon();
     void everyTables();
-    void sendBeacon(bool ordering);
+    void sendBeacon();
     void armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)());
 
     LoaderSettings settings; ///< as read at start
@@ -81,6 +90,8 @@
     PeerTables tables; ///< copies of the store's tables
     std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest two are kept
     std::vector<Waiter> waiters; ///< questions for pieces that are under way
+    std::deque<Upload> uploads; ///< sent one after the other at a share of the link
+    asio::steady_timer uploadTimer; ///< paces slices
     asio::steady_timer reportTimer; ///< reads the engine's report
     asio::steady_timer beaconTimer; ///< beacons
     asio::steady_timer tablesTimer; ///< asks for tables
@@ -89,7 +100,6 @@
     std::string entry; ///< control address of the entry that is asked for tables
     bool askingTables { false }; ///< a question is under way
     bool askingReport { false }; ///< a question is under way
-    bool ordering { false }; ///< an order was announced and not answered yet
 };
 
 } // namespace hickory
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -236,6 +236,7 @@
         TomlReader reader(table, "loader", problem);
         settings.engine = readListen(reader, "engine", {});
         settings.service = { reader.name("service") };
+        settings.linkMbps = reader.number("link_mbps", settings.linkMbps, linkMbpsRange);
         settings.weightsWithin = { reader.integer("weights_ms", settings.weightsWithin.value, boundRange) };
         reader.finish();
     }
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -128,6 +128,7 @@
     HostSettings host; ///< table [host]
     std::string engine; ///< "ip:port" of the engine on this host
     ServiceId service; ///< that the engine belongs to
+    double linkMbps { 1000 }; ///< of this host, shared with the engine
     Milliseconds weightsWithin { 8000 }; ///< declared weights must be in service after this time
 };
 
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -263,13 +263,19 @@
                 { "failures", std::to_string(piece.failures) } } });
     }
 
-    void applyStaged(StageState& state, const PieceStaged& event)
+    void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, Effects& effects)
     {
         if (event.version != state.wanted || event.index >= state.pieces.size())
             return;
         PieceState& piece = state.pieces[event.index];
-        if (piece.step == PieceStep::Staging)
-            piece.step = event.good ? PieceStep::Staged : PieceStep::Held;
+        if (piece.step != PieceStep::Staging)
+            return;
+        piece.step = event.good ? PieceStep::Staged : PieceStep::Held;
+        if (std::all_of(state.pieces.begin(), state.pieces.end(),
+                [](const PieceState& each) { return each.step == PieceStep::Staged; }))
+            effects.emplace_back(LogLine { .event = "weights-staged",
+                .fields = { { "version", std::to_string(state.wanted.value) },
+                    { "after_ms", std::to_string((now - state.wantedSince).value) } } });
     }
 
     void applyChecked(StageState& state, const StageChecked& event, Milliseconds now, Effects& effects)
@@ -326,6 +332,11 @@
            });
 }
 
+bool orderPending(const StageState& state)
+{
+    return state.order == OrderStep::Announced || state.order == OrderStep::Given;
+}
+
 Milliseconds orderTurn(const StageState& state)
 {
     constexpr std::int64_t percent = 100;
@@ -380,7 +391,7 @@
                    [&](const ReportRead& read) { applyReport(state, read, now, effects); },
                    [&](const ManifestFetched& fetched) { applyManifest(state, fetched, now); },
                    [&](const PieceFetched& fetched) { applyPiece(state, fetched, now, effects); },
-                   [&](const PieceStaged& staged) { applyStaged(state, staged); },
+                   [&](const PieceStaged& staged) { applyStaged(state, staged, now, effects); },
                    [&](const StageChecked& checked) { applyChecked(state, checked, now, effects); },
                    [&](const OrderAnswered& answered) { applyOrder(state, answered, now, effects); },
                },
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -27,4 +27,7 @@
 /// @return whether the engine holds the wanted version whole
 bool engineCurrent(const StageState& state);
 
+/// @return whether entries should keep new work away: an order is announced, or given and not yet in effect
+bool orderPending(const StageState& state);
+
 } // namespace hickory
--- a/src/table/settings_limits.h
+++ b/src/table/settings_limits.h
@@ -52,6 +52,7 @@
 constexpr IntegerRange subsetRange { 1, 1000 }; ///< replicas
 constexpr NumberRange retryBudgetRange { 0.0, 1.0 }; ///< retries for each success
 constexpr IntegerRange peerPortRange { 1, 65535 }; ///< UDP port
+constexpr NumberRange linkMbpsRange { 0.1, 1e6 }; ///< Mbit/s
 constexpr IntegerRange boundRange { 100, 600000 }; ///< milliseconds
 constexpr NumberRange graceSecondsRange { 1.0, 600.0 }; ///< seconds
 constexpr NumberRange retryExtraRange { 0.0, 1e9 }; ///< repeats over all entries
