Deal pieces to hosts in turn, finish a version that is nearly here first, begin the next after an accepted order

Cause: rendezvous hashing gave one host twice the mean of uploads; V2 was dropped when V3 was declared. Ruled out: the origin's link (it sent 2.0 copies).

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr double otherPlaceMs = 6.0; ///< a request to another place must gain this much: bytes there cost
+    constexpr double otherPlaceMs = 20.0; ///< a request to another place must gain this much: bytes there cost
     constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
     constexpr double plainWaitMs = 60.0; ///< mean work of a plain service
 
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -24,40 +24,55 @@
             [&](const HeldModel& held) { return held.model == model && held.version == version && held.whole; });
     }
 
-    /// @return the first of the peers in rendezvous order for a key, or nullptr
+    /// Deals pieces to peers in turn, so that each has the same share of uploads.
+    /// @return the peer for a piece among those that pass the filter, or nullptr
     template <typename Filter>
-    const StagePeer* firstPeer(const StageState& state, const std::string& key, const Filter& filter)
+    const StagePeer* dealtPeer(const StageState& state, std::uint64_t turn, const Filter& filter)
     {
-        const StagePeer* best = nullptr;
-        std::uint64_t bestHash = 0;
-        for (const StagePeer& peer : state.peers) {
-            if (!filter(peer))
-                continue;
-            const std::uint64_t hash = placementHash(key, peer.ip);
-            if (!best || hash > bestHash) {
-                best = &peer;
-                bestHash = hash;
-            }
-        }
-        return best;
+        std::vector<const StagePeer*> passing;
+        for (const StagePeer& peer : state.peers)
+            if (filter(peer))
+                passing.push_back(&peer);
+        return passing.empty() ? nullptr : passing[turn % passing.size()];
     }
 
-    void wantVersion(StageState& state, WeightsVersion version, Milliseconds now, Effects& effects)
+    void beginVersion(StageState& state, WeightsVersion version, Milliseconds since, Effects& effects)
     {
-        if (version <= state.wanted)
-            return;
         state.wanted = version;
-        state.wantedSince = now;
+        state.wantedSince = since;
+        state.next = {};
         state.manifestKnown = false;
         state.manifestAsked = false;
         state.manifestFailures = 0;
-        state.manifestRetryAt = now;
+        state.manifestRetryAt = since;
         state.pieces.clear();
         state.order = OrderStep::None;
+        state.orderAccepted = false;
         effects.emplace_back(LogLine { .event = "weights-wanted",
             .fields = { { "model", state.model.value }, { "version", std::to_string(version.value) } } });
     }
 
+    /// A version that is nearly here is finished before a newer one is begun: its own bound runs out before the newer
+    /// one can be in service.
+    void wantVersion(StageState& state, WeightsVersion version, Milliseconds now, Effects& effects)
+    {
+        if (version <= std::max(state.wanted, state.next))
+            return;
+        const bool underWay = state.wanted.value != 0 && !engineCurrent(state) && state.order != OrderStep::Given;
+        if (underWay && now - state.wantedSince > finishFirstAfter) {
+            state.next = version;
+            state.nextSince = now;
+        } else
+            beginVersion(state, version, now, effects);
+    }
+
+    void beginNext(StageState& state, Effects& effects)
+    {
+        // Pieces that are written from now on do not change what an accepted order loads.
+        if (state.next.value != 0 && (engineCurrent(state) || state.orderAccepted))
+            beginVersion(state, state.next, state.nextSince, effects);
+    }
+
     void applyFleet(StageState& state, const FleetLearned& event, Milliseconds now, Effects& effects)
     {
         if (!event.config)
@@ -158,7 +173,7 @@
                 continue;
             if (shared >= sharedInFlight && own >= ownInFlight)
                 return;
-            const StageSource source = chooseSource(state, std::to_string(index), piece.failures, state.random());
+            const StageSource source = chooseSource(state, index, piece.failures, state.random());
             if (source.ip.empty() && fromOrigin >= originInFlight)
                 continue;
             piece.fromOrigin = source.ip.empty();
@@ -215,6 +230,7 @@
 
     void advance(StageState& state, Milliseconds now, Effects& effects)
     {
+        beginNext(state, effects);
         if (state.wanted.value == 0 || !state.report)
             return;
         // Also wanted by a host whose engine is current: it checks what it gives to others.
@@ -309,6 +325,7 @@
                 { "since_declared_ms", std::to_string((now - state.wantedSince).value) } } });
         if (event.version != state.wanted || state.order != OrderStep::Given)
             return;
+        state.orderAccepted = event.status == accepted || event.status == inEffect;
         // Without an answer the order may have been accepted: the next reports tell.
         if (event.status != accepted && event.status != inEffect && event.status != 0)
             state.order = OrderStep::None;
@@ -351,35 +368,33 @@
 }
 
 StageSource chooseSource(
-    const StageState& state, const std::string& piece, std::uint32_t failures, std::uint64_t draw)
+    const StageState& state, std::uint32_t piece, std::uint32_t failures, std::uint64_t draw)
 {
-    const std::string key = std::to_string(state.wanted.value) + "/" + piece;
-    const auto other = [&](const StagePeer& peer) { return peer.ip != state.options.ip; };
+    const auto anyone = [](const StagePeer&) { return true; };
     const auto here = [&](const StagePeer& peer) { return peer.place == state.options.place; };
     const auto holder = [&](const StagePeer& peer) {
-        return other(peer) && holdsVersion(peer, state.model, state.wanted);
+        return peer.ip != state.options.ip && holdsVersion(peer, state.model, state.wanted);
     };
-    const std::string ownKey = key + state.options.ip + std::to_string(failures);
-    if (const StagePeer* near = firstPeer(state, ownKey,
-            [&](const StagePeer& peer) { return holder(peer) && here(peer); }))
+    // Hosts that load together ask different holders for the same piece.
+    const std::uint64_t ownTurn = piece + failures + placementHash("first-holder", state.options.ip);
+    if (const StagePeer* near
+        = dealtPeer(state, ownTurn, [&](const StagePeer& peer) { return holder(peer) && here(peer); }))
         return { near->ip };
-    if (const StagePeer* far = firstPeer(state, ownKey, holder))
+    if (const StagePeer* far = dealtPeer(state, ownTurn, holder))
         return { far->ip };
-    const StagePeer* home = firstPeer(state, key, [](const StagePeer&) { return true; });
-    if (failures > 0 && home) {
+    const StagePeer* home = dealtPeer(state, piece + state.wanted.value, anyone);
+    const StagePeer* local = dealtPeer(state, piece, here);
+    if (!home || home->ip == state.options.ip)
+        return {};
+    if (failures > 0) {
         // After its first source a host asks the one that fetches for all, then any, and at last the origin.
         constexpr std::uint32_t originEvery = 4;
-        if (home->ip == state.options.ip || failures % originEvery == originEvery - 1)
+        if (failures % originEvery == originEvery - 1)
             return {};
         const StagePeer& any = failures == 1 ? *home : state.peers[draw % state.peers.size()];
         return { any.ip == state.options.ip ? home->ip : any.ip };
     }
-    const StagePeer* local = firstPeer(state, key, here);
-    if (!home || home->ip == state.options.ip)
-        return {};
-    if (!local || local->ip == state.options.ip)
-        return { home->ip };
-    return { local->ip };
+    return { !local || local->ip == state.options.ip ? home->ip : local->ip };
 }
 
 std::vector<StageEffect> reduceStage(StageState& state, const StageEvent& event, Milliseconds now)
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -17,7 +17,7 @@
 /// from there to one host of each other place, and from that to the rest of the place, so that the origin sends about
 /// one copy and each link between places carries about one.
 /// @param failures sources that did not give the piece so far
-StageSource chooseSource(const StageState& state, const std::string& piece, std::uint32_t failures, std::uint64_t draw);
+StageSource chooseSource(const StageState& state, std::uint32_t piece, std::uint32_t failures, std::uint64_t draw);
 
 /// When this host's engine may be ordered to load, so that the engines of a service load one after the other.
 /// Answers a new version under full load: an engine that loads finishes its work first and takes nothing new.
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -57,6 +57,8 @@
     std::vector<StagePeer> peers; ///< all hosts of the service, this one included, sorted by ip
     WeightsVersion wanted; ///< version to bring into service, 0 until known
     Milliseconds wantedSince { 0 }; ///< when it became known
+    WeightsVersion next; ///< declared later and brought into service after `wanted`, 0 when none
+    Milliseconds nextSince { 0 }; ///< when it became known
     bool manifestKnown { false }; ///< digests of the wanted version are here
     bool manifestAsked { false }; ///< a question for them is under way
     std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
@@ -65,6 +67,7 @@
     std::optional<EngineReport> report; ///< last one
     std::int64_t bornAt { 0 }; ///< of the engine that the pieces were staged for
     OrderStep order { OrderStep::None }; ///< how far the order has come
+    bool orderAccepted { false }; ///< the engine accepted an order for the wanted version
     Milliseconds orderAt { 0 }; ///< when its step began
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -17,7 +17,7 @@
 constexpr Milliseconds engineTimeout { 800 }; ///< on the same host
 constexpr Milliseconds orderTimeout { 800 }; ///< of the answer to an order
 constexpr std::size_t uploadSliceBytes = 4096; ///< delays an event of a stream by at most 4 ms on a link of 7.6 Mbit/s
-constexpr double linkShareForWeights = 0.75; ///< the rest of the host's link carries the engine's streams
+constexpr double linkShareForWeights = 0.9; ///< the rest of the host's link carries the engine's streams
 constexpr double megabitPerSecondInBytesPerMs = 125.0; ///< unit conversion
 constexpr std::size_t versionsKept = 2; ///< the one in service and the next
 
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -13,8 +13,9 @@
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
 constexpr Milliseconds announceLead { 120 }; ///< beacons of entries and agents are 100 ms apart
 constexpr Milliseconds orderPatience { 6000 }; ///< an engine finishes its longest answers, then loads
+constexpr Milliseconds finishFirstAfter { 2500 }; ///< most pieces of a version are here after this time
 constexpr Milliseconds checkPatience { 1500 }; ///< reading all pieces back takes a tenth of this
-constexpr std::int64_t firstTurnPercent = 15; ///< of the time allowed: pieces take about that long to arrive
-constexpr std::int64_t turnsPercent = 45; ///< of the time allowed: the orders are spread over it
+constexpr std::int64_t firstTurnPercent = 38; ///< of the time allowed: pieces take about that long to arrive
+constexpr std::int64_t turnsPercent = 34; ///< of the time allowed: the orders are spread over it
 
 } // namespace hickory
