--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -463,9 +463,11 @@
             this->dispatch(ConfigLearned { std::make_shared<const RelayConfig>(config.value()) });
             this->front.setLimits(this->state.config->limits);
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
-            const Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
-            if (declared)
+            Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
+            if (declared) {
+                declared.value().atStart = this->operatorRows.snapshot().asOf.value == 0;
                 this->dispatch(declared.value());
+            }
             else
                 writeLog({ .level = LogLevel::Error,
                     .event = "weights-refused",
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -28,7 +28,7 @@
         DeclaredWeights& declared = state.declared[event.model];
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = now;
+        declared[event.version] = event.atStart ? now - state.options.weightsGrace : now;
         effects.emplace_back(LogLine { .event = "weights-declared",
             .fields
             = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -123,6 +123,7 @@
 struct WeightsDeclared {
     ModelId model; ///< name
     WeightsVersion version; ///< the newest one
+    bool atStart { false }; ///< known from the first reading: it may have been declared long ago
 };
 
 using RelayEvent = std::variant<CallArrived, CallerLeft, AnswerBegan, StreamMoved, AnswerEnded, RelayTick,
