Order requests by the workspace's rank, then the route's

Cause: the workspace's rank replaced the route's, so nearly all requests had the same urgency. Change: three ranks of routes within each rank of workspaces, at the entry's queue and at the engines; engines are filled to their slots and a few more by rank.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -45,10 +45,20 @@
 
 } // namespace
 
+std::uint8_t urgencyOf(std::optional<std::uint8_t> workspaceRank, std::uint8_t routeRank)
+{
+    // Three ranks of routes within each rank of workspaces fill the ten levels that engines know.
+    constexpr std::uint8_t routeRanks = 3;
+    constexpr std::uint8_t leastUrgent = 9;
+    const unsigned within = std::min<unsigned>(routeRank, routeRanks - 1);
+    const unsigned urgency = workspaceRank.value_or(1) * routeRanks + within;
+    return static_cast<std::uint8_t>(std::min<unsigned>(urgency, leastUrgent));
+}
+
 QueueKey queueKey(const RelayRequest& request, Milliseconds now)
 {
     return { .late = now + leadTime(request) > request.objectiveAt,
-        .rank = request.rank,
+        .urgency = request.urgency,
         .objectiveAt = request.objectiveAt,
         .call = request.call.value };
 }
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -4,6 +4,11 @@
 
 namespace hickory {
 
+/// Urgency of a request: the workspace's rank goes first, the route's orders the requests within it.
+/// @param workspaceRank empty where the workspace has none; it then counts as 1
+/// @return 0 is first, 9 is last
+std::uint8_t urgencyOf(std::optional<std::uint8_t> workspaceRank, std::uint8_t routeRank);
+
 /// Place of a request in its service's queue.
 /// Answers floods of a less urgent rank: urgent requests that can be on time go first, and requests that can no
 /// longer be on time wait until those that can are served.
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -113,9 +113,9 @@
 {
     if (!engine)
         return slots;
-    constexpr std::uint32_t firstRankExtra = 6;
-    constexpr std::uint32_t secondRankExtra = 3;
-    constexpr std::uint32_t otherExtra = 1;
+    constexpr std::uint32_t firstRankExtra = 4;
+    constexpr std::uint32_t secondRankExtra = 2;
+    constexpr std::uint32_t otherExtra = 0;
     return slots + (rank == 0 ? firstRankExtra : rank == 1 ? secondRankExtra : otherExtra);
 }
 
@@ -138,7 +138,7 @@
             || (view.report && view.report->busy))
             continue;
         const std::uint32_t requests = requestsAt(state, view, now);
-        if (requests >= placeLimit(view.entry.slots, request.rank, profile != nullptr))
+        if (requests >= placeLimit(view.entry.slots, request.route->rank, profile != nullptr))
             continue;
         const double cost = score(state, view, request, profile, requests, now);
         if (!best || cost < bestScore) {
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -61,7 +61,7 @@
         request.route = findRoute(*request.config, request.facts.host, request.facts.target);
         if (!request.route)
             return age < unknownStale ? refuse(statusNotFound, "no-route") : refuse(statusUnavailable, "stale-config");
-        request.rank = request.route->rank;
+        request.urgency = urgencyOf(std::nullopt, request.route->rank);
         if (request.route->open || request.config->workspaces.empty())
             return true;
         if (age > state.options.keyTrust)
@@ -72,7 +72,7 @@
                                       : refuse(statusUnavailable, "stale-config");
         const RelayWorkspace& workspace = request.config->workspaces.at(key->second);
         request.workspace = workspace.name;
-        request.rank = workspace.rank.value_or(request.rank);
+        request.urgency = urgencyOf(workspace.rank, request.route->rank);
         return true;
     }
 
@@ -82,7 +82,8 @@
 {
     return { .event = event,
         .fields = { { "request", request.facts.attemptId }, { "route", request.route->name },
-            { "service", request.service.value }, { "rank", std::to_string(request.rank) },
+            { "service", request.service.value }, { "rank", std::to_string(request.route->rank) },
+            { "urgency", std::to_string(request.urgency) },
             { "age_ms", std::to_string((now - request.arrivedAt).value) } } };
 }
 
@@ -101,7 +102,7 @@
     request.lastEventId = request.facts.resumeAfter;
     RelayRequest& kept = state.requests.emplace(request.call, std::move(request)).first->second;
     ServiceView& service = state.services[kept.service];
-    if (service.queue.empty() || kept.rank < service.queue.begin()->first.rank) {
+    if (service.queue.empty() || kept.urgency < service.queue.begin()->first.urgency) {
         if (const auto upstream = chooseUpstream(state, kept, now, true)) {
             sendRequest(state, kept, *upstream, now, effects);
             return;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -15,7 +15,6 @@
     constexpr std::uint16_t statusServerError = 500;
     constexpr std::uint16_t statusBadGateway = 502;
     constexpr std::uint16_t statusUnavailable = 503;
-    constexpr std::uint8_t leastUrgent = 9;
 
     bool isSuccess(std::uint16_t status) { return status >= statusOk && status < statusMultiple; }
 
@@ -88,11 +87,14 @@
         line.fields.emplace_back("status", std::to_string(send.status));
         line.fields.emplace_back("upstream", send.upstream.value);
         line.fields.emplace_back("sends", std::to_string(request.sends));
+        if (request.firstEventAt.value != 0)
+            line.fields.emplace_back("first_event_ms", std::to_string((request.firstEventAt - request.arrivedAt).value));
+        line.fields.emplace_back("prompt_tokens", std::to_string(request.facts.promptTokens));
         line.fields.emplace_back("sent_ms", std::to_string((send.sentAt - request.arrivedAt).value));
         effects.emplace_back(std::move(line));
         effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
             .name = "answer_ms",
-            .labels = "service=\"" + request.service.value + "\",rank=\"" + std::to_string(request.rank) + "\"",
+            .labels = "service=\"" + request.service.value + "\",rank=\"" + std::to_string(request.route->rank) + "\"",
             .value = static_cast<double>((now - request.arrivedAt).value) });
         releaseSend(state, request, false, effects);
         if (!request.relayed)
@@ -134,7 +136,7 @@
         .upstream = upstream,
         .address = view.entry.address,
         .timeLeft = request.deadlineAt - now,
-        .urgency = isEngineRequest(request) ? std::optional(std::min(request.rank, leastUrgent)) : std::nullopt,
+        .urgency = isEngineRequest(request) ? std::optional(request.urgency) : std::nullopt,
         .workspace = request.workspace,
         .expectVersion = expectedWeights(state, view, request, now),
         .resumeAfter = request.lastEventId,
@@ -208,11 +210,13 @@
     send.movedAt = now;
     if (!event.lastEventId.empty())
         request->lastEventId = event.lastEventId;
-    if (request->events++ == 0)
+    if (request->events++ == 0) {
+        request->firstEventAt = now;
         effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
             .name = "first_event_ms",
-            .labels = "service=\"" + request->service.value + "\",rank=\"" + std::to_string(request->rank) + "\"",
+            .labels = "service=\"" + request->service.value + "\",rank=\"" + std::to_string(request->route->rank) + "\"",
             .value = static_cast<double>((now - request->arrivedAt).value) });
+    }
     if (send.reading) {
         send.reading = false;
         view.unreadTokens -= request->facts.promptTokens;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -42,10 +42,10 @@
     bool reading { true }; ///< no event of a stream came yet: the prompt still has to be read
 };
 
-/// Order in which requests wait: those that can still be on time first, then by rank, then by objective.
+/// Order in which requests wait: those that can still be on time first, then by urgency, then by objective.
 struct QueueKey {
     bool late { false }; ///< cannot be on time any more
-    std::uint8_t rank { 0 }; ///< urgency
+    std::uint8_t urgency { 0 }; ///< 0 is first
     Milliseconds objectiveAt; ///< when it should be answered
     std::uint64_t call { 0 }; ///< breaks ties in order of arrival
 
@@ -60,7 +60,7 @@
     const RelayRoute* route { nullptr }; ///< selected at arrival
     ServiceId service; ///< selected share
     WorkspaceId workspace; ///< holder of the key, empty on open routes
-    std::uint8_t rank { 0 }; ///< workspace's, else route's
+    std::uint8_t urgency { 0 }; ///< by workspace and route, 0 is first
     Milliseconds arrivedAt; ///< first byte
     Milliseconds objectiveAt; ///< on time until then
     Milliseconds timeoutAt; ///< the route's limit
@@ -74,6 +74,7 @@
     bool mayHaveRun { false }; ///< some sending may have run
     std::string lastEventId; ///< last event passed on
     std::uint32_t events { 0 }; ///< progress reports so far
+    Milliseconds firstEventAt { 0 }; ///< of a stream, 0 before
 };
 
 /// What an entry believes about one upstream.
