--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -19,6 +19,7 @@
     constexpr std::uint16_t statusOk = 200;
     constexpr std::uint16_t statusNotFound = 404;
     constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
+    constexpr const char* placeQuery = "?place="; ///< data centre of the agent that asks
 
     bool succeeded(const Result<FetchAnswer>& answer) { return answer && answer.value().head.status == statusOk; }
 
@@ -188,7 +189,7 @@
                                        : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
         .target = origin ? platform::piecePath + this->state.model.value + pieceQuery(effect.index) + "&"
                 + versionQuery(effect.version)
-                         : peerTarget(effect.version, std::to_string(effect.index)),
+                         : peerTarget(effect.version, std::to_string(effect.index) + placeQuery + this->settings.host.place.value),
         .timeout = origin ? originTimeout : peerPieceTimeout };
     const auto found = this->held.find(effect.version.value);
     if (found != this->held.end() && !found->second.pieces.at(effect.index).empty()) {
@@ -302,20 +303,23 @@
             this->front.answer(request.id, statusOk, {}, found->second.manifestText);
             return;
         }
-        if (what.size() > 1 && std::from_chars(what.data() + 1, end, index).ptr == end) {
-            this->onPieceAsked(request.id, { version }, index);
+        const std::size_t query = what.find(placeQuery);
+        if (query != std::string_view::npos && query > 1
+            && std::from_chars(what.data() + 1, what.data() + query, index).ptr == what.data() + query) {
+            this->onPieceAsked(request.id, { version }, index,
+                { std::string(what.substr(query + std::string_view(placeQuery).size())) });
             return;
         }
     }
     this->front.answer(request.id, statusNotFound, {}, "not here\n");
 }
 
-void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index)
+void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, const PlaceId& place)
 {
     const auto found = this->held.find(version.value);
     const bool known = found != this->held.end() && index < found->second.pieces.size();
-    if (!known && version >= this->state.wanted) {
-        // The peer learned of this version first.
+    if (!known && isExpected(this->state, version)) {
+        // The peer learned of this version first, or this host waits for its digests.
         this->waiters.push_back(
             { .call = call, .version = version, .index = index, .until = monotonicNow() + peerPieceWait });
         return;
@@ -328,7 +332,8 @@
         this->upload(call, bytes);
         return;
     }
-    if (version == this->state.wanted && !engineCurrent(this->state)) {
+    if (isExpected(this->state, version)) {
+        this->dispatch(PieceDemanded { .version = version, .index = index, .place = place });
         this->waiters.push_back(
             { .call = call, .version = version, .index = index, .until = monotonicNow() + peerPieceWait });
         return;
@@ -356,7 +361,7 @@
             && !found->second.pieces[waiter.index].empty();
         if (here)
             this->upload(waiter.call, found->second.pieces[waiter.index]);
-        else if (waiter.version < this->state.wanted || now > waiter.until)
+        else if (!isExpected(this->state, waiter.version) || now > waiter.until)
             this->front.answer(waiter.call, statusNotFound, {}, "not here yet\n");
         else
             this->waiters.push_back(waiter);
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -65,7 +65,7 @@
     bool keepPiece(WeightsVersion version, std::uint32_t index, const std::string& bytes);
 
     void onRequest(FrontRequest&& request);
-    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index);
+    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, const PlaceId& place);
     void answerWaiters();
     void upload(CallId call, const std::string& bytes);
     void uploadSlice();
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -41,6 +41,9 @@
 /// Gives up sendings to upstreams that fell silent.
 void giveUpSilent(RelayState& state, Milliseconds now, RelayEffects& effects);
 
+/// Takes requests back from queues of engines whose weights are about to be too old.
+void takeBackOutdated(RelayState& state, Milliseconds now, RelayEffects& effects);
+
 // Upstreams (relay_upstream_cmd.cpp) ------------------------------------------------------------------------------
 
 void applyUpstreams(RelayState& state, const UpstreamsLearned& event, Milliseconds now, RelayEffects& effects);
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -47,6 +47,7 @@
     {
         expireRequests(state, now, effects);
         giveUpSilent(state, now, effects);
+        takeBackOutdated(state, now, effects);
         std::vector<ServiceId> services;
         for (const auto& [service, view] : state.services)
             if (!view.queue.empty())
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -295,4 +295,22 @@
     }
 }
 
+void takeBackOutdated(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    std::vector<CallId> outdated;
+    for (const auto& [call, request] : state.requests) {
+        if (!request.active || request.active->headSeen || request.facts.model.empty())
+            continue;
+        const auto view = state.upstreams.find(request.active->upstream);
+        const HeldModel* held = view == state.upstreams.end() ? nullptr : heldModel(view->second, request.facts.model);
+        if (held && held->version < requiredWeights(state, request.facts.model, now - outdatedAfter))
+            outdated.push_back(call);
+    }
+    for (const CallId call : outdated) {
+        RelayRequest& request = state.requests.at(call);
+        releaseSend(state, request, true, effects);
+        tryElsewhere(state, request, false, false, "outdated-weights", now, effects);
+    }
+}
+
 } // namespace hickory
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_reduce_func.h"
 
 #include "digest_func.h"
+#include "stage_source_func.h"
 #include "table/stage_limits.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
     using Effects = std::vector<StageEffect>;
 
+    constexpr std::int64_t percent = 100;
+
     template <typename... Handlers> struct Overloaded : Handlers... {
         using Handlers::operator()...;
     };
@@ -18,59 +21,50 @@
 
     std::string ipOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-    bool holdsVersion(const StagePeer& peer, const ModelId& model, WeightsVersion version)
+    std::size_t countStep(const StageWork& work, PieceStep step)
     {
-        return std::any_of(peer.models.begin(), peer.models.end(),
-            [&](const HeldModel& held) { return held.model == model && held.version == version && held.whole; });
+        return static_cast<std::size_t>(std::count_if(
+            work.pieces.begin(), work.pieces.end(), [&](const PieceState& piece) { return piece.step == step; }));
     }
 
-    /// Deals pieces to peers in turn, so that each has the same share of uploads.
-    /// @return the peer for a piece among those that pass the filter, or nullptr
-    template <typename Filter>
-    const StagePeer* dealtPeer(const StageState& state, std::uint64_t turn, const Filter& filter)
+    bool allStaged(const StageWork& work)
     {
-        std::vector<const StagePeer*> passing;
-        for (const StagePeer& peer : state.peers)
-            if (filter(peer))
-                passing.push_back(&peer);
-        return passing.empty() ? nullptr : passing[turn % passing.size()];
+        return !work.pieces.empty() && countStep(work, PieceStep::Staged) == work.pieces.size();
     }
 
-    void beginVersion(StageState& state, WeightsVersion version, Milliseconds since, Effects& effects)
+    /// @return the work on a version, or nullptr
+    StageWork* findWork(StageState& state, WeightsVersion version)
     {
-        state.wanted = version;
-        state.wantedSince = since;
-        state.next = {};
-        state.manifestKnown = false;
-        state.manifestAsked = false;
-        state.manifestFailures = 0;
-        state.manifestRetryAt = since;
-        state.pieces.clear();
-        state.order = OrderStep::None;
-        state.orderAccepted = false;
-        effects.emplace_back(LogLine { .event = "weights-wanted",
-            .fields = { { "model", state.model.value }, { "version", std::to_string(version.value) } } });
+        for (StageWork& work : state.works)
+            if (work.version == version)
+                return &work;
+        return nullptr;
     }
 
-    /// A version that is nearly here is finished before a newer one is begun: its own bound runs out before the newer
+    // Versions ------------------------------------------------------------------------------------------------------
+
+    /// A version that was begun a while ago is finished before a newer one: its own bound runs out before the newer
     /// one can be in service.
     void wantVersion(StageState& state, WeightsVersion version, Milliseconds now, Effects& effects)
     {
-        if (version <= std::max(state.wanted, state.next))
+        if (version <= newestWanted(state))
             return;
-        const bool underWay = state.wanted.value != 0 && !engineCurrent(state) && state.order != OrderStep::Given;
-        if (underWay && now - state.wantedSince > finishFirstAfter) {
-            state.next = version;
-            state.nextSince = now;
-        } else
-            beginVersion(state, version, now, effects);
+        const bool keepFirst = !state.works.empty() && !engineHolds(state, state.works.front().version)
+            && now - state.works.front().since > finishFirstAfter;
+        state.works.resize(keepFirst ? 1 : 0);
+        state.works.push_back({ .version = version, .since = now, .manifestRetryAt = now });
+        effects.emplace_back(LogLine { .event = "weights-wanted",
+            .fields = { { "model", state.model.value }, { "version", std::to_string(version.value) },
+                { "after_version", keepFirst ? std::to_string(state.works.front().version.value) : "none" } } });
     }
 
-    void beginNext(StageState& state, Effects& effects)
+    /// Goes on to the version declared after the first one. What is written beside the engine from now on does not
+    /// change what an accepted order loads.
+    void dropFirst(StageState& state, const char* reason, Effects& effects)
     {
-        // Pieces that are written from now on do not change what an accepted order loads.
-        if (state.next.value != 0 && (engineCurrent(state) || state.orderAccepted))
-            beginVersion(state, state.next, state.nextSince, effects);
+        effects.emplace_back(LogLine { .event = "weights-next",
+            .fields = { { "version", std::to_string(state.works.back().version.value) }, { "reason", reason } } });
+        state.works.erase(state.works.begin());
     }
 
     void applyFleet(StageState& state, const FleetLearned& event, Milliseconds now, Effects& effects)
@@ -86,8 +80,7 @@
         state.peers.clear();
         for (const UpstreamEntry& entry : event.upstreams)
             if (entry.service == state.options.service)
-                state.peers.push_back(
-                    { .ip = ipOf(entry.address), .place = entry.place, .models = entry.models });
+                state.peers.push_back({ .ip = ipOf(entry.address), .place = entry.place, .models = entry.models });
         std::sort(state.peers.begin(), state.peers.end(),
             [](const StagePeer& left, const StagePeer& right) { return left.ip < right.ip; });
         if (state.model.empty())
@@ -100,16 +93,20 @@
     /// After a restart of the engine nothing that was written beside it is relied on.
     void restageAll(StageState& state)
     {
-        for (PieceState& piece : state.pieces)
-            if (piece.step == PieceStep::Staged || piece.step == PieceStep::Staging)
-                piece.step = PieceStep::Held;
-        state.order = OrderStep::None;
+        for (StageWork& work : state.works) {
+            for (PieceState& piece : work.pieces)
+                if (piece.step == PieceStep::Staged || piece.step == PieceStep::Staging)
+                    piece.step = PieceStep::Held;
+            work.order = OrderStep::None;
+        }
     }
 
     void applyReport(StageState& state, const ReportRead& event, Milliseconds now, Effects& effects)
     {
-        const bool wasCurrent = engineCurrent(state);
+        const WeightsVersion first = state.works.empty() ? WeightsVersion {} : state.works.front().version;
+        const bool held = engineHolds(state, first);
         state.report = event.report;
+        state.acceptUnseen = false;
         if (!event.report)
             return;
         if (event.report->bornAt != state.bornAt) {
@@ -119,148 +116,115 @@
             state.bornAt = event.report->bornAt;
             restageAll(state);
         }
-        if (engineCurrent(state)) {
-            state.order = OrderStep::None;
-            if (!wasCurrent)
+        if (state.works.empty())
+            return;
+        StageWork& work = state.works.front();
+        if (engineHolds(state, first)) {
+            work.order = OrderStep::None;
+            if (!held)
                 effects.emplace_back(LogLine { .event = "weights-in-service",
-                    .fields = { { "version", std::to_string(state.wanted.value) },
-                        { "after_ms", std::to_string((now - state.wantedSince).value) } } });
-        } else if (state.order == OrderStep::Given && !event.report->busy && now - state.orderAt > orderPatience)
-            state.order = OrderStep::None;
+                    .fields = { { "version", std::to_string(first.value) },
+                        { "after_ms", std::to_string((now - work.since).value) } } });
+        } else if (work.order == OrderStep::Given && !event.report->busy && now - work.orderAt > orderPatience)
+            work.order = OrderStep::None;
     }
 
-    void askManifest(StageState& state, Milliseconds now, Effects& effects)
+    // Pieces --------------------------------------------------------------------------------------------------------
+
+    void askManifest(StageState& state, StageWork& work, Milliseconds now, Effects& effects)
     {
-        if (state.manifestKnown || state.manifestAsked || now < state.manifestRetryAt)
+        if (work.manifestKnown || work.manifestAsked || now < work.manifestRetryAt)
             return;
-        state.manifestAsked = true;
+        work.manifestAsked = true;
         // A manifest is small: all ask the origin, and any peer when the origin fails.
-        const bool peer = state.manifestFailures % 2 == 1 && !state.peers.empty();
-        effects.emplace_back(AskManifest { .version = state.wanted,
+        const bool peer = work.manifestFailures % 2 == 1 && !state.peers.empty();
+        effects.emplace_back(AskManifest { .version = work.version,
             .source = { peer ? state.peers[state.random() % state.peers.size()].ip : std::string {} } });
     }
 
-    /// What a host owes the others comes first: pieces that it fetches for all, then those for its place. Questions
-    /// to hosts that do not have their piece yet wait there, so those for itself have places of their own.
-    enum class PieceDuty : std::uint8_t { Own, Shared };
+    /// Questions under way. What a host owes the others has places of its own: questions to hosts that do not have
+    /// their piece yet wait there, and must not hold up the pieces that others wait for.
+    struct InFlight {
+        std::size_t shared { 0 }; ///< on behalf of other hosts, too
+        std::size_t own { 0 }; ///< for this host alone
+        std::size_t origin { 0 }; ///< of the shared ones, to the origin
+    };
 
-    PieceDuty dutyOf(const StageState& state, const StageSource& source)
+    InFlight countInFlight(const StageState& state)
     {
-        const bool near = std::any_of(state.peers.begin(), state.peers.end(), [&](const StagePeer& peer) {
-            return peer.ip == source.ip && peer.place == state.options.place;
-        });
-        return near ? PieceDuty::Own : PieceDuty::Shared;
+        InFlight count;
+        for (const StageWork& work : state.works)
+            for (const PieceState& piece : work.pieces)
+                if (piece.step == PieceStep::Fetching) {
+                    ++(piece.shared ? count.shared : count.own);
+                    count.origin += piece.fromOrigin ? 1 : 0;
+                }
+        return count;
     }
 
-    void askPieces(StageState& state, Milliseconds now, Effects& effects)
+    /// @param sharedOnly asks only for what is fetched on behalf of other hosts, too
+    void askPieces(StageState& state, StageWork& work, bool sharedOnly, Milliseconds now, Effects& effects)
     {
-        std::size_t shared = 0;
-        std::size_t own = 0;
-        std::size_t fromOrigin = 0;
-        for (const PieceState& piece : state.pieces) {
-            if (piece.step != PieceStep::Fetching)
-                continue;
-            ++(piece.shared ? shared : own);
-            fromOrigin += piece.fromOrigin ? 1 : 0;
-        }
+        InFlight inFlight = countInFlight(state);
         // Each host starts elsewhere, so that hosts that load together ask different peers at a time.
-        const std::size_t count = state.pieces.size();
+        const std::size_t count = work.pieces.size();
         const std::size_t first = count == 0 ? 0 : placementHash("first-piece", state.options.ip) % count;
         for (std::size_t step = 0; step < count; ++step) {
             const auto index = static_cast<std::uint32_t>((first + step) % count);
-            PieceState& piece = state.pieces[index];
+            PieceState& piece = work.pieces[index];
             if (piece.step != PieceStep::Missing || now < piece.retryAt)
                 continue;
-            if (shared >= sharedInFlight && own >= ownInFlight)
+            const bool ownFull = sharedOnly || inFlight.own >= ownInFlight;
+            if (inFlight.shared >= sharedInFlight && ownFull)
                 return;
-            const StageSource source = chooseSource(state, index, piece.failures, state.random());
-            if (source.ip.empty() && fromOrigin >= originInFlight)
-                continue;
-            piece.fromOrigin = source.ip.empty();
-            piece.shared = dutyOf(state, source) == PieceDuty::Shared;
-            std::size_t& inFlight = piece.shared ? shared : own;
-            if (inFlight >= (piece.shared ? sharedInFlight : ownInFlight))
+            const StageSource source = chooseSource(state, work.version, index, piece.failures, piece.demand);
+            const bool origin = source.ip.empty();
+            const bool shared = isShared(state, source);
+            if ((origin && inFlight.origin >= originInFlight) || (shared && inFlight.shared >= sharedInFlight)
+                || (!shared && ownFull))
                 continue;
             piece.step = PieceStep::Fetching;
-            ++inFlight;
-            fromOrigin += piece.fromOrigin ? 1 : 0;
-            effects.emplace_back(AskPiece { .version = state.wanted, .index = index, .source = source });
+            piece.shared = shared;
+            piece.fromOrigin = origin;
+            ++(shared ? inFlight.shared : inFlight.own);
+            inFlight.origin += origin ? 1 : 0;
+            effects.emplace_back(AskPiece { .version = work.version, .index = index, .source = source });
         }
     }
 
-    void writePieces(StageState& state, Effects& effects)
+    void writePieces(StageWork& work, Effects& effects)
     {
-        auto inFlight = static_cast<std::size_t>(std::count_if(state.pieces.begin(), state.pieces.end(),
-            [](const PieceState& piece) { return piece.step == PieceStep::Staging; }));
-        for (std::uint32_t index = 0; index < state.pieces.size() && inFlight < writesInFlight; ++index) {
-            if (state.pieces[index].step != PieceStep::Held)
+        std::size_t inFlight = countStep(work, PieceStep::Staging);
+        for (std::uint32_t index = 0; index < work.pieces.size() && inFlight < writesInFlight; ++index) {
+            if (work.pieces[index].step != PieceStep::Held)
                 continue;
-            state.pieces[index].step = PieceStep::Staging;
+            work.pieces[index].step = PieceStep::Staging;
             ++inFlight;
-            effects.emplace_back(StagePiece { .version = state.wanted, .index = index });
-        }
-    }
-
-    bool engineEmpty(const StageState& state)
-    {
-        return std::none_of(state.report->models.begin(), state.report->models.end(),
-            [&](const HeldModel& held) { return held.model == state.model && held.whole; });
-    }
-
-    void advanceOrder(StageState& state, Milliseconds now, Effects& effects)
-    {
-        if (state.order == OrderStep::Checking && now - state.orderAt > checkPatience)
-            state.order = OrderStep::None;
-        if (state.order == OrderStep::Announced && now - state.orderAt > announceLead) {
-            state.order = OrderStep::Given;
-            state.orderAt = now;
-            effects.emplace_back(GiveOrder { .version = state.wanted, .expectedOrders = state.report->orders });
+            effects.emplace_back(StagePiece { .version = work.version, .index = index });
         }
-        const bool allStaged = !state.pieces.empty()
-            && std::all_of(state.pieces.begin(), state.pieces.end(),
-                [](const PieceState& piece) { return piece.step == PieceStep::Staged; });
-        if (state.order != OrderStep::None || !allStaged || state.report->busy)
-            return;
-        if (!engineEmpty(state) && now - state.wantedSince < orderTurn(state))
-            return;
-        state.order = OrderStep::Checking;
-        state.orderAt = now;
-        effects.emplace_back(CheckStage { .version = state.wanted });
-    }
-
-    void advance(StageState& state, Milliseconds now, Effects& effects)
-    {
-        beginNext(state, effects);
-        if (state.wanted.value == 0 || !state.report)
-            return;
-        // Also wanted by a host whose engine is current: it checks what it gives to others.
-        askManifest(state, now, effects);
-        if (!state.manifestKnown || engineCurrent(state))
-            return;
-        askPieces(state, now, effects);
-        writePieces(state, effects);
-        advanceOrder(state, now, effects);
     }
 
     void applyManifest(StageState& state, const ManifestFetched& event, Milliseconds now)
     {
-        if (event.version != state.wanted)
+        StageWork* work = findWork(state, event.version);
+        if (!work)
             return;
-        state.manifestAsked = false;
+        work->manifestAsked = false;
         if (event.chunks == 0) {
-            ++state.manifestFailures;
-            state.manifestRetryAt = now + sourceRetry;
+            ++work->manifestFailures;
+            work->manifestRetryAt = now + sourceRetry;
             return;
         }
-        state.manifestKnown = true;
-        state.pieces.assign(event.chunks, {});
+        work->manifestKnown = true;
+        work->pieces.assign(event.chunks, {});
     }
 
     void applyPiece(StageState& state, const PieceFetched& event, Milliseconds now, Effects& effects)
     {
-        if (event.version != state.wanted || event.index >= state.pieces.size())
+        StageWork* work = findWork(state, event.version);
+        if (!work || event.index >= work->pieces.size())
             return;
-        PieceState& piece = state.pieces[event.index];
+        PieceState& piece = work->pieces[event.index];
         if (piece.step != PieceStep::Fetching)
             return;
         piece.step = event.good ? PieceStep::Held : PieceStep::Missing;
@@ -270,39 +234,95 @@
         if (event.good)
             return;
         ++piece.failures;
-        piece.retryAt = now + sourceRetry + Milliseconds { static_cast<std::int64_t>(state.random() % sourceRetry.value) };
+        const std::int64_t spread = sourceRetry.value;
+        piece.retryAt = now + sourceRetry + Milliseconds { static_cast<std::int64_t>(state.random() % spread) };
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "piece-failed",
-            .fields = { { "version", std::to_string(event.version.value) },
-                { "piece", std::to_string(event.index) },
+            .fields = { { "version", std::to_string(event.version.value) }, { "piece", std::to_string(event.index) },
                 { "source", event.source.ip.empty() ? "origin" : event.source.ip },
                 { "failures", std::to_string(piece.failures) } } });
     }
 
+    void applyDemand(StageState& state, const PieceDemanded& event)
+    {
+        StageWork* work = findWork(state, event.version);
+        if (!work || event.index >= work->pieces.size())
+            return;
+        PieceDemand& demand = work->pieces[event.index].demand;
+        demand = std::max(
+            demand, event.place == state.options.place ? PieceDemand::Here : PieceDemand::Elsewhere);
+    }
+
     void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, Effects& effects)
     {
-        if (event.version != state.wanted || event.index >= state.pieces.size())
+        StageWork* work = findWork(state, event.version);
+        if (!work || event.index >= work->pieces.size())
             return;
-        PieceState& piece = state.pieces[event.index];
+        PieceState& piece = work->pieces[event.index];
         if (piece.step != PieceStep::Staging)
             return;
         piece.step = event.good ? PieceStep::Staged : PieceStep::Held;
-        if (std::all_of(state.pieces.begin(), state.pieces.end(),
-                [](const PieceState& each) { return each.step == PieceStep::Staged; }))
+        if (allStaged(*work))
             effects.emplace_back(LogLine { .event = "weights-staged",
-                .fields = { { "version", std::to_string(state.wanted.value) },
-                    { "after_ms", std::to_string((now - state.wantedSince).value) } } });
+                .fields = { { "version", std::to_string(work->version.value) },
+                    { "after_ms", std::to_string((now - work->since).value) } } });
+    }
+
+    // Orders --------------------------------------------------------------------------------------------------------
+
+    bool engineEmpty(const StageState& state)
+    {
+        return std::none_of(state.report->models.begin(), state.report->models.end(),
+            [&](const HeldModel& held) { return held.model == state.model && held.whole; });
+    }
+
+    /// @return whether the version declared after the first one will be here so soon that the first is not loaded:
+    /// each load takes an engine out of service for a while
+    bool nextIsNear(const StageState& state, Milliseconds now)
+    {
+        if (state.works.size() < 2 || state.works.back().pieces.empty())
+            return false;
+        const StageWork& next = state.works.back();
+        const std::size_t held = countStep(next, PieceStep::Held) + countStep(next, PieceStep::Staged);
+        const Milliseconds latest = state.works.front().since + state.options.weightsWithin * skipUntilPercent / percent;
+        return static_cast<std::int64_t>(held) * percent
+            >= static_cast<std::int64_t>(next.pieces.size()) * skipFromPercent
+            && now < latest;
+    }
+
+    void advanceOrder(StageState& state, Milliseconds now, Effects& effects)
+    {
+        StageWork& work = state.works.front();
+        if (work.order == OrderStep::Checking && now - work.orderAt > checkPatience)
+            work.order = OrderStep::None;
+        if (work.order == OrderStep::Announced && now - work.orderAt > announceLead) {
+            work.order = OrderStep::Given;
+            work.orderAt = now;
+            effects.emplace_back(GiveOrder { .version = work.version, .expectedOrders = state.report->orders });
+        }
+        if (work.order != OrderStep::None || !allStaged(work) || state.report->busy || state.acceptUnseen)
+            return;
+        if (!engineEmpty(state) && now - work.since < orderTurn(state, work.version))
+            return;
+        if (!engineEmpty(state) && nextIsNear(state, now)) {
+            dropFirst(state, "next-is-near", effects);
+            return;
+        }
+        work.order = OrderStep::Checking;
+        work.orderAt = now;
+        effects.emplace_back(CheckStage { .version = work.version });
     }
 
     void applyChecked(StageState& state, const StageChecked& event, Milliseconds now, Effects& effects)
     {
-        if (event.version != state.wanted || state.order != OrderStep::Checking)
+        StageWork* work = findWork(state, event.version);
+        if (!work || work->order != OrderStep::Checking)
             return;
-        state.order = OrderStep::None;
+        work->order = OrderStep::None;
         if (event.failed)
             return;
         for (const std::uint32_t index : event.bad)
-            state.pieces.at(index).step = PieceStep::Held;
+            work->pieces.at(index).step = PieceStep::Held;
         if (!event.bad.empty()) {
             effects.emplace_back(LogLine { .level = LogLevel::Warning,
                 .event = "stage-repaired",
@@ -310,8 +330,8 @@
                     { "bad", std::to_string(event.bad.size()) } } });
             return;
         }
-        state.order = OrderStep::Announced;
-        state.orderAt = now;
+        work->order = OrderStep::Announced;
+        work->orderAt = now;
         effects.emplace_back(AnnounceOrder {});
     }
 
@@ -319,16 +339,41 @@
     {
         constexpr std::uint16_t accepted = 202;
         constexpr std::uint16_t inEffect = 200;
+        StageWork* work = findWork(state, event.version);
         effects.emplace_back(LogLine { .event = "order",
             .fields = { { "version", std::to_string(event.version.value) },
                 { "status", std::to_string(event.status) },
-                { "since_declared_ms", std::to_string((now - state.wantedSince).value) } } });
-        if (event.version != state.wanted || state.order != OrderStep::Given)
+                { "since_declared_ms", work ? std::to_string((now - work->since).value) : "dropped" } } });
+        if (!work || work->order != OrderStep::Given)
             return;
-        state.orderAccepted = event.status == accepted || event.status == inEffect;
+        if (event.status == accepted || event.status == inEffect) {
+            state.acceptUnseen = true;
+            if (state.works.size() > 1)
+                dropFirst(state, "order-accepted", effects);
+            return;
+        }
         // Without an answer the order may have been accepted: the next reports tell.
-        if (event.status != accepted && event.status != inEffect && event.status != 0)
-            state.order = OrderStep::None;
+        if (event.status != 0)
+            work->order = OrderStep::None;
+    }
+
+    void advance(StageState& state, Milliseconds now, Effects& effects)
+    {
+        if (state.works.empty() || !state.report)
+            return;
+        if (state.works.size() > 1 && engineHolds(state, state.works.front().version))
+            dropFirst(state, "in-service", effects);
+        // Also wanted by a host whose engine is current: it checks what it gives to others.
+        for (StageWork& work : state.works)
+            askManifest(state, work, now, effects);
+        StageWork& first = state.works.front();
+        if (engineHolds(state, first.version))
+            return;
+        askPieces(state, first, false, now, effects);
+        if (state.works.size() > 1)
+            askPieces(state, state.works.back(), !allStaged(first), now, effects);
+        writePieces(first, effects);
+        advanceOrder(state, now, effects);
     }
 
 } // namespace
@@ -341,24 +386,40 @@
     return state;
 }
 
-bool engineCurrent(const StageState& state)
+bool engineHolds(const StageState& state, WeightsVersion version)
 {
-    return state.report && state.wanted.value != 0
+    return state.report && version.value != 0
         && std::any_of(state.report->models.begin(), state.report->models.end(), [&](const HeldModel& held) {
-               return held.model == state.model && held.version >= state.wanted && held.whole;
+               return held.model == state.model && held.version >= version && held.whole;
            });
 }
 
+WeightsVersion newestWanted(const StageState& state)
+{
+    return state.works.empty() ? WeightsVersion {} : state.works.back().version;
+}
+
+bool isExpected(const StageState& state, WeightsVersion version)
+{
+    if (version > newestWanted(state))
+        return true;
+    return !engineHolds(state, version)
+        && std::any_of(state.works.begin(), state.works.end(),
+            [&](const StageWork& work) { return work.version == version; });
+}
+
 bool orderPending(const StageState& state)
 {
-    return state.order == OrderStep::Announced || state.order == OrderStep::Given;
+    if (state.acceptUnseen)
+        return true;
+    return !state.works.empty()
+        && (state.works.front().order == OrderStep::Announced || state.works.front().order == OrderStep::Given);
 }
 
-Milliseconds orderTurn(const StageState& state)
+Milliseconds orderTurn(const StageState& state, WeightsVersion version)
 {
-    constexpr std::int64_t percent = 100;
     // The order of hosts differs from version to version.
-    const std::string key = "turn-" + std::to_string(state.wanted.value);
+    const std::string key = "turn-" + std::to_string(version.value);
     const std::uint64_t own = placementHash(key, state.options.ip);
     const auto before = std::count_if(state.peers.begin(), state.peers.end(),
         [&](const StagePeer& peer) { return placementHash(key, peer.ip) < own; });
@@ -367,36 +428,6 @@
     return { within * firstTurnPercent / percent + within * turnsPercent * before / (percent * hosts) };
 }
 
-StageSource chooseSource(
-    const StageState& state, std::uint32_t piece, std::uint32_t failures, std::uint64_t draw)
-{
-    const auto anyone = [](const StagePeer&) { return true; };
-    const auto here = [&](const StagePeer& peer) { return peer.place == state.options.place; };
-    const auto holder = [&](const StagePeer& peer) {
-        return peer.ip != state.options.ip && holdsVersion(peer, state.model, state.wanted);
-    };
-    // Hosts that load together ask different holders for the same piece.
-    const std::uint64_t ownTurn = piece + failures + placementHash("first-holder", state.options.ip);
-    if (const StagePeer* near
-        = dealtPeer(state, ownTurn, [&](const StagePeer& peer) { return holder(peer) && here(peer); }))
-        return { near->ip };
-    if (const StagePeer* far = dealtPeer(state, ownTurn, holder))
-        return { far->ip };
-    const StagePeer* home = dealtPeer(state, piece + state.wanted.value, anyone);
-    const StagePeer* local = dealtPeer(state, piece, here);
-    if (!home || home->ip == state.options.ip)
-        return {};
-    if (failures > 0) {
-        // After its first source a host asks the one that fetches for all, then any, and at last the origin.
-        constexpr std::uint32_t originEvery = 4;
-        if (failures % originEvery == originEvery - 1)
-            return {};
-        const StagePeer& any = failures == 1 ? *home : state.peers[draw % state.peers.size()];
-        return { any.ip == state.options.ip ? home->ip : any.ip };
-    }
-    return { !local || local->ip == state.options.ip ? home->ip : local->ip };
-}
-
 std::vector<StageEffect> reduceStage(StageState& state, const StageEvent& event, Milliseconds now)
 {
     Effects effects;
@@ -406,6 +437,7 @@
                    [&](const ReportRead& read) { applyReport(state, read, now, effects); },
                    [&](const ManifestFetched& fetched) { applyManifest(state, fetched, now); },
                    [&](const PieceFetched& fetched) { applyPiece(state, fetched, now, effects); },
+                   [&](const PieceDemanded& demanded) { applyDemand(state, demanded); },
                    [&](const PieceStaged& staged) { applyStaged(state, staged, now, effects); },
                    [&](const StageChecked& checked) { applyChecked(state, checked, now, effects); },
                    [&](const OrderAnswered& answered) { applyOrder(state, answered, now, effects); },
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -25,10 +25,18 @@
     Staged, ///< written beside the engine
 };
 
+/// Which hosts have asked this one for a piece that it does not hold.
+enum class PieceDemand : std::uint8_t {
+    None, ///< none
+    Here, ///< hosts of the same place: this one fetches it for the place
+    Elsewhere, ///< hosts of other places: this one fetches it for all
+};
+
 /// One piece of the wanted version.
 struct PieceState {
     PieceStep step { PieceStep::Missing }; ///< how far it has come
     bool fromOrigin { false }; ///< asked for at the origin
+    PieceDemand demand { PieceDemand::None }; ///< who waits for it here
     bool shared { false }; ///< asked for on behalf of other hosts, too
     std::uint32_t failures { 0 }; ///< sources that did not give it
     Milliseconds retryAt { 0 }; ///< not asked for before
@@ -49,26 +57,29 @@
     std::vector<HeldModel> models; ///< weights of its engine
 };
 
+/// A version on its way into service.
+struct StageWork {
+    WeightsVersion version; ///< to bring into service
+    Milliseconds since { 0 }; ///< when it became known
+    bool manifestKnown { false }; ///< its digests are here
+    bool manifestAsked { false }; ///< a question for them is under way
+    std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
+    Milliseconds manifestRetryAt { 0 }; ///< not asked for before
+    std::vector<PieceState> pieces; ///< empty until the manifest is known
+    OrderStep order { OrderStep::None }; ///< how far the order has come
+    Milliseconds orderAt { 0 }; ///< when its step began
+};
+
 /// All that an agent decides on.
 struct StageState {
     StageOptions options; ///< from settings
     ModelId model; ///< served by the engine, empty until known
     std::string originAddress; ///< "ip:port" of the origin
     std::vector<StagePeer> peers; ///< all hosts of the service, this one included, sorted by ip
-    WeightsVersion wanted; ///< version to bring into service, 0 until known
-    Milliseconds wantedSince { 0 }; ///< when it became known
-    WeightsVersion next; ///< declared later and brought into service after `wanted`, 0 when none
-    Milliseconds nextSince { 0 }; ///< when it became known
-    bool manifestKnown { false }; ///< digests of the wanted version are here
-    bool manifestAsked { false }; ///< a question for them is under way
-    std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
-    Milliseconds manifestRetryAt { 0 }; ///< not asked for before
-    std::vector<PieceState> pieces; ///< of the wanted version
+    std::vector<StageWork> works; ///< the version to load first, then perhaps one declared after it
     std::optional<EngineReport> report; ///< last one
     std::int64_t bornAt { 0 }; ///< of the engine that the pieces were staged for
-    OrderStep order { OrderStep::None }; ///< how far the order has come
-    bool orderAccepted { false }; ///< the engine accepted an order for the wanted version
-    Milliseconds orderAt { 0 }; ///< when its step began
+    bool acceptUnseen { false }; ///< an order was accepted and no report came since
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
 
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -49,6 +49,13 @@
     bool good { false }; ///< it arrived and matches its digest
 };
 
+/// Another agent asked for a piece that is not here.
+struct PieceDemanded {
+    WeightsVersion version; ///< asked for
+    std::uint32_t index { 0 }; ///< of the piece
+    PlaceId place; ///< of the agent that asked
+};
+
 /// A piece was written beside the engine, or not.
 struct PieceStaged {
     WeightsVersion version; ///< written
@@ -69,7 +76,7 @@
     std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
 };
 
-using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PieceStaged,
+using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PieceDemanded, PieceStaged,
     StageChecked, OrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -26,6 +26,7 @@
 constexpr Milliseconds longestEjection { 3000 }; ///< after repeated ones, as long as a replica takes to restart
 constexpr Milliseconds fullPause { 60 }; ///< no new work after an upstream said that it is full: about one pass
 constexpr Milliseconds orderPause { 1500 }; ///< an announced order ends or is reported within this time
+constexpr Milliseconds outdatedAfter { 350 }; ///< after old weights are given up: most queued requests begin by then
 constexpr Milliseconds reportTrust { 1000 }; ///< older reports of load are ignored: gossip comes ten times a second
 constexpr std::uint32_t maxUnsentTries = 4; ///< connections tried for one request when none could be opened
 constexpr Milliseconds plainMargin { 40 }; ///< least time in which a plain service answers
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -12,8 +12,8 @@
 
 constexpr std::int64_t keyTrustPercent = 55; ///< share of the bound for revoked keys for which a configuration is
                                              ///< trusted; the rest covers the way of a request
-constexpr Milliseconds weightsMargin { 1500 }; ///< old weights are given up this long before their bound: waiting in
-                                               ///< an engine's queue takes up to a second
+constexpr Milliseconds weightsMargin { 1000 }; ///< old weights are given up this long before their bound: waiting in
+                                               ///< an engine's queue takes up to half a second
 constexpr Milliseconds operatorWait { 500 }; ///< how long the store holds a question for configuration
 constexpr Milliseconds upstreamWait { 1000 }; ///< likewise for the list of upstreams
 constexpr Milliseconds listReturn { 2200 }; ///< live upstreams are listed again within 2 s of the store's return
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -13,7 +13,10 @@
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
 constexpr Milliseconds announceLead { 120 }; ///< beacons of entries and agents are 100 ms apart
 constexpr Milliseconds orderPatience { 6000 }; ///< an engine finishes its longest answers, then loads
-constexpr Milliseconds finishFirstAfter { 2500 }; ///< most pieces of a version are here after this time
+constexpr Milliseconds finishFirstAfter { 1000 }; ///< the origin has sent most of its copy after this time
+constexpr std::int64_t skipFromPercent = 60; ///< of the next version's pieces: the rest arrives within a second
+constexpr std::int64_t skipUntilPercent = 70; ///< of the time allowed: later the next version would be late for the
+                                              ///< bound of the first
 constexpr Milliseconds checkPatience { 1500 }; ///< reading all pieces back takes a tenth of this
 constexpr std::int64_t firstTurnPercent = 38; ///< of the time allowed: pieces take about that long to arrive
 constexpr std::int64_t turnsPercent = 34; ///< of the time allowed: the orders are spread over it
