Drop replaced upstreams, prefer upstreams whose requests do not wait, hold uploads on narrow links

Cause: after a loss of power the list names old and new starts at one address; agents asked hosts that hold nothing, and entries sent to ids that are gone.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -382,8 +382,11 @@
     Upload& current = this->uploads.front();
     if (current.sent == 0)
         this->front.begin(current.call, statusOk, { { "Content-Type", "application/octet-stream" } });
-    this->front.body(current.call, std::string_view(current.bytes).substr(current.sent, uploadSliceBytes));
-    current.sent += uploadSliceBytes;
+    // A link that became narrow takes less than its share: the engine's streams must not wait behind pieces.
+    if (this->front.pending(current.call) == 0) {
+        this->front.body(current.call, std::string_view(current.bytes).substr(current.sent, uploadSliceBytes));
+        current.sent += uploadSliceBytes;
+    }
     if (current.sent >= current.bytes.size()) {
         this->front.finish(current.call);
         this->uploads.pop_front();
@@ -496,6 +499,7 @@
         if (entry)
             event.upstreams.push_back(entry.value());
     }
+    event.upstreams = currentUpstreams(event.upstreams);
     this->dispatch(event);
 }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -512,6 +512,7 @@
     UpstreamsLearned event;
     for (const auto& [key, entry] : this->upstreams)
         event.entries.push_back(entry);
+    event.entries = currentUpstreams(event.entries);
     this->dispatch(event);
 }
 
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -11,6 +11,7 @@
 
     constexpr double otherPlaceMs = 20.0; ///< a request to another place must gain this much: bytes there cost
     constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
+    constexpr Milliseconds usualWait { 400 }; ///< for the first token of an engine that is full, or a long plain call
     constexpr double plainWaitMs = 60.0; ///< mean work of a plain service
 
     bool hasWeights(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
@@ -36,6 +37,8 @@
         double cost = view.errorShare * errorPenaltyMs;
         if (view.entry.place != state.options.place)
             cost += otherPlaceMs;
+        // A narrow link or a slow host shows in requests that wait for longer than any queue explains.
+        cost += static_cast<double>(std::max(view.longestWait - usualWait, Milliseconds {}).value);
         if (!profile)
             return cost + plainWaitMs * requests / std::max<std::uint32_t>(view.entry.slots, 1);
         std::uint32_t unread = view.unreadTokens;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -263,6 +263,15 @@
 
 void giveUpSilent(RelayState& state, Milliseconds now, RelayEffects& effects)
 {
+    for (auto& [id, view] : state.upstreams)
+        view.longestWait = {};
+    for (const auto& [call, request] : state.requests) {
+        if (!request.active || request.active->headSeen)
+            continue;
+        const auto view = state.upstreams.find(request.active->upstream);
+        if (view != state.upstreams.end())
+            view->second.longestWait = std::max(view->second.longestWait, now - request.active->sentAt);
+    }
     std::vector<CallId> silent;
     for (auto& [call, request] : state.requests) {
         if (!request.active || !mayRepeat(request) || request.sends >= request.route->maxAttempts)
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -90,6 +90,7 @@
     std::uint32_t reportedWaiting { 0 }; ///< requests in its queue, likewise
     Milliseconds loadAt { -1000000 }; ///< when those two came
     Milliseconds heardAt; ///< last bytes of an answer
+    Milliseconds longestWait { 0 }; ///< of our requests there that wait for their answer to begin
     Milliseconds ejectedUntil { 0 }; ///< no new work before
     std::uint32_t failures { 0 }; ///< in a row
     double errorShare { 0 }; ///< moving average of failed answers
--- a/src/upstream_entry_type.h
+++ b/src/upstream_entry_type.h
@@ -45,4 +45,9 @@
     std::int64_t bornAt { 0 }; ///< start of the process, Unix ms
 };
 
+/// A process that is gone stays listed for a while. Where another one has started at its address since, it is known to
+/// be gone.
+/// @return the entries without those that another start at the same address replaced
+std::vector<UpstreamEntry> currentUpstreams(const std::vector<UpstreamEntry>& listed);
+
 } // namespace hickory
