Agents tell each other which pieces they hold

Cause: questions that waited at hosts without the piece held up everything behind a slow host. Change: agents send sets of held pieces in their beacons; a host fetches what is held nearby, and the duty to fetch from other places or the origin passes on after a while.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -31,6 +31,12 @@
   bornAt @10 :Int64;
 }
 
+struct Pieces {
+  version @0 :UInt64;       # of the weights
+  count @1 :UInt32;         # pieces of the version
+  bits @2 :Data;            # bit N of byte N/8: piece N is held
+}
+
 struct Entry {
   host @0 :Text;
   incarnation @1 :UInt64;   # start of the process, Unix ms
@@ -46,4 +52,5 @@
   loads @2 :List(Load);     # entries only
   engine @3 :Engine;        # agents only
   known @4 :List(Entry);    # other live entries, now and then
+  pieces @5 :List(Pieces);  # agents only: what may be fetched from the sender
 }
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -19,7 +19,6 @@
     constexpr std::uint16_t statusOk = 200;
     constexpr std::uint16_t statusNotFound = 404;
     constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
-    constexpr const char* placeQuery = "?place="; ///< data centre of the agent that asks
 
     bool succeeded(const Result<FetchAnswer>& answer) { return answer && answer.value().head.status == statusOk; }
 
@@ -41,8 +40,6 @@
           { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
               .onGone =
                   [this](CallId call) {
-                      std::erase_if(
-                          this->waiters, [&](const Waiter& waiter) { return waiter.call == call; });
                       std::erase_if(this->uploads, [&](const Upload& one) { return one.call == call; });
                   } })
     , peerSocket(
@@ -189,7 +186,7 @@
                                        : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
         .target = origin ? platform::piecePath + this->state.model.value + pieceQuery(effect.index) + "&"
                 + versionQuery(effect.version)
-                         : peerTarget(effect.version, std::to_string(effect.index) + placeQuery + this->settings.host.place.value),
+                         : peerTarget(effect.version, std::to_string(effect.index)),
         .timeout = origin ? originTimeout : peerPieceTimeout };
     const auto found = this->held.find(effect.version.value);
     if (found != this->held.end() && !found->second.pieces.at(effect.index).empty()) {
@@ -205,7 +202,6 @@
             = succeeded(answer) && this->keepPiece(effect.version, effect.index, answer.value().body);
         this->dispatch(PieceFetched {
             .version = effect.version, .index = effect.index, .source = effect.source, .good = good });
-        this->answerWaiters();
     });
 }
 
@@ -262,7 +258,7 @@
                 this->dispatch(StageChecked { .version = run->version, .failed = true });
                 return;
             }
-            if (!succeeded(answer) || sha256Hex(answer.value().body) != version->second.digests.at(run->next))
+            if (!succeeded(answer) || !this->keepPiece(run->version, run->next, answer.value().body))
                 run->bad.push_back(run->next);
             ++run->next;
             this->checkNext(run);
@@ -303,69 +299,23 @@
             this->front.answer(request.id, statusOk, {}, found->second.manifestText);
             return;
         }
-        const std::size_t query = what.find(placeQuery);
-        if (query != std::string_view::npos && query > 1
-            && std::from_chars(what.data() + 1, what.data() + query, index).ptr == what.data() + query) {
-            this->onPieceAsked(request.id, { version }, index,
-                { std::string(what.substr(query + std::string_view(placeQuery).size())) });
+        if (what.size() > 1 && std::from_chars(what.data() + 1, end, index).ptr == end) {
+            this->onPieceAsked(request.id, { version }, index);
             return;
         }
     }
     this->front.answer(request.id, statusNotFound, {}, "not here\n");
 }
 
-void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, const PlaceId& place)
+void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index)
 {
     const auto found = this->held.find(version.value);
-    const bool known = found != this->held.end() && index < found->second.pieces.size();
-    if (!known && isExpected(this->state, version)) {
-        // The peer learned of this version first, or this host waits for its digests.
-        this->waiters.push_back(
-            { .call = call, .version = version, .index = index, .until = monotonicNow() + peerPieceWait });
-        return;
-    }
-    if (!known) {
+    const bool here = found != this->held.end() && index < found->second.pieces.size()
+        && !found->second.pieces[index].empty();
+    if (here)
+        this->upload(call, found->second.pieces[index]);
+    else
         this->front.answer(call, statusNotFound, {}, "not here\n");
-        return;
-    }
-    if (const std::string& bytes = found->second.pieces[index]; !bytes.empty()) {
-        this->upload(call, bytes);
-        return;
-    }
-    if (isExpected(this->state, version)) {
-        this->dispatch(PieceDemanded { .version = version, .index = index, .place = place });
-        this->waiters.push_back(
-            { .call = call, .version = version, .index = index, .until = monotonicNow() + peerPieceWait });
-        return;
-    }
-    // The engine holds this version since before this process began: its pieces lie beside it.
-    this->pool.fetch({ .address = this->settings.engine,
-                         .target = platform::stageGetPath + this->state.model.value + pieceQuery(index),
-                         .timeout = engineTimeout },
-        [this, call, version, index](const Result<FetchAnswer>& answer) {
-            if (succeeded(answer) && this->keepPiece(version, index, answer.value().body))
-                this->upload(call, answer.value().body);
-            else
-                this->front.answer(call, statusNotFound, {}, "not here\n");
-        });
-}
-
-void LoaderLoop::answerWaiters()
-{
-    const Milliseconds now = monotonicNow();
-    std::vector<Waiter> waiting;
-    waiting.swap(this->waiters);
-    for (const Waiter& waiter : waiting) {
-        const auto found = this->held.find(waiter.version.value);
-        const bool here = found != this->held.end() && waiter.index < found->second.pieces.size()
-            && !found->second.pieces[waiter.index].empty();
-        if (here)
-            this->upload(waiter.call, found->second.pieces[waiter.index]);
-        else if (!isExpected(this->state, waiter.version) || now > waiter.until)
-            this->front.answer(waiter.call, statusNotFound, {}, "not here yet\n");
-        else
-            this->waiters.push_back(waiter);
-    }
 }
 
 void LoaderLoop::upload(CallId call, const std::string& bytes)
@@ -404,7 +354,9 @@
 
 void LoaderLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
 {
-    if (!beacon.from.front.empty())
+    if (beacon.from.front.empty())
+        this->dispatch(PeerPieces { .ip = ip, .sets = beacon.pieces });
+    else
         notePeer(this->peers, this->settings.host.host, beacon, ip, monotonicNow());
 }
 
@@ -418,6 +370,20 @@
             .report = *this->state.report,
             .ordering = orderPending(this->state) };
     this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
+    // Other agents need to know what changed, and now and then that this one is still there.
+    const Milliseconds now = monotonicNow();
+    std::vector<PieceSet> pieces = ownPieces(this->state);
+    if (pieces == this->toldPieces && now - this->toldAt < tellUnchangedAfter)
+        return;
+    this->toldPieces = pieces;
+    this->toldAt = now;
+    beacon.engine.reset();
+    beacon.pieces = std::move(pieces);
+    std::vector<std::string> agents;
+    for (const StagePeer& peer : this->state.peers)
+        if (peer.ip != this->settings.host.ip)
+            agents.push_back(peer.ip);
+    this->peerSocket.send(beacon, agents);
 }
 
 std::string LoaderLoop::nextEntry()
@@ -525,7 +491,6 @@
                 this->dispatch(event);
             });
     }
-    this->answerWaiters();
     this->armTimer(this->reportTimer, reportPeriod, &LoaderLoop::everyReport);
 }
 
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -39,13 +39,6 @@
         std::vector<std::string> digests; ///< of the pieces
         std::vector<std::string> pieces; ///< bytes, empty when not held
     };
-    /// A peer's question that waits for a piece.
-    struct Waiter {
-        CallId call; ///< to answer
-        WeightsVersion version; ///< asked for
-        std::uint32_t index { 0 }; ///< of the piece
-        Milliseconds until; ///< answered with 404 then
-    };
     /// A piece on its way to a peer.
     struct Upload {
         CallId call; ///< to answer
@@ -65,8 +58,7 @@
     bool keepPiece(WeightsVersion version, std::uint32_t index, const std::string& bytes);
 
     void onRequest(FrontRequest&& request);
-    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, const PlaceId& place);
-    void answerWaiters();
+    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index);
     void upload(CallId call, const std::string& bytes);
     void uploadSlice();
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
@@ -89,7 +81,6 @@
     StageState state; ///< all decisions
     PeerTables tables; ///< copies of the store's tables
     std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest two are kept
-    std::vector<Waiter> waiters; ///< questions for pieces that are under way
     std::deque<Upload> uploads; ///< sent one after the other at a share of the link
     asio::steady_timer uploadTimer; ///< paces slices
     asio::steady_timer reportTimer; ///< reads the engine's report
@@ -98,6 +89,8 @@
     asio::signal_set signals; ///< SIGTERM, SIGINT, SIGHUP
     Incarnation incarnation; ///< start of the process, Unix ms
     std::string entry; ///< control address of the entry that is asked for tables
+    std::vector<PieceSet> toldPieces; ///< last told to other agents
+    Milliseconds toldAt { 0 }; ///< when
     bool askingTables { false }; ///< a question is under way
     bool askingReport { false }; ///< a question is under way
 };
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -73,6 +73,28 @@
         return engine;
     }
 
+    constexpr unsigned bitsPerByte = 8;
+
+    void writePieces(peer::Pieces::Builder out, const PieceSet& set)
+    {
+        out.setVersion(set.version.value);
+        out.setCount(static_cast<unsigned>(set.held.size()));
+        auto bits = out.initBits(static_cast<unsigned>((set.held.size() + bitsPerByte - 1) / bitsPerByte));
+        for (std::size_t index = 0; index < set.held.size(); ++index)
+            if (set.held[index])
+                bits[index / bitsPerByte] |= static_cast<kj::byte>(1U << (index % bitsPerByte));
+    }
+
+    PieceSet readPieces(peer::Pieces::Reader in)
+    {
+        PieceSet set { .version = { in.getVersion() } };
+        const auto bits = in.getBits();
+        const std::size_t count = std::min<std::size_t>(in.getCount(), bits.size() * bitsPerByte);
+        for (std::size_t index = 0; index < count; ++index)
+            set.held.push_back((bits[index / bitsPerByte] >> (index % bitsPerByte)) & 1U);
+        return set;
+    }
+
 } // namespace
 
 std::string encodeBeacon(const PeerBeacon& beacon)
@@ -92,6 +114,9 @@
     auto known = root.initKnown(static_cast<unsigned>(beacon.known.size()));
     for (unsigned index = 0; index < known.size(); ++index)
         writeEntry(known[index], beacon.known[index]);
+    auto pieces = root.initPieces(static_cast<unsigned>(beacon.pieces.size()));
+    for (unsigned index = 0; index < pieces.size(); ++index)
+        writePieces(pieces[index], beacon.pieces[index]);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -114,6 +139,8 @@
                 .unreadTokens = load.getUnreadTokens() });
         if (root.hasEngine())
             beacon.engine = readEngine(root.getEngine());
+        for (const auto set : root.getPieces())
+            beacon.pieces.push_back(readPieces(set));
         for (const auto entry : root.getKnown())
             beacon.known.push_back(readEntry(entry));
         return beacon;
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -19,12 +19,21 @@
     bool ready { false }; ///< callers may be sent there
 };
 
+/// Pieces of one version of weights that an agent holds and gives to others.
+struct PieceSet {
+    WeightsVersion version; ///< of the weights
+    std::vector<bool> held; ///< by index
+
+    bool operator==(const PieceSet&) const = default;
+};
+
 /// What a process tells its peers several times a second.
 struct PeerBeacon {
     PeerEntry from; ///< the sender
     ConfigVersion configVersion; ///< that the sender acts on
     std::vector<PeerLoad> loads; ///< requests under way, entries only
     std::optional<EngineReported> engine; ///< agents only
+    std::vector<PieceSet> pieces; ///< agents only
     std::vector<PeerEntry> known; ///< other live entries, sent now and then
 };
 
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -80,7 +80,7 @@
         state.peers.clear();
         for (const UpstreamEntry& entry : event.upstreams)
             if (entry.service == state.options.service)
-                state.peers.push_back({ .ip = ipOf(entry.address), .place = entry.place, .models = entry.models });
+                state.peers.push_back({ .ip = ipOf(entry.address), .place = entry.place });
         std::sort(state.peers.begin(), state.peers.end(),
             [](const StagePeer& left, const StagePeer& right) { return left.ip < right.ip; });
         if (state.model.empty())
@@ -142,8 +142,7 @@
             .source = { peer ? state.peers[state.random() % state.peers.size()].ip : std::string {} } });
     }
 
-    /// Questions under way. What a host owes the others has places of its own: questions to hosts that do not have
-    /// their piece yet wait there, and must not hold up the pieces that others wait for.
+    /// Questions under way. What a host owes the others has places of its own.
     struct InFlight {
         std::size_t shared { 0 }; ///< on behalf of other hosts, too
         std::size_t own { 0 }; ///< for this host alone
@@ -177,18 +176,21 @@
             const bool ownFull = sharedOnly || inFlight.own >= ownInFlight;
             if (inFlight.shared >= sharedInFlight && ownFull)
                 return;
-            const StageSource source = chooseSource(state, work.version, index, piece.failures, piece.demand);
-            const bool origin = source.ip.empty();
-            const bool shared = isShared(state, source);
+            const std::optional<StageSource> source = chooseSource(state, work, index, now);
+            if (!source)
+                continue;
+            const bool origin = source->ip.empty();
+            const bool shared = isShared(state, *source);
             if ((origin && inFlight.origin >= originInFlight) || (shared && inFlight.shared >= sharedInFlight)
                 || (!shared && ownFull))
                 continue;
             piece.step = PieceStep::Fetching;
             piece.shared = shared;
             piece.fromOrigin = origin;
+            piece.source = source->ip;
             ++(shared ? inFlight.shared : inFlight.own);
             inFlight.origin += origin ? 1 : 0;
-            effects.emplace_back(AskPiece { .version = work.version, .index = index, .source = source });
+            effects.emplace_back(AskPiece { .version = work.version, .index = index, .source = *source });
         }
     }
 
@@ -243,14 +245,9 @@
                 { "failures", std::to_string(piece.failures) } } });
     }
 
-    void applyDemand(StageState& state, const PieceDemanded& event)
+    void applyPeerPieces(StageState& state, const PeerPieces& event, Milliseconds now)
     {
-        StageWork* work = findWork(state, event.version);
-        if (!work || event.index >= work->pieces.size())
-            return;
-        PieceDemand& demand = work->pieces[event.index].demand;
-        demand = std::max(
-            demand, event.place == state.options.place ? PieceDemand::Here : PieceDemand::Elsewhere);
+        state.elsewhere[event.ip] = { .at = now, .sets = event.sets };
     }
 
     void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, Effects& effects)
@@ -316,8 +313,16 @@
     void applyChecked(StageState& state, const StageChecked& event, Milliseconds now, Effects& effects)
     {
         StageWork* work = findWork(state, event.version);
-        if (!work || work->order != OrderStep::Checking)
+        if (!work)
+            return;
+        if (work->order != OrderStep::Checking) {
+            // Pieces of a version that the engine had before this process began.
+            for (PieceState& piece : work->pieces)
+                piece.step = PieceStep::Staged;
+            for (const std::uint32_t index : event.bad)
+                work->pieces.at(index).step = PieceStep::Missing;
             return;
+        }
         work->order = OrderStep::None;
         if (event.failed)
             return;
@@ -357,6 +362,16 @@
             work->order = OrderStep::None;
     }
 
+    /// Reads the pieces that lie beside an engine that holds a version since before this process began, so that they
+    /// can be given to others.
+    void readBack(StageWork& work, Effects& effects)
+    {
+        if (!work.manifestKnown || work.readBack || countStep(work, PieceStep::Missing) == 0)
+            return;
+        work.readBack = true;
+        effects.emplace_back(CheckStage { .version = work.version });
+    }
+
     void advance(StageState& state, Milliseconds now, Effects& effects)
     {
         if (state.works.empty() || !state.report)
@@ -367,8 +382,10 @@
         for (StageWork& work : state.works)
             askManifest(state, work, now, effects);
         StageWork& first = state.works.front();
-        if (engineHolds(state, first.version))
+        if (engineHolds(state, first.version)) {
+            readBack(first, effects);
             return;
+        }
         askPieces(state, first, false, now, effects);
         if (state.works.size() > 1)
             askPieces(state, state.works.back(), !allStaged(first), now, effects);
@@ -399,13 +416,18 @@
     return state.works.empty() ? WeightsVersion {} : state.works.back().version;
 }
 
-bool isExpected(const StageState& state, WeightsVersion version)
+std::vector<PieceSet> ownPieces(const StageState& state)
 {
-    if (version > newestWanted(state))
-        return true;
-    return !engineHolds(state, version)
-        && std::any_of(state.works.begin(), state.works.end(),
-            [&](const StageWork& work) { return work.version == version; });
+    std::vector<PieceSet> sets;
+    for (const StageWork& work : state.works) {
+        if (work.pieces.empty())
+            continue;
+        PieceSet set { .version = work.version };
+        for (const PieceState& piece : work.pieces)
+            set.held.push_back(piece.step != PieceStep::Missing && piece.step != PieceStep::Fetching);
+        sets.push_back(std::move(set));
+    }
+    return sets;
 }
 
 bool orderPending(const StageState& state)
@@ -437,7 +459,7 @@
                    [&](const ReportRead& read) { applyReport(state, read, now, effects); },
                    [&](const ManifestFetched& fetched) { applyManifest(state, fetched, now); },
                    [&](const PieceFetched& fetched) { applyPiece(state, fetched, now, effects); },
-                   [&](const PieceDemanded& demanded) { applyDemand(state, demanded); },
+                   [&](const PeerPieces& told) { applyPeerPieces(state, told, now); },
                    [&](const PieceStaged& staged) { applyStaged(state, staged, now, effects); },
                    [&](const StageChecked& checked) { applyChecked(state, checked, now, effects); },
                    [&](const OrderAnswered& answered) { applyOrder(state, answered, now, effects); },
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -24,8 +24,8 @@
 /// @return the newest version to bring into service, 0 when none is known
 WeightsVersion newestWanted(const StageState& state);
 
-/// @return whether a version is on its way to this host, or not known here yet
-bool isExpected(const StageState& state, WeightsVersion version);
+/// @return the pieces that this host holds and gives to others
+std::vector<PieceSet> ownPieces(const StageState& state);
 
 /// @return whether entries should keep new work away: an order is announced, or given and not yet in effect
 bool orderPending(const StageState& state);
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_source_func.h"
 
 #include "digest_func.h"
+#include "table/stage_limits.h"
 
 #include <algorithm>
 
@@ -8,51 +9,88 @@
 
 namespace {
 
-    bool holdsVersion(const StagePeer& peer, const ModelId& model, WeightsVersion version)
+    bool holds(const StageState& state, const std::string& ip, WeightsVersion version, std::uint32_t piece,
+        Milliseconds now)
     {
-        return std::any_of(peer.models.begin(), peer.models.end(),
-            [&](const HeldModel& held) { return held.model == model && held.version == version && held.whole; });
+        const auto found = state.elsewhere.find(ip);
+        if (found == state.elsewhere.end() || now - found->second.at > piecesTrust)
+            return false;
+        return std::any_of(found->second.sets.begin(), found->second.sets.end(), [&](const PieceSet& set) {
+            return set.version == version && piece < set.held.size() && set.held[piece];
+        });
     }
 
-    /// Deals pieces to peers in turn, so that each has the same share of uploads.
-    /// @return the peer for a piece among those that pass the filter, or nullptr
-    template <typename Filter>
-    const StagePeer* dealtPeer(const StageState& state, std::uint64_t turn, const Filter& filter)
+    std::size_t askedOf(const StageState& state, const std::string& ip)
     {
-        std::vector<const StagePeer*> passing;
+        std::size_t count = 0;
+        for (const StageWork& work : state.works)
+            count += static_cast<std::size_t>(
+                std::count_if(work.pieces.begin(), work.pieces.end(), [&](const PieceState& piece) {
+                    return piece.step == PieceStep::Fetching && piece.source == ip;
+                }));
+        return count;
+    }
+
+    /// @return the host among some that this one asks least at the moment; ties differ from host to host
+    const StagePeer* leastAsked(
+        const StageState& state, const std::vector<const StagePeer*>& peers, std::uint64_t turn)
+    {
+        const StagePeer* best = nullptr;
+        std::size_t bestCount = perSourceInFlight;
+        for (std::size_t step = 0; step < peers.size(); ++step) {
+            const StagePeer* peer = peers[(turn + step) % peers.size()];
+            const std::size_t count = askedOf(state, peer->ip);
+            if (count < bestCount) {
+                best = peer;
+                bestCount = count;
+            }
+        }
+        return best;
+    }
+
+    /// Deals duties for pieces to hosts in turn, so that each has the same share.
+    bool hasDuty(const StageState& state, std::uint64_t turn, bool samePlaceOnly)
+    {
+        std::vector<const std::string*> ips;
         for (const StagePeer& peer : state.peers)
-            if (filter(peer))
-                passing.push_back(&peer);
-        return passing.empty() ? nullptr : passing[turn % passing.size()];
+            if (!samePlaceOnly || peer.place == state.options.place)
+                ips.push_back(&peer.ip);
+        return !ips.empty() && *ips[turn % ips.size()] == state.options.ip;
+    }
+
+    /// @return how often a duty has passed on: first after a longer time, then evenly
+    std::uint64_t roundsSince(Milliseconds since, Milliseconds first, Milliseconds now)
+    {
+        const Milliseconds elapsed = now - since;
+        return elapsed < first ? 0 : 1 + static_cast<std::uint64_t>((elapsed - first).value / dutyRound.value);
     }
 
 } // namespace
 
-StageSource chooseSource(
-    const StageState& state, WeightsVersion version, std::uint32_t piece, std::uint32_t failures, PieceDemand demand)
+std::optional<StageSource> chooseSource(StageState& state, StageWork& work, std::uint32_t piece, Milliseconds now)
 {
-    const auto here = [&](const StagePeer& peer) { return peer.place == state.options.place; };
-    const auto holder = [&](const StagePeer& peer) {
-        return peer.ip != state.options.ip && holdsVersion(peer, state.model, version);
-    };
-    // Hosts that load together ask different holders for the same piece.
-    const std::uint64_t ownTurn = piece + failures + placementHash("first-holder", state.options.ip);
-    if (const StagePeer* near
-        = dealtPeer(state, ownTurn, [&](const StagePeer& peer) { return holder(peer) && here(peer); }))
-        return { near->ip };
-    if (const StagePeer* far = dealtPeer(state, ownTurn, holder))
-        return { far->ip };
-    // Two failures make a round: one of the host of the place, one of the host that fetches for all.
-    constexpr std::uint32_t failuresPerRound = 2;
-    constexpr std::uint64_t roundStep = 5;
-    const std::uint64_t turn = piece + roundStep * (failures / failuresPerRound);
-    const StagePeer* home = dealtPeer(state, turn + version.value, [](const StagePeer&) { return true; });
-    const StagePeer* local = dealtPeer(state, turn, here);
-    if (!home || home->ip == state.options.ip || demand == PieceDemand::Elsewhere)
-        return {};
-    const bool askHome = failures % failuresPerRound != 0 || !local || local->ip == state.options.ip
-        || demand == PieceDemand::Here;
-    return { askHome ? home->ip : local->ip };
+    std::vector<const StagePeer*> near;
+    std::vector<const StagePeer*> far;
+    for (const StagePeer& peer : state.peers)
+        if (peer.ip != state.options.ip && holds(state, peer.ip, work.version, piece, now))
+            (peer.place == state.options.place ? near : far).push_back(&peer);
+    const std::uint64_t turn = piece + placementHash("first-holder", state.options.ip);
+    if (!near.empty()) {
+        const StagePeer* peer = leastAsked(state, near, turn + work.pieces[piece].failures);
+        return peer ? std::optional(StageSource { peer->ip }) : std::nullopt;
+    }
+    constexpr std::uint64_t roundStep = 5; // hosts that follow each other may have been lost together
+    Milliseconds& seenAt = work.pieces[piece].seenAt;
+    if (!far.empty()) {
+        seenAt = seenAt.value == 0 ? now : seenAt;
+        if (!hasDuty(state, piece + roundStep * roundsSince(seenAt, dutyRound, now), true))
+            return std::nullopt;
+        const StagePeer* peer = leastAsked(state, far, turn + work.pieces[piece].failures);
+        return peer ? std::optional(StageSource { peer->ip }) : std::nullopt;
+    }
+    const std::uint64_t rounds = roundsSince(work.since, originRound, now);
+    return hasDuty(state, piece + work.version.value + roundStep * rounds, false) ? std::optional(StageSource {})
+                                                                                  : std::nullopt;
 }
 
 bool isShared(const StageState& state, const StageSource& source)
--- a/src/stage_source_func.h
+++ b/src/stage_source_func.h
@@ -2,18 +2,17 @@
 
 #include "stage_state_type.h"
 
+#include <optional>
+
 namespace hickory {
 
-/// Chooses where a piece is fetched. While no engine holds the version, each piece comes from the origin to one host,
-/// from there to one host of each other place, and from that to the rest of the place, so that the origin sends about
-/// one copy and each link between places carries about one. With each failure the duties for the piece pass on to
-/// other hosts, so that a lost host delays a piece and does not stop it.
-/// @param failures sources that did not give the piece so far
-/// @param demand who waits for the piece here: hosts may disagree for a moment on who fetches it, then the one that is
-/// asked does
-/// @return the source; the origin when this host fetches for all
-StageSource chooseSource(
-    const StageState& state, WeightsVersion version, std::uint32_t piece, std::uint32_t failures, PieceDemand demand);
+/// Chooses where a missing piece is fetched now. Hosts of the same place that hold it come first. A piece that only
+/// other places hold is fetched by one host of this place, a piece that nobody holds by one host of the fleet, from
+/// the origin; so the origin sends about one copy and each link between places carries about one. After a while the
+/// duty passes on to another host, so that a lost or slow host delays a piece and does not stop it.
+/// @param work version that the piece belongs to; notes when the piece was first seen elsewhere
+/// @return the source, or nothing while another host has the duty
+std::optional<StageSource> chooseSource(StageState& state, StageWork& work, std::uint32_t piece, Milliseconds now);
 
 /// @return whether a source is used on behalf of other hosts, too: the origin, or a host of another place
 bool isShared(const StageState& state, const StageSource& source);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -25,18 +25,12 @@
     Staged, ///< written beside the engine
 };
 
-/// Which hosts have asked this one for a piece that it does not hold.
-enum class PieceDemand : std::uint8_t {
-    None, ///< none
-    Here, ///< hosts of the same place: this one fetches it for the place
-    Elsewhere, ///< hosts of other places: this one fetches it for all
-};
-
 /// One piece of the wanted version.
 struct PieceState {
     PieceStep step { PieceStep::Missing }; ///< how far it has come
     bool fromOrigin { false }; ///< asked for at the origin
-    PieceDemand demand { PieceDemand::None }; ///< who waits for it here
+    std::string source; ///< host that is asked, empty for the origin
+    Milliseconds seenAt { 0 }; ///< when a host of another place first held it, 0 before
     bool shared { false }; ///< asked for on behalf of other hosts, too
     std::uint32_t failures { 0 }; ///< sources that did not give it
     Milliseconds retryAt { 0 }; ///< not asked for before
@@ -54,7 +48,12 @@
 struct StagePeer {
     std::string ip; ///< of the host
     PlaceId place; ///< data centre
-    std::vector<HeldModel> models; ///< weights of its engine
+};
+
+/// What another agent holds, and when it told.
+struct HeldElsewhere {
+    Milliseconds at; ///< of its last beacon
+    std::vector<PieceSet> sets; ///< by version
 };
 
 /// A version on its way into service.
@@ -62,6 +61,7 @@
     WeightsVersion version; ///< to bring into service
     Milliseconds since { 0 }; ///< when it became known
     bool manifestKnown { false }; ///< its digests are here
+    bool readBack { false }; ///< pieces that lay beside an engine that holds the version were read
     bool manifestAsked { false }; ///< a question for them is under way
     std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
     Milliseconds manifestRetryAt { 0 }; ///< not asked for before
@@ -76,6 +76,7 @@
     ModelId model; ///< served by the engine, empty until known
     std::string originAddress; ///< "ip:port" of the origin
     std::vector<StagePeer> peers; ///< all hosts of the service, this one included, sorted by ip
+    std::map<std::string, HeldElsewhere> elsewhere; ///< other agents by ip
     std::vector<StageWork> works; ///< the version to load first, then perhaps one declared after it
     std::optional<EngineReport> report; ///< last one
     std::int64_t bornAt { 0 }; ///< of the engine that the pieces were staged for
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "log_type.h"
+#include "peer_type.h"
 #include "relay_type.h"
 
 #include <cstdint>
@@ -49,11 +50,10 @@
     bool good { false }; ///< it arrived and matches its digest
 };
 
-/// Another agent asked for a piece that is not here.
-struct PieceDemanded {
-    WeightsVersion version; ///< asked for
-    std::uint32_t index { 0 }; ///< of the piece
-    PlaceId place; ///< of the agent that asked
+/// Another agent told which pieces it holds.
+struct PeerPieces {
+    std::string ip; ///< of its host
+    std::vector<PieceSet> sets; ///< by version
 };
 
 /// A piece was written beside the engine, or not.
@@ -76,7 +76,7 @@
     std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
 };
 
-using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PieceDemanded, PieceStaged,
+using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PeerPieces, PieceStaged,
     StageChecked, OrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -8,14 +8,14 @@
 
 constexpr Milliseconds reportPeriod { 150 }; ///< two passes of an engine; reading it costs no slot
 constexpr Milliseconds reportTimeout { 600 }; ///< an engine that is silent for longer is taken as gone
-constexpr Milliseconds engineBeaconPeriod { 200 }; ///< entries also count what they send themselves
+constexpr Milliseconds engineBeaconPeriod { 150 }; ///< entries also count what they send themselves
 constexpr Milliseconds tablesPeriod { 350 }; ///< adds this to the time until declared weights are known
 constexpr Milliseconds tablesTimeout { 700 }; ///< then another entry is asked
-constexpr Milliseconds peerPieceTimeout { 3500 }; ///< a piece is sent in 35 ms over a free link; peers wait for theirs
-constexpr Milliseconds peerPieceWait { 2500 }; ///< how long a question waits for a piece that is under way
+constexpr Milliseconds peerPieceTimeout { 1500 }; ///< a piece is sent in 35 ms over a free link, after a few others
 constexpr Milliseconds originTimeout { 3000 }; ///< the origin sends one copy in 1.7 s, to all hosts together
 constexpr Milliseconds engineTimeout { 800 }; ///< on the same host
 constexpr Milliseconds orderTimeout { 800 }; ///< of the answer to an order
+constexpr Milliseconds tellUnchangedAfter { 1000 }; ///< other agents forget an agent that is silent for longer than 2.5 s
 constexpr std::size_t uploadSliceBytes = 4096; ///< delays an event of a stream by at most 4 ms on a link of 7.6 Mbit/s
 constexpr double linkShareForWeights = 0.9; ///< the rest of the host's link carries the engine's streams
 constexpr double megabitPerSecondInBytesPerMs = 125.0; ///< unit conversion
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -8,7 +8,11 @@
 
 constexpr std::size_t sharedInFlight = 6; ///< fills a link of 7.6 Mbit/s over round trips between regions
 constexpr std::size_t originInFlight = 1; ///< the origin accepts 48 connections from all hosts together
-constexpr std::size_t ownInFlight = 12; ///< most of these wait at a host that does not have the piece yet
+constexpr std::size_t ownInFlight = 6; ///< likewise, from hosts of the same place
+constexpr std::size_t perSourceInFlight = 2; ///< one on its way while the next is asked for
+constexpr Milliseconds piecesTrust { 2500 }; ///< of what a host told that it holds; it tells at least once a second
+constexpr Milliseconds originRound { 2200 }; ///< the origin sends one copy in 1.7 s
+constexpr Milliseconds dutyRound { 1000 }; ///< a piece crosses a narrow link in 0.3 s; then another host takes over
 constexpr std::size_t writesInFlight = 4; ///< to the engine on the same host
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
 constexpr Milliseconds announceLead { 120 }; ///< beacons of entries and agents are 100 ms apart
