--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -506,7 +506,8 @@
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
     this->dispatch(StageTick {});
-    this->armTimer(this->tablesTimer, tablesPeriod, &LoaderLoop::everyTables);
+    this->armTimer(this->tablesTimer, this->tables.operators.rows.empty() ? firstTablesPeriod : tablesPeriod,
+        &LoaderLoop::everyTables);
 }
 
 } // namespace hickory
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -30,19 +30,27 @@
         return { static_cast<std::int64_t>(predictFirstToken(*profile, load, request.facts.promptTokens)) };
     }
 
-    /// @return least time from placing a request to its last byte
-    Milliseconds serviceTime(const RelayRequest& request)
+    /// @param answerTokens to write
+    /// @return time from placing a request to its last byte
+    Milliseconds serviceTime(const RelayRequest& request, std::uint32_t answerTokens)
     {
         const EngineProfile* profile = engineOf(request);
         if (!profile)
             return plainMargin;
-        const double passes = static_cast<double>(std::max<std::uint32_t>(
-                                  request.facts.answerHint > 0 ? request.facts.answerHint : profile->usualAnswer, 1))
-            / std::max(1U, profile->stride);
+        const double passes
+            = static_cast<double>(std::max<std::uint32_t>(answerTokens, 1)) / std::max(1U, profile->stride);
         const double passMs = profile->stride * (profile->stepMs + profile->slots * profile->stepPerRequestMs);
         return leadTime(request) + Milliseconds { static_cast<std::int64_t>(passes * passMs) };
     }
 
+    /// @return time from placing a request to its last byte, for the answer that its caller expects
+    Milliseconds usualServiceTime(const RelayRequest& request)
+    {
+        const EngineProfile* profile = engineOf(request);
+        const std::uint32_t usual = profile ? profile->usualAnswer : 0;
+        return serviceTime(request, request.facts.answerHint > 0 ? request.facts.answerHint : usual);
+    }
+
 } // namespace
 
 std::uint8_t urgencyOf(std::optional<std::uint8_t> workspaceRank, std::uint8_t routeRank)
@@ -55,8 +63,10 @@
     return static_cast<std::uint8_t>(std::min<unsigned>(urgency, leastUrgent));
 }
 
-QueueKey queueKey(const RelayRequest& request, Milliseconds now)
+QueueKey queueKey(const RelayRequest& request, RelayOrder order, Milliseconds now)
 {
+    if (order == RelayOrder::Arrival)
+        return { .objectiveAt = request.arrivedAt, .call = request.call.value };
     return { .late = now + leadTime(request) > request.objectiveAt,
         .urgency = request.urgency,
         .objectiveAt = request.objectiveAt,
@@ -69,7 +79,7 @@
     if (service == state.services.end())
         return {};
     const ServiceView& view = service->second;
-    const QueueKey key = queueKey(request, now);
+    const QueueKey key = queueKey(request, state.options.order, now);
     const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
     const auto recent = std::count_if(view.placedAt.begin(), view.placedAt.end(),
         [&](Milliseconds at) { return now - at < rateWindow; });
@@ -82,7 +92,7 @@
     const auto service = state.services.find(request.service);
     if (service != state.services.end() && service->second.queue.size() >= maxQueuedForService)
         return false;
-    const Milliseconds left = request.deadlineAt - now - serviceTime(request);
+    const Milliseconds left = request.deadlineAt - now - usualServiceTime(request);
     return left.value > 0
         && static_cast<double>(predictWait(state, request, now).value)
         <= maxWaitShare * static_cast<double>(left.value);
@@ -90,11 +100,22 @@
 
 bool isHopeless(const RelayRequest& request, Milliseconds now)
 {
-    return now + serviceTime(request) > request.deadlineAt;
+    return now + usualServiceTime(request) > request.deadlineAt;
+}
+
+bool endsBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now)
+{
+    // A plain call may take several times its mean.
+    const Milliseconds longest = engineOf(request) ? serviceTime(request, request.facts.maxAnswerTokens)
+                                                   : request.route->objective * 2;
+    return now + longest < moment;
 }
 
 Milliseconds returnTime(RelayState& state, const RelayRequest& request, Milliseconds now)
 {
+    // Another entry takes the caller at once.
+    if (state.drainEndsAt)
+        return drainRetryAfter;
     const std::int64_t wait = std::max(predictWait(state, request, now), leastRetryAfter).value;
     const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, wait / 2)(state.random);
     const std::int64_t honoured = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -12,7 +12,7 @@
 /// Place of a request in its service's queue.
 /// Answers floods of a less urgent rank: urgent requests that can be on time go first, and requests that can no
 /// longer be on time wait until those that can are served.
-QueueKey queueKey(const RelayRequest& request, Milliseconds now);
+QueueKey queueKey(const RelayRequest& request, RelayOrder order, Milliseconds now);
 
 /// Predicts how long a request would wait in its service's queue.
 /// Answers overload in which all would wait until their time is over: who cannot be served is told at once.
@@ -25,6 +25,9 @@
 /// @return whether a waiting request can no longer be answered within its caller's time
 bool isHopeless(const RelayRequest& request, Milliseconds now);
 
+/// @return whether even the longest answer that a request allows ends before a moment, if it is placed now
+bool endsBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now);
+
 /// When a refused caller should come back: after the predicted wait, spread so that those refused together do not
 /// return together, and within the part of its time for which callers honour the advice.
 /// @return delay from now
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -572,6 +572,7 @@
     this->drainingSince = monotonicNow();
     writeLog({ .event = "drain", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
     this->front.startDrain();
+    this->dispatch(DrainBegan { .endsAt = this->drainingSince + this->settings.gracePeriod - drainReserve });
     // Peers leave this entry out of their answers to lookups from their next beacon on.
     this->everyBeacon();
 }
@@ -582,7 +583,7 @@
     const bool idle = this->calls.empty();
     if ((elapsed > drainLeast && idle) || elapsed > drainAcceptFor)
         this->front.closeIdle();
-    if ((elapsed > drainLeast && idle) || elapsed + drainReserve > this->settings.gracePeriod) {
+    if ((elapsed > drainLeast && idle) || elapsed + drainReserve / 2 > this->settings.gracePeriod) {
         // One more turn lets answers that are written reach their callers.
         this->secondTimer.expires_after(std::chrono::milliseconds(drainFlush.value));
         this->secondTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -34,6 +34,14 @@
             = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
     }
 
+    void applyDrain(RelayState& state, const DrainBegan& event, Milliseconds now, RelayEffects& effects)
+    {
+        state.drainEndsAt = event.endsAt;
+        for (auto& [call, request] : state.requests)
+            request.deadlineAt = std::min(request.deadlineAt, event.endsAt);
+        expireRequests(state, now, effects);
+    }
+
     void applyPeerLoads(RelayState& state, const PeerLoadsLearned& event, Milliseconds now)
     {
         PeerView& peer = state.peers[event.peer];
@@ -91,6 +99,7 @@
                 state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
             },
             [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+            [&](const DrainBegan& drain) { applyDrain(state, drain, now, effects); },
         },
         event);
     return effects;
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -99,9 +99,15 @@
     request.deadlineAt = request.timeoutAt;
     if (request.facts.patience.value > 0)
         request.deadlineAt = std::min(request.deadlineAt, request.arrivedAt + request.facts.patience);
+    if (state.drainEndsAt)
+        request.deadlineAt = std::min(request.deadlineAt, *state.drainEndsAt);
     request.lastEventId = request.facts.resumeAfter;
     RelayRequest& kept = state.requests.emplace(request.call, std::move(request)).first->second;
     ServiceView& service = state.services[kept.service];
+    if (state.drainEndsAt && !endsBefore(kept, *state.drainEndsAt, now)) {
+        refuseRequest(state, kept, statusUnavailable, "stopping", now, effects);
+        return;
+    }
     if (service.queue.empty() || kept.urgency < service.queue.begin()->first.urgency) {
         if (const auto upstream = chooseUpstream(state, kept, now, true)) {
             sendRequest(state, kept, *upstream, now, effects);
@@ -122,7 +128,7 @@
 
 void enqueueRequest(RelayState& state, RelayRequest& request, Milliseconds now)
 {
-    request.queued = queueKey(request, now);
+    request.queued = queueKey(request, state.options.order, now);
     state.services[request.service].queue[*request.queued] = request.call;
 }
 
@@ -197,7 +203,7 @@
             over.push_back(call);
         else if (request.queued && isHopeless(request, now))
             hopeless.push_back(call);
-        else if (request.queued && !request.queued->late && queueKey(request, now).late) {
+        else if (request.queued && !request.queued->late && queueKey(request, state.options.order, now).late) {
             leaveQueue(state, request);
             enqueueRequest(state, request, now);
         }
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -136,7 +136,8 @@
         .upstream = upstream,
         .address = view.entry.address,
         .timeLeft = request.deadlineAt - now,
-        .urgency = isEngineRequest(request) ? std::optional(request.urgency) : std::nullopt,
+        .urgency = isEngineRequest(request) && state.options.order == RelayOrder::Urgency ? std::optional(request.urgency)
+                                                                                      : std::nullopt,
         .workspace = request.workspace,
         .expectVersion = expectedWeights(state, view, request, now),
         .resumeAfter = request.lastEventId,
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -9,6 +9,19 @@
 
 namespace hickory {
 
+/// How a relay chooses an upstream.
+enum class RelayPlacing : std::uint8_t {
+    Predicted, ///< least predicted time to the first token, with room
+    LeastSent, ///< baseline: least requests of this entry, with room
+    Random, ///< baseline: uniform among those with room
+};
+
+/// How a relay orders requests that wait.
+enum class RelayOrder : std::uint8_t {
+    Urgency, ///< those that can be on time first, then by urgency
+    Arrival, ///< baseline: in order of arrival, all with the same urgency
+};
+
 /// Settings of the relay's decisions.
 struct RelayOptions {
     PlaceId place; ///< data centre of this host
@@ -17,6 +30,8 @@
     double retryRatio { 0.2 }; ///< repeats allowed for each request, over all entries
     double retryExtra { 106 }; ///< repeats allowed besides, over all entries
     Milliseconds retryWindow { 10000 }; ///< over which repeats are counted
+    RelayPlacing placing { RelayPlacing::Predicted }; ///< choice of upstreams
+    RelayOrder order { RelayOrder::Urgency }; ///< of requests that wait
     std::uint64_t seed { 1 }; ///< of random choices
 };
 
@@ -125,6 +140,7 @@
     std::map<HostId, PeerView> peers; ///< other entries
     std::map<ModelId, DeclaredWeights> declared; ///< weights
     std::uint32_t entries { 1 }; ///< alive in the fleet
+    std::optional<Milliseconds> drainEndsAt; ///< set once the process was told to stop
     std::uint64_t lastSend { 0 }; ///< number of the last sending
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -119,6 +119,11 @@
     Milliseconds asOf { 0 }; ///< that moment, on this process's clock
 };
 
+/// The process was told to stop.
+struct DrainBegan {
+    Milliseconds endsAt { 0 }; ///< everything must have ended by then
+};
+
 /// Operators declared weights.
 struct WeightsDeclared {
     ModelId model; ///< name
@@ -128,7 +133,7 @@
 
 using RelayEvent = std::variant<CallArrived, CallerLeft, AnswerBegan, StreamMoved, AnswerEnded, RelayTick,
     ConfigLearned, UpstreamsLearned, EngineReported, PeerLoadsLearned, EntriesCounted, ConfigConfirmed,
-    WeightsDeclared>;
+    WeightsDeclared, DrainBegan>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -14,6 +14,7 @@
 constexpr std::uint32_t maxQueuedForService = 600; ///< requests that wait for one service, 3 s of the ordinary load
 constexpr double maxWaitShare = 0.5; ///< a request predicted to wait longer than this share of its time is refused
 constexpr Milliseconds leastRetryAfter { 200 }; ///< a return before this meets the same queue
+constexpr Milliseconds drainRetryAfter { 20 }; ///< of an entry that stops: callers come back elsewhere
 constexpr std::int64_t retryAfterDivisor = 3; ///< callers honour advice up to a third of the time they have left
 constexpr Milliseconds rateWindow { 1000 }; ///< over which the rate of placements is averaged
 constexpr double leastRate = 4.0; ///< placements a second assumed when none were seen lately
--- a/src/wire_parser_func.cpp
+++ b/src/wire_parser_func.cpp
@@ -97,6 +97,10 @@
             if (parser->type == HTTP_REQUEST)
                 state.head.method = http_method_str(static_cast<http_method>(parser->method));
             state.head.status = static_cast<std::uint16_t>(parser->status_code);
+            constexpr int refuse = -1;
+            for (const WireHeader& header : state.head.headers)
+                if (header.name.find_first_of(" \t") != std::string::npos)
+                    return refuse; // "Transfer-Encoding :" means different things to different parsers
             for (WireHeader& header : state.head.headers)
                 while (!header.value.empty() && (header.value.back() == ' ' || header.value.back() == '\t'))
                     header.value.pop_back();
--- /dev/null
+++ b/tests/relay_fixture.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "relay_place_func.h"
+#include "relay_reduce_func.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// A relay with one engine service and one plain service, driven event by event.
+struct RelayFixture {
+    RelayState state; ///< under test
+    Milliseconds now { 100000 }; ///< time of the next event
+    std::uint64_t lastCall { 0 }; ///< number of the last request
+
+    explicit RelayFixture(RelayOptions options = {})
+        : state(makeRelayState(options))
+    {
+        this->learn(1);
+        this->confirm();
+    }
+
+    /// @return a configuration with routes /letters/ (stream, rank 1, resumable), /calls/ (stream, rank 0),
+    /// /digests/ (stream, rank 2), /read/ (idempotent) and /book/ (not)
+    static std::shared_ptr<RelayConfig> config(std::uint64_t version)
+    {
+        auto made = std::make_shared<RelayConfig>();
+        made->version = { version };
+        const auto route = [&](const char* prefix, CallKind kind, std::uint8_t rank, const char* service) {
+            made->routes.push_back({ .name = prefix,
+                .host = "desk.example",
+                .prefix = prefix,
+                .kind = kind,
+                .timeout = { 6000 },
+                .objective = { rank == 0 ? 250 : rank == 1 ? 400 : 800 },
+                .rank = rank,
+                .shares = { { .service = { service } } },
+                .maxAttempts = 2,
+                .resumable = kind == CallKind::Stream });
+        };
+        route("/calls/", CallKind::Stream, 0, "engine");
+        route("/letters/", CallKind::Stream, 1, "engine");
+        route("/digests/", CallKind::Stream, 2, "engine");
+        route("/read/", CallKind::Idempotent, 2, "plain");
+        route("/book/", CallKind::NonIdempotent, 2, "plain");
+        EngineProfile engine { .slots = 4,
+            .memoryTokens = 1000000,
+            .stepMs = 6.73,
+            .stepPerRequestMs = 0.02,
+            .readTokensPerMs = 30.6,
+            .stride = 6,
+            .usualPrompt = 960,
+            .usualAnswer = 120,
+            .models = { { "model" } } };
+        made->services[{ "engine" }] = { .name = { "engine" }, .engine = engine };
+        made->services[{ "plain" }] = { .name = { "plain" } };
+        made->workspaces.push_back({ .name = { "desk" } });
+        made->keys["key"] = 0;
+        return made;
+    }
+
+    std::vector<RelayEffect> event(const RelayEvent& event) { return reduceRelay(this->state, event, this->now); }
+
+    void learn(std::uint64_t version) { this->event(ConfigLearned { config(version) }); }
+    void confirm() { this->event(ConfigConfirmed { .asOf = this->now }); }
+
+    static UpstreamEntry upstream(const std::string& id, const std::string& service, std::uint64_t weights = 1)
+    {
+        UpstreamEntry entry { .id = { id }, .service = { service }, .address = id + ":1", .place = { "a" }, .slots = 4 };
+        if (service == "engine")
+            entry.models.push_back({ .model = { "model" }, .version = { weights } });
+        return entry;
+    }
+
+    std::vector<RelayEffect> list(std::vector<UpstreamEntry> entries)
+    {
+        return this->event(UpstreamsLearned { std::move(entries) });
+    }
+
+    /// Sends a request for a route's prefix.
+    std::vector<RelayEffect> request(const std::string& prefix, const std::string& key = "key")
+    {
+        RequestFacts facts { .attemptId = "attempt-" + std::to_string(++this->lastCall),
+            .host = "desk.example",
+            .target = prefix + "x",
+            .key = key,
+            .patience = { 6000 } };
+        if (prefix != "/read/" && prefix != "/book/") {
+            facts.model = { "model" };
+            facts.promptTokens = 900;
+        }
+        return this->event(CallArrived { .call = { this->lastCall }, .firstByteAt = this->now, .facts = facts });
+    }
+
+    CallId last() const { return { this->lastCall }; }
+};
+
+/// @return the first effect of a kind, or nullptr
+template <typename Effect> const Effect* findEffect(const std::vector<RelayEffect>& effects)
+{
+    for (const RelayEffect& effect : effects)
+        if (const auto* found = std::get_if<Effect>(&effect))
+            return found;
+    return nullptr;
+}
+
+/// @return how many effects are of a kind
+template <typename Effect> std::size_t countEffects(const std::vector<RelayEffect>& effects)
+{
+    std::size_t count = 0;
+    for (const RelayEffect& effect : effects)
+        count += std::holds_alternative<Effect>(effect) ? 1 : 0;
+    return count;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/tests/unit_peer_codec.cpp
@@ -0,0 +1,68 @@
+#include "peer_codec_func.h"
+#include "peer_state_type.h"
+#include "peer_table_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+TEST_CASE("beacons survive their codec", "[peer]")
+{
+    PeerBeacon beacon { .from = { .host = { "h" },
+                            .incarnation = { 7 },
+                            .front = "10.0.0.1:80",
+                            .control = "10.0.0.1:81",
+                            .place = { "a" },
+                            .ready = true },
+        .configVersion = { 12 },
+        .loads = { { .upstream = 99, .sent = 3, .unreadTokens = 1200 } } };
+    beacon.engine = EngineReported { .address = "10.0.0.2:80",
+        .report = { .models = { { .model = { "m" }, .version = { 4 } } }, .busy = true, .pace = 1.5, .bornAt = 5 },
+        .ordering = true };
+    beacon.pieces = { { .version = { 4 }, .held = { true, false, true, true, false, false, true, false, true } } };
+    const auto decoded = decodeBeacon(encodeBeacon(beacon));
+    REQUIRE(decoded);
+    CHECK(decoded.value().from.ip == "10.0.0.1");
+    CHECK(decoded.value().loads.at(0).unreadTokens == 1200);
+    CHECK(decoded.value().engine->report.models.at(0).version == WeightsVersion { 4 });
+    CHECK(decoded.value().engine->ordering);
+    CHECK(decoded.value().pieces.at(0) == beacon.pieces.at(0));
+}
+
+TEST_CASE("datagrams that are no beacons are refused", "[peer]")
+{
+    CHECK_FALSE(decodeBeacon("no beacon"));
+    const std::string whole = encodeBeacon({ .from = { .host = { "h" }, .control = "10.0.0.1:81" } });
+    for (std::size_t length = 1; length + 1 < whole.size(); ++length)
+        CHECK_FALSE(decodeBeacon(std::string_view(whole).substr(0, length)));
+}
+
+TEST_CASE("hearsay makes an entry known, only its own beacon makes it live", "[peer]")
+{
+    PeerTable table;
+    const PeerEntry other { .host = { "o" }, .incarnation = { 1 }, .ip = "10.0.0.3", .front = "10.0.0.3:80", .ready = true };
+    notePeer(table, { "self" }, { .from = { .host = { "h" }, .front = "x", .control = "10.0.0.1:1" }, .known = { other } },
+        "10.0.0.1", { 5000 });
+    CHECK(liveEntries(table, { 5100 }).size() == 1);
+    CHECK(beaconTargets(table, "10.0.0.9").size() == 2);
+    notePeer(table, { "self" }, { .from = other }, "10.0.0.3", { 5200 });
+    CHECK(liveEntries(table, { 5300 }).size() == 2);
+    CHECK(liveEntries(table, { 6500 }).empty());
+}
+
+TEST_CASE("a peer's copy of the tables is no newer than its age before the question", "[peer]")
+{
+    platform::TableSnapshot operators { .revision = 9, .asOf = { 900 } };
+    operators.rows["config"] = { .key = "config", .value = "text", .revision = 8 };
+    const platform::TableSnapshot upstreams { .revision = 9, .asOf = { 950 } };
+    const std::string target = peerTablesTarget({ .operators = 3, .upstreams = 9 });
+    const PeerRevisions have = decodePeerRevisions(target);
+    CHECK(have.operators == 3);
+    CHECK(have.upstreams == 9);
+    FetchAnswer answer { .body = encodePeerTables(operators, upstreams, have, { 1000 }) };
+    const auto tables = decodePeerTables(Result<FetchAnswer>(answer), { 70000 });
+    REQUIRE(tables);
+    CHECK(tables.value().operators.asOf == Milliseconds { 69900 });
+    CHECK(tables.value().operators.rows.at("config").value == "text");
+    CHECK(tables.value().upstreams.rows.empty());
+}
--- /dev/null
+++ b/tests/unit_platform_decode.cpp
@@ -0,0 +1,114 @@
+#include "platform_decode_func.h"
+#include "platform_wire_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+TEST_CASE("a configuration is decoded into the product's types", "[platform]")
+{
+    const auto config = platform::decodeConfig(R"({"version":7,"routes":[
+        {"name":"r","host":"Desk.Example","prefix":"/a/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,
+         "priority":1,"traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],"max_attempts":2,
+         "public":false,"resumable":true,"target_gap_ms":300,"unknown":1},
+        {"name":"s","host":"desk.example","prefix":"/a/b/","kind":"non_idempotent","timeout_ms":2000,"service":"y"}],
+        "services":[{"name":"x","engine":{"slots":16,"step_ms":6.73,"read_per_s":30600.0,"stride":6,"layers":16,
+          "chunks":64,"chunk_bytes":32768,"models":[{"name":"m","warmup_s":0.3}]}},{"name":"o","origin":"10.0.0.1:80"}],
+        "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3,"idle_timeout_ms":4},
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})");
+    REQUIRE(config);
+    const RelayConfig& value = config.value();
+    CHECK(value.routes.at(0).shares.size() == 2);
+    CHECK(value.routes.at(0).kind == CallKind::Stream);
+    CHECK(value.routes.at(1).kind == CallKind::NonIdempotent);
+    CHECK(value.services.at({ "x" }).engine->readTokensPerMs == Approx(30.6));
+    CHECK(value.services.at({ "o" }).originAddress == "10.0.0.1:80");
+    CHECK(value.keys.at("k2") == 0);
+    CHECK(value.limits.bodyBytes == Bytes { 200 });
+    CHECK(findRoute(value, "desk.example:8080", "/a/b/c?q=/x/")->name == "s");
+    CHECK(findRoute(value, "DESK.example", "/a/c")->name == "r");
+    CHECK(findRoute(value, "desk.example", "/b/") == nullptr);
+    CHECK(findRoute(value, "other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("a configuration with a missing field is refused whole", "[platform]")
+{
+    CHECK_FALSE(platform::decodeConfig(R"({"routes":[]})"));
+    CHECK_FALSE(platform::decodeConfig("[]"));
+    CHECK_FALSE(platform::decodeConfig("no json"));
+}
+
+TEST_CASE("list entries of other writers name no upstream", "[platform]")
+{
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":12,"sequence":9})";
+    const auto entry = platform::decodeUpstream("i-1", good);
+    REQUIRE(entry);
+    CHECK(entry.value().bornAt == 12);
+    CHECK_FALSE(entry.value().leaving);
+    const auto replaced = [&](const std::string& what, const std::string& with) {
+        std::string text = good;
+        return text.replace(text.find(what), what.size(), with);
+    };
+    CHECK_FALSE(platform::decodeUpstream("i", replaced("\"ready\"", "\"sleeping\"")));
+    CHECK_FALSE(platform::decodeUpstream("i", replaced("\"slots\":4", "\"slots\":\"4\"")));
+    CHECK_FALSE(platform::decodeUpstream("i", replaced("10.0.0.1:80", "nowhere")));
+    CHECK_FALSE(platform::decodeUpstream("i", replaced("\"service\":\"s\",", "")));
+    CHECK_FALSE(platform::decodeUpstream("i", std::string("\xff\xfe", 2)));
+}
+
+TEST_CASE("an engine that reports no layers holds no model", "[platform]")
+{
+    const auto report = platform::decodeReport(
+        R"({"models":[{"name":"m","version":1,"adapters":[]}],"layers":[],"busy":true,"sequence":2})");
+    REQUIRE(report);
+    CHECK_FALSE(report.value().models.at(0).whole);
+    CHECK(report.value().busy);
+    CHECK(report.value().orders == 2);
+}
+
+TEST_CASE("what a caller may not set is not forwarded", "[platform]")
+{
+    WireHead head { .method = "POST", .target = "/a/b?c" };
+    head.headers = { { "Host", "h" }, { "Attempt-Id", "a1" }, { "Authorization", "Bearer secret" }, { "tenant", "evil" },
+        { "Expect-Replica", "evil" }, { "Request-Urgency", "0" }, { "Deadline-Ms", "9000" }, { "Connection", "X-Hop" },
+        { "X-Hop", "1" }, { "X-Other", "kept" }, { "Model", "m" }, { "Token-Count", "1460,80" } };
+    const RequestFacts facts = platform::decodeRequest(head);
+    CHECK(facts.key == "secret");
+    CHECK(facts.promptTokens == 1460);
+    CHECK(facts.maxAnswerTokens == 80);
+    CHECK(facts.patience == Milliseconds { 9000 });
+    const std::string text = platform::encodeUpstreamRequest(head, "body",
+        { .upstream = { "i-1" }, .timeLeft = { 500 }, .urgency = 3, .workspace = { "t" }, .resumeAfter = "12" });
+    CHECK(text.find("secret") == std::string::npos);
+    CHECK(text.find("evil") == std::string::npos);
+    CHECK(text.find("X-Hop") == std::string::npos);
+    CHECK(text.find("X-Other: kept\r\n") != std::string::npos);
+    CHECK(text.find("Token-Count: 1460,80\r\n") != std::string::npos);
+    CHECK(text.find("Deadline-Ms: 500\r\n") != std::string::npos);
+    CHECK(text.find("Tenant: t\r\n") != std::string::npos);
+    CHECK(text.find("Expect-Replica: i-1\r\n") != std::string::npos);
+    CHECK(text.find("Last-Event-Id: 12\r\n") != std::string::npos);
+    CHECK(text.ends_with("Content-Length: 4\r\n\r\nbody"));
+}
+
+TEST_CASE("an answer to another attempt is told apart", "[platform]")
+{
+    WireHead head { .status = 503 };
+    head.headers = { { "Attempt-Id", "a1" }, { "Not-Executed", "1" }, { "Replica-Load", "3,2,8" } };
+    CHECK(platform::answersAttempt(head, "a1"));
+    CHECK_FALSE(platform::answersAttempt(head, "a2"));
+    const AnswerBegan answer = platform::decodeAnswer(head);
+    CHECK(answer.notRun);
+    CHECK(answer.running == 3U);
+    CHECK(answer.waiting == 2U);
+    CHECK_FALSE(answer.sealed);
+}
+
+TEST_CASE("a refusal names the attempt and when to come back", "[platform]")
+{
+    const auto headers = platform::refusalHeaders("a1", { 1250 });
+    REQUIRE(headers.size() == 2);
+    CHECK(headers.at(1).value == "1.250");
+    CHECK(platform::refusalHeaders("a1", {}).size() == 1);
+}
--- /dev/null
+++ b/tests/unit_relay_request.cpp
@@ -0,0 +1,314 @@
+#include "relay_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+TEST_CASE("a request is sent to an upstream that may run it, with the time that is left", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("p1", "plain") });
+    const auto effects = relay.request("/letters/");
+    const auto* send = findEffect<SendToUpstream>(effects);
+    REQUIRE(send);
+    CHECK(send->upstream.value == "e1");
+    CHECK(send->timeLeft == Milliseconds { 6000 });
+    CHECK(send->workspace.value == "desk");
+    CHECK(send->urgency);
+    CHECK_FALSE(send->expectVersion);
+}
+
+TEST_CASE("a process without a configuration answers 503, never 401 or 404", "[relay]")
+{
+    RelayFixture relay;
+    relay.state = makeRelayState({});
+    const auto effects = relay.request("/letters/");
+    REQUIRE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<RefuseCall>(effects)->status == 503);
+    CHECK(findEffect<RefuseCall>(effects)->retryAfter.value > 0);
+}
+
+TEST_CASE("routes and keys that are not known are refused for good only on a fresh configuration", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    CHECK(findEffect<RefuseCall>(relay.request("/none/"))->status == 404);
+    CHECK(findEffect<RefuseCall>(relay.request("/letters/", "wrong"))->status == 401);
+    relay.now += Milliseconds { 2000 };
+    CHECK(findEffect<RefuseCall>(relay.request("/none/"))->status == 503);
+    CHECK(findEffect<RefuseCall>(relay.request("/letters/", "wrong"))->status == 503);
+    CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
+}
+
+TEST_CASE("keys are not trusted once no way to the store confirmed the configuration", "[relay]")
+{
+    RelayFixture relay({ .keyTrust = { 2750 } });
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    relay.now += Milliseconds { 2751 };
+    const auto effects = relay.request("/letters/");
+    REQUIRE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<RefuseCall>(effects)->status == 503);
+    relay.confirm();
+    CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
+}
+
+TEST_CASE("an older configuration never replaces a newer one", "[relay]")
+{
+    RelayFixture relay;
+    relay.learn(7);
+    relay.learn(5);
+    CHECK(relay.state.config->version == ConfigVersion { 7 });
+}
+
+TEST_CASE("a call that may not be repeated is sent once, and its fate is told truthfully", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    SECTION("a broken connection may have run it: 502")
+    {
+        const auto sent = relay.request("/book/");
+        const auto effects = relay.event(AnswerEnded {
+            .call = relay.last(), .send = findEffect<SendToUpstream>(sent)->send, .end = SendEnd::Broken });
+        CHECK_FALSE(findEffect<SendToUpstream>(effects));
+        REQUIRE(findEffect<RefuseCall>(effects));
+        CHECK(findEffect<RefuseCall>(effects)->status == 502);
+    }
+    SECTION("an upstream that says it did not run lets it go on elsewhere")
+    {
+        const auto sent = relay.request("/book/");
+        const auto effects = relay.event(AnswerBegan { .call = relay.last(),
+            .send = findEffect<SendToUpstream>(sent)->send,
+            .status = 503,
+            .notRun = true });
+        REQUIRE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(effects)->upstream != findEffect<SendToUpstream>(sent)->upstream);
+    }
+    SECTION("a connection that could not be opened lets it go on elsewhere")
+    {
+        const auto sent = relay.request("/book/");
+        const auto effects = relay.event(AnswerEnded {
+            .call = relay.last(), .send = findEffect<SendToUpstream>(sent)->send, .end = SendEnd::NotSent });
+        CHECK(findEffect<SendToUpstream>(effects));
+    }
+    SECTION("at the time-out it may have run: 504")
+    {
+        relay.request("/book/");
+        relay.now += Milliseconds { 6000 };
+        const auto effects = relay.event(RelayTick {});
+        REQUIRE(findEffect<RefuseCall>(effects));
+        CHECK(findEffect<RefuseCall>(effects)->status == 504);
+        CHECK(findEffect<CancelSend>(effects));
+    }
+}
+
+TEST_CASE("a failed answer of an idempotent call is tried elsewhere, and the last one is passed on", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    const auto first = relay.request("/read/");
+    const SendNumber one = findEffect<SendToUpstream>(first)->send;
+    relay.event(AnswerBegan { .call = relay.last(), .send = one, .status = 500, .sealed = true });
+    const auto second = relay.event(AnswerEnded { .call = relay.last(), .send = one });
+    REQUIRE(findEffect<SendToUpstream>(second));
+    const SendNumber two = findEffect<SendToUpstream>(second)->send;
+    relay.event(AnswerBegan { .call = relay.last(), .send = two, .status = 500, .sealed = true });
+    const auto last = relay.event(AnswerEnded { .call = relay.last(), .send = two });
+    CHECK(findEffect<RelayAnswer>(last));
+    CHECK(findEffect<FinishAnswer>(last));
+    CHECK(relay.state.requests.empty());
+}
+
+TEST_CASE("a success without the proof of an upstream is not passed on", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/read/");
+    const SendNumber send = findEffect<SendToUpstream>(sent)->send;
+    relay.event(AnswerBegan { .call = relay.last(), .send = send, .status = 200, .sealed = false });
+    const auto effects = relay.event(AnswerEnded { .call = relay.last(), .send = send });
+    CHECK_FALSE(findEffect<RelayAnswer>(effects));
+    REQUIRE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<RefuseCall>(effects)->status == 502);
+}
+
+TEST_CASE("a stream that breaks goes on at another engine after its last whole event", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    const auto sent = relay.request("/letters/");
+    const SendNumber one = findEffect<SendToUpstream>(sent)->send;
+    const auto began
+        = relay.event(AnswerBegan { .call = relay.last(), .send = one, .status = 200, .sealed = true });
+    CHECK(findEffect<RelayAnswer>(began));
+    relay.event(StreamMoved { .call = relay.last(), .send = one, .lastEventId = "7" });
+    const auto resumed = relay.event(AnswerEnded { .call = relay.last(), .send = one, .end = SendEnd::Broken });
+    REQUIRE(findEffect<SendToUpstream>(resumed));
+    CHECK(findEffect<SendToUpstream>(resumed)->resumeAfter == "7");
+    const SendNumber two = findEffect<SendToUpstream>(resumed)->send;
+    SECTION("within the one answer that the caller has")
+    {
+        const auto again
+            = relay.event(AnswerBegan { .call = relay.last(), .send = two, .status = 200, .sealed = true });
+        CHECK_FALSE(findEffect<RelayAnswer>(again));
+        CHECK(findEffect<FinishAnswer>(relay.event(AnswerEnded { .call = relay.last(), .send = two })));
+    }
+    SECTION("and is broken off visibly when no attempt is left")
+    {
+        const auto effects = relay.event(AnswerEnded { .call = relay.last(), .send = two, .end = SendEnd::Broken });
+        CHECK(findEffect<AbortAnswer>(effects));
+        CHECK_FALSE(findEffect<FinishAnswer>(effects));
+    }
+    SECTION("events of a sending that was given up change nothing")
+    {
+        relay.event(StreamMoved { .call = relay.last(), .send = one, .lastEventId = "9" });
+        CHECK(relay.state.requests.at(relay.last()).lastEventId == "7");
+    }
+}
+
+TEST_CASE("a caller that leaves frees its upstream and lets the next request in", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    for (int count = 0; count < 4; ++count)
+        CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+    const auto effects = relay.event(CallerLeft { .call = { 1 } });
+    CHECK(findEffect<CancelSend>(effects));
+    REQUIRE(findEffect<SendToUpstream>(effects));
+    CHECK(findEffect<SendToUpstream>(effects)->call == relay.last());
+}
+
+TEST_CASE("a leaving or unlisted upstream gets no new work", "[relay]")
+{
+    RelayFixture relay;
+    UpstreamEntry leaving = RelayFixture::upstream("e1", "engine");
+    relay.list({ leaving, RelayFixture::upstream("e2", "engine") });
+    leaving.leaving = true;
+    relay.list({ leaving, RelayFixture::upstream("e2", "engine") });
+    for (int count = 0; count < 4; ++count)
+        CHECK(findEffect<SendToUpstream>(relay.request("/letters/"))->upstream.value == "e2");
+    relay.list({ leaving });
+    const auto effects = relay.request("/letters/");
+    REQUIRE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<RefuseCall>(effects)->status == 503);
+}
+
+TEST_CASE("an upstream that fell silent loses the streams that may go on elsewhere", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    const auto sent = relay.request("/letters/");
+    const SendNumber send = findEffect<SendToUpstream>(sent)->send;
+    relay.event(AnswerBegan { .call = relay.last(), .send = send, .status = 200, .sealed = true });
+    relay.event(StreamMoved { .call = relay.last(), .send = send, .lastEventId = "3" });
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    relay.now += Milliseconds { 800 };
+    CHECK_FALSE(findEffect<CancelSend>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 200 };
+    const auto effects = relay.event(RelayTick {});
+    CHECK(findEffect<CancelSend>(effects));
+    REQUIRE(findEffect<SendToUpstream>(effects));
+    CHECK(findEffect<SendToUpstream>(effects)->upstream.value == "e2");
+    CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "3");
+}
+
+TEST_CASE("declared weights are required before their bound runs out", "[relay]")
+{
+    RelayFixture relay({ .weightsGrace = { 7000 } });
+    relay.list({ RelayFixture::upstream("e1", "engine", 1) });
+    relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 } });
+    CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
+    SECTION("older ones are not used after it, and work that has not begun is taken back")
+    {
+        relay.now += Milliseconds { 7400 };
+        relay.confirm();
+        CHECK(findEffect<RefuseCall>(relay.request("/letters/")));
+        relay.state.requests.at({ 1 }).deadlineAt = relay.now + Milliseconds { 1000 };
+        CHECK(findEffect<CancelSend>(relay.event(RelayTick {})));
+    }
+    SECTION("the version that an engine holds is named once older ones are out")
+    {
+        relay.now += Milliseconds { 7400 };
+        relay.confirm();
+        relay.list({ RelayFixture::upstream("e2", "engine", 3) });
+        const auto effects = relay.request("/letters/");
+        REQUIRE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(effects)->expectVersion == WeightsVersion { 3 });
+    }
+    SECTION("a newer declaration does not move the bound of an older one")
+    {
+        relay.now += Milliseconds { 4000 };
+        relay.event(WeightsDeclared { .model = { "model" }, .version = { 3 } });
+        relay.now += Milliseconds { 3000 };
+        CHECK(requiredWeights(relay.state, { "model" }, relay.now) == WeightsVersion { 2 });
+    }
+    SECTION("what is known from the first reading may have been declared long ago")
+    {
+        RelayFixture restarted({ .weightsGrace = { 7000 } });
+        restarted.list({ RelayFixture::upstream("e1", "engine", 1) });
+        restarted.event(WeightsDeclared { .model = { "model" }, .version = { 2 }, .atStart = true });
+        CHECK(findEffect<RefuseCall>(restarted.request("/letters/")));
+    }
+}
+
+TEST_CASE("repeats stop at this entry's share of the fleet's budget", "[relay]")
+{
+    RelayFixture relay({ .retryRatio = 0.2, .retryExtra = 10, .retryWindow = { 10000 } });
+    relay.event(EntriesCounted { .entries = 4 });
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    std::size_t repeats = 0;
+    for (int count = 0; count < 30; ++count) {
+        relay.now += Milliseconds { 200 };
+        relay.confirm();
+        const auto sent = relay.request("/read/");
+        const auto* send = findEffect<SendToUpstream>(sent);
+        REQUIRE(send);
+        const auto effects = relay.event(
+            AnswerBegan { .call = relay.last(), .send = send->send, .status = 503, .notRun = true });
+        repeats += countEffects<SendToUpstream>(effects);
+        relay.event(CallerLeft { .call = relay.last() });
+    }
+    // 0.8 x (0.2 x 30 + 10 / 4) = 6.8
+    CHECK(repeats >= 4);
+    CHECK(repeats <= 6);
+}
+
+TEST_CASE("an entry that stops ends everything in time and keeps nothing that it cannot finish", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    for (int count = 0; count < 4; ++count)
+        relay.request("/digests/");
+    relay.request("/digests/"); // waits
+    CHECK(relay.state.services.at({ "engine" }).queue.size() == 1);
+    const auto began = relay.event(DrainBegan { .endsAt = relay.now + Milliseconds { 7600 } });
+    CHECK_FALSE(findEffect<RefuseCall>(began));
+    SECTION("what waits is refused as not run once it could not end in time")
+    {
+        relay.now += Milliseconds { 7000 };
+        for (auto& [call, request] : relay.state.requests)
+            request.deadlineAt = std::max(request.deadlineAt, *relay.state.drainEndsAt);
+        const auto effects = relay.event(RelayTick {});
+        REQUIRE(findEffect<RefuseCall>(effects));
+        CHECK(findEffect<RefuseCall>(effects)->status == 503);
+        CHECK(findEffect<RefuseCall>(effects)->call == relay.last());
+    }
+    SECTION("a request whose answer may last too long is sent elsewhere at once")
+    {
+        relay.event(CallerLeft { .call = { 1 } });
+        relay.now += Milliseconds { 6000 };
+        relay.confirm();
+        RequestFacts facts { .attemptId = "late",
+            .host = "desk.example",
+            .target = "/calls/x",
+            .key = "key",
+            .model = { "model" },
+            .promptTokens = 900,
+            .maxAnswerTokens = 360 };
+        const auto effects
+            = relay.event(CallArrived { .call = { 99 }, .firstByteAt = relay.now, .facts = facts });
+        REQUIRE(findEffect<RefuseCall>(effects));
+        CHECK(findEffect<RefuseCall>(effects)->status == 503);
+        CHECK(findEffect<RefuseCall>(effects)->retryAfter <= Milliseconds { 50 });
+    }
+}
--- /dev/null
+++ b/tests/unit_stage.cpp
@@ -0,0 +1,262 @@
+#include "stage_reduce_func.h"
+#include "stage_source_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace hickory;
+
+namespace {
+
+constexpr std::uint32_t chunks = 64;
+
+/// One agent with its engine, driven event by event.
+struct StageFixture {
+    StageState state; ///< under test
+    Milliseconds now { 100000 }; ///< time of the next event
+    std::uint64_t orders { 0 }; ///< accepted by the engine
+    std::int64_t bornAt { 1 }; ///< of the engine
+
+    explicit StageFixture(const std::string& ip = "10.1.0.1")
+        : state(makeStageState({ .host = { "agent" }, .ip = ip, .place = { "a" }, .service = { "engine" } }))
+    {
+    }
+
+    std::vector<StageEffect> event(const StageEvent& event) { return reduceStage(this->state, event, this->now); }
+
+    std::vector<StageEffect> declare(std::uint64_t version)
+    {
+        auto config = std::make_shared<RelayConfig>();
+        config->services[{ "engine" }] = { .name = { "engine" }, .engine = EngineProfile { .models = { { "model" } } } };
+        config->services[{ "origin" }] = { .name = { "origin" }, .originAddress = "10.9.0.1:1" };
+        FleetLearned fleet { .config = config, .declared = { { { "model" }, { version } } } };
+        for (int host = 1; host <= 4; ++host)
+            fleet.upstreams.push_back({ .id = { "e" + std::to_string(host) },
+                .service = { "engine" },
+                .address = "10.1.0." + std::to_string(host) + ":80",
+                .place = { host <= 2 ? "a" : "b" } });
+        return this->event(fleet);
+    }
+
+    std::vector<StageEffect> report(std::uint64_t version, bool busy = false)
+    {
+        EngineReport report { .busy = busy, .orders = this->orders, .bornAt = this->bornAt };
+        if (version > 0)
+            report.models.push_back({ .model = { "model" }, .version = { version } });
+        return this->event(ReportRead { report });
+    }
+
+    /// Answers questions for manifests and pieces, and writes beside the engine, until nothing more is asked.
+    void settle(std::vector<StageEffect> effects)
+    {
+        while (!effects.empty()) {
+            std::vector<StageEffect> next;
+            const auto add = [&](std::vector<StageEffect> more) { next.insert(next.end(), more.begin(), more.end()); };
+            for (const StageEffect& effect : effects) {
+                if (const auto* manifest = std::get_if<AskManifest>(&effect))
+                    add(this->event(ManifestFetched { .version = manifest->version, .chunks = chunks }));
+                else if (const auto* piece = std::get_if<AskPiece>(&effect))
+                    add(this->event(PieceFetched {
+                        .version = piece->version, .index = piece->index, .source = piece->source, .good = true }));
+                else if (const auto* stage = std::get_if<StagePiece>(&effect))
+                    add(this->event(PieceStaged { .version = stage->version, .index = stage->index, .good = true }));
+                else
+                    this->rest.push_back(effect);
+            }
+            effects = std::move(next);
+        }
+    }
+
+    /// Tells of another agent that holds all pieces of a version.
+    std::vector<StageEffect> peerHolds(const std::string& ip, std::uint64_t version)
+    {
+        return this->event(PeerPieces {
+            .ip = ip, .sets = { { .version = { version }, .held = std::vector<bool>(chunks, true) } } });
+    }
+
+    template <typename Effect> bool gave() const
+    {
+        for (const StageEffect& effect : this->rest)
+            if (std::holds_alternative<Effect>(effect))
+                return true;
+        return false;
+    }
+
+    std::vector<StageEffect> rest; ///< effects that settle() did not answer
+};
+
+} // namespace
+
+TEST_CASE("an empty engine is ordered once its pieces were read back intact", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.peerHolds("10.1.0.2", 1));
+    agent.settle(agent.report(0));
+    REQUIRE(agent.gave<CheckStage>());
+    CHECK_FALSE(agent.gave<GiveOrder>());
+    SECTION("a piece that rotted is written again before the order")
+    {
+        agent.rest.clear();
+        const auto effects = agent.event(StageChecked { .version = { 1 }, .bad = { 5 } });
+        bool written = false;
+        for (const StageEffect& effect : effects)
+            if (const auto* stage = std::get_if<StagePiece>(&effect))
+                written = written || stage->index == 5;
+        CHECK(written);
+        agent.settle(effects);
+        CHECK(agent.gave<CheckStage>());
+        CHECK_FALSE(agent.gave<GiveOrder>());
+    }
+    SECTION("entries are told before")
+    {
+        agent.settle(agent.event(StageChecked { .version = { 1 } }));
+        CHECK(agent.gave<AnnounceOrder>());
+        CHECK(orderPending(agent.state));
+        CHECK_FALSE(agent.gave<GiveOrder>());
+        agent.now += Milliseconds { 200 };
+        agent.settle(agent.event(StageTick {}));
+        CHECK(agent.gave<GiveOrder>());
+        agent.settle(agent.event(OrderAnswered { .version = { 1 }, .status = 202 }));
+        CHECK(orderPending(agent.state));
+        agent.settle(agent.report(1));
+        CHECK_FALSE(orderPending(agent.state));
+    }
+}
+
+TEST_CASE("an engine that restarts empty under its id is loaded again from memory", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.peerHolds("10.1.0.2", 1));
+    agent.settle(agent.report(0));
+    agent.settle(agent.event(StageChecked { .version = { 1 } }));
+    agent.now += Milliseconds { 200 };
+    agent.settle(agent.event(StageTick {}));
+    agent.settle(agent.event(OrderAnswered { .version = { 1 }, .status = 202 }));
+    agent.settle(agent.report(1));
+    agent.rest.clear();
+    agent.bornAt = 2;
+    const auto effects = agent.report(0);
+    std::size_t written = 0;
+    for (const StageEffect& effect : effects)
+        written += std::holds_alternative<StagePiece>(effect) ? 1 : 0;
+    CHECK(written > 0);
+    agent.settle(effects);
+    CHECK(agent.gave<CheckStage>());
+}
+
+TEST_CASE("an order without an answer is not repeated before the engine had time to obey", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.peerHolds("10.1.0.2", 1));
+    agent.settle(agent.report(0));
+    agent.settle(agent.event(StageChecked { .version = { 1 } }));
+    agent.now += Milliseconds { 200 };
+    agent.settle(agent.event(StageTick {}));
+    agent.settle(agent.event(OrderAnswered { .version = { 1 }, .status = 0 }));
+    agent.rest.clear();
+    agent.now += Milliseconds { 2000 };
+    agent.settle(agent.report(0));
+    CHECK_FALSE(agent.gave<CheckStage>());
+    agent.now += Milliseconds { 5000 };
+    agent.settle(agent.report(0));
+    agent.settle(agent.event(StageTick {}));
+    CHECK(agent.gave<CheckStage>());
+}
+
+TEST_CASE("an engine at work waits for its turn", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.report(1));
+    agent.rest.clear();
+    agent.settle(agent.declare(2));
+    agent.settle(agent.peerHolds("10.1.0.2", 2));
+    agent.settle(agent.report(1));
+    CHECK_FALSE(agent.gave<CheckStage>());
+    agent.now += orderTurn(agent.state, { 2 }) + Milliseconds { 1 };
+    agent.settle(agent.event(StageTick {}));
+    CHECK(agent.gave<CheckStage>());
+}
+
+TEST_CASE("a version that was begun a while ago is finished before one declared after it", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.report(1));
+    agent.declare(2);
+    SECTION("unless it was just begun")
+    {
+        agent.now += Milliseconds { 500 };
+        agent.declare(3);
+        REQUIRE(agent.state.works.size() == 1);
+        CHECK(agent.state.works.front().version == WeightsVersion { 3 });
+    }
+    SECTION("and the later one follows once the order was accepted")
+    {
+        agent.now += Milliseconds { 2000 };
+        agent.declare(3);
+        REQUIRE(agent.state.works.size() == 2);
+        CHECK(agent.state.works.front().version == WeightsVersion { 2 });
+        agent.state.works.front().order = OrderStep::Given;
+        agent.event(OrderAnswered { .version = { 2 }, .status = 202 });
+        CHECK(agent.state.works.front().version == WeightsVersion { 3 });
+    }
+}
+
+TEST_CASE("while nobody holds a version, each piece is fetched from the origin by one host", "[stage]")
+{
+    std::map<std::uint32_t, int> fetched;
+    for (int host = 1; host <= 4; ++host) {
+        StageFixture agent("10.1.0." + std::to_string(host));
+        agent.state.options.place = { host <= 2 ? "a" : "b" };
+        agent.declare(2);
+        StageWork& work = agent.state.works.front();
+        work.pieces.assign(chunks, {});
+        for (std::uint32_t piece = 0; piece < chunks; ++piece)
+            if (const auto source = chooseSource(agent.state, work, piece, agent.now)) {
+                CHECK(source->ip.empty());
+                ++fetched[piece];
+            }
+    }
+    CHECK(fetched.size() == chunks);
+    for (const auto& [piece, count] : fetched)
+        CHECK(count == 1);
+}
+
+TEST_CASE("a piece held in another place is fetched by one host of this place, then passed on", "[stage]")
+{
+    int fetchers = 0;
+    for (int host = 1; host <= 2; ++host) {
+        StageFixture agent("10.1.0." + std::to_string(host));
+        agent.declare(2);
+        agent.state.works.front().pieces.assign(chunks, {});
+        agent.peerHolds("10.1.0.3", 2);
+        // peerHolds() may already have asked for it.
+        const PieceState& piece = agent.state.works.front().pieces[7];
+        fetchers += piece.step == PieceStep::Fetching && piece.source == "10.1.0.3" ? 1 : 0;
+        if (piece.step == PieceStep::Missing)
+            fetchers += chooseSource(agent.state, agent.state.works.front(), 7, agent.now) ? 1 : 0;
+    }
+    CHECK(fetchers == 1);
+}
+
+TEST_CASE("the duty for a piece passes on when nobody holds it after a while", "[stage]")
+{
+    std::map<std::uint32_t, int> fetched;
+    for (int host = 1; host <= 3; ++host) { // host 4 is lost
+        StageFixture agent("10.1.0." + std::to_string(host));
+        agent.state.options.place = { host <= 2 ? "a" : "b" };
+        agent.declare(2);
+        StageWork& work = agent.state.works.front();
+        work.pieces.assign(chunks, {});
+        for (const std::int64_t after : { 0, 3000, 4000, 5000 })
+            for (std::uint32_t piece = 0; piece < chunks; ++piece)
+                fetched[piece] += chooseSource(agent.state, work, piece, agent.now + Milliseconds { after }) ? 1 : 0;
+    }
+    for (std::uint32_t piece = 0; piece < chunks; ++piece)
+        CHECK(fetched[piece] >= 1);
+}
--- /dev/null
+++ b/tests/unit_wire_parser.cpp
@@ -0,0 +1,115 @@
+#include "event_splitter_func.h"
+#include "wire_parser_func.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace hickory;
+
+namespace {
+
+/// Collects one message after the other.
+struct Collected : WireSink {
+    void onHead(WireHead&& received) override { this->head = std::move(received); }
+    void onBody(std::string_view bytes) override { this->body.append(bytes); }
+    void onComplete() override { ++this->messages; }
+
+    WireHead head; ///< of the last message
+    std::string body; ///< of all messages
+    int messages { 0 }; ///< complete ones
+};
+
+constexpr std::size_t maxHead = 1024;
+
+/// @return whether a request is refused as malformed
+bool refused(const std::string& text)
+{
+    WireParser parser(WireKind::Request, maxHead);
+    Collected sink;
+    parser.feed(text, sink);
+    return parser.fault() == WireFault::Malformed;
+}
+
+} // namespace
+
+TEST_CASE("requests are parsed whole at any split of their bytes", "[wire]")
+{
+    const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+        WireParser parser(WireKind::Request, maxHead);
+        Collected sink;
+        CHECK(parser.feed(std::string_view(text).substr(0, cut), sink) == cut);
+        CHECK(parser.feed(std::string_view(text).substr(cut), sink) == text.size() - cut);
+        CHECK(sink.messages == 1);
+        CHECK(sink.body == "abcde");
+        CHECK(sink.head.target == "/a/b?c=d");
+        CHECK(parser.keepAlive());
+    }
+}
+
+TEST_CASE("a parser stops at the end of a message", "[wire]")
+{
+    const std::string one = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    WireParser parser(WireKind::Request, maxHead);
+    Collected sink;
+    CHECK(parser.feed(one + one, sink) == one.size());
+    CHECK(sink.messages == 1);
+    CHECK(parser.feed(one, sink) == one.size());
+    CHECK(sink.messages == 2);
+}
+
+TEST_CASE("requests whose length is ambiguous are refused", "[wire]")
+{
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3x\r\n\r\nabc"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"));
+    CHECK(refused("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n"));
+    CHECK(refused("GET / HTTP/1.1\r\nHost : x\r\n\r\n"));
+}
+
+TEST_CASE("a head over the limit is told apart from a malformed one", "[wire]")
+{
+    WireParser parser(WireKind::Request, maxHead);
+    Collected sink;
+    parser.feed("GET / HTTP/1.1\r\nA: " + std::string(2 * maxHead, 'a'), sink);
+    CHECK(parser.fault() == WireFault::HeadTooLarge);
+}
+
+TEST_CASE("an answer without a length ends with its connection", "[wire]")
+{
+    WireParser parser(WireKind::Response, maxHead);
+    Collected sink;
+    parser.feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc", sink);
+    CHECK(sink.messages == 0);
+    CHECK(parser.finish(sink));
+    CHECK(sink.messages == 1);
+    CHECK(sink.body == "abc");
+}
+
+TEST_CASE("an answer that ends before its length is not complete", "[wire]")
+{
+    WireParser parser(WireKind::Response, maxHead);
+    Collected sink;
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", sink);
+    CHECK_FALSE(parser.finish(sink));
+    CHECK(sink.messages == 0);
+}
+
+TEST_CASE("a stream is cut at whole events only", "[wire]")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        EventSplitter splitter;
+        std::string whole = splitter.take(std::string_view(text).substr(0, cut));
+        CHECK((whole.empty() || whole.ends_with("\n\n") || whole.ends_with("\n\r\n")));
+        CHECK(whole + splitter.rest() == text.substr(0, cut));
+        whole += splitter.take(std::string_view(text).substr(cut));
+        CHECK(whole == text);
+        CHECK(splitter.lastId() == "3");
+    }
+}
