--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -66,10 +66,10 @@
 QueueKey queueKey(const RelayRequest& request, RelayOrder order, Milliseconds now)
 {
     if (order == RelayOrder::Arrival)
-        return { .objectiveAt = request.arrivedAt, .call = request.call.value };
+        return { .newestFirst = request.arrivedAt, .call = request.call.value }; // oldest first
     return { .late = now + leadTime(request) > request.objectiveAt,
         .urgency = request.urgency,
-        .objectiveAt = request.objectiveAt,
+        .newestFirst = Milliseconds { -request.objectiveAt.value },
         .call = request.call.value };
 }
 
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -10,10 +10,19 @@
 namespace {
 
     constexpr double otherPlaceMs = 20.0; ///< a request to another place must gain this much: bytes there cost
+    constexpr double spreadMs = 80.0; ///< entries see each other's work up to 100 ms late, and would all choose the
+                                      ///< same engine
     constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
     constexpr Milliseconds usualWait { 400 }; ///< for the first token of an engine that is full, or a long plain call
     constexpr double plainWaitMs = 60.0; ///< mean work of a plain service
 
+    /// @return 0 to 1, the same for a request and an upstream at each time
+    double spread(const RelayRequest& request, const RelayUpstream& view)
+    {
+        constexpr std::uint64_t steps = 1024;
+        return static_cast<double>(placementHash(request.facts.attemptId, view.entry.id.value) % steps) / steps;
+    }
+
     bool hasWeights(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
     {
         const HeldModel* held = heldModel(view, request.facts.model);
@@ -34,6 +43,10 @@
     double score(const RelayState& state, const RelayUpstream& view, const RelayRequest& request,
         const EngineProfile* profile, std::uint32_t requests, Milliseconds now)
     {
+        if (state.options.placing == RelayPlacing::LeastSent)
+            return view.sent;
+        if (state.options.placing == RelayPlacing::Random)
+            return static_cast<double>(placementHash(request.facts.attemptId, view.entry.id.value) % 1000);
         double cost = view.errorShare * errorPenaltyMs;
         if (view.entry.place != state.options.place)
             cost += otherPlaceMs;
@@ -49,7 +62,7 @@
         }
         const double pace = view.report && now - view.reportedAt < reportTrust ? view.report->pace : 1.0;
         return cost
-            + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = pace },
+            + spreadMs * spread(request, view) + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = pace },
                 request.facts.promptTokens);
     }
 
@@ -116,10 +129,14 @@
 {
     if (!engine)
         return slots;
-    constexpr std::uint32_t firstRankExtra = 4;
-    constexpr std::uint32_t secondRankExtra = 2;
-    constexpr std::uint32_t otherExtra = 0;
-    return slots + (rank == 0 ? firstRankExtra : rank == 1 ? secondRankExtra : otherExtra);
+    // An engine whose slots are all taken makes an urgent request wait for one: the others leave some free.
+    constexpr std::uint32_t slotsOfSheet = 16;
+    constexpr std::uint32_t secondRankFree = 1;
+    constexpr std::uint32_t otherRanksFree = 3;
+    if (rank == 0)
+        return slots + 1;
+    const std::uint32_t keptFree = (rank == 1 ? secondRankFree : otherRanksFree) * slots / slotsOfSheet;
+    return std::max(1U, slots - std::min(slots, keptFree));
 }
 
 std::optional<UpstreamId> chooseUpstream(
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -32,8 +32,8 @@
 /// @return requests under way at an upstream, of all entries, by what is known now
 std::uint32_t requestsAt(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
-/// How full an upstream may get for a request: slots, and a few more for urgent ranks, which engines admit first.
-/// Answers bursts of one rank: the engine's queue orders by urgency over all entries, the entry's only its own.
+/// How full an upstream may get for a request: the first rank finds a free slot where the others leave some.
+/// Answers floods: an urgent request that waits for a slot of a full engine misses its objective.
 /// @param slots of the upstream
 /// @param rank of the request
 /// @param engine whether the upstream orders its queue by urgency
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -57,11 +57,11 @@
     bool reading { true }; ///< no event of a stream came yet: the prompt still has to be read
 };
 
-/// Order in which requests wait: those that can still be on time first, then by urgency, then by objective.
+/// Order in which requests wait: those that can still be on time first, then by urgency, then the newest.
 struct QueueKey {
     bool late { false }; ///< cannot be on time any more
     std::uint8_t urgency { 0 }; ///< 0 is first
-    Milliseconds objectiveAt; ///< when it should be answered
+    Milliseconds newestFirst; ///< negative time of the objective: the newest still has the most time
     std::uint64_t call { 0 }; ///< breaks ties in order of arrival
 
     auto operator<=>(const QueueKey&) const = default;
--- /dev/null
+++ b/tests/unit_relay_load.cpp
@@ -0,0 +1,271 @@
+#include "engine_model.h"
+#include "relay_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+
+using namespace hickory;
+
+namespace {
+
+constexpr std::size_t entryCount = 4;
+constexpr std::size_t engineCount = 14;
+
+/// One kind of request, as on the users' sheets.
+struct Kind {
+    const char* prefix; ///< route
+    double perSecond; ///< ordinary load of the fleet
+    std::uint32_t promptTokens; ///< mean
+    double events; ///< mean
+    double worth; ///< on time
+    double lateWorth; ///< otherwise
+    Milliseconds objective; ///< first event
+};
+
+constexpr std::array<Kind, 3> kinds { { { "/calls/", 72.6, 607, 12, 2.4, 0.24, { 250 } },
+    { "/letters/", 86.6, 1290, 24, 2.4, 0.59, { 400 } }, { "/digests/", 62.0, 787, 24, 1.0, 0.38, { 800 } } } };
+
+/// Load that is replayed: multiples of the ordinary load by kind and time.
+struct Burst {
+    std::size_t kind { 0 }; ///< index in kinds
+    double factor { 1 }; ///< of the ordinary load
+    Milliseconds from { 0 }; ///< begin
+    Milliseconds until { 0 }; ///< end
+};
+
+struct Outcome {
+    double earned { 0 }; ///< worth of what was served
+    double owed { 0 }; ///< worth of all on time
+    std::map<std::size_t, double> onTime; ///< share by kind
+
+    double share() const { return this->earned / this->owed; }
+};
+
+/// Four entries before fourteen engines; beacons every 100 ms, no faults.
+class Replay {
+public:
+    Replay(RelayOptions options, double load, std::vector<Burst> bursts, std::uint64_t seed)
+        : load(load)
+        , bursts(std::move(bursts))
+        , random(seed)
+    {
+        std::vector<UpstreamEntry> listed;
+        auto config = RelayFixture::config(1);
+        config->services[{ "engine" }].engine->slots = 16;
+        this->engines.resize(engineCount);
+        for (std::size_t index = 0; index < engineCount; ++index) {
+            UpstreamEntry entry = RelayFixture::upstream("e" + std::to_string(index), "engine");
+            entry.slots = 16;
+            entry.address = std::to_string(index);
+            listed.push_back(entry);
+            this->engines[index].profile = *config->services[{ "engine" }].engine;
+        }
+        for (std::size_t index = 0; index < entryCount; ++index) {
+            options.seed = seed + index;
+            this->entries.push_back(makeRelayState(options));
+            this->at(index, ConfigLearned { config });
+            this->at(index, UpstreamsLearned { listed });
+            this->at(index, EntriesCounted { entryCount });
+        }
+    }
+
+    Outcome run(Milliseconds length)
+    {
+        constexpr Milliseconds drain { 7000 };
+        for (; this->now < length + drain; this->now += Milliseconds { 1 }) {
+            if (this->now < length)
+                this->arrive();
+            for (std::size_t index = 0; index < engineCount; ++index)
+                for (const ModelledRequest& moved : this->engines[index].advance(static_cast<double>(this->now.value)))
+                    this->move(moved);
+            if (this->now.value % 20 == 0)
+                for (std::size_t index = 0; index < entryCount; ++index) {
+                    this->at(index, ConfigConfirmed { .asOf = this->now });
+                    this->at(index, RelayTick {});
+                }
+            if (this->now.value % 100 == 0)
+                this->gossip();
+            this->comeBack();
+        }
+        Outcome outcome;
+        std::map<std::size_t, std::pair<double, double>> counts;
+        for (const Call& call : this->calls) {
+            const Kind& kind = kinds.at(call.kind);
+            outcome.owed += kind.worth;
+            ++counts[call.kind].second;
+            if (!call.done)
+                continue;
+            const bool onTime = call.firstAt - call.arrivedAt <= kind.objective;
+            outcome.earned += onTime ? kind.worth : kind.lateWorth;
+            counts[call.kind].first += onTime ? 1 : 0;
+        }
+        for (const auto& [kind, count] : counts)
+            outcome.onTime[kind] = count.first / count.second;
+        return outcome;
+    }
+
+private:
+    struct Call {
+        std::size_t kind; ///< index in kinds
+        Milliseconds arrivedAt; ///< first attempt
+        std::uint32_t promptTokens; ///< size
+        std::uint32_t events; ///< size
+        Milliseconds firstAt { 0 }; ///< first event, 0 before
+        Milliseconds returnAt { 0 }; ///< second attempt, 0 when none
+        bool returned { false }; ///< the second attempt was made
+        bool done { false }; ///< answered whole
+    };
+
+    void arrive()
+    {
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            double rate = kinds.at(kind).perSecond * this->load / 1000.0;
+            for (const Burst& burst : this->bursts)
+                if (burst.kind == kind && this->now >= burst.from && this->now < burst.until)
+                    rate *= burst.factor;
+            std::poisson_distribution<int> count(rate);
+            std::lognormal_distribution<double> size(-0.3, 0.77);
+            for (int arrivals = count(this->random); arrivals > 0; --arrivals) {
+                Call call { .kind = kind, .arrivedAt = this->now };
+                call.promptTokens = static_cast<std::uint32_t>(1 + kinds.at(kind).promptTokens * size(this->random));
+                call.events
+                    = static_cast<std::uint32_t>(1 + std::min(60.0, kinds.at(kind).events * size(this->random)));
+                this->calls.push_back(call);
+                this->submit(this->calls.size() - 1);
+            }
+        }
+    }
+
+    void submit(std::size_t index)
+    {
+        const Call& call = this->calls[index];
+        const std::size_t entry = this->random() % entryCount;
+        const CallId id { index + 1 + (call.returned ? 1000000U : 0U) };
+        RequestFacts facts { .attemptId = std::to_string(id.value),
+            .host = "desk.example",
+            .target = std::string(kinds.at(call.kind).prefix) + "x",
+            .key = "key",
+            .patience = Milliseconds { 6000 } - (this->now - call.arrivedAt),
+            .model = { "model" },
+            .promptTokens = call.promptTokens };
+        this->at(entry, CallArrived { .call = id, .firstByteAt = this->now, .facts = facts });
+    }
+
+    void at(std::size_t entry, const RelayEvent& event)
+    {
+        for (const RelayEffect& effect : reduceRelay(this->entries[entry], event, this->now)) {
+            if (const auto* send = std::get_if<SendToUpstream>(&effect)) {
+                const Call& call = this->calls[(send->call.value - 1) % 1000000];
+                this->engines[std::stoul(send->address)].waiting.push_back({ .entry = entry,
+                    .call = send->call.value,
+                    .send = send->send.value,
+                    .urgency = send->urgency.value_or(5),
+                    .promptTokens = call.promptTokens,
+                    .eventsLeft = call.events });
+            } else if (const auto* cancel = std::get_if<CancelSend>(&effect)) {
+                for (EngineModel& engine : this->engines)
+                    engine.drop(entry, cancel->send.value);
+            } else if (const auto* refusal = std::get_if<RefuseCall>(&effect)) {
+                Call& call = this->calls[(refusal->call.value - 1) % 1000000];
+                if (!call.returned && refusal->status == 503)
+                    call.returnAt = this->now + refusal->retryAfter;
+            }
+        }
+    }
+
+    void move(const ModelledRequest& moved)
+    {
+        Call& call = this->calls[(moved.call - 1) % 1000000];
+        const CallId id { moved.call };
+        const SendNumber send { moved.send };
+        if (call.firstAt.value == 0) {
+            call.firstAt = this->now;
+            this->at(moved.entry, AnswerBegan { .call = id, .send = send, .status = 200, .sealed = true });
+        }
+        this->at(moved.entry, StreamMoved { .call = id, .send = send, .lastEventId = "1" });
+        if (moved.eventsLeft == 0) {
+            call.done = true;
+            this->at(moved.entry, AnswerEnded { .call = id, .send = send });
+        }
+    }
+
+    void gossip()
+    {
+        for (std::size_t from = 0; from < entryCount; ++from)
+            for (std::size_t to = 0; to < entryCount; ++to)
+                if (from != to)
+                    this->at(to,
+                        PeerLoadsLearned { .peer = { std::to_string(from) }, .loads = ownLoads(this->entries[from]) });
+    }
+
+    void comeBack()
+    {
+        for (std::size_t index = 0; index < this->calls.size(); ++index) {
+            Call& call = this->calls[index];
+            if (call.returnAt.value == 0 || call.returned || this->now < call.returnAt)
+                continue;
+            call.returned = true;
+            this->submit(index);
+        }
+    }
+
+    double load; ///< multiple of the ordinary load
+    std::vector<Burst> bursts; ///< besides
+    std::mt19937_64 random; ///< seeded
+    Milliseconds now { 1 }; ///< simulated time
+    std::vector<RelayState> entries; ///< under test
+    std::vector<EngineModel> engines; ///< modelled
+    std::vector<Call> calls; ///< all requests
+};
+
+Outcome replay(
+    RelayPlacing placing, RelayOrder order, double load, const std::vector<Burst>& bursts, std::uint64_t seed = 7)
+{
+    return Replay({ .placing = placing, .order = order }, load, bursts, seed).run({ 8000 });
+}
+
+/// @return mean share over three seeds
+double meanShare(RelayPlacing placing, double load)
+{
+    double sum = 0;
+    for (const std::uint64_t seed : { 7, 8, 9 })
+        sum += replay(placing, RelayOrder::Urgency, load, {}, seed).share();
+    return sum / 3;
+}
+
+} // namespace
+
+TEST_CASE("a flood of the least urgent kind leaves the urgent ones their time", "[load]")
+{
+    const std::vector<Burst> flood { { .kind = 2, .factor = 3, .from = { 1000 }, .until = { 6000 } } };
+    const Outcome ours = replay(RelayPlacing::Predicted, RelayOrder::Urgency, 0.6, flood);
+    const Outcome arrival = replay(RelayPlacing::Predicted, RelayOrder::Arrival, 0.6, flood);
+    INFO("by urgency " << ours.share() << ", by arrival " << arrival.share() << ", calls on time " << ours.onTime.at(0));
+    CHECK(ours.share() > arrival.share());
+    CHECK(ours.onTime.at(0) > 0.9);
+    CHECK(ours.onTime.at(0) > arrival.onTime.at(0));
+}
+
+TEST_CASE("a flood of the most urgent kind", "[load]")
+{
+    const std::vector<Burst> flood { { .kind = 0, .factor = 3, .from = { 1000 }, .until = { 6000 } } };
+    const Outcome ours = replay(RelayPlacing::Predicted, RelayOrder::Urgency, 0.6, flood);
+    const Outcome arrival = replay(RelayPlacing::Predicted, RelayOrder::Arrival, 0.6, flood);
+    INFO("by urgency " << ours.share() << ", by arrival " << arrival.share());
+    CHECK(ours.share() > arrival.share());
+    CHECK(ours.onTime.at(0) > 0.8);
+}
+
+TEST_CASE("predicted times place better than counts of one entry and better than chance", "[load]")
+{
+    const double ours = meanShare(RelayPlacing::Predicted, 0.65);
+    const double least = meanShare(RelayPlacing::LeastSent, 0.65);
+    const double random = meanShare(RelayPlacing::Random, 0.65);
+    INFO("predicted " << ours << ", least sent " << least << ", random " << random);
+    CHECK(ours > least);
+    CHECK(least > random);
+}
