Return as late as callers honour where no upstream can run a request; dearer other places

Cause: after a loss of power callers were told to return 0.3 s later, were refused again and lost. An entry without a trusted configuration is not ready.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -299,7 +299,8 @@
     auto sink = std::make_shared<Fetch>(this->io);
     sink->address = call.address;
     sink->done = std::move(done);
-    const OutCallId id = this->send({ .address = call.address, .bytes = requestText(call) }, sink);
+    const OutCallId id = this->send(
+        { .address = call.address, .bytes = requestText(call), .connectTimeout = call.connectTimeout }, sink);
     sink->timer.expires_after(std::chrono::milliseconds(call.timeout.value));
     sink->timer.async_wait([this, id, sink](const std::error_code& code) {
         if (code || !this->active.contains(id))
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -55,6 +55,7 @@
     std::string target; ///< path and query
     std::vector<WireHeader> headers; ///< besides Host and Content-Length
     std::string body; ///< may be empty
+    Milliseconds connectTimeout { 400 }; ///< several round trips between regions
     Milliseconds timeout { 1000 }; ///< until the whole answer
 };
 
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -419,7 +419,7 @@
     const PeerRevisions have { .operators = this->tables.operators.revision,
         .upstreams = this->tables.upstreams.revision };
     const Milliseconds sentAt = monotonicNow();
-    this->pool.fetch({ .address = this->entry, .target = peerTablesTarget(have), .timeout = tablesTimeout },
+    this->pool.fetch({ .address = this->entry, .target = peerTablesTarget(have), .connectTimeout = tablesConnect, .timeout = tablesTimeout },
         [this, sentAt](const Result<FetchAnswer>& answer) {
             this->askingTables = false;
             const Result<PeerTables> read = decodePeerTables(answer, sentAt);
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -111,15 +111,16 @@
     return now + longest < moment;
 }
 
-Milliseconds returnTime(RelayState& state, const RelayRequest& request, Milliseconds now)
+Milliseconds returnTime(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now)
 {
     // Another entry takes the caller at once.
     if (state.drainEndsAt)
         return drainRetryAfter;
-    const std::int64_t wait = std::max(predictWait(state, request, now), leastRetryAfter).value;
-    const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, wait / 2)(state.random);
     const std::int64_t honoured = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
-    return { std::min(wait * 3 / 4 + spread, honoured) };
+    const std::int64_t wait
+        = noUpstream ? honoured : std::min(std::max(predictWait(state, request, now), leastRetryAfter).value, honoured);
+    const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, wait / 4)(state.random);
+    return { wait * 3 / 4 + spread };
 }
 
 } // namespace hickory
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -30,8 +30,10 @@
 bool endsBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now);
 
 /// When a refused caller should come back: after the predicted wait, spread so that those refused together do not
-/// return together, and within the part of its time for which callers honour the advice.
+/// return together, and within the part of its time for which callers honour the advice. Callers come back once:
+/// where no upstream can run the request, as late as they will.
+/// @param noUpstream no upstream of the service could run it now
 /// @return delay from now
-Milliseconds returnTime(RelayState& state, const RelayRequest& request, Milliseconds now);
+Milliseconds returnTime(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now);
 
 } // namespace hickory
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -343,6 +343,9 @@
     for (const PeerEntry& entry : liveEntries(this->peers, monotonicNow()))
         if (entry.ready && addresses.size() < maxAddresses)
             addresses.push_back(entry.front);
+    // While the store is away for all, entries that know a configuration still serve routes without a key.
+    if (addresses.empty() && this->drainingSince.value == 0 && this->state.config)
+        addresses.push_back(this->settings.front);
     if (addresses.empty()) {
         this->front.answer(request.id, statusUnavailable, {}, "no entry is ready\n");
         return;
@@ -366,7 +369,12 @@
 
 bool RelayLoop::ready() const
 {
-    return this->drainingSince.value == 0 && this->state.config && !this->upstreams.empty();
+    return this->drainingSince.value == 0 && this->state.config && !this->upstreams.empty() && this->trusted();
+}
+
+bool RelayLoop::trusted() const
+{
+    return monotonicNow() - this->state.configConfirmedAt <= this->state.options.keyTrust;
 }
 
 // Peers -------------------------------------------------------------------------------------------------------------
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -60,6 +60,7 @@
     void continueDrain();
     void reload();
     bool ready() const;
+    bool trusted() const;
     PeerEntry self() const;
     void armTimer(asio::steady_timer& timer, Milliseconds period, void (RelayLoop::*handler)());
 
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    constexpr double otherPlaceMs = 20.0; ///< a request to another place must gain this much: bytes there cost
-    constexpr double spreadMs = 80.0; ///< entries see each other's work up to 100 ms late, and would all choose the
+    constexpr double otherPlaceMs = 60.0; ///< a request to another place must gain this much: bytes there cost
+    constexpr double spreadMs = 50.0; ///< entries see each other's work up to 100 ms late, and would all choose the
                                       ///< same engine
     constexpr double errorPenaltyMs = 400.0; ///< of an upstream that fails all it runs
     constexpr Milliseconds usualWait { 400 }; ///< for the first token of an engine that is full, or a long plain call
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -163,7 +163,9 @@
     leaveQueue(state, request);
     releaseSend(state, request, true, effects);
     const bool notRun = status == statusUnavailable;
-    const Milliseconds retryAfter = notRun ? returnTime(state, request, now) : Milliseconds {};
+    const Milliseconds retryAfter = notRun
+        ? returnTime(state, request, !chooseUpstream(state, request, now, false), now)
+        : Milliseconds {};
     LogLine line = requestLine("refuse", request, now);
     line.fields.emplace_back("status", std::to_string(status));
     line.fields.emplace_back("reason", reason);
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -336,7 +336,8 @@
             return;
         }
         work->order = OrderStep::Announced;
-        work->orderAt = now;
+        // Nobody sends work to an empty engine: it is ordered at once.
+        work->orderAt = engineEmpty(state) ? now - announceLead * 2 : now;
         effects.emplace_back(AnnounceOrder {});
     }
 
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -11,6 +11,7 @@
 constexpr Milliseconds engineBeaconPeriod { 150 }; ///< entries also count what they send themselves
 constexpr Milliseconds tablesPeriod { 350 }; ///< adds this to the time until declared weights are known
 constexpr Milliseconds firstTablesPeriod { 60 }; ///< until the first answer: after a loss of power nobody serves before it
+constexpr Milliseconds tablesConnect { 150 }; ///< an entry that is down does not answer; the next one is asked
 constexpr Milliseconds tablesTimeout { 700 }; ///< then another entry is asked
 constexpr Milliseconds peerPieceTimeout { 1500 }; ///< a piece is sent in 35 ms over a free link, after a few others
 constexpr Milliseconds originTimeout { 3000 }; ///< the origin sends one copy in 1.7 s, to all hosts together
