--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -306,10 +306,8 @@
         if (code || !this->active.contains(id))
             return;
         this->cancel(id);
-        sink->done(Error { .code = make_error_code(ErrorCode::Timeout),
-            .step = "read-answer",
-            .peer = sink->address,
-            .detail = {} });
+        sink->done(Error {
+            .code = make_error_code(ErrorCode::Timeout), .step = "read-answer", .peer = sink->address, .detail = {} });
     });
 }
 
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -39,7 +39,7 @@
     std::string address; ///< "ip:port"
     std::string bytes; ///< the whole request as sent
     Milliseconds connectTimeout { 400 }; ///< several round trips between regions
-    Milliseconds maxIdle { 400 }; ///< a kept connection that was idle for longer is not used
+    Milliseconds maxIdle { 400 }; ///< a kept connection that was idle for longer is not used, none at all when negative
 };
 
 /// A whole answer.
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -174,8 +174,8 @@
     const std::size_t used = own.parser.feed(own.unread, own);
     own.unread.erase(0, used);
     if (own.parser.fault())
-        this->refuse(connection,
-            *own.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest);
+        this->refuse(
+            connection, *own.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest);
     else if (own.bodyTooLarge)
         this->refuse(connection, statusTooLarge);
     else if (own.complete)
@@ -242,8 +242,7 @@
     connection->link->write(text);
 }
 
-void FrontServer::answer(
-    CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, std::string_view body)
+void FrontServer::answer(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, std::string_view body)
 {
     const ConnectionPointer connection = this->find(id);
     if (!connection)
@@ -333,8 +332,7 @@
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
             continue;
-        const Milliseconds limit
-            = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
+        const Milliseconds limit = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
         if (now - connection->since > limit)
             late.push_back(connection);
     }
--- a/src/host_program_func.h
+++ b/src/host_program_func.h
@@ -29,8 +29,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     HostSettings& host = settings.value().host;
     host.seed = host.seed != 0 ? host.seed : std::random_device {}();
-    startLog(program, host.host.value, host.logLevel, {});
-    return run(std::move(settings.value()));
+    startBufferedLog(program, host.host.value, host.logLevel);
+    const int exitCode = run(std::move(settings.value()));
+    flushLog();
+    return exitCode;
 }
 
 } // namespace hickory
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -42,8 +42,7 @@
                   [this](CallId call) {
                       std::erase_if(this->uploads, [&](const Upload& one) { return one.call == call; });
                   } })
-    , peerSocket(
-          this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
+    , peerSocket(this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
     , state(makeStageState({ .host = this->settings.host.host,
           .ip = this->settings.host.ip,
           .place = this->settings.host.place,
@@ -75,8 +74,8 @@
         return exitFailure;
     }
     writeLog({ .event = "start",
-        .fields = { { "version", HICKORY_VERSION }, { "engine", this->settings.engine },
-            { "place", host.place.value }, { "seed", std::to_string(host.seed) } } });
+        .fields = { { "version", HICKORY_VERSION }, { "engine", this->settings.engine }, { "place", host.place.value },
+            { "seed", std::to_string(host.seed) } } });
     this->everyReport();
     this->everyBeacon();
     this->everyTables();
@@ -139,11 +138,10 @@
 void LoaderLoop::fetchManifest(const AskManifest& effect)
 {
     const bool origin = effect.source.ip.empty();
-    FetchCall call { .address = origin ? this->state.originAddress
-                                       : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
-        .target = origin
-            ? platform::manifestPath + this->state.model.value + "?" + versionQuery(effect.version)
-            : peerTarget(effect.version, "manifest"),
+    FetchCall call { .address
+        = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
+        .target = origin ? platform::manifestPath + this->state.model.value + "?" + versionQuery(effect.version)
+                         : peerTarget(effect.version, "manifest"),
         .timeout = originTimeout };
     this->pool.fetch(std::move(call), [this, version = effect.version](const Result<FetchAnswer>& answer) {
         std::uint32_t chunks = 0;
@@ -182,8 +180,8 @@
 void LoaderLoop::fetchPiece(const AskPiece& effect)
 {
     const bool origin = effect.source.ip.empty();
-    FetchCall call { .address = origin ? this->state.originAddress
-                                       : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
+    FetchCall call { .address
+        = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
         .target = origin ? platform::piecePath + this->state.model.value + pieceQuery(effect.index) + "&"
                 + versionQuery(effect.version)
                          : peerTarget(effect.version, std::to_string(effect.index)),
@@ -198,10 +196,9 @@
         return;
     }
     this->pool.fetch(std::move(call), [this, effect](const Result<FetchAnswer>& answer) {
-        const bool good
-            = succeeded(answer) && this->keepPiece(effect.version, effect.index, answer.value().body);
-        this->dispatch(PieceFetched {
-            .version = effect.version, .index = effect.index, .source = effect.source, .good = good });
+        const bool good = succeeded(answer) && this->keepPiece(effect.version, effect.index, answer.value().body);
+        this->dispatch(
+            PieceFetched { .version = effect.version, .index = effect.index, .source = effect.source, .good = good });
     });
 }
 
@@ -310,8 +307,8 @@
 void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index)
 {
     const auto found = this->held.find(version.value);
-    const bool here = found != this->held.end() && index < found->second.pieces.size()
-        && !found->second.pieces[index].empty();
+    const bool here
+        = found != this->held.end() && index < found->second.pieces.size() && !found->second.pieces[index].empty();
     if (here)
         this->upload(call, found->second.pieces[index]);
     else
@@ -362,13 +359,12 @@
 
 void LoaderLoop::sendBeacon()
 {
-    PeerBeacon beacon { .from = { .host = this->settings.host.host,
-                            .incarnation = this->incarnation,
-                            .place = this->settings.host.place } };
+    PeerBeacon beacon { .from
+        = { .host = this->settings.host.host, .incarnation = this->incarnation, .place = this->settings.host.place } };
     if (this->state.report)
-        beacon.engine = EngineReported { .address = this->settings.engine,
-            .report = *this->state.report,
-            .ordering = orderPending(this->state) };
+        beacon.engine = EngineReported {
+            .address = this->settings.engine, .report = *this->state.report, .ordering = orderPending(this->state)
+        };
     this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
     // Other agents need to know what changed, and now and then that this one is still there.
     const Milliseconds now = monotonicNow();
@@ -409,9 +405,12 @@
     if (this->askingTables)
         return;
     const auto live = liveEntries(this->peers, monotonicNow());
-    const bool stillThere = std::any_of(
-        live.begin(), live.end(), [&](const PeerEntry& known) { return known.control == this->entry; });
-    if (this->entry.empty() || (!live.empty() && !stillThere))
+    const auto isNear = [&](const PeerEntry& known) { return known.place == this->settings.host.place; };
+    const auto current
+        = std::find_if(live.begin(), live.end(), [&](const PeerEntry& known) { return known.control == this->entry; });
+    const bool nearExists = std::any_of(live.begin(), live.end(), isNear);
+    const bool wrong = current == live.end() ? !live.empty() : nearExists && !isNear(*current);
+    if (this->entry.empty() || wrong)
         this->entry = this->nextEntry();
     if (this->entry.empty())
         return;
@@ -419,7 +418,10 @@
     const PeerRevisions have { .operators = this->tables.operators.revision,
         .upstreams = this->tables.upstreams.revision };
     const Milliseconds sentAt = monotonicNow();
-    this->pool.fetch({ .address = this->entry, .target = peerTablesTarget(have), .connectTimeout = tablesConnect, .timeout = tablesTimeout },
+    this->pool.fetch({ .address = this->entry,
+                         .target = peerTablesTarget(have),
+                         .connectTimeout = tablesConnect,
+                         .timeout = tablesTimeout },
         [this, sentAt](const Result<FetchAnswer>& answer) {
             this->askingTables = false;
             const Result<PeerTables> read = decodePeerTables(answer, sentAt);
@@ -491,6 +493,7 @@
                 this->dispatch(event);
             });
     }
+    flushLog();
     this->armTimer(this->reportTimer, reportPeriod, &LoaderLoop::everyReport);
 }
 
--- a/src/log_io.cpp
+++ b/src/log_io.cpp
@@ -1,12 +1,14 @@
 #include "log_io.h"
 
 #include "clock_type.h"
+#include "metrics_io.h"
 
 #include <array>
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -15,6 +17,9 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace hickory {
 
@@ -33,6 +38,52 @@
         return value;
     }
 
+    constexpr std::size_t bufferLimit = 512U << 10U; ///< bytes kept while standard output takes nothing
+    constexpr std::size_t bytesPerSecond = 1U << 20U; ///< about 4,000 lines: ten times an entry's ordinary volume
+
+    /// Lines that wait for flushLog().
+    struct LogBuffer {
+        std::mutex lock; ///< guards all below
+        std::string lines; ///< not written yet
+        std::size_t start { 0 }; ///< of what remains in lines
+        Milliseconds secondStart { 0 }; ///< of the second being counted
+        std::size_t secondBytes { 0 }; ///< taken in that second
+
+        /// @return whether the line was taken
+        bool append(const std::string& line)
+        {
+            const std::lock_guard guard(this->lock);
+            constexpr Milliseconds second { 1000 };
+            const Milliseconds now = monotonicNow();
+            if (now - this->secondStart >= second) {
+                this->secondStart = now;
+                this->secondBytes = 0;
+            }
+            if (this->lines.size() - this->start + line.size() > bufferLimit
+                || this->secondBytes + line.size() > bytesPerSecond)
+                return false;
+            this->secondBytes += line.size() + 1;
+            this->lines.append(line).push_back('\n');
+            return true;
+        }
+    };
+
+    LogBuffer& buffer()
+    {
+        static LogBuffer value;
+        return value;
+    }
+
+    /// Boost.Log backend that keeps lines in the buffer.
+    class BufferBackend : public boost::log::sinks::basic_formatted_sink_backend<char> {
+    public:
+        void consume(const boost::log::record_view&, const string_type& line)
+        {
+            if (!buffer().append(line))
+                recordMetric({ .name = "log_lines_left_out_total" });
+        }
+    };
+
     const char* levelName(LogLevel level)
     {
         constexpr std::array<const char*, 4> names { "debug", "info", "warning", "error" };
@@ -83,6 +134,22 @@
         appendValue(line, value);
     }
 
+    /// Lets a sink receive all lines, with the fields common to them.
+    template <typename Backend>
+    void useBackend(
+        const boost::shared_ptr<Backend>& backend, const std::string& program, const std::string& host, LogLevel level)
+    {
+        auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend);
+        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->remove_all_sinks();
+        boost::log::core::get()->add_sink(sink);
+        appendField(context().common, "program", program);
+        if (!host.empty())
+            appendField(context().common, "host", host);
+        context().level = level;
+        context().started = true;
+    }
+
 } // namespace
 
 void startLog(const std::string& program, const std::string& host, LogLevel level, const std::string& file)
@@ -95,15 +162,32 @@
         backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
     // A line must be on disk before the next step: crashes are diagnosed from it.
     backend->auto_flush(true);
-    auto sink = boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend);
-    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    boost::log::core::get()->remove_all_sinks();
-    boost::log::core::get()->add_sink(sink);
-    appendField(context().common, "program", program);
-    if (!host.empty())
-        appendField(context().common, "host", host);
-    context().level = level;
-    context().started = true;
+    useBackend(backend, program, host, level);
+}
+
+void startBufferedLog(const std::string& program, const std::string& host, LogLevel level)
+{
+    useBackend(boost::make_shared<BufferBackend>(), program, host, level);
+}
+
+void flushLog()
+{
+    LogBuffer& waiting = buffer();
+    const std::lock_guard guard(waiting.lock);
+    while (waiting.start < waiting.lines.size()) {
+        pollfd output { .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
+        if (::poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
+            return;
+        // A pipe that is ready takes this much without blocking.
+        constexpr std::size_t atomicWrite = 4096;
+        const std::size_t count = std::min(atomicWrite, waiting.lines.size() - waiting.start);
+        const ssize_t written = ::write(STDOUT_FILENO, waiting.lines.data() + waiting.start, count);
+        if (written <= 0)
+            return;
+        waiting.start += static_cast<std::size_t>(written);
+    }
+    waiting.lines.clear();
+    waiting.start = 0;
 }
 
 void writeLog(const LogLine& line)
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -67,9 +67,8 @@
         engine.report.pace = in.getPace();
         engine.report.bornAt = in.getBornAt();
         for (const auto held : in.getHeld())
-            engine.report.models.push_back({ .model = { held.getModel().cStr() },
-                .version = { held.getVersion() },
-                .whole = held.getWhole() });
+            engine.report.models.push_back(
+                { .model = { held.getModel().cStr() }, .version = { held.getVersion() }, .whole = held.getWhole() });
         return engine;
     }
 
@@ -126,17 +125,15 @@
 Result<PeerBeacon> decodeBeacon(std::string_view bytes)
 {
     try {
-        kj::ArrayInputStream in(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         capnp::PackedMessageReader message(in);
         const auto root = message.getRoot<peer::Beacon>();
         PeerBeacon beacon;
         beacon.from = readEntry(root.getFrom());
         beacon.configVersion = { root.getConfigVersion() };
         for (const auto load : root.getLoads())
-            beacon.loads.push_back({ .upstream = load.getUpstream(),
-                .sent = load.getSent(),
-                .unreadTokens = load.getUnreadTokens() });
+            beacon.loads.push_back(
+                { .upstream = load.getUpstream(), .sent = load.getSent(), .unreadTokens = load.getUnreadTokens() });
         if (root.hasEngine())
             beacon.engine = readEngine(root.getEngine());
         for (const auto set : root.getPieces())
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -31,9 +31,8 @@
 
 void forgetSilentPeers(PeerTable& table, Milliseconds now)
 {
-    std::erase_if(table.entries, [&](const auto& item) {
-        return now - std::max(item.second.heardAt, item.second.firstAt) > forgetAfter;
-    });
+    std::erase_if(table.entries,
+        [&](const auto& item) { return now - std::max(item.second.heardAt, item.second.firstAt) > forgetAfter; });
     std::erase_if(table.agents, [&](const auto& item) { return now - item.second > forgetAfter; });
 }
 
--- a/src/program_func.cpp
+++ b/src/program_func.cpp
@@ -11,8 +11,9 @@
     int count, char** values, const std::string& program, const std::string& description, int& exitCode)
 {
     cxxopts::Options options(program, description);
-    options.add_options()("s,settings", "settings file (TOML); default: the path in HICKORYROAD_SETTINGS", cxxopts::value<std::string>(), "FILE")(
-        "check", "check the settings file and exit: 0 when it is valid, 2 when not")(
+    options.add_options()("s,settings", "settings file (TOML); default: the path in HICKORYROAD_SETTINGS",
+        cxxopts::value<std::string>(),
+        "FILE")("check", "check the settings file and exit: 0 when it is valid, 2 when not")(
         "version", "print the version and exit")("h,help", "print this help and exit");
     try {
         const auto parsed = options.parse(count, values);
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -81,8 +81,8 @@
     const ServiceView& view = service->second;
     const QueueKey key = queueKey(request, state.options.order, now);
     const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
-    const auto recent = std::count_if(view.placedAt.begin(), view.placedAt.end(),
-        [&](Milliseconds at) { return now - at < rateWindow; });
+    const auto recent = std::count_if(
+        view.placedAt.begin(), view.placedAt.end(), [&](Milliseconds at) { return now - at < rateWindow; });
     const double rate = std::max(leastRate, static_cast<double>(recent));
     return { static_cast<std::int64_t>(static_cast<double>(ahead) * millisecondsPerSecond / rate) };
 }
@@ -106,8 +106,8 @@
 bool endsBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now)
 {
     // A plain call may take several times its mean.
-    const Milliseconds longest = engineOf(request) ? serviceTime(request, request.facts.maxAnswerTokens)
-                                                   : request.route->objective * 2;
+    const Milliseconds longest
+        = engineOf(request) ? serviceTime(request, request.facts.maxAnswerTokens) : request.route->objective * 2;
     return now + longest < moment;
 }
 
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -17,8 +17,8 @@
 void forgetCaller(RelayState& state, const CallerLeft& event, Milliseconds now, RelayEffects& effects);
 /// Answers a request that is not sent any more, and forgets it.
 /// @param reason for the answer's body and the log
-void refuseRequest(RelayState& state, RelayRequest& request, std::uint16_t status, const char* reason,
-    Milliseconds now, RelayEffects& effects);
+void refuseRequest(RelayState& state, RelayRequest& request, std::uint16_t status, const char* reason, Milliseconds now,
+    RelayEffects& effects);
 /// Places waiting requests of a service while there is room.
 void placeWaiting(RelayState& state, const ServiceId& service, Milliseconds now, RelayEffects& effects);
 /// Puts a request into its service's queue.
@@ -49,8 +49,8 @@
 void applyUpstreams(RelayState& state, const UpstreamsLearned& event, Milliseconds now, RelayEffects& effects);
 void applyEngineReport(RelayState& state, const EngineReported& event, Milliseconds now, RelayEffects& effects);
 /// Notes a failed connection or answer and ejects the upstream for a while.
-void noteFailure(RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now,
-    RelayEffects& effects);
+void noteFailure(
+    RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now, RelayEffects& effects);
 /// Notes an answer that came in full.
 /// @param good whether it was a success
 void noteAnswer(RelayState& state, const UpstreamId& upstream, bool good);
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -37,8 +37,9 @@
     {
         if (listening)
             return listening.value();
-        writeLog(
-            { .level = LogLevel::Error, .event = "listen-failed", .fields = { { "error", listening.error().text() } } });
+        writeLog({ .level = LogLevel::Error,
+            .event = "listen-failed",
+            .fields = { { "error", listening.error().text() } } });
         failed = true;
         return 0;
     }
@@ -129,29 +130,26 @@
     , front(this->io, callerLink,
           { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
               .onGone = [this](CallId call) { this->onGone(call); } })
-    , peerSocket(
-          this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
+    , peerSocket(this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
     , operatorRows(this->io, this->pool,
           { .address = this->settings.host.store, .table = platform::operatorTable, .wait = operatorWait },
           { .onChange = [this](const auto& rows) { this->onOperatorRows(rows); },
               .onConfirmed = [this] { this->onConfirmed(); },
-              .onLost
-              = [](const Error& error) { writeLog(storeLine("dependency-lost", "operators", error.text())); },
+              .onLost = [](const Error& error) { writeLog(storeLine("dependency-lost", "operators", error.text())); },
               .onRegained =
                   [](Milliseconds downFor) {
-                      writeLog(storeLine("dependency-regained", "operators",
-                          "after " + std::to_string(downFor.value) + " ms"));
+                      writeLog(storeLine(
+                          "dependency-regained", "operators", "after " + std::to_string(downFor.value) + " ms"));
                   } })
     , upstreamRows(this->io, this->pool,
           { .address = this->settings.host.store, .table = platform::upstreamTable, .wait = upstreamWait },
           { .onChange = [this](const auto& rows) { this->onUpstreamRows(rows); },
               .onConfirmed = [] {},
-              .onLost
-              = [](const Error& error) { writeLog(storeLine("dependency-lost", "upstreams", error.text())); },
+              .onLost = [](const Error& error) { writeLog(storeLine("dependency-lost", "upstreams", error.text())); },
               .onRegained =
                   [this](Milliseconds downFor) {
-                      writeLog(storeLine("dependency-regained", "upstreams",
-                          "after " + std::to_string(downFor.value) + " ms"));
+                      writeLog(storeLine(
+                          "dependency-regained", "upstreams", "after " + std::to_string(downFor.value) + " ms"));
                       this->unsettledUntil = monotonicNow() + listReturn;
                   } })
     , state(makeRelayState(relayOptions(this->settings)))
@@ -186,9 +184,9 @@
     if (!this->open())
         return exitFailure;
     writeLog({ .event = "start",
-        .fields = { { "version", HICKORY_VERSION }, { "front", this->settings.front },
-            { "store", this->settings.host.store }, { "place", this->settings.host.place.value },
-            { "seed", std::to_string(this->settings.host.seed) } } });
+        .fields
+        = { { "version", HICKORY_VERSION }, { "front", this->settings.front }, { "store", this->settings.host.store },
+            { "place", this->settings.host.place.value }, { "seed", std::to_string(this->settings.host.seed) } } });
     this->operatorRows.start();
     this->upstreamRows.start();
     this->everyTick();
@@ -266,7 +264,9 @@
     call->sending = sending;
     sending->out = this->pool.send({ .address = effect.address,
                                        .bytes = platform::encodeUpstreamRequest(call->head, call->body, effect),
-                                       .maxIdle = effect.freshChannel ? freshChannelIdle : keptChannelIdle },
+                                       .maxIdle = effect.newChannel ? Milliseconds { -1 }
+                                           : effect.freshChannel    ? freshChannelIdle
+                                                                    : keptChannelIdle },
         sending);
 }
 
@@ -292,8 +292,8 @@
     const auto found = this->calls.find(effect.call);
     const std::string attempt = found == this->calls.end() ? std::string {} : found->second->attemptId;
     this->calls.erase(effect.call);
-    this->front.answer(effect.call, effect.status, platform::refusalHeaders(attempt, effect.retryAfter),
-        effect.reason + "\n");
+    this->front.answer(
+        effect.call, effect.status, platform::refusalHeaders(attempt, effect.retryAfter), effect.reason + "\n");
 }
 
 // Callers -----------------------------------------------------------------------------------------------------------
@@ -313,9 +313,9 @@
         this->onControl(request);
         return;
     }
-    CallArrived event { .call = request.id,
-        .firstByteAt = request.firstByteAt,
-        .facts = platform::decodeRequest(request.head) };
+    CallArrived event {
+        .call = request.id, .firstByteAt = request.firstByteAt, .facts = platform::decodeRequest(request.head)
+    };
     if (event.facts.attemptId.empty() || event.facts.host.empty()) {
         this->front.answer(request.id, statusBadRequest, {}, "a request needs a host and an id\n");
         return;
@@ -361,8 +361,7 @@
     else if (request.head.target.starts_with(peerTablesPath)) {
         const PeerRevisions have = decodePeerRevisions(request.head.target);
         this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
-            encodePeerTables(
-                this->operatorRows.snapshot(), this->upstreamRows.snapshot(), have, monotonicNow()));
+            encodePeerTables(this->operatorRows.snapshot(), this->upstreamRows.snapshot(), have, monotonicNow()));
     } else
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
 }
@@ -427,15 +426,15 @@
 void RelayLoop::askPeer()
 {
     const Milliseconds now = monotonicNow();
-    const Milliseconds age = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf);
-    if (this->askingPeer || age < askPeerAfter)
+    const bool wanted = now - this->operatorRows.snapshot().asOf > askPeerAfter
+        || now - this->upstreamRows.snapshot().asOf > askPeerForUpstreamsAfter;
+    if (this->askingPeer || !wanted)
         return;
     const std::vector<PeerEntry> live = liveEntries(this->peers, now);
     if (live.empty())
         return;
     this->askingPeer = true;
-    const PeerEntry& peer
-        = live.at(std::uniform_int_distribution<std::size_t>(0, live.size() - 1)(this->state.random));
+    const PeerEntry& peer = live.at(std::uniform_int_distribution<std::size_t>(0, live.size() - 1)(this->state.random));
     const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
         .upstreams = this->upstreamRows.snapshot().revision };
     this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = askPeerTimeout },
@@ -475,8 +474,7 @@
             if (declared) {
                 declared.value().atStart = this->operatorRows.snapshot().asOf.value == 0;
                 this->dispatch(declared.value());
-            }
-            else
+            } else
                 writeLog({ .level = LogLevel::Error,
                     .event = "weights-refused",
                     .fields = { { "error", declared.error().text() } } });
@@ -484,10 +482,7 @@
     }
 }
 
-void RelayLoop::onConfirmed()
-{
-    this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf });
-}
+void RelayLoop::onConfirmed() { this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf }); }
 
 void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
 {
@@ -529,6 +524,9 @@
 void RelayLoop::everyTick()
 {
     this->dispatch(RelayTick {});
+    constexpr std::uint32_t ticksPerFlush = 5;
+    if (this->ticks++ % ticksPerFlush == 0)
+        flushLog();
     if (this->drainingSince.value != 0)
         this->continueDrain();
     this->armTimer(this->tickTimer, tickPeriod, &RelayLoop::everyTick);
@@ -540,8 +538,7 @@
     this->front.sweep(now);
     this->pool.sweep(now);
     forgetSilentPeers(this->peers, now);
-    this->dispatch(EntriesCounted {
-        .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
+    this->dispatch(EntriesCounted { .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
     this->askPeer();
     bool gone = false;
     for (auto row = this->lapsed.begin(); row != this->lapsed.end();) {
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -86,6 +86,7 @@
     std::uint16_t lookupPort { 0 }; ///< likewise
     std::uint16_t controlPort { 0 }; ///< likewise
     Incarnation incarnation; ///< start of the process, Unix ms
+    std::uint32_t ticks { 0 }; ///< so far
     std::uint32_t beacons { 0 }; ///< sent so far
     Milliseconds drainingSince { 0 }; ///< when SIGTERM came, 0 before
     bool askingPeer { false }; ///< a question to a peer is under way
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -61,9 +61,9 @@
                 unread += found->second.unreadTokens;
         }
         const double pace = view.report && now - view.reportedAt < reportTrust ? view.report->pace : 1.0;
-        return cost
-            + spreadMs * spread(request, view) + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = pace },
-                request.facts.promptTokens);
+        return cost + spreadMs * spread(request, view)
+            + predictFirstToken(
+                *profile, { .requests = requests, .unreadTokens = unread, .pace = pace }, request.facts.promptTokens);
     }
 
 } // namespace
@@ -143,8 +143,8 @@
     const RelayState& state, const RelayRequest& request, Milliseconds now, bool mustHaveRoom)
 {
     const auto service = request.config->services.find(request.service);
-    const EngineProfile* profile = service != request.config->services.end() && service->second.engine
-            && !request.facts.model.empty()
+    const EngineProfile* profile
+        = service != request.config->services.end() && service->second.engine && !request.facts.model.empty()
         ? &*service->second.engine
         : nullptr;
     const RelayUpstream* best = nullptr;
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -30,8 +30,7 @@
             return;
         declared[event.version] = event.atStart ? now - state.options.weightsGrace : now;
         effects.emplace_back(LogLine { .event = "weights-declared",
-            .fields
-            = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
+            .fields = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
     }
 
     void applyDrain(RelayState& state, const DrainBegan& event, Milliseconds now, RelayEffects& effects)
@@ -82,25 +81,24 @@
 std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now)
 {
     RelayEffects effects;
-    std::visit(
-        Overloaded {
-            [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
-            [&](const CallerLeft& left) { forgetCaller(state, left, now, effects); },
-            [&](const AnswerBegan& began) { applyAnswerBegan(state, began, now, effects); },
-            [&](const StreamMoved& moved) { applyStreamMoved(state, moved, now, effects); },
-            [&](const AnswerEnded& ended) { applyAnswerEnded(state, ended, now, effects); },
-            [&](const RelayTick&) { tick(state, now, effects); },
-            [&](const ConfigLearned& learned) { applyConfig(state, learned, now, effects); },
-            [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
-            [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
-            [&](const PeerLoadsLearned& learned) { applyPeerLoads(state, learned, now); },
-            [&](const EntriesCounted& counted) { state.entries = counted.entries; },
-            [&](const ConfigConfirmed& confirmed) {
-                state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
-            },
-            [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
-            [&](const DrainBegan& drain) { applyDrain(state, drain, now, effects); },
-        },
+    std::visit(Overloaded {
+                   [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
+                   [&](const CallerLeft& left) { forgetCaller(state, left, now, effects); },
+                   [&](const AnswerBegan& began) { applyAnswerBegan(state, began, now, effects); },
+                   [&](const StreamMoved& moved) { applyStreamMoved(state, moved, now, effects); },
+                   [&](const AnswerEnded& ended) { applyAnswerEnded(state, ended, now, effects); },
+                   [&](const RelayTick&) { tick(state, now, effects); },
+                   [&](const ConfigLearned& learned) { applyConfig(state, learned, now, effects); },
+                   [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
+                   [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
+                   [&](const PeerLoadsLearned& learned) { applyPeerLoads(state, learned, now); },
+                   [&](const EntriesCounted& counted) { state.entries = counted.entries; },
+                   [&](const ConfigConfirmed& confirmed) {
+                       state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
+                   },
+                   [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+                   [&](const DrainBegan& drain) { applyDrain(state, drain, now, effects); },
+               },
         event);
     return effects;
 }
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -157,15 +157,14 @@
     placeWaiting(state, service, now, effects);
 }
 
-void refuseRequest(RelayState& state, RelayRequest& request, std::uint16_t status, const char* reason,
-    Milliseconds now, RelayEffects& effects)
+void refuseRequest(RelayState& state, RelayRequest& request, std::uint16_t status, const char* reason, Milliseconds now,
+    RelayEffects& effects)
 {
     leaveQueue(state, request);
     releaseSend(state, request, true, effects);
     const bool notRun = status == statusUnavailable;
-    const Milliseconds retryAfter = notRun
-        ? returnTime(state, request, !chooseUpstream(state, request, now, false), now)
-        : Milliseconds {};
+    const Milliseconds retryAfter
+        = notRun ? returnTime(state, request, !chooseUpstream(state, request, now, false), now) : Milliseconds {};
     LogLine line = requestLine("refuse", request, now);
     line.fields.emplace_back("status", std::to_string(status));
     line.fields.emplace_back("reason", reason);
@@ -213,13 +212,13 @@
     for (const CallId call : over) {
         RelayRequest& request = state.requests.at(call);
         const bool notRun = !request.mayHaveRun && !request.active;
-        refuseRequest(state, request, notRun ? statusUnavailable : statusTimeout,
-            notRun ? "no-time-left" : "timeout", now, effects);
+        refuseRequest(state, request, notRun ? statusUnavailable : statusTimeout, notRun ? "no-time-left" : "timeout",
+            now, effects);
     }
     for (const CallId call : hopeless) {
         RelayRequest& request = state.requests.at(call);
-        refuseRequest(state, request, request.mayHaveRun ? statusTimeout : statusUnavailable, "no-time-left", now,
-            effects);
+        refuseRequest(
+            state, request, request.mayHaveRun ? statusTimeout : statusUnavailable, "no-time-left", now, effects);
     }
 }
 
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -54,8 +54,7 @@
         if (!ranNot)
             request.mayHaveRun = true;
         const bool repeatable = ranNot || mayRepeat(request);
-        const bool attemptsLeft
-            = unsent ? request.unsent < maxUnsentTries : request.sends < request.route->maxAttempts;
+        const bool attemptsLeft = unsent ? request.unsent < maxUnsentTries : request.sends < request.route->maxAttempts;
         if (repeatable && attemptsLeft && now < request.deadlineAt) {
             if (unsent || takeRepeat(state.services[request.service].retries, state.options, state.entries, now)) {
                 LogLine line = requestLine("retry", request, now);
@@ -74,8 +73,7 @@
                 }
             }
         }
-        refuseRequest(
-            state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable, reason, now, effects);
+        refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable, reason, now, effects);
     }
 
     void endWithAnswer(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
@@ -88,7 +86,8 @@
         line.fields.emplace_back("upstream", send.upstream.value);
         line.fields.emplace_back("sends", std::to_string(request.sends));
         if (request.firstEventAt.value != 0)
-            line.fields.emplace_back("first_event_ms", std::to_string((request.firstEventAt - request.arrivedAt).value));
+            line.fields.emplace_back(
+                "first_event_ms", std::to_string((request.firstEventAt - request.arrivedAt).value));
         line.fields.emplace_back("prompt_tokens", std::to_string(request.facts.promptTokens));
         line.fields.emplace_back("sent_ms", std::to_string((send.sentAt - request.arrivedAt).value));
         effects.emplace_back(std::move(line));
@@ -118,9 +117,7 @@
     while (!service.placedAt.empty() && now - service.placedAt.front() > rateWindow)
         service.placedAt.pop_front();
     ++request.sends;
-    request.active = ActiveSend {
-        .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .movedAt = now
-    };
+    request.active = ActiveSend { .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .movedAt = now };
     if (view.sent == 0)
         view.heardAt = now;
     ++view.sent;
@@ -136,12 +133,14 @@
         .upstream = upstream,
         .address = view.entry.address,
         .timeLeft = request.deadlineAt - now,
-        .urgency = isEngineRequest(request) && state.options.order == RelayOrder::Urgency ? std::optional(request.urgency)
-                                                                                      : std::nullopt,
+        .urgency = isEngineRequest(request) && state.options.order == RelayOrder::Urgency
+            ? std::optional(request.urgency)
+            : std::nullopt,
         .workspace = request.workspace,
         .expectVersion = expectedWeights(state, view, request, now),
         .resumeAfter = request.lastEventId,
-        .freshChannel = request.route->kind == CallKind::NonIdempotent });
+        .freshChannel = request.route->kind == CallKind::NonIdempotent,
+        .newChannel = request.sends > 1 });
 }
 
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
@@ -215,7 +214,8 @@
         request->firstEventAt = now;
         effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
             .name = "first_event_ms",
-            .labels = "service=\"" + request->service.value + "\",rank=\"" + std::to_string(request->route->rank) + "\"",
+            .labels
+            = "service=\"" + request->service.value + "\",rank=\"" + std::to_string(request->route->rank) + "\"",
             .value = static_cast<double>((now - request->arrivedAt).value) });
     }
     if (send.reading) {
@@ -282,9 +282,8 @@
         if (view == state.upstreams.end())
             continue;
         const bool engine = isEngineRequest(request);
-        const Milliseconds limit = engine
-            ? silenceLimit
-            : std::max(plainSilenceLimit, request.route->objective * plainSilenceFactor);
+        const Milliseconds limit
+            = engine ? silenceLimit : std::max(plainSilenceLimit, request.route->objective * plainSilenceFactor);
         const bool upstreamSilent = !engine || now - view->second.heardAt > limit;
         if (now - send.movedAt > limit && upstreamSilent)
             silent.push_back(call);
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -76,8 +76,7 @@
 };
 
 /// Time passed.
-struct RelayTick {
-};
+struct RelayTick { };
 
 /// A newer configuration is known.
 struct ConfigLearned {
@@ -132,8 +131,8 @@
 };
 
 using RelayEvent = std::variant<CallArrived, CallerLeft, AnswerBegan, StreamMoved, AnswerEnded, RelayTick,
-    ConfigLearned, UpstreamsLearned, EngineReported, PeerLoadsLearned, EntriesCounted, ConfigConfirmed,
-    WeightsDeclared, DrainBegan>;
+    ConfigLearned, UpstreamsLearned, EngineReported, PeerLoadsLearned, EntriesCounted, ConfigConfirmed, WeightsDeclared,
+    DrainBegan>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -149,6 +148,7 @@
     std::optional<WeightsVersion> expectVersion; ///< only on these weights
     std::string resumeAfter; ///< id of the last event that the caller has, empty when none
     bool freshChannel { false }; ///< a kept connection that may just have been closed must not be used
+    bool newChannel { false }; ///< no kept connection: others of the process may have been reset together
 };
 
 /// Stop a sending and its work at the upstream.
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -22,9 +22,9 @@
     LogLine upstreamLine(const char* event, const UpstreamEntry& entry)
     {
         return { .event = event,
-            .fields = { { "upstream", entry.id.value }, { "service", entry.service.value },
-                { "address", entry.address }, { "place", entry.place.value },
-                { "leaving", entry.leaving ? "true" : "false" } } };
+            .fields
+            = { { "upstream", entry.id.value }, { "service", entry.service.value }, { "address", entry.address },
+                { "place", entry.place.value }, { "leaving", entry.leaving ? "true" : "false" } } };
     }
 
     void placeAll(RelayState& state, Milliseconds now, RelayEffects& effects)
@@ -86,8 +86,8 @@
     placeAll(state, now, effects);
 }
 
-void noteFailure(RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now,
-    RelayEffects& effects)
+void noteFailure(
+    RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now, RelayEffects& effects)
 {
     const auto found = state.upstreams.find(upstream);
     if (found == state.upstreams.end())
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -111,8 +111,8 @@
             return;
         if (event.report->bornAt != state.bornAt) {
             if (state.bornAt != 0)
-                effects.emplace_back(LogLine { .event = "engine-restarted",
-                    .fields = { { "born_at", std::to_string(event.report->bornAt) } } });
+                effects.emplace_back(LogLine {
+                    .event = "engine-restarted", .fields = { { "born_at", std::to_string(event.report->bornAt) } } });
             state.bornAt = event.report->bornAt;
             restageAll(state);
         }
@@ -281,7 +281,8 @@
             return false;
         const StageWork& next = state.works.back();
         const std::size_t held = countStep(next, PieceStep::Held) + countStep(next, PieceStep::Staged);
-        const Milliseconds latest = state.works.front().since + state.options.weightsWithin * skipUntilPercent / percent;
+        const Milliseconds latest
+            = state.works.front().since + state.options.weightsWithin * skipUntilPercent / percent;
         return static_cast<std::int64_t>(held) * percent
             >= static_cast<std::int64_t>(next.pieces.size()) * skipFromPercent
             && now < latest;
@@ -347,8 +348,7 @@
         constexpr std::uint16_t inEffect = 200;
         StageWork* work = findWork(state, event.version);
         effects.emplace_back(LogLine { .event = "order",
-            .fields = { { "version", std::to_string(event.version.value) },
-                { "status", std::to_string(event.status) },
+            .fields = { { "version", std::to_string(event.version.value) }, { "status", std::to_string(event.status) },
                 { "since_declared_ms", work ? std::to_string((now - work->since).value) : "dropped" } } });
         if (!work || work->order != OrderStep::Given)
             return;
@@ -407,9 +407,8 @@
 bool engineHolds(const StageState& state, WeightsVersion version)
 {
     return state.report && version.value != 0
-        && std::any_of(state.report->models.begin(), state.report->models.end(), [&](const HeldModel& held) {
-               return held.model == state.model && held.version >= version && held.whole;
-           });
+        && std::any_of(state.report->models.begin(), state.report->models.end(),
+            [&](const HeldModel& held) { return held.model == state.model && held.version >= version && held.whole; });
 }
 
 WeightsVersion newestWanted(const StageState& state)
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -9,31 +9,27 @@
 
 namespace {
 
-    bool holds(const StageState& state, const std::string& ip, WeightsVersion version, std::uint32_t piece,
-        Milliseconds now)
+    bool holds(
+        const StageState& state, const std::string& ip, WeightsVersion version, std::uint32_t piece, Milliseconds now)
     {
         const auto found = state.elsewhere.find(ip);
         if (found == state.elsewhere.end() || now - found->second.at > piecesTrust)
             return false;
-        return std::any_of(found->second.sets.begin(), found->second.sets.end(), [&](const PieceSet& set) {
-            return set.version == version && piece < set.held.size() && set.held[piece];
-        });
+        return std::any_of(found->second.sets.begin(), found->second.sets.end(),
+            [&](const PieceSet& set) { return set.version == version && piece < set.held.size() && set.held[piece]; });
     }
 
     std::size_t askedOf(const StageState& state, const std::string& ip)
     {
         std::size_t count = 0;
         for (const StageWork& work : state.works)
-            count += static_cast<std::size_t>(
-                std::count_if(work.pieces.begin(), work.pieces.end(), [&](const PieceState& piece) {
-                    return piece.step == PieceStep::Fetching && piece.source == ip;
-                }));
+            count += static_cast<std::size_t>(std::count_if(work.pieces.begin(), work.pieces.end(),
+                [&](const PieceState& piece) { return piece.step == PieceStep::Fetching && piece.source == ip; }));
         return count;
     }
 
     /// @return the host among some that this one asks least at the moment; ties differ from host to host
-    const StagePeer* leastAsked(
-        const StageState& state, const std::vector<const StagePeer*>& peers, std::uint64_t turn)
+    const StagePeer* leastAsked(const StageState& state, const std::vector<const StagePeer*>& peers, std::uint64_t turn)
     {
         const StagePeer* best = nullptr;
         std::size_t bestCount = perSourceInFlight;
@@ -95,9 +91,8 @@
 
 bool isShared(const StageState& state, const StageSource& source)
 {
-    return std::none_of(state.peers.begin(), state.peers.end(), [&](const StagePeer& peer) {
-        return peer.ip == source.ip && peer.place == state.options.place;
-    });
+    return std::none_of(state.peers.begin(), state.peers.end(),
+        [&](const StagePeer& peer) { return peer.ip == source.ip && peer.place == state.options.place; });
 }
 
 } // namespace hickory
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -21,8 +21,7 @@
 // Events ----------------------------------------------------------------------------------------------------------
 
 /// Time passed.
-struct StageTick {
-};
+struct StageTick { };
 
 /// Configuration, declared weights or the list of upstreams may have changed.
 struct FleetLearned {
@@ -76,8 +75,8 @@
     std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
 };
 
-using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PeerPieces, PieceStaged,
-    StageChecked, OrderAnswered>;
+using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PeerPieces,
+    PieceStaged, StageChecked, OrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -106,8 +105,7 @@
 };
 
 /// Tell the entries that an order comes.
-struct AnnounceOrder {
-};
+struct AnnounceOrder { };
 
 /// Order the engine to load what lies beside it.
 struct GiveOrder {
@@ -115,7 +113,7 @@
     std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far
 };
 
-using StageEffect = std::variant<AskManifest, AskPiece, StagePiece, CheckStage, AnnounceOrder, GiveOrder, LogLine,
-    MetricSample>;
+using StageEffect
+    = std::variant<AskManifest, AskPiece, StagePiece, CheckStage, AnnounceOrder, GiveOrder, LogLine, MetricSample>;
 
 } // namespace hickory
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -10,14 +10,18 @@
 constexpr Milliseconds reportTimeout { 600 }; ///< an engine that is silent for longer is taken as gone
 constexpr Milliseconds engineBeaconPeriod { 150 }; ///< entries also count what they send themselves
 constexpr Milliseconds tablesPeriod { 350 }; ///< adds this to the time until declared weights are known
-constexpr Milliseconds firstTablesPeriod { 60 }; ///< until the first answer: after a loss of power nobody serves before it
+constexpr Milliseconds firstTablesPeriod {
+    60
+}; ///< until the first answer: after a loss of power nobody serves before it
 constexpr Milliseconds tablesConnect { 150 }; ///< an entry that is down does not answer; the next one is asked
 constexpr Milliseconds tablesTimeout { 700 }; ///< then another entry is asked
 constexpr Milliseconds peerPieceTimeout { 1500 }; ///< a piece is sent in 35 ms over a free link, after a few others
 constexpr Milliseconds originTimeout { 3000 }; ///< the origin sends one copy in 1.7 s, to all hosts together
 constexpr Milliseconds engineTimeout { 800 }; ///< on the same host
 constexpr Milliseconds orderTimeout { 800 }; ///< of the answer to an order
-constexpr Milliseconds tellUnchangedAfter { 1000 }; ///< other agents forget an agent that is silent for longer than 2.5 s
+constexpr Milliseconds tellUnchangedAfter {
+    1000
+}; ///< other agents forget an agent that is silent for longer than 2.5 s
 constexpr std::size_t uploadSliceBytes = 4096; ///< delays an event of a stream by at most 4 ms on a link of 7.6 Mbit/s
 constexpr double linkShareForWeights = 0.9; ///< the rest of the host's link carries the engine's streams
 constexpr double megabitPerSecondInBytesPerMs = 125.0; ///< unit conversion
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -14,14 +14,15 @@
                                              ///< trusted; the rest covers the way of a request
 constexpr Milliseconds weightsMargin { 1000 }; ///< old weights are given up this long before their bound: waiting in
                                                ///< an engine's queue takes up to half a second
-constexpr Milliseconds operatorWait { 500 }; ///< how long the store holds a question for configuration
-constexpr Milliseconds upstreamWait { 1000 }; ///< likewise for the list of upstreams
+constexpr Milliseconds operatorWait { 800 }; ///< how long the store holds a question for configuration
+constexpr Milliseconds upstreamWait { 1500 }; ///< likewise for the list of upstreams
 constexpr Milliseconds listReturn { 2200 }; ///< live upstreams are listed again within 2 s of the store's return
 constexpr Milliseconds tickPeriod { 20 }; ///< resolution of time-outs, a third of a pass of an engine
 constexpr Milliseconds beaconPeriod { 100 }; ///< between beacons, about one pass of an engine
 constexpr std::uint32_t beaconsPerIntroduction = 10; ///< each tenth beacon names the other live entries
 constexpr Milliseconds sweepPeriod { 500 }; ///< of idle connections and peers
-constexpr Milliseconds askPeerAfter { 1600 }; ///< both tables are confirmed about once a second while the store answers
+constexpr Milliseconds askPeerAfter { 1500 }; ///< the configuration is confirmed more often while the store answers
+constexpr Milliseconds askPeerForUpstreamsAfter { 2200 }; ///< likewise the list
 constexpr Milliseconds askPeerTimeout { 400 }; ///< of a question to a peer
 constexpr Milliseconds keptChannelIdle { 2000 }; ///< upstreams without a stated limit keep connections for seconds
 constexpr Milliseconds freshChannelIdle { 300 }; ///< for calls that cannot be repeated
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -65,8 +65,8 @@
     if (this->reading || this->paused || !this->socket.is_open())
         return;
     this->reading = true;
-    this->socket.async_read_some(asio::buffer(this->buffer),
-        [self = this->shared_from_this()](const std::error_code& code, std::size_t count) {
+    this->socket.async_read_some(
+        asio::buffer(this->buffer), [self = this->shared_from_this()](const std::error_code& code, std::size_t count) {
             self->reading = false;
             if (code) {
                 self->end(code == asio::error::eof ? LinkEnd::Closed : LinkEnd::Broken);
@@ -105,8 +105,7 @@
         }
         if (code) {
             // The reader reports the end; answering from inside write() would surprise the writer.
-            asio::post(this->socket.get_executor(),
-                [self = this->shared_from_this()] { self->end(LinkEnd::Broken); });
+            asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->end(LinkEnd::Broken); });
             return;
         }
     }
@@ -119,8 +118,8 @@
 void TcpLink::waitWritable()
 {
     this->writing = true;
-    this->socket.async_wait(asio::ip::tcp::socket::wait_write,
-        [self = this->shared_from_this()](const std::error_code& code) {
+    this->socket.async_wait(
+        asio::ip::tcp::socket::wait_write, [self = this->shared_from_this()](const std::error_code& code) {
             self->writing = false;
             if (code)
                 self->end(LinkEnd::Broken);
--- a/src/wire_parser_func.cpp
+++ b/src/wire_parser_func.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 
-    char lower(char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter; }
+    char lower(char letter)
+    {
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
+    }
 
 } // namespace
 
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -69,7 +69,8 @@
     /// Drops a request whose caller left or that was cancelled.
     void drop(std::size_t entry, std::uint64_t send)
     {
-        const auto same = [&](const ModelledRequest& request) { return request.entry == entry && request.send == send; };
+        const auto same
+            = [&](const ModelledRequest& request) { return request.entry == entry && request.send == send; };
         std::erase_if(this->waiting, same);
         std::erase_if(this->running, same);
     }
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -34,7 +34,9 @@
                 .prefix = prefix,
                 .kind = kind,
                 .timeout = { 6000 },
-                .objective = { rank == 0 ? 250 : rank == 1 ? 400 : 800 },
+                .objective = { rank == 0 ? 250
+                        : rank == 1      ? 400
+                                         : 800 },
                 .rank = rank,
                 .shares = { { .service = { service } } },
                 .maxAttempts = 2,
@@ -68,7 +70,9 @@
 
     static UpstreamEntry upstream(const std::string& id, const std::string& service, std::uint64_t weights = 1)
     {
-        UpstreamEntry entry { .id = { id }, .service = { service }, .address = id + ":1", .place = { "a" }, .slots = 4 };
+        UpstreamEntry entry {
+            .id = { id }, .service = { service }, .address = id + ":1", .place = { "a" }, .slots = 4
+        };
         if (service == "engine")
             entry.models.push_back({ .model = { "model" }, .version = { weights } });
         return entry;
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -40,9 +40,12 @@
 TEST_CASE("hearsay makes an entry known, only its own beacon makes it live", "[peer]")
 {
     PeerTable table;
-    const PeerEntry other { .host = { "o" }, .incarnation = { 1 }, .ip = "10.0.0.3", .front = "10.0.0.3:80", .ready = true };
-    notePeer(table, { "self" }, { .from = { .host = { "h" }, .front = "x", .control = "10.0.0.1:1" }, .known = { other } },
-        "10.0.0.1", { 5000 });
+    const PeerEntry other {
+        .host = { "o" }, .incarnation = { 1 }, .ip = "10.0.0.3", .front = "10.0.0.3:80", .ready = true
+    };
+    notePeer(table, { "self" },
+        { .from = { .host = { "h" }, .front = "x", .control = "10.0.0.1:1" }, .known = { other } }, "10.0.0.1",
+        { 5000 });
     CHECK(liveEntries(table, { 5100 }).size() == 1);
     CHECK(beaconTargets(table, "10.0.0.9").size() == 2);
     notePeer(table, { "self" }, { .from = other }, "10.0.0.3", { 5200 });
--- a/tests/unit_platform_decode.cpp
+++ b/tests/unit_platform_decode.cpp
@@ -70,9 +70,10 @@
 TEST_CASE("what a caller may not set is not forwarded", "[platform]")
 {
     WireHead head { .method = "POST", .target = "/a/b?c" };
-    head.headers = { { "Host", "h" }, { "Attempt-Id", "a1" }, { "Authorization", "Bearer secret" }, { "tenant", "evil" },
-        { "Expect-Replica", "evil" }, { "Request-Urgency", "0" }, { "Deadline-Ms", "9000" }, { "Connection", "X-Hop" },
-        { "X-Hop", "1" }, { "X-Other", "kept" }, { "Model", "m" }, { "Token-Count", "1460,80" } };
+    head.headers = { { "Host", "h" }, { "Attempt-Id", "a1" }, { "Authorization", "Bearer secret" },
+        { "tenant", "evil" }, { "Expect-Replica", "evil" }, { "Request-Urgency", "0" }, { "Deadline-Ms", "9000" },
+        { "Connection", "X-Hop" }, { "X-Hop", "1" }, { "X-Other", "kept" }, { "Model", "m" },
+        { "Token-Count", "1460,80" } };
     const RequestFacts facts = platform::decodeRequest(head);
     CHECK(facts.key == "secret");
     CHECK(facts.promptTokens == 1460);
--- a/tests/unit_relay_load.cpp
+++ b/tests/unit_relay_load.cpp
@@ -244,7 +244,8 @@
     const std::vector<Burst> flood { { .kind = 2, .factor = 3, .from = { 1000 }, .until = { 6000 } } };
     const Outcome ours = replay(RelayPlacing::Predicted, RelayOrder::Urgency, 0.6, flood);
     const Outcome arrival = replay(RelayPlacing::Predicted, RelayOrder::Arrival, 0.6, flood);
-    INFO("by urgency " << ours.share() << ", by arrival " << arrival.share() << ", calls on time " << ours.onTime.at(0));
+    INFO(
+        "by urgency " << ours.share() << ", by arrival " << arrival.share() << ", calls on time " << ours.onTime.at(0));
     CHECK(ours.share() > arrival.share());
     CHECK(ours.onTime.at(0) > 0.9);
     CHECK(ours.onTime.at(0) > arrival.onTime.at(0));
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -76,10 +76,8 @@
     SECTION("an upstream that says it did not run lets it go on elsewhere")
     {
         const auto sent = relay.request("/book/");
-        const auto effects = relay.event(AnswerBegan { .call = relay.last(),
-            .send = findEffect<SendToUpstream>(sent)->send,
-            .status = 503,
-            .notRun = true });
+        const auto effects = relay.event(AnswerBegan {
+            .call = relay.last(), .send = findEffect<SendToUpstream>(sent)->send, .status = 503, .notRun = true });
         REQUIRE(findEffect<SendToUpstream>(effects));
         CHECK(findEffect<SendToUpstream>(effects)->upstream != findEffect<SendToUpstream>(sent)->upstream);
     }
@@ -137,8 +135,7 @@
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
     const auto sent = relay.request("/letters/");
     const SendNumber one = findEffect<SendToUpstream>(sent)->send;
-    const auto began
-        = relay.event(AnswerBegan { .call = relay.last(), .send = one, .status = 200, .sealed = true });
+    const auto began = relay.event(AnswerBegan { .call = relay.last(), .send = one, .status = 200, .sealed = true });
     CHECK(findEffect<RelayAnswer>(began));
     relay.event(StreamMoved { .call = relay.last(), .send = one, .lastEventId = "7" });
     const auto resumed = relay.event(AnswerEnded { .call = relay.last(), .send = one, .end = SendEnd::Broken });
@@ -263,8 +260,8 @@
         const auto sent = relay.request("/read/");
         const auto* send = findEffect<SendToUpstream>(sent);
         REQUIRE(send);
-        const auto effects = relay.event(
-            AnswerBegan { .call = relay.last(), .send = send->send, .status = 503, .notRun = true });
+        const auto effects
+            = relay.event(AnswerBegan { .call = relay.last(), .send = send->send, .status = 503, .notRun = true });
         repeats += countEffects<SendToUpstream>(effects);
         relay.event(CallerLeft { .call = relay.last() });
     }
@@ -305,8 +302,7 @@
             .model = { "model" },
             .promptTokens = 900,
             .maxAnswerTokens = 360 };
-        const auto effects
-            = relay.event(CallArrived { .call = { 99 }, .firstByteAt = relay.now, .facts = facts });
+        const auto effects = relay.event(CallArrived { .call = { 99 }, .firstByteAt = relay.now, .facts = facts });
         REQUIRE(findEffect<RefuseCall>(effects));
         CHECK(findEffect<RefuseCall>(effects)->status == 503);
         CHECK(findEffect<RefuseCall>(effects)->retryAfter <= Milliseconds { 50 });
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -28,7 +28,8 @@
     std::vector<StageEffect> declare(std::uint64_t version)
     {
         auto config = std::make_shared<RelayConfig>();
-        config->services[{ "engine" }] = { .name = { "engine" }, .engine = EngineProfile { .models = { { "model" } } } };
+        config->services[{ "engine" }]
+            = { .name = { "engine" }, .engine = EngineProfile { .models = { { "model" } } } };
         config->services[{ "origin" }] = { .name = { "origin" }, .originAddress = "10.9.0.1:1" };
         FleetLearned fleet { .config = config, .declared = { { { "model" }, { version } } } };
         for (int host = 1; host <= 4; ++host)
@@ -71,8 +72,8 @@
     /// Tells of another agent that holds all pieces of a version.
     std::vector<StageEffect> peerHolds(const std::string& ip, std::uint64_t version)
     {
-        return this->event(PeerPieces {
-            .ip = ip, .sets = { { .version = { version }, .held = std::vector<bool>(chunks, true) } } });
+        return this->event(
+            PeerPieces { .ip = ip, .sets = { { .version = { version }, .held = std::vector<bool>(chunks, true) } } });
     }
 
     template <typename Effect> bool gave() const
--- /dev/null
+++ b/tests/unit_upstream_entry.cpp
@@ -0,0 +1,16 @@
+#include "upstream_entry_type.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+TEST_CASE("of two starts at one address the later one counts", "[upstream]")
+{
+    const UpstreamEntry old { .id = { "i-old" }, .address = "10.0.0.1:80", .bornAt = 100 };
+    const UpstreamEntry fresh { .id = { "i-new" }, .address = "10.0.0.1:80", .bornAt = 200 };
+    const UpstreamEntry other { .id = { "i-other" }, .address = "10.0.0.2:80", .bornAt = 50 };
+    const auto current = currentUpstreams({ fresh, old, other });
+    REQUIRE(current.size() == 2);
+    CHECK(current.at(0).id.value == "i-new");
+    CHECK(current.at(1).id.value == "i-other");
+}
