Cut the last streams of an engine before it loads

Cause: an engine that was ordered at once stayed out of service for 2.3 s, most of it for its last few streams. Change: entries keep new work away, and the order is given once at most 3 streams are left (or after 1.4 s); these are cut and go on elsewhere.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -268,7 +268,8 @@
                          .method = "POST",
                          .target = platform::orderPath,
                          .headers = { { "Content-Type", "application/json" } },
-                         .body = platform::encodeLoadOrder(this->state.model, effect.version, effect.expectedOrders),
+                         .body = platform::encodeLoadOrder(
+                             this->state.model, effect.version, effect.expectedOrders, effect.cutWork),
                          .timeout = orderTimeout },
         [this, version = effect.version](const Result<FetchAnswer>& answer) {
             this->dispatch(
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -294,9 +294,14 @@
         if (work.order == OrderStep::Checking && now - work.orderAt > checkPatience)
             work.order = OrderStep::None;
         if (work.order == OrderStep::Announced && now - work.orderAt > announceLead) {
+            // The last streams of an engine keep it out of service for longer than resuming them elsewhere takes.
+            const bool fewLeft = state.report->running + state.report->waiting <= cutAtMost;
+            if (!fewLeft && now - work.orderAt < drainAtMost)
+                return;
             work.order = OrderStep::Given;
             work.orderAt = now;
-            effects.emplace_back(GiveOrder { .version = work.version, .expectedOrders = state.report->orders });
+            effects.emplace_back(GiveOrder {
+                .version = work.version, .expectedOrders = state.report->orders, .cutWork = fewLeft });
         }
         if (work.order != OrderStep::None || !allStaged(work) || state.report->busy || state.acceptUnseen)
             return;
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -111,6 +111,7 @@
 struct GiveOrder {
     WeightsVersion version; ///< to load
     std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far
+    bool cutWork { false }; ///< break off what still runs: entries resume it at other engines
 };
 
 using StageEffect
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -16,6 +16,8 @@
 constexpr std::size_t writesInFlight = 4; ///< to the engine on the same host
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
 constexpr Milliseconds announceLead { 120 }; ///< beacons of entries and agents are 100 ms apart
+constexpr Milliseconds drainAtMost { 1400 }; ///< an answer of the usual length takes that long
+constexpr std::uint32_t cutAtMost = 3; ///< streams that are broken off: resuming one takes 40 ms of another engine
 constexpr Milliseconds orderPatience { 6000 }; ///< an engine finishes its longest answers, then loads
 constexpr Milliseconds finishFirstAfter { 1000 }; ///< the origin has sent most of its copy after this time
 constexpr std::int64_t skipFromPercent = 60; ///< of the next version's pieces: the rest arrives within a second
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -183,6 +183,48 @@
     CHECK(agent.gave<CheckStage>());
 }
 
+TEST_CASE("an engine at work finishes most of it before the order, and the last streams are cut", "[stage]")
+{
+    StageFixture agent;
+    agent.settle(agent.declare(1));
+    agent.settle(agent.report(1));
+    agent.settle(agent.declare(2));
+    agent.settle(agent.peerHolds("10.1.0.2", 2));
+    agent.now += orderTurn(agent.state, { 2 }) + Milliseconds { 1 };
+    agent.state.elsewhere["10.1.0.2"].at = agent.now;
+    agent.settle(agent.report(1));
+    agent.settle(agent.event(StageChecked { .version = { 2 } }));
+    REQUIRE(agent.gave<AnnounceOrder>());
+    const auto reportRunning = [&](std::uint32_t running) {
+        EngineReport report { .running = running, .bornAt = 1 };
+        report.models.push_back({ .model = { "model" }, .version = { 1 } });
+        agent.settle(agent.event(ReportRead { report }));
+    };
+    const auto given = [&]() -> const GiveOrder* {
+        for (const StageEffect& effect : agent.rest)
+            if (const auto* order = std::get_if<GiveOrder>(&effect))
+                return order;
+        return nullptr;
+    };
+    agent.now += Milliseconds { 300 };
+    reportRunning(12);
+    CHECK_FALSE(given());
+    SECTION("as soon as few are left")
+    {
+        agent.now += Milliseconds { 300 };
+        reportRunning(2);
+        REQUIRE(given());
+        CHECK(given()->cutWork);
+    }
+    SECTION("an engine with long answers is ordered after a while and finishes them")
+    {
+        agent.now += Milliseconds { 1500 };
+        reportRunning(9);
+        REQUIRE(given());
+        CHECK_FALSE(given()->cutWork);
+    }
+}
+
 TEST_CASE("a version that was begun a while ago is finished before one declared after it", "[stage]")
 {
     StageFixture agent;
