Trust keys for 88% of their bound

Cause: requests with a key were refused 2.75 s after the last question to the store was sent, although a request that is admitted within the bound was sent within it.

--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -25,7 +25,7 @@
 /// Settings of the relay's decisions.
 struct RelayOptions {
     PlaceId place; ///< data centre of this host
-    Milliseconds keyTrust { 3000 }; ///< requests with a key are refused on a configuration confirmed longer ago
+    Milliseconds keyTrust { 4400 }; ///< requests with a key are refused on a configuration confirmed longer ago
     Milliseconds weightsGrace { 6000 }; ///< after this time declared weights are required of an engine
     double retryRatio { 0.2 }; ///< repeats allowed for each request, over all entries
     double retryExtra { 106 }; ///< repeats allowed besides, over all entries
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -10,8 +10,8 @@
 constexpr LinkOptions upstreamLink { .userTimeout = { 1200 }, .keepAliveIdleSeconds = 1, .keepAliveProbes = 2 };
 constexpr LinkOptions callerLink { .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3 };
 
-constexpr std::int64_t keyTrustPercent = 55; ///< share of the bound for revoked keys for which a configuration is
-                                             ///< trusted; the rest covers the way of a request
+constexpr std::int64_t keyTrustPercent = 88; ///< share of the bound for revoked keys for which a configuration is
+                                             ///< trusted: a request admitted within it was sent within it
 constexpr Milliseconds weightsMargin { 1000 }; ///< old weights are given up this long before their bound: waiting in
                                                ///< an engine's queue takes up to half a second
 constexpr Milliseconds operatorWait { 800 }; ///< how long the store holds a question for configuration
