--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -284,6 +284,12 @@
     std::function<void(Result<FetchAnswer>)> done; ///< told once
 };
 
+bool succeeded(const Result<FetchAnswer>& answer)
+{
+    constexpr std::uint16_t statusOk = 200;
+    return answer && answer.value().head.status == statusOk;
+}
+
 std::string requestText(const FetchCall& call)
 {
     std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + call.address + "\r\n";
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -102,6 +102,9 @@
     std::uint64_t openedCount { 0 }; ///< connections opened
 };
 
+/// @return whether a whole answer with status 200 came
+bool succeeded(const Result<FetchAnswer>& answer);
+
 /// @return a request as text, with Host, Content-Length and the headers given
 std::string requestText(const FetchCall& call);
 
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -1,6 +1,5 @@
 #include "loader_loop_io.h"
 
-#include "digest_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 #include "platform_names.h"
@@ -18,18 +17,6 @@
 
     constexpr std::uint16_t statusOk = 200;
     constexpr std::uint16_t statusNotFound = 404;
-    constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
-
-    bool succeeded(const Result<FetchAnswer>& answer) { return answer && answer.value().head.status == statusOk; }
-
-    std::string pieceQuery(std::uint32_t index) { return "?quantity=" + std::to_string(index); }
-
-    std::string versionQuery(WeightsVersion version) { return "version=" + std::to_string(version.value); }
-
-    std::string peerTarget(WeightsVersion version, const std::string& what)
-    {
-        return weightsPath + std::to_string(version.value) + "/" + what;
-    }
 
 } // namespace
 
@@ -135,148 +122,6 @@
         recordMetric(*sample);
 }
 
-void LoaderLoop::fetchManifest(const AskManifest& effect)
-{
-    const bool origin = effect.source.ip.empty();
-    FetchCall call { .address
-        = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
-        .target = origin ? platform::manifestPath + this->state.model.value + "?" + versionQuery(effect.version)
-                         : peerTarget(effect.version, "manifest"),
-        .timeout = originTimeout };
-    this->pool.fetch(std::move(call), [this, version = effect.version](const Result<FetchAnswer>& answer) {
-        std::uint32_t chunks = 0;
-        if (succeeded(answer)) {
-            const auto manifest = platform::decodeManifest(answer.value().body);
-            if (manifest && manifest.value().version == version) {
-                HeldVersion& own = this->held[version.value];
-                own.manifestText = answer.value().body;
-                own.digests = manifest.value().digests;
-                own.pieces.resize(own.digests.size());
-                chunks = static_cast<std::uint32_t>(own.digests.size());
-                while (this->held.size() > versionsKept)
-                    this->held.erase(this->held.begin());
-            }
-        }
-        if (chunks == 0)
-            writeLog({ .level = LogLevel::Warning,
-                .event = "manifest-failed",
-                .fields = { { "version", std::to_string(version.value) },
-                    { "error",
-                        answer ? "status " + std::to_string(answer.value().head.status) : answer.error().text() } } });
-        this->dispatch(ManifestFetched { .version = version, .chunks = chunks });
-    });
-}
-
-bool LoaderLoop::keepPiece(WeightsVersion version, std::uint32_t index, const std::string& bytes)
-{
-    const auto found = this->held.find(version.value);
-    if (found == this->held.end() || index >= found->second.digests.size()
-        || sha256Hex(bytes) != found->second.digests[index])
-        return false;
-    found->second.pieces[index] = bytes;
-    return true;
-}
-
-void LoaderLoop::fetchPiece(const AskPiece& effect)
-{
-    const bool origin = effect.source.ip.empty();
-    FetchCall call { .address
-        = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
-        .target = origin ? platform::piecePath + this->state.model.value + pieceQuery(effect.index) + "&"
-                + versionQuery(effect.version)
-                         : peerTarget(effect.version, std::to_string(effect.index)),
-        .timeout = origin ? originTimeout : peerPieceTimeout };
-    const auto found = this->held.find(effect.version.value);
-    if (found != this->held.end() && !found->second.pieces.at(effect.index).empty()) {
-        // Kept from giving it to a peer.
-        asio::post(this->io, [this, effect] {
-            this->dispatch(PieceFetched {
-                .version = effect.version, .index = effect.index, .source = effect.source, .good = true });
-        });
-        return;
-    }
-    this->pool.fetch(std::move(call), [this, effect](const Result<FetchAnswer>& answer) {
-        const bool good = succeeded(answer) && this->keepPiece(effect.version, effect.index, answer.value().body);
-        this->dispatch(
-            PieceFetched { .version = effect.version, .index = effect.index, .source = effect.source, .good = good });
-    });
-}
-
-void LoaderLoop::stagePiece(const StagePiece& effect)
-{
-    const auto found = this->held.find(effect.version.value);
-    if (found == this->held.end())
-        return;
-    this->pool.fetch({ .address = this->settings.engine,
-                         .method = "PUT",
-                         .target = platform::stagePutPath + this->state.model.value + pieceQuery(effect.index),
-                         .headers = { { "Content-Type", "application/octet-stream" } },
-                         .body = found->second.pieces.at(effect.index),
-                         .timeout = engineTimeout },
-        [this, effect](const Result<FetchAnswer>& answer) {
-            constexpr std::uint16_t firstFailure = 300;
-            const bool good = answer && answer.value().head.status < firstFailure;
-            if (!good)
-                writeLog({ .level = LogLevel::Warning,
-                    .event = "stage-failed",
-                    .fields = { { "piece", std::to_string(effect.index) },
-                        { "error",
-                            answer ? "status " + std::to_string(answer.value().head.status)
-                                   : answer.error().text() } } });
-            this->dispatch(PieceStaged { .version = effect.version, .index = effect.index, .good = good });
-        });
-}
-
-/// One reading of all pieces beside the engine.
-struct LoaderLoop::CheckRun {
-    WeightsVersion version; ///< compared with
-    std::uint32_t next { 0 }; ///< piece to read
-    std::vector<std::uint32_t> bad; ///< missing or different
-};
-
-void LoaderLoop::checkStage(const CheckStage& effect)
-{
-    this->checkNext(std::make_shared<CheckRun>(CheckRun { .version = effect.version }));
-}
-
-void LoaderLoop::checkNext(const std::shared_ptr<CheckRun>& run)
-{
-    const auto found = this->held.find(run->version.value);
-    if (found == this->held.end() || run->next >= found->second.digests.size()) {
-        this->dispatch(StageChecked { .version = run->version, .bad = run->bad, .failed = found == this->held.end() });
-        return;
-    }
-    this->pool.fetch({ .address = this->settings.engine,
-                         .target = platform::stageGetPath + this->state.model.value + pieceQuery(run->next),
-                         .timeout = engineTimeout },
-        [this, run](const Result<FetchAnswer>& answer) {
-            const auto version = this->held.find(run->version.value);
-            if (!answer || version == this->held.end()) {
-                this->dispatch(StageChecked { .version = run->version, .failed = true });
-                return;
-            }
-            if (!succeeded(answer) || !this->keepPiece(run->version, run->next, answer.value().body))
-                run->bad.push_back(run->next);
-            ++run->next;
-            this->checkNext(run);
-        });
-}
-
-void LoaderLoop::giveOrder(const GiveOrder& effect)
-{
-    this->pool.fetch({ .address = this->settings.engine,
-                         .method = "POST",
-                         .target = platform::orderPath,
-                         .headers = { { "Content-Type", "application/json" } },
-                         .body = platform::encodeLoadOrder(
-                             this->state.model, effect.version, effect.expectedOrders, effect.cutWork),
-                         .timeout = orderTimeout },
-        [this, version = effect.version](const Result<FetchAnswer>& answer) {
-            this->dispatch(
-                OrderAnswered { .version = version, .status = answer ? answer.value().head.status : std::uint16_t {} });
-        });
-}
-
 // Other agents ------------------------------------------------------------------------------------------------------
 
 void LoaderLoop::onRequest(FrontRequest&& request)
@@ -316,38 +161,6 @@
         this->front.answer(call, statusNotFound, {}, "not here\n");
 }
 
-void LoaderLoop::upload(CallId call, const std::string& bytes)
-{
-    this->uploads.push_back({ .call = call, .bytes = bytes });
-    if (this->uploads.size() == 1)
-        this->uploadSlice();
-}
-
-void LoaderLoop::uploadSlice()
-{
-    if (this->uploads.empty())
-        return;
-    Upload& current = this->uploads.front();
-    if (current.sent == 0)
-        this->front.begin(current.call, statusOk, { { "Content-Type", "application/octet-stream" } });
-    // A link that became narrow takes less than its share: the engine's streams must not wait behind pieces.
-    if (this->front.pending(current.call) == 0) {
-        this->front.body(current.call, std::string_view(current.bytes).substr(current.sent, uploadSliceBytes));
-        current.sent += uploadSliceBytes;
-    }
-    if (current.sent >= current.bytes.size()) {
-        this->front.finish(current.call);
-        this->uploads.pop_front();
-    }
-    const double bytesPerMs = this->settings.linkMbps * linkShareForWeights * megabitPerSecondInBytesPerMs;
-    this->uploadTimer.expires_after(
-        std::chrono::microseconds(static_cast<std::int64_t>(1000.0 * uploadSliceBytes / bytesPerMs)));
-    this->uploadTimer.async_wait([this](const std::error_code& code) {
-        if (!code)
-            this->uploadSlice();
-    });
-}
-
 // Entries -----------------------------------------------------------------------------------------------------------
 
 void LoaderLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -18,6 +18,8 @@
 
 namespace hickory {
 
+constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
+
 /// hickory-agent where entries reach engines directly: brings weights to the engine on this host, gives pieces to
 /// other agents, and tells the entries what the engine reports. It asks entries for the store's tables, so that many
 /// agents cost the store nothing.
--- a/src/relay_budget_func.cpp
+++ b/src/relay_budget_func.cpp
@@ -24,18 +24,25 @@
     ++currentBucket(window, now, length).firsts;
 }
 
-bool takeRepeat(RetryWindow& window, const RelayOptions& options, std::uint32_t entries, Milliseconds now)
+bool mayRepeat(const RetryWindow& window, const RelayOptions& options, std::uint32_t entries, Milliseconds now)
 {
-    RetryWindow::Bucket& current = currentBucket(window, now, options.retryWindow);
     double firsts = 0;
     double repeats = 0;
     for (const RetryWindow::Bucket& bucket : window.buckets) {
+        if (now - bucket.start > options.retryWindow)
+            continue;
         firsts += bucket.firsts;
         repeats += bucket.repeats;
     }
     const double allowed
         = retrySafety * (options.retryRatio * firsts + options.retryExtra / std::max<std::uint32_t>(entries, 1));
-    if (repeats + 1 > allowed)
+    return repeats + 1 <= allowed;
+}
+
+bool takeRepeat(RetryWindow& window, const RelayOptions& options, std::uint32_t entries, Milliseconds now)
+{
+    RetryWindow::Bucket& current = currentBucket(window, now, options.retryWindow);
+    if (!mayRepeat(window, options, entries, now))
         return false;
     ++current.repeats;
     return true;
--- /dev/null
+++ b/src/relay_peers_io.cpp
@@ -0,0 +1,155 @@
+#include "log_io.h"
+#include "peer_table_func.h"
+#include "platform_decode_func.h"
+#include "platform_names.h"
+#include "relay_loop_io.h"
+#include "table/relay_loop_limits.h"
+
+#include <random>
+
+namespace hickory {
+
+// Peers -------------------------------------------------------------------------------------------------------------
+
+PeerEntry RelayLoop::self() const
+{
+    return { .host = this->settings.host.host,
+        .incarnation = this->incarnation,
+        .ip = this->settings.host.ip,
+        .front = this->settings.front,
+        .control = this->settings.control,
+        .place = this->settings.host.place,
+        .ready = this->ready() };
+}
+
+void RelayLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
+{
+    const Milliseconds now = monotonicNow();
+    const bool isNew = !beacon.from.front.empty() && !this->peers.entries.contains(beacon.from.host);
+    notePeer(this->peers, this->settings.host.host, beacon, ip, now);
+    if (isNew)
+        writeLog({ .event = "peer-found",
+            .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
+    if (beacon.engine)
+        this->dispatch(*beacon.engine);
+    else if (beacon.from.host != this->settings.host.host)
+        this->dispatch(PeerLoadsLearned { .peer = beacon.from.host, .loads = beacon.loads });
+}
+
+void RelayLoop::everyBeacon()
+{
+    PeerBeacon beacon { .from = this->self(), .loads = ownLoads(this->state) };
+    if (this->state.config)
+        beacon.configVersion = this->state.config->version;
+    const Milliseconds now = monotonicNow();
+    const bool withKnown = this->beacons++ % beaconsPerIntroduction == 0;
+    if (withKnown)
+        beacon.known = liveEntries(this->peers, now);
+    this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
+    if (withKnown) {
+        beacon.loads.clear();
+        std::vector<std::string> agents;
+        for (const auto& [ip, heardAt] : this->peers.agents)
+            agents.push_back(ip);
+        this->peerSocket.send(beacon, agents);
+    }
+    this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::everyBeacon);
+}
+
+void RelayLoop::askPeer()
+{
+    const Milliseconds now = monotonicNow();
+    const bool wanted = now - this->operatorRows.snapshot().asOf > askPeerAfter
+        || now - this->upstreamRows.snapshot().asOf > askPeerForUpstreamsAfter;
+    if (this->askingPeer || !wanted)
+        return;
+    const std::vector<PeerEntry> live = liveEntries(this->peers, now);
+    if (live.empty())
+        return;
+    this->askingPeer = true;
+    const PeerEntry& peer = live.at(std::uniform_int_distribution<std::size_t>(0, live.size() - 1)(this->state.random));
+    const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
+        .upstreams = this->upstreamRows.snapshot().revision };
+    this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = askPeerTimeout },
+        [this, now, name = peer.host.value](const Result<FetchAnswer>& answer) {
+            this->askingPeer = false;
+            const Result<PeerTables> tables = decodePeerTables(answer, now);
+            if (!tables) {
+                writeLog({ .level = LogLevel::Warning,
+                    .event = "peer-tables-failed",
+                    .fields = { { "peer", name }, { "error", tables.error().text() } } });
+                return;
+            }
+            this->operatorRows.adopt(tables.value().operators);
+            this->upstreamRows.adopt(tables.value().upstreams);
+        });
+}
+
+// The platform's store ------------------------------------------------------------------------------------------
+
+void RelayLoop::onOperatorRows(const std::vector<platform::TableRow>& changed)
+{
+    for (const platform::TableRow& row : changed) {
+        if (row.deleted)
+            continue;
+        if (row.key == platform::configKey) {
+            const Result<RelayConfig> config = platform::decodeConfig(row.value);
+            if (!config) {
+                writeLog({ .level = LogLevel::Error,
+                    .event = "config-refused",
+                    .fields = { { "error", config.error().text() } } });
+                continue;
+            }
+            this->dispatch(ConfigLearned { std::make_shared<const RelayConfig>(config.value()) });
+            this->front.setLimits(this->state.config->limits);
+        } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
+            Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
+            if (declared) {
+                declared.value().atStart = this->operatorRows.snapshot().asOf.value == 0;
+                this->dispatch(declared.value());
+            } else
+                writeLog({ .level = LogLevel::Error,
+                    .event = "weights-refused",
+                    .fields = { { "error", declared.error().text() } } });
+        }
+    }
+}
+
+void RelayLoop::onConfirmed() { this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf }); }
+
+void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
+{
+    const Milliseconds now = monotonicNow();
+    for (const platform::TableRow& row : changed) {
+        if (row.deleted) {
+            // Leases run out while the store is away; live upstreams are listed again soon after its return.
+            if (now < this->unsettledUntil && this->upstreams.contains(row.key))
+                this->lapsed[row.key] = this->unsettledUntil;
+            else
+                this->upstreams.erase(row.key);
+            continue;
+        }
+        const Result<UpstreamEntry> entry = platform::decodeUpstream(row.key, row.value);
+        this->lapsed.erase(row.key);
+        if (entry)
+            this->upstreams[row.key] = entry.value();
+        else {
+            this->upstreams.erase(row.key);
+            writeLog({ .level = LogLevel::Warning,
+                .event = "upstream-refused",
+                .fields = { { "upstream", row.key }, { "error", entry.error().text() } } });
+        }
+    }
+    this->publishUpstreams();
+}
+
+void RelayLoop::publishUpstreams()
+{
+    UpstreamsLearned event;
+    for (const auto& [key, entry] : this->upstreams)
+        event.entries.push_back(entry);
+    event.entries = currentUpstreams(event.entries);
+    this->dispatch(event);
+}
+
+} // namespace hickory
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -1,5 +1,6 @@
 #include "relay_reduce_func.h"
 
+#include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 
@@ -63,11 +64,6 @@
             placeWaiting(state, service, now, effects);
     }
 
-    template <typename... Handlers> struct Overloaded : Handlers... {
-        using Handlers::operator()...;
-    };
-    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 RelayState makeRelayState(const RelayOptions& options)
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -30,7 +30,7 @@
     bool isEngineRequest(const RelayRequest& request) { return !request.facts.model.empty(); }
 
     /// @return whether a request may be sent again after a sending that may have run
-    bool mayRepeat(const RelayRequest& request)
+    bool isRepeatable(const RelayRequest& request)
     {
         return request.route->kind == CallKind::Idempotent
             || (request.route->kind == CallKind::Stream && request.route->resumable);
@@ -46,14 +46,21 @@
         return held->version;
     }
 
+    /// What is known of a sending that failed.
+    enum class SendFate : std::uint8_t {
+        NotSent, ///< no byte left this process
+        NotRun, ///< the upstream says that it did not run the request
+        MayHaveRun, ///< anything else
+    };
+
     /// Sends a request elsewhere after a failed sending, lets it wait, or ends it.
-    /// @param ranNot the upstream did not run it
-    void tryElsewhere(RelayState& state, RelayRequest& request, bool ranNot, bool unsent, const char* reason,
-        Milliseconds now, RelayEffects& effects)
+    void tryElsewhere(RelayState& state, RelayRequest& request, SendFate fate, const char* reason, Milliseconds now,
+        RelayEffects& effects)
     {
-        if (!ranNot)
+        const bool unsent = fate == SendFate::NotSent;
+        if (fate == SendFate::MayHaveRun)
             request.mayHaveRun = true;
-        const bool repeatable = ranNot || mayRepeat(request);
+        const bool repeatable = fate != SendFate::MayHaveRun || isRepeatable(request);
         const bool attemptsLeft = unsent ? request.unsent < maxUnsentTries : request.sends < request.route->maxAttempts;
         if (repeatable && attemptsLeft && now < request.deadlineAt) {
             if (unsent || takeRepeat(state.services[request.service].retries, state.options, state.entries, now)) {
@@ -170,11 +177,6 @@
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
     view.heardAt = now;
-    if (event.running) {
-        view.reportedRunning = *event.running;
-        view.reportedWaiting = event.waiting.value_or(0);
-        view.loadAt = now;
-    }
     send.headSeen = true;
     send.status = event.status;
     send.sealed = event.sealed;
@@ -189,7 +191,7 @@
         line.fields.emplace_back("status", std::to_string(event.status));
         effects.emplace_back(std::move(line));
         releaseSend(state, *request, true, effects);
-        tryElsewhere(state, *request, true, false, misdirected ? "misdirected" : "upstream-full", now, effects);
+        tryElsewhere(state, *request, SendFate::NotRun, misdirected ? "misdirected" : "upstream-full", now, effects);
         return;
     }
     if (isSuccess(event.status) && request->route->kind == CallKind::Stream && event.sealed) {
@@ -236,13 +238,12 @@
         const bool retryable = status >= statusServerError && request->route->kind == CallKind::Idempotent
             && request->sends < request->route->maxAttempts;
         if (retryable) {
-            auto& retries = state.services[request->service].retries;
-            RetryWindow probe = retries;
-            if (takeRepeat(probe, state.options, state.entries, now)) {
+            const RetryWindow& retries = state.services[request->service].retries;
+            if (mayRepeat(retries, state.options, state.entries, now)) {
                 noteAnswer(state, upstream, false);
                 request->tried.insert(upstream);
                 releaseSend(state, *request, false, effects);
-                tryElsewhere(state, *request, false, false, "upstream-error", now, effects);
+                tryElsewhere(state, *request, SendFate::MayHaveRun, "upstream-error", now, effects);
                 return;
             }
         }
@@ -258,7 +259,8 @@
         --request->sends;
         ++request->unsent;
     }
-    tryElsewhere(state, *request, unsent, unsent, unsent ? "connect" : "broken", now, effects);
+    tryElsewhere(state, *request, unsent ? SendFate::NotSent : SendFate::MayHaveRun, unsent ? "connect" : "broken", now,
+        effects);
     placeWaiting(state, service, now, effects);
 }
 
@@ -275,7 +277,7 @@
     }
     std::vector<CallId> silent;
     for (auto& [call, request] : state.requests) {
-        if (!request.active || !mayRepeat(request) || request.sends >= request.route->maxAttempts)
+        if (!request.active || !isRepeatable(request) || request.sends >= request.route->maxAttempts)
             continue;
         const ActiveSend& send = *request.active;
         const auto view = state.upstreams.find(send.upstream);
@@ -293,14 +295,14 @@
         if (found == state.requests.end())
             continue;
         RelayRequest& request = found->second;
-        RetryWindow probe = state.services[request.service].retries;
-        if (!takeRepeat(probe, state.options, state.entries, now) || !request.active)
+        const RetryWindow& retries = state.services[request.service].retries;
+        if (!mayRepeat(retries, state.options, state.entries, now) || !request.active)
             continue;
         const UpstreamId upstream = request.active->upstream;
         noteFailure(state, upstream, "silent", now, effects);
         request.tried.insert(upstream);
         releaseSend(state, request, true, effects);
-        tryElsewhere(state, request, false, false, "silent", now, effects);
+        tryElsewhere(state, request, SendFate::MayHaveRun, "silent", now, effects);
     }
 }
 
@@ -318,7 +320,7 @@
     for (const CallId call : outdated) {
         RelayRequest& request = state.requests.at(call);
         releaseSend(state, request, true, effects);
-        tryElsewhere(state, request, false, false, "outdated-weights", now, effects);
+        tryElsewhere(state, request, SendFate::MayHaveRun, "outdated-weights", now, effects);
     }
 }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -101,9 +101,6 @@
     std::uint32_t unreadTokens { 0 }; ///< prompt tokens of ours without a first event
     std::optional<EngineReport> report; ///< last one of the agent beside it
     Milliseconds reportedAt; ///< when the report came
-    std::uint32_t reportedRunning { 0 }; ///< requests in slots by the last answer's head or report
-    std::uint32_t reportedWaiting { 0 }; ///< requests in its queue, likewise
-    Milliseconds loadAt { -1000000 }; ///< when those two came
     Milliseconds heardAt; ///< last bytes of an answer
     Milliseconds longestWait { 0 }; ///< of our requests there that wait for their answer to begin
     Milliseconds ejectedUntil { 0 }; ///< no new work before
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -50,8 +50,6 @@
     std::uint16_t status { 0 }; ///< HTTP status
     bool notRun { false }; ///< the upstream states that it did not run the request
     bool sealed { false }; ///< carries the proof of an upstream that ran the request
-    std::optional<std::uint32_t> running; ///< requests in slots of the upstream
-    std::optional<std::uint32_t> waiting; ///< requests in its queue
 };
 
 /// Whole events of a stream arrived.
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_reduce_func.h"
 
 #include "digest_func.h"
+#include "overloaded_type.h"
 #include "stage_source_func.h"
 #include "table/stage_limits.h"
 
@@ -14,11 +15,6 @@
 
     constexpr std::int64_t percent = 100;
 
-    template <typename... Handlers> struct Overloaded : Handlers... {
-        using Handlers::operator()...;
-    };
-    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
     std::string ipOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
     std::size_t countStep(const StageWork& work, PieceStep step)
@@ -300,8 +296,8 @@
                 return;
             work.order = OrderStep::Given;
             work.orderAt = now;
-            effects.emplace_back(GiveOrder {
-                .version = work.version, .expectedOrders = state.report->orders, .cutWork = fewLeft });
+            effects.emplace_back(
+                GiveOrder { .version = work.version, .expectedOrders = state.report->orders, .cutWork = fewLeft });
         }
         if (work.order != OrderStep::None || !allStaged(work) || state.report->busy || state.acceptUnseen)
             return;
