Never complete a stream with another answer than its continuation

Cause (read-through): a complete failure of the second engine ended the caller's stream as if it were whole. The test failed before the change (finished instead of aborted) and passes after it.

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -234,7 +234,9 @@
     const UpstreamId upstream = request->active->upstream;
     const std::uint16_t status = request->active->status;
     const bool whole = event.end == SendEnd::Complete;
-    if (whole && (request->active->sealed || !isSuccess(status))) {
+    // The caller has the head of a stream: an answer that is not its continuation must not complete it.
+    const bool fits = isSuccess(status) ? request->active->sealed : !request->relayed;
+    if (whole && fits) {
         const bool retryable = status >= statusServerError && request->route->kind == CallKind::Idempotent
             && request->sends < request->route->maxAttempts;
         if (retryable) {
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -155,6 +155,13 @@
         CHECK(findEffect<AbortAnswer>(effects));
         CHECK_FALSE(findEffect<FinishAnswer>(effects));
     }
+    SECTION("a failure of the second engine does not complete what the caller has")
+    {
+        relay.event(AnswerBegan { .call = relay.last(), .send = two, .status = 500, .sealed = true });
+        const auto effects = relay.event(AnswerEnded { .call = relay.last(), .send = two });
+        CHECK_FALSE(findEffect<FinishAnswer>(effects));
+        CHECK(findEffect<AbortAnswer>(effects));
+    }
     SECTION("events of a sending that was given up change nothing")
     {
         relay.event(StreamMoved { .call = relay.last(), .send = one, .lastEventId = "9" });
