Place waiting requests of all services in one function

Read-through: the same loop stood in relay_reduce_func (twice) and relay_upstream_cmd. Behaviour is unchanged: a service without waiting requests was a no-op.

--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -17,11 +17,7 @@
             .fields = { { "version", std::to_string(event.config->version.value) },
                 { "routes", std::to_string(event.config->routes.size()) },
                 { "keys", std::to_string(event.config->keys.size()) } } });
-        std::vector<ServiceId> services;
-        for (const auto& [service, view] : state.services)
-            services.push_back(service);
-        for (const ServiceId& service : services)
-            placeWaiting(state, service, now, effects);
+        placeAllWaiting(state, now, effects);
     }
 
     void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
@@ -56,12 +52,7 @@
         expireRequests(state, now, effects);
         giveUpSilent(state, now, effects);
         takeBackOutdated(state, now, effects);
-        std::vector<ServiceId> services;
-        for (const auto& [service, view] : state.services)
-            if (!view.queue.empty())
-                services.push_back(service);
-        for (const ServiceId& service : services)
-            placeWaiting(state, service, now, effects);
+        placeAllWaiting(state, now, effects);
     }
 
 } // namespace
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -195,6 +195,16 @@
     }
 }
 
+void placeAllWaiting(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    std::vector<ServiceId> services;
+    for (const auto& [service, view] : state.services)
+        if (!view.queue.empty())
+            services.push_back(service);
+    for (const ServiceId& service : services)
+        placeWaiting(state, service, now, effects);
+}
+
 void expireRequests(RelayState& state, Milliseconds now, RelayEffects& effects)
 {
     std::vector<CallId> over;
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -27,16 +27,6 @@
                 { "place", entry.place.value }, { "leaving", entry.leaving ? "true" : "false" } } };
     }
 
-    void placeAll(RelayState& state, Milliseconds now, RelayEffects& effects)
-    {
-        std::vector<ServiceId> services;
-        for (const auto& [service, view] : state.services)
-            if (!view.queue.empty())
-                services.push_back(service);
-        for (const ServiceId& service : services)
-            placeWaiting(state, service, now, effects);
-    }
-
 } // namespace
 
 void applyUpstreams(RelayState& state, const UpstreamsLearned& event, Milliseconds now, RelayEffects& effects)
@@ -68,7 +58,7 @@
         view->second.listed = false;
         view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
     }
-    placeAll(state, now, effects);
+    placeAllWaiting(state, now, effects);
 }
 
 void applyEngineReport(RelayState& state, const EngineReported& event, Milliseconds now, RelayEffects& effects)
@@ -83,7 +73,7 @@
         view.reportedAt = now;
         view.orderingUntil = event.ordering ? now + orderPause : Milliseconds {};
     }
-    placeAll(state, now, effects);
+    placeAllWaiting(state, now, effects);
 }
 
 void noteFailure(
