Give no more work to a silent engine, and one probe to a failed upstream

Change: an engine with our work that sent nothing for 350 ms (times its pace) takes no more until it moves, a plain upstream after 450 ms; an upstream that failed gets one request until it answers. Tests in unit_relay_suspect.cpp failed before (3 of 4; the fourth guards slow engines).

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -40,6 +40,11 @@
         return request.facts.model.empty() || hasWeights(state, view, request, now);
     }
 
+    double paceOf(const RelayUpstream& view, Milliseconds now)
+    {
+        return view.report && now - view.reportedAt < reportTrust ? view.report->pace : 1.0;
+    }
+
     double score(const RelayState& state, const RelayUpstream& view, const RelayRequest& request,
         const EngineProfile* profile, std::uint32_t requests, Milliseconds now)
     {
@@ -60,10 +65,21 @@
             if (now - peer.at < reportTrust && found != peer.loads.end())
                 unread += found->second.unreadTokens;
         }
-        const double pace = view.report && now - view.reportedAt < reportTrust ? view.report->pace : 1.0;
         return cost + spreadMs * spread(request, view)
             + predictFirstToken(
-                *profile, { .requests = requests, .unreadTokens = unread, .pace = pace }, request.facts.promptTokens);
+                *profile, { .requests = requests, .unreadTokens = unread, .pace = paceOf(view, now) }, request.facts.promptTokens);
+    }
+
+    /// @return whether an upstream has work of ours and has sent nothing for longer than its work explains
+    bool isQuiet(const RelayUpstream& view, bool engine, Milliseconds now)
+    {
+        if (view.sent == 0)
+            return false;
+        const Milliseconds limit = engine
+            ? Milliseconds { static_cast<std::int64_t>(
+                static_cast<double>(quietLimit.value) * std::max(1.0, paceOf(view, now))) }
+            : plainQuietLimit;
+        return now - view.heardAt > limit;
     }
 
 } // namespace
@@ -157,6 +173,8 @@
         if (now < view.ejectedUntil || now < view.fullUntil || now < view.orderingUntil
             || (view.report && view.report->busy))
             continue;
+        if (isQuiet(view, profile != nullptr, now) || (view.onProbation && view.sent >= probationLimit))
+            continue;
         const std::uint32_t requests = requestsAt(state, view, now);
         if (requests >= placeLimit(view.entry.slots, request.route->rank, profile != nullptr))
             continue;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -177,6 +177,7 @@
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
     view.heardAt = now;
+    view.onProbation = false;
     send.headSeen = true;
     send.status = event.status;
     send.sealed = event.sealed;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -105,6 +105,7 @@
     Milliseconds longestWait { 0 }; ///< of our requests there that wait for their answer to begin
     Milliseconds ejectedUntil { 0 }; ///< no new work before
     std::uint32_t failures { 0 }; ///< in a row
+    bool onProbation { false }; ///< failed and has not answered since: it gets one request at a time
     double errorShare { 0 }; ///< moving average of failed answers
     Milliseconds fullUntil { 0 }; ///< said that it is full
     Milliseconds orderingUntil { 0 }; ///< about to load weights
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -13,6 +13,7 @@
     {
         view.report.reset();
         view.failures = 0;
+        view.onProbation = false;
         view.errorShare = 0;
         view.ejectedUntil = {};
         view.fullUntil = {};
@@ -92,6 +93,7 @@
     const std::int64_t pause = firstEjection.value << std::min(view.failures, maxDoublings);
     view.ejectedUntil = now + std::min(Milliseconds { pause }, longestEjection);
     ++view.failures;
+    view.onProbation = true;
     effects.emplace_back(LogLine { .level = LogLevel::Warning,
         .event = "upstream-ejected",
         .fields = { { "upstream", upstream.value }, { "address", view.entry.address }, { "reason", what },
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -21,6 +21,10 @@
 
 constexpr Milliseconds silenceLimit { 900 }; ///< an engine with work that sent nothing for this long is taken as dead:
                                              ///< a pass of a full engine takes 70 ms, of one five times slower 350 ms
+constexpr Milliseconds quietLimit { 350 }; ///< an engine with work that sent nothing for this long gets no more of it:
+                                           ///< five passes of a full engine
+constexpr Milliseconds plainQuietLimit { 450 }; ///< likewise a plain upstream; its longest calls take that long
+constexpr std::uint32_t probationLimit = 1; ///< requests at once to an upstream that failed, until it answers
 constexpr Milliseconds plainSilenceLimit { 300 }; ///< least wait before an idempotent call is tried elsewhere
 constexpr std::int64_t plainSilenceFactor = 2; ///< of the route's objective, likewise
 constexpr Milliseconds firstEjection { 300 }; ///< out of service after a failed connection
