Let few entries ask the store for all, and agents ask an entry for a short view

Each entry followed the list, which changes with each of 50 heartbeats a second, and each agent copied the whole list and configuration three times a second.

Change: two entries (one for 16) follow the store, chosen by a hash among the ready ones; the others ask one of them every 300 ms for what changed, and the store themselves when that is older than 1.2 s. List changes are read together (250 ms); heartbeats that say nothing new do not reach the reducer. Agents ask an entry for a stamp and, when it differs, for model, origin, declared version and hosts. The answer's delay tells an agent of a narrow link: it then asks for fewer pieces at once. Rows that vanish after 2.5 s without news of the list are kept for 2.2 s also where the news comes from a peer.

Ruled out: learning the age of a copy from beacons; a process that was stopped would read old datagrams as fresh news.

--- /dev/null
+++ b/src/fleet_view_func.cpp
@@ -0,0 +1,108 @@
+#include "fleet_view_func.h"
+
+#include "digest_func.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace hickory {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::uint16_t statusOk = 200;
+
+    std::string queryValue(const std::string& target, const std::string& name)
+    {
+        const std::size_t at = target.find(name + "=");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t from = at + name.size() + 1;
+        return target.substr(from, target.find('&', from) - from);
+    }
+
+    Error failure(ErrorCode code, const std::string& detail)
+    {
+        return { .code = make_error_code(code), .step = "read-fleet-view", .peer = {}, .detail = detail };
+    }
+
+} // namespace
+
+std::optional<FleetView> makeFleetView(const RelayState& state, const ServiceId& service)
+{
+    if (!state.config)
+        return std::nullopt;
+    FleetView view;
+    for (const auto& [name, known] : state.config->services) {
+        if (!known.originAddress.empty())
+            view.originAddress = known.originAddress;
+        if (name == service && known.engine && !known.engine->models.empty())
+            view.model = known.engine->models.front();
+    }
+    const auto declared = state.declared.find(view.model);
+    if (declared != state.declared.end() && !declared->second.empty())
+        view.declared = declared->second.rbegin()->first;
+    for (const auto& [id, upstream] : state.upstreams)
+        if (upstream.listed && upstream.entry.service == service)
+            view.hosts.push_back({ .ip = upstream.entry.address.substr(0, upstream.entry.address.rfind(':')),
+                .place = upstream.entry.place });
+    std::sort(view.hosts.begin(), view.hosts.end(),
+        [](const StagePeer& left, const StagePeer& right) { return left.ip < right.ip; });
+    return view;
+}
+
+std::string fleetQuestionTarget(const FleetQuestion& question)
+{
+    return std::string(fleetViewPath) + "?service=" + question.service.value
+        + "&stamp=" + std::to_string(question.stamp);
+}
+
+FleetQuestion decodeFleetQuestion(const std::string& target)
+{
+    FleetQuestion question { .service = { queryValue(target, "service") } };
+    const std::string stamp = queryValue(target, "stamp");
+    std::from_chars(stamp.data(), stamp.data() + stamp.size(), question.stamp);
+    return question;
+}
+
+std::string encodeFleetView(const FleetView& view, std::uint64_t stamp)
+{
+    Json hosts = Json::array();
+    for (const StagePeer& host : view.hosts)
+        hosts.push_back({ host.ip, host.place.value });
+    const Json document { { "model", view.model.value }, { "origin", view.originAddress },
+        { "declared", view.declared.value }, { "hosts", std::move(hosts) } };
+    const std::uint64_t own = placementHash("fleet-view", document.dump());
+    Json answer { { "stamp", own } };
+    if (own != stamp)
+        answer["view"] = document;
+    return answer.dump();
+}
+
+Result<FleetAnswer> decodeFleetAnswer(const Result<FetchAnswer>& answer)
+{
+    if (!answer)
+        return answer.error();
+    if (answer.value().head.status != statusOk)
+        return failure(ErrorCode::Unavailable, "status " + std::to_string(answer.value().head.status));
+    try {
+        const Json document = Json::parse(answer.value().body);
+        FleetAnswer read { .stamp = document.at("stamp").get<std::uint64_t>() };
+        if (!document.contains("view"))
+            return read;
+        const Json& body = document.at("view");
+        FleetView view { .model = { body.at("model").get<std::string>() },
+            .originAddress = body.at("origin").get<std::string>(),
+            .declared = { body.at("declared").get<std::uint64_t>() } };
+        for (const Json& host : body.at("hosts"))
+            view.hosts.push_back({ .ip = host.at(0).get<std::string>(), .place = { host.at(1).get<std::string>() } });
+        read.view = std::move(view);
+        return read;
+    } catch (const Json::exception& problem) {
+        return failure(ErrorCode::Protocol, problem.what());
+    }
+}
+
+} // namespace hickory
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -39,7 +39,7 @@
     , uploadTimer(this->io)
     , reportTimer(this->io)
     , beaconTimer(this->io)
-    , tablesTimer(this->io)
+    , questionTimer(this->io)
     , signals(this->io, SIGTERM, SIGINT, SIGHUP)
     , incarnation { static_cast<std::uint64_t>(wallNow().value) }
 {
@@ -65,7 +65,7 @@
             { "seed", std::to_string(host.seed) } } });
     this->everyReport();
     this->everyBeacon();
-    this->everyTables();
+    this->everyQuestion();
     std::function<void()> waitSignal = [this, &waitSignal] {
         this->signals.async_wait([this, &waitSignal](const std::error_code& code, int number) {
             if (code)
@@ -214,9 +214,9 @@
     return candidates.empty() ? std::string {} : candidates[this->state.random() % candidates.size()];
 }
 
-void LoaderLoop::askTables()
+void LoaderLoop::askFleet()
 {
-    if (this->askingTables)
+    if (this->askingFleet)
         return;
     const auto live = liveEntries(this->peers, monotonicNow());
     const auto isNear = [&](const PeerEntry& known) { return known.place == this->settings.host.place; };
@@ -228,63 +228,35 @@
         this->entry = this->nextEntry();
     if (this->entry.empty())
         return;
-    this->askingTables = true;
-    const PeerRevisions have { .operators = this->tables.operators.revision,
-        .upstreams = this->tables.upstreams.revision };
+    this->askingFleet = true;
     const Milliseconds sentAt = monotonicNow();
+    const bool near = std::any_of(live.begin(), live.end(),
+        [&](const PeerEntry& known) { return known.control == this->entry && isNear(known); });
     this->pool.fetch({ .address = this->entry,
-                         .target = peerTablesTarget(have),
-                         .connectTimeout = tablesConnect,
-                         .timeout = tablesTimeout },
-        [this, sentAt](const Result<FetchAnswer>& answer) {
-            this->askingTables = false;
-            const Result<PeerTables> read = decodePeerTables(answer, sentAt);
-            if (read) {
-                this->learnTables(read.value());
+                         .target
+                         = fleetQuestionTarget({ .service = this->settings.service, .stamp = this->fleetStamp }),
+                         .connectTimeout = questionConnect,
+                         .timeout = questionTimeout },
+        [this, sentAt, near](const Result<FetchAnswer>& answer) {
+            this->askingFleet = false;
+            const Result<FleetAnswer> read = decodeFleetAnswer(answer);
+            // A lost answer says nothing: the entry may be down. A late one tells of a narrow link.
+            if (near && (read || answer))
+                this->dispatch(LinkMeasured { .roundTrip = monotonicNow() - sentAt });
+            if (!read) {
+                writeLog({ .level = LogLevel::Warning,
+                    .event = "dependency-lost",
+                    .fields
+                    = { { "dependency", "entry" }, { "peer", this->entry }, { "error", read.error().text() } } });
+                this->entry = this->nextEntry();
                 return;
             }
-            writeLog({ .level = LogLevel::Warning,
-                .event = "dependency-lost",
-                .fields = { { "dependency", "entry" }, { "peer", this->entry }, { "error", read.error().text() } } });
-            this->entry = this->nextEntry();
+            this->fleetStamp = read.value().stamp;
+            if (read.value().view)
+                this->dispatch(FleetLearned { .view = *read.value().view });
         });
 }
 
-void LoaderLoop::learnTables(const PeerTables& newer)
-{
-    bool changed = false;
-    const auto adopt = [&](platform::TableSnapshot& own, const platform::TableSnapshot& other) {
-        if (other.revision <= own.revision || other.rows.empty())
-            return;
-        own = other;
-        changed = true;
-    };
-    adopt(this->tables.operators, newer.operators);
-    adopt(this->tables.upstreams, newer.upstreams);
-    if (!changed)
-        return;
-    FleetLearned event;
-    for (const auto& [key, row] : this->tables.operators.rows) {
-        if (key == platform::configKey) {
-            const auto config = platform::decodeConfig(row.value);
-            if (config)
-                event.config = std::make_shared<const RelayConfig>(config.value());
-        } else if (key.starts_with(platform::weightsKeyPrefix)) {
-            const auto declared = platform::decodeWeights(row.value);
-            if (declared)
-                event.declared[declared.value().model] = declared.value().version;
-        }
-    }
-    for (const auto& [key, row] : this->tables.upstreams.rows) {
-        // Entries log the rows that they cannot read.
-        const auto entry = platform::decodeUpstream(key, row.value);
-        if (entry)
-            event.upstreams.push_back(entry.value());
-    }
-    event.upstreams = currentUpstreams(event.upstreams);
-    this->dispatch(event);
-}
-
 // Time --------------------------------------------------------------------------------------------------------------
 
 void LoaderLoop::everyReport()
@@ -317,14 +289,14 @@
     this->armTimer(this->beaconTimer, engineBeaconPeriod, &LoaderLoop::everyBeacon);
 }
 
-void LoaderLoop::everyTables()
+void LoaderLoop::everyQuestion()
 {
-    this->askTables();
+    this->askFleet();
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
     this->dispatch(StageTick {});
-    this->armTimer(this->tablesTimer, this->tables.operators.rows.empty() ? firstTablesPeriod : tablesPeriod,
-        &LoaderLoop::everyTables);
+    this->armTimer(this->questionTimer, this->fleetStamp == 0 ? firstQuestionPeriod : questionPeriod,
+        &LoaderLoop::everyQuestion);
 }
 
 } // namespace hickory
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "call_pool_io.h"
+#include "fleet_view_func.h"
 #include "front_io.h"
 #include "peer_io.h"
 #include "peer_state_type.h"
-#include "peer_table_func.h"
 #include "platform_decode_func.h"
 #include "settings_type.h"
 #include "stage_reduce_func.h"
@@ -21,7 +21,7 @@
 constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
 
 /// hickory-agent where entries reach engines directly: brings weights to the engine on this host, gives pieces to
-/// other agents, and tells the entries what the engine reports. It asks entries for the store's tables, so that many
+/// other agents, and tells the entries what the engine reports. It asks entries what it needs to know of the fleet, so that many
 /// agents cost the store nothing.
 class LoaderLoop {
 public:
@@ -64,13 +64,12 @@
     void upload(CallId call, const std::string& bytes);
     void uploadSlice();
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
-    void askTables();
-    void learnTables(const PeerTables& tables);
+    void askFleet();
     std::string nextEntry();
 
     void everyReport();
     void everyBeacon();
-    void everyTables();
+    void everyQuestion();
     void sendBeacon();
     void armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)());
 
@@ -81,19 +80,19 @@
     PeerSocket peerSocket; ///< beacons
     PeerTable peers; ///< entries
     StageState state; ///< all decisions
-    PeerTables tables; ///< copies of the store's tables
+    std::uint64_t fleetStamp { 0 }; ///< of the view of the fleet that is known, 0 before
     std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest two are kept
     std::deque<Upload> uploads; ///< sent one after the other at a share of the link
     asio::steady_timer uploadTimer; ///< paces slices
     asio::steady_timer reportTimer; ///< reads the engine's report
     asio::steady_timer beaconTimer; ///< beacons
-    asio::steady_timer tablesTimer; ///< asks for tables
+    asio::steady_timer questionTimer; ///< asks an entry for the view of the fleet
     asio::signal_set signals; ///< SIGTERM, SIGINT, SIGHUP
     Incarnation incarnation; ///< start of the process, Unix ms
-    std::string entry; ///< control address of the entry that is asked for tables
+    std::string entry; ///< control address of the entry that is asked for the view of the fleet
     std::vector<PieceSet> toldPieces; ///< last told to other agents
     Milliseconds toldAt { 0 }; ///< when
-    bool askingTables { false }; ///< a question is under way
+    bool askingFleet { false }; ///< a question is under way
     bool askingReport { false }; ///< a question is under way
 };
 
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -1,5 +1,10 @@
 #include "peer_state_type.h"
 
+#include "digest_func.h"
+#include "table/relay_loop_limits.h"
+
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
@@ -54,4 +59,32 @@
     return live;
 }
 
+bool isStoreFollower(const HostId& self, const std::vector<HostId>& entries)
+{
+    const auto rank = [](const HostId& host) { return placementHash("store-follower", host.value); };
+    const auto before = std::count_if(
+        entries.begin(), entries.end(), [&](const HostId& host) { return rank(host) < rank(self); });
+    return static_cast<std::size_t>(before) < std::max(leastFollowers, entries.size() / entriesPerFollower);
+}
+
+std::vector<PeerEntry> tableSources(const std::vector<PeerEntry>& live, const PlaceId& place)
+{
+    std::vector<HostId> ready;
+    for (const PeerEntry& entry : live)
+        if (entry.ready)
+            ready.push_back(entry.host);
+    std::vector<PeerEntry> followers;
+    std::vector<PeerEntry> near;
+    for (const PeerEntry& entry : live) {
+        if (!entry.ready || !isStoreFollower(entry.host, ready))
+            continue;
+        followers.push_back(entry);
+        if (entry.place == place)
+            near.push_back(entry);
+    }
+    if (followers.empty())
+        return live;
+    return near.empty() ? followers : near;
+}
+
 } // namespace hickory
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -37,4 +37,14 @@
 /// @return other entries that were heard lately
 std::vector<PeerEntry> liveEntries(const PeerTable& table, Milliseconds now);
 
+/// @param self name of a host
+/// @param entries names of live entries, self included
+/// @return whether self is one of the few that ask the store on behalf of all
+bool isStoreFollower(const HostId& self, const std::vector<HostId>& entries);
+
+/// @param live other live entries
+/// @param place of the entry that asks
+/// @return the entries to ask for copies of the store's tables: followers, of the same data centre where there are some
+std::vector<PeerEntry> tableSources(const std::vector<PeerEntry>& live, const PlaceId& place);
+
 } // namespace hickory
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -20,26 +20,31 @@
 
     Json encodeTable(const platform::TableSnapshot& copy, std::uint64_t have, Milliseconds now)
     {
-        Json table { { "revision", copy.revision }, { "age_ms", (now - copy.asOf).value } };
-        if (copy.revision <= have)
-            return table;
-        Json rows = Json::array();
-        for (const auto& [key, row] : copy.rows)
-            rows.push_back({ { "key", key }, { "value", row.value }, { "revision", row.revision } });
-        table["rows"] = std::move(rows);
+        const platform::TableChanges changes = platform::changesSince(copy, have);
+        Json table { { "revision", changes.revision }, { "age_ms", (now - changes.asOf).value } };
+        if (!changes.rows.empty()) {
+            Json rows = Json::array();
+            for (const platform::TableRow& row : changes.rows)
+                rows.push_back({ { "key", row.key }, { "value", row.value }, { "revision", row.revision } });
+            table["rows"] = std::move(rows);
+        }
+        if (changes.keys)
+            table["keys"] = *changes.keys;
         return table;
     }
 
-    platform::TableSnapshot decodeTable(const Json& table, Milliseconds sentAt)
+    platform::TableChanges decodeTable(const Json& table, Milliseconds sentAt)
     {
-        platform::TableSnapshot copy { .revision = table.at("revision").get<std::uint64_t>(),
+        platform::TableChanges changes { .revision = table.at("revision").get<std::uint64_t>(),
             .asOf = sentAt - Milliseconds { table.at("age_ms").get<std::int64_t>() } };
         if (table.contains("rows"))
             for (const Json& row : table.at("rows"))
-                copy.rows[row.at("key").get<std::string>()] = { .key = row.at("key").get<std::string>(),
+                changes.rows.push_back({ .key = row.at("key").get<std::string>(),
                     .value = row.at("value").get<std::string>(),
-                    .revision = row.at("revision").get<std::uint64_t>() };
-        return copy;
+                    .revision = row.at("revision").get<std::uint64_t>() });
+        if (table.contains("keys"))
+            changes.keys = table.at("keys").get<std::set<std::string>>();
+        return changes;
     }
 
 } // namespace
--- a/src/peer_table_func.h
+++ b/src/peer_table_func.h
@@ -15,10 +15,10 @@
     std::uint64_t upstreams { 0 }; ///< list of upstreams
 };
 
-/// Copies of both tables as a peer holds them.
+/// What changed in a peer's copies of both tables since the revisions that it was asked with.
 struct PeerTables {
-    platform::TableSnapshot operators; ///< configuration and declared weights
-    platform::TableSnapshot upstreams; ///< list of upstreams
+    platform::TableChanges operators; ///< configuration and declared weights
+    platform::TableChanges upstreams; ///< list of upstreams
 };
 
 /// @return path and query of the question
@@ -26,13 +26,13 @@
 /// @return the revisions in a question; 0 for one that is missing
 PeerRevisions decodePeerRevisions(const std::string& target);
 
-/// @return JSON with the age of each copy, and its rows where they are newer than what the peer has
+/// @return JSON with the age of each copy and what changed since the peer's revisions
 std::string encodePeerTables(const platform::TableSnapshot& operators, const platform::TableSnapshot& upstreams,
     const PeerRevisions& have, Milliseconds now);
 
 /// @param answer of a peer
 /// @param sentAt when it was asked: a copy is no newer than its age before that
-/// @return the copies; one without rows has the revision that was asked with
+/// @return the changes
 Result<PeerTables> decodePeerTables(const Result<FetchAnswer>& answer, Milliseconds sentAt);
 
 } // namespace hickory
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -1,6 +1,7 @@
 #include "relay_loop_io.h"
 
 #include "event_splitter_func.h"
+#include "fleet_view_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 #include "peer_table_func.h"
@@ -142,7 +143,7 @@
                           "dependency-regained", "operators", "after " + std::to_string(downFor.value) + " ms"));
                   } })
     , upstreamRows(this->io, this->pool,
-          { .address = this->settings.host.store, .table = platform::upstreamTable, .wait = upstreamWait },
+          { .address = this->settings.host.store, .table = platform::upstreamTable, .wait = upstreamWait, .settle = upstreamSettle },
           { .onChange = [this](const auto& rows) { this->onUpstreamRows(rows); },
               .onConfirmed = [] {},
               .onLost = [](const Error& error) { writeLog(storeLine("dependency-lost", "upstreams", error.text())); },
@@ -156,6 +157,7 @@
     , tickTimer(this->io)
     , beaconTimer(this->io)
     , secondTimer(this->io)
+    , tablesTimer(this->io)
     , signals(this->io, SIGTERM, SIGINT, SIGHUP)
     , incarnation { static_cast<std::uint64_t>(wallNow().value) }
 {
@@ -192,6 +194,7 @@
     this->everyTick();
     this->everyBeacon();
     this->everySecond();
+    this->everyTables();
     std::function<void()> waitSignal = [this, &waitSignal] {
         this->signals.async_wait([this, &waitSignal](const std::error_code& code, int number) {
             if (code)
@@ -358,6 +361,8 @@
 {
     if (request.head.target == "/metrics")
         this->front.answer(request.id, statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsPage());
+    else if (request.head.target.starts_with(fleetViewPath))
+        this->onFleetAsked(request);
     else if (request.head.target.starts_with(peerTablesPath)) {
         const PeerRevisions have = decodePeerRevisions(request.head.target);
         this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
@@ -366,6 +371,18 @@
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
 }
 
+void RelayLoop::onFleetAsked(const FrontRequest& request)
+{
+    const FleetQuestion question = decodeFleetQuestion(request.head.target);
+    const std::optional<FleetView> view = makeFleetView(this->state, question.service);
+    if (!view || view->hosts.empty()) {
+        this->front.answer(request.id, statusUnavailable, {}, "no configuration or list yet\n");
+        return;
+    }
+    this->front.answer(
+        request.id, statusOk, { { "Content-Type", "application/json" } }, encodeFleetView(*view, question.stamp));
+}
+
 bool RelayLoop::ready() const
 {
     return this->drainingSince.value == 0 && this->state.config && !this->upstreams.empty() && this->trusted();
@@ -396,7 +413,6 @@
     this->pool.sweep(now);
     forgetSilentPeers(this->peers, now);
     this->dispatch(EntriesCounted { .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
-    this->askPeer();
     bool gone = false;
     for (auto row = this->lapsed.begin(); row != this->lapsed.end();) {
         if (now < row->second) {
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -45,17 +45,20 @@
     void onRequest(FrontRequest&& request);
     void onLookup(const FrontRequest& request);
     void onControl(const FrontRequest& request);
+    void onFleetAsked(const FrontRequest& request);
     void onGone(CallId call);
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void onOperatorRows(const std::vector<platform::TableRow>& changed);
     void onUpstreamRows(const std::vector<platform::TableRow>& changed);
     void onConfirmed();
     void publishUpstreams();
-    void askPeer();
+    bool followsStore(Milliseconds now) const;
+    void askPeer(Milliseconds now, bool any);
 
     void everyTick();
     void everyBeacon();
     void everySecond();
+    void everyTables();
     void startDrain();
     void continueDrain();
     void reload();
@@ -81,6 +84,7 @@
     asio::steady_timer tickTimer; ///< time for the reducer
     asio::steady_timer beaconTimer; ///< beacons
     asio::steady_timer secondTimer; ///< sweeps
+    asio::steady_timer tablesTimer; ///< questions to peers for their copies of the store's tables
     asio::signal_set signals; ///< SIGTERM, SIGINT and SIGHUP
     std::uint16_t readinessPort { 0 }; ///< local ports tell what a request is for
     std::uint16_t lookupPort { 0 }; ///< likewise
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -5,6 +5,7 @@
 #include "relay_loop_io.h"
 #include "table/relay_loop_limits.h"
 
+#include <algorithm>
 #include <random>
 
 namespace hickory {
@@ -56,18 +57,38 @@
     this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::everyBeacon);
 }
 
-void RelayLoop::askPeer()
+bool RelayLoop::followsStore(Milliseconds now) const
+{
+    std::vector<HostId> candidates { this->settings.host.host };
+    for (const PeerEntry& entry : liveEntries(this->peers, now))
+        if (entry.ready)
+            candidates.push_back(entry.host);
+    return isStoreFollower(this->settings.host.host, candidates);
+}
+
+void RelayLoop::everyTables()
 {
     const Milliseconds now = monotonicNow();
-    const bool wanted = now - this->operatorRows.snapshot().asOf > askPeerAfter
-        || now - this->upstreamRows.snapshot().asOf > askPeerForUpstreamsAfter;
-    if (this->askingPeer || !wanted)
+    const bool stale = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf) > ownStoreAfter;
+    const bool follows = this->followsStore(now);
+    this->operatorRows.setAsking(follows || stale);
+    this->upstreamRows.setAsking(follows || stale);
+    if (!follows || stale)
+        this->askPeer(now, stale);
+    this->armTimer(this->tablesTimer, tablesPeriod, &RelayLoop::everyTables);
+}
+
+void RelayLoop::askPeer(Milliseconds now, bool any)
+{
+    if (this->askingPeer)
         return;
     const std::vector<PeerEntry> live = liveEntries(this->peers, now);
-    if (live.empty())
+    const std::vector<PeerEntry> sources = any ? live : tableSources(live, this->settings.host.place);
+    if (sources.empty())
         return;
     this->askingPeer = true;
-    const PeerEntry& peer = live.at(std::uniform_int_distribution<std::size_t>(0, live.size() - 1)(this->state.random));
+    const PeerEntry& peer
+        = sources.at(std::uniform_int_distribution<std::size_t>(0, sources.size() - 1)(this->state.random));
     const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
         .upstreams = this->upstreamRows.snapshot().revision };
     this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = askPeerTimeout },
@@ -120,8 +141,13 @@
 void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
 {
     const Milliseconds now = monotonicNow();
+    const Milliseconds knownAt = this->upstreamRows.snapshot().asOf;
+    if (knownAt.value != 0 && now - knownAt > listGap)
+        this->unsettledUntil = now + listReturn;
+    bool moved = false;
     for (const platform::TableRow& row : changed) {
         if (row.deleted) {
+            moved = true;
             // Leases run out while the store is away; live upstreams are listed again soon after its return.
             if (now < this->unsettledUntil && this->upstreams.contains(row.key))
                 this->lapsed[row.key] = this->unsettledUntil;
@@ -131,16 +157,21 @@
         }
         const Result<UpstreamEntry> entry = platform::decodeUpstream(row.key, row.value);
         this->lapsed.erase(row.key);
-        if (entry)
+        if (entry) {
+            // Most changes are heartbeats, which say nothing new.
+            const auto known = this->upstreams.find(row.key);
+            moved = moved || known == this->upstreams.end() || !(known->second == entry.value());
             this->upstreams[row.key] = entry.value();
-        else {
+        } else {
+            moved = true;
             this->upstreams.erase(row.key);
             writeLog({ .level = LogLevel::Warning,
                 .event = "upstream-refused",
                 .fields = { { "upstream", row.key }, { "error", entry.error().text() } } });
         }
     }
-    this->publishUpstreams();
+    if (moved)
+        this->publishUpstreams();
 }
 
 void RelayLoop::publishUpstreams()
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -66,8 +66,8 @@
                 unread += found->second.unreadTokens;
         }
         return cost + spreadMs * spread(request, view)
-            + predictFirstToken(
-                *profile, { .requests = requests, .unreadTokens = unread, .pace = paceOf(view, now) }, request.facts.promptTokens);
+            + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = paceOf(view, now) },
+                request.facts.promptTokens);
     }
 
     /// @return whether an upstream has work of ours and has sent nothing for longer than its work explains
@@ -75,10 +75,9 @@
     {
         if (view.sent == 0)
             return false;
-        const Milliseconds limit = engine
-            ? Milliseconds { static_cast<std::int64_t>(
-                static_cast<double>(quietLimit.value) * std::max(1.0, paceOf(view, now))) }
-            : plainQuietLimit;
+        const Milliseconds limit = engine ? Milliseconds { static_cast<std::int64_t>(
+                                       static_cast<double>(quietLimit.value) * std::max(1.0, paceOf(view, now))) }
+                                          : plainQuietLimit;
         return now - view.heardAt > limit;
     }
 
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -15,8 +15,6 @@
 
     constexpr std::int64_t percent = 100;
 
-    std::string ipOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
-
     std::size_t countStep(const StageWork& work, PieceStep step)
     {
         return static_cast<std::size_t>(std::count_if(
@@ -65,25 +63,20 @@
 
     void applyFleet(StageState& state, const FleetLearned& event, Milliseconds now, Effects& effects)
     {
-        if (!event.config)
-            return;
-        for (const auto& [name, service] : event.config->services) {
-            if (!service.originAddress.empty())
-                state.originAddress = service.originAddress;
-            if (name == state.options.service && service.engine && !service.engine->models.empty())
-                state.model = service.engine->models.front();
-        }
-        state.peers.clear();
-        for (const UpstreamEntry& entry : event.upstreams)
-            if (entry.service == state.options.service)
-                state.peers.push_back({ .ip = ipOf(entry.address), .place = entry.place });
-        std::sort(state.peers.begin(), state.peers.end(),
-            [](const StagePeer& left, const StagePeer& right) { return left.ip < right.ip; });
-        if (state.model.empty())
-            return;
-        constexpr WeightsVersion firstVersion { 1 };
-        const auto declared = event.declared.find(state.model);
-        wantVersion(state, declared == event.declared.end() ? firstVersion : declared->second, now, effects);
+        state.originAddress = event.view.originAddress;
+        state.model = event.view.model;
+        state.peers = event.view.hosts;
+        if (!state.model.empty())
+            wantVersion(state, event.view.declared, now, effects);
+    }
+
+    /// Pieces that wait for a narrow link delay the engine's requests and streams: fewer are asked for at once.
+    void applyLink(StageState& state, const LinkMeasured& event)
+    {
+        if (event.roundTrip > promptAnswer)
+            state.window = std::max(minPiecesInFlight, state.window / 2);
+        else
+            state.window = std::min(maxPiecesInFlight, state.window + 2);
     }
 
     /// After a restart of the engine nothing that was written beside it is relied on.
@@ -169,6 +162,8 @@
             PieceState& piece = work.pieces[index];
             if (piece.step != PieceStep::Missing || now < piece.retryAt)
                 continue;
+            if (inFlight.shared + inFlight.own >= state.window)
+                return;
             const bool ownFull = sharedOnly || inFlight.own >= ownInFlight;
             if (inFlight.shared >= sharedInFlight && ownFull)
                 return;
@@ -457,6 +452,7 @@
     std::visit(Overloaded {
                    [&](const StageTick&) {},
                    [&](const FleetLearned& learned) { applyFleet(state, learned, now, effects); },
+                   [&](const LinkMeasured& measured) { applyLink(state, measured); },
                    [&](const ReportRead& read) { applyReport(state, read, now, effects); },
                    [&](const ManifestFetched& fetched) { applyManifest(state, fetched, now); },
                    [&](const PieceFetched& fetched) { applyPiece(state, fetched, now, effects); },
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "stage_type.h"
+#include "table/stage_limits.h"
 
 #include <random>
 
@@ -44,12 +45,6 @@
     Given, ///< the engine was ordered
 };
 
-/// A host whose agent may give pieces.
-struct StagePeer {
-    std::string ip; ///< of the host
-    PlaceId place; ///< data centre
-};
-
 /// What another agent holds, and when it told.
 struct HeldElsewhere {
     Milliseconds at; ///< of its last beacon
@@ -80,6 +75,7 @@
     std::vector<StageWork> works; ///< the version to load first, then perhaps one declared after it
     std::optional<EngineReport> report; ///< last one
     std::int64_t bornAt { 0 }; ///< of the engine that the pieces were staged for
+    std::size_t window { maxPiecesInFlight }; ///< pieces that may be asked for at once
     bool acceptUnseen { false }; ///< an order was accepted and no report came since
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet_view_type.h"
 #include "log_type.h"
 #include "peer_type.h"
 #include "relay_type.h"
@@ -23,11 +24,14 @@
 /// Time passed.
 struct StageTick { };
 
-/// Configuration, declared weights or the list of upstreams may have changed.
+/// Hosts of the service or declared weights changed.
 struct FleetLearned {
-    std::shared_ptr<const RelayConfig> config; ///< newest known
-    std::map<ModelId, WeightsVersion> declared; ///< newest declared weights
-    std::vector<UpstreamEntry> upstreams; ///< all that are listed
+    FleetView view; ///< newest known
+};
+
+/// An entry in the same data centre answered a short question.
+struct LinkMeasured {
+    Milliseconds roundTrip { 0 }; ///< until its answer came
 };
 
 /// The engine answered or did not.
@@ -75,7 +79,7 @@
     std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
 };
 
-using StageEvent = std::variant<StageTick, FleetLearned, ReportRead, ManifestFetched, PieceFetched, PeerPieces,
+using StageEvent = std::variant<StageTick, FleetLearned, LinkMeasured, ReportRead, ManifestFetched, PieceFetched, PeerPieces,
     PieceStaged, StageChecked, OrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -9,12 +9,12 @@
 constexpr Milliseconds reportPeriod { 150 }; ///< two passes of an engine; reading it costs no slot
 constexpr Milliseconds reportTimeout { 600 }; ///< an engine that is silent for longer is taken as gone
 constexpr Milliseconds engineBeaconPeriod { 150 }; ///< entries also count what they send themselves
-constexpr Milliseconds tablesPeriod { 350 }; ///< adds this to the time until declared weights are known
-constexpr Milliseconds firstTablesPeriod {
+constexpr Milliseconds questionPeriod { 350 }; ///< adds this to the time until declared weights are known
+constexpr Milliseconds firstQuestionPeriod {
     60
 }; ///< until the first answer: after a loss of power nobody serves before it
-constexpr Milliseconds tablesConnect { 150 }; ///< an entry that is down does not answer; the next one is asked
-constexpr Milliseconds tablesTimeout { 700 }; ///< then another entry is asked
+constexpr Milliseconds questionConnect { 150 }; ///< an entry that is down does not answer; the next one is asked
+constexpr Milliseconds questionTimeout { 700 }; ///< then another entry is asked
 constexpr Milliseconds peerPieceTimeout { 1500 }; ///< a piece is sent in 35 ms over a free link, after a few others
 constexpr Milliseconds originTimeout { 3000 }; ///< the origin sends one copy in 1.7 s, to all hosts together
 constexpr Milliseconds engineTimeout { 800 }; ///< on the same host
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -21,8 +21,12 @@
 constexpr Milliseconds beaconPeriod { 100 }; ///< between beacons, about one pass of an engine
 constexpr std::uint32_t beaconsPerIntroduction = 10; ///< each tenth beacon names the other live entries
 constexpr Milliseconds sweepPeriod { 500 }; ///< of idle connections and peers
-constexpr Milliseconds askPeerAfter { 1500 }; ///< the configuration is confirmed more often while the store answers
-constexpr Milliseconds askPeerForUpstreamsAfter { 2200 }; ///< likewise the list
+constexpr Milliseconds upstreamSettle { 250 }; ///< heartbeats of all upstreams change the list many times a second
+constexpr Milliseconds listGap { 2500 }; ///< without news of the list for longer, leases may have run out meanwhile
+constexpr Milliseconds tablesPeriod { 300 }; ///< between questions to a peer: adds this to the delay of the store's news
+constexpr Milliseconds ownStoreAfter { 1200 }; ///< without fresh news from peers, an entry asks the store itself
+constexpr std::size_t leastFollowers = 2; ///< entries that ask the store on behalf of all
+constexpr std::size_t entriesPerFollower = 16; ///< keeps the questions that a follower answers below 60 a second
 constexpr Milliseconds askPeerTimeout { 400 }; ///< of a question to a peer
 constexpr Milliseconds keptChannelIdle { 2000 }; ///< upstreams without a stated limit keep connections for seconds
 constexpr Milliseconds freshChannelIdle { 300 }; ///< for calls that cannot be repeated
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -9,6 +9,9 @@
 constexpr std::size_t sharedInFlight = 6; ///< fills a link of 7.6 Mbit/s over round trips between regions
 constexpr std::size_t originInFlight = 1; ///< the origin accepts 48 connections from all hosts together
 constexpr std::size_t ownInFlight = 6; ///< likewise, from hosts of the same place
+constexpr std::size_t maxPiecesInFlight = sharedInFlight + ownInFlight; ///< on a link that answers promptly
+constexpr std::size_t minPiecesInFlight = 1; ///< on a link that became narrow
+constexpr Milliseconds promptAnswer { 150 }; ///< of an entry nearby: pieces in flight fill a free link for less
 constexpr std::size_t perSourceInFlight = 2; ///< one on its way while the next is asked for
 constexpr Milliseconds piecesTrust { 2500 }; ///< of what a host told that it holds; it tells at least once a second
 constexpr Milliseconds originRound { 2200 }; ///< the origin sends one copy in 1.7 s
--- a/src/upstream_entry_type.h
+++ b/src/upstream_entry_type.h
@@ -18,6 +18,8 @@
     ModelId model; ///< name
     WeightsVersion version; ///< loaded version
     bool whole { true }; ///< all layers are held
+
+    bool operator==(const HeldModel&) const = default;
 };
 
 /// One upstream of the platform's list.
@@ -30,6 +32,8 @@
     bool leaving { false }; ///< takes no new work
     std::vector<HeldModel> models; ///< weights that it holds, engines only
     std::int64_t bornAt { 0 }; ///< start of the process, Unix ms; differs after a restart under the same id
+
+    bool operator==(const UpstreamEntry&) const = default;
 };
 
 /// What an engine says of itself; fresh when it comes from the agent beside it.
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -66,6 +66,57 @@
     const auto tables = decodePeerTables(Result<FetchAnswer>(answer), { 70000 });
     REQUIRE(tables);
     CHECK(tables.value().operators.asOf == Milliseconds { 69900 });
-    CHECK(tables.value().operators.rows.at("config").value == "text");
+    CHECK(tables.value().operators.rows.at(0).value == "text");
     CHECK(tables.value().upstreams.rows.empty());
+    CHECK_FALSE(tables.value().upstreams.keys);
+}
+
+TEST_CASE("a peer's changes name what was removed since the revision asked with", "[peer]")
+{
+    platform::TableSnapshot copy { .revision = 20, .asOf = { 900 }, .removedAt = 12 };
+    copy.rows["old"] = { .key = "old", .value = "1", .revision = 5 };
+    copy.rows["new"] = { .key = "new", .value = "2", .revision = 15 };
+    const platform::TableChanges recent = platform::changesSince(copy, 13);
+    CHECK(recent.rows.size() == 1);
+    CHECK_FALSE(recent.keys);
+    const platform::TableChanges older = platform::changesSince(copy, 11);
+    CHECK(older.rows.size() == 1);
+    REQUIRE(older.keys);
+    CHECK(*older.keys == std::set<std::string> { "new", "old" });
+    CHECK(platform::changesSince(copy, 0).rows.size() == 2);
+}
+
+TEST_CASE("few entries ask the store for all, another one when they are gone", "[peer]")
+{
+    std::vector<HostId> entries;
+    for (int index = 0; index < 12; ++index)
+        entries.push_back({ "entry-" + std::to_string(index) });
+    const auto followers = [&] {
+        std::vector<HostId> found;
+        for (const HostId& host : entries)
+            if (isStoreFollower(host, entries))
+                found.push_back(host);
+        return found;
+    };
+    const std::vector<HostId> first = followers();
+    CHECK(first.size() == 2);
+    std::erase(entries, first.front());
+    CHECK(followers().size() == 2);
+    entries = { { "alone" } };
+    CHECK(isStoreFollower({ "alone" }, entries));
+}
+
+TEST_CASE("an entry asks followers of its own data centre, or any", "[peer]")
+{
+    std::vector<PeerEntry> live;
+    for (int index = 0; index < 12; ++index)
+        live.push_back({ .host = { "entry-" + std::to_string(index) },
+            .place = { index % 2 == 0 ? "a" : "b" },
+            .ready = true });
+    for (const char* place : { "a", "b", "c" })
+        for (const PeerEntry& source : tableSources(live, { place }))
+            CHECK((source.place.value == place || tableSources(live, { place }).size() == 2));
+    for (PeerEntry& entry : live)
+        entry.ready = false;
+    CHECK(tableSources(live, { "a" }).size() == 12);
 }
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-// Load pattern: a link that became narrow, a host that froze. Requests sent there wait for nothing while others pile up.
+// Load pattern: a link that became narrow, a host that froze. Requests sent there wait for nothing while others pile
+// up.
 TEST_CASE("an engine that is silent with work takes no more of it until it moves", "[relay][suspect]")
 {
     RelayFixture relay;
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -27,17 +27,10 @@
 
     std::vector<StageEffect> declare(std::uint64_t version)
     {
-        auto config = std::make_shared<RelayConfig>();
-        config->services[{ "engine" }]
-            = { .name = { "engine" }, .engine = EngineProfile { .models = { { "model" } } } };
-        config->services[{ "origin" }] = { .name = { "origin" }, .originAddress = "10.9.0.1:1" };
-        FleetLearned fleet { .config = config, .declared = { { { "model" }, { version } } } };
+        FleetView view { .model = { "model" }, .originAddress = "10.9.0.1:1", .declared = { version } };
         for (int host = 1; host <= 4; ++host)
-            fleet.upstreams.push_back({ .id = { "e" + std::to_string(host) },
-                .service = { "engine" },
-                .address = "10.1.0." + std::to_string(host) + ":80",
-                .place = { host <= 2 ? "a" : "b" } });
-        return this->event(fleet);
+            view.hosts.push_back({ .ip = "10.1.0." + std::to_string(host), .place = { host <= 2 ? "a" : "b" } });
+        return this->event(FleetLearned { .view = view });
     }
 
     std::vector<StageEffect> report(std::uint64_t version, bool busy = false)
@@ -302,3 +295,26 @@
     for (std::uint32_t piece = 0; piece < chunks; ++piece)
         CHECK(fetched[piece] >= 1);
 }
+
+// Load pattern: a host whose link became narrow while it fetches weights. Requests and streams of its engine, and the
+// closing of what callers gave up, wait behind the pieces.
+TEST_CASE("fewer pieces are asked for at once over a link that answers slowly", "[stage]")
+{
+    StageFixture agent;
+    agent.report(1);
+    for (int count = 0; count < 4; ++count)
+        agent.event(LinkMeasured { .roundTrip = { 400 } });
+    agent.declare(2);
+    agent.event(ManifestFetched { .version = { 2 }, .chunks = chunks });
+    const auto asked = [&] {
+        const auto& pieces = agent.state.works.back().pieces;
+        return std::count_if(pieces.begin(), pieces.end(),
+            [](const PieceState& piece) { return piece.step == PieceStep::Fetching; });
+    };
+    agent.peerHolds("10.1.0.2", 2);
+    CHECK(asked() == 1);
+    for (int count = 0; count < 6; ++count)
+        agent.event(LinkMeasured { .roundTrip = { 5 } });
+    CHECK(asked() > 1);
+    CHECK(agent.state.window == maxPiecesInFlight);
+}
