--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -46,6 +46,12 @@
   ready @5 :Bool;           # callers may be sent there
 }
 
+struct Place {
+  totals @0 :List(Load);    # what all known entries have under way at the engines and plain upstreams there
+  engines @1 :List(Engine); # reports of its agents that changed, now and then all
+  entries @2 :List(Entry);  # its live entries
+}
+
 struct Beacon {
   from @0 :Entry;           # sender; an agent leaves front and control empty
   configVersion @1 :UInt64;
@@ -53,4 +59,5 @@
   engine @3 :Engine;        # agents only
   known @4 :List(Entry);    # other live entries, now and then
   pieces @5 :List(Pieces);  # agents only: what may be fetched from the sender
+  place @6 :Place;          # sent to entries of other data centres by one entry of each
 }
--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -61,6 +61,7 @@
     std::shared_ptr<CallSink> sink; ///< of the call under way
     OutCallId call; ///< under way, 0 when idle
     std::string bytes; ///< request, until it is written
+    bool keep { true }; ///< may be used again after the answer
     bool skipping { false }; ///< the answer being read belongs to another request
     bool answered { false }; ///< the head of this call's answer was read
     bool complete { false }; ///< this call's answer is complete
@@ -109,6 +110,7 @@
     channel->bytes = std::move(call.bytes);
     channel->answered = false;
     channel->complete = false;
+    channel->keep = call.keep;
     this->active[id] = channel;
     if (reused)
         this->begin(channel);
@@ -175,7 +177,8 @@
     if (!channel->complete)
         return;
     // Bytes behind the answer, or an answer that came before the whole request was read: not reused.
-    const bool reusable = bytes.empty() && channel->parser.keepAlive() && channel->link->pending() == 0;
+    const bool reusable
+        = channel->keep && bytes.empty() && channel->parser.keepAlive() && channel->link->pending() == 0;
     if (reusable)
         this->keep(channel);
     this->endCall(channel, CallEnd::Complete);
@@ -305,8 +308,11 @@
     auto sink = std::make_shared<Fetch>(this->io);
     sink->address = call.address;
     sink->done = std::move(done);
-    const OutCallId id = this->send(
-        { .address = call.address, .bytes = requestText(call), .connectTimeout = call.connectTimeout }, sink);
+    const OutCallId id = this->send({ .address = call.address,
+                                        .bytes = requestText(call),
+                                        .connectTimeout = call.connectTimeout,
+                                        .keep = call.keep },
+        sink);
     sink->timer.expires_after(std::chrono::milliseconds(call.timeout.value));
     sink->timer.async_wait([this, id, sink](const std::error_code& code) {
         if (code || !this->active.contains(id))
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -40,6 +40,7 @@
     std::string bytes; ///< the whole request as sent
     Milliseconds connectTimeout { 400 }; ///< several round trips between regions
     Milliseconds maxIdle { 400 }; ///< a kept connection that was idle for longer is not used, none at all when negative
+    bool keep { true }; ///< the connection may be used again; false where the peer takes few of them
 };
 
 /// A whole answer.
@@ -57,6 +58,7 @@
     std::string body; ///< may be empty
     Milliseconds connectTimeout { 400 }; ///< several round trips between regions
     Milliseconds timeout { 1000 }; ///< until the whole answer
+    bool keep { true }; ///< the connection may be used again; false where the peer takes few of them
 };
 
 /// HTTP/1.1 client on the Asio loop with kept connections for each address.
--- a/src/fleet_view_func.cpp
+++ b/src/fleet_view_func.cpp
@@ -36,8 +36,10 @@
         return std::nullopt;
     FleetView view;
     for (const auto& [name, known] : state.config->services) {
-        if (!known.originAddress.empty())
+        if (!known.originAddress.empty()) {
             view.originAddress = known.originAddress;
+            view.originMbps = known.originMbps;
+        }
         if (name == service && known.engine && !known.engine->models.empty())
             view.model = known.engine->models.front();
     }
@@ -73,7 +75,7 @@
     for (const StagePeer& host : view.hosts)
         hosts.push_back({ host.ip, host.place.value });
     const Json document { { "model", view.model.value }, { "origin", view.originAddress },
-        { "declared", view.declared.value }, { "hosts", std::move(hosts) } };
+        { "origin_mbps", view.originMbps }, { "declared", view.declared.value }, { "hosts", std::move(hosts) } };
     const std::uint64_t own = placementHash("fleet-view", document.dump());
     Json answer { { "stamp", own } };
     if (own != stamp)
@@ -95,6 +97,7 @@
         const Json& body = document.at("view");
         FleetView view { .model = { body.at("model").get<std::string>() },
             .originAddress = body.at("origin").get<std::string>(),
+            .originMbps = body.at("origin_mbps").get<double>(),
             .declared = { body.at("declared").get<std::uint64_t>() } };
         for (const Json& host : body.at("hosts"))
             view.hosts.push_back({ .ip = host.at(0).get<std::string>(), .place = { host.at(1).get<std::string>() } });
--- a/src/fleet_view_type.h
+++ b/src/fleet_view_type.h
@@ -21,6 +21,7 @@
 struct FleetView {
     ModelId model; ///< that the service's engines serve, empty until known
     std::string originAddress; ///< "ip:port" of the origin of weights
+    double originMbps { 0 }; ///< its link, 0 when not known
     WeightsVersion declared { 1 }; ///< newest declared weights of the model
     std::vector<StagePeer> hosts; ///< all hosts of the service, sorted by ip
 
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -17,6 +17,7 @@
 
     constexpr std::uint16_t statusOk = 200;
     constexpr std::uint16_t statusNotFound = 404;
+    constexpr std::uint16_t statusUnavailable = 503;
 
 } // namespace
 
@@ -45,6 +46,7 @@
 {
     for (const std::string& seed : this->settings.host.seeds)
         this->peers.seeds.insert(seed.substr(0, seed.rfind(':')));
+    this->peers.liveWithin = entryLiveWithin;
 }
 
 LoaderLoop::~LoaderLoop() = default;
@@ -142,21 +144,28 @@
             this->front.answer(request.id, statusOk, {}, found->second.manifestText);
             return;
         }
-        if (what.size() > 1 && std::from_chars(what.data() + 1, end, index).ptr == end) {
-            this->onPieceAsked(request.id, { version }, index);
+        const char* rest = what.size() > 1 ? std::from_chars(what.data() + 1, end, index).ptr : what.data();
+        const std::string_view query(rest, static_cast<std::size_t>(end - rest));
+        if (what.size() > 1 && (query.empty() || query == forOtherPlace)) {
+            this->onPieceAsked(request.id, { version }, index, query == forOtherPlace);
             return;
         }
     }
     this->front.answer(request.id, statusNotFound, {}, "not here\n");
 }
 
-void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index)
+void LoaderLoop::onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, bool otherPlace)
 {
+    if (this->uploads.size() >= maxUploads && !otherPlace) {
+        // By the time that its turn comes, others hold the piece, too.
+        this->front.answer(call, statusUnavailable, {}, "busy\n");
+        return;
+    }
     const auto found = this->held.find(version.value);
     const bool here
         = found != this->held.end() && index < found->second.pieces.size() && !found->second.pieces[index].empty();
     if (here)
-        this->upload(call, found->second.pieces[index]);
+        this->upload(call, found->second.pieces[index], otherPlace);
     else
         this->front.answer(call, statusNotFound, {}, "not here\n");
 }
@@ -179,21 +188,39 @@
         beacon.engine = EngineReported {
             .address = this->settings.engine, .report = *this->state.report, .ordering = orderPending(this->state)
         };
-    this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
-    // Other agents need to know what changed, and now and then that this one is still there.
+    this->peerSocket.send(beacon, this->entryTargets());
+    this->tellAgents(std::move(beacon));
+}
+
+std::vector<std::string> LoaderLoop::entryTargets() const
+{
+    const auto live = liveEntries(this->peers, monotonicNow());
+    const bool near = std::any_of(
+        live.begin(), live.end(), [&](const PeerEntry& entry) { return entry.place == this->settings.host.place; });
+    // Entries of other data centres hear of the engine from those of this one, as long as there are any.
+    return near ? nearTargets(this->peers, this->settings.host.place, this->settings.host.ip)
+                : beaconTargets(this->peers, this->settings.host.ip);
+}
+
+void LoaderLoop::tellAgents(PeerBeacon beacon)
+{
     const Milliseconds now = monotonicNow();
-    std::vector<PieceSet> pieces = ownPieces(this->state);
-    if (pieces == this->toldPieces && now - this->toldAt < tellUnchangedAfter)
-        return;
-    this->toldPieces = pieces;
-    this->toldAt = now;
-    beacon.engine.reset();
-    beacon.pieces = std::move(pieces);
-    std::vector<std::string> agents;
-    for (const StagePeer& peer : this->state.peers)
-        if (peer.ip != this->settings.host.ip)
-            agents.push_back(peer.ip);
-    this->peerSocket.send(beacon, agents);
+    const auto tell = [&](ToldPieces& told, std::vector<PieceSet> pieces, Milliseconds unchangedAfter, bool near) {
+        if (pieces == told.pieces && now - told.at < unchangedAfter)
+            return;
+        told = { .pieces = pieces, .at = now };
+        beacon.engine.reset();
+        beacon.pieces = std::move(pieces);
+        std::vector<std::string> agents;
+        for (const StagePeer& peer : this->state.peers)
+            if (peer.ip != this->settings.host.ip && (peer.place == this->settings.host.place) == near)
+                agents.push_back(peer.ip);
+        this->peerSocket.send(beacon, agents);
+    };
+    tell(this->toldNear, ownPieces(this->state), tellUnchangedAfter, true);
+    // A data centre needs one copy of each piece: the agent that had it first from elsewhere tells the others of it.
+    const bool full = now - this->toldFar.at >= tellFarAfter;
+    tell(this->toldFar, full ? ownPieces(this->state) : originPieces(this->state), tellFarAfter, false);
 }
 
 std::string LoaderLoop::nextEntry()
@@ -232,11 +259,11 @@
     const Milliseconds sentAt = monotonicNow();
     const bool near = std::any_of(live.begin(), live.end(),
         [&](const PeerEntry& known) { return known.control == this->entry && isNear(known); });
-    this->pool.fetch({ .address = this->entry,
-                         .target
-                         = fleetQuestionTarget({ .service = this->settings.service, .stamp = this->fleetStamp }),
-                         .connectTimeout = questionConnect,
-                         .timeout = questionTimeout },
+    this->pool.fetch(
+        { .address = this->entry,
+            .target = fleetQuestionTarget({ .service = this->settings.service, .stamp = this->fleetStamp }),
+            .connectTimeout = questionConnect,
+            .timeout = questionTimeout },
         [this, sentAt, near](const Result<FetchAnswer>& answer) {
             this->askingFleet = false;
             const Result<FleetAnswer> read = decodeFleetAnswer(answer);
@@ -295,8 +322,8 @@
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
     this->dispatch(StageTick {});
-    this->armTimer(this->questionTimer, this->fleetStamp == 0 ? firstQuestionPeriod : questionPeriod,
-        &LoaderLoop::everyQuestion);
+    this->armTimer(
+        this->questionTimer, this->fleetStamp == 0 ? firstQuestionPeriod : questionPeriod, &LoaderLoop::everyQuestion);
 }
 
 } // namespace hickory
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -19,10 +19,12 @@
 namespace hickory {
 
 constexpr const char* weightsPath = "/v1/weights/"; ///< between agents: VERSION/manifest or VERSION/INDEX
+constexpr const char* forOtherPlace
+    = "?other-place"; ///< appended by the one host that fetches a piece for its data centre
 
 /// hickory-agent where entries reach engines directly: brings weights to the engine on this host, gives pieces to
-/// other agents, and tells the entries what the engine reports. It asks entries what it needs to know of the fleet, so that many
-/// agents cost the store nothing.
+/// other agents, and tells the entries what the engine reports. It asks entries what it needs to know of the fleet, so
+/// that many agents cost the store nothing.
 class LoaderLoop {
 public:
     explicit LoaderLoop(LoaderSettings settings);
@@ -48,6 +50,11 @@
         std::size_t sent { 0 }; ///< bytes handed to the connection
     };
     struct CheckRun;
+    /// What other agents were told of the pieces here.
+    struct ToldPieces {
+        std::vector<PieceSet> pieces; ///< by version
+        Milliseconds at { 0 }; ///< when
+    };
 
     void dispatch(const StageEvent& event);
     void apply(const StageEffect& effect);
@@ -60,8 +67,8 @@
     bool keepPiece(WeightsVersion version, std::uint32_t index, const std::string& bytes);
 
     void onRequest(FrontRequest&& request);
-    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index);
-    void upload(CallId call, const std::string& bytes);
+    void onPieceAsked(CallId call, WeightsVersion version, std::uint32_t index, bool otherPlace);
+    void upload(CallId call, const std::string& bytes, bool first);
     void uploadSlice();
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void askFleet();
@@ -71,6 +78,8 @@
     void everyBeacon();
     void everyQuestion();
     void sendBeacon();
+    void tellAgents(PeerBeacon beacon);
+    std::vector<std::string> entryTargets() const;
     void armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)());
 
     LoaderSettings settings; ///< as read at start
@@ -90,8 +99,8 @@
     asio::signal_set signals; ///< SIGTERM, SIGINT, SIGHUP
     Incarnation incarnation; ///< start of the process, Unix ms
     std::string entry; ///< control address of the entry that is asked for the view of the fleet
-    std::vector<PieceSet> toldPieces; ///< last told to other agents
-    Milliseconds toldAt { 0 }; ///< when
+    ToldPieces toldNear; ///< agents of this data centre
+    ToldPieces toldFar; ///< agents of the others
     bool askingFleet { false }; ///< a question is under way
     bool askingReport { false }; ///< a question is under way
 };
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -3,6 +3,7 @@
 #include "log_io.h"
 #include "platform_names.h"
 #include "platform_wire_func.h"
+#include "stage_source_func.h"
 #include "table/loader_limits.h"
 
 namespace hickory {
@@ -10,6 +11,17 @@
 namespace {
 
     constexpr std::uint16_t statusOk = 200;
+    constexpr std::uint16_t statusUnavailable = 503;
+
+    /// @return why an answer is not the piece that was asked for
+    std::string describe(const Result<FetchAnswer>& answer)
+    {
+        if (!answer)
+            return answer.error().text();
+        const FetchAnswer& whole = answer.value();
+        return whole.head.status == statusOk ? "digest differs, " + std::to_string(whole.body.size()) + " bytes"
+                                             : "status " + std::to_string(whole.head.status);
+    }
 
     std::string peerTarget(WeightsVersion version, const std::string& what)
     {
@@ -25,9 +37,11 @@
         = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
         .target
         = origin ? platform::manifestTarget(this->state.model, effect.version) : peerTarget(effect.version, "manifest"),
-        .timeout = originTimeout };
+        .timeout = originTimeout,
+        .keep = !origin };
     this->pool.fetch(std::move(call), [this, version = effect.version](const Result<FetchAnswer>& answer) {
         std::uint32_t chunks = 0;
+        std::uint32_t chunkBytes = 0;
         if (succeeded(answer)) {
             const auto manifest = platform::decodeManifest(answer.value().body);
             if (manifest && manifest.value().version == version) {
@@ -36,6 +50,7 @@
                 own.digests = manifest.value().digests;
                 own.pieces.resize(own.digests.size());
                 chunks = static_cast<std::uint32_t>(own.digests.size());
+                chunkBytes = manifest.value().chunkBytes;
                 while (this->held.size() > versionsKept)
                     this->held.erase(this->held.begin());
             }
@@ -46,7 +61,7 @@
                 .fields = { { "version", std::to_string(version.value) },
                     { "error",
                         answer ? "status " + std::to_string(answer.value().head.status) : answer.error().text() } } });
-        this->dispatch(ManifestFetched { .version = version, .chunks = chunks });
+        this->dispatch(ManifestFetched { .version = version, .chunks = chunks, .chunkBytes = chunkBytes });
     });
 }
 
@@ -65,9 +80,12 @@
     const bool origin = effect.source.ip.empty();
     FetchCall call { .address
         = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
-        .target = origin ? platform::pieceTarget(this->state.model, effect.version, effect.index)
-                         : peerTarget(effect.version, std::to_string(effect.index)),
-        .timeout = origin ? originTimeout : peerPieceTimeout };
+        .target = origin
+            ? platform::pieceTarget(this->state.model, effect.version, effect.index)
+            : peerTarget(effect.version,
+                std::to_string(effect.index) + (isShared(this->state, effect.source) ? forOtherPlace : "")),
+        .timeout = origin ? originTimeout : peerPieceTimeout,
+        .keep = !origin };
     const auto found = this->held.find(effect.version.value);
     if (found != this->held.end() && !found->second.pieces.at(effect.index).empty()) {
         // Kept from giving it to a peer.
@@ -79,8 +97,12 @@
     }
     this->pool.fetch(std::move(call), [this, effect](const Result<FetchAnswer>& answer) {
         const bool good = succeeded(answer) && this->keepPiece(effect.version, effect.index, answer.value().body);
-        this->dispatch(
-            PieceFetched { .version = effect.version, .index = effect.index, .source = effect.source, .good = good });
+        this->dispatch(PieceFetched { .version = effect.version,
+            .index = effect.index,
+            .source = effect.source,
+            .good = good,
+            .problem = good ? "" : describe(answer),
+            .sourceBusy = answer && answer.value().head.status == statusUnavailable });
     });
 }
 
@@ -159,9 +181,10 @@
         });
 }
 
-void LoaderLoop::upload(CallId call, const std::string& bytes)
+void LoaderLoop::upload(CallId call, const std::string& bytes, bool first)
 {
-    this->uploads.push_back({ .call = call, .bytes = bytes });
+    const auto position = first && !this->uploads.empty() ? this->uploads.begin() + 1 : this->uploads.end();
+    this->uploads.insert(position, { .call = call, .bytes = bytes });
     if (this->uploads.size() == 1)
         this->uploadSlice();
 }
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -94,6 +94,45 @@
         return set;
     }
 
+    void writeLoads(capnp::List<peer::Load>::Builder out, const std::vector<PeerLoad>& loads)
+    {
+        for (unsigned index = 0; index < out.size(); ++index) {
+            out[index].setUpstream(loads[index].upstream);
+            out[index].setSent(loads[index].sent);
+            out[index].setUnreadTokens(loads[index].unreadTokens);
+        }
+    }
+
+    std::vector<PeerLoad> readLoads(capnp::List<peer::Load>::Reader in)
+    {
+        std::vector<PeerLoad> loads;
+        for (const auto load : in)
+            loads.push_back(
+                { .upstream = load.getUpstream(), .sent = load.getSent(), .unreadTokens = load.getUnreadTokens() });
+        return loads;
+    }
+
+    void writePlace(peer::Place::Builder out, const PlaceDigest& digest)
+    {
+        writeLoads(out.initTotals(static_cast<unsigned>(digest.totals.size())), digest.totals);
+        auto engines = out.initEngines(static_cast<unsigned>(digest.engines.size()));
+        for (unsigned index = 0; index < engines.size(); ++index)
+            writeEngine(engines[index], digest.engines[index]);
+        auto entries = out.initEntries(static_cast<unsigned>(digest.entries.size()));
+        for (unsigned index = 0; index < entries.size(); ++index)
+            writeEntry(entries[index], digest.entries[index]);
+    }
+
+    PlaceDigest readPlace(peer::Place::Reader in)
+    {
+        PlaceDigest digest { .totals = readLoads(in.getTotals()) };
+        for (const auto engine : in.getEngines())
+            digest.engines.push_back(readEngine(engine));
+        for (const auto entry : in.getEntries())
+            digest.entries.push_back(readEntry(entry));
+        return digest;
+    }
+
 } // namespace
 
 std::string encodeBeacon(const PeerBeacon& beacon)
@@ -102,12 +141,7 @@
     auto root = message.initRoot<peer::Beacon>();
     writeEntry(root.initFrom(), beacon.from);
     root.setConfigVersion(beacon.configVersion.value);
-    auto loads = root.initLoads(static_cast<unsigned>(beacon.loads.size()));
-    for (unsigned index = 0; index < loads.size(); ++index) {
-        loads[index].setUpstream(beacon.loads[index].upstream);
-        loads[index].setSent(beacon.loads[index].sent);
-        loads[index].setUnreadTokens(beacon.loads[index].unreadTokens);
-    }
+    writeLoads(root.initLoads(static_cast<unsigned>(beacon.loads.size())), beacon.loads);
     if (beacon.engine)
         writeEngine(root.initEngine(), *beacon.engine);
     auto known = root.initKnown(static_cast<unsigned>(beacon.known.size()));
@@ -116,6 +150,8 @@
     auto pieces = root.initPieces(static_cast<unsigned>(beacon.pieces.size()));
     for (unsigned index = 0; index < pieces.size(); ++index)
         writePieces(pieces[index], beacon.pieces[index]);
+    if (beacon.place)
+        writePlace(root.initPlace(), *beacon.place);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -131,15 +167,15 @@
         PeerBeacon beacon;
         beacon.from = readEntry(root.getFrom());
         beacon.configVersion = { root.getConfigVersion() };
-        for (const auto load : root.getLoads())
-            beacon.loads.push_back(
-                { .upstream = load.getUpstream(), .sent = load.getSent(), .unreadTokens = load.getUnreadTokens() });
+        beacon.loads = readLoads(root.getLoads());
         if (root.hasEngine())
             beacon.engine = readEngine(root.getEngine());
         for (const auto set : root.getPieces())
             beacon.pieces.push_back(readPieces(set));
         for (const auto entry : root.getKnown())
             beacon.known.push_back(readEntry(entry));
+        if (root.hasPlace())
+            beacon.place = readPlace(root.getPlace());
         return beacon;
     } catch (const kj::Exception& problem) {
         return Error { .code = make_error_code(ErrorCode::Protocol),
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -4,12 +4,14 @@
 #include "table/relay_loop_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickory {
 
 namespace {
 
-    constexpr Milliseconds liveWithin { 1000 }; ///< ten beacons missed
+    constexpr Milliseconds vouchedWithin { 2000 }; ///< while another entry begins to speak for a data centre
+    constexpr Milliseconds recentWithin { 10000 }; ///< ten beacons that name other entries
     constexpr Milliseconds forgetAfter { 30000 }; ///< longer than a host takes to restart
 
 } // namespace
@@ -26,6 +28,7 @@
             known.entry = beacon.from;
             known.entry.ip = ip;
             known.heardAt = now;
+            known.vouched = false;
             known.firstAt = known.firstAt.value == 0 ? now : known.firstAt;
         }
     }
@@ -50,20 +53,94 @@
     return { ips.begin(), ips.end() };
 }
 
+std::vector<std::string> nearTargets(const PeerTable& table, const PlaceId& place, const std::string& selfIp)
+{
+    std::set<std::string> ips;
+    std::set<std::string> placed;
+    for (const auto& [host, known] : table.entries) {
+        placed.insert(known.entry.ip);
+        if (known.entry.place == place)
+            ips.insert(known.entry.ip);
+    }
+    // The data centre of a seed is not known before it was heard.
+    for (const std::string& seed : table.seeds)
+        if (!placed.contains(seed))
+            ips.insert(seed);
+    ips.erase(selfIp);
+    return { ips.begin(), ips.end() };
+}
+
+std::vector<std::string> farTargets(const PeerTable& table, const PlaceId& place)
+{
+    std::vector<std::string> ips;
+    for (const auto& [host, known] : table.entries)
+        if (known.entry.place != place)
+            ips.push_back(known.entry.ip);
+    return ips;
+}
+
+bool speaksForPlace(const PeerTable& table, const PeerEntry& self, Milliseconds now)
+{
+    const std::vector<PeerEntry> live = liveEntries(table, now);
+    return std::none_of(live.begin(), live.end(),
+        [&](const PeerEntry& entry) { return entry.place == self.place && entry.host < self.host; });
+}
+
+void notePlaceEntries(PeerTable& table, const PlaceId& place, const std::vector<PeerEntry>& entries, Milliseconds now)
+{
+    for (const PeerEntry& entry : entries) {
+        if (entry.place != place || entry.ip.empty())
+            continue;
+        PeerKnown& known = table.entries[entry.host];
+        if (entry.incarnation < known.entry.incarnation)
+            continue;
+        // An entry that is heard directly needs nobody's word.
+        if (!known.vouched && now - known.heardAt < table.liveWithin)
+            continue;
+        known.entry = entry;
+        known.heardAt = now;
+        known.vouched = true;
+        known.firstAt = known.firstAt.value == 0 ? now : known.firstAt;
+    }
+}
+
 std::vector<PeerEntry> liveEntries(const PeerTable& table, Milliseconds now)
 {
     std::vector<PeerEntry> live;
     for (const auto& [host, known] : table.entries)
-        if (now - known.heardAt < liveWithin)
+        if (now - known.heardAt < (known.vouched ? vouchedWithin : table.liveWithin))
             live.push_back(known.entry);
     return live;
 }
 
+std::vector<PeerEntry> recentEntries(const PeerTable& table, Milliseconds now)
+{
+    std::vector<PeerEntry> recent = liveEntries(table, now);
+    std::erase_if(
+        recent, [&](const PeerEntry& entry) { return now - table.entries.at(entry.host).firstAt > recentWithin; });
+    return recent;
+}
+
+std::vector<PeerEntry> liveEntriesOf(const PeerTable& table, const PlaceId& place, Milliseconds now)
+{
+    std::vector<PeerEntry> live = liveEntries(table, now);
+    std::erase_if(live, [&](const PeerEntry& entry) { return entry.place != place; });
+    return live;
+}
+
+bool saysMore(const EngineReported& before, const EngineReported& after)
+{
+    constexpr double paceStep = 0.25; ///< smaller changes of pace do not move requests
+    return before.ordering != after.ordering || before.report.busy != after.report.busy
+        || before.report.bornAt != after.report.bornAt || before.report.models != after.report.models
+        || std::abs(before.report.pace - after.report.pace) > paceStep;
+}
+
 bool isStoreFollower(const HostId& self, const std::vector<HostId>& entries)
 {
     const auto rank = [](const HostId& host) { return placementHash("store-follower", host.value); };
-    const auto before = std::count_if(
-        entries.begin(), entries.end(), [&](const HostId& host) { return rank(host) < rank(self); });
+    const auto before
+        = std::count_if(entries.begin(), entries.end(), [&](const HostId& host) { return rank(host) < rank(self); });
     return static_cast<std::size_t>(before) < std::max(leastFollowers, entries.size() / entriesPerFollower);
 }
 
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -14,6 +14,7 @@
     PeerEntry entry; ///< as it said itself
     Milliseconds heardAt { -1000000 }; ///< its own last beacon; hearsay does not count
     Milliseconds firstAt { 0 }; ///< when it became known
+    bool vouched { false }; ///< heard by the entry that speaks for its data centre, not by this one
 };
 
 /// Live processes of the fleet as one of them knows them.
@@ -21,6 +22,7 @@
     std::map<HostId, PeerKnown> entries; ///< other entries
     std::map<std::string, Milliseconds> agents; ///< ips of agents and when they were last heard
     std::set<std::string> seeds; ///< ips from the settings
+    Milliseconds liveWithin { 1000 }; ///< a process that was silent for longer is taken as gone: ten beacons
 };
 
 /// Notes a beacon: its sender, and entries that the sender knows.
@@ -34,6 +36,27 @@
 /// @return ips to which an entry or agent tells its beacons: seeds and known entries, without this host
 std::vector<std::string> beaconTargets(const PeerTable& table, const std::string& selfIp);
 
+/// @return ips of the known entries of one data centre, or of all others; seeds while none is known
+std::vector<std::string> nearTargets(const PeerTable& table, const PlaceId& place, const std::string& selfIp);
+std::vector<std::string> farTargets(const PeerTable& table, const PlaceId& place);
+
+/// @param self this entry
+/// @return whether it speaks for its data centre to the others: the live entry there that is first by name
+bool speaksForPlace(const PeerTable& table, const PeerEntry& self, Milliseconds now);
+
+/// Notes entries of another data centre that the one which speaks for it has heard lately.
+void notePlaceEntries(PeerTable& table, const PlaceId& place, const std::vector<PeerEntry>& entries, Milliseconds now);
+
+/// @return other live entries that became known lately, so that others can be told of them
+std::vector<PeerEntry> recentEntries(const PeerTable& table, Milliseconds now);
+
+/// @return other entries of one data centre that were heard lately
+std::vector<PeerEntry> liveEntriesOf(const PeerTable& table, const PlaceId& place, Milliseconds now);
+
+/// @param before last report of an engine
+/// @return whether a later one says more than a new number of requests
+bool saysMore(const EngineReported& before, const EngineReported& after);
+
 /// @return other entries that were heard lately
 std::vector<PeerEntry> liveEntries(const PeerTable& table, Milliseconds now);
 
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -27,6 +27,13 @@
     bool operator==(const PieceSet&) const = default;
 };
 
+/// What one entry of a data centre tells the entries of the others on behalf of all there.
+struct PlaceDigest {
+    std::vector<PeerLoad> totals; ///< requests of all known entries at each upstream there
+    std::vector<EngineReported> engines; ///< reports that changed, now and then all
+    std::vector<PeerEntry> entries; ///< live entries there
+};
+
 /// What a process tells its peers several times a second.
 struct PeerBeacon {
     PeerEntry from; ///< the sender
@@ -35,6 +42,7 @@
     std::optional<EngineReported> engine; ///< agents only
     std::vector<PieceSet> pieces; ///< agents only
     std::vector<PeerEntry> known; ///< other live entries, sent now and then
+    std::optional<PlaceDigest> place; ///< sent to other data centres by one entry of each
 };
 
 } // namespace hickory
--- a/src/relay_config_type.h
+++ b/src/relay_config_type.h
@@ -69,6 +69,7 @@
     ServiceId name; ///< unique
     std::optional<EngineProfile> engine; ///< for model engines
     std::string originAddress; ///< "ip:port" of the origin of weights, empty for other services
+    double originMbps { 0 }; ///< link of the origin, 0 when it is not told
     std::uint32_t maxConnections { 0 }; ///< accepted by an upstream from all callers together
 };
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -143,7 +143,10 @@
                           "dependency-regained", "operators", "after " + std::to_string(downFor.value) + " ms"));
                   } })
     , upstreamRows(this->io, this->pool,
-          { .address = this->settings.host.store, .table = platform::upstreamTable, .wait = upstreamWait, .settle = upstreamSettle },
+          { .address = this->settings.host.store,
+              .table = platform::upstreamTable,
+              .wait = upstreamWait,
+              .settle = upstreamSettle },
           { .onChange = [this](const auto& rows) { this->onUpstreamRows(rows); },
               .onConfirmed = [] {},
               .onLost = [](const Error& error) { writeLog(storeLine("dependency-lost", "upstreams", error.text())); },
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -12,6 +12,7 @@
 #include <asio.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -34,6 +35,12 @@
 private:
     struct Call;
     struct Sending;
+    /// What an agent of this data centre told last.
+    struct KnownEngine {
+        EngineReported report; ///< as told
+        Milliseconds at { 0 }; ///< when
+        bool changed { true }; ///< not told to other data centres since
+    };
 
     bool open();
     void dispatch(const RelayEvent& event);
@@ -47,6 +54,7 @@
     void onControl(const FrontRequest& request);
     void onFleetAsked(const FrontRequest& request);
     void onGone(CallId call);
+    void tellOtherPlaces(PeerBeacon beacon, const std::vector<std::string>& far, Milliseconds now);
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void onOperatorRows(const std::vector<platform::TableRow>& changed);
     void onUpstreamRows(const std::vector<platform::TableRow>& changed);
@@ -92,6 +100,12 @@
     Incarnation incarnation; ///< start of the process, Unix ms
     std::uint32_t ticks { 0 }; ///< so far
     std::uint32_t beacons { 0 }; ///< sent so far
+    std::uint32_t digests { 0 }; ///< sent to other data centres so far
+    Milliseconds farBeaconAt { 0 }; ///< when other data centres were told last
+    bool engineChanged { false }; ///< an engine says something new, which other data centres should know at once
+    bool toldReady { false }; ///< what they were told
+    std::set<PlaceId> toldLoads; ///< those that were told of requests at their upstreams
+    std::map<std::string, KnownEngine> engines; ///< of agents in this data centre, by address
     Milliseconds drainingSince { 0 }; ///< when SIGTERM came, 0 before
     bool askingPeer { false }; ///< a question to a peer is under way
     int exitCode { 0 }; ///< of run()
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -3,6 +3,7 @@
 #include "platform_decode_func.h"
 #include "platform_names.h"
 #include "relay_loop_io.h"
+#include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
 
 #include <algorithm>
@@ -31,32 +32,87 @@
     if (isNew)
         writeLog({ .event = "peer-found",
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
-    if (beacon.engine)
+    if (beacon.engine) {
+        KnownEngine& known = this->engines[beacon.engine->address];
+        known.changed = known.changed || saysMore(known.report, *beacon.engine);
+        known.report = *beacon.engine;
+        known.at = now;
+        this->engineChanged = this->engineChanged || known.changed;
         this->dispatch(*beacon.engine);
-    else if (beacon.from.host != this->settings.host.host)
+    } else if (beacon.place) {
+        notePlaceEntries(this->peers, beacon.from.place, beacon.place->entries, now);
+        this->dispatch(PlaceLoadsLearned { .place = beacon.from.place, .totals = beacon.place->totals });
+        for (const EngineReported& engine : beacon.place->engines)
+            this->dispatch(engine);
+    } else if (beacon.from.host != this->settings.host.host)
         this->dispatch(PeerLoadsLearned { .peer = beacon.from.host, .loads = beacon.loads });
 }
 
 void RelayLoop::everyBeacon()
 {
+    const Milliseconds now = monotonicNow();
     PeerBeacon beacon { .from = this->self(), .loads = ownLoads(this->state) };
     if (this->state.config)
         beacon.configVersion = this->state.config->version;
-    const Milliseconds now = monotonicNow();
+    const PlaceId& place = this->settings.host.place;
     const bool withKnown = this->beacons++ % beaconsPerIntroduction == 0;
     if (withKnown)
         beacon.known = liveEntries(this->peers, now);
-    this->peerSocket.send(beacon, beaconTargets(this->peers, this->settings.host.ip));
+    this->peerSocket.send(beacon, nearTargets(this->peers, place, this->settings.host.ip));
     if (withKnown) {
         beacon.loads.clear();
         std::vector<std::string> agents;
         for (const auto& [ip, heardAt] : this->peers.agents)
             agents.push_back(ip);
         this->peerSocket.send(beacon, agents);
+        beacon.known.clear();
+    }
+    const std::vector<std::string> far = farTargets(this->peers, place);
+    const Milliseconds farPeriod
+        = std::clamp(farDatagramGap * static_cast<std::int64_t>(far.size()), beaconPeriod, longestFarPeriod);
+    if (now - this->farBeaconAt >= farPeriod || beacon.from.ready != this->toldReady || this->engineChanged) {
+        this->engineChanged = false;
+        this->farBeaconAt = now;
+        this->tellOtherPlaces(std::move(beacon), far, now);
     }
     this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::everyBeacon);
 }
 
+void RelayLoop::tellOtherPlaces(PeerBeacon beacon, const std::vector<std::string>& far, Milliseconds now)
+{
+    const bool readyChanged = beacon.from.ready != this->toldReady;
+    this->toldReady = beacon.from.ready;
+    if (speaksForPlace(this->peers, beacon.from, now)) {
+        PlaceDigest digest { .totals = placeTotals(this->state, now) };
+        const bool all = this->digests++ % digestsPerFullOne == 0;
+        for (auto& [address, told] : this->engines) {
+            if (now - told.at < reportTrust && (all || told.changed))
+                digest.engines.push_back(told.report);
+            told.changed = false;
+        }
+        digest.entries = liveEntriesOf(this->peers, beacon.from.place, now);
+        if (all)
+            beacon.known = recentEntries(this->peers, now);
+        beacon.loads.clear();
+        beacon.place = std::move(digest);
+        this->peerSocket.send(beacon, far);
+        beacon.place.reset();
+        beacon.known.clear();
+    } else if (readyChanged)
+        this->peerSocket.send(beacon, far);
+    // A data centre whose last request has ended is told so once.
+    std::map<PlaceId, std::vector<PeerLoad>> elsewhere = tellLoadsElsewhere(this->state);
+    for (const PlaceId& place : this->toldLoads)
+        elsewhere.try_emplace(place);
+    this->toldLoads.clear();
+    for (auto& [place, loads] : elsewhere) {
+        if (!loads.empty())
+            this->toldLoads.insert(place);
+        beacon.loads = std::move(loads);
+        this->peerSocket.send(beacon, nearTargets(this->peers, place, {}));
+    }
+}
+
 bool RelayLoop::followsStore(Milliseconds now) const
 {
     std::vector<HostId> candidates { this->settings.host.host };
@@ -69,7 +125,8 @@
 void RelayLoop::everyTables()
 {
     const Milliseconds now = monotonicNow();
-    const bool stale = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf) > ownStoreAfter;
+    const bool stale
+        = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf) > ownStoreAfter;
     const bool follows = this->followsStore(now);
     this->operatorRows.setAsking(follows || stale);
     this->upstreamRows.setAsking(follows || stale);
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -46,7 +46,7 @@
     }
 
     double score(const RelayState& state, const RelayUpstream& view, const RelayRequest& request,
-        const EngineProfile* profile, std::uint32_t requests, Milliseconds now)
+        const EngineProfile* profile, const EngineLoad& load, Milliseconds now)
     {
         if (state.options.placing == RelayPlacing::LeastSent)
             return view.sent;
@@ -58,15 +58,10 @@
         // A narrow link or a slow host shows in requests that wait for longer than any queue explains.
         cost += static_cast<double>(std::max(view.longestWait - usualWait, Milliseconds {}).value);
         if (!profile)
-            return cost + plainWaitMs * requests / std::max<std::uint32_t>(view.entry.slots, 1);
-        std::uint32_t unread = view.unreadTokens;
-        for (const auto& [host, peer] : state.peers) {
-            const auto found = peer.loads.find(view.key);
-            if (now - peer.at < reportTrust && found != peer.loads.end())
-                unread += found->second.unreadTokens;
-        }
+            return cost + plainWaitMs * load.requests / std::max<std::uint32_t>(view.entry.slots, 1);
         return cost + spreadMs * spread(request, view)
-            + predictFirstToken(*profile, { .requests = requests, .unreadTokens = unread, .pace = paceOf(view, now) },
+            + predictFirstToken(*profile,
+                { .requests = load.requests, .unreadTokens = load.unreadTokens, .pace = paceOf(view, now) },
                 request.facts.promptTokens);
     }
 
@@ -129,15 +124,32 @@
     return load.pace * (passMs / 2 + readMs + slotMs + writing * 2.0);
 }
 
-std::uint32_t requestsAt(const RelayState& state, const RelayUpstream& view, Milliseconds now)
+EngineLoad loadAt(const RelayState& state, const RelayUpstream& view, Milliseconds now)
 {
-    std::uint32_t others = 0;
+    EngineLoad load { .requests = view.sent, .unreadTokens = view.unreadTokens, .pace = paceOf(view, now) };
     for (const auto& [host, peer] : state.peers) {
         const auto found = peer.loads.find(view.key);
-        if (now - peer.at < reportTrust && found != peer.loads.end())
-            others += found->second.sent;
+        if (now - peer.at >= reportTrust || found == peer.loads.end())
+            continue;
+        load.requests += found->second.sent;
+        load.unreadTokens += found->second.unreadTokens;
     }
-    return view.sent + others;
+    const auto place = state.places.find(view.entry.place);
+    if (place == state.places.end() || now - place->second.at >= reportTrust)
+        return load;
+    const auto total = place->second.totals.find(view.key);
+    if (total == place->second.totals.end())
+        return load;
+    // The total contains what this entry told, at the latest the time before last: what it has sent since is on top.
+    const auto since = [](std::uint32_t whole, std::uint32_t now, std::uint32_t told) {
+        return whole + now > told ? whole + now - told : 0;
+    };
+    load.requests
+        = std::max(load.requests, since(total->second.sent, view.sent, std::min(view.told.sent, view.toldBefore.sent)));
+    load.unreadTokens = std::max(load.unreadTokens,
+        since(total->second.unreadTokens, view.unreadTokens,
+            std::min(view.told.unreadTokens, view.toldBefore.unreadTokens)));
+    return load;
 }
 
 std::uint32_t placeLimit(std::uint32_t slots, std::uint8_t rank, bool engine)
@@ -174,10 +186,10 @@
             continue;
         if (isQuiet(view, profile != nullptr, now) || (view.onProbation && view.sent >= probationLimit))
             continue;
-        const std::uint32_t requests = requestsAt(state, view, now);
-        if (requests >= placeLimit(view.entry.slots, request.route->rank, profile != nullptr))
+        const EngineLoad load = loadAt(state, view, now);
+        if (load.requests >= placeLimit(view.entry.slots, request.route->rank, profile != nullptr))
             continue;
-        const double cost = score(state, view, request, profile, requests, now);
+        const double cost = score(state, view, request, profile, load, now);
         if (!best || cost < bestScore) {
             best = &view;
             bestScore = cost;
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -29,8 +29,8 @@
 /// @return the weights of a model that an engine holds whole, or nullptr
 const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model);
 
-/// @return requests under way at an upstream, of all entries, by what is known now
-std::uint32_t requestsAt(const RelayState& state, const RelayUpstream& view, Milliseconds now);
+/// @return what all entries have under way at an upstream, by what is known now
+EngineLoad loadAt(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
 /// How full an upstream may get for a request: the first rank finds a free slot where the others leave some.
 /// Answers floods: an urgent request that waits for a slot of a full engine misses its objective.
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -47,6 +47,15 @@
             peer.loads[load.upstream] = load;
     }
 
+    void applyPlaceLoads(RelayState& state, const PlaceLoadsLearned& event, Milliseconds now)
+    {
+        PlaceView& place = state.places[event.place];
+        place.at = now;
+        place.totals.clear();
+        for (const PeerLoad& load : event.totals)
+            place.totals[load.upstream] = load;
+    }
+
     void tick(RelayState& state, Milliseconds now, RelayEffects& effects)
     {
         expireRequests(state, now, effects);
@@ -79,6 +88,7 @@
                    [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
                    [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
                    [&](const PeerLoadsLearned& learned) { applyPeerLoads(state, learned, now); },
+                   [&](const PlaceLoadsLearned& learned) { applyPlaceLoads(state, learned, now); },
                    [&](const EntriesCounted& counted) { state.entries = counted.entries; },
                    [&](const ConfigConfirmed& confirmed) {
                        state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
@@ -99,4 +109,31 @@
     return loads;
 }
 
+std::map<PlaceId, std::vector<PeerLoad>> tellLoadsElsewhere(RelayState& state)
+{
+    std::map<PlaceId, std::vector<PeerLoad>> loads;
+    for (auto& [id, view] : state.upstreams) {
+        if (view.entry.place == state.options.place)
+            continue;
+        view.toldBefore = view.told;
+        view.told = { .upstream = view.key, .sent = view.sent, .unreadTokens = view.unreadTokens };
+        if (view.sent > 0)
+            loads[view.entry.place].push_back(view.told);
+    }
+    return loads;
+}
+
+std::vector<PeerLoad> placeTotals(const RelayState& state, Milliseconds now)
+{
+    std::vector<PeerLoad> totals;
+    for (const auto& [id, view] : state.upstreams) {
+        if (!view.listed || view.entry.place != state.options.place)
+            continue;
+        const EngineLoad load = loadAt(state, view, now);
+        if (load.requests > 0)
+            totals.push_back({ .upstream = view.key, .sent = load.requests, .unreadTokens = load.unreadTokens });
+    }
+    return totals;
+}
+
 } // namespace hickory
--- a/src/relay_reduce_func.h
+++ b/src/relay_reduce_func.h
@@ -16,7 +16,14 @@
 /// @return what to do, in order
 std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now);
 
-/// @return what this entry has under way at each upstream, for its peers
+/// @return what this entry has under way at each upstream, for the entries of its data centre
 std::vector<PeerLoad> ownLoads(const RelayState& state);
 
+/// Notes that the entries of the other data centres are told of this entry's requests at their upstreams.
+/// @return what to tell, by data centre
+std::map<PlaceId, std::vector<PeerLoad>> tellLoadsElsewhere(RelayState& state);
+
+/// @return what all entries have under way at the upstreams of this data centre, for the entries of the others
+std::vector<PeerLoad> placeTotals(const RelayState& state, Milliseconds now);
+
 } // namespace hickory
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -132,7 +132,7 @@
     LogLine line = requestLine("send", request, now);
     line.fields.emplace_back("upstream", upstream.value);
     line.fields.emplace_back("try", std::to_string(request.sends));
-    line.fields.emplace_back("load", std::to_string(requestsAt(state, view, now)));
+    line.fields.emplace_back("load", std::to_string(loadAt(state, view, now).requests));
     line.fields.emplace_back("slots", std::to_string(view.entry.slots));
     effects.emplace_back(std::move(line));
     effects.emplace_back(SendToUpstream { .call = request.call,
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -99,6 +99,8 @@
     bool listed { true }; ///< still in the list; removed views wait for their last sending
     std::uint32_t sent { 0 }; ///< our requests under way
     std::uint32_t unreadTokens { 0 }; ///< prompt tokens of ours without a first event
+    PeerLoad told; ///< of these what the entries of the upstream's data centre were told last
+    PeerLoad toldBefore; ///< and the time before
     std::optional<EngineReport> report; ///< last one of the agent beside it
     Milliseconds reportedAt; ///< when the report came
     Milliseconds heardAt; ///< last bytes of an answer
@@ -117,6 +119,12 @@
     std::unordered_map<std::uint64_t, PeerLoad> loads; ///< by upstream
 };
 
+/// What all entries have under way at the upstreams of another data centre.
+struct PlaceView {
+    Milliseconds at; ///< when it was told
+    std::unordered_map<std::uint64_t, PeerLoad> totals; ///< by upstream
+};
+
 /// Requests of one service that wait, and how fast they are placed.
 struct ServiceView {
     std::map<QueueKey, CallId> queue; ///< in the order in which they are placed
@@ -135,7 +143,8 @@
     std::unordered_map<CallId, RelayRequest> requests; ///< without a complete answer
     std::map<UpstreamId, RelayUpstream> upstreams; ///< listed, or with work under way
     std::map<ServiceId, ServiceView> services; ///< queues
-    std::map<HostId, PeerView> peers; ///< other entries
+    std::map<HostId, PeerView> peers; ///< other entries, at upstreams that they share with this one
+    std::map<PlaceId, PlaceView> places; ///< other data centres
     std::map<ModelId, DeclaredWeights> declared; ///< weights
     std::uint32_t entries { 1 }; ///< alive in the fleet
     std::optional<Milliseconds> drainEndsAt; ///< set once the process was told to stop
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -106,6 +106,12 @@
     std::vector<PeerLoad> loads; ///< at each upstream
 };
 
+/// The entry that speaks for another data centre told what all entries have under way at the upstreams there.
+struct PlaceLoadsLearned {
+    PlaceId place; ///< that data centre
+    std::vector<PeerLoad> totals; ///< at each upstream there
+};
+
 /// Entries of the fleet that are alive, this one included. The retry budget is divided by it.
 struct EntriesCounted {
     std::uint32_t entries { 1 }; ///< count
@@ -129,8 +135,8 @@
 };
 
 using RelayEvent = std::variant<CallArrived, CallerLeft, AnswerBegan, StreamMoved, AnswerEnded, RelayTick,
-    ConfigLearned, UpstreamsLearned, EngineReported, PeerLoadsLearned, EntriesCounted, ConfigConfirmed, WeightsDeclared,
-    DrainBegan>;
+    ConfigLearned, UpstreamsLearned, EngineReported, PeerLoadsLearned, PlaceLoadsLearned, EntriesCounted,
+    ConfigConfirmed, WeightsDeclared, DrainBegan>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -64,6 +64,7 @@
     void applyFleet(StageState& state, const FleetLearned& event, Milliseconds now, Effects& effects)
     {
         state.originAddress = event.view.originAddress;
+        state.originMbps = event.view.originMbps;
         state.model = event.view.model;
         state.peers = event.view.hosts;
         if (!state.model.empty())
@@ -124,11 +125,11 @@
     {
         if (work.manifestKnown || work.manifestAsked || now < work.manifestRetryAt)
             return;
+        const std::optional<StageSource> source = chooseManifestSource(state, work, now);
+        if (!source)
+            return;
         work.manifestAsked = true;
-        // A manifest is small: all ask the origin, and any peer when the origin fails.
-        const bool peer = work.manifestFailures % 2 == 1 && !state.peers.empty();
-        effects.emplace_back(AskManifest { .version = work.version,
-            .source = { peer ? state.peers[state.random() % state.peers.size()].ip : std::string {} } });
+        effects.emplace_back(AskManifest { .version = work.version, .source = *source });
     }
 
     /// Questions under way. What a host owes the others has places of its own.
@@ -209,6 +210,7 @@
             return;
         }
         work->manifestKnown = true;
+        work->chunkBytes = event.chunkBytes;
         work->pieces.assign(event.chunks, {});
     }
 
@@ -229,16 +231,40 @@
         ++piece.failures;
         const std::int64_t spread = sourceRetry.value;
         piece.retryAt = now + sourceRetry + Milliseconds { static_cast<std::int64_t>(state.random() % spread) };
+        if (event.sourceBusy)
+            return;
+        // It may have started again without its pieces.
+        const auto source = state.elsewhere.find(event.source.ip);
+        if (source != state.elsewhere.end())
+            for (PieceSet& set : source->second.sets)
+                if (set.version == event.version && event.index < set.held.size())
+                    set.held[event.index] = false;
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "piece-failed",
             .fields = { { "version", std::to_string(event.version.value) }, { "piece", std::to_string(event.index) },
-                { "source", event.source.ip.empty() ? "origin" : event.source.ip },
+                { "source", event.source.ip.empty() ? "origin" : event.source.ip }, { "problem", event.problem },
                 { "failures", std::to_string(piece.failures) } } });
     }
 
     void applyPeerPieces(StageState& state, const PeerPieces& event, Milliseconds now)
     {
-        state.elsewhere[event.ip] = { .at = now, .sets = event.sets };
+        HeldElsewhere& held = state.elsewhere[event.ip];
+        held.at = now;
+        // An agent of another data centre tells some of its pieces at a time.
+        for (const PieceSet& told : event.sets) {
+            const auto known = std::find_if(
+                held.sets.begin(), held.sets.end(), [&](const PieceSet& set) { return set.version == told.version; });
+            if (known == held.sets.end()) {
+                held.sets.push_back(told);
+                continue;
+            }
+            known->held.resize(std::max(known->held.size(), told.held.size()));
+            for (std::size_t index = 0; index < told.held.size(); ++index)
+                known->held[index] = known->held[index] || told.held[index];
+        }
+        constexpr std::size_t maxVersions = 3; ///< two on their way and the one in service
+        if (held.sets.size() > maxVersions)
+            held.sets.erase(held.sets.begin());
     }
 
     void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, Effects& effects)
@@ -412,18 +438,33 @@
     return state.works.empty() ? WeightsVersion {} : state.works.back().version;
 }
 
+namespace {
+
+    template <typename Wanted> std::vector<PieceSet> heldPieces(const StageState& state, const Wanted& wanted)
+    {
+        std::vector<PieceSet> sets;
+        for (const StageWork& work : state.works) {
+            if (work.pieces.empty())
+                continue;
+            PieceSet set { .version = work.version };
+            for (const PieceState& piece : work.pieces)
+                set.held.push_back(
+                    piece.step != PieceStep::Missing && piece.step != PieceStep::Fetching && wanted(piece));
+            sets.push_back(std::move(set));
+        }
+        return sets;
+    }
+
+} // namespace
+
 std::vector<PieceSet> ownPieces(const StageState& state)
 {
-    std::vector<PieceSet> sets;
-    for (const StageWork& work : state.works) {
-        if (work.pieces.empty())
-            continue;
-        PieceSet set { .version = work.version };
-        for (const PieceState& piece : work.pieces)
-            set.held.push_back(piece.step != PieceStep::Missing && piece.step != PieceStep::Fetching);
-        sets.push_back(std::move(set));
-    }
-    return sets;
+    return heldPieces(state, [](const PieceState&) { return true; });
+}
+
+std::vector<PieceSet> originPieces(const StageState& state)
+{
+    return heldPieces(state, [](const PieceState& piece) { return piece.fromOrigin; });
 }
 
 bool orderPending(const StageState& state)
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -27,6 +27,9 @@
 /// @return the pieces that this host holds and gives to others
 std::vector<PieceSet> ownPieces(const StageState& state);
 
+/// @return of these the pieces that came from the origin, which no host of another data centre may have yet
+std::vector<PieceSet> originPieces(const StageState& state);
+
 /// @return whether entries should keep new work away: an order is announced, or given and not yet in effect
 bool orderPending(const StageState& state);
 
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -61,6 +61,20 @@
         return elapsed < first ? 0 : 1 + static_cast<std::uint64_t>((elapsed - first).value / dutyRound.value);
     }
 
+    /// Spreads the questions to the origin over the time that its link needs for all pieces, so that the first pieces
+    /// are passed on between hosts while it sends the last ones.
+    /// @return after which time of a version's work a piece may be asked for at the origin
+    Milliseconds originTurn(const StageState& state, const StageWork& work, std::uint32_t piece)
+    {
+        if (state.originMbps <= 0)
+            return {};
+        constexpr double bitsPerByte = 8.0;
+        constexpr double kilobitsPerMegabit = 1000.0;
+        const double pieceMs = work.chunkBytes * bitsPerByte / (state.originMbps * kilobitsPerMegabit);
+        const double ahead = std::max(0.0, static_cast<double>(piece) - originAhead);
+        return { static_cast<std::int64_t>(ahead * pieceMs * originPacing) };
+    }
+
 } // namespace
 
 std::optional<StageSource> chooseSource(StageState& state, StageWork& work, std::uint32_t piece, Milliseconds now)
@@ -84,11 +98,38 @@
         const StagePeer* peer = leastAsked(state, far, turn + work.pieces[piece].failures);
         return peer ? std::optional(StageSource { peer->ip }) : std::nullopt;
     }
-    const std::uint64_t rounds = roundsSince(work.since, originRound, now);
+    const Milliseconds dueAt = work.since + originTurn(state, work, piece);
+    if (now < dueAt)
+        return std::nullopt;
+    const std::uint64_t rounds = roundsSince(dueAt, originRound, now);
     return hasDuty(state, piece + work.version.value + roundStep * rounds, false) ? std::optional(StageSource {})
                                                                                   : std::nullopt;
 }
 
+std::optional<StageSource> chooseManifestSource(StageState& state, const StageWork& work, Milliseconds now)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const StagePeer& peer : state.peers) {
+        const auto told = state.elsewhere.find(peer.ip);
+        if (peer.ip == state.options.ip || told == state.elsewhere.end() || now - told->second.at > piecesTrust)
+            continue;
+        if (std::any_of(told->second.sets.begin(), told->second.sets.end(),
+                [&](const PieceSet& set) { return set.version == work.version; }))
+            (peer.place == state.options.place ? near : far).push_back(peer.ip);
+    }
+    const std::vector<std::string>& holders = near.empty() ? far : near;
+    const bool tryOrigin = work.manifestFailures % manifestTriesPerOrigin == manifestTriesPerOrigin - 1;
+    if (!holders.empty() && !tryOrigin)
+        return StageSource { holders[state.random() % holders.size()] };
+    const std::string key = "manifest-" + std::to_string(work.version.value);
+    const std::uint64_t own = placementHash(key, state.options.ip);
+    const auto before = std::count_if(state.peers.begin(), state.peers.end(),
+        [&](const StagePeer& peer) { return placementHash(key, peer.ip) < own; });
+    const std::int64_t rounds = 1 + (now - work.since).value / manifestRound.value;
+    return before < manifestHosts * rounds ? std::optional(StageSource {}) : std::nullopt;
+}
+
 bool isShared(const StageState& state, const StageSource& source)
 {
     return std::none_of(state.peers.begin(), state.peers.end(),
--- a/src/stage_source_func.h
+++ b/src/stage_source_func.h
@@ -14,6 +14,13 @@
 /// @return the source, or nothing while another host has the duty
 std::optional<StageSource> chooseSource(StageState& state, StageWork& work, std::uint32_t piece, Milliseconds now);
 
+/// Chooses where the digests of a version are fetched now: from an agent that told of its pieces, which it knows by
+/// their digests; otherwise a few hosts ask the origin, and more of them as time passes.
+/// Answers a declaration that all hosts learn of at once: the origin takes few connections, and its link carries
+/// pieces.
+/// @return the source, or nothing while other hosts ask the origin
+std::optional<StageSource> chooseManifestSource(StageState& state, const StageWork& work, Milliseconds now);
+
 /// @return whether a source is used on behalf of other hosts, too: the origin, or a host of another place
 bool isShared(const StageState& state, const StageSource& source);
 
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -60,6 +60,7 @@
     bool manifestAsked { false }; ///< a question for them is under way
     std::uint32_t manifestFailures { 0 }; ///< sources that did not give them
     Milliseconds manifestRetryAt { 0 }; ///< not asked for before
+    std::uint32_t chunkBytes { 0 }; ///< bytes of a piece
     std::vector<PieceState> pieces; ///< empty until the manifest is known
     OrderStep order { OrderStep::None }; ///< how far the order has come
     Milliseconds orderAt { 0 }; ///< when its step began
@@ -70,6 +71,7 @@
     StageOptions options; ///< from settings
     ModelId model; ///< served by the engine, empty until known
     std::string originAddress; ///< "ip:port" of the origin
+    double originMbps { 0 }; ///< its link, 0 when not known
     std::vector<StagePeer> peers; ///< all hosts of the service, this one included, sorted by ip
     std::map<std::string, HeldElsewhere> elsewhere; ///< other agents by ip
     std::vector<StageWork> works; ///< the version to load first, then perhaps one declared after it
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -43,6 +43,7 @@
 struct ManifestFetched {
     WeightsVersion version; ///< asked for
     std::uint32_t chunks { 0 }; ///< digests in the manifest, 0 when it did not arrive
+    std::uint32_t chunkBytes { 0 }; ///< bytes of a piece
 };
 
 /// A piece arrived or not. Its digest was checked.
@@ -51,6 +52,8 @@
     std::uint32_t index { 0 }; ///< of the piece
     StageSource source; ///< where it was asked for
     bool good { false }; ///< it arrived and matches its digest
+    std::string problem; ///< why it is not good, for the log
+    bool sourceBusy { false }; ///< the source gives pieces to others first
 };
 
 /// Another agent told which pieces it holds.
@@ -79,8 +82,8 @@
     std::uint16_t status { 0 }; ///< HTTP status, 0 without an answer
 };
 
-using StageEvent = std::variant<StageTick, FleetLearned, LinkMeasured, ReportRead, ManifestFetched, PieceFetched, PeerPieces,
-    PieceStaged, StageChecked, OrderAnswered>;
+using StageEvent = std::variant<StageTick, FleetLearned, LinkMeasured, ReportRead, ManifestFetched, PieceFetched,
+    PeerPieces, PieceStaged, StageChecked, OrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -10,11 +10,16 @@
 constexpr std::size_t originInFlight = 1; ///< the origin accepts 48 connections from all hosts together
 constexpr std::size_t ownInFlight = 6; ///< likewise, from hosts of the same place
 constexpr std::size_t maxPiecesInFlight = sharedInFlight + ownInFlight; ///< on a link that answers promptly
-constexpr std::size_t minPiecesInFlight = 1; ///< on a link that became narrow
-constexpr Milliseconds promptAnswer { 150 }; ///< of an entry nearby: pieces in flight fill a free link for less
+constexpr std::size_t minPiecesInFlight = 2; ///< on a link that became narrow
+constexpr Milliseconds promptAnswer { 400 }; ///< of an entry nearby: pieces in flight fill a free link for as long
 constexpr std::size_t perSourceInFlight = 2; ///< one on its way while the next is asked for
-constexpr Milliseconds piecesTrust { 2500 }; ///< of what a host told that it holds; it tells at least once a second
-constexpr Milliseconds originRound { 2200 }; ///< the origin sends one copy in 1.7 s
+constexpr Milliseconds piecesTrust { 5000 }; ///< of what a host told that it holds; it tells at least every 2 s
+constexpr double originAhead { 8.0 }; ///< pieces asked for at the origin before their turn, so that its link stays busy
+constexpr double originPacing { 0.95 }; ///< of the time that the origin's link needs for a piece: likewise
+constexpr std::int64_t manifestHosts = 3; ///< hosts that ask the origin for the digests at first
+constexpr Milliseconds manifestRound { 300 }; ///< two beacons of an agent; then as many hosts more ask the origin
+constexpr std::uint32_t manifestTriesPerOrigin = 4; ///< every fourth question goes to the origin, should agents fail
+constexpr Milliseconds originRound { 1500 }; ///< a piece asked for in its turn takes 0.4 s
 constexpr Milliseconds dutyRound { 1000 }; ///< a piece crosses a narrow link in 0.3 s; then another host takes over
 constexpr std::size_t writesInFlight = 4; ///< to the engine on the same host
 constexpr Milliseconds sourceRetry { 120 }; ///< before a piece is asked for at the next source
