--- /dev/null
+++ b/tests/soak_store.cpp
@@ -0,0 +1,135 @@
+#include "soak_store.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+namespace hickory::soak {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    std::string base64(const std::string& bytes)
+    {
+        std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+        sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+            sodium_base64_VARIANT_ORIGINAL);
+        text.resize(text.size() - 1);
+        return text;
+    }
+
+    std::string queryValue(const std::string& target, const std::string& name)
+    {
+        const std::size_t at = target.find(name + "=");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t from = at + name.size() + 1;
+        return target.substr(from, target.find('&', from) - from);
+    }
+
+    std::uint64_t queryNumber(const std::string& target, const std::string& name)
+    {
+        const std::string text = queryValue(target, name);
+        return text.empty() ? 0 : std::stoull(text);
+    }
+
+} // namespace
+
+Store::Store(asio::io_context& io, const std::string& address)
+    : front(io, {},
+        { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
+            .onGone =
+                [this](CallId call) {
+                    std::erase_if(this->questions, [&](const Question& question) { return question.call == call; });
+                } })
+    , timer(io)
+{
+    if (!this->front.listen(address))
+        throw std::runtime_error("the store cannot listen at " + address);
+    this->everyWake();
+}
+
+void Store::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    this->tables[table][key] = { .value = value, .revision = ++this->revision };
+    this->wake();
+}
+
+void Store::remove(const std::string& table, const std::string& key)
+{
+    const auto row = this->tables[table].find(key);
+    if (row == this->tables[table].end() || row->second.deleted)
+        return;
+    row->second = { .revision = ++this->revision, .deleted = true };
+    this->wake();
+}
+
+std::string Store::page(const std::string& table, std::uint64_t after, bool withDeleted) const
+{
+    Json rows = Json::array();
+    const auto found = this->tables.find(table);
+    if (found != this->tables.end())
+        for (const auto& [key, row] : found->second) {
+            if (row.revision <= after || (row.deleted && !withDeleted))
+                continue;
+            Json shown { { "table", table }, { "part", "" }, { "key", key }, { "ver", row.revision } };
+            if (row.deleted)
+                shown["deleted"] = true;
+            else
+                shown["value"] = base64(row.value);
+            rows.push_back(std::move(shown));
+        }
+    return Json { { "rows", rows }, { "ver", this->revision }, { "has_more", false } }.dump();
+}
+
+void Store::onRequest(FrontRequest&& request)
+{
+    const std::string& target = request.head.target;
+    if (this->mode == Mode::Silent)
+        return;
+    if (this->mode == Mode::Busy) {
+        this->front.answer(request.id, 503, {}, "");
+        return;
+    }
+    const std::string table = queryValue(target, "table");
+    if (target.starts_with("/api/rows-get"))
+        this->front.answer(request.id, 200, {}, this->page(table, 0, false));
+    else if (this->mode == Mode::NoHistory)
+        this->front.answer(request.id, 410, {}, "");
+    else {
+        this->questions.push_back({ .call = request.id,
+            .table = table,
+            .after = queryNumber(target, "after_rev"),
+            .until = monotonicNow() + Milliseconds { static_cast<std::int64_t>(queryNumber(target, "wait_ms")) } });
+        this->wake();
+    }
+}
+
+void Store::wake()
+{
+    if (this->mode == Mode::Silent)
+        return;
+    const Milliseconds now = monotonicNow();
+    std::erase_if(this->questions, [&](const Question& question) {
+        const auto& rows = this->tables[question.table];
+        const bool changed = std::any_of(
+            rows.begin(), rows.end(), [&](const auto& row) { return row.second.revision > question.after; });
+        if (!changed && now < question.until)
+            return false;
+        this->front.answer(question.call, 200, {}, this->page(question.table, question.after, true));
+        return true;
+    });
+}
+
+void Store::everyWake()
+{
+    this->wake();
+    this->timer.expires_after(std::chrono::milliseconds(20));
+    this->timer.async_wait([this](const std::error_code& code) {
+        if (!code)
+            this->everyWake();
+    });
+}
+
+} // namespace hickory::soak
--- /dev/null
+++ b/tests/soak_upstream.cpp
@@ -0,0 +1,248 @@
+#include "soak_upstream.h"
+
+#include "digest_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hickory::soak {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr int pieceSize = 4096; ///< bytes
+    constexpr Milliseconds step { 25 }; ///< between events of a stream
+    constexpr Milliseconds loadTime { 150 }; ///< from order to loaded weights
+
+    std::string headerOf(const FrontRequest& request, const char* name)
+    {
+        const std::string* value = request.head.find(name);
+        return value ? *value : std::string {};
+    }
+
+    std::uint64_t numberAfter(const std::string& target, const std::string& name)
+    {
+        const std::size_t at = target.find(name + "=");
+        return at == std::string::npos ? 0 : std::stoull(target.substr(at + name.size() + 1));
+    }
+
+} // namespace
+
+std::string pieceBytes(std::uint64_t version, int index)
+{
+    std::string bytes;
+    while (bytes.size() < pieceSize)
+        bytes += std::to_string(version) + "/" + std::to_string(index) + ";";
+    bytes.resize(pieceSize);
+    return bytes;
+}
+
+Upstream::Upstream(asio::io_context& io, Store& store, Ledger& ledger, std::string name, const std::string& address,
+    std::string listed, bool engine)
+    : io(io)
+    , store(store)
+    , ledger(ledger)
+    , name(std::move(name))
+    , listed(std::move(listed))
+    , engine(engine)
+    , front(io, {},
+          { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
+              .onGone =
+                  [this](CallId call) {
+                      this->runs.erase(call);
+                      this->open.erase(call);
+                  } })
+    , timer(io)
+{
+    if (!this->front.listen(address))
+        throw std::runtime_error(this->name + " cannot listen at " + address);
+    this->everyStep();
+}
+
+void Upstream::start(bool withWeights)
+{
+    this->id = this->name + "-" + std::to_string(++this->lives);
+    this->bornAt = wallNow().value;
+    this->version = withWeights ? 1 : 0;
+    if (withWeights)
+        for (int index = 0; index < pieceCount; ++index)
+            this->staged[index] = pieceBytes(1, index);
+    this->list("ready");
+}
+
+void Upstream::crash()
+{
+    for (const CallId call : std::set<CallId>(this->open))
+        this->front.abort(call);
+    this->open.clear();
+    this->runs.clear();
+    this->staged.clear();
+    this->store.remove("servers", this->id);
+    this->id.clear();
+    this->version = this->loading = this->orders = 0;
+}
+
+void Upstream::leave() { this->list("draining"); }
+
+void Upstream::list(const char* state)
+{
+    Json entry { { "service", this->engine ? "engines" : "desk" }, { "address", this->listed }, { "zone", "a" },
+        { "version", 1 }, { "slots", 8 }, { "state", state }, { "sequence", this->lives }, { "born", this->bornAt } };
+    if (this->engine) {
+        entry["models"] = Json::array();
+        if (this->version != 0)
+            entry["models"].push_back({ { "name", modelName }, { "version", this->version } });
+    }
+    this->store.put("servers", this->id, entry.dump());
+}
+
+void Upstream::answerJson(CallId call, int status, const std::string& body)
+{
+    this->open.erase(call);
+    this->front.answer(call, static_cast<std::uint16_t>(status), {}, body);
+}
+
+void Upstream::onRequest(FrontRequest&& request)
+{
+    this->open.insert(request.id);
+    if (!this->running()) {
+        this->open.erase(request.id);
+        this->front.abort(request.id);
+    } else if (request.head.target.starts_with("/api/"))
+        this->onEngineCall(request);
+    else
+        this->run(std::move(request));
+}
+
+void Upstream::onEngineCall(const FrontRequest& request)
+{
+    const std::string& target = request.head.target;
+    if (target == "/api/report") {
+        Json report { { "phase", "colocated" }, { "models", Json::array() }, { "busy", this->loading != 0 },
+            { "sequence", this->orders }, { "waiting", 0 }, { "running", this->runs.size() }, { "kv_used", 0 },
+            { "kv_total", 1000 }, { "pace", 1.0 }, { "born", this->bornAt } };
+        if (this->version != 0)
+            report["models"].push_back({ { "name", modelName }, { "version", this->version } });
+        this->answerJson(request.id, 200, report.dump());
+    } else if (target.starts_with("/api/stage-put/")) {
+        this->staged[static_cast<int>(numberAfter(target, "quantity"))] = request.body;
+        this->answerJson(request.id, 200, "{}");
+    } else if (target.starts_with("/api/stage-get/")) {
+        const auto piece = this->staged.find(static_cast<int>(numberAfter(target, "quantity")));
+        this->answerJson(request.id, piece == this->staged.end() ? 404 : 200,
+            piece == this->staged.end() ? std::string {} : piece->second);
+    } else if (target == "/api/order") {
+        const Json order = Json::parse(request.body);
+        const auto wanted = order.at("version").get<std::uint64_t>();
+        if (order.contains("expected") && order.at("expected") != this->orders) {
+            this->answerJson(request.id, 409, "{}");
+            return;
+        }
+        for (int index = 0; index < pieceCount; ++index)
+            if (this->staged[index] != pieceBytes(wanted, index))
+                this->ledger.breach("WHOLE " + this->id + " was ordered version " + std::to_string(wanted)
+                    + " with a wrong piece " + std::to_string(index));
+        ++this->orders;
+        this->loading = wanted;
+        this->loadedAt = monotonicNow() + loadTime;
+        this->answerJson(request.id, 202, "{}");
+    } else
+        this->answerJson(request.id, 404, "{}");
+}
+
+void Upstream::run(FrontRequest&& request)
+{
+    const std::string attempt = headerOf(request, "Attempt-Id");
+    const std::vector<WireHeader> echo { { "Attempt-Id", attempt }, { "At-Server", this->id } };
+    const std::string expected = headerOf(request, "Expect-Replica");
+    const std::string wantedVersion = headerOf(request, "Expect-Version");
+    const bool wrongVersion = !wantedVersion.empty() && wantedVersion != std::to_string(this->version);
+    if ((!expected.empty() && expected != this->id) || wrongVersion) {
+        this->open.erase(request.id);
+        this->front.answer(request.id, 421, echo, "");
+        return;
+    }
+    if (this->engine && (this->version == 0 || this->loading != 0)) {
+        std::vector<WireHeader> headers = echo;
+        headers.push_back({ "Not-Executed", "1" });
+        this->open.erase(request.id);
+        this->front.answer(request.id, 503, headers, "");
+        return;
+    }
+    const auto known = this->ledger.attempts.find(attempt);
+    if (known == this->ledger.attempts.end()) {
+        this->ledger.breach("UNASKED " + attempt + " reached " + this->id);
+        return;
+    }
+    if (!headerOf(request, "Authorization").empty() || headerOf(request, "Tenant") != "callers")
+        this->ledger.breach("UNASKED " + attempt + " came with a key or without its workspace");
+    const std::string after = headerOf(request, "Last-Event-Id");
+    known->second.runs += after.empty() ? 1 : 0;
+    std::vector<WireHeader> sealed = echo;
+    sealed.push_back({ "Replica-Seal", "seal." + attempt });
+    if (!this->engine) {
+        this->open.erase(request.id);
+        this->front.answer(request.id, 200, sealed, "answer of " + attempt + " " + request.body);
+        return;
+    }
+    sealed.push_back({ "Content-Type", "text/event-stream" });
+    sealed.push_back({ "Weight-Versions", std::to_string(this->version) });
+    this->front.begin(request.id, 200, sealed);
+    this->runs[request.id] = { .attempt = attempt, .next = after.empty() ? 1 : std::stoi(after) + 1 };
+}
+
+void Upstream::everyStep()
+{
+    if (this->loading != 0 && this->runs.empty() && monotonicNow() > this->loadedAt) {
+        this->version = this->loading;
+        this->loading = 0;
+        this->list("ready");
+    }
+    for (auto run = this->runs.begin(); run != this->runs.end();) {
+        if (run->second.next <= eventsOf(run->second.attempt))
+            this->front.body(run->first, eventText(run->second.attempt, run->second.next++));
+        if (run->second.next <= eventsOf(run->second.attempt)) {
+            ++run;
+            continue;
+        }
+        this->open.erase(run->first);
+        this->front.finish(run->first);
+        run = this->runs.erase(run);
+    }
+    this->timer.expires_after(std::chrono::milliseconds(step.value));
+    this->timer.async_wait([this](const std::error_code& code) {
+        if (!code)
+            this->everyStep();
+    });
+}
+
+Origin::Origin(asio::io_context& io, const std::string& address)
+    : front(io, {},
+        { .onRequest =
+                [this](FrontRequest&& request) {
+                    const std::string& target = request.head.target;
+                    const std::uint64_t version = numberAfter(target, "version");
+                    if (version > this->newest || version + 2 <= this->newest) {
+                        this->front.answer(request.id, version > this->newest ? 404 : 410, {}, "");
+                        return;
+                    }
+                    if (target.starts_with("/api/piece/")) {
+                        this->front.answer(request.id, 200, {},
+                            pieceBytes(version, static_cast<int>(numberAfter(target, "quantity"))));
+                        return;
+                    }
+                    Json digests = Json::array();
+                    for (int index = 0; index < pieceCount; ++index)
+                        digests.push_back(sha256Hex(pieceBytes(version, index)));
+                    this->front.answer(request.id, 200, {},
+                        Json { { "model", modelName }, { "version", version }, { "chunk_bytes", pieceSize },
+                            { "layers", 4 }, { "digests", digests } }
+                            .dump());
+                },
+            .onGone = [](CallId) {} })
+{
+    if (!this->front.listen(address))
+        throw std::runtime_error("the origin cannot listen at " + address);
+}
+
+} // namespace hickory::soak
