--- a/src/ctl_cmd.h
+++ b/src/ctl_cmd.h
@@ -31,6 +31,9 @@
 /// `request SERVICE PATH`: sends a caller's request and streams the answer.
 CtlResult runRequest(const CtlOptions& options);
 
+/// `explain REQUEST`: prints what all processes logged about one attempt of a caller, in order of time.
+CtlResult runExplain(const CtlOptions& options);
+
 /// `publish FILE`: uploads weights and their manifest.
 CtlResult runPublish(const CtlOptions& options);
 
--- a/src/ctl_options_func.cpp
+++ b/src/ctl_options_func.cpp
@@ -23,6 +23,7 @@
   upstreams              list the upstreams as the asked entry sees them; --watch
   rollout                show the progress of model versions; --watch
   request SERVICE PATH   send a caller's request and print the answer as it arrives
+  explain REQUEST        print what the logs in --logs DIR say about one attempt of a caller, in order of time
   publish FILE           upload weights and their manifest; prints the digest for the text
 
 FILE may be - for standard input.
@@ -50,6 +51,7 @@
         add("key", "request: Idempotency-Key", text());
         add("data", "request: body, or @FILE", text());
         add("method", "request: HTTP method (default: POST)", text());
+        add("logs", "explain: folder with logs of all processes (default: the current one)", text());
         add("platform", "publish: http://ip:port of the platform", text());
         add("model", "publish: model name", text());
         add("version", "publish: model version; without a command: show the program's version", text());
@@ -128,6 +130,8 @@
         options.data = text("data");
         if (parsed.count("method") > 0)
             options.method = text("method");
+        if (parsed.count("logs") > 0)
+            options.logs = text("logs");
         options.platform = text("platform");
         options.model = text("model");
         options.version = text("version");
--- a/src/ctl_type.h
+++ b/src/ctl_type.h
@@ -29,6 +29,7 @@
     std::string key; ///< request: Idempotency-Key
     std::string data; ///< request: body
     std::string method { "POST" }; ///< request
+    std::string logs { "." }; ///< explain: folder with the logs of the processes
     std::string platform; ///< publish: URL of the platform
     std::string model; ///< publish
     std::string version; ///< publish
--- a/src/hickoryctl_main.cpp
+++ b/src/hickoryctl_main.cpp
@@ -16,7 +16,7 @@
     CtlResult (*run)(const CtlOptions&); ///< does it
 };
 
-constexpr std::array<Command, 10> commands { {
+constexpr std::array<Command, 11> commands { {
     { "check", 1, runCheck },
     { "diff", 1, runDiff },
     { "apply", 1, runApply },
@@ -26,6 +26,7 @@
     { "upstreams", 0, runUpstreams },
     { "rollout", 0, runRollout },
     { "request", 2, runRequest },
+    { "explain", 1, runExplain },
     { "publish", 1, runPublish },
 } };
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -127,6 +127,7 @@
 RelayLoop::RelayLoop(RelaySettings given, std::string path)
     : settings(std::move(given))
     , settingsPath(std::move(path))
+    , settingsFile(watchFile(this->settingsPath))
     , pool(this->io, upstreamLink)
     , front(this->io, callerLink,
           { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
@@ -416,6 +417,8 @@
     this->pool.sweep(now);
     forgetSilentPeers(this->peers, now);
     this->dispatch(EntriesCounted { .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
+    if (wasWritten(this->settingsFile))
+        this->reload();
     bool gone = false;
     for (auto row = this->lapsed.begin(); row != this->lapsed.end();) {
         if (now < row->second) {
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_pool_io.h"
+#include "file_watch_func.h"
 #include "front_io.h"
 #include "peer_io.h"
 #include "peer_state_type.h"
@@ -77,6 +78,7 @@
 
     RelaySettings settings; ///< as read at start or reload
     std::string settingsPath; ///< read again on SIGHUP
+    FileWatch settingsFile; ///< which may change without a signal
     asio::io_context io; ///< the loop
     CallPool pool; ///< client of upstreams, store and peers
     FrontServer front; ///< server of callers, checks, lookups and peers
