Tell news of operators at once, and give up a version that is too late for the next one

Change: an entry that learns of a newer row of the operators sends a beacon with its revision at once; entries and agents that are behind ask the sender. A first version is given up when its pieces are missing after 60% of the next one's time, or its order is not given after 80%.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -60,4 +60,5 @@
   known @4 :List(Entry);    # other live entries, now and then
   pieces @5 :List(Pieces);  # agents only: what may be fetched from the sender
   place @6 :Place;          # sent to entries of other data centres by one entry of each
+  operatorsRevision @7 :UInt64; # of the sender's copy of what operators wrote; entries only
 }
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -176,8 +176,14 @@
 {
     if (beacon.from.front.empty())
         this->dispatch(PeerPieces { .ip = ip, .sets = beacon.pieces });
-    else
+    else {
         notePeer(this->peers, this->settings.host.host, beacon, ip, monotonicNow());
+        if (beacon.operatorsRevision > this->operatorsRevision && beacon.from.place == this->settings.host.place) {
+            this->operatorsRevision = beacon.operatorsRevision;
+            this->entry = beacon.from.control;
+            this->askFleet();
+        }
+    }
 }
 
 void LoaderLoop::sendBeacon()
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -89,6 +89,7 @@
     PeerSocket peerSocket; ///< beacons
     PeerTable peers; ///< entries
     StageState state; ///< all decisions
+    std::uint64_t operatorsRevision { 0 }; ///< newest that an entry of this data centre told
     std::uint64_t fleetStamp { 0 }; ///< of the view of the fleet that is known, 0 before
     std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest two are kept
     std::deque<Upload> uploads; ///< sent one after the other at a share of the link
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -38,6 +38,7 @@
 struct PeerBeacon {
     PeerEntry from; ///< the sender
     ConfigVersion configVersion; ///< that the sender acts on
+    std::uint64_t operatorsRevision { 0 }; ///< of the sender's copy of what operators wrote, entries only
     std::vector<PeerLoad> loads; ///< requests under way, entries only
     std::optional<EngineReported> engine; ///< agents only
     std::vector<PieceSet> pieces; ///< agents only
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -62,7 +62,10 @@
     void onConfirmed();
     void publishUpstreams();
     bool followsStore(Milliseconds now) const;
-    void askPeer(Milliseconds now, bool any);
+    void askPeer(const PeerEntry& peer, Milliseconds now);
+    void tellNews();
+    PeerBeacon makeBeacon() const;
+    std::vector<std::string> agentTargets() const;
 
     void everyTick();
     void everyBeacon();
@@ -101,6 +104,8 @@
     std::uint16_t controlPort { 0 }; ///< likewise
     Incarnation incarnation; ///< start of the process, Unix ms
     std::uint32_t ticks { 0 }; ///< so far
+    std::uint64_t operatorsRevision { 0 }; ///< of the newest row that operators wrote
+    std::uint64_t toldOperators { 0 }; ///< of these what peers were told at once
     std::uint32_t beacons { 0 }; ///< sent so far
     std::uint32_t digests { 0 }; ///< sent to other data centres so far
     Milliseconds farBeaconAt { 0 }; ///< when other data centres were told last
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -32,6 +32,8 @@
     if (isNew)
         writeLog({ .event = "peer-found",
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
+    if (beacon.operatorsRevision > this->operatorsRevision)
+        this->askPeer(beacon.from, now);
     if (beacon.engine) {
         KnownEngine& known = this->engines[beacon.engine->address];
         known.changed = known.changed || saysMore(known.report, *beacon.engine);
@@ -48,12 +50,41 @@
         this->dispatch(PeerLoadsLearned { .peer = beacon.from.host, .loads = beacon.loads });
 }
 
-void RelayLoop::everyBeacon()
+PeerBeacon RelayLoop::makeBeacon() const
 {
-    const Milliseconds now = monotonicNow();
-    PeerBeacon beacon { .from = this->self(), .loads = ownLoads(this->state) };
+    PeerBeacon beacon { .from = this->self(), .operatorsRevision = this->operatorsRevision };
     if (this->state.config)
         beacon.configVersion = this->state.config->version;
+    return beacon;
+}
+
+std::vector<std::string> RelayLoop::agentTargets() const
+{
+    std::vector<std::string> ips;
+    for (const auto& [ip, heardAt] : this->peers.agents)
+        ips.push_back(ip);
+    return ips;
+}
+
+void RelayLoop::tellNews()
+{
+    if (this->operatorsRevision <= this->toldOperators)
+        return;
+    this->toldOperators = this->operatorsRevision;
+    PeerBeacon beacon = this->makeBeacon();
+    beacon.loads = ownLoads(this->state);
+    const PlaceId& place = this->settings.host.place;
+    this->peerSocket.send(beacon, nearTargets(this->peers, place, this->settings.host.ip));
+    this->peerSocket.send(beacon, this->agentTargets());
+    if (this->followsStore(monotonicNow()))
+        this->peerSocket.send(beacon, farTargets(this->peers, place));
+}
+
+void RelayLoop::everyBeacon()
+{
+    const Milliseconds now = monotonicNow();
+    PeerBeacon beacon = this->makeBeacon();
+    beacon.loads = ownLoads(this->state);
     const PlaceId& place = this->settings.host.place;
     const bool withKnown = this->beacons++ % beaconsPerIntroduction == 0;
     if (withKnown)
@@ -61,10 +92,7 @@
     this->peerSocket.send(beacon, nearTargets(this->peers, place, this->settings.host.ip));
     if (withKnown) {
         beacon.loads.clear();
-        std::vector<std::string> agents;
-        for (const auto& [ip, heardAt] : this->peers.agents)
-            agents.push_back(ip);
-        this->peerSocket.send(beacon, agents);
+        this->peerSocket.send(beacon, this->agentTargets());
         beacon.known.clear();
     }
     const std::vector<std::string> far = farTargets(this->peers, place);
@@ -130,22 +158,18 @@
     const bool follows = this->followsStore(now);
     this->operatorRows.setAsking(follows || stale);
     this->upstreamRows.setAsking(follows || stale);
-    if (!follows || stale)
-        this->askPeer(now, stale);
+    const std::vector<PeerEntry> live = liveEntries(this->peers, now);
+    const std::vector<PeerEntry> sources = stale ? live : tableSources(live, this->settings.host.place);
+    if ((!follows || stale) && !sources.empty())
+        this->askPeer(sources[this->state.random() % sources.size()], now);
     this->armTimer(this->tablesTimer, tablesPeriod, &RelayLoop::everyTables);
 }
 
-void RelayLoop::askPeer(Milliseconds now, bool any)
+void RelayLoop::askPeer(const PeerEntry& peer, Milliseconds now)
 {
-    if (this->askingPeer)
-        return;
-    const std::vector<PeerEntry> live = liveEntries(this->peers, now);
-    const std::vector<PeerEntry> sources = any ? live : tableSources(live, this->settings.host.place);
-    if (sources.empty())
+    if (this->askingPeer || peer.control.empty())
         return;
     this->askingPeer = true;
-    const PeerEntry& peer
-        = sources.at(std::uniform_int_distribution<std::size_t>(0, sources.size() - 1)(this->state.random));
     const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
         .upstreams = this->upstreamRows.snapshot().revision };
     this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = askPeerTimeout },
@@ -168,6 +192,7 @@
 void RelayLoop::onOperatorRows(const std::vector<platform::TableRow>& changed)
 {
     for (const platform::TableRow& row : changed) {
+        this->operatorsRevision = std::max(this->operatorsRevision, row.revision);
         if (row.deleted)
             continue;
         if (row.key == platform::configKey) {
@@ -193,7 +218,11 @@
     }
 }
 
-void RelayLoop::onConfirmed() { this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf }); }
+void RelayLoop::onConfirmed()
+{
+    this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf });
+    this->tellNews();
+}
 
 void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
 {
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -305,6 +305,15 @@
             && now < latest;
     }
 
+    /// @return whether the version declared after the first one will be required before the first could serve
+    bool firstIsTooLate(const StageState& state, Milliseconds now)
+    {
+        const StageWork& first = state.works.front();
+        const std::int64_t usedPercent = (now - state.works.back().since).value * percent
+            / std::max<std::int64_t>(state.options.weightsWithin.value, 1);
+        return first.order == OrderStep::None && usedPercent > (allStaged(first) ? lastOrderPercent : lastFetchPercent);
+    }
+
     void advanceOrder(StageState& state, Milliseconds now, Effects& effects)
     {
         StageWork& work = state.works.front();
@@ -401,6 +410,8 @@
             return;
         if (state.works.size() > 1 && engineHolds(state, state.works.front().version))
             dropFirst(state, "in-service", effects);
+        if (state.works.size() > 1 && firstIsTooLate(state, now))
+            dropFirst(state, "too-late", effects);
         // Also wanted by a host whose engine is current: it checks what it gives to others.
         for (StageWork& work : state.works)
             askManifest(state, work, now, effects);
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -31,6 +31,9 @@
 constexpr std::int64_t skipFromPercent = 60; ///< of the next version's pieces: the rest arrives within a second
 constexpr std::int64_t skipUntilPercent = 70; ///< of the time allowed: later the next version would be late for the
                                               ///< bound of the first
+constexpr std::int64_t lastFetchPercent = 60; ///< of the time that the next version has: pieces that are missing then
+                                              ///< would arrive too late for the first one to serve
+constexpr std::int64_t lastOrderPercent = 80; ///< likewise an order: draining and loading take up to 1.7 s
 constexpr Milliseconds checkPatience { 1500 }; ///< reading all pieces back takes a tenth of this
 constexpr std::int64_t firstTurnPercent = 38; ///< of the time allowed: pieces take about that long to arrive
 constexpr std::int64_t turnsPercent = 34; ///< of the time allowed: the orders are spread over it
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -15,6 +15,7 @@
                             .place = { "a" },
                             .ready = true },
         .configVersion = { 12 },
+        .operatorsRevision = 77,
         .loads = { { .upstream = 99, .sent = 3, .unreadTokens = 1200 } } };
     beacon.engine = EngineReported { .address = "10.0.0.2:80",
         .report = { .models = { { .model = { "m" }, .version = { 4 } } }, .busy = true, .pace = 1.5, .bornAt = 5 },
@@ -25,6 +26,7 @@
         .entries = { beacon.from } };
     const auto decoded = decodeBeacon(encodeBeacon(beacon));
     REQUIRE(decoded);
+    CHECK(decoded.value().operatorsRevision == 77);
     REQUIRE(decoded.value().place);
     CHECK(decoded.value().place->totals.at(0).sent == 5);
     CHECK(decoded.value().place->engines.at(0).report.pace == 1.5);
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -425,3 +425,21 @@
     for (const StageEffect& effect : effects)
         CHECK_FALSE(std::holds_alternative<LogLine>(effect));
 }
+
+// Load pattern: two versions are declared in quick succession while the origin is down for most of their time.
+TEST_CASE("a version that cannot serve before the next one is required is given up", "[stage]")
+{
+    StageFixture agent;
+    agent.report(1);
+    agent.declare(2);
+    agent.now += Milliseconds { 2000 };
+    agent.declare(3);
+    REQUIRE(agent.state.works.size() == 2);
+    agent.now += Milliseconds { 4500 };
+    agent.event(StageTick {});
+    CHECK(agent.state.works.size() == 2);
+    agent.now += Milliseconds { 500 };
+    agent.event(StageTick {});
+    REQUIRE(agent.state.works.size() == 1);
+    CHECK(agent.state.works.front().version == WeightsVersion { 3 });
+}
