Remember failed upstreams over a lapsed lease; begin nothing that a stopping entry may have to cut

Change: failures of an upstream that left the list are kept for 10 s and put it on probation when it returns in the same life; on probation old weights are given up 2.5 s earlier. A stopping entry refuses what would have to wait, and begins only what ends in half of the time left. Over a link that answers late one piece is asked for at a time.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -108,7 +108,7 @@
     // A plain call may take several times its mean.
     const Milliseconds longest
         = engineOf(request) ? serviceTime(request, request.facts.maxAnswerTokens) : request.route->objective * 2;
-    return now + longest < moment;
+    return now + longest * drainFactor < moment;
 }
 
 Milliseconds returnTime(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now)
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -28,7 +28,8 @@
         const HeldModel* held = heldModel(view, request.facts.model);
         if (!held)
             return false;
-        return held->version >= requiredWeights(state, request.facts.model, now);
+        const Milliseconds lead = view.onProbation ? probationWeightsLead : Milliseconds {};
+        return held->version >= requiredWeights(state, request.facts.model, now + lead);
     }
 
     bool mayRun(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -118,6 +118,11 @@
         refuseRequest(state, kept, statusUnavailable, "no-upstream", now, effects);
         return;
     }
+    if (state.drainEndsAt) {
+        // Another entry takes it at once.
+        refuseRequest(state, kept, statusUnavailable, "stopping", now, effects);
+        return;
+    }
     if (!mayWait(state, kept, now)) {
         refuseRequest(state, kept, statusUnavailable, "overload", now, effects);
         return;
@@ -190,6 +195,11 @@
         const auto upstream = chooseUpstream(state, request, now, true);
         if (!upstream)
             return;
+        const bool begun = request.relayed || request.mayHaveRun;
+        if (state.drainEndsAt && !begun && !endsBefore(request, *state.drainEndsAt, now)) {
+            refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
+            continue;
+        }
         leaveQueue(state, request);
         sendRequest(state, request, *upstream, now, effects);
     }
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -113,6 +113,13 @@
     Milliseconds orderingUntil { 0 }; ///< about to load weights
 };
 
+/// What was believed of a failing upstream that left the list. A lease that ran out behind a narrow link is back soon.
+struct DepartedUpstream {
+    std::int64_t bornAt { 0 }; ///< start of its process
+    std::uint32_t failures { 0 }; ///< in a row
+    Milliseconds at { 0 }; ///< when it left
+};
+
 /// Another entry's requests at the upstreams.
 struct PeerView {
     Milliseconds at; ///< when it told
@@ -142,6 +149,7 @@
     Milliseconds configConfirmedAt { -1000000 }; ///< no newer configuration existed then
     std::unordered_map<CallId, RelayRequest> requests; ///< without a complete answer
     std::map<UpstreamId, RelayUpstream> upstreams; ///< listed, or with work under way
+    std::map<UpstreamId, DepartedUpstream> departed; ///< those that had failed and left the list lately
     std::map<ServiceId, ServiceView> services; ///< queues
     std::map<HostId, PeerView> peers; ///< other entries, at upstreams that they share with this one
     std::map<PlaceId, PlaceView> places; ///< other data centres
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -20,6 +20,19 @@
         view.orderingUntil = {};
     }
 
+    /// Treats an upstream that is listed again as it was treated before it left.
+    void recall(RelayState& state, RelayUpstream& view, const UpstreamEntry& entry)
+    {
+        const auto known = state.departed.find(entry.id);
+        if (known == state.departed.end())
+            return;
+        if (known->second.bornAt == entry.bornAt) {
+            view.failures = known->second.failures;
+            view.onProbation = true;
+        }
+        state.departed.erase(known);
+    }
+
     LogLine upstreamLine(const char* event, const UpstreamEntry& entry)
     {
         return { .event = event,
@@ -39,9 +52,10 @@
         RelayUpstream& view = found->second;
         if (added) {
             view.key = loadKey(entry.id);
+            recall(state, view, entry);
             effects.emplace_back(upstreamLine("upstream-listed", entry));
         } else {
-            if (view.entry.bornAt != entry.bornAt || !view.listed)
+            if (view.entry.bornAt != entry.bornAt)
                 resetView(view);
             if (view.entry.leaving != entry.leaving || view.entry.bornAt != entry.bornAt)
                 effects.emplace_back(upstreamLine("upstream-changed", entry));
@@ -56,9 +70,13 @@
         }
         if (view->second.listed)
             effects.emplace_back(upstreamLine("upstream-gone", view->second.entry));
+        if (view->second.listed && view->second.onProbation)
+            state.departed[view->first]
+                = { .bornAt = view->second.entry.bornAt, .failures = view->second.failures, .at = now };
         view->second.listed = false;
         view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
     }
+    std::erase_if(state.departed, [&](const auto& item) { return now - item.second.at > departedTrust; });
     placeAllWaiting(state, now, effects);
 }
 
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -24,6 +24,11 @@
 constexpr Milliseconds quietLimit { 350 }; ///< an engine with work that sent nothing for this long gets no more of it:
                                            ///< five passes of a full engine
 constexpr Milliseconds plainQuietLimit { 450 }; ///< likewise a plain upstream; its longest calls take that long
+constexpr Milliseconds departedTrust {
+    10000
+}; ///< of what was believed of an upstream that left the list: three leases
+constexpr Milliseconds probationWeightsLead { 2500 }; ///< what goes to an upstream on probation may arrive that late:
+                                                      ///< old weights are given up earlier there
 constexpr std::uint32_t probationLimit = 1; ///< requests at once to an upstream that failed, until it answers
 constexpr Milliseconds plainSilenceLimit { 300 }; ///< least wait before an idempotent call is tried elsewhere
 constexpr std::int64_t plainSilenceFactor = 2; ///< of the route's objective, likewise
@@ -34,6 +39,8 @@
 constexpr Milliseconds outdatedAfter { 350 }; ///< after old weights are given up: most queued requests begin by then
 constexpr Milliseconds reportTrust { 1000 }; ///< older reports of load are ignored: gossip comes ten times a second
 constexpr std::uint32_t maxUnsentTries = 4; ///< connections tried for one request when none could be opened
+constexpr std::int64_t drainFactor
+    = 2; ///< of the predicted time: what an entry that stops still takes must end in time
 constexpr Milliseconds plainMargin { 40 }; ///< least time in which a plain service answers
 constexpr Milliseconds unknownStale { 1500 }; ///< a route or key that is not known is refused for good only on a
                                               ///< configuration confirmed within this time
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -10,8 +10,10 @@
 constexpr std::size_t originInFlight = 1; ///< the origin accepts 48 connections from all hosts together
 constexpr std::size_t ownInFlight = 6; ///< likewise, from hosts of the same place
 constexpr std::size_t maxPiecesInFlight = sharedInFlight + ownInFlight; ///< on a link that answers promptly
-constexpr std::size_t minPiecesInFlight = 2; ///< on a link that became narrow
-constexpr Milliseconds promptAnswer { 400 }; ///< of an entry nearby: pieces in flight fill a free link for as long
+constexpr std::size_t minPiecesInFlight = 1; ///< on a link that became narrow
+constexpr Milliseconds promptAnswer {
+    300
+}; ///< of an entry nearby: pieces in flight fill a free link for about as long
 constexpr std::size_t perSourceInFlight = 2; ///< one on its way while the next is asked for
 constexpr Milliseconds piecesTrust { 5000 }; ///< of what a host told that it holds; it tells at least every 2 s
 constexpr double originAhead { 8.0 }; ///< pieces asked for at the origin before their turn, so that its link stays busy
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -125,3 +125,60 @@
     tellLoadsElsewhere(relay.state);
     CHECK(load() == 2);
 }
+
+// Load pattern: the lease of an engine behind a narrow link runs out and comes back; a dozen requests waited for it.
+TEST_CASE("an upstream that failed is on probation after its lease ran out and came back", "[relay][suspect]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    const SendNumber first = sentTo(relay.request("/letters/"), "e1");
+    relay.event(AnswerEnded { .call = relay.last(), .send = first, .end = SendEnd::NotSent });
+    relay.list({});
+    relay.now += Milliseconds { 400 };
+    SECTION("in the same life")
+    {
+        relay.list({ RelayFixture::upstream("e1", "engine") });
+        sentTo(relay.request("/letters/"), "e1");
+        CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/letters/")));
+    }
+    SECTION("a new life starts afresh")
+    {
+        UpstreamEntry entry = RelayFixture::upstream("e1", "engine");
+        entry.bornAt = 77;
+        relay.list({ entry });
+        sentTo(relay.request("/letters/"), "e1");
+        sentTo(relay.request("/letters/"), "e1");
+    }
+}
+
+TEST_CASE("old weights are given up earlier where a request may arrive late", "[relay][suspect]")
+{
+    for (const bool probation : { false, true }) {
+        RelayFixture relay({ .weightsGrace = { 7000 } });
+        relay.list({ RelayFixture::upstream("e1", "engine") });
+        relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 } });
+        relay.now += Milliseconds { 4600 };
+        relay.confirm();
+        relay.state.upstreams.at({ "e1" }).onProbation = probation;
+        const auto effects = relay.request("/letters/");
+        CHECK((findEffect<SendToUpstream>(effects) == nullptr) == probation);
+    }
+}
+
+// Load pattern: an entry is told to stop while the fleet is full; what it lets wait would be cut at its end.
+TEST_CASE("an entry that stops lets nothing new wait, and begins nothing that it may have to cut", "[relay][drain]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    for (int count = 0; count < 4; ++count)
+        relay.request("/letters/");
+    relay.request("/digests/");
+    const CallId waiting = relay.last();
+    relay.event(DrainBegan { .endsAt = relay.now + Milliseconds { 3000 } });
+    const auto refused = relay.request("/digests/");
+    REQUIRE(findEffect<RefuseCall>(refused));
+    CHECK(findEffect<RefuseCall>(refused)->status == 503);
+    relay.now += Milliseconds { 2950 };
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    CHECK(relay.state.requests.count(waiting) == 0);
+}
