--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -49,7 +49,6 @@
         , store(this->io, this->net + "250:8081")
         , origin(this->io, this->net + "249:8081")
         , callers(this->io, this->ledger, this->fronts())
-        , ticker(this->io)
     {
     }
 
@@ -462,7 +461,6 @@
     Origin origin; ///< stand-in
     Callers callers; ///< clients
     CallPool control { this->io, {} }; ///< of the fault proxy and readiness
-    asio::steady_timer ticker; ///< keeps the loop alive
     scenario::Process proxy; ///< fault proxy
     std::string proxyAddress; ///< its control interface
     int asked { 0 }; ///< questions to it
