--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -10,6 +10,7 @@
 #include "platform_wire_func.h"
 #include "program_func.h"
 #include "settings_func.h"
+#include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
 
 #include <csignal>
@@ -416,6 +417,7 @@
     this->front.sweep(now);
     this->pool.sweep(now);
     forgetSilentPeers(this->peers, now);
+    std::erase_if(this->engines, [&](const auto& item) { return now - item.second.at > reportTrust; });
     this->dispatch(EntriesCounted { .entries = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
     if (wasWritten(this->settingsFile))
         this->reload();
