Give query reading, told loads and host ranks one place each

Found in the read-through: a query parameter was read in four places (peer tables, view of the fleet, two stand-ins); the loads that a peer and another data centre tell were two equal structs with two equal functions; the rank of a host by hash was counted twice. queryValue and queryNumber, ToldLoads with noteLoads, and hostRank serve all of them; the agent uses liveEntriesOf.

--- a/src/fleet_view_func.cpp
+++ b/src/fleet_view_func.cpp
@@ -1,9 +1,9 @@
 #include "fleet_view_func.h"
 
 #include "digest_func.h"
+#include "query_func.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace hickory {
@@ -14,15 +14,6 @@
 
     constexpr std::uint16_t statusOk = 200;
 
-    std::string queryValue(const std::string& target, const std::string& name)
-    {
-        const std::size_t at = target.find(name + "=");
-        if (at == std::string::npos)
-            return {};
-        const std::size_t from = at + name.size() + 1;
-        return target.substr(from, target.find('&', from) - from);
-    }
-
     Error failure(ErrorCode code, const std::string& detail)
     {
         return { .code = make_error_code(code), .step = "read-fleet-view", .peer = {}, .detail = detail };
@@ -63,10 +54,7 @@
 
 FleetQuestion decodeFleetQuestion(const std::string& target)
 {
-    FleetQuestion question { .service = { queryValue(target, "service") } };
-    const std::string stamp = queryValue(target, "stamp");
-    std::from_chars(stamp.data(), stamp.data() + stamp.size(), question.stamp);
-    return question;
+    return { .service = { queryValue(target, "service") }, .stamp = queryNumber(target, "stamp") };
 }
 
 std::string encodeFleetView(const FleetView& view, std::uint64_t stamp)
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -200,9 +200,7 @@
 
 std::vector<std::string> LoaderLoop::entryTargets() const
 {
-    const auto live = liveEntries(this->peers, monotonicNow());
-    const bool near = std::any_of(
-        live.begin(), live.end(), [&](const PeerEntry& entry) { return entry.place == this->settings.host.place; });
+    const bool near = !liveEntriesOf(this->peers, this->settings.host.place, monotonicNow()).empty();
     // Entries of other data centres hear of the engine from those of this one, as long as there are any.
     return near ? nearTargets(this->peers, this->settings.host.place, this->settings.host.ip)
                 : beaconTargets(this->peers, this->settings.host.ip);
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -1,6 +1,7 @@
 #include "peer_table_func.h"
 
-#include <charconv>
+#include "query_func.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hickory {
@@ -9,15 +10,6 @@
 
     using Json = nlohmann::json;
 
-    std::uint64_t readQuery(const std::string& target, const std::string& name)
-    {
-        const std::size_t at = target.find(name + "=");
-        std::uint64_t value = 0;
-        if (at != std::string::npos)
-            std::from_chars(target.data() + at + name.size() + 1, target.data() + target.size(), value);
-        return value;
-    }
-
     Json encodeTable(const platform::TableSnapshot& copy, std::uint64_t have, Milliseconds now)
     {
         const platform::TableChanges changes = platform::changesSince(copy, have);
@@ -57,7 +49,7 @@
 
 PeerRevisions decodePeerRevisions(const std::string& target)
 {
-    return { .operators = readQuery(target, "operators"), .upstreams = readQuery(target, "upstreams") };
+    return { .operators = queryNumber(target, "operators"), .upstreams = queryNumber(target, "upstreams") };
 }
 
 std::string encodePeerTables(const platform::TableSnapshot& operators, const platform::TableSnapshot& upstreams,
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -138,8 +138,8 @@
     const auto place = state.places.find(view.entry.place);
     if (place == state.places.end() || now - place->second.at >= reportTrust)
         return load;
-    const auto total = place->second.totals.find(view.key);
-    if (total == place->second.totals.end())
+    const auto total = place->second.loads.find(view.key);
+    if (total == place->second.loads.end())
         return load;
     // The total contains what this entry told, at the latest the time before last: what it has sent since is on top.
     const auto since = [](std::uint32_t whole, std::uint32_t now, std::uint32_t told) {
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -38,22 +38,12 @@
         expireRequests(state, now, effects);
     }
 
-    void applyPeerLoads(RelayState& state, const PeerLoadsLearned& event, Milliseconds now)
+    void noteLoads(ToldLoads& told, const std::vector<PeerLoad>& loads, Milliseconds now)
     {
-        PeerView& peer = state.peers[event.peer];
-        peer.at = now;
-        peer.loads.clear();
-        for (const PeerLoad& load : event.loads)
-            peer.loads[load.upstream] = load;
-    }
-
-    void applyPlaceLoads(RelayState& state, const PlaceLoadsLearned& event, Milliseconds now)
-    {
-        PlaceView& place = state.places[event.place];
-        place.at = now;
-        place.totals.clear();
-        for (const PeerLoad& load : event.totals)
-            place.totals[load.upstream] = load;
+        told.at = now;
+        told.loads.clear();
+        for (const PeerLoad& load : loads)
+            told.loads[load.upstream] = load;
     }
 
     void tick(RelayState& state, Milliseconds now, RelayEffects& effects)
@@ -77,25 +67,26 @@
 std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now)
 {
     RelayEffects effects;
-    std::visit(Overloaded {
-                   [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
-                   [&](const CallerLeft& left) { forgetCaller(state, left, now, effects); },
-                   [&](const AnswerBegan& began) { applyAnswerBegan(state, began, now, effects); },
-                   [&](const StreamMoved& moved) { applyStreamMoved(state, moved, now, effects); },
-                   [&](const AnswerEnded& ended) { applyAnswerEnded(state, ended, now, effects); },
-                   [&](const RelayTick&) { tick(state, now, effects); },
-                   [&](const ConfigLearned& learned) { applyConfig(state, learned, now, effects); },
-                   [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
-                   [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
-                   [&](const PeerLoadsLearned& learned) { applyPeerLoads(state, learned, now); },
-                   [&](const PlaceLoadsLearned& learned) { applyPlaceLoads(state, learned, now); },
-                   [&](const EntriesCounted& counted) { state.entries = counted.entries; },
-                   [&](const ConfigConfirmed& confirmed) {
-                       state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
-                   },
-                   [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
-                   [&](const DrainBegan& drain) { applyDrain(state, drain, now, effects); },
-               },
+    std::visit(
+        Overloaded {
+            [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
+            [&](const CallerLeft& left) { forgetCaller(state, left, now, effects); },
+            [&](const AnswerBegan& began) { applyAnswerBegan(state, began, now, effects); },
+            [&](const StreamMoved& moved) { applyStreamMoved(state, moved, now, effects); },
+            [&](const AnswerEnded& ended) { applyAnswerEnded(state, ended, now, effects); },
+            [&](const RelayTick&) { tick(state, now, effects); },
+            [&](const ConfigLearned& learned) { applyConfig(state, learned, now, effects); },
+            [&](const UpstreamsLearned& learned) { applyUpstreams(state, learned, now, effects); },
+            [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
+            [&](const PeerLoadsLearned& learned) { noteLoads(state.peers[learned.peer], learned.loads, now); },
+            [&](const PlaceLoadsLearned& learned) { noteLoads(state.places[learned.place], learned.totals, now); },
+            [&](const EntriesCounted& counted) { state.entries = counted.entries; },
+            [&](const ConfigConfirmed& confirmed) {
+                state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
+            },
+            [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+            [&](const DrainBegan& drain) { applyDrain(state, drain, now, effects); },
+        },
         event);
     return effects;
 }
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -120,18 +120,12 @@
     Milliseconds at { 0 }; ///< when it left
 };
 
-/// Another entry's requests at the upstreams.
-struct PeerView {
+/// Requests under way at upstreams as another process told them.
+struct ToldLoads {
     Milliseconds at; ///< when it told
     std::unordered_map<std::uint64_t, PeerLoad> loads; ///< by upstream
 };
 
-/// What all entries have under way at the upstreams of another data centre.
-struct PlaceView {
-    Milliseconds at; ///< when it was told
-    std::unordered_map<std::uint64_t, PeerLoad> totals; ///< by upstream
-};
-
 /// Requests of one service that wait, and how fast they are placed.
 struct ServiceView {
     std::map<QueueKey, CallId> queue; ///< in the order in which they are placed
@@ -151,8 +145,8 @@
     std::map<UpstreamId, RelayUpstream> upstreams; ///< listed, or with work under way
     std::map<UpstreamId, DepartedUpstream> departed; ///< those that had failed and left the list lately
     std::map<ServiceId, ServiceView> services; ///< queues
-    std::map<HostId, PeerView> peers; ///< other entries, at upstreams that they share with this one
-    std::map<PlaceId, PlaceView> places; ///< other data centres
+    std::map<HostId, ToldLoads> peers; ///< other entries, at upstreams that they share with this one
+    std::map<PlaceId, ToldLoads> places; ///< totals of other data centres at their own upstreams
     std::map<ModelId, DeclaredWeights> declared; ///< weights
     std::uint32_t entries { 1 }; ///< alive in the fleet
     std::optional<Milliseconds> drainEndsAt; ///< set once the process was told to stop
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -1,8 +1,8 @@
 #include "stage_reduce_func.h"
 
-#include "digest_func.h"
 #include "overloaded_type.h"
 #include "stage_cmd.h"
+#include "stage_source_func.h"
 #include "table/stage_limits.h"
 
 #include <algorithm>
@@ -184,9 +184,7 @@
 {
     // The order of hosts differs from version to version.
     const std::string key = "turn-" + std::to_string(version.value);
-    const std::uint64_t own = placementHash(key, state.options.ip);
-    const auto before = std::count_if(state.peers.begin(), state.peers.end(),
-        [&](const StagePeer& peer) { return placementHash(key, peer.ip) < own; });
+    const std::int64_t before = hostRank(state, key);
     const std::int64_t within = state.options.weightsWithin.value;
     const auto hosts = static_cast<std::int64_t>(std::max<std::size_t>(state.peers.size(), 1));
     return { within * firstTurnPercent / percent + within * turnsPercent * before / (percent * hosts) };
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -106,6 +106,13 @@
                                                                                   : std::nullopt;
 }
 
+std::int64_t hostRank(const StageState& state, const std::string& key)
+{
+    const std::uint64_t own = placementHash(key, state.options.ip);
+    return std::count_if(state.peers.begin(), state.peers.end(),
+        [&](const StagePeer& peer) { return placementHash(key, peer.ip) < own; });
+}
+
 std::optional<StageSource> chooseManifestSource(StageState& state, const StageWork& work, Milliseconds now)
 {
     std::vector<std::string> near;
@@ -123,11 +130,8 @@
     if (!holders.empty() && !tryOrigin)
         return StageSource { holders[state.random() % holders.size()] };
     const std::string key = "manifest-" + std::to_string(work.version.value);
-    const std::uint64_t own = placementHash(key, state.options.ip);
-    const auto before = std::count_if(state.peers.begin(), state.peers.end(),
-        [&](const StagePeer& peer) { return placementHash(key, peer.ip) < own; });
     const std::int64_t rounds = 1 + (now - work.since).value / manifestRound.value;
-    return before < manifestHosts * rounds ? std::optional(StageSource {}) : std::nullopt;
+    return hostRank(state, key) < manifestHosts * rounds ? std::optional(StageSource {}) : std::nullopt;
 }
 
 bool isShared(const StageState& state, const StageSource& source)
--- a/src/stage_source_func.h
+++ b/src/stage_source_func.h
@@ -14,6 +14,10 @@
 /// @return the source, or nothing while another host has the duty
 std::optional<StageSource> chooseSource(StageState& state, StageWork& work, std::uint32_t piece, Milliseconds now);
 
+/// @param key differs from one question of order to the next
+/// @return how many hosts of the service come before this one in an order that follows from the key
+std::int64_t hostRank(const StageState& state, const std::string& key);
+
 /// Chooses where the digests of a version are fetched now: from an agent that told of its pieces, which it knows by
 /// their digests; otherwise a few hosts ask the origin, and more of them as time passes.
 /// Answers a declaration that all hosts learn of at once: the origin takes few connections, and its link carries
--- a/tests/soak_store.cpp
+++ b/tests/soak_store.cpp
@@ -1,5 +1,7 @@
 #include "soak_store.h"
 
+#include "query_func.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
@@ -19,21 +21,6 @@
         return text;
     }
 
-    std::string queryValue(const std::string& target, const std::string& name)
-    {
-        const std::size_t at = target.find(name + "=");
-        if (at == std::string::npos)
-            return {};
-        const std::size_t from = at + name.size() + 1;
-        return target.substr(from, target.find('&', from) - from);
-    }
-
-    std::uint64_t queryNumber(const std::string& target, const std::string& name)
-    {
-        const std::string text = queryValue(target, name);
-        return text.empty() ? 0 : std::stoull(text);
-    }
-
 } // namespace
 
 Store::Store(asio::io_context& io, const std::string& address)
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -1,6 +1,7 @@
 #include "soak_upstream.h"
 
 #include "digest_func.h"
+#include "query_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,12 +21,6 @@
         return value ? *value : std::string {};
     }
 
-    std::uint64_t numberAfter(const std::string& target, const std::string& name)
-    {
-        const std::size_t at = target.find(name + "=");
-        return at == std::string::npos ? 0 : std::stoull(target.substr(at + name.size() + 1));
-    }
-
 } // namespace
 
 std::string pieceBytes(std::uint64_t version, int index)
@@ -125,10 +120,10 @@
             report["models"].push_back({ { "name", modelName }, { "version", this->version } });
         this->answerJson(request.id, 200, report.dump());
     } else if (target.starts_with("/api/stage-put/")) {
-        this->staged[static_cast<int>(numberAfter(target, "quantity"))] = request.body;
+        this->staged[static_cast<int>(queryNumber(target, "quantity"))] = request.body;
         this->answerJson(request.id, 200, "{}");
     } else if (target.starts_with("/api/stage-get/")) {
-        const auto piece = this->staged.find(static_cast<int>(numberAfter(target, "quantity")));
+        const auto piece = this->staged.find(static_cast<int>(queryNumber(target, "quantity")));
         this->answerJson(request.id, piece == this->staged.end() ? 404 : 200,
             piece == this->staged.end() ? std::string {} : piece->second);
     } else if (target == "/api/order") {
@@ -221,14 +216,14 @@
         { .onRequest =
                 [this](FrontRequest&& request) {
                     const std::string& target = request.head.target;
-                    const std::uint64_t version = numberAfter(target, "version");
+                    const std::uint64_t version = queryNumber(target, "version");
                     if (version > this->newest || version + 2 <= this->newest) {
                         this->front.answer(request.id, version > this->newest ? 404 : 410, {}, "");
                         return;
                     }
                     if (target.starts_with("/api/piece/")) {
                         this->front.answer(request.id, 200, {},
-                            pieceBytes(version, static_cast<int>(numberAfter(target, "quantity"))));
+                            pieceBytes(version, static_cast<int>(queryNumber(target, "quantity"))));
                         return;
                     }
                     Json digests = Json::array();
