Log how old news of declared weights may be, and versions of sends

A log did not show whether a request on old weights was sent after the bound, because the entry learned late of the declaration, or was sent in time and lay somewhere. event=weights-declared has source= (the store or a peer's host) and unseen_ms=, the time since the copy was last confirmed without the version; event=send to an engine has weights= and required=. WeightsDeclared carries that moment instead of a flag for the first read; tests state it where they stated nothing before. No change of decisions: the bound still counts from when the entry learned.

--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace hickory {
 
@@ -185,7 +186,9 @@
                     .fields = { { "peer", name }, { "error", tables.error().text() } } });
                 return;
             }
+            const std::string store = std::exchange(this->operatorRowsSource, name);
             this->operatorRows.adopt(tables.value().operators);
+            this->operatorRowsSource = store;
             this->upstreamRows.adopt(tables.value().upstreams);
         });
 }
@@ -211,7 +214,10 @@
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
             Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
             if (declared) {
-                declared.value().fromInitialRead = this->operatorRows.snapshot().asOf.value == 0;
+                // The copy was last confirmed without this change.
+                const Milliseconds asOf = this->operatorRows.snapshot().asOf;
+                declared.value().notBefore = asOf.value == 0 ? std::nullopt : std::optional(asOf);
+                declared.value().source = this->operatorRowsSource;
                 this->dispatch(declared.value());
             } else
                 writeLog({ .level = LogLevel::Error,
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -25,9 +25,11 @@
         DeclaredWeights& declared = state.declared[event.model];
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = event.fromInitialRead ? now - state.options.weightsGracePeriod : now;
+        declared[event.version] = event.notBefore ? now : now - state.options.weightsGracePeriod;
         effects.emplace_back(LogLine { .event = "weights-declared",
-            .fields = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
+            .fields = { { "model", event.model.value }, { "version", std::to_string(event.version.value) },
+                { "source", event.source },
+                { "unseen_ms", event.notBefore ? std::to_string((now - *event.notBefore).value) : "unknown" } } });
     }
 
     void applyDrain(RelayState& state, const DrainStarted& event, Milliseconds now, RelayEffects& effects)
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -140,6 +140,10 @@
     line.fields.emplace_back("try", std::to_string(request.sends));
     line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
     line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+    if (const HeldModel* held = heldModel(view, request.metadata.model)) {
+        line.fields.emplace_back("weights", std::to_string(held->version.value));
+        line.fields.emplace_back("required", std::to_string(requiredWeights(state, request.metadata.model, now).value));
+    }
     effects.emplace_back(std::move(line));
     effects.emplace_back(SendToUpstream { .call = request.call,
         .send = request.active->send,
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -131,7 +131,10 @@
 struct WeightsDeclared {
     ModelId model; ///< model that the weights are for
     WeightsVersion version; ///< newest declared version
-    bool fromInitialRead { false }; ///< found in the first read of the store: may have been declared long ago
+    /// It was not declared yet at this moment. Empty when it was found in the first read of the store: it may have been
+    /// declared long ago.
+    std::optional<Milliseconds> notBefore;
+    std::string source; ///< for the log: "store", or host of the peer that the row was copied from
 };
 
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -242,7 +242,7 @@
 {
     RelayFixture relay({ .weightsGracePeriod = { 7000 } });
     relay.list({ RelayFixture::upstream("e1", "engine", 1) });
-    relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 } });
+    relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 }, .notBefore = relay.now });
     CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
     SECTION("requests are refused, and sends that have not started are cancelled")
     {
@@ -264,7 +264,7 @@
     SECTION("a newer declaration does not extend the grace period of an earlier one")
     {
         relay.now += Milliseconds { 4000 };
-        relay.event(WeightsDeclared { .model = { "model" }, .version = { 3 } });
+        relay.event(WeightsDeclared { .model = { "model" }, .version = { 3 }, .notBefore = relay.now });
         relay.now += Milliseconds { 3000 };
         CHECK(requiredWeights(relay.state, { "model" }, relay.now) == WeightsVersion { 2 });
     }
@@ -272,7 +272,7 @@
     {
         RelayFixture restarted({ .weightsGracePeriod = { 7000 } });
         restarted.list({ RelayFixture::upstream("e1", "engine", 1) });
-        restarted.event(WeightsDeclared { .model = { "model" }, .version = { 2 }, .fromInitialRead = true });
+        restarted.event(WeightsDeclared { .model = { "model" }, .version = { 2 } });
         CHECK(findEffect<RefuseCall>(restarted.request("/letters/")));
     }
 }
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -166,7 +166,7 @@
     for (const bool probation : { false, true }) {
         RelayFixture relay({ .weightsGracePeriod = { 7000 } });
         relay.list({ RelayFixture::upstream("e1", "engine") });
-        relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 } });
+        relay.event(WeightsDeclared { .model = { "model" }, .version = { 2 }, .notBefore = relay.now });
         relay.now += Milliseconds { 4600 };
         relay.confirmConfig();
         relay.state.upstreams.at({ "e1" }).onProbation = probation;
