Count the bound of declared weights from the declaration, not the news

An entry allowed older weights until weightsGracePeriod after it learned of a declaration.

What is kept for each version is now the latest moment at which it is known not to have been declared: when the copy of the table was last confirmed without it. A later version's moment also covers one that was overwritten unread. Entries send these moments with their copies of the tables, as ages that count from the request and so come out earlier, never later: the later moment counts, and versions that an entry never saw are added. A first read without history counts as declared long ago, as before.

The new case of the relay test failed before the change in the sections for late news, the unseen version, the peer's knowledge and the entry that just started (5 checks); the case of the codec is new with the format.

--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -10,6 +10,9 @@
 
     using Json = nlohmann::json;
 
+    constexpr std::size_t maxToldVersions = 8; ///< of a model; older ones have long been replaced
+    constexpr Milliseconds clockResolution { 1 }; ///< the difference of two rounded times may be that much too small
+
     /// @param held revision of the requesting process
     Json encodeTable(const platform::TableSnapshot& copy, std::uint64_t held, Milliseconds now)
     {
@@ -40,6 +43,28 @@
         return changes;
     }
 
+    Json encodeDeclared(const std::map<ModelId, DeclaredWeights>& declared, Milliseconds now)
+    {
+        Json encoded = Json::array();
+        for (const auto& [model, versions] : declared) {
+            std::size_t count = 0;
+            for (auto known = versions.rbegin(); known != versions.rend() && count < maxToldVersions; ++known, ++count)
+                encoded.push_back({ { "model", model.value }, { "version", known->first.value },
+                    { "unseen_ms", (now - known->second + clockResolution).value } });
+        }
+        return encoded;
+    }
+
+    std::vector<PeerWeights> decodeDeclared(const Json& encoded, Milliseconds sentAt)
+    {
+        std::vector<PeerWeights> declared;
+        for (const Json& known : encoded)
+            declared.push_back({ .model = { known.at("model").get<std::string>() },
+                .version = { known.at("version").get<std::uint64_t>() },
+                .notBefore = sentAt - Milliseconds { known.at("unseen_ms").get<std::int64_t>() } });
+        return declared;
+    }
+
 } // namespace
 
 std::string peerTablesTarget(const PeerRevisions& held)
@@ -53,11 +78,11 @@
     return { .operators = queryNumber(target, "operators"), .upstreams = queryNumber(target, "upstreams") };
 }
 
-std::string encodePeerTables(const platform::TableSnapshot& operators, const platform::TableSnapshot& upstreams,
-    const PeerRevisions& held, Milliseconds now)
+std::string encodePeerTables(const ServedTables& tables, const PeerRevisions& held, Milliseconds now)
 {
-    const Json document { { "operators", encodeTable(operators, held.operators, now) },
-        { "upstreams", encodeTable(upstreams, held.upstreams, now) } };
+    const Json document { { "operators", encodeTable(tables.operators, held.operators, now) },
+        { "upstreams", encodeTable(tables.upstreams, held.upstreams, now) },
+        { "weights", encodeDeclared(tables.declared, now) } };
     // Rows written by other programs may contain bytes that are not UTF-8, which JSON cannot hold.
     return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -69,7 +94,8 @@
     try {
         const Json document = Json::parse(answer.value().body);
         return PeerTables { .operators = decodeTable(document.at("operators"), sentAt),
-            .upstreams = decodeTable(document.at("upstreams"), sentAt) };
+            .upstreams = decodeTable(document.at("upstreams"), sentAt),
+            .declared = decodeDeclared(document.value("weights", Json::array()), sentAt) };
     } catch (const Json::exception& problem) {
         return Error { .code = make_error_code(ErrorCode::Protocol),
             .step = "decode-peer-tables",
--- a/src/peer_table_func.h
+++ b/src/peer_table_func.h
@@ -2,8 +2,11 @@
 
 #include "call_pool_io.h"
 #include "platform_table_io.h"
+#include "relay_state_type.h"
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace hickory {
 
@@ -16,10 +19,18 @@
     std::uint64_t upstreams { 0 }; ///< table of live upstreams
 };
 
+/// What an entry serves to peers.
+struct ServedTables {
+    const platform::TableSnapshot& operators; ///< operators' table: configuration and declared weights
+    const platform::TableSnapshot& upstreams; ///< table of live upstreams
+    const std::map<ModelId, DeclaredWeights>& declared; ///< declared weights by model
+};
+
 /// Changes in a peer's copies of both tables since the revisions in the request.
 struct PeerTables {
     platform::TableChanges operators; ///< operators' table: configuration and declared weights
     platform::TableChanges upstreams; ///< table of live upstreams
+    std::vector<PeerWeights> declared; ///< declared weights that the peer knows; none if it runs an older program
 };
 
 /// @param held revisions of the requesting process
@@ -30,12 +41,12 @@
 PeerRevisions decodePeerRevisions(const std::string& target);
 
 /// @param held revisions of the requesting process
-/// @return JSON with the age of each copy and the changes since these revisions
-std::string encodePeerTables(const platform::TableSnapshot& operators, const platform::TableSnapshot& upstreams,
-    const PeerRevisions& held, Milliseconds now);
+/// @return JSON with the age of each copy, the changes since these revisions, and the newest versions of each model
+/// with the time since they are known not to have been declared yet
+std::string encodePeerTables(const ServedTables& tables, const PeerRevisions& held, Milliseconds now);
 
 /// @param answer response of a peer
-/// @param sentAt when the request was sent; the age of a copy is subtracted from it, so that its time is never too late
+/// @param sentAt when the request was sent; ages are subtracted from it, so that the moments are never too late
 /// @return the changes, the error of the request, or Protocol when the body is not such a document
 Result<PeerTables> decodePeerTables(const Result<FetchResponse>& answer, Milliseconds sentAt);
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -377,7 +377,10 @@
     else if (request.head.target.starts_with(peerTablesPath)) {
         const PeerRevisions have = decodePeerRevisions(request.head.target);
         this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
-            encodePeerTables(this->operatorRows.snapshot(), this->upstreamRows.snapshot(), have, monotonicNow()));
+            encodePeerTables({ .operators = this->operatorRows.snapshot(),
+                                 .upstreams = this->upstreamRows.snapshot(),
+                                 .declared = this->state.declared },
+                have, monotonicNow()));
     } else
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
 }
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -189,6 +189,8 @@
             const std::string store = std::exchange(this->operatorRowsSource, name);
             this->operatorRows.adopt(tables.value().operators);
             this->operatorRowsSource = store;
+            // After the rows, so that of a version in both the later moment counts.
+            this->dispatch(PeerWeightsReceived { .peer = { name }, .declared = tables.value().declared });
             this->upstreamRows.adopt(tables.value().upstreams);
         });
 }
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -4,10 +4,15 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
 
+    /// A peer's better knowledge of a known version is logged from this gain on.
+    constexpr Milliseconds minLoggedWeightsGain { 100 };
+
     void applyConfig(RelayState& state, const ConfigUpdated& event, Milliseconds now, RelayEffects& effects)
     {
         if (state.config && event.config->version <= state.config->version)
@@ -20,16 +25,35 @@
         dispatchAllWaiting(state, now, effects);
     }
 
+    LogLine weightsLogLine(
+        const ModelId& model, WeightsVersion version, const std::string& source, std::string unseenMs)
+    {
+        return { .event = "weights-declared",
+            .fields = { { "model", model.value }, { "version", std::to_string(version.value) }, { "source", source },
+                { "unseen_ms", std::move(unseenMs) } } };
+    }
+
     void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
     {
         DeclaredWeights& declared = state.declared[event.model];
+        // A known version may be read again from a copy that was confirmed after its declaration.
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = event.notBefore ? now : now - state.options.weightsGracePeriod;
-        effects.emplace_back(LogLine { .event = "weights-declared",
-            .fields = { { "model", event.model.value }, { "version", std::to_string(event.version.value) },
-                { "source", event.source },
-                { "unseen_ms", event.notBefore ? std::to_string((now - *event.notBefore).value) : "unknown" } } });
+        declared[event.version] = event.notBefore.value_or(now - state.options.weightsGracePeriod);
+        effects.emplace_back(weightsLogLine(event.model, event.version, event.source,
+            event.notBefore ? std::to_string((now - *event.notBefore).value) : "unknown"));
+    }
+
+    void applyPeerWeights(RelayState& state, const PeerWeightsReceived& event, Milliseconds now, RelayEffects& effects)
+    {
+        for (const PeerWeights& told : event.declared) {
+            const auto [known, isNew] = state.declared[told.model].try_emplace(told.version, told.notBefore);
+            const bool logged = isNew || told.notBefore - known->second >= minLoggedWeightsGain;
+            known->second = std::max(known->second, told.notBefore);
+            if (logged)
+                effects.emplace_back(weightsLogLine(
+                    told.model, told.version, event.peer.value, std::to_string((now - told.notBefore).value)));
+        }
     }
 
     void applyDrain(RelayState& state, const DrainStarted& event, Milliseconds now, RelayEffects& effects)
@@ -90,6 +114,7 @@
                        state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
                    },
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+                   [&](const PeerWeightsReceived& told) { applyPeerWeights(state, told, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
                },
         event);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -136,7 +136,8 @@
     std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
 };
 
-/// Declared versions of one model's weights, oldest first, and when this process learned of each.
+/// Declared versions of one model's weights, oldest first, and for each the latest moment at which it is known not to
+/// have been declared yet. Unlike the moment at which this process learned of it, that is never after the declaration.
 using DeclaredWeights = std::map<WeightsVersion, Milliseconds>;
 
 /// All state of the relay's reducer.
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -137,9 +137,23 @@
     std::string source; ///< for the log: "store", or host of the peer that the row was copied from
 };
 
+/// A declared version, as another entry knows it.
+struct PeerWeights {
+    ModelId model; ///< model that the weights are for
+    WeightsVersion version; ///< declared, and possibly replaced by a newer one since
+    Milliseconds notBefore; ///< it was not declared yet at this moment, on this process's clock
+};
+
+/// Another entry told which versions it knows to be declared. It may have seen versions that this one did not, and may
+/// know better when they were declared.
+struct PeerWeightsReceived {
+    HostId peer; ///< host of that entry
+    std::vector<PeerWeights> declared; ///< in any order
+};
+
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
-    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted>;
+    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -80,7 +80,8 @@
     const PeerRevisions held = decodePeerRevisions(target);
     CHECK(held.operators == 3);
     CHECK(held.upstreams == 9);
-    FetchResponse answer { .body = encodePeerTables(operators, upstreams, held, { 1000 }) };
+    FetchResponse answer { .body
+        = encodePeerTables({ .operators = operators, .upstreams = upstreams, .declared = {} }, held, { 1000 }) };
     const auto tables = decodePeerTables(Result<FetchResponse>(answer), { 70000 });
     REQUIRE(tables);
     CHECK(tables.value().operators.asOf == Milliseconds { 69900 });
@@ -89,6 +90,39 @@
     CHECK_FALSE(tables.value().upstreams.keys);
 }
 
+// Guards against a bound of declared weights that comes out too late at a peer, and one that is lost on the way.
+TEST_CASE("Declared weights reach a peer with moments that are not after those of the sender", "[peer]")
+{
+    const platform::TableSnapshot table { .revision = 9, .asOf = { 950 } };
+    std::map<ModelId, DeclaredWeights> declared;
+    for (std::uint64_t version = 1; version <= 20; ++version)
+        declared[{ "model" }][{ version }] = Milliseconds { static_cast<std::int64_t>(version * 10) };
+    declared[{ "other" }][{ 2 }] = Milliseconds { -5000 };
+    const std::string body
+        = encodePeerTables({ .operators = table, .upstreams = table, .declared = declared }, {}, { 1000 });
+    // The sender's clock is 69 s behind; the answer was computed 20 ms after the request was sent.
+    const auto tables = decodePeerTables(Result<FetchResponse>(FetchResponse { .body = body }), { 69980 });
+    REQUIRE(tables);
+    std::map<ModelId, DeclaredWeights> told;
+    for (const PeerWeights& known : tables.value().declared)
+        told[known.model][known.version] = known.notBefore;
+    REQUIRE(told[{ "other" }].contains({ 2 }));
+    CHECK(told[{ "model" }].size() >= 4);
+    CHECK(told[{ "model" }].size() <= 10);
+    CHECK(told[{ "model" }].rbegin()->first == WeightsVersion { 20 });
+    for (const auto& [model, versions] : told)
+        for (const auto& [version, notBefore] : versions) {
+            const Milliseconds truth = declared[model][version] + Milliseconds { 69000 };
+            CHECK(notBefore < truth);
+            CHECK(notBefore > truth - Milliseconds { 25 });
+        }
+    // Entries of the previous release tell nothing.
+    const std::string old = R"({"operators":{"revision":9,"age_ms":5},"upstreams":{"revision":9,"age_ms":5}})";
+    const auto silent = decodePeerTables(Result<FetchResponse>(FetchResponse { .body = old }), { 70000 });
+    REQUIRE(silent);
+    CHECK(silent.value().declared.empty());
+}
+
 // Guards against a removed row that stays in the copies of entries that were not told.
 TEST_CASE("Table changes list all keys when a row was removed after the given revision", "[peer]")
 {
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -277,6 +277,80 @@
     }
 }
 
+// Guards against a bound that counts from late news: an entry that was frozen, or copies from one that was, learned of
+// a declaration seconds after it was made and used older weights for as much too long.
+TEST_CASE("Late news of declared weights does not extend the use of older ones", "[relay]")
+{
+    RelayFixture relay({ .weightsGracePeriod = { 7000 } });
+    const ModelId model { "model" };
+    const auto isServed = [&](const std::string& id, std::uint64_t version) {
+        relay.confirmConfig();
+        relay.list({ RelayFixture::upstream(id, "engine", version) });
+        return findEffect<SendToUpstream>(relay.request("/letters/")) != nullptr;
+    };
+    SECTION("the copy was last confirmed 3 s before the version was seen")
+    {
+        relay.event(WeightsDeclared {
+            .model = model, .version = { 2 }, .notBefore = relay.now - Milliseconds { 3000 }, .source = "store" });
+        relay.now += Milliseconds { 3990 };
+        CHECK(isServed("e1", 1));
+        relay.now += Milliseconds { 10 };
+        CHECK_FALSE(isServed("e2", 1));
+        CHECK(isServed("e3", 2));
+    }
+    SECTION("of two versions declared meanwhile only the second was seen")
+    {
+        relay.event(WeightsDeclared {
+            .model = model, .version = { 3 }, .notBefore = relay.now - Milliseconds { 3000 }, .source = "store" });
+        relay.now += Milliseconds { 4000 };
+        CHECK_FALSE(isServed("e1", 1));
+    }
+    SECTION("a peer knows both versions, and better when they were declared")
+    {
+        relay.event(WeightsDeclared {
+            .model = model, .version = { 3 }, .notBefore = relay.now - Milliseconds { 3000 }, .source = "store" });
+        relay.event(PeerWeightsReceived { .peer = { "peer" },
+            .declared = { { .model = model, .version = { 3 }, .notBefore = relay.now - Milliseconds { 900 } },
+                { .model = model, .version = { 2 }, .notBefore = relay.now - Milliseconds { 2800 } } } });
+        relay.now += Milliseconds { 4190 };
+        CHECK(isServed("e1", 1));
+        relay.now += Milliseconds { 10 };
+        CHECK_FALSE(isServed("e2", 1));
+        CHECK(isServed("e3", 2));
+        relay.now += Milliseconds { 1900 };
+        CHECK_FALSE(isServed("e4", 2));
+        CHECK(isServed("e5", 3));
+    }
+    SECTION("a peer that knows less changes nothing")
+    {
+        relay.event(WeightsDeclared { .model = model, .version = { 2 }, .notBefore = relay.now, .source = "store" });
+        relay.event(PeerWeightsReceived { .peer = { "peer" },
+            .declared = { { .model = model, .version = { 2 }, .notBefore = relay.now - Milliseconds { 3000 } } } });
+        relay.now += Milliseconds { 6990 };
+        CHECK(isServed("e1", 1));
+        relay.now += Milliseconds { 10 };
+        CHECK_FALSE(isServed("e2", 1));
+    }
+    SECTION("an entry that just started learns from a peer when the version was declared")
+    {
+        relay.event(WeightsDeclared { .model = model, .version = { 2 }, .source = "store" });
+        CHECK_FALSE(isServed("e1", 1));
+        relay.event(PeerWeightsReceived { .peer = { "peer" },
+            .declared = { { .model = model, .version = { 2 }, .notBefore = relay.now - Milliseconds { 2000 } } } });
+        CHECK(isServed("e2", 1));
+        relay.now += Milliseconds { 5000 };
+        CHECK_FALSE(isServed("e3", 1));
+    }
+    SECTION("a version that is read again keeps its bound")
+    {
+        relay.event(WeightsDeclared { .model = model, .version = { 2 }, .notBefore = relay.now, .source = "store" });
+        relay.now += Milliseconds { 3000 };
+        relay.event(WeightsDeclared { .model = model, .version = { 2 }, .notBefore = relay.now, .source = "store" });
+        relay.now += Milliseconds { 4000 };
+        CHECK_FALSE(isServed("e1", 1));
+    }
+}
+
 // Guards against retries that multiply the load of a failing service.
 TEST_CASE("Retries stop at this entry's share of the fleet's retry budget", "[relay]")
 {
