Count an agent's time for new weights from their declaration

Agents spread their load orders over the time allowed, which they counted from when they learned of a version. An agent that learned late, from an entry that was frozen or because it was frozen itself, waited its turn from then on. The answer to a request for the fleet view now tells how long ago the weights may have been declared, outside of what is stamped; load orders and the cutoffs that follow from the bound count from then. The pacing of fetches still counts from when the agent learned. When an entry does not know the moment (first read of the store) it says so instead of naming an early one, to agents and to other entries, and agents count from when they learned, as before.

--- a/src/fleet_view_func.cpp
+++ b/src/fleet_view_func.cpp
@@ -46,6 +46,15 @@
     return view;
 }
 
+std::optional<Milliseconds> declaredNotBefore(const RelayState& state, const FleetView& view)
+{
+    const auto model = state.declared.find(view.model);
+    if (model == state.declared.end())
+        return std::nullopt;
+    const auto version = model->second.find(view.declared);
+    return version == model->second.end() ? std::nullopt : version->second;
+}
+
 std::string fleetViewRequestTarget(const FleetViewRequest& request)
 {
     return std::string(fleetViewPath) + "?service=" + request.service.value + "&stamp=" + std::to_string(request.stamp);
@@ -56,7 +65,7 @@
     return { .service = { queryValue(target, "service") }, .stamp = queryNumber(target, "stamp") };
 }
 
-std::string encodeFleetView(const FleetView& view, std::uint64_t stamp)
+std::string encodeFleetView(const FleetView& view, std::optional<Milliseconds> unseenFor, std::uint64_t stamp)
 {
     Json hosts = Json::array();
     for (const WeightsPeer& host : view.hosts)
@@ -67,10 +76,12 @@
     Json answer { { "stamp", currentStamp } };
     if (currentStamp != stamp)
         answer["view"] = document;
+    if (unseenFor)
+        answer["unseen_ms"] = unseenFor->value;
     return answer.dump();
 }
 
-Result<FleetViewResponse> decodeFleetViewResponse(const Result<FetchResponse>& answer)
+Result<FleetViewResponse> decodeFleetViewResponse(const Result<FetchResponse>& answer, Milliseconds sentAt)
 {
     if (!answer)
         return answer.error();
@@ -79,6 +90,8 @@
     try {
         const Json document = Json::parse(answer.value().body);
         FleetViewResponse decoded { .stamp = document.at("stamp").get<std::uint64_t>() };
+        if (document.contains("unseen_ms"))
+            decoded.declaredNotBefore = sentAt - Milliseconds { document.at("unseen_ms").get<std::int64_t>() };
         if (!document.contains("view"))
             return decoded;
         const Json& body = document.at("view");
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -279,7 +279,7 @@
             .timeout = fleetPollTimeout },
         [this, sentAt, entryInSameDataCentre](const Result<FetchResponse>& answer) {
             this->fleetViewRequested = false;
-            const Result<FleetViewResponse> read = decodeFleetViewResponse(answer);
+            const Result<FleetViewResponse> read = decodeFleetViewResponse(answer, sentAt);
             // A slow response shows a congested link. A missing one does not: the entry may be down.
             if (entryInSameDataCentre && (read || answer))
                 this->dispatch(LinkMeasured { .roundTrip = monotonicNow() - sentAt });
@@ -293,7 +293,8 @@
             }
             this->fleetStamp = read.value().stamp;
             if (read.value().view)
-                this->dispatch(FleetViewUpdated { .view = *read.value().view });
+                this->dispatch(FleetViewUpdated {
+                    .view = *read.value().view, .declaredNotBefore = read.value().declaredNotBefore });
         });
 }
 
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -48,9 +48,13 @@
         Json encoded = Json::array();
         for (const auto& [model, versions] : declared) {
             std::size_t count = 0;
-            for (auto known = versions.rbegin(); known != versions.rend() && count < maxToldVersions; ++known, ++count)
-                encoded.push_back({ { "model", model.value }, { "version", known->first.value },
-                    { "unseen_ms", (now - known->second + clockResolution).value } });
+            for (auto known = versions.rbegin(); known != versions.rend() && count < maxToldVersions;
+                 ++known, ++count) {
+                Json told { { "model", model.value }, { "version", known->first.value } };
+                if (known->second)
+                    told["unseen_ms"] = (now - *known->second + clockResolution).value;
+                encoded.push_back(std::move(told));
+            }
         }
         return encoded;
     }
@@ -58,10 +62,13 @@
     std::vector<PeerWeights> decodeDeclared(const Json& encoded, Milliseconds sentAt)
     {
         std::vector<PeerWeights> declared;
-        for (const Json& known : encoded)
-            declared.push_back({ .model = { known.at("model").get<std::string>() },
-                .version = { known.at("version").get<std::uint64_t>() },
-                .notBefore = sentAt - Milliseconds { known.at("unseen_ms").get<std::int64_t>() } });
+        for (const Json& known : encoded) {
+            PeerWeights told { .model = { known.at("model").get<std::string>() },
+                .version = { known.at("version").get<std::uint64_t>() } };
+            if (known.contains("unseen_ms"))
+                told.notBefore = sentAt - Milliseconds { known.at("unseen_ms").get<std::int64_t>() };
+            declared.push_back(std::move(told));
+        }
         return declared;
     }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -393,8 +393,11 @@
         this->front.answer(request.id, statusUnavailable, {}, "no configuration or list yet\n");
         return;
     }
-    this->front.answer(
-        request.id, statusOk, { { "Content-Type", "application/json" } }, encodeFleetView(*view, question.stamp));
+    std::optional<Milliseconds> unseenFor;
+    if (const auto notBefore = declaredNotBefore(this->state, *view))
+        unseenFor = monotonicNow() - *notBefore;
+    this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
+        encodeFleetView(*view, unseenFor, question.stamp));
 }
 
 bool RelayLoop::ready() const
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -98,7 +98,7 @@
     if (declared == state.declared.end())
         return required;
     for (const auto& [version, notBefore] : declared->second)
-        if (now - notBefore >= state.options.weightsGracePeriod)
+        if (!notBefore || now - *notBefore >= state.options.weightsGracePeriod)
             required = version;
     return required;
 }
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -5,6 +5,7 @@
 #include "relay_place_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -25,12 +26,12 @@
         dispatchAllWaiting(state, now, effects);
     }
 
-    LogLine weightsLogLine(
-        const ModelId& model, WeightsVersion version, const std::string& source, std::string unseenMs)
+    LogLine weightsLogLine(const ModelId& model, WeightsVersion version, const std::string& source,
+        std::optional<Milliseconds> notBefore, Milliseconds now)
     {
         return { .event = "weights-declared",
             .fields = { { "model", model.value }, { "version", std::to_string(version.value) }, { "source", source },
-                { "unseen_ms", std::move(unseenMs) } } };
+                { "unseen_ms", notBefore ? std::to_string((now - *notBefore).value) : "unknown" } } };
     }
 
     void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
@@ -39,20 +40,19 @@
         // A known version may be read again from a copy that was confirmed after its declaration.
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = event.notBefore.value_or(now - state.options.weightsGracePeriod);
-        effects.emplace_back(weightsLogLine(event.model, event.version, event.source,
-            event.notBefore ? std::to_string((now - *event.notBefore).value) : "unknown"));
+        declared[event.version] = event.notBefore;
+        effects.emplace_back(weightsLogLine(event.model, event.version, event.source, event.notBefore, now));
     }
 
     void applyPeerWeights(RelayState& state, const PeerWeightsReceived& event, Milliseconds now, RelayEffects& effects)
     {
         for (const PeerWeights& told : event.declared) {
             const auto [known, isNew] = state.declared[told.model].try_emplace(told.version, told.notBefore);
-            const bool logged = isNew || told.notBefore - known->second >= minLoggedWeightsGain;
-            known->second = std::max(known->second, told.notBefore);
-            if (logged)
-                effects.emplace_back(weightsLogLine(
-                    told.model, told.version, event.peer.value, std::to_string((now - told.notBefore).value)));
+            const std::optional<Milliseconds> before
+                = std::exchange(known->second, std::max(known->second, told.notBefore));
+            const bool isBetter = known->second && (!before || *known->second - *before >= minLoggedWeightsGain);
+            if (isNew || isBetter)
+                effects.emplace_back(weightsLogLine(told.model, told.version, event.peer.value, told.notBefore, now));
         }
     }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -138,7 +138,8 @@
 
 /// Declared versions of one model's weights, oldest first, and for each the latest moment at which it is known not to
 /// have been declared yet. Unlike the moment at which this process learned of it, that is never after the declaration.
-using DeclaredWeights = std::map<WeightsVersion, Milliseconds>;
+/// Empty when the version may have been declared long ago.
+using DeclaredWeights = std::map<WeightsVersion, std::optional<Milliseconds>>;
 
 /// All state of the relay's reducer.
 struct RelayState {
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -141,7 +141,7 @@
 struct PeerWeights {
     ModelId model; ///< model that the weights are for
     WeightsVersion version; ///< declared, and possibly replaced by a newer one since
-    Milliseconds notBefore; ///< it was not declared yet at this moment, on this process's clock
+    std::optional<Milliseconds> notBefore; ///< as in WeightsDeclared, on this process's clock
 };
 
 /// Another entry told which versions it knows to be declared. It may have seen versions that this one did not, and may
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -25,7 +25,7 @@
         const StageJob& next = state.jobs.back();
         const std::size_t held = countStep(next, PieceStep::Held) + countStep(next, PieceStep::Staged);
         const Milliseconds latest
-            = state.jobs.front().knownSince + state.options.maxWeightsDelay * skipMaxElapsedPercent / percent;
+            = state.jobs.front().declaredSince + state.options.maxWeightsDelay * skipMaxElapsedPercent / percent;
         return static_cast<std::int64_t>(held) * percent
             >= static_cast<std::int64_t>(next.pieces.size()) * skipMinHeldPercent
             && now < latest;
@@ -43,7 +43,7 @@
 bool firstJobIsTooLate(const StageState& state, Milliseconds now)
 {
     const StageJob& first = state.jobs.front();
-    const std::int64_t usedPercent = (now - state.jobs.back().knownSince).value * percent
+    const std::int64_t usedPercent = (now - state.jobs.back().declaredSince).value * percent
         / std::max<std::int64_t>(state.options.maxWeightsDelay.value, 1);
     return first.order == OrderStep::None && usedPercent > (allStaged(first) ? orderCutoffPercent : fetchCutoffPercent);
 }
@@ -66,7 +66,7 @@
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
         return;
-    if (!engineHasNoWeights(state) && now - job.knownSince < loadOrderDelay(state, job.version))
+    if (!engineHasNoWeights(state) && now - job.declaredSince < loadOrderDelay(state, job.version))
         return;
     if (!engineHasNoWeights(state) && nextIsAlmostComplete(state, now)) {
         dropFirstJob(state, "next-is-near", effects);
@@ -115,7 +115,7 @@
     StageJob* job = findJob(state, event.version);
     effects.emplace_back(LogLine { .event = "order",
         .fields = { { "version", std::to_string(event.version.value) }, { "status", std::to_string(event.status) },
-            { "since_declared_ms", job ? std::to_string((now - job->knownSince).value) : "dropped" } } });
+            { "since_declared_ms", job ? std::to_string((now - job->declaredSince).value) : "dropped" } } });
     if (!job || job->order != OrderStep::Sent)
         return;
     if (event.status == accepted || event.status == inEffect) {
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -17,16 +17,20 @@
 
     /// Starts a job for a newly declared version. A job that has run for longer than keepFirstJobAfter is
     /// normally finished first, because the origin has sent most of its copy by then.
-    void startJob(StageState& state, WeightsVersion version, Milliseconds now, StageEffects& effects)
+    /// @param declaredSince earliest moment at which it may have been declared
+    void startJob(
+        StageState& state, WeightsVersion version, Milliseconds declaredSince, Milliseconds now, StageEffects& effects)
     {
         if (version <= newestWanted(state))
             return;
         const bool keepFirst = !state.jobs.empty() && !engineHolds(state, state.jobs.front().version)
             && now - state.jobs.front().knownSince > keepFirstJobAfter;
         state.jobs.resize(keepFirst ? 1 : 0);
-        state.jobs.push_back({ .version = version, .knownSince = now, .manifestRetryAt = now });
+        state.jobs.push_back(
+            { .version = version, .knownSince = now, .declaredSince = declaredSince, .manifestRetryAt = now });
         effects.emplace_back(LogLine { .event = "weights-wanted",
             .fields = { { "model", state.model.value }, { "version", std::to_string(version.value) },
+                { "unseen_ms", std::to_string((now - declaredSince).value) },
                 { "after_version", keepFirst ? std::to_string(state.jobs.front().version.value) : "none" } } });
     }
 
@@ -37,7 +41,7 @@
         state.model = event.view.model;
         state.peers = event.view.hosts;
         if (!state.model.empty())
-            startJob(state, event.view.declared, now, effects);
+            startJob(state, event.view.declared, event.declaredNotBefore.value_or(now), now, effects);
     }
 
     /// Halves the fetch window when the link is congested and widens it otherwise: pieces queued on a congested link
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -55,6 +55,7 @@
 struct StageJob {
     WeightsVersion version;
     Milliseconds knownSince { 0 }; ///< when this agent learned that the version was declared
+    Milliseconds declaredSince { 0 }; ///< earliest moment at which it may have been declared, knownSince when unknown
     bool manifestKnown { false }; ///< the digests of its pieces are known
     bool readBackStarted { false }; ///< read-back of pieces staged before this process started was requested
     bool manifestRequested { false }; ///< a manifest request is in flight
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -27,6 +27,8 @@
 /// A new fleet view arrived: hosts of the service or the declared weights may have changed.
 struct FleetViewUpdated {
     FleetView view; ///< replaces the previous one
+    /// Its declared weights were not declared yet at this moment; empty when that is unknown.
+    std::optional<Milliseconds> declaredNotBefore;
 };
 
 /// An entry of the same data centre responded to a poll. The round trip shows how congested this host's link is.
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -98,6 +98,7 @@
     for (std::uint64_t version = 1; version <= 20; ++version)
         declared[{ "model" }][{ version }] = Milliseconds { static_cast<std::int64_t>(version * 10) };
     declared[{ "other" }][{ 2 }] = Milliseconds { -5000 };
+    declared[{ "unknown" }][{ 2 }] = std::nullopt;
     const std::string body
         = encodePeerTables({ .operators = table, .upstreams = table, .declared = declared }, {}, { 1000 });
     // The sender's clock is 69 s behind; the answer was computed 20 ms after the request was sent.
@@ -107,14 +108,18 @@
     for (const PeerWeights& known : tables.value().declared)
         told[known.model][known.version] = known.notBefore;
     REQUIRE(told[{ "other" }].contains({ 2 }));
+    REQUIRE(told[{ "unknown" }].contains({ 2 }));
     CHECK(told[{ "model" }].size() >= 4);
     CHECK(told[{ "model" }].size() <= 10);
     CHECK(told[{ "model" }].rbegin()->first == WeightsVersion { 20 });
     for (const auto& [model, versions] : told)
         for (const auto& [version, notBefore] : versions) {
-            const Milliseconds truth = declared[model][version] + Milliseconds { 69000 };
-            CHECK(notBefore < truth);
-            CHECK(notBefore > truth - Milliseconds { 25 });
+            REQUIRE(notBefore.has_value() == (model.value != "unknown"));
+            if (!notBefore)
+                continue;
+            const Milliseconds truth = *declared[model][version] + Milliseconds { 69000 };
+            CHECK(*notBefore < truth);
+            CHECK(*notBefore > truth - Milliseconds { 25 });
         }
     // Entries of the previous release tell nothing.
     const std::string old = R"({"operators":{"revision":9,"age_ms":5},"upstreams":{"revision":9,"age_ms":5}})";
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -341,6 +341,13 @@
         relay.now += Milliseconds { 5000 };
         CHECK_FALSE(isServed("e3", 1));
     }
+    SECTION("a peer that does not know when an unseen version was declared rules older ones out at once")
+    {
+        relay.event(WeightsDeclared { .model = model, .version = { 3 }, .notBefore = relay.now, .source = "store" });
+        relay.event(PeerWeightsReceived { .peer = { "peer" }, .declared = { { .model = model, .version = { 2 } } } });
+        CHECK_FALSE(isServed("e1", 1));
+        CHECK(isServed("e2", 2));
+    }
     SECTION("a version that is read again keeps its bound")
     {
         relay.event(WeightsDeclared { .model = model, .version = { 2 }, .notBefore = relay.now, .source = "store" });
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -26,12 +26,13 @@
     std::vector<StageEffect> event(const StageEvent& event) { return reduceStage(this->state, event, this->now); }
 
     /// Declares a version. The service has four hosts, two in each of the data centres "a" and "b".
-    std::vector<StageEffect> declare(std::uint64_t version)
+    /// @param notBefore earliest moment of the declaration, as an entry tells it
+    std::vector<StageEffect> declare(std::uint64_t version, std::optional<Milliseconds> notBefore = std::nullopt)
     {
         FleetView view { .model = { "model" }, .originAddress = "10.9.0.1:1", .declared = { version } };
         for (int host = 1; host <= 4; ++host)
             view.hosts.push_back({ .ip = "10.1.0." + std::to_string(host), .dataCentre = { host <= 2 ? "a" : "b" } });
-        return this->event(FleetViewUpdated { .view = view });
+        return this->event(FleetViewUpdated { .view = view, .declaredNotBefore = notBefore });
     }
 
     /// Delivers a report of the engine.
@@ -182,6 +183,26 @@
     CHECK(agent.emitted<CheckStagedPieces>());
 }
 
+// Guards against missing the bound of a version: an agent that learned of it late waited its turn from then on.
+TEST_CASE("An agent that learns late of a version orders it when its turn since the declaration has come", "[stage]")
+{
+    StageFixture agent;
+    agent.completeRequests(agent.declare(1));
+    agent.completeRequests(agent.report(1));
+    agent.unhandled.clear();
+    const Milliseconds declaredAt = agent.now;
+    agent.now += Milliseconds { 3000 };
+    agent.completeRequests(agent.declare(2, declaredAt));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 2));
+    agent.completeRequests(agent.report(1));
+    agent.now = declaredAt + loadOrderDelay(agent.state, { 2 }) - Milliseconds { 1 };
+    agent.completeRequests(agent.event(StageTick {}));
+    CHECK_FALSE(agent.emitted<CheckStagedPieces>());
+    agent.now += Milliseconds { 2 };
+    agent.completeRequests(agent.event(StageTick {}));
+    CHECK(agent.emitted<CheckStagedPieces>());
+}
+
 // Guards against aborting many streams for a new version, and against a drain that never ends.
 TEST_CASE("An engine drains before the order, which aborts the last few streams", "[stage]")
 {
