Don't take a reset connection for a closed one

The kernel reports a reset once. If a write got the error first, the read that was already due returned the end of the file, and TcpLink reported a proper close; an answer without a length then counted as complete. A link whose write failed now ends as broken whatever its read reports.

The new test of TcpLink failed before the change (LinkEnd::Closed) and passes with it.

--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -69,7 +69,8 @@
         asio::buffer(this->buffer), [self = this->shared_from_this()](const std::error_code& code, std::size_t count) {
             self->reading = false;
             if (code) {
-                self->end(code == asio::error::eof ? LinkEnd::Closed : LinkEnd::Broken);
+                const bool closed = code == asio::error::eof && !self->writeFailed;
+                self->end(closed ? LinkEnd::Closed : LinkEnd::Broken);
                 return;
             }
             if (self->onData) {
@@ -104,6 +105,8 @@
             return;
         }
         if (code) {
+            // The kernel reports a reset once: a read that comes after a failed write may see the end of the file.
+            this->writeFailed = true;
             // Report the end asynchronously, so that callers of write() are not re-entered.
             asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->end(LinkEnd::Broken); });
             return;
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -75,6 +75,7 @@
     bool writing { false }; ///< waiting until the socket is writable
     bool reading { false }; ///< a read is in progress
     bool paused { false }; ///< set by pauseReading()
+    bool writeFailed { false }; ///< the connection is broken, whatever a read reports then
     bool closing { false }; ///< closeAfterWrite() was called
     bool inDataHandler { false }; ///< onData is running, so that close() must not destroy it
     OnData onData; ///< see start(); empty after close()
--- /dev/null
+++ b/tests/unit_tcp_link.cpp
@@ -0,0 +1,31 @@
+#include "tcp_link_io.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace hickory;
+
+// Guards against taking a reset connection for a closed one: the kernel reports a reset only once, to a write if that
+// comes first, and then the end of the file to reads.
+TEST_CASE("A reset that a write detects first is not reported as a proper close", "[tcp-link]")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket client(io);
+    client.connect(acceptor.local_endpoint());
+    asio::ip::tcp::socket server = acceptor.accept();
+    const auto link = std::make_shared<TcpLink>(std::move(client), LinkOptions {});
+    std::optional<LinkEnd> end;
+    link->start([](std::string_view) {}, [&](LinkEnd how) { end = how; });
+    server.set_option(asio::socket_base::linger(true, 0));
+    server.close();
+    asio::post(io, [&] { link->write("x"); });
+    for (int turn = 0; turn < 100 && !end; ++turn) {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(end);
+    CHECK(*end == LinkEnd::Broken);
+    link->close();
+}
