Treat a stream that ends inside an event as broken off

An upstream may end its answer with its connection, or end a chunked one, in the middle of an event. RelayLoop forwarded the bytes of the incomplete event and completed the response. Now such an end counts as a broken answer, whatever the framing: the stream is resumed elsewhere after its last complete event if its route allows it, and otherwise the caller's response is broken off. The bytes after the last event are forwarded only if they are blank lines.

The soak's engines end the first run of one stream in 16 inside its second event.

--- a/src/event_splitter_func.h
+++ b/src/event_splitter_func.h
@@ -13,13 +13,15 @@
     /// @return the bytes of all events that are now complete; empty when there is none
     std::string take(std::string_view bytes);
 
-    /// @return the bytes of the last, incomplete event
+    /// @return the bytes after the last complete event
     const std::string& rest() const { return this->partial; }
+    /// @return whether an event has begun and is incomplete: a stream that ends now has been broken off
+    bool insideEvent() const { return this->partial.find_first_not_of("\r\n") != std::string::npos; }
     /// @return the id of the last complete event that had one, empty when there was none
     const std::string& lastId() const { return this->id; }
 
 private:
-    std::string partial; ///< bytes of the incomplete event
+    std::string partial; ///< bytes after the last complete event
     std::string id; ///< id of the last complete event that had one, empty before the first
 };
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -108,11 +108,12 @@
 
     void onEnd(CallEnd end) override
     {
-        if (end == CallEnd::Complete && this->owner->streaming)
+        const bool complete = end == CallEnd::Complete && !(this->stream && this->splitter.insideEvent());
+        if (complete && this->owner->streaming)
             this->loop.front.body(this->call, this->splitter.rest());
-        const SendResult how = end == CallEnd::Complete ? SendResult::Complete
-            : end == CallEnd::NotSent                   ? SendResult::NotSent
-                                                        : SendResult::Broken;
+        const SendResult how = complete ? SendResult::Complete
+            : end == CallEnd::NotSent   ? SendResult::NotSent
+                                        : SendResult::Broken;
         this->loop.dispatch(ResponseEnded { .call = this->call, .send = this->sendId, .end = how });
     }
 
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -69,4 +69,8 @@
     return "id: " + std::to_string(number) + "\ndata: " + id + "/" + std::to_string(number) + "\n\n";
 }
 
+/// @return whether the first run of an attempt's stream ends inside its second event as if it were complete; derived
+/// from the attempt's id, for one in 16
+inline bool endsInsideEvent(const std::string& id) { return std::hash<std::string> {}(id) / 9 % 16 == 0; }
+
 } // namespace hickory::soak
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -185,7 +185,9 @@
     sealedHeaders.push_back({ "Content-Type", "text/event-stream" });
     sealedHeaders.push_back({ "Weight-Versions", std::to_string(this->version) });
     this->front.begin(request.id, 200, sealedHeaders);
-    this->streams[request.id] = { .attempt = attempt, .next = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1 };
+    this->streams[request.id] = { .attempt = attempt,
+        .next = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1,
+        .breakOff = lastEventId.empty() && endsInsideEvent(attempt) };
 }
 
 void Upstream::onStepTimer()
@@ -196,6 +198,14 @@
         this->publishState("ready");
     }
     for (auto stream = this->streams.begin(); stream != this->streams.end();) {
+        if (stream->second.breakOff && stream->second.next == 2) {
+            const std::string event = eventText(stream->second.attempt, 2);
+            this->front.body(stream->first, std::string_view(event).substr(0, event.size() / 2));
+            this->openCalls.erase(stream->first);
+            this->front.finish(stream->first);
+            stream = this->streams.erase(stream);
+            continue;
+        }
         if (stream->second.next <= eventCount(stream->second.attempt))
             this->front.body(stream->first, eventText(stream->second.attempt, stream->second.next++));
         if (stream->second.next <= eventCount(stream->second.attempt)) {
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -46,6 +46,7 @@
     struct ActiveStream {
         std::string attempt; ///< Attempt-Id of the request
         int next { 1 }; ///< number of the next event; higher at first for a resumed stream
+        bool breakOff { false }; ///< the stream ends inside its second event as if it were complete
     };
 
     void onRequest(FrontRequest&& request);
--- a/tests/unit_wire_parser.cpp
+++ b/tests/unit_wire_parser.cpp
@@ -121,3 +121,21 @@
         CHECK(splitter.lastId() == "3");
     }
 }
+
+// Guards against completing a stream whose upstream stopped in the middle of an event.
+TEST_CASE("A stream that ends after a part of an event is recognised as broken off", "[wire]")
+{
+    const std::string first = "id: 1\r\ndata: a\r\n\r\n";
+    const std::string second = "id: 2\ndata: b\n\n";
+    EventSplitter splitter;
+    CHECK_FALSE(splitter.insideEvent());
+    splitter.take(first);
+    CHECK_FALSE(splitter.insideEvent());
+    splitter.take("\r\n");
+    CHECK_FALSE(splitter.insideEvent()); // a further blank line is no event
+    for (std::size_t length = 1; length < second.size(); ++length) {
+        EventSplitter cut;
+        cut.take(first + second.substr(0, length));
+        CHECK(cut.insideEvent());
+    }
+}
