End a call whose answer has no end to its head or framing

A server could send interim answers, answers to other requests, or chunk extensions without end: CallPool skipped them for as long as the call lasted. Now a connection may carry 256 KiB beyond twice the body of the call's answer (maxAnswerOverhead); past that the call ends as broken and the connection is closed.

What comes after an answer or for a cancelled call was bounded before; tests state it.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -1,12 +1,13 @@
 #include "call_pool_io.h"
 
+#include "table/answer_limits.h"
+
 #include <charconv>
 
 namespace hickory {
 
 namespace {
 
-    constexpr std::size_t maxAnswerHead = 64U << 10U; ///< bytes; limit of an answer's status line and headers
     constexpr Milliseconds keepAliveMargin { 400 }; ///< stop using a connection this long before the peer closes it
 
     /// @return the `timeout` parameter of the Keep-Alive header, or nothing when there is none
@@ -48,10 +49,14 @@
     void onBody(std::string_view bytes) override
     {
         const auto currentSink = this->sink;
-        if (!this->skipping && currentSink)
-            currentSink->onBody(bytes);
+        if (this->skipping || !currentSink)
+            return;
+        this->bodyBytes += bytes.size();
+        currentSink->onBody(bytes);
     }
     void onComplete() override { this->complete = !this->skipping; }
+    /// @return whether the server sends too many bytes that are no body of an answer to the call
+    bool overheadTooLarge() const { return this->receivedBytes > maxAnswerOverhead + 2 * this->bodyBytes; }
 
     std::string address; ///< "ip:port" of the server
     std::shared_ptr<TcpLink> link; ///< empty until connected
@@ -65,6 +70,8 @@
     bool skipping { false }; ///< the answer being read is interim or belongs to another request and is discarded
     bool answered { false }; ///< the head of the current call's answer was read
     bool complete { false }; ///< the current call's answer is complete
+    std::size_t receivedBytes { 0 }; ///< received for the current call and parsed
+    std::size_t bodyBytes { 0 }; ///< of these, passed to the sink
     Milliseconds idleSince { 0 }; ///< when the last call ended
     std::optional<Milliseconds> idleLimit; ///< idle timeout announced in the peer's Keep-Alive header
 };
@@ -110,6 +117,7 @@
     connection->bytes = std::move(call.bytes);
     connection->answered = false;
     connection->complete = false;
+    connection->receivedBytes = connection->bodyBytes = 0;
     connection->keep = call.keep;
     this->active[id] = connection;
     if (reused)
@@ -166,8 +174,11 @@
     }
     const OutboundCallId call = connection->call;
     while (!bytes.empty() && connection->call == call && !connection->complete) {
-        bytes.remove_prefix(connection->parser.feed(bytes, *connection));
-        if (connection->call == call && connection->parser.fault()) {
+        const std::size_t used = connection->parser.feed(bytes, *connection);
+        bytes.remove_prefix(used);
+        connection->receivedBytes += used;
+        const bool broken = connection->parser.fault() || (!connection->complete && connection->overheadTooLarge());
+        if (connection->call == call && broken) {
             this->endCall(connection, CallEnd::Broken);
             return;
         }
--- /dev/null
+++ b/src/table/answer_limits.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstddef>
+
+namespace hickory {
+
+// Limits of what a server may send in answer to a request. An answer past one of them counts as broken, and its
+// connection is closed. Plain answers are about 1 KB long, streams some KB.
+
+/// Bytes of an answer's status line and headers.
+constexpr std::size_t maxAnswerHead = 64U << 10U;
+/// Bytes that a connection may carry beyond twice the body of the answer while it waits for the answer's end: interim
+/// answers, answers to earlier requests, heads, chunk sizes, extensions and trailers.
+constexpr std::size_t maxAnswerOverhead = 256U << 10U;
+
+} // namespace hickory
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -1,4 +1,5 @@
 #include "call_pool_io.h"
+#include "table/answer_limits.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace hickory;
 
@@ -91,6 +93,65 @@
     ServerEnd end; ///< how each connection ends then
 };
 
+/// Server that sends a start and then the same bytes again and again until its peer closes the connection.
+struct EndlessServer {
+    EndlessServer(asio::io_context& io, const std::string& start, std::string unit)
+        : acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(io)
+        , block(start)
+        , unit(std::move(unit))
+    {
+        this->acceptor.async_accept(this->socket, [this](const std::error_code& code) {
+            if (!code)
+                this->send();
+        });
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+
+    void send()
+    {
+        constexpr std::size_t blockBytes = 32768;
+        while (this->block.size() < blockBytes)
+            this->block += this->unit;
+        asio::async_write(
+            this->socket, asio::buffer(this->block), [this](const std::error_code& code, std::size_t count) {
+                this->sent += count;
+                this->block.clear();
+                this->closed = bool(code);
+                if (!code)
+                    this->send();
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::string block; ///< bytes being sent
+    std::string unit; ///< what is sent again and again
+    std::size_t sent { 0 }; ///< bytes that the kernel took
+    bool closed { false }; ///< the peer closed the connection
+};
+
+/// Sink of a call that accepts all answers or none and keeps only their size.
+struct CountingSink : CallSink {
+    explicit CountingSink(bool accepting)
+        : accepting(accepting)
+    {
+    }
+
+    bool accepts(const WireHead&) override { return this->accepting; }
+    void onHead(WireHead&&) override { }
+    void onBody(std::string_view bytes) override { this->bytes += bytes.size(); }
+    void onEnd(CallEnd how) override { this->end = how; }
+
+    bool accepting; ///< answers belong to the call
+    std::size_t bytes { 0 }; ///< received of the body
+    std::optional<CallEnd> end; ///< how the call ended, empty before
+};
+
+/// Bytes that an endless answer may cost above a limit: what the kernel buffers on both sides.
+constexpr std::size_t socketBuffers = 12U << 20U;
+
 /// Runs the loop until a condition holds or one second has passed.
 /// @return whether the condition holds
 template <typename Condition> bool runUntil(asio::io_context& io, const Condition& condition)
@@ -157,3 +218,69 @@
     CHECK_FALSE(fetchFrom("HTTP/1.1 200 OK\r\nConnection: close\r\n", ServerEnd::Close));
     CHECK_FALSE(fetchFrom("HTTP/1.1 100 Continue\r\n\r\n", ServerEnd::Close));
 }
+
+// Guards against reading bytes that are no answer for as long as a server sends them.
+TEST_CASE("A call whose answer has no end to its head or framing ends as broken", "[call-pool]")
+{
+    struct Endless {
+        const char* what;
+        bool accepting;
+        std::string start;
+        std::string unit;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Endless> all {
+        { "interim answers", true, "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "answers to other requests", false, "", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" },
+        { "an answer to another request", false, "HTTP/1.1 200 OK\r\n\r\n", "bytes" },
+        { "a reason phrase", true, "HTTP/1.1 200 ", "OK " },
+        { "blank lines", true, "", "\r\n" },
+        { "a header", true, "HTTP/1.1 200 OK\r\nA: ", "aaaa" },
+        { "headers", true, "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+        { "an extension of a chunk", true, chunked + "1;", "e=f;" },
+        { "extensions of chunks", true, chunked, "1;" + std::string(4000, 'e') + "\r\nx\r\n" },
+        { "trailers", true, chunked + "0\r\n", "A: b\r\n" },
+    };
+    for (const Endless& endless : all) {
+        INFO(endless.what);
+        asio::io_context io;
+        EndlessServer server(io, endless.start, endless.unit);
+        CallPool pool(io, {});
+        const auto sink = std::make_shared<CountingSink>(endless.accepting);
+        pool.send({ .address = server.address(), .bytes = "GET / HTTP/1.1\r\n\r\n" }, sink);
+        CHECK(runUntil(io, [&] { return sink->end && server.closed; }));
+        CHECK(sink->end == CallEnd::Broken);
+        CHECK(server.sent < maxAnswerOverhead + socketBuffers);
+    }
+}
+
+// Guards against reading on after the end of a call.
+TEST_CASE("A server that sends without end after an answer, to an idle connection or for a cancelled call is closed",
+    "[call-pool]")
+{
+    asio::io_context io;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    SECTION("after an answer")
+    {
+        EndlessServer server(io, answer, "more");
+        CallPool pool(io, {});
+        const auto sink = std::make_shared<CountingSink>(true);
+        pool.send({ .address = server.address(), .bytes = "GET / HTTP/1.1\r\n\r\n" }, sink);
+        CHECK(runUntil(io, [&] { return sink->end && server.closed; }));
+        CHECK(sink->end == CallEnd::Complete);
+        CHECK(sink->bytes == 2);
+        CHECK(server.sent < socketBuffers);
+    }
+    SECTION("for a cancelled call")
+    {
+        EndlessServer server(io, "HTTP/1.1 200 OK\r\n\r\n", "more");
+        CallPool pool(io, {});
+        const auto sink = std::make_shared<CountingSink>(true);
+        const auto call = pool.send({ .address = server.address(), .bytes = "GET / HTTP/1.1\r\n\r\n" }, sink);
+        CHECK(runUntil(io, [&] { return sink->bytes > 0; }));
+        pool.cancel(call);
+        CHECK(runUntil(io, [&] { return server.closed; }));
+        CHECK(server.sent < socketBuffers);
+        CHECK_FALSE(sink->end);
+    }
+}
