Reproduce a prompt part that crashes engines

After 3 s requests with one deadly part come at all entries, no two alike; the part is never the first nor the last. An engine that would begin such a request resets its connections, stops listening and comes back 2 s later under a new start and without weights. Checked: no more than three such requests reach engines later than 3 s after the fifth crash (BUDGET); from 6 s after it other streams begin at least half as often as before (LOST); prompt parts arrive unchanged (UNASKED). Processes that the tests start no longer inherit sockets: an inherited one kept listening for the engine that had stopped.

--- a/tests/scenario_process.cpp
+++ b/tests/scenario_process.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <limits>
 #include <regex>
 #include <sstream>
 #include <stdexcept>
@@ -42,6 +43,8 @@
         const int file = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
+        // An inherited listening socket would keep accepting for a stand-in that no longer listens.
+        close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
         execv(arguments[0], arguments.data());
         _exit(127);
     }
--- a/tests/soak_caller.cpp
+++ b/tests/soak_caller.cpp
@@ -1,5 +1,7 @@
 #include "soak_caller.h"
 
+#include <sstream>
+
 namespace hickory::soak {
 
 namespace {
@@ -43,25 +45,34 @@
 {
 }
 
-void Callers::send(RequestKind requestKind, std::size_t entry, const std::string& key, bool faultFree)
+void Callers::send(const CallerRequest& request)
 {
+    const RequestKind requestKind = request.requestKind;
     auto call = std::make_shared<Call>(*this);
     call->id = "attempt-" + std::to_string(++this->lastId);
-    call->faultFree = faultFree;
-    this->ledger.attempts[call->id] = { .requestKind = requestKind, .at = monotonicNow() };
-    this->ledger.faultFreeRequests += faultFree ? 1 : 0;
+    call->faultFree = request.faultFree;
+    Attempt attempt { .requestKind = requestKind, .at = monotonicNow(), .deadly = request.deadly };
+    if (!request.promptParts.empty()) {
+        std::ostringstream own;
+        own << std::hex << 0xa00000 + this->lastId << ":" << std::dec << 300 + this->lastId % 600;
+        attempt.promptParts = request.promptParts + "," + own.str();
+    }
+    this->ledger.faultFreeRequests += request.faultFree ? 1 : 0;
     const bool stream = requestKind == RequestKind::Streaming;
     call->requestBody = requestKind == RequestKind::Idempotent ? std::string {} : "body of " + call->id;
     std::string text = (requestKind == RequestKind::Idempotent ? "GET /r/x"
                                : stream                        ? "POST /s/x"
                                                                : "POST /b/x")
-        + std::string(" HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: ") + call->id
-        + "\r\nDeadline-Ms: " + std::to_string(callerTimeout.value) + "\r\nAuthorization: Bearer " + key + "\r\n";
+        + std::string(" HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: ") + call->id + "\r\nDeadline-Ms: "
+        + std::to_string(callerTimeout.value) + "\r\nAuthorization: Bearer " + request.key + "\r\n";
     if (stream)
         text += "Model: soak-model\r\nToken-Count: 500,80\r\n";
+    if (!attempt.promptParts.empty())
+        text += "Prefix-Hash: " + attempt.promptParts + "\r\n";
+    this->ledger.attempts[call->id] = std::move(attempt);
     if (requestKind != RequestKind::Idempotent)
         text += "Content-Length: " + std::to_string(call->requestBody.size()) + "\r\n";
-    const OutboundCallId out = this->pool.send({ .address = this->entryAddresses[entry],
+    const OutboundCallId out = this->pool.send({ .address = this->entryAddresses[request.entry],
                                                    .bytes = text + "\r\n" + call->requestBody,
                                                    .maxIdle = maxConnectionIdle },
         call);
@@ -83,6 +94,7 @@
     };
     const bool stream = attempt.requestKind == RequestKind::Streaming;
     const bool responseStarted = call.head.status == 200;
+    attempt.began = responseStarted && !call.body.empty();
     attempt.status = end == CallEnd::Complete ? call.head.status : 0;
     if (responseStarted) {
         const std::string* seal = call.head.find("Replica-Seal");
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -9,6 +9,16 @@
 
 namespace hickory::soak {
 
+/// A request that a caller is to send.
+struct CallerRequest {
+    RequestKind requestKind { RequestKind::Idempotent }; ///< decides on route, method and body
+    std::size_t entry { 0 }; ///< index of the entry's address
+    std::string key; ///< API key of the workspace
+    bool faultFree { false }; ///< no fault is active, so the request must succeed
+    std::string promptParts; ///< parts of a stream's prompt as "id:tokens,..." without its own last part, may be empty
+    bool deadly { false }; ///< promptParts contains Ledger::deadlyPart
+};
+
 /// Sends requests to the entries over reused connections and checks each response. Violations go to the ledger.
 class Callers {
 public:
@@ -16,10 +26,7 @@
     Callers(asio::io_context& io, Ledger& ledger, std::vector<std::string> entryAddresses);
 
     /// Sends one request. The response is checked when it ends or the request times out.
-    /// @param entry index into entryAddresses
-    /// @param key API key of the workspace
-    /// @param faultFree no fault is active, so the request must succeed
-    void send(RequestKind requestKind, std::size_t entry, const std::string& key, bool faultFree);
+    void send(const CallerRequest& request);
     /// Closes connections that were idle for too long.
     void sweep() { this->pool.sweep(monotonicNow()); }
 
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -2,6 +2,7 @@
 
 #include "clock_type.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,20 +22,40 @@
     Milliseconds at { 0 }; ///< time of sending, on the monotonic clock
     int executions { 0 }; ///< times that an upstream started it from the beginning; a resumed stream does not count
     int status { 0 }; ///< HTTP status, 0 without a complete response
+    std::string promptParts; ///< Prefix-Hash header, empty for none
+    bool deadly { false }; ///< the prompt contains Ledger::deadlyPart before its last part
+    bool began { false }; ///< the caller got bytes of a body with status 200
 };
 
+/// What requests with the deadly part did to engines and to other requests.
+struct DeadlyFigures {
+    std::size_t crashes { 0 }; ///< engines that the part ended, each start counted
+    std::size_t lateArrivals { 0 }; ///< requests with the part that reached engines after the bound of BUDGET
+    std::size_t before { 0 }; ///< other streams sent before the first request with the part
+    std::size_t beganBefore { 0 }; ///< those of them that began
+    std::size_t after { 0 }; ///< other streams sent after the bound of LOST, while requests with the part still came
+    std::size_t beganAfter { 0 }; ///< those of them that began
+};
+
+/// Time within which the fleet must contain a part that crashes engines: the shortest on the users' installations.
+constexpr Milliseconds stableWindow { 3000 };
+
 /// Records what callers and upstreams saw, and the violations of guarantees found so far. A violation starts with the
 /// code of its rule: MIXED (response of another request), ORDER (events of a stream lost, repeated or reordered),
 /// REFUSED (a request reported as not run has run), TWICE (executed more often than allowed), UNASKED (an upstream got
 /// a request that no caller sent, or with the caller's key), WHOLE (weights ordered with a wrong piece), VERSION (an
 /// engine serves outdated weights), READY and START (an entry is not ready in time), EXIT (unexpected end of a
-/// process), UNANSWERED (a request failed although no fault was active), SOAK (the test equipment failed).
+/// process), UNANSWERED (a request failed although no fault was active), BUDGET (a part that crashes engines reaches
+/// them too often), LOST (requests without that part are served too rarely), SOAK (the test equipment failed).
 struct Ledger {
     std::map<std::string, Attempt> attempts; ///< all requests sent so far, by their Attempt-Id header
     std::vector<std::string> violations; ///< one line each, code of the rule first
     int answered { 0 }; ///< requests with a complete response of status 200
     int faultFreeRequests { 0 }; ///< requests sent in the fault-free end of the run
     int faultFreeAnswered { 0 }; ///< fault-free requests with a complete response of status 200
+    std::string deadlyPart; ///< id of the prompt part that crashes engines, empty for none
+    std::vector<Milliseconds> crashes; ///< when it crashed an engine
+    std::vector<Milliseconds> deadlyArrivals; ///< when a request with it reached an engine
 
     /// @param text code of the rule, then what was seen
     void addViolation(const std::string& text) { this->violations.push_back(text); }
@@ -51,6 +72,64 @@
             if (attempt.requestKind == RequestKind::NonIdempotent && attempt.executions > 1)
                 this->addViolation("TWICE " + id + " ran " + std::to_string(attempt.executions) + " times");
         }
+        if (!this->deadlyPart.empty())
+            this->checkDeadlyPart();
+    }
+
+    /// @return what is known so far of the deadly part's effects
+    DeadlyFigures deadlyFigures() const
+    {
+        DeadlyFigures figures { .crashes = this->crashes.size() };
+        Milliseconds firstDeadly { 0 };
+        Milliseconds lastDeadly { 0 };
+        for (const auto& [id, attempt] : this->attempts) {
+            if (!attempt.deadly)
+                continue;
+            firstDeadly = firstDeadly.value == 0 ? attempt.at : std::min(firstDeadly, attempt.at);
+            lastDeadly = std::max(lastDeadly, attempt.at);
+        }
+        if (this->crashes.empty())
+            return figures;
+        const bool enough = this->crashes.size() >= crashesToContain;
+        const Milliseconds reference = enough ? this->crashes[crashesToContain - 1] : this->crashes.back();
+        if (enough)
+            figures.lateArrivals = static_cast<std::size_t>(std::count_if(this->deadlyArrivals.begin(),
+                this->deadlyArrivals.end(), [&](Milliseconds at) { return at > reference + stableWindow; }));
+        for (const auto& [id, attempt] : this->attempts) {
+            if (attempt.requestKind != RequestKind::Streaming || attempt.deadly)
+                continue;
+            const bool before = attempt.at < firstDeadly;
+            const bool after = attempt.at > reference + stableWindow * 2 && attempt.at < lastDeadly;
+            figures.before += before ? 1 : 0;
+            figures.beganBefore += before && attempt.began ? 1 : 0;
+            figures.after += after ? 1 : 0;
+            figures.beganAfter += after && attempt.began ? 1 : 0;
+        }
+        return figures;
+    }
+
+private:
+    static constexpr std::size_t crashesToContain = 5; ///< from this crash on the part must be contained
+
+    /// Checks that the fleet contained the deadly part (BUDGET) and still served other requests (LOST).
+    void checkDeadlyPart()
+    {
+        constexpr std::size_t maxLateArrivals = 3;
+        constexpr std::size_t minCompared = 20;
+        const DeadlyFigures figures = this->deadlyFigures();
+        if (figures.crashes == 0)
+            this->addViolation("SOAK no engine crashed on the deadly part");
+        if (figures.lateArrivals > maxLateArrivals)
+            this->addViolation("BUDGET " + std::to_string(figures.lateArrivals)
+                + " requests with the deadly part reached engines later than " + std::to_string(stableWindow.value)
+                + " ms after the fifth crash");
+        if (figures.before < minCompared || figures.after < minCompared)
+            this->addViolation("SOAK too few streams to compare: " + std::to_string(figures.before) + " before, "
+                + std::to_string(figures.after) + " after");
+        else if (2 * figures.beganAfter * figures.before < figures.beganBefore * figures.after)
+            this->addViolation("LOST " + std::to_string(figures.beganAfter) + " of " + std::to_string(figures.after)
+                + " streams without the deadly part began, " + std::to_string(figures.beganBefore) + " of "
+                + std::to_string(figures.before) + " before it came");
     }
 };
 
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -4,6 +4,7 @@
 #include "query_func.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace hickory::soak {
 
@@ -14,6 +15,8 @@
     constexpr int pieceSize = 4096; ///< bytes of each piece of the weights
     constexpr Milliseconds eventInterval { 25 }; ///< time between two events of a stream
     constexpr Milliseconds loadTime { 150 }; ///< time from an accepted order until the weights are in service
+    constexpr Milliseconds readTime { 40 }; ///< time from the arrival of a prompt with parts to its first event
+    constexpr Milliseconds downTime { 2000 }; ///< time from a crash on a request to the next start
 
     std::string headerValue(const FrontRequest& request, const char* name)
     {
@@ -38,6 +41,7 @@
     , store(store)
     , ledger(ledger)
     , name(std::move(name))
+    , address(address)
     , registeredAddress(std::move(registeredAddress))
     , engine(engine)
     , front(io, {},
@@ -49,13 +53,18 @@
                   } })
     , timer(io)
 {
-    if (!this->front.listen(address))
-        throw std::runtime_error(this->name + " cannot listen at " + address);
     this->onStepTimer();
 }
 
 void Upstream::start(bool withWeights)
 {
+    if (!this->listening && !this->front.listen(this->address))
+        throw std::runtime_error(this->name + " cannot listen at " + this->address);
+    this->listening = true;
+    this->restartAt = {};
+    if (!this->crashedId.empty())
+        this->store.remove("servers", this->crashedId);
+    this->crashedId.clear();
     this->id = this->name + "-" + std::to_string(++this->startCount);
     this->processStartedAt = wallNow().value;
     this->version = withWeights ? 1 : 0;
@@ -77,6 +86,21 @@
     this->version = this->loading = this->acceptedOrders = 0;
 }
 
+void Upstream::crashOnRequest()
+{
+    for (const CallId call : std::set<CallId>(this->openCalls))
+        this->front.abort(call);
+    this->openCalls.clear();
+    this->streams.clear();
+    this->front.closeIdle();
+    this->listening = false;
+    this->crashedId = std::exchange(this->id, {});
+    this->version = this->loading = this->acceptedOrders = 0;
+    const Milliseconds now = monotonicNow();
+    this->restartAt = now + downTime;
+    this->ledger.crashes.push_back(now);
+}
+
 void Upstream::drain() { this->publishState("draining"); }
 
 void Upstream::publishState(const char* state)
@@ -149,6 +173,10 @@
 void Upstream::runRequest(FrontRequest&& request)
 {
     const std::string attempt = headerValue(request, "Attempt-Id");
+    const auto attemptEntry = this->ledger.attempts.find(attempt);
+    const bool deadly = attemptEntry != this->ledger.attempts.end() && attemptEntry->second.deadly;
+    if (deadly)
+        this->ledger.deadlyArrivals.push_back(monotonicNow());
     const std::vector<WireHeader> echo { { "Attempt-Id", attempt }, { "At-Server", this->id } };
     const std::string expected = headerValue(request, "Expect-Replica");
     const std::string wantedVersion = headerValue(request, "Expect-Version");
@@ -165,7 +193,6 @@
         this->front.answer(request.id, 503, headers, "");
         return;
     }
-    const auto attemptEntry = this->ledger.attempts.find(attempt);
     if (attemptEntry == this->ledger.attempts.end()) {
         this->ledger.addViolation("UNASKED " + attempt + " is no caller's request and reached " + this->id);
         return;
@@ -173,6 +200,8 @@
     if (!headerValue(request, "Authorization").empty() || headerValue(request, "Tenant") != "callers")
         this->ledger.addViolation(
             "UNASKED " + attempt + " arrived with an Authorization header or without its workspace");
+    if (headerValue(request, "Prefix-Hash") != attemptEntry->second.promptParts)
+        this->ledger.addViolation("UNASKED " + attempt + " arrived with other prompt parts");
     const std::string lastEventId = headerValue(request, "Last-Event-Id");
     attemptEntry->second.executions += lastEventId.empty() ? 1 : 0;
     std::vector<WireHeader> sealedHeaders = echo;
@@ -184,10 +213,15 @@
     }
     sealedHeaders.push_back({ "Content-Type", "text/event-stream" });
     sealedHeaders.push_back({ "Weight-Versions", std::to_string(this->version) });
-    this->front.begin(request.id, 200, sealedHeaders);
+    const bool hasParts = !attemptEntry->second.promptParts.empty();
+    if (!hasParts)
+        this->front.begin(request.id, 200, std::exchange(sealedHeaders, {}));
     this->streams[request.id] = { .attempt = attempt,
+        .headers = std::move(sealedHeaders),
+        .beginsAt = monotonicNow() + (hasParts ? readTime : Milliseconds {}),
+        .deadly = deadly,
         .next = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1,
-        .breakOff = lastEventId.empty() && endsInsideEvent(attempt) };
+        .breakOff = this->ledger.deadlyPart.empty() && lastEventId.empty() && endsInsideEvent(attempt) };
 }
 
 void Upstream::onStepTimer()
@@ -197,7 +231,30 @@
         this->loading = 0;
         this->publishState("ready");
     }
+    if (this->restartAt.value != 0 && monotonicNow() > this->restartAt)
+        this->start(false);
+    this->sendEvents();
+    this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
+    this->timer.async_wait([this](const std::error_code& code) {
+        if (!code)
+            this->onStepTimer();
+    });
+}
+
+void Upstream::sendEvents()
+{
     for (auto stream = this->streams.begin(); stream != this->streams.end();) {
+        if (!stream->second.headers.empty()) {
+            if (monotonicNow() < stream->second.beginsAt) {
+                ++stream;
+                continue;
+            }
+            if (stream->second.deadly) {
+                this->crashOnRequest();
+                return;
+            }
+            this->front.begin(stream->first, 200, std::exchange(stream->second.headers, {}));
+        }
         if (stream->second.breakOff && stream->second.next == 2) {
             const std::string event = eventText(stream->second.attempt, 2);
             this->front.body(stream->first, std::string_view(event).substr(0, event.size() / 2));
@@ -216,11 +273,6 @@
         this->front.finish(stream->first);
         stream = this->streams.erase(stream);
     }
-    this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
-    this->timer.async_wait([this](const std::error_code& code) {
-        if (!code)
-            this->onStepTimer();
-    });
 }
 
 Origin::Origin(asio::io_context& io, const std::string& address)
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -23,14 +23,15 @@
 class Upstream {
 public:
     /// @param name stable part of the server ids that it registers under
-    /// @param address "ip:port" to listen at; throws std::runtime_error when that fails
-    /// @param registeredAddress "ip:port" that the store lists: a link of the fault proxy to `address`
+    /// @param address "ip:port" to listen at
+    /// @param registeredAddress "ip:port" that the store lists: `address` or a link of the fault proxy to it
     /// @param engine serves a model; false for a plain upstream
     Upstream(asio::io_context& io, Store& store, Ledger& ledger, std::string name, const std::string& address,
         std::string registeredAddress, bool engine);
 
-    /// Simulates the start of the process: registers under a new id.
+    /// Simulates the start of the process: listens and registers under a new id.
     /// @param withWeights version 1 is already in service; otherwise an order must load weights first
+    /// @throws std::runtime_error when it cannot listen
     void start(bool withWeights);
     /// Simulates a crash: aborts all requests, loses all state and removes the registration.
     void crash();
@@ -45,6 +46,9 @@
     /// An event stream that is being sent.
     struct ActiveStream {
         std::string attempt; ///< Attempt-Id of the request
+        std::vector<WireHeader> headers; ///< of a response that has not begun, else empty
+        Milliseconds beginsAt { 0 }; ///< the prompt is read until then
+        bool deadly { false }; ///< the engine crashes when the response begins
         int next { 1 }; ///< number of the next event; higher at first for a resumed stream
         bool breakOff { false }; ///< the stream ends inside its second event as if it were complete
     };
@@ -55,16 +59,25 @@
     void answerJson(CallId call, int status, const std::string& body);
     void publishState(const char* state);
     void onStepTimer();
+    /// Sends the next events of all streams. An engine that crashes in this sends nothing more.
+    void sendEvents();
+    /// Simulates a crash that the store learns of only when the process starts again, after downTime: resets requests,
+    /// stops listening and loses all state but the staged pieces.
+    void crashOnRequest();
 
     asio::io_context& io; ///< event loop of all stand-ins
     Store& store; ///< store in which the upstream registers
     Ledger& ledger; ///< receives executions and violations
     std::string name; ///< stable across restarts, first part of `id`
-    std::string registeredAddress; ///< "ip:port" in the store, behind the fault proxy
+    std::string address; ///< "ip:port" to listen at
+    std::string registeredAddress; ///< "ip:port" in the store
     bool engine; ///< model engine or plain upstream
     FrontServer front; ///< HTTP server of the upstream
     asio::steady_timer timer; ///< sends the next events and completes loading, every eventInterval
     std::string id; ///< registered server id, new with each start; empty while down
+    std::string crashedId; ///< id that is still registered after crashOnRequest(), else empty
+    bool listening { false }; ///< accepts connections
+    Milliseconds restartAt { 0 }; ///< end of the down time after crashOnRequest(), 0 when there is none
     std::int64_t processStartedAt { 0 }; ///< time of the last start, Unix ms
     int startCount { 0 }; ///< number of starts so far, second part of `id`
     std::uint64_t acceptedOrders { 0 }; ///< load orders accepted since the last start
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -28,6 +28,9 @@
     6000
 }; ///< from the end of faults to the fault-free phase: for restarts, membership and weights to settle
 constexpr Milliseconds faultFreeTime { 2000 }; ///< last phase of sending, in which every request must succeed
+constexpr Milliseconds calmTime { 3000 }; ///< without requests that crash engines, before the first of them
+constexpr Milliseconds deadlyInterval { 400 }; ///< time between two requests that crash engines, over all callers
+constexpr const char* deadlyPart = "dead0001"; ///< id of the prompt part that crashes engines
 constexpr Milliseconds gracePeriod { 8000 }; ///< a process must have exited this long after SIGTERM
 
 /// A process of the system under test.
@@ -45,11 +48,13 @@
 class Soak {
 public:
     /// @param faultTime time in which faults are injected
+    /// @param deadly the only fault is a prompt part that crashes engines, sent in requests to all entries
     /// @param buildFolder folder of the programs
     /// @param logFolder existing folder for settings and logs of this run
-    Soak(std::uint64_t seed, Milliseconds faultTime, std::string buildFolder, std::string logFolder)
+    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, std::string buildFolder, std::string logFolder)
         : random(seed)
         , faultTime(faultTime)
+        , deadly(deadly)
         , buildFolder(std::move(buildFolder))
         , logFolder(std::move(logFolder))
         , addressPrefix("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
@@ -57,6 +62,8 @@
         , origin(this->io, this->addressPrefix + "249:8081")
         , callers(this->io, this->ledger, this->entryAddresses())
     {
+        if (deadly)
+            this->ledger.deadlyPart = deadlyPart;
     }
 
     /// Runs all phases: start, faults, settling, fault-free requests, final checks.
@@ -66,19 +73,22 @@
         this->startProxy();
         this->startFleet();
         const Milliseconds startTime = monotonicNow();
-        const Milliseconds faultsEnd = startTime + this->faultTime;
+        constexpr Milliseconds firstFault { 500 };
+        Milliseconds nextFault = startTime + (this->deadly ? calmTime : firstFault);
+        const Milliseconds faultsEnd = startTime + this->faultTime + (this->deadly ? calmTime : Milliseconds {});
         const Milliseconds faultFreeStart = faultsEnd + settleTime;
         const Milliseconds end = faultFreeStart + faultFreeTime;
-        constexpr Milliseconds firstFault { 500 };
         Milliseconds nextRequest = startTime;
-        Milliseconds nextFault = startTime + firstFault;
         bool faultsEnded = false;
         for (Milliseconds now = startTime; now < end; now = monotonicNow()) {
             for (; nextRequest <= now; nextRequest += requestInterval)
                 this->send(now >= faultFreeStart);
             if (now < faultsEnd && now >= nextFault) {
-                this->injectFault(now);
-                nextFault = now + Milliseconds { this->randomInt(150, 1200) };
+                if (this->deadly)
+                    this->sendDeadly();
+                else
+                    this->injectFault(now);
+                nextFault = now + (this->deadly ? deadlyInterval : Milliseconds { this->randomInt(150, 1200) });
             }
             if (now >= faultsEnd && !faultsEnded) {
                 faultsEnded = true;
@@ -166,14 +176,21 @@
             });
     }
 
+    /// @return "ip:port" that entries and agents use for an upstream: a link of the fault proxy, or the upstream itself
+    /// where its end must refuse connections
+    std::string upstreamAddress(int number) const
+    {
+        return this->hostAddress(number) + (this->deadly ? ":8081" : ":8080");
+    }
+
     /// Starts upstreams, entries and agents, and waits up to 10 s until all entries are ready.
     void startFleet()
     {
         for (int number = 0; number < engineCount + plainCount; ++number) {
             const std::string ip = this->hostAddress(20 + number);
             this->upstreams.push_back(std::make_unique<Upstream>(this->io, this->store, this->ledger,
-                (number < engineCount ? "engine" : "plain") + std::to_string(number), ip + ":8081", ip + ":8080",
-                number < engineCount));
+                (number < engineCount ? "engine" : "plain") + std::to_string(number), ip + ":8081",
+                this->upstreamAddress(20 + number), number < engineCount));
             this->upstreams.back()->start(true);
         }
         this->keys = { "key-0" };
@@ -208,7 +225,8 @@
     {
         const std::string ip = this->hostAddress(number);
         return this->hostSettings("agent-" + std::to_string(number), ip, this->addressPrefix + "250:8081")
-            + "[loader]\nengine = \"" + ip + ":8080\"\nservice = \"engines\"\nlink_mbps = 100\nweights_ms = 6000\n";
+            + "[loader]\nengine = \"" + this->upstreamAddress(number)
+            + "\"\nservice = \"engines\"\nlink_mbps = 100\nweights_ms = 6000\n";
     }
 
     void startProcess(const std::string& name, const std::string& program, const std::string& settings)
@@ -279,8 +297,33 @@
     {
         constexpr RequestKind requestKinds[]
             = { RequestKind::Streaming, RequestKind::Idempotent, RequestKind::NonIdempotent };
-        this->callers.send(requestKinds[this->randomInt(0, 2)],
-            static_cast<std::size_t>(this->randomInt(0, entryCount - 1)), this->keys.back(), faultFree);
+        const RequestKind kind = requestKinds[this->randomInt(0, 2)];
+        const bool hasParts = this->deadly && kind == RequestKind::Streaming;
+        this->callers.send({ .requestKind = kind,
+            .entry = static_cast<std::size_t>(this->randomInt(0, entryCount - 1)),
+            .key = this->keys.back(),
+            .faultFree = faultFree,
+            .promptParts = hasParts ? this->sharedParts(this->randomInt(1, 2)) : std::string {} });
+    }
+
+    /// @param count 1 or more
+    /// @return parts of a prompt that many requests share
+    std::string sharedParts(std::int64_t count)
+    {
+        std::string parts = "f1" + std::to_string(this->randomInt(0, 3)) + ":40";
+        for (std::int64_t part = 1; part < count; ++part)
+            parts += ",c" + std::to_string(part) + std::to_string(this->randomInt(0, 5)) + ":90";
+        return parts;
+    }
+
+    /// Sends a request with the deadly part, which is neither the first nor the last one, to the next entry.
+    void sendDeadly()
+    {
+        this->callers.send({ .requestKind = RequestKind::Streaming,
+            .entry = this->deadlySent++ % entryCount,
+            .key = this->keys.back(),
+            .promptParts = this->sharedParts(this->randomInt(1, 2)) + "," + deadlyPart + ":165",
+            .deadly = true });
     }
 
     // Faults ----------------------------------------------------------------------------------------------------------
@@ -487,11 +530,21 @@
         std::cout << this->ledger.attempts.size() << " requests, " << this->ledger.answered
                   << " answered completely; in the fault-free phase " << this->ledger.faultFreeAnswered << " of "
                   << this->ledger.faultFreeRequests << "; " << this->ledger.violations.size() << " violations\n";
+        if (this->deadly) {
+            const DeadlyFigures figures = this->ledger.deadlyFigures();
+            std::cout << this->deadlySent << " requests with the deadly part sent, "
+                      << this->ledger.deadlyArrivals.size() << " times at engines, of these " << figures.lateArrivals
+                      << " after the bound; " << figures.crashes
+                      << " engines ended; other streams begun: " << figures.beganBefore << " of " << figures.before
+                      << " before, " << figures.beganAfter << " of " << figures.after << " after the bound\n";
+        }
         return this->ledger.violations.empty() && this->ledger.faultFreeRequests > 0;
     }
 
     std::mt19937_64 random; ///< source of all random choices
     Milliseconds faultTime; ///< length of the phase with faults
+    bool deadly; ///< the only fault is a prompt part that crashes engines
+    std::size_t deadlySent { 0 }; ///< requests with that part sent so far
     std::string buildFolder; ///< where the programs are
     std::string logFolder; ///< receives settings, logs and faults.log of this run
     std::string addressPrefix; ///< "127.x.y.", derived from the process id so that concurrent runs do not collide
@@ -524,7 +577,8 @@
         "logs", "folder for logs; one folder for each seed", cxxopts::value<std::string>()->default_value("soak-logs"))(
         "seed", "first seed; 0 for a random one", cxxopts::value<std::uint64_t>()->default_value("0"))(
         "runs", "number of runs, each with the next seed", cxxopts::value<int>()->default_value("1"))(
-        "seconds", "length of the phase with faults", cxxopts::value<int>()->default_value("10"));
+        "seconds", "length of the phase with faults", cxxopts::value<int>()->default_value("10"))("deadly-part",
+        "instead of random faults, send requests with a prompt part that crashes each engine that begins them");
     const auto flags = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t seed = flags["seed"].as<std::uint64_t>();
@@ -537,8 +591,8 @@
         std::filesystem::create_directories(logFolder);
         std::cout << "seed " << seed << std::endl;
         constexpr std::int64_t millisecondsPerSecond = 1000;
-        Soak soak(
-            seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, flags["bin"].as<std::string>(), logFolder);
+        Soak soak(seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, flags.count("deadly-part") > 0,
+            flags["bin"].as<std::string>(), logFolder);
         if (!soak.run())
             ++failed;
     }
