--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -44,6 +44,7 @@
     std::vector<PieceSet> pieces; ///< weights that the sender offers to other agents, agents only
     std::vector<PeerInfo> known; ///< other live entries; empty in most beacons
     std::optional<DataCentreSummary> dataCentreSummary; ///< only in beacons to other data centres
+    CrashNews crashNews; ///< crashes of upstreams that the sender knows, entries only; empty in most beacons
 };
 
 } // namespace hickory
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -89,6 +89,7 @@
                    },
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
+                   [&](const CrashNewsReceived&) {},
                },
         event);
     return effects;
@@ -130,4 +131,6 @@
     return totals;
 }
 
+CrashNews crashNews(const RelayState&, bool, Milliseconds) { return {}; }
+
 } // namespace hickory
--- a/src/relay_reduce_func.h
+++ b/src/relay_reduce_func.h
@@ -24,4 +24,8 @@
 /// @return requests of all entries in flight at the upstreams of this data centre, for the entries of the others
 std::vector<PeerLoad> dataCentreTotals(const RelayState& state, Milliseconds now);
 
+/// @param whole also lists what has not changed lately, for entries that started since
+/// @return what this entry knows about crashes of upstreams, for the other entries; bounded
+CrashNews crashNews(const RelayState& state, bool whole, Milliseconds now);
+
 } // namespace hickory
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_type.h"
 #include "log_type.h"
 #include "relay_config_type.h"
 #include "upstream_entry_type.h"
@@ -27,6 +28,8 @@
     std::uint32_t maxOutputTokens { 0 }; ///< limit of generated tokens, 0 when not stated
     std::uint32_t outputTokensHint { 0 }; ///< the caller's estimate of generated tokens, 0 when not stated
     std::string resumeAfter; ///< id of the last event that the caller received, empty when it resumes no stream
+    std::vector<RequestTrait> promptParts; ///< shared parts of the prompt; the last part is the request's own
+    RequestTrait wholeRequest; ///< equal for requests with the same target, key and body
 };
 
 // Events ----------------------------------------------------------------------------------------------------------
@@ -134,9 +137,14 @@
     bool fromInitialRead { false }; ///< found in the first read of the store: may have been declared long ago
 };
 
+/// Another entry told what it knows about crashes of upstreams.
+struct CrashNewsReceived {
+    CrashNews news; ///< merged into what is known
+};
+
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
-    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted>;
+    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted, CrashNewsReceived>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -186,7 +194,10 @@
     CallId call;
 };
 
+/// Send the other entries crashNews() at once.
+struct AnnounceCrashNews { };
+
 using RelayEffect = std::variant<SendToUpstream, CancelSend, RefuseCall, ForwardResponse, FinishResponse, AbortResponse,
-    LogLine, MetricSample>;
+    AnnounceCrashNews, LogLine, MetricSample>;
 
 } // namespace hickory
