Refuse requests with a prompt part that crashes engines

What callers saw: one shared part of a prompt crashed each engine that began to answer it, whatever else the request held. Entries sent such requests, and retried them, to engine after engine; sound requests went down with them.

Cause: entries in relay mode kept no memory of crashes. The class of fault is a query of death whose repeats are not alike: the older path recognises equal requests only.

Change: each request has traits, its shared prompt parts and a hash of the whole. When connections to an upstream break, the entry probes whether the process ended; a crash is recorded with the traits of the requests that had not begun and that no request has begun with lately. What two crashes (three for whole requests) have in common is refused for a minute, then tried by one request at a time, and again for twice as long. Suspected prompt parts are tried one at a time. Of traits that nothing tells apart only requests with all of them are refused. A request that begins clears its traits on all entries. Connections that break to many upstreams together are not blamed on requests. All knowledge is bounded and ages out.

Ruled out: refusing all traits of a crash (a busy first part stands in most crashes); blaming each connection that breaks (resets and lost answers are no crashes).

--- a/src/crash_type.h
+++ b/src/crash_type.h
@@ -8,9 +8,15 @@
 namespace hickory {
 
 /// Hash of something that requests can have in common and that may crash the upstreams that run them: a shared part of
-/// the prompt, or the whole request.
+/// the prompt, or the whole request. The lowest bit tells the two kinds apart.
 using RequestTrait = NumberId<struct RequestTraitTag>;
 
+/// @return the trait of requests whose prompt holds a part
+constexpr RequestTrait promptPartTrait(std::uint64_t hash) { return { hash & ~std::uint64_t { 1 } }; }
+/// @return the trait of repeats of one request
+constexpr RequestTrait wholeRequestTrait(std::uint64_t hash) { return { hash | 1U }; }
+constexpr bool isWholeRequest(RequestTrait trait) { return (trait.value & 1U) != 0; }
+
 /// Hash of an upstream's id and the start of its process: identifies the end of that process in messages between
 /// entries.
 using CrashId = NumberId<struct CrashTag>;
@@ -24,11 +30,11 @@
     bool operator==(const CrashReport&) const = default;
 };
 
-/// A trait whose requests are refused, as one entry tells the others.
+/// A quarantine, as one entry tells the others.
 struct QuarantineReport {
-    RequestTrait trait;
+    std::vector<RequestTrait> traits; ///< requests that have all of them are refused
     Milliseconds age { 0 }; ///< time since the quarantine began
-    std::uint32_t count { 1 }; ///< quarantines of the trait so far, this one included
+    std::uint32_t count { 1 }; ///< quarantines of these traits so far, this one included
 
     bool operator==(const QuarantineReport&) const = default;
 };
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -68,6 +68,30 @@
 /// @param success whether its status was a success
 void recordUpstreamResponse(RelayState& state, const UpstreamId& upstream, bool success);
 
+// Crashes (relay_crash_cmd.cpp) -----------------------------------------------------------------------------------
+
+/// @return the traits by which a request may be recognised as one that crashes upstreams
+RequestTraits traitsOf(const RequestMetadata& metadata);
+/// @return false while a request must wait because it may crash its upstream: requests with a suspected prompt part are
+/// tried one at a time
+bool mayTry(const RelayState& state, const RelayRequest& request, Milliseconds now);
+/// Notes that the send in flight was cut off with its connection, and probes the upstream.
+/// @pre the request has a send in flight
+void recordBrokenSend(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects);
+/// Notes whether an upstream still accepts connections.
+void applyProbe(RelayState& state, const UpstreamProbed& event);
+/// Notes that an upstream left the list or was restarted. If connections to it broke a moment ago, its process crashed.
+void recordUpstreamEnd(RelayState& state, const UpstreamId& upstream);
+/// Notes that an upstream answered: a process that answers what was sent before connections broke did not crash.
+/// @param sentAt when the request that it answers was sent
+void recordUpstreamAlive(RelayState& state, const UpstreamId& upstream, Milliseconds sentAt);
+/// Notes that an upstream began to answer a request: its traits crash nothing.
+void recordBegun(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects);
+/// Merges what another entry knows.
+void applyCrashNews(RelayState& state, const CrashNewsReceived& event, Milliseconds now, RelayEffects& effects);
+/// Records the crashes behind broken connections, begins and ends quarantines and forgets what is old.
+void updateCrashes(RelayState& state, Milliseconds now, RelayEffects& effects);
+
 /// @param event log event
 /// @return a log line with the fields that identify a request
 LogLine requestLogLine(const char* event, const RelayRequest& request, Milliseconds now);
--- /dev/null
+++ b/src/relay_crash_cmd.cpp
@@ -0,0 +1,419 @@
+#include "crash_func.h"
+#include "relay_cmd.h"
+#include "relay_reduce_func.h"
+#include "table/crash_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    constexpr std::uint16_t statusBadGateway = 502;
+    constexpr std::uint16_t statusUnavailable = 503;
+
+    bool includesAll(const RequestTraits& traits, const RequestTraits& wanted)
+    {
+        return std::includes(traits.begin(), traits.end(), wanted.begin(), wanted.end());
+    }
+
+    /// @return a random share of the time over which the entries spread their trials
+    Milliseconds trialJitter(RelayState& state)
+    {
+        const std::int64_t spread = std::min(trialSpreadPerEntry * state.entryCount, maxTrialSpread).value;
+        return { std::uniform_int_distribution<std::int64_t>(0, spread)(state.random) };
+    }
+
+    /// Adds a trait to those known to be sound. Those beyond the bound are not known to be.
+    void insertSound(SoundTraits& sound, RequestTrait trait, Milliseconds now)
+    {
+        if (now - sound.since >= soundPeriod) {
+            sound.previous
+                = now - sound.since < soundPeriod * 2 ? std::move(sound.current) : decltype(sound.current) {};
+            sound.current.clear();
+            sound.since = now;
+        }
+        if (sound.current.size() < maxSoundTraits)
+            sound.current.insert(trait);
+    }
+
+    bool isSuspected(const CrashState& state, RequestTrait trait)
+    {
+        const auto has = [&](const auto& item) { return item.second.traits.contains(trait); };
+        return std::any_of(state.crashes.begin(), state.crashes.end(), has)
+            || std::any_of(state.broken.begin(), state.broken.end(), has)
+            || std::any_of(state.quarantines.begin(), state.quarantines.end(),
+                [&](const Quarantine& quarantine) { return quarantine.traits.contains(trait); });
+    }
+
+    /// Drops the suspicion against a trait with which a request began.
+    void clearTrait(RelayState& state, RequestTrait trait, Milliseconds now, RelayEffects& effects)
+    {
+        CrashState& known = state.crashes;
+        for (auto& [id, crash] : known.crashes)
+            crash.traits.erase(trait);
+        for (auto& [upstream, broken] : known.broken)
+            broken.traits.erase(trait);
+        std::erase_if(known.crashes, [](const auto& item) { return item.second.traits.empty(); });
+        for (auto quarantine = known.quarantines.begin(); quarantine != known.quarantines.end();) {
+            const bool applied = quarantine->traits.erase(trait) > 0;
+            if (!applied || !quarantine->traits.empty()) {
+                ++quarantine;
+                continue;
+            }
+            effects.emplace_back(
+                LogLine { .event = "quarantine-ended", .fields = { { "trait", traitsText({ trait }) } } });
+            quarantine = known.quarantines.erase(quarantine);
+        }
+        known.soundNews[trait] = now;
+        insertSound(known.sound, trait, now);
+        effects.emplace_back(LogLine { .event = "trait-sound", .fields = { { "trait", traitsText({ trait }) } } });
+        effects.emplace_back(AnnounceCrashNews {});
+    }
+
+    /// Records what a crash cut off. Traits known to be sound are left out and announced as such.
+    /// @return whether anything was new
+    bool recordCrash(RelayState& state, CrashId id, Milliseconds at, const RequestTraits& traits, Milliseconds now)
+    {
+        CrashState& known = state.crashes;
+        RequestTraits suspects;
+        for (const RequestTrait trait : traits) {
+            if (!isSound(known.sound, trait))
+                suspects.insert(trait);
+            else if (!isWholeRequest(trait))
+                known.soundNews[trait] = now;
+        }
+        if (suspects.empty())
+            return false;
+        const auto [found, added] = known.crashes.try_emplace(id);
+        KnownCrash& crash = found->second;
+        if (added)
+            crash = { .at = at, .changedAt = now, .trialAt = at + trialDelay + trialJitter(state), .traits = {} };
+        const std::size_t before = crash.traits.size();
+        for (const RequestTrait trait : suspects)
+            if (crash.traits.size() < maxTraitsPerCrash)
+                crash.traits.insert(trait);
+        if (crash.traits.size() != before)
+            crash.changedAt = now;
+        if (known.crashes.size() > maxKnownCrashes)
+            known.crashes.erase(std::min_element(known.crashes.begin(), known.crashes.end(),
+                [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
+        return crash.traits.size() != before;
+    }
+
+    void beginQuarantine(
+        RelayState& state, Quarantine& quarantine, Milliseconds since, Milliseconds now, RelayEffects& effects)
+    {
+        quarantine.since = since;
+        quarantine.changedAt = now;
+        quarantine.trialAt = quarantineEnd(quarantine) + trialJitter(state) * quarantineTrialFactor;
+        const auto crashes = std::count_if(state.crashes.crashes.begin(), state.crashes.crashes.end(),
+            [&](const auto& item) { return includesAll(item.second.traits, quarantine.traits); });
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "quarantine",
+            .fields = { { "traits", traitsText(quarantine.traits) }, { "crashes", std::to_string(crashes) },
+                { "count", std::to_string(quarantine.count) },
+                { "for_ms", std::to_string((quarantineEnd(quarantine) - now).value) } } });
+        effects.emplace_back(MetricSample { .name = "quarantines_total" });
+        effects.emplace_back(AnnounceCrashNews {});
+    }
+
+    /// @return the quarantine of exactly these traits, or nullptr
+    Quarantine* findExact(CrashState& state, const RequestTraits& traits)
+    {
+        const auto found = std::find_if(state.quarantines.begin(), state.quarantines.end(),
+            [&](const Quarantine& quarantine) { return quarantine.traits == traits; });
+        return found == state.quarantines.end() ? nullptr : &*found;
+    }
+
+    Quarantine& addQuarantine(CrashState& state, Quarantine quarantine)
+    {
+        if (state.quarantines.size() >= maxQuarantines)
+            state.quarantines.erase(std::min_element(state.quarantines.begin(), state.quarantines.end(),
+                [](const Quarantine& left, const Quarantine& right) { return left.since < right.since; }));
+        state.quarantines.push_back(std::move(quarantine));
+        return state.quarantines.back();
+    }
+
+    /// @return number of crashes that have all the traits
+    std::size_t crashesWith(const CrashState& state, const RequestTraits& traits)
+    {
+        return static_cast<std::size_t>(std::count_if(state.crashes.begin(), state.crashes.end(),
+            [&](const auto& item) { return includesAll(item.second.traits, traits); }));
+    }
+
+    /// @return whether each crash that has the traits of a quarantine has those of a culprit behind more crashes
+    bool isSuperseded(const CrashState& state, const Quarantine& quarantine, const std::vector<RequestTraits>& culprits)
+    {
+        const std::size_t explained = crashesWith(state, quarantine.traits);
+        return explained > 0 && std::any_of(culprits.begin(), culprits.end(), [&](const RequestTraits& culprit) {
+            RequestTraits both = quarantine.traits;
+            both.insert(culprit.begin(), culprit.end());
+            return culprit != quarantine.traits && crashesWith(state, both) == explained
+                && crashesWith(state, culprit) > explained;
+        });
+    }
+
+    /// Refuses the requests to which a quarantine applies and that no upstream has begun.
+    void refuseQuarantined(RelayState& state, Milliseconds now, RelayEffects& effects)
+    {
+        std::vector<CallId> refused;
+        for (const auto& [call, request] : state.requests)
+            if ((!request.active || request.active->prefilling) && findQuarantine(state.crashes, request.traits, now))
+                refused.push_back(call);
+        for (const CallId call : refused) {
+            RelayRequest& request = state.requests.at(call);
+            const bool mayRun = request.mayHaveRun || request.active;
+            refuseRequest(state, request, mayRun ? statusBadGateway : statusUnavailable, "quarantined", now, effects);
+        }
+    }
+
+    /// Draws conclusions from the known crashes.
+    void updateQuarantines(RelayState& state, Milliseconds now, RelayEffects& effects)
+    {
+        CrashState& known = state.crashes;
+        const std::vector<RequestTraits> culprits = findCulprits(known.crashes);
+        for (const RequestTraits& culprit : culprits)
+            if (!findExact(known, culprit))
+                beginQuarantine(state, addQuarantine(known, { .traits = culprit }), now, now, effects);
+        for (Quarantine& quarantine : known.quarantines) {
+            // Entries begin a quarantine at slightly different times, so that one may try while another still refuses.
+            const Milliseconds settled = quarantine.since + quarantinePeriod / 2;
+            const bool tried = std::any_of(known.crashes.begin(), known.crashes.end(), [&](const auto& item) {
+                return item.second.at >= settled && includesAll(item.second.traits, quarantine.traits);
+            });
+            if (!tried)
+                continue;
+            ++quarantine.count;
+            beginQuarantine(state, quarantine, now, now, effects);
+        }
+        std::erase_if(known.quarantines, [&](const Quarantine& quarantine) {
+            if (!isSuperseded(known, quarantine, culprits))
+                return false;
+            effects.emplace_back(
+                LogLine { .event = "quarantine-ended", .fields = { { "traits", traitsText(quarantine.traits) } } });
+            return true;
+        });
+        refuseQuarantined(state, now, effects);
+    }
+
+    /// @return whether connections to many upstreams of the service broke together with these
+    bool isCommonFailure(const RelayState& state, const UpstreamId& upstream, Milliseconds at)
+    {
+        const auto view = state.upstreams.find(upstream);
+        if (view == state.upstreams.end())
+            return false;
+        const auto listed = std::count_if(state.upstreams.begin(), state.upstreams.end(), [&](const auto& item) {
+            return item.second.listed && item.second.entry.service == view->second.entry.service;
+        });
+        const auto together
+            = std::count_if(state.crashes.broken.begin(), state.crashes.broken.end(), [&](const auto& item) {
+                  const Milliseconds apart = item.second.at - at;
+                  return std::max(apart, Milliseconds {} - apart) <= commonFailureWindow;
+              });
+        return static_cast<std::size_t>(together)
+            >= std::max(minCommonFailures, static_cast<std::size_t>(listed) / commonFailureDivisor);
+    }
+
+    /// @return whether the process is known to have ended, or must have: all that this entry had in flight there broke,
+    /// and the network is not the cause
+    bool hasEnded(const RelayState& state, const UpstreamId& upstream, const BrokenUpstream& broken)
+    {
+        constexpr std::uint32_t several = 2;
+        if (broken.ended)
+            return true;
+        const auto view = state.upstreams.find(upstream);
+        const bool allBroke = view == state.upstreams.end() || view->second.sent == 0;
+        return allBroke && broken.broken >= several && !isCommonFailure(state, upstream, broken.at);
+    }
+
+    /// Records the crashes behind connections that broke a moment ago.
+    /// @return whether anything was new
+    bool recordEndedUpstreams(RelayState& state, Milliseconds now, RelayEffects& effects)
+    {
+        bool recorded = false;
+        for (auto& [upstream, broken] : state.crashes.broken) {
+            if (broken.recorded || now - broken.at <= commonFailureWindow)
+                continue;
+            if (!hasEnded(state, upstream, broken))
+                continue;
+            broken.recorded = true;
+            if (!recordCrash(state, broken.process, broken.at, broken.traits, now))
+                continue;
+            recorded = true;
+            KnownCrash& crash = state.crashes.crashes.at(broken.process);
+            crash.seenHere = true;
+            crash.trialAt = now;
+            effects.emplace_back(LogLine { .level = LogLevel::Warning,
+                .event = "upstream-crashed",
+                .fields = { { "upstream", upstream.value }, { "broken", std::to_string(broken.broken) },
+                    { "traits", traitsText(crash.traits) } } });
+            effects.emplace_back(MetricSample { .name = "upstream_crashes_total" });
+            effects.emplace_back(AnnounceCrashNews {});
+        }
+        return recorded;
+    }
+
+    void forgetOld(CrashState& known, Milliseconds now)
+    {
+        std::erase_if(known.crashes, [&](const auto& item) { return now - item.second.at > crashMaxAge; });
+        std::erase_if(known.broken, [&](const auto& item) { return now - item.second.at > crashConfirmTimeout; });
+        std::erase_if(known.soundNews, [&](const auto& item) { return now - item.second > crashNewsPeriod; });
+        std::erase_if(known.quarantines,
+            [&](const Quarantine& quarantine) { return now - quarantineEnd(quarantine) > quarantineMemory; });
+    }
+
+    template <typename Container> std::vector<RequestTrait> listed(const Container& traits)
+    {
+        return { traits.begin(), traits.end() };
+    }
+
+} // namespace
+
+RequestTraits traitsOf(const RequestMetadata& metadata)
+{
+    RequestTraits traits;
+    for (const RequestTrait part : metadata.promptParts)
+        traits.insert(promptPartTrait(part.value));
+    if (metadata.wholeRequest.value != 0)
+        traits.insert(wholeRequestTrait(metadata.wholeRequest.value));
+    return traits;
+}
+
+bool mayTry(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    const std::optional<Milliseconds> hold = suspicionHold(state.crashes, request.traits, now);
+    if (!hold)
+        return true;
+    if (now < *hold)
+        return false;
+    const auto trial = state.crashes.trial ? state.requests.find(*state.crashes.trial) : state.requests.end();
+    return trial == state.requests.end() || trial->first == request.call || !trial->second.active
+        || !trial->second.active->prefilling;
+}
+
+void recordBrokenSend(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects)
+{
+    const UpstreamId& upstream = request.active->upstream;
+    const auto view = state.upstreams.find(upstream);
+    const CrashId process = crashId(upstream, view == state.upstreams.end() ? 0 : view->second.entry.processStartedAt);
+    const auto [found, added] = state.crashes.broken.try_emplace(upstream);
+    BrokenUpstream& broken = found->second;
+    const bool old = broken.process != process || (broken.recorded && now - broken.at > commonFailureWindow);
+    if (added || old) {
+        broken = { .at = now, .process = process, .traits = {} };
+        if (view != state.upstreams.end())
+            effects.emplace_back(ProbeUpstream { .upstream = upstream, .address = view->second.entry.address });
+    }
+    ++broken.broken;
+    if (!request.active->prefilling)
+        return;
+    for (const RequestTrait trait : request.traits)
+        if (!isSound(state.crashes.sound, trait))
+            broken.traits.insert(trait);
+}
+
+void applyProbe(RelayState& state, const UpstreamProbed& event)
+{
+    const auto broken = state.crashes.broken.find(event.upstream);
+    if (broken == state.crashes.broken.end() || broken->second.recorded)
+        return;
+    if (event.result == ProbeResult::Refused)
+        broken->second.ended = true;
+    else if (event.result == ProbeResult::Accepted)
+        state.crashes.broken.erase(broken);
+}
+
+void recordUpstreamEnd(RelayState& state, const UpstreamId& upstream)
+{
+    if (const auto broken = state.crashes.broken.find(upstream); broken != state.crashes.broken.end())
+        broken->second.ended = true;
+}
+
+void recordUpstreamAlive(RelayState& state, const UpstreamId& upstream, Milliseconds sentAt)
+{
+    const auto broken = state.crashes.broken.find(upstream);
+    if (broken != state.crashes.broken.end() && !broken->second.recorded && sentAt < broken->second.at)
+        state.crashes.broken.erase(broken);
+}
+
+void recordBegun(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects)
+{
+    for (const RequestTrait trait : request.traits) {
+        if (isSuspected(state.crashes, trait))
+            clearTrait(state, trait, now, effects);
+        else if (!isWholeRequest(trait))
+            insertSound(state.crashes.sound, trait, now);
+    }
+}
+
+void applyCrashNews(RelayState& state, const CrashNewsReceived& event, Milliseconds now, RelayEffects& effects)
+{
+    CrashState& known = state.crashes;
+    bool changed = false;
+    for (const SoundTraitReport& report : event.news.sound) {
+        if (!isSuspected(known, report.trait))
+            continue;
+        clearTrait(state, report.trait, now, effects);
+        changed = true;
+    }
+    for (const CrashReport& report : event.news.crashes)
+        if (report.age < crashMaxAge)
+            changed = recordCrash(
+                          state, report.crash, now - report.age, { report.traits.begin(), report.traits.end() }, now)
+                || changed;
+    for (const QuarantineReport& report : event.news.quarantines) {
+        RequestTraits traits { report.traits.begin(), report.traits.end() };
+        std::erase_if(traits, [&](RequestTrait trait) {
+            if (!isSound(known.sound, trait))
+                return false;
+            known.soundNews[trait] = now;
+            return true;
+        });
+        if (traits.empty())
+            continue;
+        Quarantine* quarantine = findExact(known, traits);
+        if (quarantine && quarantine->count >= report.count)
+            continue;
+        if (!quarantine)
+            quarantine = &addQuarantine(known, { .traits = std::move(traits) });
+        quarantine->count = std::max<std::uint32_t>(report.count, 1);
+        beginQuarantine(state, *quarantine, now - report.age, now, effects);
+        changed = true;
+    }
+    if (!changed)
+        return;
+    effects.emplace_back(AnnounceCrashNews {});
+    updateQuarantines(state, now, effects);
+}
+
+void updateCrashes(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    if (recordEndedUpstreams(state, now, effects))
+        updateQuarantines(state, now, effects);
+    forgetOld(state.crashes, now);
+}
+
+CrashNews crashNews(const RelayState& state, bool whole, Milliseconds now)
+{
+    const CrashState& known = state.crashes;
+    const auto isNews = [&](Milliseconds changedAt) { return whole || now - changedAt < crashNewsPeriod; };
+    CrashNews news;
+    std::vector<std::pair<Milliseconds, CrashId>> newest;
+    for (const auto& [id, crash] : known.crashes)
+        if (isNews(crash.changedAt))
+            newest.emplace_back(crash.at, id);
+    std::sort(newest.rbegin(), newest.rend());
+    newest.resize(std::min(newest.size(), maxReportedCrashes));
+    for (const auto& [at, id] : newest)
+        news.crashes.push_back({ .crash = id, .age = now - at, .traits = listed(known.crashes.at(id).traits) });
+    for (const Quarantine& quarantine : known.quarantines)
+        if (isNews(quarantine.changedAt))
+            news.quarantines.push_back(
+                { .traits = listed(quarantine.traits), .age = now - quarantine.since, .count = quarantine.count });
+    for (const auto& [trait, soundAt] : known.soundNews)
+        news.sound.push_back({ .trait = trait, .age = now - soundAt });
+    return news;
+}
+
+} // namespace hickory
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -8,6 +8,7 @@
 #include "platform_decode_func.h"
 #include "platform_names.h"
 #include "platform_wire_func.h"
+#include "probe_io.h"
 #include "program_func.h"
 #include "settings_func.h"
 #include "table/relay_limits.h"
@@ -261,7 +262,11 @@
     } else if (const auto* abort = std::get_if<AbortResponse>(&effect)) {
         this->calls.erase(abort->call);
         this->front.abort(abort->call);
-    } else if (const auto* line = std::get_if<LogLine>(&effect))
+    } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
+        probeConnection(this->io, probe->address, probeTimeout, [this, upstream = probe->upstream](ProbeResult result) {
+            this->dispatch(UpstreamProbed { .upstream = upstream, .result = result });
+        });
+    else if (const auto* line = std::get_if<LogLine>(&effect))
         writeLog(*line);
     else if (const auto* sample = std::get_if<MetricSample>(&effect))
         recordMetric(*sample);
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -49,6 +49,7 @@
     void applyTick(RelayState& state, Milliseconds now, RelayEffects& effects)
     {
         expireRequests(state, now, effects);
+        updateCrashes(state, now, effects);
         cancelSilentSends(state, now, effects);
         cancelOutdatedSends(state, now, effects);
         dispatchAllWaiting(state, now, effects);
@@ -89,7 +90,8 @@
                    },
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
-                   [&](const CrashNewsReceived&) {},
+                   [&](const UpstreamProbed& probed) { applyProbe(state, probed); },
+                   [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
         event);
     return effects;
@@ -131,6 +133,4 @@
     return totals;
 }
 
-CrashNews crashNews(const RelayState&, bool, Milliseconds) { return {}; }
-
 } // namespace hickory
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -1,3 +1,4 @@
+#include "crash_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -98,6 +99,7 @@
         return;
     const RelayRoute& route = *request.route;
     request.service = drawService(route, state.random);
+    request.traits = traitsOf(request.metadata);
     request.objectiveAt = request.arrivedAt + route.objective;
     request.timeoutAt = request.arrivedAt + route.timeout;
     request.deadlineAt = request.timeoutAt;
@@ -108,11 +110,16 @@
     request.lastEventId = request.metadata.resumeAfter;
     RelayRequest& stored = state.requests.emplace(request.call, std::move(request)).first->second;
     RelayServiceState& service = state.services[stored.service];
+    if (findQuarantine(state.crashes, stored.traits, now)) {
+        refuseRequest(state, stored, statusUnavailable, "quarantined", now, effects);
+        return;
+    }
     if (state.drainEndsAt && !finishesBefore(stored, *state.drainEndsAt, now)) {
         refuseRequest(state, stored, statusUnavailable, "stopping", now, effects);
         return;
     }
-    if (service.queue.empty() || stored.urgency < service.queue.begin()->first.urgency) {
+    const bool held = !mayTry(state, stored, now);
+    if (!held && (service.queue.empty() || stored.urgency < service.queue.begin()->first.urgency)) {
         if (const auto upstream = chooseUpstream(state, stored, now, true)) {
             sendRequest(state, stored, *upstream, now, effects);
             return;
@@ -131,6 +138,11 @@
         refuseRequest(state, stored, statusUnavailable, "overload", now, effects);
         return;
     }
+    if (held) {
+        LogLine line = requestLogLine("hold", stored, now);
+        line.fields.emplace_back("traits", traitsText(stored.traits));
+        effects.emplace_back(std::move(line));
+    }
     enqueueRequest(state, stored, now);
     dispatchWaiting(state, stored.service, now, effects);
 }
@@ -173,14 +185,17 @@
     removeFromQueue(state, request);
     releaseSend(state, request, true, effects);
     const bool notRun = status == statusUnavailable;
-    const Milliseconds retryAfter
-        = notRun ? retryAfterDelay(state, request, !chooseUpstream(state, request, now, false), now) : Milliseconds {};
+    const Quarantine* quarantine = findQuarantine(state.crashes, request.traits, now);
+    const bool unservable = quarantine || !chooseUpstream(state, request, now, false);
+    const Milliseconds retryAfter = notRun ? retryAfterDelay(state, request, unservable, now) : Milliseconds {};
     LogLine line = requestLogLine("refuse", request, now);
     line.fields.emplace_back("status", std::to_string(status));
     line.fields.emplace_back("reason", reason);
     line.fields.emplace_back("retry_after_ms", std::to_string(retryAfter.value));
     line.fields.emplace_back("sends", std::to_string(request.sends));
     line.fields.emplace_back("queued", std::to_string(state.services[request.service].queue.size()));
+    if (quarantine)
+        line.fields.emplace_back("traits", traitsText(quarantine->traits));
     effects.emplace_back(std::move(line));
     effects.emplace_back(MetricSample { .name = "refused_total",
         .labels = "reason=\"" + std::string(reason) + "\",service=\"" + request.service.value + "\"" });
@@ -195,8 +210,11 @@
 void dispatchWaiting(RelayState& state, const ServiceId& service, Milliseconds now, RelayEffects& effects)
 {
     auto& queue = state.services[service].queue;
-    while (!queue.empty()) {
-        RelayRequest& request = state.requests.at(queue.begin()->second);
+    for (auto next = queue.begin(); next != queue.end();) {
+        RelayRequest& request = state.requests.at(next->second);
+        ++next; // the request may leave the queue
+        if (!mayTry(state, request, now))
+            continue;
         const auto upstream = chooseUpstream(state, request, now, true);
         if (!upstream)
             return;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,3 +1,4 @@
+#include "crash_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -65,7 +66,11 @@
         const bool repeatable = failure != SendFailure::MayHaveRun || isRepeatable(request);
         const bool attemptsLeft
             = notSent ? request.connectFailures < maxConnectFailures : request.sends < request.route->maxAttempts;
-        if (repeatable && attemptsLeft && now < request.deadlineAt) {
+        // A trial that did not begin has shown enough.
+        const bool trialFailed = failure == SendFailure::MayHaveRun && state.crashes.trial == request.call
+            && suspicionHold(state.crashes, request.traits, now);
+        const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
+        if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
             if (notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now)) {
                 LogLine line = requestLogLine("retry", request, now);
                 line.fields.emplace_back("reason", reason);
@@ -73,7 +78,8 @@
                 effects.emplace_back(std::move(line));
                 effects.emplace_back(
                     MetricSample { .name = "retries_total", .labels = "reason=\"" + std::string(reason) + "\"" });
-                if (const auto upstream = chooseUpstream(state, request, now, true)) {
+                const bool held = !mayTry(state, request, now);
+                if (const auto upstream = held ? std::nullopt : chooseUpstream(state, request, now, true)) {
                     sendRequest(state, request, *upstream, now, effects);
                     return;
                 }
@@ -83,7 +89,8 @@
                 }
             }
         }
-        refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable, reason, now, effects);
+        refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable,
+            quarantined ? "quarantined" : reason, now, effects);
     }
 
     /// Finishes the response to the caller, records its outcome and removes the request.
@@ -107,6 +114,8 @@
             .name = "answer_ms",
             .labels = "service=\"" + request.service.value + "\",rank=\"" + std::to_string(request.route->rank) + "\"",
             .value = static_cast<double>((now - request.arrivedAt).value) });
+        if (send.prefilling)
+            recordBegun(state, request, now, effects);
         releaseSend(state, request, false, effects);
         if (!request.headForwarded)
             effects.emplace_back(ForwardResponse { .call = request.call, .send = send.send });
@@ -140,6 +149,10 @@
     line.fields.emplace_back("try", std::to_string(request.sends));
     line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
     line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+    if (suspicionHold(state.crashes, request.traits, now)) {
+        state.crashes.trial = request.call;
+        line.fields.emplace_back("trial_traits", traitsText(request.traits));
+    }
     effects.emplace_back(std::move(line));
     effects.emplace_back(SendToUpstream { .call = request.call,
         .send = request.active->send,
@@ -182,6 +195,7 @@
     ActiveSend& send = *request->active;
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
+    recordUpstreamAlive(state, upstream, send.sentAt);
     view.lastHeardAt = now;
     view.onProbation = false;
     send.headReceived = true;
@@ -218,6 +232,7 @@
     RelayUpstream& view = state.upstreams.at(send.upstream);
     view.lastHeardAt = now;
     send.lastProgressAt = now;
+    recordUpstreamAlive(state, send.upstream, send.sentAt);
     if (!event.lastEventId.empty())
         request->lastEventId = event.lastEventId;
     if (request->events++ == 0) {
@@ -231,6 +246,7 @@
     if (send.prefilling) {
         send.prefilling = false;
         view.prefillTokens -= request->metadata.promptTokens;
+        recordBegun(state, *request, now, effects);
     }
 }
 
@@ -262,6 +278,8 @@
     }
     const ServiceId service = request->service;
     const bool notSent = event.end == SendResult::NotSent;
+    if (event.end == SendResult::Broken)
+        recordBrokenSend(state, *request, now, effects);
     recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
     request->excludedUpstreams.insert(upstream);
     releaseSend(state, *request, false, effects);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_state_type.h"
 #include "relay_type.h"
 
 #include <deque>
@@ -78,6 +79,7 @@
     ServiceId service; ///< service of the drawn route share
     WorkspaceId workspace; ///< owner of the API key, empty on routes without keys
     std::uint8_t urgency { 0 }; ///< from the ranks of workspace and route, 0 is first
+    RequestTraits traits; ///< what it may have in common with requests that crash upstreams
     Milliseconds arrivedAt; ///< when its first byte was read
     Milliseconds objectiveAt; ///< a whole response, or the first event of a stream, is on time until then
     Milliseconds timeoutAt; ///< arrival plus the timeout of its route
@@ -151,6 +153,7 @@
     std::map<HostId, ReportedLoads> peers; ///< loads reported by other entries
     std::map<DataCentreId, ReportedLoads> dataCentres; ///< totals of other data centres at their own upstreams
     std::map<ModelId, DeclaredWeights> declared; ///< declared weights by model
+    CrashState crashes; ///< crashes of upstreams and the requests behind them
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::optional<Milliseconds> drainEndsAt; ///< end of the drain, empty unless the process was told to stop
     std::uint64_t lastSend { 0 }; ///< number of the last send
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -137,6 +137,19 @@
     bool fromInitialRead { false }; ///< found in the first read of the store: may have been declared long ago
 };
 
+/// What an attempt to connect shows of a process.
+enum class ProbeResult : std::uint8_t {
+    Accepted, ///< it accepts connections
+    Refused, ///< nothing listens at the address
+    Unreachable, ///< no answer: the process, its host or the network
+};
+
+/// A probe of an upstream ended.
+struct UpstreamProbed {
+    UpstreamId upstream;
+    ProbeResult result { ProbeResult::Unreachable };
+};
+
 /// Another entry told what it knows about crashes of upstreams.
 struct CrashNewsReceived {
     CrashNews news; ///< merged into what is known
@@ -144,7 +157,7 @@
 
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
-    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted, CrashNewsReceived>;
+    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted, UpstreamProbed, CrashNewsReceived>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -194,10 +207,16 @@
     CallId call;
 };
 
+/// Connect to an upstream and close the connection, to learn whether its process ended. Ends with UpstreamProbed.
+struct ProbeUpstream {
+    UpstreamId upstream;
+    std::string address; ///< "ip:port" of the upstream
+};
+
 /// Send the other entries crashNews() at once.
 struct AnnounceCrashNews { };
 
 using RelayEffect = std::variant<SendToUpstream, CancelSend, RefuseCall, ForwardResponse, FinishResponse, AbortResponse,
-    AnnounceCrashNews, LogLine, MetricSample>;
+    ProbeUpstream, AnnounceCrashNews, LogLine, MetricSample>;
 
 } // namespace hickory
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -56,8 +56,10 @@
             restoreDelistedHealth(state, view, entry);
             effects.emplace_back(upstreamLogLine("upstream-listed", entry));
         } else {
-            if (view.entry.processStartedAt != entry.processStartedAt)
+            if (view.entry.processStartedAt != entry.processStartedAt) {
                 resetUpstreamHealth(view);
+                recordUpstreamEnd(state, entry.id);
+            }
             if (view.entry.leaving != entry.leaving || view.entry.processStartedAt != entry.processStartedAt)
                 effects.emplace_back(upstreamLogLine("upstream-changed", entry));
         }
@@ -69,8 +71,10 @@
             ++view;
             continue;
         }
-        if (view->second.listed)
+        if (view->second.listed) {
             effects.emplace_back(upstreamLogLine("upstream-gone", view->second.entry));
+            recordUpstreamEnd(state, view->first);
+        }
         if (view->second.listed && view->second.onProbation)
             state.delisted[view->first] = { .processStartedAt = view->second.entry.processStartedAt,
                 .failures = view->second.failures,
@@ -89,8 +93,11 @@
             continue;
         // The report is about an earlier or later process than the listed one.
         if (view.entry.processStartedAt != 0 && event.report.processStartedAt != 0
-            && view.entry.processStartedAt != event.report.processStartedAt)
+            && view.entry.processStartedAt != event.report.processStartedAt) {
+            if (event.report.processStartedAt > view.entry.processStartedAt)
+                recordUpstreamEnd(state, id);
             continue;
+        }
         view.report = event.report;
         view.reportedAt = now;
         view.orderPendingUntil = event.orderPending ? now + orderPendingTimeout : Milliseconds {};
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -50,6 +50,7 @@
     "tables copied from a follower must not look stale");
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
+constexpr Milliseconds probeTimeout { 400 }; ///< of a connection that shows whether an upstream still runs
 constexpr Milliseconds peerTablesTimeout { 400 }; ///< of a request for a peer's tables
 /// Idle time after which a kept connection to an upstream is not reused: upstreams that announce no idle timeout close
 /// connections after some seconds.
