Give each request a hash that its repeats have in common

Cause: a single request may crash each engine that begins to run it, and callers repeat it at any entry with another attempt id, so nothing shows that it is the same request.

Change: wholeRequestTrait hashes method, host, target, key and body, each chained to the hash before it; the entry fills it in before the reducer sees the request. Attempt id, deadline and the other header fields do not count. The host is one of the values because requests to two services may be equal in all others.

--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -9,6 +9,7 @@
 #include "platform_names.h"
 #include "platform_wire_func.h"
 #include "program_func.h"
+#include "request_trait_func.h"
 #include "settings_func.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
@@ -334,6 +335,7 @@
         this->front.answer(request.id, statusBadRequest, {}, "a request needs a host and an id\n");
         return;
     }
+    event.metadata.wholeRequest = wholeRequestTrait(request.head.method, event.metadata, request.body);
     auto call = std::make_shared<Call>();
     call->head = std::move(request.head);
     call->body = std::move(request.body);
