Carry crash news in beacons

Cause: each crash of an upstream is seen by the entry whose requests it was running; what crashed it comes at all entries.

Change: a beacon has the new field crashNews, absent when there is nothing to tell. Old fields are as they were. The sender also keeps the traits of all crashes within 600 and leaves out whole crashes beyond, because a crash with traits missing would point at the others.

The tests fail when news are not encoded, when empty news are, without the bound of any of the decoded lists or of all traits, without the clamps of ages and without that of the count.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -52,6 +52,29 @@
   entries @2 :List(Entry);  # its live entries
 }
 
+struct Crash {
+  crash @0 :UInt64;         # hash of the upstream's id and the start of its process
+  ageMs @1 :UInt32;         # time since the crash
+  traits @2 :List(UInt64);  # hashes of shared prompt parts and whole requests that the process was about to begin
+}
+
+struct Quarantine {
+  trait @0 :UInt64;
+  ageMs @1 :UInt32;         # time since the quarantine began
+  count @2 :UInt32;         # quarantines of the trait so far, this one included
+}
+
+struct SoundTrait {
+  trait @0 :UInt64;
+  ageMs @1 :UInt32;         # time since a request with the trait began
+}
+
+struct CrashNews {
+  crashes @0 :List(Crash);
+  quarantines @1 :List(Quarantine);
+  sound @2 :List(SoundTrait);
+}
+
 struct Beacon {
   from @0 :Entry;           # sender; front and control are empty for an agent
   configVersion @1 :UInt64;
@@ -61,4 +84,5 @@
   pieces @5 :List(Pieces);  # agents only: pieces that can be fetched from the sender
   place @6 :Place;          # summary of a data centre, sent to entries of the others by one entry of each
   operatorsRevision @7 :UInt64; # revision of the sender's copy of the operators' table; entries only
+  crashNews @8 :CrashNews;  # crashes of upstreams that the sender knows; entries only, absent in most beacons
 }
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -1,7 +1,9 @@
 #include "peer_codec_func.h"
 
 #include "peer.capnp.h"
+#include "table/crash_news_limits.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
@@ -133,6 +135,85 @@
         return summary;
     }
 
+    std::uint32_t writtenAge(Milliseconds age)
+    {
+        return static_cast<std::uint32_t>(std::clamp(age, Milliseconds { 0 }, maxNewsAge).value);
+    }
+
+    Milliseconds readAge(std::uint32_t age) { return std::min(Milliseconds { age }, maxNewsAge); }
+
+    /// @return number of elements of a list that are encoded or decoded
+    template <typename List> unsigned bounded(const List& list, std::size_t limit)
+    {
+        return static_cast<unsigned>(std::min<std::size_t>(list.size(), limit));
+    }
+
+    /// @return number of crashes, from the first, that are within the limits
+    unsigned writtenCrashes(const std::vector<CrashReport>& crashes)
+    {
+        unsigned count = 0;
+        std::size_t traits = 0;
+        for (; count < bounded(crashes, maxNewsCrashes); ++count) {
+            traits += bounded(crashes[count].traits, maxNewsTraitsOfCrash);
+            if (traits > maxNewsTraits)
+                break;
+        }
+        return count;
+    }
+
+    void writeCrash(peer::Crash::Builder out, const CrashReport& crash)
+    {
+        out.setCrash(crash.crash.value);
+        out.setAgeMs(writtenAge(crash.age));
+        auto traits = out.initTraits(bounded(crash.traits, maxNewsTraitsOfCrash));
+        for (unsigned index = 0; index < traits.size(); ++index)
+            traits.set(index, crash.traits[index].value);
+    }
+
+    CrashReport readCrash(peer::Crash::Reader in)
+    {
+        CrashReport crash { .crash = { in.getCrash() }, .age = readAge(in.getAgeMs()) };
+        const auto traits = in.getTraits();
+        for (unsigned index = 0; index < bounded(traits, maxNewsTraitsOfCrash); ++index)
+            crash.traits.push_back({ traits[index] });
+        return crash;
+    }
+
+    void writeCrashNews(peer::CrashNews::Builder out, const CrashNews& news)
+    {
+        auto crashes = out.initCrashes(writtenCrashes(news.crashes));
+        for (unsigned index = 0; index < crashes.size(); ++index)
+            writeCrash(crashes[index], news.crashes[index]);
+        auto quarantines = out.initQuarantines(bounded(news.quarantines, maxNewsQuarantines));
+        for (unsigned index = 0; index < quarantines.size(); ++index) {
+            quarantines[index].setTrait(news.quarantines[index].trait.value);
+            quarantines[index].setAgeMs(writtenAge(news.quarantines[index].age));
+            quarantines[index].setCount(news.quarantines[index].count);
+        }
+        auto sound = out.initSound(bounded(news.sound, maxNewsSoundTraits));
+        for (unsigned index = 0; index < sound.size(); ++index) {
+            sound[index].setTrait(news.sound[index].trait.value);
+            sound[index].setAgeMs(writtenAge(news.sound[index].age));
+        }
+    }
+
+    CrashNews readCrashNews(peer::CrashNews::Reader in)
+    {
+        CrashNews news;
+        const auto crashes = in.getCrashes();
+        for (unsigned index = 0; index < bounded(crashes, maxNewsCrashes); ++index)
+            news.crashes.push_back(readCrash(crashes[index]));
+        const auto quarantines = in.getQuarantines();
+        for (unsigned index = 0; index < bounded(quarantines, maxNewsQuarantines); ++index)
+            news.quarantines.push_back({ .trait = { quarantines[index].getTrait() },
+                .age = readAge(quarantines[index].getAgeMs()),
+                .count = std::clamp(quarantines[index].getCount(), 1U, maxNewsQuarantineCount) });
+        const auto sound = in.getSound();
+        for (unsigned index = 0; index < bounded(sound, maxNewsSoundTraits); ++index)
+            news.sound.push_back({ .trait = { sound[index].getTrait() }, .age = readAge(sound[index].getAgeMs()) });
+        return news;
+    }
+
 } // namespace
 
 std::string encodeBeacon(const PeerBeacon& beacon)
@@ -153,6 +234,8 @@
         writePieces(pieces[index], beacon.pieces[index]);
     if (beacon.dataCentreSummary)
         writeDataCentreSummary(root.initPlace(), *beacon.dataCentreSummary);
+    if (!beacon.crashNews.empty())
+        writeCrashNews(root.initCrashNews(), beacon.crashNews);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -178,6 +261,7 @@
             beacon.known.push_back(readEntry(entry));
         if (root.hasPlace())
             beacon.dataCentreSummary = readDataCentreSummary(root.getPlace());
+        beacon.crashNews = readCrashNews(root.getCrashNews());
         return beacon;
     } catch (const kj::Exception& problem) {
         return Error { .code = make_error_code(ErrorCode::Protocol),
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -1,11 +1,73 @@
+#include "digest_func.h"
+#include "fixed_seed.h"
+#include "peer.capnp.h"
 #include "peer_codec_func.h"
 #include "peer_state_type.h"
 #include "peer_table_func.h"
+#include "table/crash_news_limits.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <catch2/catch.hpp>
+#include <kj/io.h>
+#include <limits>
 
 using namespace hickory;
 
+namespace {
+
+/// @return a trait whose 64 bits do not compress
+RequestTrait someTrait(std::size_t number) { return { stableHash("test-trait", std::to_string(number)) }; }
+
+/// @return news with the given number of items in each list
+CrashNews someNews(std::size_t crashes, std::size_t traitsOfCrash, std::size_t others)
+{
+    CrashNews news;
+    for (std::size_t index = 0; index < crashes; ++index) {
+        CrashReport crash { .crash = { someTrait(index + 5000).value }, .age = { 86'000'000 } };
+        for (std::size_t trait = 0; trait < traitsOfCrash; ++trait)
+            crash.traits.push_back(someTrait(index * 100 + trait));
+        news.crashes.push_back(std::move(crash));
+    }
+    for (std::size_t index = 0; index < others; ++index) {
+        news.quarantines.push_back({ .trait = someTrait(index + 7000), .age = { 85'000'000 }, .count = 999 });
+        news.sound.push_back({ .trait = someTrait(index + 9000), .age = { 84'000'000 } });
+    }
+    return news;
+}
+
+PeerBeacon beaconWith(CrashNews news)
+{
+    PeerBeacon beacon { .from = { .host = { "h" }, .front = "10.0.0.1:80", .control = "10.0.0.1:81" } };
+    beacon.crashNews = std::move(news);
+    return beacon;
+}
+
+std::size_t traitCount(const CrashNews& news)
+{
+    std::size_t count = 0;
+    for (const CrashReport& crash : news.crashes)
+        count += crash.traits.size();
+    return count;
+}
+
+std::string packed(capnp::MessageBuilder& message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    return { reinterpret_cast<const char*>(out.getArray().begin()), out.getArray().size() };
+}
+
+std::string bytesOfHex(const std::string& hex)
+{
+    std::string bytes;
+    for (std::size_t index = 0; index + 1 < hex.size(); index += 2)
+        bytes.push_back(static_cast<char>(std::stoi(hex.substr(index, 2), nullptr, 16)));
+    return bytes;
+}
+
+} // namespace
+
 // Guards against a field of a beacon that is lost or read into another field.
 TEST_CASE("A beacon is unchanged by encoding and decoding", "[peer]")
 {
@@ -51,6 +113,138 @@
         CHECK_FALSE(decodeBeacon(std::string_view(whole).substr(0, length)));
 }
 
+// Guards against crash news that are lost, read into another field, or of another age.
+TEST_CASE("Crash news are unchanged by encoding and decoding", "[peer]")
+{
+    CrashNews news = someNews(3, 5, 2);
+    news.crashes.at(1).traits.clear();
+    news.crashes.at(2).age = { 0 };
+    news.quarantines.at(1).count = 1;
+    const auto decoded = decodeBeacon(encodeBeacon(beaconWith(news)));
+    REQUIRE(decoded);
+    CHECK(decoded.value().crashNews == news);
+    for (const CrashNews& part : { CrashNews { .crashes = news.crashes }, CrashNews { .quarantines = news.quarantines },
+             CrashNews { .sound = news.sound } }) {
+        const auto decodedPart = decodeBeacon(encodeBeacon(beaconWith(part)));
+        REQUIRE(decodedPart);
+        CHECK(decodedPart.value().crashNews == part);
+    }
+}
+
+// Guards against beacons that grow although nothing crashed, and against entries that do not understand each other
+// during a rolling restart.
+TEST_CASE("A beacon of an older process has no crash news, and one without crashes is hardly longer", "[peer]")
+{
+    // Written by the encoder before beacons could carry crash news.
+    const std::string older
+        = bytesOfHex("101a500206010c014d511402041141170000114507114507000001070101110d12110d621111621115120168ff31302e"
+                     "302e302e3100073a3830ff31302e302e302e3100073a3831016111040201633103b004500204500201");
+    const auto decoded = decodeBeacon(older);
+    REQUIRE(decoded);
+    CHECK(decoded.value().crashNews.empty());
+    CHECK(decoded.value().from.host.value == "h");
+    CHECK(decoded.value().operatorTableRevision == 77);
+    REQUIRE(decoded.value().loads.size() == 1);
+    CHECK(decoded.value().loads.at(0).prefillTokens == 1200);
+    CHECK(encodeBeacon(decoded.value()).size() <= older.size() + 2);
+}
+
+// Guards against a datagram that is too long to send when many upstreams crash.
+TEST_CASE("A beacon with more crash news than allowed carries the first of each kind in less than 8 KiB", "[peer]")
+{
+    constexpr std::size_t maxBytes = 8192;
+    const CrashNews news = someNews(200, 25, 500);
+    const std::string bytes = encodeBeacon(beaconWith(news));
+    CHECK(bytes.size() < maxBytes);
+    const auto decoded = decodeBeacon(bytes);
+    REQUIRE(decoded);
+    const CrashNews& kept = decoded.value().crashNews;
+    CHECK(kept.crashes == std::vector(news.crashes.begin(), news.crashes.begin() + maxNewsCrashes));
+    CHECK(traitCount(kept) == maxNewsTraits);
+    CHECK(kept.quarantines == std::vector(news.quarantines.begin(), news.quarantines.begin() + maxNewsQuarantines));
+    CHECK(kept.sound == std::vector(news.sound.begin(), news.sound.begin() + maxNewsSoundTraits));
+    // Traits of a crash that are missing could make another trait look guilty: a crash is sent whole or not at all.
+    const auto longCrashes = decodeBeacon(encodeBeacon(beaconWith(someNews(24, 64, 500))));
+    REQUIRE(longCrashes);
+    REQUIRE(longCrashes.value().crashNews.crashes.size() == maxNewsTraits / maxNewsTraitsOfCrash);
+    for (const CrashReport& crash : longCrashes.value().crashNews.crashes)
+        CHECK(crash.traits.size() == maxNewsTraitsOfCrash);
+    const auto one = decodeBeacon(encodeBeacon(beaconWith(someNews(1, 90, 0))));
+    REQUIRE(one);
+    CHECK(one.value().crashNews.crashes.at(0).traits.size() == maxNewsTraitsOfCrash);
+}
+
+// Guards against a datagram that fills an entry's memory, and against ages that overflow when they are subtracted.
+TEST_CASE("Decoded crash news stay within their limits whatever the sender wrote", "[peer]")
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<peer::Beacon>();
+    root.initFrom().setHost("h");
+    auto out = root.initCrashNews();
+    auto crashes = out.initCrashes(100);
+    for (auto crash : crashes) {
+        crash.setAgeMs(0xffffffffU);
+        crash.initTraits(100);
+    }
+    for (auto quarantine : out.initQuarantines(300))
+        quarantine.setAgeMs(0xffffffffU);
+    out.getQuarantines()[1].setCount(0xffffffffU);
+    for (auto sound : out.initSound(300))
+        sound.setAgeMs(0xfffffffeU);
+    const auto decoded = decodeBeacon(packed(message));
+    REQUIRE(decoded);
+    const CrashNews& news = decoded.value().crashNews;
+    CHECK(news.crashes.size() == maxNewsCrashes);
+    CHECK(news.crashes.at(0).age == maxNewsAge);
+    for (const CrashReport& crash : news.crashes)
+        CHECK(crash.traits.size() == maxNewsTraitsOfCrash);
+    CHECK(news.quarantines.size() == maxNewsQuarantines);
+    CHECK(news.quarantines.at(0).age == maxNewsAge);
+    CHECK(news.quarantines.at(0).count == 1);
+    CHECK(news.quarantines.at(1).count == maxNewsQuarantineCount);
+    CHECK(news.sound.size() == maxNewsSoundTraits);
+    CHECK(news.sound.at(0).age == maxNewsAge);
+}
+
+// Guards against an age below 0 that becomes a huge one on its way.
+TEST_CASE("Ages of crash news are sent within 0 and a day", "[peer]")
+{
+    CrashNews news = someNews(2, 1, 2);
+    news.crashes.at(0).age = { -5 };
+    news.crashes.at(1).age = { 1'000'000'000'000 };
+    news.quarantines.at(0).age = { -1 };
+    news.sound.at(0).age = { std::numeric_limits<std::int64_t>::min() };
+    news.sound.at(1).age = { std::numeric_limits<std::int64_t>::max() };
+    const auto decoded = decodeBeacon(encodeBeacon(beaconWith(news)));
+    REQUIRE(decoded);
+    CHECK(decoded.value().crashNews.crashes.at(0).age == Milliseconds { 0 });
+    CHECK(decoded.value().crashNews.crashes.at(1).age == maxNewsAge);
+    CHECK(decoded.value().crashNews.quarantines.at(0).age == Milliseconds { 0 });
+    CHECK(decoded.value().crashNews.sound.at(0).age == Milliseconds { 0 });
+    CHECK(decoded.value().crashNews.sound.at(1).age == maxNewsAge);
+}
+
+// Guards against a damaged datagram that ends a process or carries more than the limits.
+TEST_CASE("A damaged beacon with crash news is refused or decoded within the limits", "[peer][property]")
+{
+    const std::string whole = encodeBeacon(beaconWith(someNews(3, 4, 2)));
+    test::checkProperty("some bytes replaced", 71, 3000, [&](const std::vector<std::pair<std::size_t, char>>& changes) {
+        std::string bytes = whole;
+        for (const auto& [position, value] : changes)
+            bytes[position % bytes.size()] = value;
+        const auto decoded = decodeBeacon(bytes);
+        if (!decoded)
+            return;
+        const CrashNews& news = decoded.value().crashNews;
+        RC_ASSERT(news.crashes.size() <= maxNewsCrashes && news.quarantines.size() <= maxNewsQuarantines);
+        RC_ASSERT(news.sound.size() <= maxNewsSoundTraits);
+        for (const CrashReport& crash : news.crashes) {
+            RC_ASSERT(crash.traits.size() <= maxNewsTraitsOfCrash);
+            RC_ASSERT(crash.age >= Milliseconds { 0 } && crash.age <= maxNewsAge);
+        }
+    });
+}
+
 // Guards against entries that never find each other, and against an entry that failed but stays live because others
 // name it.
 TEST_CASE("An entry named by another is a beacon target, but only its own beacon makes it live", "[peer]")
