Send crash news with the beacons of entries

Cause: an entry that learns what crashes upstreams has to tell the others before the next request of that kind comes to them.

Change: beacons to entries of the own data centre carry recent news, those with the list of peers all of them; the summary to other data centres carries recent news, the full summary all of them; beacons to agents carry none. AnnounceCrashNews sends a beacon to the own data centre at once, and the summary to the others if this entry represents its data centre. Within 50 ms of the last announcement the next regular beacons carry the news, to other data centres too. While the entry that represents a data centre misses three beacons but still counts as live, the next by name sends its news there as well. Received news go to the reducer.

Measured: the test of who announces fails when that is only the entry that represents its data centre, and when it is every entry. The sending itself has no test: reducer and news are stubs in this commit.

--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -16,6 +16,8 @@
     /// Beacons to other data centres name an entry for this time after it became known. Every third summary names them,
     /// at least about every 1.5 s, so that each is named several times.
     constexpr Milliseconds recentWithin { 10000 };
+    /// An entry of the same data centre that was silent for longer, three beacons, may be dead.
+    constexpr Milliseconds announcerTimeout = beaconPeriod * 3;
     /// Peers are removed after this silence, which is longer than a host takes to restart.
     constexpr Milliseconds removeAfter { 30000 };
 
@@ -94,6 +96,15 @@
         [&](const PeerInfo& entry) { return entry.dataCentre == self.dataCentre && entry.host < self.host; });
 }
 
+bool announcesToOtherDataCentres(const PeerTable& table, const PeerInfo& self, Milliseconds now)
+{
+    return std::none_of(table.entries.begin(), table.entries.end(), [&](const auto& item) {
+        const KnownPeer& known = item.second;
+        return known.entry.dataCentre == self.dataCentre && known.entry.host < self.host && !known.indirect
+            && now - known.lastHeardAt <= announcerTimeout;
+    });
+}
+
 void recordIndirectEntries(
     PeerTable& table, const DataCentreId& dataCentre, const std::vector<PeerInfo>& entries, Milliseconds now)
 {
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -50,6 +50,12 @@
 /// @return whether it represents its data centre to the others: true for the live entry there that is first by name
 bool representsDataCentre(const PeerTable& table, const PeerInfo& self, Milliseconds now);
 
+/// Decides who tells other data centres about crashes at once. That is the entry that represents its data centre; while
+/// it misses beacons but still counts as live, the next one by name does so too.
+/// @param self this entry
+/// @return whether no entry of the same data centre that is earlier by name was heard from lately
+bool announcesToOtherDataCentres(const PeerTable& table, const PeerInfo& self, Milliseconds now);
+
 /// Records entries of another data centre from the summary of the entry that represents it. Entries that are heard
 /// directly are left as they are.
 void recordIndirectEntries(
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -262,7 +262,9 @@
     } else if (const auto* abort = std::get_if<AbortResponse>(&effect)) {
         this->calls.erase(abort->call);
         this->front.abort(abort->call);
-    } else if (const auto* line = std::get_if<LogLine>(&effect))
+    } else if (std::holds_alternative<AnnounceCrashNews>(effect))
+        this->announceCrashNews();
+    else if (const auto* line = std::get_if<LogLine>(&effect))
         writeLog(*line);
     else if (const auto* sample = std::get_if<MetricSample>(&effect))
         recordMetric(*sample);
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -62,8 +62,8 @@
     /// Answers an agent that asks for its service's view of the fleet.
     void onFleetView(const FrontRequest& request);
     void onCallerDisconnected(CallId call);
-    /// Sends other data centres this one's summary, if this entry represents it, and the load of this entry at their
-    /// upstreams.
+    /// Sends other data centres this one's summary and crash news, if this entry represents it, and the load of this
+    /// entry at their upstreams.
     /// @param beacon fields common to all
     /// @param remoteTargets ips of all known entries there
     void sendToOtherDataCentres(PeerBeacon beacon, const std::vector<std::string>& remoteTargets, Milliseconds now);
@@ -80,6 +80,8 @@
     void fetchPeerTables(const PeerInfo& peer, Milliseconds now);
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
     void announceOperatorTableRevision();
+    /// Sends beacons with crash news at once. If it did so just before, the next regular beacons carry them.
+    void announceCrashNews();
     /// @return a beacon without loads
     PeerBeacon makeBeacon() const;
     /// @return ips of all known agents
@@ -135,6 +137,8 @@
     std::uint32_t summariesSent { 0 }; ///< summaries sent to other data centres since start
     Milliseconds remoteBeaconAt { 0 }; ///< last beacons to other data centres
     bool engineChanged { false }; ///< an engine changed in more than load since the last remote beacon
+    Milliseconds crashNewsAnnouncedAt { 0 }; ///< last call of announceCrashNews() that sent beacons
+    bool crashNewsPending { false }; ///< the next regular beacons to other data centres are sent without delay
     bool advertisedReady { false }; ///< readiness last sent to other data centres
     std::set<DataCentreId> advertisedTo; ///< data centres whose entries were last sent loads above zero
     std::map<std::string, KnownEngine> engines; ///< reports of agents of this data centre, by address of the engine
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -34,6 +34,8 @@
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
     if (beacon.operatorTableRevision > this->operatorTableRevision)
         this->fetchPeerTables(beacon.from, now);
+    if (!beacon.crashNews.empty() && beacon.from.host != this->settings.host.host)
+        this->dispatch(CrashNewsReceived { .news = beacon.crashNews });
     if (beacon.engine) {
         KnownEngine& known = this->engines[beacon.engine->address];
         known.changed = known.changed || changedBeyondLoad(known.report, *beacon.engine);
@@ -81,6 +83,24 @@
         this->peerSocket.send(beacon, otherDataCentreTargets(this->peers, dataCentre));
 }
 
+void RelayLoop::announceCrashNews()
+{
+    const Milliseconds now = monotonicNow();
+    if (now - this->crashNewsAnnouncedAt < minCrashNewsInterval) {
+        this->crashNewsPending = true;
+        return;
+    }
+    this->crashNewsAnnouncedAt = now;
+    PeerBeacon beacon = this->makeBeacon();
+    beacon.loads = ownLoads(this->state);
+    beacon.crashNews = crashNews(this->state, false, now);
+    const DataCentreId& dataCentre = this->settings.host.dataCentre;
+    this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
+    beacon.crashNews = {};
+    if (announcesToOtherDataCentres(this->peers, beacon.from, now))
+        this->sendToOtherDataCentres(std::move(beacon), otherDataCentreTargets(this->peers, dataCentre), now);
+}
+
 void RelayLoop::sendBeacons()
 {
     const Milliseconds now = monotonicNow();
@@ -90,7 +110,9 @@
     const bool withPeerList = this->beaconsSent++ % beaconsPerPeerList == 0;
     if (withPeerList)
         beacon.known = liveEntries(this->peers, now);
+    beacon.crashNews = crashNews(this->state, withPeerList, now);
     this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
+    beacon.crashNews = {};
     if (withPeerList) {
         beacon.loads.clear();
         this->peerSocket.send(beacon, this->agentTargets());
@@ -99,12 +121,10 @@
     const std::vector<std::string> remoteTargets = otherDataCentreTargets(this->peers, dataCentre);
     const Milliseconds remotePeriod = std::clamp(
         remoteDatagramInterval * static_cast<std::int64_t>(remoteTargets.size()), beaconPeriod, maxRemoteBeaconPeriod);
-    if (now - this->remoteBeaconAt >= remotePeriod || beacon.from.ready != this->advertisedReady
-        || this->engineChanged) {
-        this->engineChanged = false;
-        this->remoteBeaconAt = now;
+    if (now - this->remoteBeaconAt >= remotePeriod || beacon.from.ready != this->advertisedReady || this->engineChanged
+        || (this->crashNewsPending && announcesToOtherDataCentres(this->peers, beacon.from, now)))
         this->sendToOtherDataCentres(std::move(beacon), remoteTargets, now);
-    }
+    this->crashNewsPending = false;
     this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::sendBeacons);
 }
 
@@ -113,6 +133,8 @@
 {
     const bool readyChanged = beacon.from.ready != this->advertisedReady;
     this->advertisedReady = beacon.from.ready;
+    this->engineChanged = false;
+    this->remoteBeaconAt = now;
     if (representsDataCentre(this->peers, beacon.from, now)) {
         DataCentreSummary summary { .totals = dataCentreTotals(this->state, now) };
         const bool isFull = this->summariesSent++ % summariesPerFullSummary == 0;
@@ -126,11 +148,18 @@
             beacon.known = recentEntries(this->peers, now);
         beacon.loads.clear();
         beacon.dataCentreSummary = std::move(summary);
+        beacon.crashNews = crashNews(this->state, isFull, now);
         this->peerSocket.send(beacon, remoteTargets);
         beacon.dataCentreSummary.reset();
         beacon.known.clear();
-    } else if (readyChanged)
-        this->peerSocket.send(beacon, remoteTargets);
+    } else {
+        // The entry that represents the data centre may be dead, and nobody has replaced it yet.
+        if (announcesToOtherDataCentres(this->peers, beacon.from, now))
+            beacon.crashNews = crashNews(this->state, false, now);
+        if (readyChanged || !beacon.crashNews.empty())
+            this->peerSocket.send(beacon, remoteTargets);
+    }
+    beacon.crashNews = {};
     // A data centre without further requests of this entry is sent an empty report once.
     std::map<DataCentreId, std::vector<PeerLoad>> remoteLoads = advertiseRemoteLoads(this->state);
     for (const DataCentreId& dataCentre : this->advertisedTo)
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -32,6 +32,7 @@
 /// Every n-th summary to other data centres lists all engines with a recent report; the others leave out engines whose
 /// reports did not change.
 constexpr std::uint32_t summariesPerFullSummary = 3;
+constexpr Milliseconds minCrashNewsInterval { 50 }; ///< between announcements of crash news, half a beaconPeriod
 constexpr std::uint32_t beaconsPerPeerList = 10; ///< each tenth beacon lists the other live entries
 constexpr Milliseconds sweepPeriod { 500 }; ///< between removals of idle connections and silent peers
 /// Changes of the list of upstreams are collected for this long: heartbeats of all upstreams change it many times a
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -366,3 +366,30 @@
         CHECK(recentEntries(table, { 16000 }).empty());
     }
 }
+
+// Guards against crash news that stay in a data centre while the entry that represents it is dead but counts as live,
+// and against news that every entry sends to all data centres.
+TEST_CASE("The next entry by name announces to other data centres when the first missed three beacons", "[peer]")
+{
+    PeerTable table;
+    const auto entry = [](const char* host, const char* ip, const char* dataCentre) {
+        return PeerInfo { .host = { host }, .incarnation = { 1 }, .ip = ip, .front = ip, .dataCentre = { dataCentre } };
+    };
+    const PeerInfo self = entry("b", "10.0.0.2", "x");
+    CHECK(announcesToOtherDataCentres(table, self, { 5000 }));
+    recordBeacon(table, { "b" }, { .from = entry("a", "10.0.0.1", "x") }, "10.0.0.1", { 5000 });
+    recordBeacon(table, { "b" }, { .from = entry("c", "10.0.0.3", "x") }, "10.0.0.3", { 5000 });
+    recordBeacon(table, { "b" }, { .from = entry("Z", "10.0.0.4", "y") }, "10.0.0.4", { 5000 });
+    CHECK_FALSE(announcesToOtherDataCentres(table, self, { 5300 }));
+    CHECK(announcesToOtherDataCentres(table, self, { 5301 }));
+    CHECK_FALSE(representsDataCentre(table, self, { 5301 }));
+    recordBeacon(table, { "b" }, { .from = entry("a", "10.0.0.1", "x") }, "10.0.0.1", { 5400 });
+    CHECK_FALSE(announcesToOtherDataCentres(table, self, { 5500 }));
+    CHECK(announcesToOtherDataCentres(table, entry("0", "10.0.0.9", "x"), { 5500 }));
+    CHECK(announcesToOtherDataCentres(table, entry("z", "10.0.0.9", "w"), { 5500 }));
+    // An entry that another one only named as known was never heard from.
+    PeerBeacon naming { .from = entry("c", "10.0.0.3", "x") };
+    naming.known = { entry("A", "10.0.0.5", "x") };
+    recordBeacon(table, { "b" }, naming, "10.0.0.3", { 6000 });
+    CHECK(announcesToOtherDataCentres(table, self, { 6000 }));
+}
