--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -2,6 +2,7 @@
 #include "relay_cmd.h"
 #include "relay_reduce_func.h"
 #include "table/crash_limits.h"
+#include "table/crash_news_limits.h"
 
 #include <algorithm>
 
@@ -404,7 +405,7 @@
         if (isNews(crash.changedAt))
             newest.emplace_back(crash.at, id);
     std::sort(newest.rbegin(), newest.rend());
-    newest.resize(std::min(newest.size(), maxReportedCrashes));
+    newest.resize(std::min(newest.size(), maxNewsCrashes));
     for (const auto& [at, id] : newest)
         news.crashes.push_back({ .crash = id, .age = now - at, .traits = listed(known.crashes.at(id).traits) });
     for (const Quarantine& quarantine : known.quarantines)
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -10,6 +10,7 @@
 #include "platform_wire_func.h"
 #include "probe_io.h"
 #include "program_func.h"
+#include "request_trait_func.h"
 #include "settings_func.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
@@ -266,6 +267,8 @@
         probeConnection(this->io, probe->address, probeTimeout, [this, upstream = probe->upstream](ProbeResult result) {
             this->dispatch(UpstreamProbed { .upstream = upstream, .result = result });
         });
+    else if (std::holds_alternative<AnnounceCrashNews>(effect))
+        this->announceCrashNews();
     else if (const auto* line = std::get_if<LogLine>(&effect))
         writeLog(*line);
     else if (const auto* sample = std::get_if<MetricSample>(&effect))
@@ -339,6 +342,7 @@
         this->front.answer(request.id, statusBadRequest, {}, "a request needs a host and an id\n");
         return;
     }
+    event.metadata.wholeRequest = wholeRequestTrait(request.head.method, event.metadata, request.body);
     auto call = std::make_shared<Call>();
     call->head = std::move(request.head);
     call->body = std::move(request.body);
--- a/src/table/crash_limits.h
+++ b/src/table/crash_limits.h
@@ -39,7 +39,6 @@
 constexpr std::size_t maxKnownCrashes = 64; ///< the oldest are dropped first
 constexpr std::size_t maxTraitsPerCrash = 32; ///< more than one entry's requests waiting at an engine
 constexpr std::size_t maxQuarantines = 64; ///< the oldest are dropped first
-constexpr std::size_t maxReportedCrashes = 24; ///< in one message, the newest; keeps a datagram below 8 KB
 constexpr Milliseconds crashNewsPeriod { 3000 }; ///< what changed is repeated in beacons for this long
 
 } // namespace hickory
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -1,6 +1,7 @@
 #include "crash_fleet.h"
 #include "crash_func.h"
 #include "table/crash_limits.h"
+#include "table/crash_news_limits.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -241,7 +242,7 @@
         const CrashState& known = relay.state.crashes;
         RC_ASSERT(known.crashes.size() <= maxKnownCrashes);
         RC_ASSERT(known.quarantines.size() <= maxQuarantines);
-        RC_ASSERT(crashNews(relay.state, true, relay.now).crashes.size() <= maxReportedCrashes);
+        RC_ASSERT(crashNews(relay.state, true, relay.now).crashes.size() <= maxNewsCrashes);
         for (const auto& [id, crash] : known.crashes)
             RC_ASSERT(crash.traits.size() <= maxTraitsPerCrash);
     });
