Explain a refused request with the crashes behind it

Cause: hickoryctl explain gathers the lines of one request; a request that is refused for a trait names no crash, and the crashes are logged by other entries without its id.

Change: when lines of the request have trait=, explain also shows the lines of all processes with that trait in trait= or in the list traits=. Lines of other requests are only counted, because one quarantine can refuse any number.

--- a/src/ctl_cmd.h
+++ b/src/ctl_cmd.h
@@ -31,7 +31,8 @@
 /// `request SERVICE PATH`: sends a request to a service and prints the response as it arrives.
 CtlResult runRequest(const CtlOptions& options);
 
-/// `explain REQUEST`: prints the log lines of all processes about one request id, ordered by time.
+/// `explain REQUEST`: prints the log lines of all processes about one request id, and about crashes that its lines name
+/// by a trait, ordered by time.
 CtlResult runExplain(const CtlOptions& options);
 
 /// `publish FILE`: uploads model weights and their manifest to the platform.
--- a/src/ctl_explain_cmd.cpp
+++ b/src/ctl_explain_cmd.cpp
@@ -7,6 +7,20 @@
 
 namespace hickory {
 
+namespace {
+
+    /// Calls a function with each line of the files.
+    template <typename Function> void forEachLine(const std::vector<std::string>& paths, const Function& function)
+    {
+        for (const std::string& path : paths) {
+            std::ifstream file(path);
+            for (std::string line; std::getline(file, line);)
+                function(line);
+        }
+    }
+
+} // namespace
+
 CtlResult runExplain(const CtlOptions& options)
 {
     std::error_code code;
@@ -19,17 +33,29 @@
             .message = "cannot read log directory \"" + options.logs + "\": " + code.message() };
     const std::string& request = options.arguments.front();
     std::vector<std::string> lines;
-    for (const std::string& path : paths) {
-        std::ifstream file(path);
-        for (std::string line; std::getline(file, line);)
-            if (belongsToRequest(line, request))
-                lines.push_back(line);
-    }
+    forEachLine(paths, [&](const std::string& line) {
+        if (belongsToRequest(line, request))
+            lines.push_back(line);
+    });
     if (lines.empty())
         return { .exitCode = exitFailure,
             .message
             = "no log line of request \"" + request + "\" found in " + std::to_string(paths.size()) + " files" };
-    return { .output = formatRequestTimeline(std::move(lines)) };
+    std::size_t otherRequests = 0;
+    if (const std::set<std::string> traits = namedTraits(lines); !traits.empty())
+        forEachLine(paths, [&](const std::string& line) {
+            if (belongsToRequest(line, request) || !namesTrait(line, traits))
+                return;
+            // A quarantine can refuse any number of requests, which would hide the crashes.
+            if (isAboutRequest(line))
+                ++otherRequests;
+            else
+                lines.push_back(line);
+        });
+    CtlResult result { .output = formatRequestTimeline(std::move(lines)) };
+    if (otherRequests > 0)
+        result.message = "lines of other requests that name the same trait: " + std::to_string(otherRequests);
+    return result;
 }
 
 } // namespace hickory
--- a/src/ctl_explain_func.cpp
+++ b/src/ctl_explain_func.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
+#include <sstream>
 
 namespace hickory {
 
@@ -48,6 +49,28 @@
     return !request.empty() && logField(line, "request") == request;
 }
 
+std::set<std::string> namedTraits(const std::vector<std::string>& lines)
+{
+    std::set<std::string> traits;
+    for (const std::string& line : lines)
+        if (const std::string trait = logField(line, "trait"); !trait.empty())
+            traits.insert(trait);
+    return traits;
+}
+
+bool namesTrait(const std::string& line, const std::set<std::string>& traits)
+{
+    if (traits.contains(logField(line, "trait")))
+        return true;
+    std::istringstream list(logField(line, "traits"));
+    for (std::string trait; std::getline(list, trait, ',');)
+        if (traits.contains(trait))
+            return true;
+    return false;
+}
+
+bool isAboutRequest(const std::string& line) { return !logField(line, "request").empty(); }
+
 std::string formatRequestTimeline(std::vector<std::string> lines)
 {
     std::stable_sort(lines.begin(), lines.end(), [](const std::string& left, const std::string& right) {
--- a/src/ctl_explain_func.h
+++ b/src/ctl_explain_func.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,8 +11,21 @@
 /// @return true if the line's field "request" equals the id
 bool belongsToRequest(const std::string& line, const std::string& request);
 
+/// @param lines log lines of one request
+/// @return traits that one of them gives as a reason, field "trait"
+std::set<std::string> namedTraits(const std::vector<std::string>& lines);
+
+/// @param line log line of any process
+/// @param traits as logged: 16 hex digits each
+/// @return whether the line's field "trait" or one of its list "traits" is among them
+bool namesTrait(const std::string& line, const std::set<std::string>& traits);
+
+/// @param line log line of any process
+/// @return whether the line is about a request, whichever it is
+bool isAboutRequest(const std::string& line);
+
 /// Sorts log lines by time and formats them with their offset from the first one.
-/// @param lines log lines of one request from all processes, in any order
+/// @param lines log lines of one request from all processes, and of what it was refused for, in any order
 /// @return one line per log line: "+MILLISECONDS ms HOST event=..."
 std::string formatRequestTimeline(std::vector<std::string> lines);
 
--- a/src/ctl_options_func.cpp
+++ b/src/ctl_options_func.cpp
@@ -23,7 +23,8 @@
   upstreams              list the upstreams known to one entry; --watch
   rollout                show the rollout progress of model versions; --watch
   request SERVICE PATH   send a request to a service and print the response as it arrives
-  explain REQUEST        print the log lines in --logs DIR about one request id, ordered by time
+  explain REQUEST        print the log lines in --logs DIR about one request id, and the crashes that it was refused for,
+                         ordered by time
   publish FILE           upload model weights and their manifest; prints the digest for the configuration
 
 FILE may be - for standard input.
