--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -195,7 +195,7 @@
     line.fields.emplace_back("sends", std::to_string(request.sends));
     line.fields.emplace_back("queued", std::to_string(state.services[request.service].queue.size()));
     if (quarantine)
-        line.fields.emplace_back("traits", traitsText(quarantine->traits));
+        line.fields.emplace_back("trait", traitsText({ *quarantine->traits.begin() }));
     effects.emplace_back(std::move(line));
     effects.emplace_back(MetricSample { .name = "refused_total",
         .labels = "reason=\"" + std::string(reason) + "\",service=\"" + request.service.value + "\"" });
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -149,6 +149,10 @@
     line.fields.emplace_back("try", std::to_string(request.sends));
     line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
     line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+    if (const HeldModel* held = heldModel(view, request.metadata.model)) {
+        line.fields.emplace_back("weights", std::to_string(held->version.value));
+        line.fields.emplace_back("required", std::to_string(requiredWeights(state, request.metadata.model, now).value));
+    }
     if (suspicionHold(state.crashes, request.traits, now)) {
         state.crashes.trial = request.call;
         line.fields.emplace_back("trial_traits", traitsText(request.traits));
