Count the shared prompt parts of a request among what its repeats have in common

Requests with the same target, key and body but other prompts had one trait; where bodies say little, one of them that crashes engines would have stood for all.

--- a/src/crash_type.h
+++ b/src/crash_type.h
@@ -12,9 +12,9 @@
 using RequestTrait = NumberId<struct RequestTraitTag>;
 
 /// @return the trait of requests whose prompt holds a part
-constexpr RequestTrait promptPartTrait(std::uint64_t hash) { return { hash & ~std::uint64_t { 1 } }; }
+constexpr RequestTrait asPromptPart(std::uint64_t hash) { return { hash & ~std::uint64_t { 1 } }; }
 /// @return the trait of repeats of one request
-constexpr RequestTrait wholeRequestTrait(std::uint64_t hash) { return { hash | 1U }; }
+constexpr RequestTrait asWholeRequest(std::uint64_t hash) { return { hash | 1U }; }
 constexpr bool isWholeRequest(RequestTrait trait) { return (trait.value & 1U) != 0; }
 
 /// Hash of an upstream's id and the start of its process: identifies the end of that process in messages between
--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -275,9 +275,9 @@
 {
     RequestTraits traits;
     for (const RequestTrait part : metadata.promptParts)
-        traits.insert(promptPartTrait(part.value));
+        traits.insert(asPromptPart(part.value));
     if (metadata.wholeRequest.value != 0)
-        traits.insert(wholeRequestTrait(metadata.wholeRequest.value));
+        traits.insert(asWholeRequest(metadata.wholeRequest.value));
     return traits;
 }
 
--- a/src/request_trait_func.cpp
+++ b/src/request_trait_func.cpp
@@ -16,6 +16,8 @@
     for (const std::string_view value :
         { std::string_view(host), std::string_view(metadata.target), std::string_view(metadata.key), body })
         hash = stableHash(std::to_string(hash), value);
+    for (const RequestTrait part : metadata.promptParts)
+        hash = stableHash(std::to_string(hash), std::to_string(part.value));
     return { hash };
 }
 
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -206,7 +206,7 @@
     "Of two parts that stand in the same crashes, a request with only one of them is still tried", "[relay][crash]")
 {
     std::map<CrashId, KnownCrash> crashes;
-    const RequestTraits both { promptPartTrait(0x10), promptPartTrait(0x20) };
+    const RequestTraits both { asPromptPart(0x10), asPromptPart(0x20) };
     crashes[{ 1 }] = { .traits = both };
     crashes[{ 2 }] = { .traits = both };
     CHECK(findCulprits(crashes) == std::vector<RequestTraits> { both });
@@ -214,10 +214,10 @@
     state.quarantines.push_back({ .traits = both });
     const Milliseconds now { 1 };
     CHECK(findQuarantine(state, both, now));
-    CHECK_FALSE(findQuarantine(state, { promptPartTrait(0x10) }, now));
-    CHECK(suspicionHold(state, { promptPartTrait(0x10) }, now));
-    crashes[{ 3 }] = { .traits = { promptPartTrait(0x20), promptPartTrait(0x40) } };
-    CHECK(findCulprits(crashes) == std::vector<RequestTraits> { { promptPartTrait(0x20) } });
+    CHECK_FALSE(findQuarantine(state, { asPromptPart(0x10) }, now));
+    CHECK(suspicionHold(state, { asPromptPart(0x10) }, now));
+    crashes[{ 3 }] = { .traits = { asPromptPart(0x20), asPromptPart(0x40) } };
+    CHECK(findCulprits(crashes) == std::vector<RequestTraits> { { asPromptPart(0x20) } });
 }
 
 // Guards against news that echo for ever, and against knowledge that grows without bound.
--- a/tests/unit_request_trait.cpp
+++ b/tests/unit_request_trait.cpp
@@ -34,7 +34,7 @@
 }
 
 // Guards against requests that are refused because another one crashed upstreams.
-TEST_CASE("Requests that differ in method, host, target, key or body have different traits", "[relay]")
+TEST_CASE("Requests that differ in method, host, target, key, prompt or body have different traits", "[relay]")
 {
     const RequestTrait first = traitOf(repeatableHead(), "body");
     CHECK(traitOf(repeatableHead(), "body2") != first);
@@ -51,6 +51,9 @@
     other = repeatableHead();
     other.headers.at(3).value = "Bearer k2";
     CHECK(traitOf(other, "body") != first);
+    other = repeatableHead();
+    other.headers.push_back({ .name = "Prefix-Hash", .value = "a1:40,b2:900" });
+    CHECK(traitOf(other, "body") != first);
     // Bytes that move from one value into the next.
     other = repeatableHead();
     other.target = "/a/b?c=1k1";
