--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -75,6 +75,7 @@
     void applyTick(RelayState& state, Milliseconds now, RelayEffects& effects)
     {
         expireRequests(state, now, effects);
+        updateCrashes(state, now, effects);
         cancelSilentSends(state, now, effects);
         cancelOutdatedSends(state, now, effects);
         dispatchAllWaiting(state, now, effects);
@@ -116,6 +117,8 @@
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
                    [&](const PeerWeightsReceived& told) { applyPeerWeights(state, told, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
+                   [&](const UpstreamProbed& probed) { applyProbe(state, probed); },
+                   [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
         event);
     return effects;
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_type.h"
 #include "log_type.h"
 #include "relay_config_type.h"
 #include "upstream_entry_type.h"
@@ -27,6 +28,8 @@
     std::uint32_t maxOutputTokens { 0 }; ///< limit of generated tokens, 0 when not stated
     std::uint32_t outputTokensHint { 0 }; ///< the caller's estimate of generated tokens, 0 when not stated
     std::string resumeAfter; ///< id of the last event that the caller received, empty when it resumes no stream
+    std::vector<RequestTrait> promptParts; ///< shared parts of the prompt; the last part is the request's own
+    RequestTrait wholeRequest; ///< equal for requests with the same target, key and body
 };
 
 // Events ----------------------------------------------------------------------------------------------------------
@@ -151,9 +154,28 @@
     std::vector<PeerWeights> declared; ///< in any order
 };
 
-using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
-    RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
-    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted>;
+/// What an attempt to connect shows of a process.
+enum class ProbeResult : std::uint8_t {
+    Accepted, ///< it accepts connections
+    Refused, ///< nothing listens at the address
+    Unreachable, ///< no answer: the process, its host or the network
+};
+
+/// A probe of an upstream ended.
+struct UpstreamProbed {
+    UpstreamId upstream;
+    ProbeResult result { ProbeResult::Unreachable };
+};
+
+/// Another entry told what it knows about crashes of upstreams.
+struct CrashNewsReceived {
+    CrashNews news; ///< merged into what is known
+};
+
+using RelayEvent
+    = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded, RelayTick,
+        ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived, EntryCountUpdated,
+        ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed, CrashNewsReceived>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -203,7 +225,16 @@
     CallId call;
 };
 
+/// Connect to an upstream and close the connection, to learn whether its process ended. Ends with UpstreamProbed.
+struct ProbeUpstream {
+    UpstreamId upstream;
+    std::string address; ///< "ip:port" of the upstream
+};
+
+/// Send the other entries crashNews() at once.
+struct AnnounceCrashNews { };
+
 using RelayEffect = std::variant<SendToUpstream, CancelSend, RefuseCall, ForwardResponse, FinishResponse, AbortResponse,
-    LogLine, MetricSample>;
+    ProbeUpstream, AnnounceCrashNews, LogLine, MetricSample>;
 
 } // namespace hickory
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -32,6 +32,7 @@
 /// Every n-th summary to other data centres lists all engines with a recent report; the others leave out engines whose
 /// reports did not change.
 constexpr std::uint32_t summariesPerFullSummary = 3;
+constexpr Milliseconds minCrashNewsInterval { 50 }; ///< between announcements of crash news, half a beaconPeriod
 constexpr std::uint32_t beaconsPerPeerList = 10; ///< each tenth beacon lists the other live entries
 constexpr Milliseconds sweepPeriod { 500 }; ///< between removals of idle connections and silent peers
 /// Changes of the list of upstreams are collected for this long: heartbeats of all upstreams change it many times a
@@ -50,6 +51,7 @@
     "tables copied from a follower must not look stale");
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
+constexpr Milliseconds probeTimeout { 400 }; ///< of a connection that shows whether an upstream still runs
 constexpr Milliseconds peerTablesTimeout { 400 }; ///< of a request for a peer's tables
 /// Idle time after which a kept connection to an upstream is not reused: upstreams that announce no idle timeout close
 /// connections after some seconds.
