--- a/src/crash_state_type.h
+++ b/src/crash_state_type.h
@@ -26,7 +26,8 @@
     Milliseconds at; ///< when the first connection broke
     CrashId process; ///< the process that ended, if it did
     std::uint32_t broken { 0 }; ///< sends that were cut off
-    bool ended { false }; ///< the process is known to have ended: it refuses connections, left the list or was restarted
+    /// The process is known to have ended: it refuses connections, left the list or was restarted.
+    bool ended { false };
     bool recorded { false }; ///< recorded as a crash
     RequestTraits traits; ///< of requests that had not begun
 };
--- a/src/request_trait_func.h
+++ b/src/request_trait_func.h
@@ -6,8 +6,8 @@
 
 namespace hickory {
 
-/// Hashes what a repeat of a request has in common with it, at any entry: method, host, target, key, shared prompt parts
-/// and body. Attempt id, deadline and other header fields do not count.
+/// Hashes what a repeat of a request has in common with it, at any entry: method, host, target, key, shared prompt
+/// parts and body. Attempt id, deadline and other header fields do not count.
 /// @param metadata decoded header fields of the request
 /// @param body without transfer coding
 /// @return the same hash for each repeat of the request, in every process
