Bound the answers that are collected in memory

CallPool::fetch collected an answer's body for as long as the server sent it, up to the timeout of the call: hundreds of MB within a second. Now it ends as broken past FetchCall::maxAnswerBody: 8 MiB (maxFetchedBody), for pieces of the weights 4 MiB (maxFetchedPiece), of which an agent fetches several at a time. This covers the followers of the store, peer tables, manifests, pieces and the engines' own interfaces. A CallSink now says whether its answer may go on.

The new test sends a body without end that has no length, is chunked, or announces a length of 1 TB.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -1,7 +1,5 @@
 #include "call_pool_io.h"
 
-#include "table/answer_limits.h"
-
 #include <charconv>
 
 namespace hickory {
@@ -52,7 +50,8 @@
         if (this->skipping || !currentSink)
             return;
         this->bodyBytes += bytes.size();
-        currentSink->onBody(bytes);
+        if (!this->rejected)
+            this->rejected = !currentSink->onBody(bytes);
     }
     void onComplete() override { this->complete = !this->skipping; }
     /// @return whether the server sends too many bytes that are no body of an answer to the call
@@ -69,6 +68,7 @@
     bool keep { true }; ///< may be reused after the answer
     bool skipping { false }; ///< the answer being read is interim or belongs to another request and is discarded
     bool answered { false }; ///< the head of the current call's answer was read
+    bool rejected { false }; ///< the sink does not want more of the current call's answer
     bool complete { false }; ///< the current call's answer is complete
     std::size_t receivedBytes { 0 }; ///< received for the current call and parsed
     std::size_t bodyBytes { 0 }; ///< of these, passed to the sink
@@ -116,6 +116,7 @@
     connection->call = id;
     connection->bytes = std::move(call.bytes);
     connection->answered = false;
+    connection->rejected = false;
     connection->complete = false;
     connection->receivedBytes = connection->bodyBytes = 0;
     connection->keep = call.keep;
@@ -177,7 +178,8 @@
         const std::size_t used = connection->parser.feed(bytes, *connection);
         bytes.remove_prefix(used);
         connection->receivedBytes += used;
-        const bool broken = connection->parser.fault() || (!connection->complete && connection->overheadTooLarge());
+        const bool broken = connection->parser.fault() || connection->rejected
+            || (!connection->complete && connection->overheadTooLarge());
         if (connection->call == call && broken) {
             this->endCall(connection, CallEnd::Broken);
             return;
@@ -279,7 +281,11 @@
 
     bool accepts(const WireHead&) override { return true; }
     void onHead(WireHead&& head) override { this->answer.head = std::move(head); }
-    void onBody(std::string_view bytes) override { this->answer.body.append(bytes); }
+    bool onBody(std::string_view bytes) override
+    {
+        this->answer.body.append(bytes);
+        return this->answer.body.size() <= this->maxBody;
+    }
     void onEnd(CallEnd end) override
     {
         this->timer.cancel();
@@ -294,6 +300,7 @@
 
     asio::steady_timer timer; ///< enforces the timeout of the call
     std::string address; ///< "ip:port" of the server
+    std::size_t maxBody { 0 }; ///< bytes; limit of the answer's body
     FetchResponse answer; ///< what was received so far
     std::function<void(Result<FetchResponse>)> done; ///< receives the result, called once
 };
@@ -318,6 +325,7 @@
 {
     auto sink = std::make_shared<Fetch>(this->io);
     sink->address = call.address;
+    sink->maxBody = call.maxAnswerBody;
     sink->done = std::move(done);
     const OutboundCallId id = this->send({ .address = call.address,
                                              .bytes = formatRequest(call),
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -2,6 +2,7 @@
 
 #include "error_type.h"
 #include "id_type.h"
+#include "table/answer_limits.h"
 #include "tcp_link_io.h"
 #include "wire_head_type.h"
 #include "wire_parser_func.h"
@@ -21,7 +22,8 @@
 enum class CallEnd : std::uint8_t {
     Complete, ///< the complete answer arrived
     NotSent, ///< no byte of the request left this process
-    Broken, ///< the connection ended or sent invalid data before the answer was complete; the request may have run
+    Broken, ///< the connection ended, or sent invalid or too much data, before the answer was complete; the request may
+            ///< have run
 };
 
 /// Receives the answer to one call. The pool keeps it alive until onEnd() or CallPool::cancel().
@@ -32,7 +34,8 @@
     /// Status and headers of an accepted answer.
     virtual void onHead(WireHead&& head) = 0;
     /// The next bytes of the body, without transfer coding.
-    virtual void onBody(std::string_view bytes) = 0;
+    /// @return whether the answer may go on; if not, the call ends as broken
+    virtual bool onBody(std::string_view bytes) = 0;
     /// The call has ended. Called once, unless it is cancelled.
     virtual void onEnd(CallEnd end) = 0;
 };
@@ -59,6 +62,7 @@
     std::string target; ///< path and query
     std::vector<WireHeader> headers; ///< in addition to Host and Content-Length
     std::string body;
+    std::size_t maxAnswerBody { maxFetchedBody }; ///< bytes; a longer answer is an error
     Milliseconds connectTimeout { 400 }; ///< allows several round trips between regions
     Milliseconds timeout { 1000 }; ///< from sending until the answer is complete
     bool keep { true }; ///< keep the connection for reuse; false for a peer that accepts few connections
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -86,6 +86,7 @@
             ? platform::pieceTarget(this->state.model, effect.version, effect.index)
             : peerTarget(effect.version,
                 std::to_string(effect.index) + (isShared(this->state, effect.source) ? otherDataCentreQuery : "")),
+        .maxAnswerBody = maxFetchedPiece,
         .timeout = origin ? originTimeout : peerPieceTimeout,
         .keep = !origin };
     const auto found = this->held.find(effect.version.value);
@@ -156,6 +157,7 @@
     }
     this->pool.fetch({ .address = this->settings.engine,
                          .target = platform::stageGetTarget(this->state.model, run->next),
+                         .maxAnswerBody = maxFetchedPiece,
                          .timeout = engineTimeout },
         [this, run](const Result<FetchResponse>& answer) {
             const auto version = this->held.find(run->version.value);
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -89,21 +89,22 @@
         this->loop.dispatch(event);
     }
 
-    void onBody(std::string_view bytes) override
+    bool onBody(std::string_view bytes) override
     {
         if (!this->stream) {
             this->body.append(bytes);
-            return;
+            return true;
         }
         const std::string whole = this->splitter.take(bytes);
         if (whole.empty())
-            return;
+            return true;
         if (this->owner->streaming)
             this->loop.front.body(this->call, whole);
         else
             this->body.append(whole);
         this->loop.dispatch(
             StreamProgressed { .call = this->call, .send = this->sendId, .lastEventId = this->splitter.lastId() });
+        return true;
     }
 
     void onEnd(CallEnd end) override
--- a/src/table/answer_limits.h
+++ b/src/table/answer_limits.h
@@ -12,5 +12,10 @@
 /// Bytes that a connection may carry beyond twice the body of the answer while it waits for the answer's end: interim
 /// answers, answers to earlier requests, heads, chunk sizes, extensions and trailers.
 constexpr std::size_t maxAnswerOverhead = 256U << 10U;
+/// Bytes of an answer that is collected before it is used: pages of the store, tables of peers (up to 1 MB), manifests,
+/// reports.
+constexpr std::size_t maxFetchedBody = 8U << 20U;
+/// Bytes of a piece of the weights (32 KB). Smaller, because an agent fetches several pieces at a time.
+constexpr std::size_t maxFetchedPiece = 4U << 20U;
 
 } // namespace hickory
--- a/tests/soak_caller.cpp
+++ b/tests/soak_caller.cpp
@@ -21,7 +21,11 @@
 
     bool accepts(const WireHead&) override { return true; }
     void onHead(WireHead&& received) override { this->head = std::move(received); }
-    void onBody(std::string_view bytes) override { this->body.append(bytes); }
+    bool onBody(std::string_view bytes) override
+    {
+        this->body.append(bytes);
+        return true;
+    }
     void onEnd(CallEnd end) override
     {
         this->timer.cancel();
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -141,7 +141,11 @@
 
     bool accepts(const WireHead&) override { return this->accepting; }
     void onHead(WireHead&&) override { }
-    void onBody(std::string_view bytes) override { this->bytes += bytes.size(); }
+    bool onBody(std::string_view received) override
+    {
+        this->bytes += received.size();
+        return true;
+    }
     void onEnd(CallEnd how) override { this->end = how; }
 
     bool accepting; ///< answers belong to the call
@@ -284,3 +288,31 @@
         CHECK_FALSE(sink->end);
     }
 }
+
+// Guards against collecting an answer in memory for as long as a server sends it.
+TEST_CASE("A fetched answer whose body has no end is an error once it exceeds its limit", "[call-pool]")
+{
+    struct Endless {
+        const char* what;
+        std::string start;
+        std::string unit;
+    };
+    const std::vector<Endless> all {
+        { "until the connection ends", "HTTP/1.1 200 OK\r\n\r\n", "bytes" },
+        { "in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n" },
+        { "of a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "bytes" },
+    };
+    constexpr std::size_t limit = 1U << 20U;
+    for (const Endless& endless : all) {
+        INFO(endless.what);
+        asio::io_context io;
+        EndlessServer server(io, endless.start, endless.unit);
+        CallPool pool(io, {});
+        std::optional<Result<FetchResponse>> answer;
+        pool.fetch({ .address = server.address(), .target = "/", .maxAnswerBody = limit, .timeout = { 10000 } },
+            [&](const Result<FetchResponse>& received) { answer = received; });
+        CHECK(runUntil(io, [&] { return answer && server.closed; }));
+        CHECK((answer && !*answer && answer->error().code == make_error_code(ErrorCode::Unavailable)));
+        CHECK(server.sent < 2 * limit + socketBuffers);
+    }
+}
