Bound the answers that an entry holds for its callers

An entry collected a plain answer, the incomplete event of a stream, and the part of a stream that its caller does not read, for as long as the upstream sent them: up to the request's deadline. Past 1 MiB of a plain answer (maxPlainAnswer), 256 KiB of one event (maxEvent) or 1 MiB of a stream that its caller has not taken (maxUnsentStream), the send now ends as broken: the connection is closed, the failure recorded, and the request goes on elsewhere if it may. A well-formed stream whose caller reads it is bounded by the deadline, as before.

The soak's upstreams answer some requests without end: plain answers, the second event of a stream, and streams whose callers read only the head; an entry that takes 24 MiB breaks the rule ENDLESS.

--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -10,9 +10,11 @@
 #include "platform_wire_func.h"
 #include "program_func.h"
 #include "settings_func.h"
+#include "table/answer_limits.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace hickory {
@@ -93,18 +95,20 @@
     {
         if (!this->stream) {
             this->body.append(bytes);
-            return true;
+            return this->body.size() <= maxPlainAnswer;
         }
         const std::string whole = this->splitter.take(bytes);
         if (whole.empty())
-            return true;
+            return this->splitter.rest().size() <= maxEvent;
         if (this->owner->streaming)
             this->loop.front.body(this->call, whole);
         else
             this->body.append(whole);
         this->loop.dispatch(
             StreamProgressed { .call = this->call, .send = this->sendId, .lastEventId = this->splitter.lastId() });
-        return true;
+        this->streamedBytes += whole.size();
+        const std::size_t unsent = std::min(this->streamedBytes, this->loop.front.pending(this->call));
+        return this->body.size() <= maxPlainAnswer && unsent <= maxUnsentStream;
     }
 
     void onEnd(CallEnd end) override
@@ -127,6 +131,7 @@
     std::string body; ///< bytes of the response that are not forwarded yet
     EventSplitter splitter; ///< cuts a stream into whole events
     bool stream { false }; ///< the response is a stream of events
+    std::size_t streamedBytes { 0 }; ///< bytes of its whole events
 };
 
 RelayLoop::RelayLoop(RelaySettings given, std::string path)
--- a/src/table/answer_limits.h
+++ b/src/table/answer_limits.h
@@ -17,5 +17,11 @@
 constexpr std::size_t maxFetchedBody = 8U << 20U;
 /// Bytes of a piece of the weights (32 KB). Smaller, because an agent fetches several pieces at a time.
 constexpr std::size_t maxFetchedPiece = 4U << 20U;
+/// Bytes of a plain answer that is forwarded to a caller, or of a stream that cannot be forwarded.
+constexpr std::size_t maxPlainAnswer = 1U << 20U;
+/// Bytes of one event of a stream.
+constexpr std::size_t maxEvent = 256U << 10U;
+/// Bytes of an upstream's stream that its caller has not taken yet.
+constexpr std::size_t maxUnsentStream = 1U << 20U;
 
 } // namespace hickory
--- a/tests/soak_caller.cpp
+++ b/tests/soak_caller.cpp
@@ -20,7 +20,12 @@
     }
 
     bool accepts(const WireHead&) override { return true; }
-    void onHead(WireHead&& received) override { this->head = std::move(received); }
+    void onHead(WireHead&& received) override
+    {
+        this->head = std::move(received);
+        if (!this->reads)
+            this->owner.pool.pauseReading(this->out, true);
+    }
     bool onBody(std::string_view bytes) override
     {
         this->body.append(bytes);
@@ -35,6 +40,8 @@
     Callers& owner; ///< checks the finished response
     asio::steady_timer timer; ///< ends the request after callerTimeout
     std::string id; ///< Attempt-Id header, key of Ledger::attempts
+    OutboundCallId out; ///< to pause it in the pool
+    bool reads { true }; ///< reads the response; otherwise only its head
     std::string requestBody; ///< empty for idempotent requests, which are sent with GET
     bool faultFree { false }; ///< sent while no fault is active, so anything but a complete 200 is a violation
     WireHead head; ///< status and headers of the response, status 0 until they arrive
@@ -61,6 +68,13 @@
         own << std::hex << 0xa00000 + this->lastId << ":" << std::dec << 300 + this->lastId % 600;
         attempt.promptParts = request.promptParts + "," + own.str();
     }
+    if (this->ledger.deadlyPart.empty())
+        attempt.fault = answerFault(call->id, requestKind);
+    call->reads = attempt.fault != AnswerFault::EndlessEvents;
+    if (request.faultFree && !call->reads) {
+        attempt.fault = AnswerFault::None;
+        call->reads = true;
+    }
     this->ledger.faultFreeRequests += request.faultFree ? 1 : 0;
     const bool stream = requestKind == RequestKind::Streaming;
     call->requestBody = requestKind == RequestKind::Idempotent ? std::string {} : "body of " + call->id;
@@ -80,6 +94,7 @@
                                                    .bytes = text + "\r\n" + call->requestBody,
                                                    .maxIdle = maxConnectionIdle },
         call);
+    call->out = out;
     call->timer.expires_after(std::chrono::milliseconds(callerTimeout.value));
     call->timer.async_wait([this, out, weak = std::weak_ptr<Call>(call)](const std::error_code& code) {
         const auto pending = weak.lock();
@@ -100,7 +115,7 @@
     const bool responseStarted = call.head.status == 200;
     attempt.began = responseStarted && !call.body.empty();
     attempt.status = end == CallEnd::Complete ? call.head.status : 0;
-    if (responseStarted) {
+    if (responseStarted && call.reads) {
         const std::string* seal = call.head.find("Replica-Seal");
         if (!seal || *seal != "seal." + call.id)
             addViolation("MIXED", "carries no Replica-Seal, or that of another request");
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -16,10 +16,19 @@
     NonIdempotent, ///< must be executed at most once
 };
 
+/// What is wrong with the answer of the first upstream that runs a request.
+enum class AnswerFault : std::uint8_t {
+    None,
+    EndsInsideEvent, ///< a stream ends inside its second event as if it were complete
+    Endless, ///< a plain answer, or the second event of a stream, has no end
+    EndlessEvents, ///< a stream goes on without end, and its caller does not read it
+};
+
 /// One request of a caller, as seen by the caller and by the upstreams.
 struct Attempt {
     RequestKind requestKind { RequestKind::Idempotent }; ///< decides how many executions are allowed
     Milliseconds at { 0 }; ///< time of sending, on the monotonic clock
+    AnswerFault fault { AnswerFault::None }; ///< of its first answer
     int executions { 0 }; ///< times that an upstream started it from the beginning; a resumed stream does not count
     int status { 0 }; ///< HTTP status, 0 without a complete response
     std::string promptParts; ///< Prefix-Hash header, empty for none
@@ -46,7 +55,8 @@
 /// a request that no caller sent, or with the caller's key), WHOLE (weights ordered with a wrong piece), VERSION (an
 /// engine serves outdated weights), READY and START (an entry is not ready in time), EXIT (unexpected end of a
 /// process), UNANSWERED (a request failed although no fault was active), BUDGET (a part that crashes engines reaches
-/// them too often), LOST (requests without that part are served too rarely), SOAK (the test equipment failed).
+/// them too often), ENDLESS (an entry reads an answer without end), LOST (requests without that part are served too
+/// rarely), SOAK (the test equipment failed).
 struct Ledger {
     std::map<std::string, Attempt> attempts; ///< all requests sent so far, by their Attempt-Id header
     std::vector<std::string> violations; ///< one line each, code of the rule first
@@ -148,8 +158,22 @@
     return "id: " + std::to_string(number) + "\ndata: " + id + "/" + std::to_string(number) + "\n\n";
 }
 
-/// @return whether the first run of an attempt's stream ends inside its second event as if it were complete; derived
-/// from the attempt's id, for one in 16
-inline bool endsInsideEvent(const std::string& id) { return std::hash<std::string> {}(id) / 9 % 16 == 0; }
+/// @return fault of an attempt's first answer, derived from its id; none for seven attempts in eight
+inline AnswerFault answerFault(const std::string& id, RequestKind kind)
+{
+    const bool stream = kind == RequestKind::Streaming;
+    const auto number = std::hash<std::string> {}(id) / 9;
+    if (stream && number % 16 == 0)
+        return AnswerFault::EndsInsideEvent;
+    switch (number % 64) {
+    case 1:
+    case 2:
+        return kind == RequestKind::NonIdempotent ? AnswerFault::None : AnswerFault::Endless;
+    case 3:
+        return stream ? AnswerFault::EndlessEvents : AnswerFault::None;
+    default:
+        return AnswerFault::None;
+    }
+}
 
 } // namespace hickory::soak
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -16,6 +16,11 @@
     constexpr Milliseconds eventInterval { 25 }; ///< time between two events of a stream
     constexpr Milliseconds loadTime { 150 }; ///< time from an accepted order until the weights are in service
     constexpr Milliseconds readTime { 40 }; ///< time from the arrival of a prompt with parts to its first event
+    constexpr std::size_t endlessBlock = 65536; ///< bytes that are added at a time to an answer without end
+    constexpr std::size_t maxUnread = 1U << 20U; ///< bytes of it that may wait for the entry to read them
+    /// Bytes of an answer without end after which the entry must have closed the connection: its limits are below 2
+    /// MiB, the rest is what the kernel and the fault proxy may hold.
+    constexpr std::size_t maxEndlessBytes = 24U << 20U;
     constexpr Milliseconds downTime { 2000 }; ///< time from a crash on a request to the next start
 
     std::string headerValue(const FrontRequest& request, const char* name)
@@ -49,6 +54,7 @@
               .onCallerDisconnected =
                   [this](CallId call) {
                       this->streams.erase(call);
+                      this->endless.erase(call);
                       this->openCalls.erase(call);
                   } })
     , timer(io)
@@ -80,6 +86,7 @@
         this->front.abort(call);
     this->openCalls.clear();
     this->streams.clear();
+    this->endless.clear();
     this->staged.clear();
     this->store.remove("servers", this->id);
     this->id.clear();
@@ -92,6 +99,7 @@
         this->front.abort(call);
     this->openCalls.clear();
     this->streams.clear();
+    this->endless.clear();
     this->front.closeIdle();
     this->listening = false;
     this->crashedId = std::exchange(this->id, {});
@@ -206,6 +214,13 @@
     attemptEntry->second.executions += lastEventId.empty() ? 1 : 0;
     std::vector<WireHeader> sealedHeaders = echo;
     sealedHeaders.push_back({ "Replica-Seal", "seal." + attempt });
+    const bool first = lastEventId.empty() && attemptEntry->second.executions == 1;
+    const AnswerFault fault = first ? attemptEntry->second.fault : AnswerFault::None;
+    if (!this->engine && fault == AnswerFault::Endless) {
+        this->front.begin(request.id, 200, sealedHeaders);
+        this->endless[request.id] = { .attempt = attempt, .unit = "endless " };
+        return;
+    }
     if (!this->engine) {
         this->openCalls.erase(request.id);
         this->front.answer(request.id, 200, sealedHeaders, "answer of " + attempt + " " + request.body);
@@ -221,7 +236,7 @@
         .beginsAt = monotonicNow() + (hasParts ? readTime : Milliseconds {}),
         .deadly = deadly,
         .next = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1,
-        .breakOff = this->ledger.deadlyPart.empty() && lastEventId.empty() && endsInsideEvent(attempt) };
+        .fault = fault };
 }
 
 void Upstream::onStepTimer()
@@ -234,6 +249,7 @@
     if (this->restartAt.value != 0 && monotonicNow() > this->restartAt)
         this->start(false);
     this->sendEvents();
+    this->sendEndless();
     this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
     this->timer.async_wait([this](const std::error_code& code) {
         if (!code)
@@ -241,6 +257,29 @@
     });
 }
 
+void Upstream::sendEndless()
+{
+    std::vector<CallId> tooLong;
+    for (auto& [call, answer] : this->endless) {
+        std::string block;
+        while (block.size() < endlessBlock)
+            block += answer.unit;
+        while (this->front.pending(call) < maxUnread && answer.sent <= maxEndlessBytes) {
+            this->front.body(call, block);
+            answer.sent += block.size();
+        }
+        if (answer.sent > maxEndlessBytes)
+            tooLong.push_back(call);
+    }
+    for (const CallId call : tooLong) {
+        this->ledger.addViolation("ENDLESS an entry reads on after " + std::to_string(maxEndlessBytes)
+            + " bytes of an endless answer to " + this->endless[call].attempt);
+        this->endless.erase(call);
+        this->openCalls.erase(call);
+        this->front.abort(call);
+    }
+}
+
 void Upstream::sendEvents()
 {
     for (auto stream = this->streams.begin(); stream != this->streams.end();) {
@@ -255,7 +294,16 @@
             }
             this->front.begin(stream->first, 200, std::exchange(stream->second.headers, {}));
         }
-        if (stream->second.breakOff && stream->second.next == 2) {
+        const AnswerFault fault = stream->second.next == 2 ? stream->second.fault : AnswerFault::None;
+        if (fault == AnswerFault::Endless || fault == AnswerFault::EndlessEvents) {
+            const bool events = fault == AnswerFault::EndlessEvents;
+            this->endless[stream->first]
+                = { .attempt = stream->second.attempt, .unit = events ? "data: endless\n\n" : "endless " };
+            this->front.body(stream->first, events ? "" : "id: 2\ndata: ");
+            stream = this->streams.erase(stream);
+            continue;
+        }
+        if (fault == AnswerFault::EndsInsideEvent) {
             const std::string event = eventText(stream->second.attempt, 2);
             this->front.body(stream->first, std::string_view(event).substr(0, event.size() / 2));
             this->openCalls.erase(stream->first);
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -50,7 +50,14 @@
         Milliseconds beginsAt { 0 }; ///< the prompt is read until then
         bool deadly { false }; ///< the engine crashes when the response begins
         int next { 1 }; ///< number of the next event; higher at first for a resumed stream
-        bool breakOff { false }; ///< the stream ends inside its second event as if it were complete
+        AnswerFault fault { AnswerFault::None }; ///< becomes effective after the first event
+    };
+
+    /// An answer without end that is being sent.
+    struct EndlessAnswer {
+        std::string attempt; ///< Attempt-Id of the request
+        std::string unit; ///< what is sent again and again
+        std::size_t sent { 0 }; ///< bytes so far, without those of events before
     };
 
     void onRequest(FrontRequest&& request);
@@ -61,6 +68,8 @@
     void onStepTimer();
     /// Sends the next events of all streams. An engine that crashes in this sends nothing more.
     void sendEvents();
+    /// Sends more of the answers without end, as fast as they are read.
+    void sendEndless();
     /// Simulates a crash that the store learns of only when the process starts again, after downTime: resets requests,
     /// stops listening and loses all state but the staged pieces.
     void crashOnRequest();
@@ -85,6 +94,7 @@
     Milliseconds loadedAt { 0 }; ///< monotonic time at which loading is complete
     std::map<int, std::string> staged; ///< uploaded pieces of the weights by index, not yet loaded
     std::map<CallId, ActiveStream> streams; ///< unfinished streams by request
+    std::map<CallId, EndlessAnswer> endless; ///< answers without end by request
     std::set<CallId> openCalls; ///< requests without a complete response
 };
 
