--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -12,9 +12,11 @@
 #include "program_func.h"
 #include "request_trait_func.h"
 #include "settings_func.h"
+#include "table/answer_limits.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace hickory {
@@ -91,21 +93,24 @@
         this->loop.dispatch(event);
     }
 
-    void onBody(std::string_view bytes) override
+    bool onBody(std::string_view bytes) override
     {
         if (!this->stream) {
             this->body.append(bytes);
-            return;
+            return this->body.size() <= maxPlainAnswer;
         }
         const std::string whole = this->splitter.take(bytes);
         if (whole.empty())
-            return;
+            return this->splitter.rest().size() <= maxEvent;
         if (this->owner->streaming)
             this->loop.front.body(this->call, whole);
         else
             this->body.append(whole);
         this->loop.dispatch(
             StreamProgressed { .call = this->call, .send = this->sendId, .lastEventId = this->splitter.lastId() });
+        this->streamedBytes += whole.size();
+        const std::size_t unsent = std::min(this->streamedBytes, this->loop.front.pending(this->call));
+        return this->body.size() <= maxPlainAnswer && unsent <= maxUnsentStream;
     }
 
     void onEnd(CallEnd end) override
@@ -128,6 +133,7 @@
     std::string body; ///< bytes of the response that are not forwarded yet
     EventSplitter splitter; ///< cuts a stream into whole events
     bool stream { false }; ///< the response is a stream of events
+    std::size_t streamedBytes { 0 }; ///< bytes of its whole events
 };
 
 RelayLoop::RelayLoop(RelaySettings given, std::string path)
