Take only a success for the start of an answer

An engine's own 500 or 504 to a request with a crashing prompt part counted as an answer that had begun: the part was taken as sound by all entries for up to half a minute, and crashes in that time blamed nobody. A request is taken as begun with its first event, or with a whole answer that is a success.

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -114,7 +114,7 @@
             .name = "answer_ms",
             .labels = "service=\"" + request.service.value + "\",rank=\"" + std::to_string(request.route->rank) + "\"",
             .value = static_cast<double>((now - request.arrivedAt).value) });
-        if (send.prefilling)
+        if (send.prefilling && success)
             recordBegun(state, request, now, effects);
         releaseSend(state, request, false, effects);
         if (!request.headForwarded)
