Count upstreams that end together as one crash

The loss of a rack or host ended several engines at once, each counted as a crash: a sound part that no request had begun with lately, as at a cold start, was refused for a minute. Crashes within commonFailureWindow of each other now count once as evidence. The case with two tied parts got distinct times; its checks are unchanged.

--- a/src/crash_func.cpp
+++ b/src/crash_func.cpp
@@ -21,27 +21,47 @@
         return std::any_of(left.begin(), left.end(), [&](RequestTrait trait) { return right.contains(trait); });
     }
 
+    using Crashes = std::vector<const KnownCrash*>;
+
+    /// @param crashes in order of time
+    /// @return number of crashes; those that may have a common cause count once
+    std::size_t countIndependent(const Crashes& crashes)
+    {
+        std::size_t count = 0;
+        Milliseconds last;
+        for (const KnownCrash* crash : crashes) {
+            if (count > 0 && crash->at - last <= commonFailureWindow)
+                continue;
+            last = crash->at;
+            ++count;
+        }
+        return count;
+    }
+
     /// Moves the explained crashes out of `unexplained`.
+    /// @param unexplained in order of time
     /// @param wholeRequests whether whole requests or prompt parts are blamed
-    void blame(std::vector<const RequestTraits*>& unexplained, bool wholeRequests, std::vector<RequestTraits>& culprits)
+    void blame(Crashes& unexplained, bool wholeRequests, std::vector<RequestTraits>& culprits)
     {
+        const std::size_t least = wholeRequests ? quarantineCrashesOfRequest : quarantineCrashes;
         while (true) {
-            std::map<RequestTrait, std::vector<const RequestTraits*>> crashesOf;
-            for (const RequestTraits* traits : unexplained)
-                for (const RequestTrait trait : *traits)
+            std::map<RequestTrait, Crashes> crashesOf;
+            for (const KnownCrash* crash : unexplained)
+                for (const RequestTrait trait : crash->traits)
                     if (isWholeRequest(trait) == wholeRequests)
-                        crashesOf[trait].push_back(traits);
-            const auto worst = std::max_element(crashesOf.begin(), crashesOf.end(),
-                [](const auto& left, const auto& right) { return left.second.size() < right.second.size(); });
-            const std::size_t least = wholeRequests ? quarantineCrashesOfRequest : quarantineCrashes;
-            if (worst == crashesOf.end() || worst->second.size() < least)
+                        crashesOf[trait].push_back(crash);
+            const auto worst
+                = std::max_element(crashesOf.begin(), crashesOf.end(), [](const auto& left, const auto& right) {
+                      return countIndependent(left.second) < countIndependent(right.second);
+                  });
+            if (worst == crashesOf.end() || countIndependent(worst->second) < least)
                 return;
             RequestTraits group;
             for (const auto& [trait, crashes] : crashesOf)
                 if (crashes == worst->second)
                     group.insert(trait);
             culprits.push_back(std::move(group));
-            for (const RequestTraits* explained : worst->second)
+            for (const KnownCrash* explained : worst->second)
                 std::erase(unexplained, explained);
         }
     }
@@ -76,9 +96,11 @@
 
 std::vector<RequestTraits> findCulprits(const std::map<CrashId, KnownCrash>& crashes)
 {
-    std::vector<const RequestTraits*> unexplained;
+    Crashes unexplained;
     for (const auto& [id, crash] : crashes)
-        unexplained.push_back(&crash.traits);
+        unexplained.push_back(&crash);
+    std::stable_sort(unexplained.begin(), unexplained.end(),
+        [](const KnownCrash* left, const KnownCrash* right) { return left->at < right->at; });
     std::vector<RequestTraits> culprits;
     blame(unexplained, false, culprits);
     blame(unexplained, true, culprits);
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -207,8 +207,8 @@
 {
     std::map<CrashId, KnownCrash> crashes;
     const RequestTraits both { asPromptPart(0x10), asPromptPart(0x20) };
-    crashes[{ 1 }] = { .traits = both };
-    crashes[{ 2 }] = { .traits = both };
+    crashes[{ 1 }] = { .at = { 1000 }, .traits = both };
+    crashes[{ 2 }] = { .at = { 2000 }, .traits = both };
     CHECK(findCulprits(crashes) == std::vector<RequestTraits> { both });
     CrashState state;
     state.quarantines.push_back({ .traits = both });
@@ -216,7 +216,7 @@
     CHECK(findQuarantine(state, both, now));
     CHECK_FALSE(findQuarantine(state, { asPromptPart(0x10) }, now));
     CHECK(suspicionHold(state, { asPromptPart(0x10) }, now));
-    crashes[{ 3 }] = { .traits = { asPromptPart(0x20), asPromptPart(0x40) } };
+    crashes[{ 3 }] = { .at = { 3000 }, .traits = { asPromptPart(0x20), asPromptPart(0x40) } };
     CHECK(findCulprits(crashes) == std::vector<RequestTraits> { { asPromptPart(0x20) } });
 }
 
