--- a/src/crash_state_type.h
+++ b/src/crash_state_type.h
@@ -16,7 +16,6 @@
 struct KnownCrash {
     Milliseconds at; ///< when the process ended, on this process's clock
     Milliseconds changedAt; ///< when this entry last learned something new about it
-    bool seenHere { false }; ///< it cut off requests of this entry
     Milliseconds trialAt; ///< suspected traits may be tried from then on
     RequestTraits traits; ///< of requests that the process was about to begin, without those known to be sound
 };
--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -72,9 +72,45 @@
         effects.emplace_back(AnnounceCrashNews {});
     }
 
+    /// Adds a suspected trait to a crash. Prompt parts take the place of whole requests when there is no room.
+    /// @return whether it is new
+    bool addTrait(RequestTraits& traits, RequestTrait trait)
+    {
+        if (traits.contains(trait))
+            return false;
+        if (traits.size() >= maxTraitsPerCrash) {
+            const auto displaced
+                = isWholeRequest(trait) ? traits.end() : std::find_if(traits.begin(), traits.end(), isWholeRequest);
+            if (displaced == traits.end())
+                return false;
+            traits.erase(displaced);
+        }
+        traits.insert(trait);
+        return true;
+    }
+
+    /// @return the crash, added if it is not known, or nullptr when only later ones can be kept
+    KnownCrash* findOrAddCrash(RelayState& state, CrashId id, Milliseconds at)
+    {
+        auto& crashes = state.crashes.crashes;
+        if (const auto found = crashes.find(id); found != crashes.end())
+            return &found->second;
+        if (crashes.size() >= maxKnownCrashes) {
+            const auto oldest = std::min_element(crashes.begin(), crashes.end(),
+                [](const auto& left, const auto& right) { return left.second.at < right.second.at; });
+            if (oldest->second.at >= at)
+                return nullptr;
+            crashes.erase(oldest);
+        }
+        KnownCrash& crash = crashes[id];
+        crash = { .at = at, .changedAt = at, .trialAt = at + trialDelay + trialJitter(state), .traits = {} };
+        return &crash;
+    }
+
     /// Records what a crash cut off. Traits known to be sound are left out and announced as such.
-    /// @return whether anything was new
-    bool recordCrash(RelayState& state, CrashId id, Milliseconds at, const RequestTraits& traits, Milliseconds now)
+    /// @return the crash if anything was new, or nullptr
+    KnownCrash* recordCrash(
+        RelayState& state, CrashId id, Milliseconds at, const RequestTraits& traits, Milliseconds now)
     {
         CrashState& known = state.crashes;
         RequestTraits suspects;
@@ -84,29 +120,20 @@
             else if (!isWholeRequest(trait))
                 known.soundNews[trait] = now;
         }
-        if (suspects.empty())
-            return false;
-        const auto [found, added] = known.crashes.try_emplace(id);
-        KnownCrash& crash = found->second;
-        if (added)
-            crash = { .at = at, .changedAt = now, .trialAt = at + trialDelay + trialJitter(state), .traits = {} };
-        const std::size_t before = crash.traits.size();
+        KnownCrash* crash = suspects.empty() ? nullptr : findOrAddCrash(state, id, at);
+        if (!crash)
+            return nullptr;
+        bool isNew = false;
         for (const RequestTrait trait : suspects)
-            if (crash.traits.size() < maxTraitsPerCrash)
-                crash.traits.insert(trait);
-        if (crash.traits.size() != before)
-            crash.changedAt = now;
-        if (known.crashes.size() > maxKnownCrashes)
-            known.crashes.erase(std::min_element(known.crashes.begin(), known.crashes.end(),
-                [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
-        return crash.traits.size() != before;
+            isNew = addTrait(crash->traits, trait) || isNew;
+        return isNew ? crash : nullptr;
     }
 
     void beginQuarantine(
         RelayState& state, Quarantine& quarantine, Milliseconds since, Milliseconds now, RelayEffects& effects)
     {
         quarantine.since = since;
-        quarantine.changedAt = now;
+        quarantine.changedAt = since;
         quarantine.trialAt = quarantineEnd(quarantine) + trialJitter(state) * quarantineTrialFactor;
         const auto crashes = std::count_if(state.crashes.crashes.begin(), state.crashes.crashes.end(),
             [&](const auto& item) { return includesAll(item.second.traits, quarantine.traits); });
@@ -116,7 +143,8 @@
                 { "count", std::to_string(quarantine.count) },
                 { "for_ms", std::to_string((quarantineEnd(quarantine) - now).value) } } });
         effects.emplace_back(MetricSample { .name = "quarantines_total" });
-        effects.emplace_back(AnnounceCrashNews {});
+        if (now - since < crashNewsPeriod)
+            effects.emplace_back(AnnounceCrashNews {});
     }
 
     /// @return the quarantine of exactly these traits, or nullptr
@@ -239,16 +267,16 @@
             if (!hasEnded(state, upstream, broken))
                 continue;
             broken.recorded = true;
-            if (!recordCrash(state, broken.process, broken.at, broken.traits, now))
+            KnownCrash* crash = recordCrash(state, broken.process, broken.at, broken.traits, now);
+            if (!crash)
                 continue;
             recorded = true;
-            KnownCrash& crash = state.crashes.crashes.at(broken.process);
-            crash.seenHere = true;
-            crash.trialAt = now;
+            crash->changedAt = now;
+            crash->trialAt = now;
             effects.emplace_back(LogLine { .level = LogLevel::Warning,
                 .event = "upstream-crashed",
                 .fields = { { "upstream", upstream.value }, { "broken", std::to_string(broken.broken) },
-                    { "traits", traitsText(crash.traits) } } });
+                    { "traits", traitsText(crash->traits) } } });
             effects.emplace_back(MetricSample { .name = "upstream_crashes_total" });
             effects.emplace_back(AnnounceCrashNews {});
         }
@@ -348,44 +376,64 @@
     }
 }
 
-void applyCrashNews(RelayState& state, const CrashNewsReceived& event, Milliseconds now, RelayEffects& effects)
-{
-    CrashState& known = state.crashes;
-    bool changed = false;
-    for (const SoundTraitReport& report : event.news.sound) {
-        if (!isSuspected(known, report.trait))
-            continue;
-        clearTrait(state, report.trait, now, effects);
-        changed = true;
+namespace {
+
+    /// @return whether anything was new
+    bool mergeCrash(RelayState& state, const CrashReport& report, Milliseconds now, RelayEffects& effects)
+    {
+        KnownCrash* crash = report.age < crashMaxAge
+            ? recordCrash(state, report.crash, now - report.age, { report.traits.begin(), report.traits.end() }, now)
+            : nullptr;
+        if (crash && report.age < crashNewsPeriod) {
+            crash->changedAt = now;
+            effects.emplace_back(AnnounceCrashNews {});
+        }
+        return crash != nullptr;
     }
-    for (const CrashReport& report : event.news.crashes)
-        if (report.age < crashMaxAge)
-            changed = recordCrash(
-                          state, report.crash, now - report.age, { report.traits.begin(), report.traits.end() }, now)
-                || changed;
-    for (const QuarantineReport& report : event.news.quarantines) {
-        RequestTraits traits { report.traits.begin(), report.traits.end() };
-        std::erase_if(traits, [&](RequestTrait trait) {
+
+    /// @return whether anything was new
+    bool mergeQuarantine(RelayState& state, const QuarantineReport& report, Milliseconds now, RelayEffects& effects)
+    {
+        CrashState& known = state.crashes;
+        Quarantine received { .traits = { report.traits.begin(), report.traits.end() },
+            .since = now - report.age,
+            .count = std::max<std::uint32_t>(report.count, 1) };
+        std::erase_if(received.traits, [&](RequestTrait trait) {
             if (!isSound(known.sound, trait))
                 return false;
             known.soundNews[trait] = now;
             return true;
         });
-        if (traits.empty())
-            continue;
-        Quarantine* quarantine = findExact(known, traits);
-        if (quarantine && quarantine->count >= report.count)
+        if (received.traits.empty() || now - quarantineEnd(received) > quarantineMemory)
+            return false;
+        Quarantine* quarantine = findExact(known, received.traits);
+        if (quarantine && quarantine->count >= received.count)
+            return false;
+        if (quarantine)
+            quarantine->count = received.count;
+        else
+            quarantine = &addQuarantine(known, received);
+        beginQuarantine(state, *quarantine, received.since, now, effects);
+        return true;
+    }
+
+} // namespace
+
+void applyCrashNews(RelayState& state, const CrashNewsReceived& event, Milliseconds now, RelayEffects& effects)
+{
+    bool changed = false;
+    for (const SoundTraitReport& report : event.news.sound) {
+        if (!isSuspected(state.crashes, report.trait))
             continue;
-        if (!quarantine)
-            quarantine = &addQuarantine(known, { .traits = std::move(traits) });
-        quarantine->count = std::max<std::uint32_t>(report.count, 1);
-        beginQuarantine(state, *quarantine, now - report.age, now, effects);
+        clearTrait(state, report.trait, now, effects);
         changed = true;
     }
-    if (!changed)
-        return;
-    effects.emplace_back(AnnounceCrashNews {});
-    updateQuarantines(state, now, effects);
+    for (const CrashReport& report : event.news.crashes)
+        changed = mergeCrash(state, report, now, effects) || changed;
+    for (const QuarantineReport& report : event.news.quarantines)
+        changed = mergeQuarantine(state, report, now, effects) || changed;
+    if (changed)
+        updateQuarantines(state, now, effects);
 }
 
 void updateCrashes(RelayState& state, Milliseconds now, RelayEffects& effects)
@@ -398,18 +446,21 @@
 CrashNews crashNews(const RelayState& state, bool whole, Milliseconds now)
 {
     const CrashState& known = state.crashes;
-    const auto isNews = [&](Milliseconds changedAt) { return whole || now - changedAt < crashNewsPeriod; };
+    // What is about to be forgotten is not told: entries that forgot it already would learn it again.
+    const auto isNews = [&](Milliseconds changedAt, Milliseconds forgottenAt) {
+        return (whole || now - changedAt < crashNewsPeriod) && now < forgottenAt - crashNewsMargin;
+    };
     CrashNews news;
     std::vector<std::pair<Milliseconds, CrashId>> newest;
     for (const auto& [id, crash] : known.crashes)
-        if (isNews(crash.changedAt))
+        if (isNews(crash.changedAt, crash.at + crashMaxAge))
             newest.emplace_back(crash.at, id);
     std::sort(newest.rbegin(), newest.rend());
     newest.resize(std::min(newest.size(), maxNewsCrashes));
     for (const auto& [at, id] : newest)
         news.crashes.push_back({ .crash = id, .age = now - at, .traits = listed(known.crashes.at(id).traits) });
     for (const Quarantine& quarantine : known.quarantines)
-        if (isNews(quarantine.changedAt))
+        if (isNews(quarantine.changedAt, quarantineEnd(quarantine) + quarantineMemory))
             news.quarantines.push_back(
                 { .traits = listed(quarantine.traits), .age = now - quarantine.since, .count = quarantine.count });
     for (const auto& [trait, soundAt] : known.soundNews)
--- a/src/table/crash_limits.h
+++ b/src/table/crash_limits.h
@@ -26,7 +26,8 @@
 constexpr Milliseconds trialSpreadPerEntry { 250 };
 constexpr Milliseconds maxTrialSpread { 4000 }; ///< upper bound of that spread, below the time that most callers wait
 constexpr std::int64_t quarantineTrialFactor = 8; ///< after a quarantine trials are spread over a time longer by this
-/// Connections to several upstreams that break within this time have a common cause.
+/// Connections to several upstreams that break within this time may have a common cause, such as the loss of a rack: as
+/// evidence against requests they count once.
 constexpr Milliseconds commonFailureWindow { 50 };
 /// Least number of upstreams whose connections break together for the network to be the cause.
 constexpr std::size_t minCommonFailures = 3;
@@ -39,6 +40,8 @@
 constexpr std::size_t maxKnownCrashes = 64; ///< the oldest are dropped first
 constexpr std::size_t maxTraitsPerCrash = 32; ///< more than one entry's requests waiting at an engine
 constexpr std::size_t maxQuarantines = 64; ///< the oldest are dropped first
+/// Knowledge is no longer told for this long before it is forgotten: longer than news take to cross the fleet.
+constexpr Milliseconds crashNewsMargin { 5000 };
 constexpr Milliseconds crashNewsPeriod { 3000 }; ///< what changed is repeated in beacons for this long
 
 } // namespace hickory
