Take no declaration for older than the last outage of the store

Since the bound of declared weights counts from the last confirmation of the copy, a version declared at the end of an outage of the store counted as old as the outage was long: entries refused all engines at once.

--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -216,9 +216,8 @@
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
             Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
             if (declared) {
-                // The copy was last confirmed without this change.
-                const Milliseconds asOf = this->operatorRows.snapshot().asOf;
-                declared.value().notBefore = asOf.value == 0 ? std::nullopt : std::optional(asOf);
+                const Milliseconds unchangedUntil = this->operatorRows.unchangedUntil();
+                declared.value().notBefore = unchangedUntil.value == 0 ? std::nullopt : std::optional(unchangedUntil);
                 declared.value().source = this->operatorRowsSource;
                 this->dispatch(declared.value());
             } else
