Date a version that was overwritten unread by the entry's own copy too

An entry that restarted during an outage of the store has a copy confirmed before it and has not seen the outage long enough to discount it. It was the only one that read both of two versions declared meanwhile, and told the others the first with a moment before the outage: they refused all engines. When an entry read the later version its own copy held the one before, so its own moment holds for versions between the two as well, and now counts if it is later than what the peer tells.

The new section of the relay test failed without the change. The section with a peer that does not know the moment now covers an entry that knows none either: with its own read the moment is known after all.

--- a/src/fleet_view_func.cpp
+++ b/src/fleet_view_func.cpp
@@ -52,7 +52,7 @@
     if (model == state.declared.end())
         return std::nullopt;
     const auto version = model->second.find(view.declared);
-    return version == model->second.end() ? std::nullopt : version->second;
+    return version == model->second.end() ? std::nullopt : version->second.notBefore;
 }
 
 std::string fleetViewRequestTarget(const FleetViewRequest& request)
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -51,8 +51,8 @@
             for (auto known = versions.rbegin(); known != versions.rend() && count < maxToldVersions;
                  ++known, ++count) {
                 Json told { { "model", model.value }, { "version", known->first.value } };
-                if (known->second)
-                    told["unseen_ms"] = (now - *known->second + clockResolution).value;
+                if (known->second.notBefore)
+                    told["unseen_ms"] = (now - *known->second.notBefore + clockResolution).value;
                 encoded.push_back(std::move(told));
             }
         }
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -97,8 +97,8 @@
     const auto declared = state.declared.find(model);
     if (declared == state.declared.end())
         return required;
-    for (const auto& [version, notBefore] : declared->second)
-        if (!notBefore || now - *notBefore >= state.options.weightsGracePeriod)
+    for (const auto& [version, known] : declared->second)
+        if (!known.notBefore || now - *known.notBefore >= state.options.weightsGracePeriod)
             required = version;
     return required;
 }
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -5,7 +5,6 @@
 #include "relay_place_func.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace hickory {
 
@@ -40,19 +39,31 @@
         // A known version may be read again from a copy that was confirmed after its declaration.
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = event.notBefore;
+        declared[event.version] = { .notBefore = event.notBefore, .read = true, .readNotBefore = event.notBefore };
         effects.emplace_back(weightsLogLine(event.model, event.version, event.source, event.notBefore, now));
     }
 
+    /// @return latest moment at which this entry itself knows that a version which it did not read was not declared yet
+    std::optional<Milliseconds> ownNotBefore(const DeclaredWeights& declared, WeightsVersion version)
+    {
+        const auto next = std::find_if(
+            declared.upper_bound(version), declared.end(), [](const auto& newer) { return newer.second.read; });
+        return next == declared.end() ? std::nullopt : next->second.readNotBefore;
+    }
+
     void applyPeerWeights(RelayState& state, const PeerWeightsReceived& event, Milliseconds now, RelayEffects& effects)
     {
         for (const PeerWeights& told : event.declared) {
-            const auto [known, isNew] = state.declared[told.model].try_emplace(told.version, told.notBefore);
-            const std::optional<Milliseconds> before
-                = std::exchange(known->second, std::max(known->second, told.notBefore));
-            const bool isBetter = known->second && (!before || *known->second - *before >= minLoggedWeightsGain);
+            DeclaredWeights& declared = state.declared[told.model];
+            const auto [found, isNew] = declared.try_emplace(told.version);
+            DeclaredVersion& known = found->second;
+            if (isNew)
+                known.notBefore = ownNotBefore(declared, told.version);
+            const std::optional<Milliseconds> before = known.notBefore;
+            known.notBefore = std::max(before, told.notBefore);
+            const bool isBetter = known.notBefore && (!before || *known.notBefore - *before >= minLoggedWeightsGain);
             if (isNew || isBetter)
-                effects.emplace_back(weightsLogLine(told.model, told.version, event.peer.value, told.notBefore, now));
+                effects.emplace_back(weightsLogLine(told.model, told.version, event.peer.value, known.notBefore, now));
         }
     }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -136,10 +136,19 @@
     std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
 };
 
-/// Declared versions of one model's weights, oldest first, and for each the latest moment at which it is known not to
-/// have been declared yet. Unlike the moment at which this process learned of it, that is never after the declaration.
-/// Empty when the version may have been declared long ago.
-using DeclaredWeights = std::map<WeightsVersion, std::optional<Milliseconds>>;
+/// What an entry knows about one declared version of a model's weights.
+struct DeclaredVersion {
+    /// Latest moment at which it is known not to have been declared yet. Unlike the moment at which this process
+    /// learned of it, that is never after the declaration. Empty when it may have been declared long ago.
+    std::optional<Milliseconds> notBefore;
+    bool read { false }; ///< this entry's own copy held it
+    /// The part of notBefore that this entry knows itself. Its copy held the previous version that was read then, so it
+    /// holds for versions between the two as well.
+    std::optional<Milliseconds> readNotBefore;
+};
+
+/// Declared versions of one model's weights, oldest first.
+using DeclaredWeights = std::map<WeightsVersion, DeclaredVersion>;
 
 /// All state of the relay's reducer.
 struct RelayState {
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -96,9 +96,9 @@
     const platform::TableSnapshot table { .revision = 9, .asOf = { 950 } };
     std::map<ModelId, DeclaredWeights> declared;
     for (std::uint64_t version = 1; version <= 20; ++version)
-        declared[{ "model" }][{ version }] = Milliseconds { static_cast<std::int64_t>(version * 10) };
-    declared[{ "other" }][{ 2 }] = Milliseconds { -5000 };
-    declared[{ "unknown" }][{ 2 }] = std::nullopt;
+        declared[{ "model" }][{ version }].notBefore = Milliseconds { static_cast<std::int64_t>(version * 10) };
+    declared[{ "other" }][{ 2 }].notBefore = Milliseconds { -5000 };
+    declared[{ "unknown" }][{ 2 }] = {};
     const std::string body
         = encodePeerTables({ .operators = table, .upstreams = table, .declared = declared }, {}, { 1000 });
     // The sender's clock is 69 s behind; the answer was computed 20 ms after the request was sent.
@@ -106,18 +106,19 @@
     REQUIRE(tables);
     std::map<ModelId, DeclaredWeights> told;
     for (const PeerWeights& known : tables.value().declared)
-        told[known.model][known.version] = known.notBefore;
+        told[known.model][known.version].notBefore = known.notBefore;
     REQUIRE(told[{ "other" }].contains({ 2 }));
     REQUIRE(told[{ "unknown" }].contains({ 2 }));
     CHECK(told[{ "model" }].size() >= 4);
     CHECK(told[{ "model" }].size() <= 10);
     CHECK(told[{ "model" }].rbegin()->first == WeightsVersion { 20 });
     for (const auto& [model, versions] : told)
-        for (const auto& [version, notBefore] : versions) {
+        for (const auto& [version, known] : versions) {
+            const std::optional<Milliseconds> notBefore = known.notBefore;
             REQUIRE(notBefore.has_value() == (model.value != "unknown"));
             if (!notBefore)
                 continue;
-            const Milliseconds truth = *declared[model][version] + Milliseconds { 69000 };
+            const Milliseconds truth = *declared[model][version].notBefore + Milliseconds { 69000 };
             CHECK(*notBefore < truth);
             CHECK(*notBefore > truth - Milliseconds { 25 });
         }
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -341,9 +341,23 @@
         relay.now += Milliseconds { 5000 };
         CHECK_FALSE(isServed("e3", 1));
     }
-    SECTION("a peer that does not know when an unseen version was declared rules older ones out at once")
+    SECTION("a version that was overwritten unread was not declared before the copy was confirmed without it")
+    {
+        relay.event(WeightsDeclared { .model = model, .version = { 1 }, .source = "store" });
+        relay.event(WeightsDeclared {
+            .model = model, .version = { 4 }, .notBefore = relay.now - Milliseconds { 1000 }, .source = "store" });
+        relay.event(PeerWeightsReceived { .peer = { "peer" },
+            .declared = { { .model = model, .version = { 4 }, .notBefore = relay.now - Milliseconds { 100 } },
+                { .model = model, .version = { 3 }, .notBefore = relay.now - Milliseconds { 8000 } },
+                { .model = model, .version = { 2 } } } });
+        relay.now += Milliseconds { 5990 };
+        CHECK(isServed("e1", 1));
+        relay.now += Milliseconds { 10 };
+        CHECK_FALSE(isServed("e2", 2));
+        CHECK(isServed("e3", 3));
+    }
+    SECTION("a version of which neither the peer nor this entry knows the moment rules older ones out at once")
     {
-        relay.event(WeightsDeclared { .model = model, .version = { 3 }, .notBefore = relay.now, .source = "store" });
         relay.event(PeerWeightsReceived { .peer = { "peer" }, .declared = { { .model = model, .version = { 2 } } } });
         CHECK_FALSE(isServed("e1", 1));
         CHECK(isServed("e2", 2));
