--- a/src/crash_func.cpp
+++ b/src/crash_func.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-    bool includesAll(const RequestTraits& traits, const RequestTraits& wanted)
-    {
-        return std::includes(traits.begin(), traits.end(), wanted.begin(), wanted.end());
-    }
-
     bool intersects(const RequestTraits& left, const RequestTraits& right)
     {
         return std::any_of(left.begin(), left.end(), [&](RequestTrait trait) { return right.contains(trait); });
@@ -84,6 +79,11 @@
 
 } // namespace
 
+bool includesAll(const RequestTraits& traits, const RequestTraits& wanted)
+{
+    return std::includes(traits.begin(), traits.end(), wanted.begin(), wanted.end());
+}
+
 CrashId crashId(const UpstreamId& upstream, std::int64_t processStartedAt)
 {
     return { stableHash(upstream.value, std::to_string(processStartedAt)) };
--- a/src/crash_func.h
+++ b/src/crash_func.h
@@ -7,6 +7,9 @@
 
 namespace hickory {
 
+/// @return whether a set of traits has all that are wanted
+bool includesAll(const RequestTraits& traits, const RequestTraits& wanted);
+
 /// @param processStartedAt start of the upstream's process, Unix ms, 0 when unknown
 CrashId crashId(const UpstreamId& upstream, std::int64_t processStartedAt);
 
--- a/src/crash_state_type.h
+++ b/src/crash_state_type.h
@@ -27,6 +27,7 @@
     std::uint32_t broken { 0 }; ///< sends that were cut off
     /// The process is known to have ended: it refuses connections, left the list or was restarted.
     bool ended { false };
+    bool probing { true }; ///< whether it accepts connections is not known yet
     bool recorded { false }; ///< recorded as a crash
     RequestTraits traits; ///< of requests that had not begun
 };
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -161,7 +161,7 @@
         return count;
     }
 
-    /// @param out list of bounded(traits, maxNewsTraitsOfCrash) items
+    /// @param out list of at most as many items
     void writeTraits(capnp::List<std::uint64_t>::Builder out, const std::vector<RequestTrait>& traits)
     {
         for (unsigned index = 0; index < out.size(); ++index)
@@ -193,12 +193,15 @@
         auto crashes = out.initCrashes(writtenCrashes(news.crashes));
         for (unsigned index = 0; index < crashes.size(); ++index)
             writeCrash(crashes[index], news.crashes[index]);
-        auto quarantines = out.initQuarantines(bounded(news.quarantines, maxNewsQuarantines));
+        std::vector<QuarantineReport> told = news.quarantines;
+        std::erase_if(
+            told, [](const QuarantineReport& report) { return report.traits.size() > maxNewsTraitsOfQuarantine; });
+        auto quarantines = out.initQuarantines(bounded(told, maxNewsQuarantines));
         for (unsigned index = 0; index < quarantines.size(); ++index) {
-            const std::vector<RequestTrait>& traits = news.quarantines[index].traits;
-            writeTraits(quarantines[index].initTraits(bounded(traits, maxNewsTraitsOfCrash)), traits);
-            quarantines[index].setAgeMs(writtenAge(news.quarantines[index].age));
-            quarantines[index].setCount(news.quarantines[index].count);
+            const std::vector<RequestTrait>& traits = told[index].traits;
+            writeTraits(quarantines[index].initTraits(static_cast<unsigned>(traits.size())), traits);
+            quarantines[index].setAgeMs(writtenAge(told[index].age));
+            quarantines[index].setCount(told[index].count);
         }
         auto sound = out.initSound(bounded(news.sound, maxNewsSoundTraits));
         for (unsigned index = 0; index < sound.size(); ++index) {
@@ -215,8 +218,7 @@
             news.crashes.push_back(readCrash(crashes[index]));
         const auto quarantines = in.getQuarantines();
         for (unsigned index = 0; index < bounded(quarantines, maxNewsQuarantines); ++index) {
-            // With some of its traits left out, a quarantine would refuse more requests.
-            if (quarantines[index].getTraits().size() > maxNewsTraitsOfCrash)
+            if (quarantines[index].getTraits().size() > maxNewsTraitsOfQuarantine)
                 continue;
             news.quarantines.push_back({ .traits = readTraits(quarantines[index].getTraits()),
                 .age = readAge(quarantines[index].getAgeMs()),
--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -13,11 +13,6 @@
     constexpr std::uint16_t statusBadGateway = 502;
     constexpr std::uint16_t statusUnavailable = 503;
 
-    bool includesAll(const RequestTraits& traits, const RequestTraits& wanted)
-    {
-        return std::includes(traits.begin(), traits.end(), wanted.begin(), wanted.end());
-    }
-
     /// @return a random share of the time over which the entries spread their trials
     Milliseconds trialJitter(RelayState& state)
     {
@@ -48,7 +43,8 @@
     }
 
     /// Drops the suspicion against a trait with which a request began.
-    void clearTrait(RelayState& state, RequestTrait trait, Milliseconds now, RelayEffects& effects)
+    /// @param learned whether another entry told it
+    void clearTrait(RelayState& state, RequestTrait trait, bool learned, Milliseconds now, RelayEffects& effects)
     {
         CrashState& known = state.crashes;
         for (auto& [id, crash] : known.crashes)
@@ -69,7 +65,7 @@
         known.soundNews[trait] = now;
         insertSound(known.sound, trait, now);
         effects.emplace_back(LogLine { .event = "trait-sound", .fields = { { "trait", traitsText({ trait }) } } });
-        effects.emplace_back(AnnounceCrashNews {});
+        effects.emplace_back(AnnounceCrashNews { .learned = learned });
     }
 
     /// Adds a suspected trait to a crash. Prompt parts take the place of whole requests when there is no room.
@@ -129,22 +125,29 @@
         return isNew ? crash : nullptr;
     }
 
+    /// @return number of crashes that have all the traits
+    std::size_t crashesWith(const CrashState& state, const RequestTraits& traits)
+    {
+        return static_cast<std::size_t>(std::count_if(state.crashes.begin(), state.crashes.end(),
+            [&](const auto& item) { return includesAll(item.second.traits, traits); }));
+    }
+
     void beginQuarantine(
         RelayState& state, Quarantine& quarantine, Milliseconds since, Milliseconds now, RelayEffects& effects)
     {
         quarantine.since = since;
         quarantine.changedAt = since;
         quarantine.trialAt = quarantineEnd(quarantine) + trialJitter(state) * quarantineTrialFactor;
-        const auto crashes = std::count_if(state.crashes.crashes.begin(), state.crashes.crashes.end(),
-            [&](const auto& item) { return includesAll(item.second.traits, quarantine.traits); });
+        const std::size_t crashes = crashesWith(state.crashes, quarantine.traits);
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "quarantine",
             .fields = { { "traits", traitsText(quarantine.traits) }, { "crashes", std::to_string(crashes) },
                 { "count", std::to_string(quarantine.count) },
                 { "for_ms", std::to_string((quarantineEnd(quarantine) - now).value) } } });
         effects.emplace_back(MetricSample { .name = "quarantines_total" });
+        // The other entries of the data centre draw the same conclusion from the same crashes.
         if (now - since < crashNewsPeriod)
-            effects.emplace_back(AnnounceCrashNews {});
+            effects.emplace_back(AnnounceCrashNews { .learned = true });
     }
 
     /// @return the quarantine of exactly these traits, or nullptr
@@ -164,13 +167,6 @@
         return state.quarantines.back();
     }
 
-    /// @return number of crashes that have all the traits
-    std::size_t crashesWith(const CrashState& state, const RequestTraits& traits)
-    {
-        return static_cast<std::size_t>(std::count_if(state.crashes.begin(), state.crashes.end(),
-            [&](const auto& item) { return includesAll(item.second.traits, traits); }));
-    }
-
     /// @return whether each crash that has the traits of a quarantine has those of a culprit behind more crashes
     bool isSuperseded(const CrashState& state, const Quarantine& quarantine, const std::vector<RequestTraits>& culprits)
     {
@@ -253,7 +249,7 @@
             return true;
         const auto view = state.upstreams.find(upstream);
         const bool allBroke = view == state.upstreams.end() || view->second.sent == 0;
-        return allBroke && broken.broken >= several && !isCommonFailure(state, upstream, broken.at);
+        return !broken.probing && allBroke && broken.broken >= several && !isCommonFailure(state, upstream, broken.at);
     }
 
     /// Records the crashes behind connections that broke a moment ago.
@@ -347,6 +343,7 @@
     const auto broken = state.crashes.broken.find(event.upstream);
     if (broken == state.crashes.broken.end() || broken->second.recorded)
         return;
+    broken->second.probing = false;
     if (event.result == ProbeResult::Refused)
         broken->second.ended = true;
     else if (event.result == ProbeResult::Accepted)
@@ -368,10 +365,11 @@
 
 void recordBegun(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects)
 {
+    std::size_t kept = 0;
     for (const RequestTrait trait : request.traits) {
         if (isSuspected(state.crashes, trait))
-            clearTrait(state, trait, now, effects);
-        else if (!isWholeRequest(trait))
+            clearTrait(state, trait, false, now, effects);
+        else if (!isWholeRequest(trait) && kept++ < maxSoundTraitsOfRequest)
             insertSound(state.crashes.sound, trait, now);
     }
 }
@@ -386,7 +384,7 @@
             : nullptr;
         if (crash && report.age < crashNewsPeriod) {
             crash->changedAt = now;
-            effects.emplace_back(AnnounceCrashNews {});
+            effects.emplace_back(AnnounceCrashNews { .learned = true });
         }
         return crash != nullptr;
     }
@@ -425,7 +423,7 @@
     for (const SoundTraitReport& report : event.news.sound) {
         if (!isSuspected(state.crashes, report.trait))
             continue;
-        clearTrait(state, report.trait, now, effects);
+        clearTrait(state, report.trait, true, now, effects);
         changed = true;
     }
     for (const CrashReport& report : event.news.crashes)
@@ -465,6 +463,8 @@
                 { .traits = listed(quarantine.traits), .age = now - quarantine.since, .count = quarantine.count });
     for (const auto& [trait, soundAt] : known.soundNews)
         news.sound.push_back({ .trait = trait, .age = now - soundAt });
+    std::stable_sort(news.sound.begin(), news.sound.end(),
+        [](const SoundTraitReport& left, const SoundTraitReport& right) { return left.age < right.age; });
     return news;
 }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -274,8 +274,8 @@
         probeConnection(this->io, probe->address, probeTimeout, [this, upstream = probe->upstream](ProbeResult result) {
             this->dispatch(UpstreamProbed { .upstream = upstream, .result = result });
         });
-    else if (std::holds_alternative<AnnounceCrashNews>(effect))
-        this->announceCrashNews();
+    else if (const auto* news = std::get_if<AnnounceCrashNews>(&effect))
+        this->announceCrashNews(news->learned);
     else if (const auto* line = std::get_if<LogLine>(&effect))
         writeLog(*line);
     else if (const auto* sample = std::get_if<MetricSample>(&effect))
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -81,7 +81,8 @@
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
     void announceOperatorTableRevision();
     /// Sends beacons with crash news at once. If it did so just before, the next regular beacons carry them.
-    void announceCrashNews();
+    /// @param learned as in AnnounceCrashNews
+    void announceCrashNews(bool learned);
     /// @return a beacon without loads
     PeerBeacon makeBeacon() const;
     /// @return ips of all known agents
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -84,9 +84,12 @@
         this->peerSocket.send(beacon, otherDataCentreTargets(this->peers, dataCentre));
 }
 
-void RelayLoop::announceCrashNews()
+void RelayLoop::announceCrashNews(bool learned)
 {
     const Milliseconds now = monotonicNow();
+    const bool toOthers = announcesToOtherDataCentres(this->peers, this->self(), now);
+    if (learned && !toOthers)
+        return;
     if (now - this->crashNewsAnnouncedAt < minCrashNewsInterval) {
         this->crashNewsPending = true;
         return;
@@ -96,9 +99,10 @@
     beacon.loads = ownLoads(this->state);
     beacon.crashNews = crashNews(this->state, false, now);
     const DataCentreId& dataCentre = this->settings.host.dataCentre;
-    this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
+    if (!learned)
+        this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
     beacon.crashNews = {};
-    if (announcesToOtherDataCentres(this->peers, beacon.from, now))
+    if (toOthers)
         this->sendToOtherDataCentres(std::move(beacon), otherDataCentreTargets(this->peers, dataCentre), now);
 }
 
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -51,6 +51,7 @@
     enum class SendFailure : std::uint8_t {
         NotSent, ///< no byte left this process
         NotRun, ///< the upstream states that it did not run the request
+        CutOff, ///< the connection ended before the whole answer; it may have run
         MayHaveRun, ///< anything else
     };
 
@@ -61,13 +62,14 @@
         Milliseconds now, RelayEffects& effects)
     {
         const bool notSent = failure == SendFailure::NotSent;
-        if (failure == SendFailure::MayHaveRun)
+        const bool mayHaveRun = failure == SendFailure::CutOff || failure == SendFailure::MayHaveRun;
+        if (mayHaveRun)
             request.mayHaveRun = true;
-        const bool repeatable = failure != SendFailure::MayHaveRun || isRepeatable(request);
+        const bool repeatable = !mayHaveRun || isRepeatable(request);
         const bool attemptsLeft
             = notSent ? request.connectFailures < maxConnectFailures : request.sends < request.route->maxAttempts;
         // A trial that did not begin has shown enough.
-        const bool trialFailed = failure == SendFailure::MayHaveRun && state.crashes.trial == request.call
+        const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
             && suspicionHold(state.crashes, request.traits, now);
         const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
         if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
@@ -291,7 +293,10 @@
         --request->sends;
         ++request->connectFailures;
     }
-    retryElsewhere(state, *request, notSent ? SendFailure::NotSent : SendFailure::MayHaveRun,
+    retryElsewhere(state, *request,
+        notSent                               ? SendFailure::NotSent
+            : event.end == SendResult::Broken ? SendFailure::CutOff
+                                              : SendFailure::MayHaveRun,
         notSent ? "connect" : "broken", now, effects);
     dispatchWaiting(state, service, now, effects);
 }
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -231,8 +231,11 @@
     std::string address; ///< "ip:port" of the upstream
 };
 
-/// Send the other entries crashNews() at once.
-struct AnnounceCrashNews { };
+/// Send other entries crashNews() at once.
+struct AnnounceCrashNews {
+    /// Another entry told it, and tells its data centre itself: only what this entry passes on to others is sent.
+    bool learned { false };
+};
 
 using RelayEffect = std::variant<SendToUpstream, CancelSend, RefuseCall, ForwardResponse, FinishResponse, AbortResponse,
     ProbeUpstream, AnnounceCrashNews, LogLine, MetricSample>;
--- a/src/table/crash_limits.h
+++ b/src/table/crash_limits.h
@@ -36,7 +36,10 @@
 /// expires within it.
 constexpr Milliseconds crashConfirmTimeout { 6000 };
 constexpr Milliseconds soundPeriod { 15000 }; ///< length of a generation of sound traits
-constexpr std::size_t maxSoundTraits = 4096; ///< in one generation
+constexpr std::size_t maxSoundTraits = 16384; ///< in one generation: about 1 MB
+/// Prompt parts of one request that are remembered as sound, so that a few requests with many parts don't fill the
+/// table.
+constexpr std::size_t maxSoundTraitsOfRequest = 16;
 constexpr std::size_t maxKnownCrashes = 64; ///< the oldest are dropped first
 constexpr std::size_t maxTraitsPerCrash = 32; ///< more than one entry's requests waiting at an engine
 constexpr std::size_t maxQuarantines = 64; ///< the oldest are dropped first
--- a/tests/unit_relay_crash_news.cpp
+++ b/tests/unit_relay_crash_news.cpp
@@ -156,6 +156,61 @@
     }
 }
 
+// Guards against refusing a sound request because it was tried at an engine that hangs.
+TEST_CASE("A trial at a silent engine is sent to another one", "[relay][crash]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    CrashNews news = crashesWith(asPromptPart(somePart), 1, 1);
+    news.crashes.front().age = trialDelay + maxTrialSpread;
+    relay.event(CrashNewsReceived { .news = news });
+    const SendToUpstream trial = sendOf(relay, letter(1, { somePart }));
+    relay.now += Milliseconds { 1000 };
+    const auto effects = relay.event(RelayTick {});
+    const auto* again = findEffect<SendToUpstream>(effects);
+    REQUIRE(again);
+    CHECK(again->upstream != trial.upstream);
+}
+
+// Guards against a crash that is concluded from broken connections although the upstream still runs.
+TEST_CASE("Broken connections are no crash while the upstream may still accept others", "[relay][crash]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    const SendToUpstream first = sendOf(relay, letter(1, { somePart }));
+    const SendToUpstream second = sendOf(relay, letter(2, { somePart }));
+    for (const SendToUpstream& send : { first, second })
+        relay.event(ResponseEnded { .call = send.call, .send = send.send, .end = SendResult::Broken });
+    relay.now += Milliseconds { 300 };
+    relay.event(RelayTick {});
+    CHECK(relay.state.crashes.crashes.empty());
+    const auto result = GENERATE(ProbeResult::Accepted, ProbeResult::Unreachable, ProbeResult::Refused);
+    relay.event(UpstreamProbed { .upstream = { "e1" }, .result = result });
+    relay.event(RelayTick {});
+    CHECK(relay.state.crashes.crashes.empty() == (result == ProbeResult::Accepted));
+}
+
+// Guards against a few requests with many parts that make all other parts look unknown.
+TEST_CASE("Requests with many prompt parts leave room for the sound parts of others", "[relay][crash]")
+{
+    RelayFixture relay;
+    UpstreamEntry engine = RelayFixture::upstream("e1", "engine");
+    engine.slots = 1000;
+    relay.list({ engine });
+    std::uint64_t part = 0x100000;
+    for (std::uint64_t number = 1; number <= 200; ++number) {
+        std::vector<std::uint64_t> parts;
+        for (std::size_t index = 0; index < 256; ++index)
+            parts.push_back(part += 2);
+        if (number == 200)
+            parts = { somePart };
+        const SendToUpstream send = sendOf(relay, letter(number, parts));
+        relay.event(ResponseStarted { .call = send.call, .send = send.send, .status = 200, .sealed = true });
+        relay.event(StreamProgressed { .call = send.call, .send = send.send, .lastEventId = "1" });
+    }
+    CHECK(isSound(relay.state.crashes.sound, asPromptPart(somePart)));
+}
+
 // Guards against news that entries teach each other again after they forgot them.
 TEST_CASE("Entries that tell each other of crashes forget them all the same", "[relay][crash]")
 {
