See no outage of the store in an entry that is cut off from its peers

An entry that reached neither the store nor a peer took the cut for an outage of the store, in which the others could have learned of a version long before, and told them its later moment afterwards. An entry without peers sees no outage and counts from its last confirmation.

--- a/tests/unit_platform_outage.cpp
+++ b/tests/unit_platform_outage.cpp
@@ -13,26 +13,32 @@
     SECTION("an outage is seen until the last failed request was sent")
     {
         for (std::int64_t sentAt = 10000; sentAt <= 17000; sentAt += 1000)
-            recordFailure(outage, { sentAt }, { 10000 });
+            recordFailure(outage, { sentAt }, { 10000 }, { sentAt - 300 });
         CHECK(outage.lastSeenAt == Milliseconds { 17000 });
         recordSuccess(outage);
         for (std::int64_t sentAt = 18000; sentAt <= 19900; sentAt += 250)
-            recordFailure(outage, { sentAt }, { 17500 });
+            recordFailure(outage, { sentAt }, { 17500 }, { sentAt - 300 });
         CHECK(outage.lastSeenAt == Milliseconds { 17000 });
     }
     SECTION("a request that waited while this process was frozen is no outage")
     {
-        recordFailure(outage, { 10400 }, { 10000 });
+        recordFailure(outage, { 10400 }, { 10000 }, { 10100 });
         CHECK(outage.lastSeenAt == Milliseconds { 0 });
         // The connections of a frozen process may be reset.
         for (std::int64_t sentAt = 13500; sentAt <= 15000; sentAt += 250)
-            recordFailure(outage, { sentAt }, { 10000 });
+            recordFailure(outage, { sentAt }, { 10000 }, { sentAt - 300 });
+        CHECK(outage.lastSeenAt == Milliseconds { 0 });
+    }
+    SECTION("a process that reaches neither the store nor a peer is cut off")
+    {
+        for (std::int64_t sentAt = 10000; sentAt <= 17000; sentAt += 1000)
+            recordFailure(outage, { sentAt }, { 10000 }, { 9900 });
         CHECK(outage.lastSeenAt == Milliseconds { 0 });
     }
     SECTION("a process whose peers reach the store sees no outage")
     {
         for (std::int64_t sentAt = 10000; sentAt <= 17000; sentAt += 250)
-            recordFailure(outage, { sentAt }, { sentAt - 1200 });
+            recordFailure(outage, { sentAt }, { sentAt - 1200 }, { sentAt - 300 });
         CHECK(outage.lastSeenAt == Milliseconds { 0 });
     }
 }
