Bound what a blocking call reads

HttpConnection collected an answer's body without limit, and a head without end was read past the call's deadline, since the library's timeouts apply to each read. A body is now limited to 64 MiB (maxReplyBody, HttpCall::maxAnswerBody), and a guard ends the call at its deadline whatever the server sends. The bytes of a head within the deadline stay unbounded: the library gives no hold on them.

--- a/src/http_client_io.cpp
+++ b/src/http_client_io.cpp
@@ -1,7 +1,10 @@
 #include "http_client_io.h"
 
 #include <algorithm>
+#include <condition_variable>
 #include <httplib.h>
+#include <mutex>
+#include <thread>
 
 namespace hickory {
 
@@ -31,11 +34,44 @@
 
 namespace {
 
+    /// Ends a client's call at a deadline. The library's timeouts apply to each read, and it reads a head for as long
+    /// as the server sends one.
+    class DeadlineGuard {
+    public:
+        DeadlineGuard(httplib::Client& client, Milliseconds deadline)
+            : thread([this, &client, deadline] {
+                std::unique_lock lock(this->mutex);
+                const std::chrono::milliseconds left((deadline - monotonicNow()).value);
+                if (!this->ended.wait_for(lock, left, [this] { return this->done; }))
+                    client.stop();
+            })
+        {
+        }
+        ~DeadlineGuard()
+        {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->done = true;
+            }
+            this->ended.notify_one();
+            this->thread.join();
+        }
+        DeadlineGuard(const DeadlineGuard&) = delete;
+        DeadlineGuard& operator=(const DeadlineGuard&) = delete;
+
+    private:
+        std::mutex mutex; ///< guards `done`
+        std::condition_variable ended; ///< signals that `done` was set
+        bool done { false }; ///< the call has ended
+        std::thread thread; ///< waits for the deadline
+    };
+
     /// Outcome of sending a request once.
     struct Transmission {
         HttpReply reply; ///< valid when error is Success
         httplib::Error error { httplib::Error::Unknown }; ///< Success, or why the transmission failed
         bool deadlinePassed { false }; ///< the deadline passed while the answer was being received
+        bool tooLong { false }; ///< the answer exceeds HttpCall::maxAnswerBody
     };
 
     Transmission transmit(httplib::Client& client, const HttpCall& call, Milliseconds deadline)
@@ -69,8 +105,10 @@
             if (success && call.onPart)
                 return call.onPart({ data, size });
             result.reply.body.append(data, size);
-            return true;
+            result.tooLong = result.reply.body.size() > call.maxAnswerBody;
+            return !result.tooLong;
         };
+        const DeadlineGuard guard(client, deadline);
         const httplib::Result answer = client.send(request);
         result.error = answer.error();
         if (!answer)
@@ -101,7 +139,7 @@
     return Error { .code = make_error_code(timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable),
         .step = !connected ? connectStep : call.method + " " + call.path.substr(0, call.path.find('?')),
         .peer = this->state->url,
-        .detail = httplib::to_string(result.error) };
+        .detail = result.tooLong ? "answer too long" : httplib::to_string(result.error) };
 }
 
 std::string percentEncode(std::string_view text, bool keepSlashes)
--- a/src/http_client_io.h
+++ b/src/http_client_io.h
@@ -2,6 +2,7 @@
 
 #include "clock_type.h"
 #include "error_type.h"
+#include "table/answer_limits.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,7 @@
     std::vector<std::pair<std::string, std::string>> headers; ///< further header fields as name and value
     std::string body; ///< empty for none
     std::string contentType { "application/json" }; ///< type of the body, unused when it is empty
+    std::size_t maxAnswerBody { maxReplyBody }; ///< bytes; a longer answer is an error, unless onPart is set
     Milliseconds timeout { 2000 }; ///< time until the answer must be complete
     std::function<bool(std::string_view)> onPart; ///< receives the body of a 2xx answer in parts; false aborts
 };
--- a/src/table/answer_limits.h
+++ b/src/table/answer_limits.h
@@ -17,6 +17,8 @@
 constexpr std::size_t maxFetchedBody = 8U << 20U;
 /// Bytes of a piece of the weights (32 KB). Smaller, because an agent fetches several pieces at a time.
 constexpr std::size_t maxFetchedPiece = 4U << 20U;
+/// Bytes of an answer to a blocking call: configurations, states of the fleet for operators.
+constexpr std::size_t maxReplyBody = 64U << 20U;
 /// Bytes of a plain answer that is forwarded to a caller, or of a stream that cannot be forwarded.
 constexpr std::size_t maxPlainAnswer = 1U << 20U;
 /// Bytes of one event of a stream.
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -1,4 +1,5 @@
 #include "call_pool_io.h"
+#include "endless_server.h"
 #include "table/answer_limits.h"
 
 #include <catch2/catch.hpp>
@@ -93,45 +94,6 @@
     ServerEnd end; ///< how each connection ends then
 };
 
-/// Server that sends a start and then the same bytes again and again until its peer closes the connection.
-struct EndlessServer {
-    EndlessServer(asio::io_context& io, const std::string& start, std::string unit)
-        : acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 })
-        , socket(io)
-        , block(start)
-        , unit(std::move(unit))
-    {
-        this->acceptor.async_accept(this->socket, [this](const std::error_code& code) {
-            if (!code)
-                this->send();
-        });
-    }
-
-    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
-
-    void send()
-    {
-        constexpr std::size_t blockBytes = 32768;
-        while (this->block.size() < blockBytes)
-            this->block += this->unit;
-        asio::async_write(
-            this->socket, asio::buffer(this->block), [this](const std::error_code& code, std::size_t count) {
-                this->sent += count;
-                this->block.clear();
-                this->closed = bool(code);
-                if (!code)
-                    this->send();
-            });
-    }
-
-    asio::ip::tcp::acceptor acceptor;
-    asio::ip::tcp::socket socket;
-    std::string block; ///< bytes being sent
-    std::string unit; ///< what is sent again and again
-    std::size_t sent { 0 }; ///< bytes that the kernel took
-    bool closed { false }; ///< the peer closed the connection
-};
-
 /// Sink of a call that accepts all answers or none and keeps only their size.
 struct CountingSink : CallSink {
     explicit CountingSink(bool accepting)
@@ -153,9 +115,6 @@
     std::optional<CallEnd> end; ///< how the call ended, empty before
 };
 
-/// Bytes that an endless answer may cost above a limit: what the kernel buffers on both sides.
-constexpr std::size_t socketBuffers = 12U << 20U;
-
 /// Runs the loop until a condition holds or one second has passed.
 /// @return whether the condition holds
 template <typename Condition> bool runUntil(asio::io_context& io, const Condition& condition)
