Bound the events that an agent takes from its engine

UpstreamClient, the engine client of AgentLoop, collected an event for as long as the engine sent it. Past 256 KiB (maxEvent) the request now ends as crashed and the connection is closed.

The new test failed before: the request went on after 3 s and 17 MB. With the change it ends.

--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -1,5 +1,6 @@
 #include "upstream_io.h"
 
+#include "table/answer_limits.h"
 #include "worker_pool_func.h"
 
 #include <httplib.h>
@@ -101,7 +102,8 @@
                 if (!this->sendPart(std::move(event)))
                     return false;
             }
-            return true;
+            this->eventTooLong = this->pendingEvent.size() > maxEvent;
+            return !this->eventTooLong;
         }
 
         /// Adds a piece to the answer that is recorded in the call row. An answer that grows too long is discarded as a
@@ -137,6 +139,7 @@
         std::string answer; ///< recorded answer, empty when too long
         bool tooLong { false }; ///< the answer exceeds maxRecordedBytes
         std::string pendingEvent; ///< start of an event whose end was not read yet
+        bool eventTooLong { false }; ///< the engine sent an event longer than maxEvent
         std::uint32_t parts { 0 }; ///< parts sent
         bool finalEventRead { false }; ///< the final event was read
     };
@@ -150,6 +153,8 @@
             return UpstreamResult::Completed;
         if (active.cancelled)
             return UpstreamResult::Cancelled;
+        if (reader.eventTooLong)
+            return UpstreamResult::Crashed;
         if (!result) {
             const auto error = result.error();
             if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
