Use older weights until 0.6 s before their bound

The margin of 1 s also covered the delay with which entries learn of a declaration. Since the bound counts from the last moment without the version, that delay makes it up to 0.85 s earlier instead, and entries gave up engines that were still loading. What remains needed is outdatedSendGrace (350 ms), after which sends that have not begun are cancelled, a tick (20 ms) and the way of the cancellation.

--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock_type.h"
+#include "table/relay_limits.h"
 #include "tcp_link_io.h"
 
 #include <cstdint>
@@ -15,15 +16,17 @@
 /// Age up to which a confirmed configuration is trusted to decide on keys, as a percentage of maxRevocationDelay. The
 /// rest of that time is left to send a request that was just admitted.
 constexpr std::int64_t keyConfigMaxAgePercent = 88;
-/// Requests are sent to engines with old weights until this long before maxWeightsDelay ends: a request waits for up to
-/// half a second in an engine's queue.
-constexpr Milliseconds weightsMargin { 1000 };
+/// Requests are sent to engines with old weights until this long before maxWeightsDelay ends. One that has not begun is
+/// cancelled outdatedSendGrace later; the rest is for a tick and the way of the cancellation.
+constexpr Milliseconds weightsMargin { 600 };
 constexpr Milliseconds operatorPollTimeout { 400 }; ///< how long the store holds a long poll for the configuration
 constexpr Milliseconds upstreamPollTimeout { 400 }; ///< how long the store holds a long poll for the list of upstreams
 /// How long after an outage of the store upstreams stay listed whose rows expired during it: live ones are listed again
 /// within 2 s of its end.
 constexpr Milliseconds relistGracePeriod { 2200 };
 constexpr Milliseconds tickPeriod { 20 }; ///< resolution of timeouts, well below a pass of a full engine (70 ms)
+static_assert(weightsMargin > outdatedSendGrace + tickPeriod * 2 + Milliseconds { 100 },
+    "cancellations of requests for old weights must reach engines before the bound");
 constexpr Milliseconds beaconPeriod { 100 }; ///< between beacons, on the order of a pass of an engine
 /// Mean time between datagrams to other data centres: 40 a second.
 constexpr Milliseconds remoteDatagramInterval { 25 };
