--- a/tests/crash_fleet.h
+++ b/tests/crash_fleet.h
@@ -8,6 +8,25 @@
 
 namespace hickory {
 
+/// @param parts hashes of the shared parts of its prompt
+/// @param wholeRequest hash of the request
+/// @return a request for the engine service
+inline RequestMetadata letterMetadata(
+    std::uint64_t number, const std::vector<std::uint64_t>& parts, std::uint64_t wholeRequest)
+{
+    RequestMetadata metadata { .attemptId = "attempt-" + std::to_string(number),
+        .host = "desk.example",
+        .target = "/letters/x",
+        .key = "key",
+        .timeout = { 6000 },
+        .model = { "model" },
+        .promptTokens = 900,
+        .wholeRequest = { wholeRequest } };
+    for (const std::uint64_t part : parts)
+        metadata.promptParts.push_back({ part });
+    return metadata;
+}
+
 /// Several relays in front of engines that a request may crash. Time advances in steps; the relays hear each other's
 /// crash news after a delay.
 class CrashFleet {
@@ -37,16 +56,8 @@
     {
         const std::size_t relay = this->random() % this->relays.size();
         const CallId call { ++this->lastCall };
-        RequestMetadata metadata { .attemptId = "attempt-" + std::to_string(call.value),
-            .host = "desk.example",
-            .target = "/letters/x",
-            .key = "key",
-            .timeout = { 6000 },
-            .model = { "model" },
-            .promptTokens = 900,
-            .wholeRequest = { caller.wholeRequest != 0 ? caller.wholeRequest : this->random() } };
-        for (const std::uint64_t part : caller.parts)
-            metadata.promptParts.push_back({ part });
+        const RequestMetadata metadata
+            = letterMetadata(call.value, caller.parts, caller.wholeRequest != 0 ? caller.wholeRequest : this->random());
         this->traits[call] = caller.parts;
         this->traits[call].push_back(metadata.wholeRequest.value);
         const std::size_t before = this->sendCount;
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -78,15 +78,7 @@
         .orderPending = true });
     std::vector<ResponseEnded> broken;
     for (const std::vector<std::uint64_t>& prompt : prompts) {
-        RequestMetadata metadata { .attemptId = "crashed-" + std::to_string(++relay.lastCall),
-            .host = "desk.example",
-            .target = "/letters/x",
-            .key = "key",
-            .timeout = { 6000 },
-            .model = { "model" },
-            .promptTokens = 900 };
-        for (const std::uint64_t part : prompt)
-            metadata.promptParts.push_back({ part });
+        const RequestMetadata metadata = letterMetadata(++relay.lastCall, prompt, 0);
         const auto effects
             = relay.event(CallArrived { .call = { relay.lastCall }, .firstByteAt = relay.now, .metadata = metadata });
         const auto* send = findEffect<SendToUpstream>(effects);
--- a/tests/unit_relay_crash_news.cpp
+++ b/tests/unit_relay_crash_news.cpp
@@ -11,19 +11,9 @@
 
 constexpr std::uint64_t somePart = 0x1000;
 
-RequestMetadata letter(std::uint64_t number, std::vector<std::uint64_t> parts)
+RequestMetadata letter(std::uint64_t number, const std::vector<std::uint64_t>& parts)
 {
-    RequestMetadata metadata { .attemptId = "attempt-" + std::to_string(number),
-        .host = "desk.example",
-        .target = "/letters/x",
-        .key = "key",
-        .timeout = { 6000 },
-        .model = { "model" },
-        .promptTokens = 900,
-        .wholeRequest = { 0x900000 + number } };
-    for (const std::uint64_t part : parts)
-        metadata.promptParts.push_back({ part });
-    return metadata;
+    return letterMetadata(number, parts, 0x900000 + number);
 }
 
 /// Receives a request that must be sent at once.
