--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -377,7 +377,10 @@
     else if (request.head.target.starts_with(peerTablesPath)) {
         const PeerRevisions have = decodePeerRevisions(request.head.target);
         this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
-            encodePeerTables(this->operatorRows.snapshot(), this->upstreamRows.snapshot(), have, monotonicNow()));
+            encodePeerTables({ .operators = this->operatorRows.snapshot(),
+                                 .upstreams = this->upstreamRows.snapshot(),
+                                 .declared = this->state.declared },
+                have, monotonicNow()));
     } else
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
 }
@@ -390,8 +393,11 @@
         this->front.answer(request.id, statusUnavailable, {}, "no configuration or list yet\n");
         return;
     }
-    this->front.answer(
-        request.id, statusOk, { { "Content-Type", "application/json" } }, encodeFleetView(*view, question.stamp));
+    std::optional<Milliseconds> unseenFor;
+    if (const auto notBefore = declaredNotBefore(this->state, *view))
+        unseenFor = monotonicNow() - *notBefore;
+    this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
+        encodeFleetView(*view, unseenFor, question.stamp));
 }
 
 bool RelayLoop::ready() const
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -4,10 +4,16 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace hickory {
 
 namespace {
 
+    /// A peer's better knowledge of a known version is logged from this gain on.
+    constexpr Milliseconds minLoggedWeightsGain { 100 };
+
     void applyConfig(RelayState& state, const ConfigUpdated& event, Milliseconds now, RelayEffects& effects)
     {
         if (state.config && event.config->version <= state.config->version)
@@ -20,14 +26,34 @@
         dispatchAllWaiting(state, now, effects);
     }
 
+    LogLine weightsLogLine(const ModelId& model, WeightsVersion version, const std::string& source,
+        std::optional<Milliseconds> notBefore, Milliseconds now)
+    {
+        return { .event = "weights-declared",
+            .fields = { { "model", model.value }, { "version", std::to_string(version.value) }, { "source", source },
+                { "unseen_ms", notBefore ? std::to_string((now - *notBefore).value) : "unknown" } } };
+    }
+
     void applyWeights(RelayState& state, const WeightsDeclared& event, Milliseconds now, RelayEffects& effects)
     {
         DeclaredWeights& declared = state.declared[event.model];
+        // A known version may be read again from a copy that was confirmed after its declaration.
         if (!declared.empty() && event.version <= declared.rbegin()->first)
             return;
-        declared[event.version] = event.fromInitialRead ? now - state.options.weightsGracePeriod : now;
-        effects.emplace_back(LogLine { .event = "weights-declared",
-            .fields = { { "model", event.model.value }, { "version", std::to_string(event.version.value) } } });
+        declared[event.version] = event.notBefore;
+        effects.emplace_back(weightsLogLine(event.model, event.version, event.source, event.notBefore, now));
+    }
+
+    void applyPeerWeights(RelayState& state, const PeerWeightsReceived& event, Milliseconds now, RelayEffects& effects)
+    {
+        for (const PeerWeights& told : event.declared) {
+            const auto [known, isNew] = state.declared[told.model].try_emplace(told.version, told.notBefore);
+            const std::optional<Milliseconds> before
+                = std::exchange(known->second, std::max(known->second, told.notBefore));
+            const bool isBetter = known->second && (!before || *known->second - *before >= minLoggedWeightsGain);
+            if (isNew || isBetter)
+                effects.emplace_back(weightsLogLine(told.model, told.version, event.peer.value, told.notBefore, now));
+        }
     }
 
     void applyDrain(RelayState& state, const DrainStarted& event, Milliseconds now, RelayEffects& effects)
@@ -88,6 +114,7 @@
                        state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
                    },
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
+                   [&](const PeerWeightsReceived& told) { applyPeerWeights(state, told, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
                },
         event);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -136,8 +136,10 @@
     std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
 };
 
-/// Declared versions of one model's weights, oldest first, and when this process learned of each.
-using DeclaredWeights = std::map<WeightsVersion, Milliseconds>;
+/// Declared versions of one model's weights, oldest first, and for each the latest moment at which it is known not to
+/// have been declared yet. Unlike the moment at which this process learned of it, that is never after the declaration.
+/// Empty when the version may have been declared long ago.
+using DeclaredWeights = std::map<WeightsVersion, std::optional<Milliseconds>>;
 
 /// All state of the relay's reducer.
 struct RelayState {
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -131,12 +131,29 @@
 struct WeightsDeclared {
     ModelId model; ///< model that the weights are for
     WeightsVersion version; ///< newest declared version
-    bool fromInitialRead { false }; ///< found in the first read of the store: may have been declared long ago
+    /// It was not declared yet at this moment. Empty when it was found in the first read of the store: it may have been
+    /// declared long ago.
+    std::optional<Milliseconds> notBefore;
+    std::string source; ///< for the log: "store", or host of the peer that the row was copied from
+};
+
+/// A declared version, as another entry knows it.
+struct PeerWeights {
+    ModelId model; ///< model that the weights are for
+    WeightsVersion version; ///< declared, and possibly replaced by a newer one since
+    std::optional<Milliseconds> notBefore; ///< as in WeightsDeclared, on this process's clock
+};
+
+/// Another entry told which versions it knows to be declared. It may have seen versions that this one did not, and may
+/// know better when they were declared.
+struct PeerWeightsReceived {
+    HostId peer; ///< host of that entry
+    std::vector<PeerWeights> declared; ///< in any order
 };
 
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
-    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, DrainStarted>;
+    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
