Send no request for weights that become too old before it can begin

Entries already kept a lead for upstreams on probation. Where what was sent waits for longer than a queue explains, twice that wait is the lead now, up to the same limit. The new case of the relay test failed before.

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -24,13 +24,21 @@
         return static_cast<double>(stableHash(request.metadata.attemptId, view.entry.id.value) % steps) / steps;
     }
 
+    /// @return how long a request may take to begin at an upstream: weights that become too old meanwhile are not used
+    Milliseconds weightsLead(const RelayUpstream& view)
+    {
+        if (view.onProbation)
+            return probationWeightsLead;
+        // What waits for longer than a queue explains lies on a congested link, and a later request lies behind it.
+        return view.longestWait > expectedWait ? std::min(view.longestWait * 2, probationWeightsLead) : Milliseconds {};
+    }
+
     bool hasWeights(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
     {
         const HeldModel* held = heldModel(view, request.metadata.model);
         if (!held)
             return false;
-        const Milliseconds lead = view.onProbation ? probationWeightsLead : Milliseconds {};
-        return held->version >= requiredWeights(state, request.metadata.model, now + lead);
+        return held->version >= requiredWeights(state, request.metadata.model, now + weightsLead(view));
     }
 
     bool canRun(const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -45,6 +45,25 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
 }
 
+// Guards against requests that lie on a congested link until the weights of their engine are too old.
+TEST_CASE("An engine that answers late gets no requests for weights that are soon too old", "[relay][suspect]")
+{
+    RelayFixture relay({ .weightsGracePeriod = { 6000 } });
+    relay.list({ RelayFixture::upstream("e1", "engine") });
+    relay.event(WeightsDeclared {
+        .model = { "model" }, .version = { 2 }, .notBefore = relay.now - Milliseconds { 3900 }, .source = "store" });
+    sentTo(relay.request("/letters/"), "e1");
+    const CallId call = relay.lastCallId();
+    const SendId second = sentTo(relay.request("/letters/"), "e1");
+    relay.now += Milliseconds { 800 };
+    relay.event(ResponseStarted { .call = relay.lastCallId(), .send = second, .status = 200, .sealed = true });
+    relay.event(RelayTick {});
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/letters/")));
+    relay.event(RelayCallerDisconnected { .call = call });
+    relay.event(RelayTick {});
+    CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
+}
+
 // Guards against sending a whole queue to an engine whose ejection ended while its link is still down.
 TEST_CASE("An engine that failed gets one request at a time until it answers", "[relay][suspect]")
 {
