Log how an upstream's answer ended

Change: CallPool reports the second kind as CallEnd::Closed, and `answer` lines have end=framed or end=closed and last_event=. Both kinds are still treated alike.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -209,7 +209,7 @@
     if (end == LinkEnd::Closed)
         connection->parser.finish(*connection);
     if (connection->call == call)
-        this->endCall(connection, connection->complete ? CallEnd::Complete : CallEnd::Broken);
+        this->endCall(connection, connection->complete ? CallEnd::Closed : CallEnd::Broken);
     connection->link->close();
 }
 
@@ -289,7 +289,7 @@
     void onEnd(CallEnd end) override
     {
         this->timer.cancel();
-        if (end == CallEnd::Complete)
+        if (end == CallEnd::Complete || end == CallEnd::Closed)
             this->done(std::move(this->answer));
         else
             this->done(Error { .code = make_error_code(ErrorCode::Unavailable),
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -20,7 +20,8 @@
 
 /// How a call ended.
 enum class CallEnd : std::uint8_t {
-    Complete, ///< the complete answer arrived
+    Complete, ///< the complete answer arrived, as its length or its last chunk shows
+    Closed, ///< the answer has neither a length nor chunks, and the server closed the connection without a reset
     NotSent, ///< no byte of the request left this process
     Broken, ///< the connection ended, or sent invalid or too much data, before the answer was complete; the request may
             ///< have run
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -112,13 +112,15 @@
 
     void onEnd(CallEnd end) override
     {
-        const bool complete = end == CallEnd::Complete && !(this->stream && this->splitter.insideEvent());
+        const bool ended = end == CallEnd::Complete || end == CallEnd::Closed;
+        const bool complete = ended && !(this->stream && this->splitter.insideEvent());
         if (complete && this->owner->streaming)
             this->loop.front.body(this->call, this->splitter.rest());
         const SendResult how = complete ? SendResult::Complete
             : end == CallEnd::NotSent   ? SendResult::NotSent
                                         : SendResult::Broken;
-        this->loop.dispatch(ResponseEnded { .call = this->call, .send = this->sendId, .end = how });
+        this->loop.dispatch(
+            ResponseEnded { .call = this->call, .send = this->sendId, .end = how, .unframed = end == CallEnd::Closed });
     }
 
     RelayLoop& loop; ///< outlives this
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -109,6 +109,8 @@
         if (request.firstEventAt.value != 0)
             line.fields.emplace_back(
                 "first_event_ms", std::to_string((request.firstEventAt - request.arrivedAt).value));
+        line.fields.emplace_back("end", send.unframed ? "closed" : "framed");
+        line.fields.emplace_back("last_event", request.lastEventId);
         line.fields.emplace_back("prompt_tokens", std::to_string(request.metadata.promptTokens));
         line.fields.emplace_back("sent_ms", std::to_string((send.sentAt - request.arrivedAt).value));
         effects.emplace_back(std::move(line));
@@ -261,6 +263,7 @@
     RelayRequest* request = findActive(state, event.call, event.send);
     if (!request)
         return;
+    request->active->unframed = event.unframed;
     const UpstreamId upstream = request->active->upstream;
     const std::uint16_t status = request->active->status;
     const bool isComplete = event.end == SendResult::Complete;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -56,6 +56,7 @@
     bool headReceived { false }; ///< the head of the response arrived
     std::uint16_t status { 0 }; ///< HTTP status of the response, 0 before its head
     bool sealed { false }; ///< the response carries the seal header
+    bool unframed { false }; ///< the response had neither a length nor chunks and ended with its connection
     bool prefilling { true }; ///< no event of a stream came yet: the prompt still counts as unread
 };
 
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -74,6 +74,7 @@
     CallId call;
     SendId send;
     SendResult end { SendResult::Complete }; ///< whether the response is whole
+    bool unframed { false }; ///< it had neither a length nor chunks and ended with its connection
 };
 
 /// Periodic timer event, on which time limits are checked.
