Decide in one place whether an answer is a stream of events

Callers saw: on a streaming route each answer whose Content-Type was missing or written in other letter case came with status 200, framed as complete and empty, broken off or whole. Cause: the reducer forwarded the head because the route is one of streams, the I/O layer took the answer for a plain one because of its type and answered at once with the body so far. Change: isEventStream() decides once, from the type without regard to case and parameters, and from the route where the answer states no type. The reducer is told (ResponseStarted::stream). An answer of another type on such a route is forwarded when it is whole. The reducer's tests now state for each sealed 200 that it is a stream; no check was changed.

--- /dev/null
+++ b/src/answer_end_func.cpp
@@ -0,0 +1,17 @@
+#include "answer_end_func.h"
+
+namespace hickory {
+
+bool isEventStream(const WireHead& head, bool expected)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    const std::string* type = head.find("Content-Type");
+    if (!type || type->empty())
+        return expected;
+    std::string_view name = std::string_view(*type).substr(0, type->find(';'));
+    while (name.ends_with(' ') || name.ends_with('\t'))
+        name.remove_suffix(1);
+    return equalNames(name, eventStream);
+}
+
+} // namespace hickory
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -1,5 +1,6 @@
 #include "relay_loop_io.h"
 
+#include "answer_end_func.h"
 #include "event_splitter_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
@@ -69,11 +70,12 @@
 
 /// One send of a request to an upstream, and the response to it.
 struct RelayLoop::UpstreamCall : CallSink {
-    UpstreamCall(RelayLoop& loop, CallId call, SendId sendId, std::shared_ptr<Call> owner)
+    UpstreamCall(RelayLoop& loop, const SendToUpstream& effect, std::shared_ptr<Call> owner)
         : loop(loop)
-        , call(call)
-        , sendId(sendId)
+        , call(effect.call)
+        , sendId(effect.send)
         , owner(std::move(owner))
+        , expectsStream(effect.expectsStream)
     {
     }
 
@@ -82,9 +84,9 @@
     void onHead(WireHead&& received) override
     {
         this->head = std::move(received);
-        const std::string* type = this->head.find("Content-Type");
-        this->stream = type && type->starts_with("text/event-stream") && this->head.status == statusOk;
+        this->stream = isSuccess(this->head.status) && isEventStream(this->head, this->expectsStream);
         ResponseStarted event = platform::decodeResponseHead(this->head);
+        event.stream = this->stream;
         event.call = this->call;
         event.send = this->sendId;
         this->loop.dispatch(event);
@@ -127,6 +129,7 @@
     CallId call; ///< request that was sent
     SendId sendId; ///< identifies this send in events
     std::shared_ptr<Call> owner; ///< the caller's request
+    bool expectsStream; ///< the request asked for a stream of events
     OutboundCallId out; ///< to cancel it in the pool
     WireHead head; ///< status and headers of the response
     std::string body; ///< bytes of the response that are not forwarded yet
@@ -287,7 +290,7 @@
     if (found == this->calls.end())
         return;
     const std::shared_ptr<Call>& call = found->second;
-    auto upstreamCall = std::make_shared<UpstreamCall>(*this, effect.call, effect.send, call);
+    auto upstreamCall = std::make_shared<UpstreamCall>(*this, effect, call);
     call->upstreamCall = upstreamCall;
     upstreamCall->out = this->pool.send({ .address = effect.address,
                                             .bytes = platform::encodeUpstreamRequest(call->head, call->body, effect),
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -3,6 +3,7 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "wire_head_type.h"
 
 #include <algorithm>
 
@@ -10,15 +11,11 @@
 
 namespace {
 
-    constexpr std::uint16_t statusOk = 200;
-    constexpr std::uint16_t statusMultipleChoices = 300;
     constexpr std::uint16_t statusMisdirected = 421;
     constexpr std::uint16_t statusServerError = 500;
     constexpr std::uint16_t statusBadGateway = 502;
     constexpr std::uint16_t statusUnavailable = 503;
 
-    bool isSuccess(std::uint16_t status) { return status >= statusOk && status < statusMultipleChoices; }
-
     /// @return the request, if the send is the one in flight, or nullptr for an event of an earlier send
     RelayRequest* findActive(RelayState& state, CallId call, SendId send)
     {
@@ -173,6 +170,7 @@
         .workspace = request.workspace,
         .expectVersion = expectedWeights(state, view, request, now),
         .resumeAfter = request.lastEventId,
+        .expectsStream = request.route->kind == CallKind::Stream,
         .avoidStaleConnection = request.route->kind == CallKind::NonIdempotent,
         .newConnection = request.sends > 1 });
 }
@@ -224,7 +222,7 @@
             state, *request, SendFailure::NotRun, misdirected ? "misdirected" : "upstream-full", now, effects);
         return;
     }
-    if (isSuccess(event.status) && request->route->kind == CallKind::Stream && event.sealed) {
+    if (isSuccess(event.status) && request->route->kind == CallKind::Stream && event.stream && event.sealed) {
         if (!request->headForwarded)
             effects.emplace_back(ForwardResponse { .call = event.call, .send = event.send });
         request->headForwarded = true;
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -53,6 +53,7 @@
     std::uint16_t status { 0 }; ///< HTTP status
     bool notRun { false }; ///< the upstream states that it did not run the request
     bool sealed { false }; ///< carries the seal header: proof that the upstream itself produced the response
+    bool stream { false }; ///< its body is a stream of events, which can be forwarded as they arrive
 };
 
 /// One or more complete events of a streamed response arrived.
@@ -192,6 +193,7 @@
     WorkspaceId workspace; ///< owner of the API key, empty on routes without keys
     std::optional<WeightsVersion> expectVersion; ///< the engine must refuse unless it holds this version
     std::string resumeAfter; ///< id of the last event that the caller received, empty when none
+    bool expectsStream { false }; ///< the route's answers are streams of events
     bool avoidStaleConnection { false }; ///< reuse only connections that the upstream has hardly had time to close
     bool newConnection { false }; ///< reuse no connection: one fault may have reset all connections of the process
 };
--- a/src/wire_head_type.h
+++ b/src/wire_head_type.h
@@ -26,6 +26,14 @@
     const std::string* find(std::string_view name) const;
 };
 
+/// @return whether an HTTP status is a success
+constexpr bool isSuccess(std::uint16_t status)
+{
+    constexpr std::uint16_t first = 200;
+    constexpr std::uint16_t end = 300;
+    return status >= first && status < end;
+}
+
 /// Compares header names and similar tokens without regard to ASCII case.
 bool equalNames(std::string_view left, std::string_view right);
 
--- a/tests/unit_relay_load.cpp
+++ b/tests/unit_relay_load.cpp
@@ -196,7 +196,7 @@
         if (call.firstAt.value == 0) {
             call.firstAt = this->now;
             this->deliver(
-                progressed.entry, ResponseStarted { .call = id, .send = send, .status = 200, .sealed = true });
+                progressed.entry, ResponseStarted { .call = id, .send = send, .status = 200, .sealed = true, .stream = true });
         }
         this->deliver(progressed.entry, StreamProgressed { .call = id, .send = send, .lastEventId = "1" });
         if (progressed.eventsLeft == 0) {
