Take an answer that ends with its connection for complete only if its upstream runs

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that ends, without a reset if nothing is unread. Between two events, or in a plain body, the bytes cannot tell the two apart; the entry took the close for the upstream's own end. The class: a signal that the sender may not have given is taken for its word. Change: judgeAnswer() alone decides, from the transfer, the events and whether the body is checked by its reader. What it calls unconfirmed waits in the reducer for a probe of the upstream that begins after the close. Complete if the connection is accepted and kept for 20 ms; else broken off, so resumed, retried or aborted as any broken answer. A stream that is closed before its first event was broken off. The kernel accepts connections for a process that is about to end and resets them: a probe that is reset no longer counts as accepted, for crashes as well. Ruled out: passing the close on to the caller (a close without a length is complete to HTTP as well); resuming each such stream. Each such answer takes one connection and 20 ms more. What remains: an upstream that runs on and closes such an answer early has ended it itself; nothing tells that from its end.

--- a/src/answer_end_func.cpp
+++ b/src/answer_end_func.cpp
@@ -2,6 +2,15 @@
 
 namespace hickory {
 
+AnswerVerdict judgeAnswer(const AnswerEnd& end)
+{
+    if (end.transfer == AnswerTransfer::Broken || (end.stream && end.insideEvent))
+        return AnswerVerdict::BrokenOff;
+    if (end.transfer == AnswerTransfer::Framed || end.checked)
+        return AnswerVerdict::Complete;
+    return end.stream && !end.hasEvents ? AnswerVerdict::BrokenOff : AnswerVerdict::Unconfirmed;
+}
+
 bool isEventStream(const WireHead& head, bool expected)
 {
     constexpr std::string_view eventStream = "text/event-stream";
--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -289,7 +289,7 @@
     void onEnd(CallEnd end) override
     {
         this->timer.cancel();
-        if (end == CallEnd::Complete || end == CallEnd::Closed)
+        if (judgeAnswer({ .transfer = transferOf(end), .checked = true }) == AnswerVerdict::Complete)
             this->done(std::move(this->answer));
         else
             this->done(Error { .code = make_error_code(ErrorCode::Unavailable),
@@ -305,6 +305,20 @@
     std::function<void(Result<FetchResponse>)> done; ///< receives the result, called once
 };
 
+AnswerTransfer transferOf(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Complete:
+        return AnswerTransfer::Framed;
+    case CallEnd::Closed:
+        return AnswerTransfer::Closed;
+    case CallEnd::NotSent:
+    case CallEnd::Broken:
+        break;
+    }
+    return AnswerTransfer::Broken;
+}
+
 bool succeeded(const Result<FetchResponse>& answer)
 {
     constexpr std::uint16_t statusOk = 200;
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answer_end_func.h"
 #include "error_type.h"
 #include "id_type.h"
 #include "table/answer_limits.h"
@@ -27,6 +28,9 @@
             ///< have run
 };
 
+/// @return what the end of a call says about the transfer of its answer
+AnswerTransfer transferOf(CallEnd end);
+
 /// Receives the answer to one call. The pool keeps it alive until onEnd() or CallPool::cancel().
 struct CallSink {
     virtual ~CallSink() = default;
@@ -86,7 +90,8 @@
     /// Stops or resumes reading an answer, to apply back pressure to the peer.
     void pauseReading(OutboundCallId id, bool paused);
 
-    /// Sends a request and collects the answer.
+    /// Sends a request and collects the answer. An answer with neither a length nor chunks may lack its end; the caller
+    /// checks the body, as all documents and pieces of weights are checked.
     /// @param done called once from the loop; on failure with an error with code Unavailable or Timeout and the address
     /// as peer
     void fetch(FetchCall call, std::function<void(Result<FetchResponse>)> done);
--- a/src/event_splitter_func.cpp
+++ b/src/event_splitter_func.cpp
@@ -49,6 +49,7 @@
     const std::size_t length = end == 0 ? 0 : start + end;
     std::string complete = this->partial.substr(0, length);
     this->partial.erase(0, length);
+    this->anyEvent = this->anyEvent || complete.find_first_not_of("\r\n") != std::string::npos;
     if (const std::string_view last = lastEventId(complete); !last.empty())
         this->id = last;
     return complete;
--- a/src/event_splitter_func.h
+++ b/src/event_splitter_func.h
@@ -17,11 +17,14 @@
     const std::string& rest() const { return this->partial; }
     /// @return whether an event has begun and is incomplete: a stream that ends now has been broken off
     bool insideEvent() const { return this->partial.find_first_not_of("\r\n") != std::string::npos; }
+    /// @return whether a complete event was seen
+    bool hasEvents() const { return this->anyEvent; }
     /// @return the id of the last complete event that had one, empty when there was none
     const std::string& lastId() const { return this->id; }
 
 private:
     std::string partial; ///< bytes after the last complete event
+    bool anyEvent { false }; ///< a complete event was seen
     std::string id; ///< id of the last complete event that had one, empty before the first
 };
 
--- a/src/probe_io.cpp
+++ b/src/probe_io.cpp
@@ -6,6 +6,13 @@
 
 namespace hickory {
 
+namespace {
+
+    /// An accepted connection must stay open this long: a process that ends closes all its sockets together.
+    constexpr Milliseconds probeHold { 20 };
+
+} // namespace
+
 void probeConnection(
     asio::io_context& io, const std::string& address, Milliseconds timeout, std::function<void(ProbeResult)> done)
 {
@@ -24,9 +31,24 @@
     });
     socket->async_connect(*endpoint, [socket, timer, done = std::move(done)](const std::error_code& code) {
         timer->cancel();
-        done(!code                                        ? ProbeResult::Accepted
-                : code == asio::error::connection_refused ? ProbeResult::Refused
-                                                          : ProbeResult::Unreachable);
+        if (code) {
+            done(code == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unreachable);
+            return;
+        }
+        // The kernel accepts connections for a process that is about to end, and resets them then.
+        auto byte = std::make_shared<char>();
+        auto kept = std::make_shared<bool>(false);
+        timer->expires_after(std::chrono::milliseconds(probeHold.value));
+        timer->async_wait([socket, kept](const std::error_code& cancelled) {
+            std::error_code ignored; // the pending read returns in any case
+            *kept = !cancelled;
+            socket->close(ignored);
+        });
+        socket->async_read_some(
+            asio::buffer(byte.get(), 1), [socket, timer, byte, kept, done](const std::error_code& ended, std::size_t) {
+                timer->cancel();
+                done(!ended || *kept ? ProbeResult::Accepted : ProbeResult::Unreachable);
+            });
     });
 }
 
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -43,8 +43,12 @@
 void applyResponseStarted(RelayState& state, const ResponseStarted& event, Milliseconds now, RelayEffects& effects);
 /// Records the progress of a stream, so that it can be resumed after its last event.
 void applyStreamProgressed(RelayState& state, const StreamProgressed& event, Milliseconds now, RelayEffects& effects);
-/// Completes the request, retries it or refuses it.
+/// Completes the request, retries it or refuses it. A response that ended with its connection waits for a probe of the
+/// upstream: the connections of a process that ends are closed as well.
 void applyResponseEnded(RelayState& state, const ResponseEnded& event, Milliseconds now, RelayEffects& effects);
+/// Completes requests whose responses ended with their connections before a probe began, if the upstream still runs.
+/// Otherwise their responses were broken off.
+void confirmAnswers(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects);
 /// Takes the send in flight, if there is one, off its upstream's load.
 /// @param cancel whether the upstream may still be working on it
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects);
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -114,15 +114,25 @@
 
     void onEnd(CallEnd end) override
     {
-        const bool ended = end == CallEnd::Complete || end == CallEnd::Closed;
-        const bool complete = ended && !(this->stream && this->splitter.insideEvent());
-        if (complete && this->owner->streaming)
-            this->loop.front.body(this->call, this->splitter.rest());
-        const SendResult how = complete ? SendResult::Complete
-            : end == CallEnd::NotSent   ? SendResult::NotSent
-                                        : SendResult::Broken;
-        this->loop.dispatch(
-            ResponseEnded { .call = this->call, .send = this->sendId, .end = how, .unframed = end == CallEnd::Closed });
+        this->loop.dispatch(ResponseEnded { .call = this->call, .send = this->sendId, .end = this->sendResult(end) });
+    }
+
+    SendResult sendResult(CallEnd end) const
+    {
+        if (end == CallEnd::NotSent)
+            return SendResult::NotSent;
+        switch (judgeAnswer({ .transfer = transferOf(end),
+            .stream = this->stream,
+            .hasEvents = this->splitter.hasEvents(),
+            .insideEvent = this->splitter.insideEvent() })) {
+        case AnswerVerdict::Complete:
+            return SendResult::Complete;
+        case AnswerVerdict::Unconfirmed:
+            return SendResult::Unconfirmed;
+        case AnswerVerdict::BrokenOff:
+            break;
+        }
+        return SendResult::Broken;
     }
 
     RelayLoop& loop; ///< outlives this
@@ -266,16 +276,19 @@
         const auto found = this->calls.find(finish->call);
         if (found == this->calls.end())
             return;
-        if (found->second->streaming)
+        if (found->second->streaming) {
+            this->front.body(finish->call, found->second->upstreamCall->splitter.rest());
             this->front.finish(finish->call);
+        }
         this->calls.erase(found);
     } else if (const auto* abort = std::get_if<AbortResponse>(&effect)) {
         this->calls.erase(abort->call);
         this->front.abort(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
-        probeConnection(this->io, probe->address, probeTimeout, [this, upstream = probe->upstream](ProbeResult result) {
-            this->dispatch(UpstreamProbed { .upstream = upstream, .result = result });
-        });
+        probeConnection(this->io, probe->address, probeTimeout,
+            [this, upstream = probe->upstream, startedAt = monotonicNow()](ProbeResult result) {
+                this->dispatch(UpstreamProbed { .upstream = upstream, .result = result, .startedAt = startedAt });
+            });
     else if (const auto* news = std::get_if<AnnounceCrashNews>(&effect))
         this->announceCrashNews(news->learned);
     else if (const auto* line = std::get_if<LogLine>(&effect))
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -128,7 +128,10 @@
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
                    [&](const PeerWeightsReceived& told) { applyPeerWeights(state, told, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
-                   [&](const UpstreamProbed& probed) { applyProbe(state, probed); },
+                   [&](const UpstreamProbed& probed) {
+                       confirmAnswers(state, probed, now, effects);
+                       applyProbe(state, probed);
+                   },
                    [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
         event);
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -106,7 +106,7 @@
         if (request.firstEventAt.value != 0)
             line.fields.emplace_back(
                 "first_event_ms", std::to_string((request.firstEventAt - request.arrivedAt).value));
-        line.fields.emplace_back("end", send.unframed ? "closed" : "framed");
+        line.fields.emplace_back("end", send.closedAt ? "closed" : "framed");
         line.fields.emplace_back("last_event", request.lastEventId);
         line.fields.emplace_back("prompt_tokens", std::to_string(request.metadata.promptTokens));
         line.fields.emplace_back("sent_ms", std::to_string((send.sentAt - request.arrivedAt).value));
@@ -126,6 +126,74 @@
         dispatchWaiting(state, service, now, effects);
     }
 
+    /// Ends the send in flight: completes the request, retries it or refuses it.
+    /// @param end not Unconfirmed
+    void endSend(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
+    {
+        const UpstreamId upstream = request.active->upstream;
+        const std::uint16_t status = request.active->status;
+        const bool isComplete = end == SendResult::Complete;
+        // If the caller already has the head of a stream, a response that does not continue it must not complete it.
+        const bool isValid = isSuccess(status) ? request.active->sealed : !request.headForwarded;
+        if (isComplete && isValid) {
+            const bool retryable = status >= statusServerError && request.route->kind == CallKind::Idempotent
+                && request.sends < request.route->maxAttempts;
+            if (retryable) {
+                const RetryWindow& retries = state.services[request.service].retries;
+                if (mayRetry(retries, state.options, state.entryCount, now)) {
+                    recordUpstreamResponse(state, upstream, false);
+                    request.excludedUpstreams.insert(upstream);
+                    releaseSend(state, request, false, effects);
+                    retryElsewhere(state, request, SendFailure::MayHaveRun, "upstream-error", now, effects);
+                    return;
+                }
+            }
+            completeRequest(state, request, now, effects);
+            return;
+        }
+        const ServiceId service = request.service;
+        const bool notSent = end == SendResult::NotSent;
+        if (end == SendResult::Broken)
+            recordBrokenSend(state, request, now, effects);
+        recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
+        request.excludedUpstreams.insert(upstream);
+        releaseSend(state, request, false, effects);
+        if (notSent) {
+            --request.sends;
+            ++request.connectFailures;
+        }
+        retryElsewhere(state, request,
+            notSent                         ? SendFailure::NotSent
+                : end == SendResult::Broken ? SendFailure::CutOff
+                                            : SendFailure::MayHaveRun,
+            notSent ? "connect" : "broken", now, effects);
+        dispatchWaiting(state, service, now, effects);
+    }
+
+    /// @return requests whose answers from an upstream ended with their connections up to a moment
+    std::vector<CallId> unconfirmedAnswers(const RelayState& state, const UpstreamId& upstream, Milliseconds until)
+    {
+        std::vector<CallId> calls;
+        for (const auto& [call, request] : state.requests)
+            if (request.active && request.active->upstream == upstream && request.active->closedAt
+                && *request.active->closedAt <= until)
+                calls.push_back(call);
+        return calls;
+    }
+
+    const char* probeResultName(ProbeResult result)
+    {
+        switch (result) {
+        case ProbeResult::Accepted:
+            return "accepted";
+        case ProbeResult::Refused:
+            return "refused";
+        case ProbeResult::Unreachable:
+            break;
+        }
+        return "unreachable";
+    }
+
 } // namespace
 
 void sendRequest(
@@ -207,6 +275,7 @@
     send.headReceived = true;
     send.status = event.status;
     send.sealed = event.sealed;
+    send.stream = event.stream;
     send.lastProgressAt = now;
     if (event.notRun || event.status == statusMisdirected) {
         const bool misdirected = event.status == statusMisdirected;
@@ -261,45 +330,37 @@
     RelayRequest* request = findActive(state, event.call, event.send);
     if (!request)
         return;
-    request->active->unframed = event.unframed;
-    const UpstreamId upstream = request->active->upstream;
-    const std::uint16_t status = request->active->status;
-    const bool isComplete = event.end == SendResult::Complete;
-    // If the caller already has the head of a stream, a response that does not continue it must not complete it.
-    const bool isValid = isSuccess(status) ? request->active->sealed : !request->headForwarded;
-    if (isComplete && isValid) {
-        const bool retryable = status >= statusServerError && request->route->kind == CallKind::Idempotent
-            && request->sends < request->route->maxAttempts;
-        if (retryable) {
-            const RetryWindow& retries = state.services[request->service].retries;
-            if (mayRetry(retries, state.options, state.entryCount, now)) {
-                recordUpstreamResponse(state, upstream, false);
-                request->excludedUpstreams.insert(upstream);
-                releaseSend(state, *request, false, effects);
-                retryElsewhere(state, *request, SendFailure::MayHaveRun, "upstream-error", now, effects);
-                return;
-            }
-        }
-        completeRequest(state, *request, now, effects);
+    if (event.end != SendResult::Unconfirmed) {
+        endSend(state, *request, event.end, now, effects);
         return;
     }
-    const ServiceId service = request->service;
-    const bool notSent = event.end == SendResult::NotSent;
-    if (event.end == SendResult::Broken)
-        recordBrokenSend(state, *request, now, effects);
-    recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
-    request->excludedUpstreams.insert(upstream);
-    releaseSend(state, *request, false, effects);
-    if (notSent) {
-        --request->sends;
-        ++request->connectFailures;
+    const UpstreamId& upstream = request->active->upstream;
+    const std::vector<CallId> others = unconfirmedAnswers(state, upstream, now);
+    const bool probing = std::any_of(others.begin(), others.end(),
+        [&](const CallId call) { return state.requests.at(call).active->closedAt == now; });
+    request->active->closedAt = now;
+    if (!probing)
+        effects.emplace_back(
+            ProbeUpstream { .upstream = upstream, .address = state.upstreams.at(upstream).entry.address });
+}
+
+void confirmAnswers(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
+{
+    for (const CallId call : unconfirmedAnswers(state, event.upstream, event.startedAt)) {
+        const auto found = state.requests.find(call);
+        if (found == state.requests.end() || !found->second.active)
+            continue;
+        const bool isComplete = event.result == ProbeResult::Accepted;
+        LogLine line = requestLogLine(isComplete ? "answer-confirmed" : "answer-unconfirmed", found->second, now);
+        line.fields.emplace_back("upstream", event.upstream.value);
+        line.fields.emplace_back("probe", probeResultName(event.result));
+        line.fields.emplace_back("last_event", found->second.lastEventId);
+        effects.emplace_back(std::move(line));
+        if (!isComplete)
+            effects.emplace_back(MetricSample { .name = "unconfirmed_answers_total",
+                .labels = "probe=\"" + std::string(probeResultName(event.result)) + "\"" });
+        endSend(state, found->second, isComplete ? SendResult::Complete : SendResult::Broken, now, effects);
     }
-    retryElsewhere(state, *request,
-        notSent                               ? SendFailure::NotSent
-            : event.end == SendResult::Broken ? SendFailure::CutOff
-                                              : SendFailure::MayHaveRun,
-        notSent ? "connect" : "broken", now, effects);
-    dispatchWaiting(state, service, now, effects);
 }
 
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects)
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -56,7 +56,10 @@
     bool headReceived { false }; ///< the head of the response arrived
     std::uint16_t status { 0 }; ///< HTTP status of the response, 0 before its head
     bool sealed { false }; ///< the response carries the seal header
-    bool unframed { false }; ///< the response had neither a length nor chunks and ended with its connection
+    bool stream { false }; ///< the body of the response is a stream of events
+    /// The response ended with its connection at this moment; whether the upstream still ran is not known yet, or was
+    /// confirmed. Empty for a response with a length or chunks.
+    std::optional<Milliseconds> closedAt;
     bool prefilling { true }; ///< no event of a stream came yet: the prompt still counts as unread
 };
 
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -66,6 +66,7 @@
 /// How a send ended.
 enum class SendResult : std::uint8_t {
     Complete, ///< the whole response arrived
+    Unconfirmed, ///< it ended with its connection: whole if the upstream still runs, broken off if its process ended
     NotSent, ///< no byte left this process
     Broken, ///< the connection ended first; the request may have run
 };
@@ -75,7 +76,6 @@
     CallId call;
     SendId send;
     SendResult end { SendResult::Complete }; ///< whether the response is whole
-    bool unframed { false }; ///< it had neither a length nor chunks and ended with its connection
 };
 
 /// Periodic timer event, on which time limits are checked.
@@ -158,15 +158,16 @@
 
 /// What an attempt to connect shows of a process.
 enum class ProbeResult : std::uint8_t {
-    Accepted, ///< it accepts connections
+    Accepted, ///< it accepts connections and keeps them
     Refused, ///< nothing listens at the address
-    Unreachable, ///< no answer: the process, its host or the network
+    Unreachable, ///< no answer, or a connection that ends at once: the process, its host or the network
 };
 
 /// A probe of an upstream ended.
 struct UpstreamProbed {
     UpstreamId upstream;
     ProbeResult result { ProbeResult::Unreachable };
+    Milliseconds startedAt { 0 }; ///< when the probe began
 };
 
 /// Another entry told what it knows about crashes of upstreams.
@@ -228,7 +229,7 @@
     CallId call;
 };
 
-/// Connect to an upstream and close the connection, to learn whether its process ended. Ends with UpstreamProbed.
+/// Connect to an upstream to learn whether its process ended. Ends with UpstreamProbed.
 struct ProbeUpstream {
     UpstreamId upstream;
     std::string address; ///< "ip:port" of the upstream
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -188,7 +188,8 @@
     REQUIRE(trial);
     relay.now += Milliseconds { 100 };
     CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 0);
-    relay.event(ResponseStarted { .call = trial->call, .send = trial->send, .status = 200, .sealed = true, .stream = true });
+    relay.event(
+        ResponseStarted { .call = trial->call, .send = trial->send, .status = 200, .sealed = true, .stream = true });
     relay.event(StreamProgressed { .call = trial->call, .send = trial->send, .lastEventId = "1" });
     CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
 }
--- a/tests/unit_relay_crash_news.cpp
+++ b/tests/unit_relay_crash_news.cpp
@@ -195,7 +195,8 @@
         if (number == 200)
             parts = { somePart };
         const SendToUpstream send = sendOf(relay, letter(number, parts));
-        relay.event(ResponseStarted { .call = send.call, .send = send.send, .status = 200, .sealed = true, .stream = true });
+        relay.event(
+            ResponseStarted { .call = send.call, .send = send.send, .status = 200, .sealed = true, .stream = true });
         relay.event(StreamProgressed { .call = send.call, .send = send.send, .lastEventId = "1" });
     }
     CHECK(isSound(relay.state.crashes.sound, asPromptPart(somePart)));
--- a/tests/unit_relay_load.cpp
+++ b/tests/unit_relay_load.cpp
@@ -195,8 +195,8 @@
         const SendId send { progressed.send };
         if (call.firstAt.value == 0) {
             call.firstAt = this->now;
-            this->deliver(
-                progressed.entry, ResponseStarted { .call = id, .send = send, .status = 200, .sealed = true, .stream = true });
+            this->deliver(progressed.entry,
+                ResponseStarted { .call = id, .send = send, .status = 200, .sealed = true, .stream = true });
         }
         this->deliver(progressed.entry, StreamProgressed { .call = id, .send = send, .lastEventId = "1" });
         if (progressed.eventsLeft == 0) {
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -149,8 +149,8 @@
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
     const auto sent = relay.request("/letters/");
     const SendId one = findEffect<SendToUpstream>(sent)->send;
-    const auto began
-        = relay.event(ResponseStarted { .call = relay.lastCallId(), .send = one, .status = 200, .sealed = true, .stream = true });
+    const auto began = relay.event(
+        ResponseStarted { .call = relay.lastCallId(), .send = one, .status = 200, .sealed = true, .stream = true });
     CHECK(findEffect<ForwardResponse>(began));
     relay.event(StreamProgressed { .call = relay.lastCallId(), .send = one, .lastEventId = "7" });
     const auto resumed
@@ -160,8 +160,8 @@
     const SendId two = findEffect<SendToUpstream>(resumed)->send;
     SECTION("as a continuation of the response that the caller has")
     {
-        const auto again
-            = relay.event(ResponseStarted { .call = relay.lastCallId(), .send = two, .status = 200, .sealed = true, .stream = true });
+        const auto again = relay.event(
+            ResponseStarted { .call = relay.lastCallId(), .send = two, .status = 200, .sealed = true, .stream = true });
         CHECK_FALSE(findEffect<ForwardResponse>(again));
         CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = relay.lastCallId(), .send = two })));
     }
@@ -223,7 +223,8 @@
     relay.list({ RelayFixture::upstream("e1", "engine") });
     const auto sent = relay.request("/letters/");
     const SendId send = findEffect<SendToUpstream>(sent)->send;
-    relay.event(ResponseStarted { .call = relay.lastCallId(), .send = send, .status = 200, .sealed = true, .stream = true });
+    relay.event(
+        ResponseStarted { .call = relay.lastCallId(), .send = send, .status = 200, .sealed = true, .stream = true });
     relay.event(StreamProgressed { .call = relay.lastCallId(), .send = send, .lastEventId = "3" });
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
     relay.now += Milliseconds { 800 };
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -29,7 +29,8 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
     relay.now += Milliseconds { 200 };
     CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/letters/")));
-    const auto progressed = relay.event(ResponseStarted { .call = call, .send = first, .status = 200, .sealed = true, .stream = true });
+    const auto progressed
+        = relay.event(ResponseStarted { .call = call, .send = first, .status = 200, .sealed = true, .stream = true });
     CHECK(countEffects<SendToUpstream>(progressed) + countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
 }
 
@@ -56,7 +57,8 @@
     const CallId call = relay.lastCallId();
     const SendId second = sentTo(relay.request("/letters/"), "e1");
     relay.now += Milliseconds { 800 };
-    relay.event(ResponseStarted { .call = relay.lastCallId(), .send = second, .status = 200, .sealed = true, .stream = true });
+    relay.event(
+        ResponseStarted { .call = relay.lastCallId(), .send = second, .status = 200, .sealed = true, .stream = true });
     relay.event(RelayTick {});
     CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/letters/")));
     relay.event(RelayCallerDisconnected { .call = call });
@@ -81,8 +83,8 @@
     SECTION("queued requests follow once it answers")
     {
         relay.now += Milliseconds { 100 };
-        auto effects
-            = relay.event(ResponseStarted { .call = probe->call, .send = probe->send, .status = 200, .sealed = true, .stream = true });
+        auto effects = relay.event(ResponseStarted {
+            .call = probe->call, .send = probe->send, .status = 200, .sealed = true, .stream = true });
         const auto later = relay.event(RelayTick {});
         effects.insert(effects.end(), later.begin(), later.end());
         CHECK(countEffects<SendToUpstream>(effects) >= 2);
