Judge the answers of the older path by the same rule

Change: UpstreamClient asks judgeAnswer() and probes the upstream on its host; engines' streams still need their last event. HttpConnection refuses such an answer: nothing confirms it, and its servers state lengths.

--- a/src/answer_end_func.cpp
+++ b/src/answer_end_func.cpp
@@ -11,6 +11,15 @@
     return end.stream && !end.hasEvents ? AnswerVerdict::BrokenOff : AnswerVerdict::Unconfirmed;
 }
 
+AnswerTransfer completeTransfer(std::uint16_t status, bool hasLength, std::string_view transferEncoding)
+{
+    constexpr std::uint16_t noContent = 204;
+    constexpr std::uint16_t notModified = 304;
+    const bool hasNoBody = status == noContent || status == notModified;
+    return hasLength || hasNoBody || equalNames(transferEncoding, "chunked") ? AnswerTransfer::Framed
+                                                                             : AnswerTransfer::Closed;
+}
+
 bool isEventStream(const WireHead& head, bool expected)
 {
     constexpr std::string_view eventStream = "text/event-stream";
--- a/src/answer_end_func.h
+++ b/src/answer_end_func.h
@@ -32,6 +32,11 @@
 /// The only place that decides whether an answer is complete, for all clients in these programs.
 AnswerVerdict judgeAnswer(const AnswerEnd& end);
 
+/// @param hasLength whether the answer has a Content-Length
+/// @param transferEncoding value of its Transfer-Encoding, empty for none
+/// @return how an answer that was read to its end ended
+AnswerTransfer completeTransfer(std::uint16_t status, bool hasLength, std::string_view transferEncoding);
+
 /// @param head of a successful answer
 /// @param expected whether the request asked for a stream of events; decides when the answer states no type
 /// @return whether the body of the answer is a stream of events
--- a/src/http_client_io.cpp
+++ b/src/http_client_io.cpp
@@ -1,5 +1,7 @@
 #include "http_client_io.h"
 
+#include "answer_end_func.h"
+
 #include <algorithm>
 #include <condition_variable>
 #include <httplib.h>
@@ -72,6 +74,7 @@
         httplib::Error error { httplib::Error::Unknown }; ///< Success, or why the transmission failed
         bool deadlinePassed { false }; ///< the deadline passed while the answer was being received
         bool tooLong { false }; ///< the answer exceeds HttpCall::maxAnswerBody
+        bool unconfirmed { false }; ///< nothing shows that the answer is complete
     };
 
     Transmission transmit(httplib::Client& client, const HttpCall& call, Milliseconds deadline)
@@ -113,6 +116,13 @@
         result.error = answer.error();
         if (!answer)
             return result;
+        const AnswerTransfer transfer = completeTransfer(static_cast<std::uint16_t>(answer->status),
+            answer->has_header("Content-Length"), answer->get_header_value("Transfer-Encoding"));
+        result.unconfirmed = judgeAnswer({ .transfer = transfer }) != AnswerVerdict::Complete;
+        if (result.unconfirmed) {
+            result.error = httplib::Error::Canceled;
+            return result;
+        }
         result.reply.status = static_cast<std::uint16_t>(answer->status);
         for (const auto& [name, value] : answer->headers)
             result.reply.headers.emplace_back(name, value);
@@ -139,7 +149,9 @@
     return Error { .code = make_error_code(timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable),
         .step = !connected ? connectStep : call.method + " " + call.path.substr(0, call.path.find('?')),
         .peer = this->state->url,
-        .detail = result.tooLong ? "answer too long" : httplib::to_string(result.error) };
+        .detail = result.tooLong ? "answer too long"
+            : result.unconfirmed ? "answer with neither a length nor chunks"
+                                 : httplib::to_string(result.error) };
 }
 
 std::string percentEncode(std::string_view text, bool keepSlashes)
--- a/src/http_client_io.h
+++ b/src/http_client_io.h
@@ -29,7 +29,7 @@
     std::function<bool(std::string_view)> onPart; ///< receives the body of a 2xx answer in parts; false aborts
 };
 
-/// Answer to an HttpCall.
+/// Answer to an HttpCall, with a length or in chunks.
 struct HttpReply {
     std::uint16_t status { 0 };
     std::string body; ///< empty when it was passed to HttpCall::onPart
--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -1,5 +1,7 @@
 #include "upstream_io.h"
 
+#include "answer_end_func.h"
+#include "probe_io.h"
 #include "table/answer_limits.h"
 #include "worker_pool_func.h"
 
@@ -14,6 +16,9 @@
 
 namespace {
 
+    /// Time in which an upstream that runs accepts a connection.
+    constexpr Milliseconds probeTimeout { 400 };
+
     /// Limit for opening a connection to the upstream, which runs on the same host.
     constexpr Milliseconds connectTimeout { 1000 };
 
@@ -76,10 +81,12 @@
         }
 
         /// Takes the response header.
-        void receiveHeader(int status, const std::string& contentType)
+        void receiveHeader(const httplib::Response& response)
         {
-            this->status = status;
-            this->contentType = contentType;
+            this->status = response.status;
+            this->contentType = response.get_header_value("Content-Type");
+            this->transfer = completeTransfer(static_cast<std::uint16_t>(response.status),
+                response.has_header("Content-Length"), response.get_header_value("Transfer-Encoding"));
         }
 
         /// Takes a piece of the response body.
@@ -136,6 +143,7 @@
         std::function<void()> onFirst; ///< called after the first part was sent
         int status { 0 }; ///< HTTP status, 0 until the header was read
         std::string contentType; ///< Content-Type of the answer
+        AnswerTransfer transfer { AnswerTransfer::Broken }; ///< how the answer ends if it is read to its end
         std::string answer; ///< recorded answer, empty when too long
         bool tooLong { false }; ///< the answer exceeds maxRecordedBytes
         std::string pendingEvent; ///< start of an event whose end was not read yet
@@ -144,10 +152,22 @@
         bool finalEventRead { false }; ///< the final event was read
     };
 
+    /// @return whether the upstream accepts a connection and keeps it
+    bool stillRuns(const std::string& url)
+    {
+        const std::size_t scheme = url.find("//");
+        asio::io_context io;
+        ProbeResult result = ProbeResult::Unreachable;
+        probeConnection(io, scheme == std::string::npos ? url : url.substr(scheme + 2), probeTimeout,
+            [&](ProbeResult probed) { result = probed; });
+        io.run();
+        return result == ProbeResult::Accepted;
+    }
+
     /// @param timedOut the deadline of the attempt passed while the request was in progress
     /// @return how the attempt ended
-    UpstreamResult classify(
-        const AnswerReader& reader, const httplib::Result& result, const ActiveRequest& active, bool timedOut)
+    UpstreamResult classify(const AnswerReader& reader, const httplib::Result& result, const ActiveRequest& active,
+        bool timedOut, const std::string& url)
     {
         if (reader.engine && reader.finalEventRead)
             return UpstreamResult::Completed;
@@ -169,7 +189,10 @@
             return UpstreamResult::Failed;
         if (reader.engine && reader.status < 300)
             return UpstreamResult::Crashed;
-        return UpstreamResult::Completed;
+        const AnswerVerdict verdict = judgeAnswer({ .transfer = reader.transfer });
+        const bool isWhole
+            = verdict == AnswerVerdict::Complete || (verdict == AnswerVerdict::Unconfirmed && stillRuns(url));
+        return isWhole ? UpstreamResult::Completed : UpstreamResult::Crashed;
     }
 
 } // namespace
@@ -221,7 +244,7 @@
         request.set_header("X-Resume-From", std::to_string(effect.resumeFrom));
     }
     request.response_handler = [&](const httplib::Response& response) {
-        reader.receiveHeader(response.status, response.get_header_value("Content-Type"));
+        reader.receiveHeader(response);
         return true;
     };
     request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
@@ -230,7 +253,7 @@
     const httplib::Result result = active.client.send(request);
     const bool timedOut = monotonicNow() - started >= effect.timeout;
     UpstreamEnded ended { .key = effect.key,
-        .result = classify(reader, result, active, timedOut),
+        .result = classify(reader, result, active, timedOut, this->options.url),
         .status = static_cast<std::uint16_t>(reader.status) };
     // The status reaches the caller with the first part, so an answer without a body needs an empty part.
     if (ended.result == UpstreamResult::Completed && reader.parts == 0)
--- a/tests/crash_fleet.h
+++ b/tests/crash_fleet.h
@@ -235,7 +235,8 @@
                 ++this->begun;
                 const Work item = work;
                 this->deliver(item.relay,
-                    ResponseStarted { .call = item.call, .send = item.send, .status = 200, .sealed = true, .stream = true });
+                    ResponseStarted {
+                        .call = item.call, .send = item.send, .status = 200, .sealed = true, .stream = true });
                 this->deliver(
                     item.relay, StreamProgressed { .call = item.call, .send = item.send, .lastEventId = "1" });
             } else if (work.hasBegun && this->now >= work.endsAt) {
--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -45,6 +45,15 @@
     }
 }
 
+TEST_CASE("An answer with neither a length nor chunks is complete only by its connection", "[answer-end]")
+{
+    CHECK(completeTransfer(200, true, "") == AnswerTransfer::Framed);
+    CHECK(completeTransfer(200, false, "Chunked") == AnswerTransfer::Framed);
+    CHECK(completeTransfer(204, false, "") == AnswerTransfer::Framed);
+    CHECK(completeTransfer(200, false, "") == AnswerTransfer::Closed);
+    CHECK(completeTransfer(200, false, "gzip") == AnswerTransfer::Closed);
+}
+
 // Guards against an answer on a streaming route that is passed on before its body has arrived.
 TEST_CASE("An answer of another type on a route of streams is forwarded once it is whole", "[answer-end]")
 {
--- a/tests/unit_http_client.cpp
+++ b/tests/unit_http_client.cpp
@@ -1,5 +1,6 @@
 #include "endless_server.h"
 #include "http_client_io.h"
+#include "scripted_server.h"
 
 #include <catch2/catch.hpp>
 
@@ -71,3 +72,13 @@
         CHECK(monotonicNow() - begin < Milliseconds { 2000 });
     }
 }
+
+// Guards against taking a part of a document for the whole one.
+TEST_CASE("A blocking call whose answer has neither a length nor chunks fails", "[http-client]")
+{
+    ScriptedServer server("HTTP/1.1 200 OK\r\n\r\n{}");
+    HttpConnection connection("http://" + server.address());
+    const Result<HttpReply> reply = connection.send({ .path = "/", .timeout = { 2000 } });
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().code == make_error_code(ErrorCode::Unavailable));
+}
