Let no answer that is no stream complete a stream

Found by reading, same class: after a stream broke off, a second engine's sealed answer of another type ended the caller's response as complete, without its bytes and without the events that were missing. Change: once the caller has the head of a stream, only a stream completes it; any other answer is a failed send. Result: the new test failed before (FinishResponse), and passes.

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -134,7 +134,8 @@
         const std::uint16_t status = request.active->status;
         const bool isComplete = end == SendResult::Complete;
         // If the caller already has the head of a stream, a response that does not continue it must not complete it.
-        const bool isValid = isSuccess(status) ? request.active->sealed : !request.headForwarded;
+        const bool continuesStream = !request.headForwarded || request.active->stream;
+        const bool isValid = isSuccess(status) ? request.active->sealed && continuesStream : !request.headForwarded;
         if (isComplete && isValid) {
             const bool retryable = status >= statusServerError && request.route->kind == CallKind::Idempotent
                 && request.sends < request.route->maxAttempts;
--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -162,6 +162,21 @@
     }
 }
 
+// Guards against a stream that a second engine's answer of another type ends without its events.
+TEST_CASE("A stream cannot be completed by an answer that is no stream", "[answer-end]")
+{
+    ClosedStream stream;
+    const auto resumed = stream.relay.event(
+        ResponseEnded { .call = stream.relay.lastCallId(), .send = stream.send, .end = SendResult::Broken });
+    REQUIRE(findEffect<SendToUpstream>(resumed));
+    const SendId second = findEffect<SendToUpstream>(resumed)->send;
+    stream.relay.event(
+        ResponseStarted { .call = stream.relay.lastCallId(), .send = second, .status = 200, .sealed = true });
+    const auto effects = stream.relay.event(ResponseEnded { .call = stream.relay.lastCallId(), .send = second });
+    CHECK_FALSE(findEffect<FinishResponse>(effects));
+    CHECK(findEffect<AbortResponse>(effects));
+}
+
 namespace {
 
 /// Listens and ends each connection at once, or keeps it.
