Order copies of the store by era and revision

Cause: revisions were compared alone. A copy with a higher revision of the lost history was kept against the store, changes were read on from a revision that means another state there, and peers taught the lost history again. What comes back with an older copy also undoes what was acknowledged: configurations, leaving and removed upstreams. Change: StoreVersion (era, revision) orders copies in followers, peers' tables, beacons, and what was announced. A read of another era is a read of the whole table. A configuration is replaced by one that was written later (isWrittenLater): in a later era if that is certain, else by version; the one in force is told to processes that start. Observability: store-restored, config-older, upstream-row-outdated, era in config-in-force, store_era, store_restores_total.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -85,4 +85,5 @@
   place @6 :Place;          # summary of a data centre, sent to entries of the others by one entry of each
   operatorsRevision @7 :UInt64; # revision of the sender's copy of the operators' table; entries only
   crashNews @8 :CrashNews;  # crashes of upstreams that the sender knows; entries only, absent in most beacons
+  operatorsEra @9 :UInt64;  # era of the store in which operatorsRevision counts; 0 for one that does not tell
 }
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -179,9 +179,8 @@
         this->dispatch(PeerPiecesReceived { .ip = ip, .sets = beacon.pieces });
     else {
         recordBeacon(this->peers, this->settings.host.host, beacon, ip, monotonicNow());
-        if (beacon.operatorTableRevision > this->operatorTableRevision
-            && beacon.from.dataCentre == this->settings.host.dataCentre) {
-            this->operatorTableRevision = beacon.operatorTableRevision;
+        if (beacon.operatorTable > this->operatorTable && beacon.from.dataCentre == this->settings.host.dataCentre) {
+            this->operatorTable = beacon.operatorTable;
             this->entry = beacon.from.control;
             this->requestFleetView();
         }
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -110,7 +110,7 @@
     PeerSocket peerSocket; ///< UDP socket for beacons
     PeerTable peers; ///< entries whose beacons were received
     StageState state; ///< state of the reducer
-    std::uint64_t operatorTableRevision { 0 }; ///< newest revision in a beacon of an entry of this data centre
+    StoreVersion operatorTable; ///< newest version in a beacon of an entry of this data centre
     std::uint64_t fleetStamp { 0 }; ///< stamp of the last fleet view, 0 before the first
     std::map<std::uint64_t, HeldVersion> held; ///< by version; the newest maxHeldVersions are kept
     std::deque<Upload> uploads; ///< sent one after the other, at linkShareForWeights of the link
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -238,7 +238,8 @@
     auto root = message.initRoot<peer::Beacon>();
     writeEntry(root.initFrom(), beacon.from);
     root.setConfigVersion(beacon.configVersion.value);
-    root.setOperatorsRevision(beacon.operatorTableRevision);
+    root.setOperatorsRevision(beacon.operatorTable.revision);
+    root.setOperatorsEra(beacon.operatorTable.era);
     writeLoads(root.initLoads(static_cast<unsigned>(beacon.loads.size())), beacon.loads);
     if (beacon.engine)
         writeEngine(root.initEngine(), *beacon.engine);
@@ -267,7 +268,7 @@
         PeerBeacon beacon;
         beacon.from = readEntry(root.getFrom());
         beacon.configVersion = { root.getConfigVersion() };
-        beacon.operatorTableRevision = root.getOperatorsRevision();
+        beacon.operatorTable = { .era = root.getOperatorsEra(), .revision = root.getOperatorsRevision() };
         beacon.loads = readLoads(root.getLoads());
         if (root.hasEngine())
             beacon.engine = readEngine(root.getEngine());
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -13,11 +13,12 @@
     constexpr std::size_t maxToldVersions = 8; ///< of a model; older ones have long been replaced
     constexpr Milliseconds clockResolution { 1 }; ///< the difference of two rounded times may be that much too small
 
-    /// @param held revision of the requesting process
-    Json encodeTable(const platform::TableSnapshot& copy, std::uint64_t held, Milliseconds now)
+    /// @param held version of the requesting process
+    Json encodeTable(const platform::TableSnapshot& copy, const StoreVersion& held, Milliseconds now)
     {
         const platform::TableChanges changes = platform::changesSince(copy, held);
-        Json table { { "revision", changes.revision }, { "age_ms", (now - changes.asOf).value } };
+        Json table { { "era", changes.version.era }, { "revision", changes.version.revision },
+            { "era_start", changes.eraStart }, { "age_ms", (now - changes.asOf).value } };
         if (!changes.rows.empty()) {
             Json rows = Json::array();
             for (const platform::TableRow& row : changes.rows)
@@ -31,7 +32,9 @@
 
     platform::TableChanges decodeTable(const Json& table, Milliseconds sentAt)
     {
-        platform::TableChanges changes { .revision = table.at("revision").get<std::uint64_t>(),
+        platform::TableChanges changes { .version
+            = { .era = table.value("era", std::uint64_t { 0 }), .revision = table.at("revision").get<std::uint64_t>() },
+            .eraStart = table.value("era_start", std::uint64_t { 0 }),
             .asOf = sentAt - Milliseconds { table.at("age_ms").get<std::int64_t>() } };
         if (table.contains("rows"))
             for (const Json& row : table.at("rows"))
@@ -74,22 +77,29 @@
 
 } // namespace
 
-std::string peerTablesTarget(const PeerRevisions& held)
+std::string peerTablesTarget(const PeerVersions& held)
 {
-    return std::string(peerTablesPath) + "?operators=" + std::to_string(held.operators)
-        + "&upstreams=" + std::to_string(held.upstreams);
+    return std::string(peerTablesPath) + "?operators=" + std::to_string(held.operators.revision) + "&operators_era="
+        + std::to_string(held.operators.era) + "&upstreams=" + std::to_string(held.upstreams.revision)
+        + "&upstreams_era=" + std::to_string(held.upstreams.era);
 }
 
-PeerRevisions decodePeerRevisions(const std::string& target)
+PeerVersions decodePeerVersions(const std::string& target)
 {
-    return { .operators = queryNumber(target, "operators"), .upstreams = queryNumber(target, "upstreams") };
+    const auto read = [&](const std::string& name) {
+        return StoreVersion { .era = queryNumber(target, name + "_era"), .revision = queryNumber(target, name) };
+    };
+    return { .operators = read("operators"), .upstreams = read("upstreams") };
 }
 
-std::string encodePeerTables(const ServedTables& tables, const PeerRevisions& held, Milliseconds now)
+std::string encodePeerTables(const ServedTables& tables, const PeerVersions& held, Milliseconds now)
 {
-    const Json document { { "operators", encodeTable(tables.operators, held.operators, now) },
+    Json document { { "operators", encodeTable(tables.operators, held.operators, now) },
         { "upstreams", encodeTable(tables.upstreams, held.upstreams, now) },
         { "weights", encodeDeclared(tables.declared, now) } };
+    if (const auto& lost = tables.lostConfig)
+        document["lost_config"]
+            = { { "text", lost->text }, { "era", lost->writtenIn.era }, { "exact", lost->writtenIn.isExact } };
     // Rows written by other programs may contain bytes that are not UTF-8, which JSON cannot hold.
     return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -100,8 +110,15 @@
         return answer.error();
     try {
         const Json document = Json::parse(answer.value().body);
+        std::optional<LostConfig> lostConfig;
+        if (document.contains("lost_config")) {
+            const Json& lost = document.at("lost_config");
+            lostConfig = { .text = lost.at("text").get<std::string>(),
+                .writtenIn = { .era = lost.at("era").get<std::uint64_t>(), .isExact = lost.at("exact").get<bool>() } };
+        }
         return PeerTables { .operators = decodeTable(document.at("operators"), sentAt),
             .upstreams = decodeTable(document.at("upstreams"), sentAt),
+            .lostConfig = std::move(lostConfig),
             .declared = decodeDeclared(document.value("weights", Json::array()), sentAt) };
     } catch (const Json::exception& problem) {
         return Error { .code = make_error_code(ErrorCode::Protocol),
--- a/src/peer_table_func.h
+++ b/src/peer_table_func.h
@@ -5,6 +5,7 @@
 #include "relay_state_type.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,10 +14,16 @@
 /// Path at which an entry serves its copies of the store's tables to peers that do not poll or cannot reach the store.
 constexpr const char* peerTablesPath = "/v1/peer/tables";
 
-/// Revisions of the table copies that the requesting process holds; 0 for none.
-struct PeerRevisions {
-    std::uint64_t operators { 0 }; ///< operators' table: configuration and declared weights
-    std::uint64_t upstreams { 0 }; ///< table of live upstreams
+/// Versions of the table copies that the requesting process holds; 0 for none.
+struct PeerVersions {
+    StoreVersion operators; ///< operators' table: configuration and declared weights
+    StoreVersion upstreams; ///< table of live upstreams
+};
+
+/// A configuration in force that the store has lost. Processes that start learn it from the others only.
+struct LostConfig {
+    std::string text; ///< as operators wrote it
+    WrittenEra writtenIn;
 };
 
 /// What an entry serves to peers.
@@ -24,26 +31,28 @@
     const platform::TableSnapshot& operators; ///< operators' table: configuration and declared weights
     const platform::TableSnapshot& upstreams; ///< table of live upstreams
     const std::map<ModelId, DeclaredWeights>& declared; ///< declared weights by model
+    std::optional<LostConfig> lostConfig; ///< empty unless the store has lost the configuration in force
 };
 
-/// Changes in a peer's copies of both tables since the revisions in the request.
+/// Changes in a peer's copies of both tables since the versions in the request.
 struct PeerTables {
     platform::TableChanges operators; ///< operators' table: configuration and declared weights
     platform::TableChanges upstreams; ///< table of live upstreams
+    std::optional<LostConfig> lostConfig; ///< as in ServedTables
     std::vector<PeerWeights> declared; ///< declared weights that the peer knows; none if it runs an older program
 };
 
-/// @param held revisions of the requesting process
+/// @param held versions of the requesting process
 /// @return path and query of the request
-std::string peerTablesTarget(const PeerRevisions& held);
+std::string peerTablesTarget(const PeerVersions& held);
 /// @param target path and query of a request
-/// @return the revisions in it; 0 for one that is missing
-PeerRevisions decodePeerRevisions(const std::string& target);
+/// @return the versions in it; 0 for one that is missing
+PeerVersions decodePeerVersions(const std::string& target);
 
-/// @param held revisions of the requesting process
-/// @return JSON with the age of each copy, the changes since these revisions, and the newest versions of each model
+/// @param held versions of the requesting process
+/// @return JSON with the age of each copy, the changes since these versions, and the newest versions of each model
 /// with the time since they are known not to have been declared yet
-std::string encodePeerTables(const ServedTables& tables, const PeerRevisions& held, Milliseconds now);
+std::string encodePeerTables(const ServedTables& tables, const PeerVersions& held, Milliseconds now);
 
 /// @param answer response of a peer
 /// @param sentAt when the request was sent; ages are subtracted from it, so that the moments are never too late
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay_type.h"
+#include "store_version_type.h"
 
 #include <optional>
 #include <string>
@@ -38,7 +39,7 @@
 struct PeerBeacon {
     PeerInfo from; ///< sender
     ConfigVersion configVersion; ///< configuration in force at the sender
-    std::uint64_t operatorTableRevision { 0 }; ///< revision of the sender's copy of the operators' table, entries only
+    StoreVersion operatorTable; ///< newest row that operators wrote in the sender's copy of their table, entries only
     std::vector<PeerLoad> loads; ///< requests in flight from the sender to each upstream, entries only
     std::optional<EngineReported> engine; ///< last report of the sender's engine, agents only
     std::vector<PieceSet> pieces; ///< weights that the sender offers to other agents, agents only
--- a/src/relay_control_io.cpp
+++ b/src/relay_control_io.cpp
@@ -43,11 +43,12 @@
     else if (request.head.target.starts_with(fleetViewPath))
         this->onFleetView(request);
     else if (request.head.target.starts_with(peerTablesPath)) {
-        const PeerRevisions have = decodePeerRevisions(request.head.target);
+        const PeerVersions have = decodePeerVersions(request.head.target);
         this->front.answer(request.id, statusOk, { { "Content-Type", "application/json" } },
             encodePeerTables({ .operators = this->operatorRows.snapshot(),
                                  .upstreams = this->upstreamRows.snapshot(),
-                                 .declared = this->state.declared },
+                                 .declared = this->state.declared,
+                                 .lostConfig = this->lostConfig() },
                 have, monotonicNow()));
     } else
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -167,14 +167,16 @@
                   [](Milliseconds downFor) {
                       writeLog(storeLogLine(
                           "dependency-regained", "operators", "after " + std::to_string(downFor.value) + " ms"));
-                  } })
+                  },
+              .onRestored
+              = [this](const StoreVersion& from, const StoreVersion& to) { this->onRestored("operators", from, to); } })
     , upstreamRows(this->io, this->pool,
           { .address = this->settings.host.store,
               .table = platform::upstreamTable,
               .wait = upstreamPollTimeout,
               .settle = upstreamDebounce },
           { .onChange = [this](const auto& rows) { this->onUpstreamRows(rows); },
-              .onConfirmed = [] {},
+              .onConfirmed = [this] { this->upstreamsRestored = false; },
               .onLost
               = [](const Error& error) { writeLog(storeLogLine("dependency-lost", "upstreams", error.text())); },
               .onRegained =
@@ -182,6 +184,11 @@
                       writeLog(storeLogLine(
                           "dependency-regained", "upstreams", "after " + std::to_string(downFor.value) + " ms"));
                       this->relistingUntil = monotonicNow() + relistGracePeriod;
+                  },
+              .onRestored =
+                  [this](const StoreVersion& from, const StoreVersion& to) {
+                      this->onRestored("upstreams", from, to);
+                      this->upstreamsRestored = true;
                   } })
     , state(makeRelayState(relayOptions(this->settings)))
     , tickTimer(this->io)
@@ -408,6 +415,9 @@
     this->front.sweep(now);
     this->pool.sweep(now);
     removeSilentPeers(this->peers, now);
+    std::erase_if(this->upstreamReports, [&](const auto& item) {
+        return now - item.second.seenAt > goneReportMaxAge && !this->upstreams.contains(item.first);
+    });
     std::erase_if(this->engines, [&](const auto& item) { return now - item.second.receivedAt > reportMaxAge; });
     this->dispatch(
         EntryCountUpdated { .entryCount = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -5,6 +5,7 @@
 #include "front_io.h"
 #include "peer_io.h"
 #include "peer_state_type.h"
+#include "peer_table_func.h"
 #include "platform_table_io.h"
 #include "process_loop_io.h"
 #include "relay_reduce_func.h"
@@ -70,6 +71,13 @@
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void onOperatorRows(const std::vector<platform::TableRow>& changed);
     void onUpstreamRows(const std::vector<platform::TableRow>& changed);
+    /// Called when the store came back from an older copy.
+    void onRestored(const char* table, const StoreVersion& from, const StoreVersion& to);
+    /// Puts a configuration in force if it replaces the present one.
+    /// @param text as operators wrote it
+    void useConfig(const RelayConfig& config, const std::string& text, const WrittenEra& writtenIn);
+    /// @return the configuration in force, if the store does not hold it any more
+    std::optional<LostConfig> lostConfig() const;
     /// Called when the store or a peer confirmed that the configuration is current.
     void onConfirmed();
     /// Passes the current list of upstreams to the reducer.
@@ -79,7 +87,7 @@
     /// Requests a peer's copies of the store's tables, unless such a request is pending.
     void fetchPeerTables(const PeerInfo& peer, Milliseconds now);
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
-    void announceOperatorTableRevision();
+    void announceOperatorTable();
     /// Sends beacons with crash news at once. If it did so just before, the next regular beacons carry them.
     /// @param learned as in AnnounceCrashNews
     void announceCrashNews(bool learned);
@@ -120,6 +128,14 @@
     RelayState state; ///< state of the reducer
     std::unordered_map<CallId, std::shared_ptr<Call>> calls; ///< requests without a complete response
     std::map<std::string, UpstreamEntry> upstreams; ///< decoded rows by key
+    /// Last report of an upstream, kept for a while after it left the list: a restored store may list it again.
+    struct KnownReport {
+        UpstreamReportOrder order;
+        Milliseconds seenAt { 0 };
+    };
+    std::map<std::string, KnownReport> upstreamReports; ///< by key of the row
+    bool upstreamsRestored { false }; ///< the next changes of the list come from a restored store
+    std::string configText; ///< configuration in force as operators wrote it, empty before the first
     std::map<std::string, Milliseconds> expiredRows; ///< rows that expired in an outage, and when to drop them
     Milliseconds relistingUntil { 0 }; ///< until then the list may lack live upstreams after an outage
     asio::steady_timer tickTimer; ///< calls onTick()
@@ -132,8 +148,8 @@
     std::uint16_t controlPort { 0 }; ///< local port of control requests
     Incarnation incarnation; ///< start of the process, Unix ms
     std::uint32_t ticks { 0 }; ///< ticks since start
-    std::uint64_t operatorTableRevision { 0 }; ///< revision of the newest row that operators wrote
-    std::uint64_t announcedRevision { 0 }; ///< operatorTableRevision when announceOperatorTableRevision() last sent it
+    StoreVersion operatorTable; ///< newest row that operators wrote
+    StoreVersion announcedOperatorTable; ///< operatorTable when announceOperatorTable() last sent it
     std::uint32_t beaconsSent { 0 }; ///< rounds of beacons since start
     std::uint32_t summariesSent { 0 }; ///< summaries sent to other data centres since start
     Milliseconds remoteBeaconAt { 0 }; ///< last beacons to other data centres
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -1,4 +1,5 @@
 #include "log_io.h"
+#include "metrics_io.h"
 #include "peer_table_func.h"
 #include "platform_decode_func.h"
 #include "platform_names.h"
@@ -33,7 +34,8 @@
     if (isNew)
         writeLog({ .event = "peer-found",
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
-    if (beacon.operatorTableRevision > this->operatorTableRevision)
+    // A process that has just started learns what the fleet has in force and a restored store has lost.
+    if (beacon.operatorTable > this->operatorTable || isNew)
         this->fetchPeerTables(beacon.from, now);
     if (!beacon.crashNews.empty() && beacon.from.host != this->settings.host.host)
         this->dispatch(CrashNewsReceived { .news = beacon.crashNews });
@@ -56,7 +58,7 @@
 
 PeerBeacon RelayLoop::makeBeacon() const
 {
-    PeerBeacon beacon { .from = this->self(), .operatorTableRevision = this->operatorTableRevision };
+    PeerBeacon beacon { .from = this->self(), .operatorTable = this->operatorTable };
     if (this->state.config)
         beacon.configVersion = this->state.config->version;
     return beacon;
@@ -70,11 +72,11 @@
     return ips;
 }
 
-void RelayLoop::announceOperatorTableRevision()
+void RelayLoop::announceOperatorTable()
 {
-    if (this->operatorTableRevision <= this->announcedRevision)
+    if (this->operatorTable <= this->announcedOperatorTable)
         return;
-    this->announcedRevision = this->operatorTableRevision;
+    this->announcedOperatorTable = this->operatorTable;
     PeerBeacon beacon = this->makeBeacon();
     beacon.loads = ownLoads(this->state);
     const DataCentreId& dataCentre = this->settings.host.dataCentre;
@@ -207,8 +209,8 @@
     if (this->peerFetchPending || peer.control.empty())
         return;
     this->peerFetchPending = true;
-    const PeerRevisions have { .operators = this->operatorRows.snapshot().revision,
-        .upstreams = this->upstreamRows.snapshot().revision };
+    const PeerVersions have { .operators = this->operatorRows.snapshot().version,
+        .upstreams = this->upstreamRows.snapshot().version };
     this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = peerTablesTimeout },
         [this, now, name = peer.host.value](const Result<FetchResponse>& answer) {
             this->peerFetchPending = false;
@@ -222,6 +224,11 @@
             const std::string store = std::exchange(this->operatorRowsSource, name);
             this->operatorRows.adopt(tables.value().operators);
             this->operatorRowsSource = store;
+            if (const auto& lost = tables.value().lostConfig) {
+                const Result<RelayConfig> config = platform::decodeConfig(lost->text);
+                if (config)
+                    this->useConfig(config.value(), lost->text, lost->writtenIn);
+            }
             // After the rows, so that of a version in both the later moment counts.
             this->dispatch(PeerWeightsReceived { .peer = { name }, .declared = tables.value().declared });
             this->upstreamRows.adopt(tables.value().upstreams);
@@ -230,10 +237,37 @@
 
 // The platform's store ------------------------------------------------------------------------------------------
 
+void RelayLoop::useConfig(const RelayConfig& config, const std::string& text, const WrittenEra& writtenIn)
+{
+    const std::shared_ptr<const RelayConfig> before = this->state.config;
+    this->dispatch(ConfigUpdated { .config = std::make_shared<const RelayConfig>(config), .writtenIn = writtenIn });
+    if (this->state.config == before)
+        return;
+    this->configText = text;
+    this->front.setLimits(this->state.config->limits);
+}
+
+std::optional<LostConfig> RelayLoop::lostConfig() const
+{
+    const platform::TableSnapshot& copy = this->operatorRows.snapshot();
+    const auto row = copy.rows.find(platform::configKey);
+    if (!this->state.config || (row != copy.rows.end() && row->second.value == this->configText))
+        return std::nullopt;
+    return LostConfig { .text = this->configText, .writtenIn = this->state.configWrittenIn };
+}
+
+void RelayLoop::onRestored(const char* table, const StoreVersion& from, const StoreVersion& to)
+{
+    writeLog({ .level = LogLevel::Warning,
+        .event = "store-restored",
+        .fields = { { "table", table }, { "from", storeVersionText(from) }, { "to", storeVersionText(to) },
+            { "config", this->state.config ? std::to_string(this->state.config->version.value) : "none" } } });
+    recordMetric({ .name = "store_restores_total", .labels = "table=\"" + std::string(table) + "\"" });
+}
+
 void RelayLoop::onOperatorRows(const std::vector<platform::TableRow>& changed)
 {
     for (const platform::TableRow& row : changed) {
-        this->operatorTableRevision = std::max(this->operatorTableRevision, row.revision);
         if (row.deleted)
             continue;
         if (row.key == platform::configKey) {
@@ -244,8 +278,9 @@
                     .fields = { { "error", config.error().text() } } });
                 continue;
             }
-            this->dispatch(ConfigUpdated { std::make_shared<const RelayConfig>(config.value()) });
-            this->front.setLimits(this->state.config->limits);
+            const platform::TableSnapshot& copy = this->operatorRows.snapshot();
+            this->useConfig(
+                config.value(), row.value, { .era = copy.version.era, .isExact = platform::isWrittenInEra(copy, row) });
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
             Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
             if (declared) {
@@ -263,8 +298,16 @@
 
 void RelayLoop::onConfirmed()
 {
-    this->dispatch(ConfigConfirmed { .asOf = this->operatorRows.snapshot().asOf });
-    this->announceOperatorTableRevision();
+    const platform::TableSnapshot& copy = this->operatorRows.snapshot();
+    this->dispatch(ConfigConfirmed { .asOf = copy.asOf });
+    recordMetric({ .kind = MetricSample::Kind::Gauge,
+        .name = "store_era",
+        .labels = {},
+        .value = static_cast<double>(copy.version.era) });
+    this->operatorTable = { .era = copy.version.era };
+    for (const auto& [key, row] : copy.rows)
+        this->operatorTable.revision = std::max(this->operatorTable.revision, row.revision);
+    this->announceOperatorTable();
 }
 
 void RelayLoop::onUpstreamRows(const std::vector<platform::TableRow>& changed)
@@ -274,6 +317,9 @@
     if (knownAt.value != 0 && now - knownAt > maxListAge)
         this->relistingUntil = now + relistGracePeriod;
     bool listChanged = false;
+    const bool isRestored = std::exchange(this->upstreamsRestored, false);
+    if (isRestored)
+        this->relistingUntil = now + relistGracePeriod;
     for (const platform::TableRow& row : changed) {
         if (row.deleted) {
             listChanged = true;
@@ -284,6 +330,15 @@
                 this->upstreams.erase(row.key);
             continue;
         }
+        const UpstreamReportOrder report = platform::decodeReportOrder(row.value);
+        const auto lastReport = this->upstreamReports.find(row.key);
+        if (isRestored && lastReport != this->upstreamReports.end() && report <= lastReport->second.order) {
+            // The store lost what the upstream has written since, e.g. that it leaves; it writes that again, or is
+            // gone.
+            writeLog({ .event = "upstream-row-outdated", .fields = { { "upstream", row.key } } });
+            continue;
+        }
+        this->upstreamReports[row.key] = { .order = report, .seenAt = now };
         const Result<UpstreamEntry> entry = platform::decodeUpstream(row.key, row.value);
         this->expiredRows.erase(row.key);
         if (entry) {
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -15,11 +15,26 @@
 
     void applyConfig(RelayState& state, const ConfigUpdated& event, Milliseconds now, RelayEffects& effects)
     {
-        if (state.config && event.config->version <= state.config->version)
+        if (state.config
+            && !isWrittenLater(
+                event.writtenIn, event.config->version.value, state.configWrittenIn, state.config->version.value)) {
+            // The same one, written again or read by a process that knows better when it was written.
+            if (event.config->version == state.config->version && event.writtenIn.isExact
+                && event.writtenIn.era >= state.configWrittenIn.era)
+                state.configWrittenIn = event.writtenIn;
+            if (event.config->version < state.config->version)
+                effects.emplace_back(LogLine { .event = "config-older",
+                    .fields = { { "version", std::to_string(event.config->version.value) },
+                        { "era", std::to_string(event.writtenIn.era) },
+                        { "in_force", std::to_string(state.config->version.value) },
+                        { "in_force_era", std::to_string(state.configWrittenIn.era) } } });
             return;
+        }
         state.config = event.config;
+        state.configWrittenIn = event.writtenIn;
         effects.emplace_back(LogLine { .event = "config-in-force",
             .fields = { { "version", std::to_string(event.config->version.value) },
+                { "era", std::to_string(event.writtenIn.era) },
                 { "routes", std::to_string(event.config->routes.size()) },
                 { "keys", std::to_string(event.config->keys.size()) } } });
         dispatchAllWaiting(state, now, effects);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -160,6 +160,7 @@
 struct RelayState {
     RelayOptions options; ///< from the settings
     std::shared_ptr<const RelayConfig> config; ///< newest configuration, null until one was read
+    WrittenEra configWrittenIn; ///< era of the store in which it was written
     Milliseconds configConfirmedAt { -1000000 }; ///< no newer configuration existed then; starts far in the past
     std::unordered_map<CallId, RelayRequest> requests; ///< without a complete response
     std::map<UpstreamId, RelayUpstream> upstreams; ///< listed, or with sends in flight
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -3,6 +3,7 @@
 #include "crash_type.h"
 #include "log_type.h"
 #include "relay_config_type.h"
+#include "store_version_type.h"
 #include "upstream_entry_type.h"
 
 #include <memory>
@@ -81,9 +82,10 @@
 /// Periodic timer event, on which time limits are checked.
 struct RelayTick { };
 
-/// A configuration was read. Ignored unless it is newer than the one in force.
+/// A configuration was read. Ignored unless it was written later than the one in force.
 struct ConfigUpdated {
     std::shared_ptr<const RelayConfig> config; ///< never null
+    WrittenEra writtenIn; ///< era of the store
 };
 
 /// The platform's list of upstreams changed.
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -24,6 +24,9 @@
 /// How long after an outage of the store upstreams stay listed whose rows expired during it: live ones are listed again
 /// within 2 s of its end.
 constexpr Milliseconds relistGracePeriod { 2200 };
+/// How long the last report of an upstream that left the list is kept: a store may come back from a copy that is some
+/// seconds old, after an outage.
+constexpr Milliseconds goneReportMaxAge { 60000 };
 constexpr Milliseconds tickPeriod { 20 }; ///< resolution of timeouts, well below a pass of a full engine (70 ms)
 static_assert(weightsMargin > outdatedSendGrace + tickPeriod * 2 + Milliseconds { 100 },
     "cancellations of requests for old weights must reach engines before the bound");
--- a/src/upstream_entry_type.h
+++ b/src/upstream_entry_type.h
@@ -36,6 +36,14 @@
     bool operator==(const UpstreamEntry&) const = default;
 };
 
+/// Orders what an upstream wrote about itself under one id, whatever the store has kept of it.
+struct UpstreamReportOrder {
+    std::int64_t processStartedAt { 0 }; ///< start of the process, Unix ms
+    std::uint64_t reports { 0 }; ///< reports since then, this one included
+
+    auto operator<=>(const UpstreamReportOrder&) const = default;
+};
+
 /// State that an engine reports about itself; read by the agent on its host, so newer than the platform's list.
 struct EngineReport {
     std::vector<HeldModel> models; ///< weights that it holds
--- a/tests/soak_store.cpp
+++ b/tests/soak_store.cpp
@@ -52,6 +52,35 @@
     this->answerDuePolls();
 }
 
+void Store::keepCopy()
+{
+    this->copy = this->tables;
+    this->copyRevision = this->revision;
+}
+
+std::vector<std::string> Store::keys(const std::string& table) const
+{
+    std::vector<std::string> keys;
+    if (const auto found = this->tables.find(table); found != this->tables.end())
+        for (const auto& [key, row] : found->second)
+            if (!row.deleted)
+                keys.push_back(key);
+    return keys;
+}
+
+void Store::restore()
+{
+    this->tables = this->copy;
+    this->revision = this->copyRevision;
+    ++this->era;
+    this->answerDuePolls();
+}
+
+void Store::answerRows(CallId call, const std::string& body)
+{
+    this->front.answer(call, 200, { { "Store-Era", std::to_string(this->era) } }, body);
+}
+
 std::string Store::rowsJson(const std::string& table, std::uint64_t after, bool withDeleted) const
 {
     Json rows = Json::array();
@@ -81,9 +110,9 @@
     }
     const std::string table = queryValue(target, "table");
     if (target.starts_with("/api/rows-get"))
-        this->front.answer(request.id, 200, {}, this->rowsJson(table, 0, false));
-    else if (this->mode == Mode::NoHistory)
-        this->front.answer(request.id, 410, {}, "");
+        this->answerRows(request.id, this->rowsJson(table, 0, false));
+    else if (this->mode == Mode::NoHistory || queryNumber(target, "after_rev") > this->revision)
+        this->front.answer(request.id, 410, { { "Store-Era", std::to_string(this->era) } }, "");
     else {
         this->pendingPolls.push_back({ .call = request.id,
             .table = table,
@@ -104,7 +133,7 @@
             = std::any_of(rows.begin(), rows.end(), [&](const auto& row) { return row.second.revision > poll.after; });
         if (!changed && now < poll.until)
             return false;
-        this->front.answer(poll.call, 200, {}, this->rowsJson(poll.table, poll.after, true));
+        this->answerRows(poll.call, this->rowsJson(poll.table, poll.after, true));
         return true;
     });
 }
--- a/tests/soak_store.h
+++ b/tests/soak_store.h
@@ -28,6 +28,15 @@
     /// Marks a row as deleted; readers see the deletion in the history.
     void remove(const std::string& table, const std::string& key);
 
+    /// Keeps a copy of all tables, to which restore() goes back.
+    void keepCopy();
+    /// Comes back from the kept copy: what was written since is lost, and its revisions are given out again.
+    void restore();
+    /// @return keys of the existing rows of a table
+    std::vector<std::string> keys(const std::string& table) const;
+    /// @return the current revision, which the next change will exceed
+    std::uint64_t currentRevision() const { return this->revision; }
+
     Mode mode { Mode::Up }; ///< set by the fault injector
 
 private:
@@ -50,10 +59,17 @@
     void answerDuePolls();
     void onPollTimer();
     std::string rowsJson(const std::string& table, std::uint64_t after, bool withDeleted) const;
+    /// Answers a request with status 200 and the store's era.
+    void answerRows(CallId call, const std::string& body);
 
     FrontServer front; ///< HTTP server of the store's interface
     asio::steady_timer timer; ///< checks every 20 ms for polls that are due
-    std::map<std::string, std::map<std::string, Row>> tables; ///< rows by table name and key
+    using Tables = std::map<std::string, std::map<std::string, Row>>;
+
+    Tables tables; ///< rows by table name and key
+    Tables copy; ///< tables as keepCopy() found them
+    std::uint64_t copyRevision { 0 }; ///< revision as keepCopy() found it
+    std::uint64_t era { 1 }; ///< rises by one with each restore
     std::vector<PendingPoll> pendingPolls;
     std::uint64_t revision { 0 }; ///< of the last change to any row, 0 before the first
 };
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -80,7 +80,7 @@
                             .dataCentre = { "a" },
                             .ready = true },
         .configVersion = { 12 },
-        .operatorTableRevision = 77,
+        .operatorTable = { .era = 3, .revision = 77 },
         .loads = { { .upstream = 99, .sent = 3, .prefillTokens = 1200 } } };
     beacon.engine = EngineReported { .address = "10.0.0.2:80",
         .report = { .models = { { .model = { "m" }, .version = { 4 } } },
@@ -94,7 +94,7 @@
         .entries = { beacon.from } };
     const auto decoded = decodeBeacon(encodeBeacon(beacon));
     REQUIRE(decoded);
-    CHECK(decoded.value().operatorTableRevision == 77);
+    CHECK(decoded.value().operatorTable == StoreVersion { .era = 3, .revision = 77 });
     REQUIRE(decoded.value().dataCentreSummary);
     CHECK(decoded.value().dataCentreSummary->totals.at(0).sent == 5);
     CHECK(decoded.value().dataCentreSummary->engines.at(0).report.slowdown == 1.5);
@@ -145,7 +145,7 @@
     REQUIRE(decoded);
     CHECK(decoded.value().crashNews.empty());
     CHECK(decoded.value().from.host.value == "h");
-    CHECK(decoded.value().operatorTableRevision == 77);
+    CHECK(decoded.value().operatorTable == StoreVersion { .era = 0, .revision = 77 });
     REQUIRE(decoded.value().loads.size() == 1);
     CHECK(decoded.value().loads.at(0).prefillTokens == 1200);
     CHECK(encodeBeacon(decoded.value()).size() <= older.size() + 2);
@@ -269,13 +269,13 @@
 // clock.
 TEST_CASE("The age of a peer's table copy counts from the time of the request", "[peer]")
 {
-    platform::TableSnapshot operators { .revision = 9, .asOf = { 900 } };
+    platform::TableSnapshot operators { .version = { .revision = 9 }, .asOf = { 900 } };
     operators.rows["config"] = { .key = "config", .value = "text", .revision = 8 };
-    const platform::TableSnapshot upstreams { .revision = 9, .asOf = { 950 } };
-    const std::string target = peerTablesTarget({ .operators = 3, .upstreams = 9 });
-    const PeerRevisions held = decodePeerRevisions(target);
-    CHECK(held.operators == 3);
-    CHECK(held.upstreams == 9);
+    const platform::TableSnapshot upstreams { .version = { .revision = 9 }, .asOf = { 950 } };
+    const std::string target = peerTablesTarget({ .operators = { .revision = 3 }, .upstreams = { .revision = 9 } });
+    const PeerVersions held = decodePeerVersions(target);
+    CHECK(held.operators == StoreVersion { .revision = 3 });
+    CHECK(held.upstreams == StoreVersion { .revision = 9 });
     FetchResponse answer { .body
         = encodePeerTables({ .operators = operators, .upstreams = upstreams, .declared = {} }, held, { 1000 }) };
     const auto tables = decodePeerTables(Result<FetchResponse>(answer), { 70000 });
@@ -289,7 +289,7 @@
 // Guards against a bound of declared weights that comes out too late at a peer, and one that is lost on the way.
 TEST_CASE("Declared weights reach a peer with moments that are not after those of the sender", "[peer]")
 {
-    const platform::TableSnapshot table { .revision = 9, .asOf = { 950 } };
+    const platform::TableSnapshot table { .version = { .revision = 9 }, .asOf = { 950 } };
     std::map<ModelId, DeclaredWeights> declared;
     for (std::uint64_t version = 1; version <= 20; ++version)
         declared[{ "model" }][{ version }].notBefore = Milliseconds { static_cast<std::int64_t>(version * 10) };
@@ -328,17 +328,17 @@
 // Guards against a removed row that stays in the copies of entries that were not told.
 TEST_CASE("Table changes list all keys when a row was removed after the given revision", "[peer]")
 {
-    platform::TableSnapshot copy { .revision = 20, .asOf = { 900 }, .lastRemovalRevision = 12 };
+    platform::TableSnapshot copy { .version = { .revision = 20 }, .asOf = { 900 }, .lastRemovalRevision = 12 };
     copy.rows["old"] = { .key = "old", .value = "1", .revision = 5 };
     copy.rows["new"] = { .key = "new", .value = "2", .revision = 15 };
-    const platform::TableChanges recent = platform::changesSince(copy, 13);
+    const platform::TableChanges recent = platform::changesSince(copy, { .revision = 13 });
     CHECK(recent.rows.size() == 1);
     CHECK_FALSE(recent.keys);
-    const platform::TableChanges older = platform::changesSince(copy, 11);
+    const platform::TableChanges older = platform::changesSince(copy, { .revision = 11 });
     CHECK(older.rows.size() == 1);
     REQUIRE(older.keys);
     CHECK(*older.keys == std::set<std::string> { "new", "old" });
-    CHECK(platform::changesSince(copy, 0).rows.size() == 2);
+    CHECK(platform::changesSince(copy, { .revision = 0 }).rows.size() == 2);
 }
 
 // Guards against a store polled by every entry, and against none polling it after an entry failed.
