Explain a request with the restores of the store around it

Cause: a request that is refused because the store came back older has no line of its own that tells of it. Change: hickoryctl explain also shows store-restored of the processes that handled the request, up to 10 s before or after.

--- a/src/ctl_explain_func.cpp
+++ b/src/ctl_explain_func.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <sstream>
 
@@ -71,6 +72,18 @@
 
 bool isAboutRequest(const std::string& line) { return !logField(line, "request").empty(); }
 
+bool isRestoreNearby(const std::string& line, const std::vector<std::string>& requestLines)
+{
+    constexpr long long maxDistanceMs = 10000;
+    if (logField(line, "event") != "store-restored")
+        return false;
+    const long long at = parseTimestamp(logField(line, "time"));
+    return std::any_of(requestLines.begin(), requestLines.end(), [&](const std::string& of) {
+        return logField(of, "host") == logField(line, "host")
+            && std::abs(parseTimestamp(logField(of, "time")) - at) <= maxDistanceMs;
+    });
+}
+
 std::string formatRequestTimeline(std::vector<std::string> lines)
 {
     std::stable_sort(lines.begin(), lines.end(), [](const std::string& left, const std::string& right) {
--- a/src/ctl_explain_func.h
+++ b/src/ctl_explain_func.h
@@ -24,6 +24,12 @@
 /// @return whether the line is about a request, whichever it is
 bool isAboutRequest(const std::string& line);
 
+/// @param line log line of any process
+/// @param requestLines log lines of one request
+/// @return whether the line tells that the platform's store came back from an older copy, logged by one of these
+/// processes some seconds before or after the request: its configuration and upstreams may have changed with it
+bool isRestoreNearby(const std::string& line, const std::vector<std::string>& requestLines);
+
 /// Sorts log lines by time and formats them with their offset from the first one.
 /// @param lines log lines of one request from all processes, and of what it was refused for, in any order
 /// @return one line per log line: "+MILLISECONDS ms HOST event=..."
--- a/tests/unit_ctl_explain.cpp
+++ b/tests/unit_ctl_explain.cpp
@@ -100,6 +100,19 @@
     CHECK(explain(logs, "ab1").exitCode == exitFailure);
 }
 
+// Guards against a request whose failure a restored store explains, and whose timeline does not tell of it.
+TEST_CASE("A request is explained with the restores of the store that its processes saw around it", "[explain]")
+{
+    const LogFolder logs;
+    logs.write("e1", "10", "event=store-restored table=operators from=1.90 to=2.57");
+    logs.write("e2", "10", "event=store-restored table=operators from=1.90 to=2.57");
+    logs.write("e1", "40", "event=store-restored table=operators from=2.90 to=3.57");
+    logs.write("e1", "14", "event=refuse request=ab12 reason=no-route");
+    CHECK(explain(logs, "ab12").output
+        == "+0 ms e1 event=store-restored table=operators from=1.90 to=2.57\n"
+           "+4000 ms e1 event=refuse request=ab12 reason=no-route\n");
+}
+
 // Guards against a settings change that is missed or applied repeatedly, and a deleted file that is taken for a change.
 TEST_CASE("A file watch reports a rewritten file once and a deleted file not at all", "[watch]")
 {
