Let the soak restore its store and end answers with their connections

Upstreams stop listening when they crash, and count their registrations. FrontServer can send a body that ends with its connection (its member for chunked bodies is read now).

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -225,7 +225,7 @@
 }
 
 void FrontServer::sendHead(const ConnectionPointer& connection, std::uint16_t status,
-    const std::vector<WireHeader>& headers, std::optional<std::size_t> length)
+    const std::vector<WireHeader>& headers, std::optional<std::size_t> length, BodyFraming framing)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text.append(reasonPhrase(status));
@@ -234,13 +234,13 @@
         text.append(header.name).append(": ").append(header.value).append("\r\n");
     if (length)
         text += "Content-Length: " + std::to_string(*length) + "\r\n";
-    else
+    else if (framing == BodyFraming::Chunks)
         text += "Transfer-Encoding: chunked\r\n";
-    connection->closeAfter = connection->closeAfter || this->draining;
+    connection->chunked = !length && framing == BodyFraming::Chunks;
+    connection->closeAfter = connection->closeAfter || this->draining || framing == BodyFraming::Connection;
     if (connection->closeAfter)
         text += "Connection: close\r\n";
     text += "\r\n";
-    connection->chunked = !length;
     connection->link->write(text);
 }
 
@@ -255,10 +255,10 @@
     this->completeAnswer(id, connection);
 }
 
-void FrontServer::begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers)
+void FrontServer::begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, BodyFraming framing)
 {
     if (const ConnectionPointer connection = this->find(id))
-        this->sendHead(connection, status, headers, std::nullopt);
+        this->sendHead(connection, status, headers, std::nullopt, framing);
 }
 
 void FrontServer::body(CallId id, std::string_view bytes)
@@ -266,6 +266,10 @@
     const ConnectionPointer connection = this->find(id);
     if (!connection || bytes.empty())
         return;
+    if (!connection->chunked) {
+        connection->link->write(bytes);
+        return;
+    }
     std::string chunk = chunkHead(bytes.size());
     chunk.append(bytes).append("\r\n");
     connection->link->write(chunk);
@@ -276,7 +280,8 @@
     const ConnectionPointer connection = this->find(id);
     if (!connection)
         return;
-    connection->link->write("0\r\n\r\n");
+    if (connection->chunked)
+        connection->link->write("0\r\n\r\n");
     this->completeAnswer(id, connection);
 }
 
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -34,6 +34,12 @@
     std::string body; ///< without transfer coding
 };
 
+/// How the body of an answer that is sent in parts is delimited.
+enum class BodyFraming : std::uint8_t {
+    Chunks,
+    Connection, ///< neither a length nor chunks: the body ends with its connection
+};
+
 /// HTTP/1.1 server on the Asio loop, used by RelayLoop and LoaderLoop; EntryLoop and AgentLoop use the servers of
 /// http_io.h. It handles one request per connection at a time: a pipelined request
 /// is parsed after the previous answer is complete.
@@ -58,11 +64,12 @@
 
     /// Sends a complete answer. Here and below, an unknown id is ignored: the caller has disconnected.
     void answer(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, std::string_view body);
-    /// Sends the head of an answer with a chunked body.
-    void begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers);
-    /// Sends the next chunk of the body.
+    /// Sends the head of an answer whose body is sent in parts.
+    void begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers,
+        BodyFraming framing = BodyFraming::Chunks);
+    /// Sends the next part of the body.
     void body(CallId id, std::string_view bytes);
-    /// Ends the chunked body.
+    /// Ends the body.
     void finish(CallId id);
     /// Resets the connection, so that the caller cannot take the part of the answer sent so far for a complete one.
     void abort(CallId id);
@@ -99,9 +106,9 @@
     /// Ends a request; closes the connection or continues with the next request.
     void completeAnswer(CallId id, const ConnectionPointer& connection);
     /// Sends the head of an answer.
-    /// @param length length of the body, or nothing for a chunked body
+    /// @param length length of the body, or nothing for one that is sent in parts
     void sendHead(const ConnectionPointer& connection, std::uint16_t status, const std::vector<WireHeader>& headers,
-        std::optional<std::size_t> length);
+        std::optional<std::size_t> length, BodyFraming framing = BodyFraming::Chunks);
     /// @return the connection of a request in progress, or nullptr
     ConnectionPointer find(CallId id) const;
 
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -63,10 +63,17 @@
     int answered { 0 }; ///< requests with a complete response of status 200
     int faultFreeRequests { 0 }; ///< requests sent in the fault-free end of the run
     int faultFreeAnswered { 0 }; ///< fault-free requests with a complete response of status 200
+    bool unframedAnswers { false }; ///< every fourth answer of an upstream ends with its connection
     std::string deadlyPart; ///< id of the prompt part that crashes engines, empty for none
     std::vector<Milliseconds> crashes; ///< when it crashed an engine
     std::vector<Milliseconds> deadlyArrivals; ///< when a request with it reached an engine
 
+    /// @return whether upstreams send the answer to an attempt with neither a length nor chunks
+    bool endsWithConnection(const std::string& attempt) const
+    {
+        return this->unframedAnswers && std::hash<std::string> {}(attempt + "/framing") % 4 == 0;
+    }
+
     /// @param text code of the rule, then what was seen
     void addViolation(const std::string& text) { this->violations.push_back(text); }
 
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -55,6 +55,7 @@
                   [this](CallId call) {
                       this->streams.erase(call);
                       this->endless.erase(call);
+                      this->halves.erase(call);
                       this->openCalls.erase(call);
                   } })
     , timer(io)
@@ -73,6 +74,7 @@
     this->crashedId.clear();
     this->id = this->name + "-" + std::to_string(++this->startCount);
     this->processStartedAt = wallNow().value;
+    this->reports = 0;
     this->version = withWeights ? 1 : 0;
     if (withWeights)
         for (int index = 0; index < pieceCount; ++index)
@@ -82,8 +84,19 @@
 
 void Upstream::crash()
 {
-    for (const CallId call : std::set<CallId>(this->openCalls))
-        this->front.abort(call);
+    for (const CallId call : std::set<CallId>(this->openCalls)) {
+        // The kernel closes the connections of a process that ends; a reset of half an answer would show that.
+        const auto stream = this->streams.find(call);
+        const bool unframed = this->halves.contains(call)
+            || (stream != this->streams.end() && this->ledger.endsWithConnection(stream->second.attempt));
+        if (unframed)
+            this->front.finish(call);
+        else
+            this->front.abort(call);
+    }
+    this->front.closeIdle();
+    this->listening = false;
+    this->halves.clear();
     this->openCalls.clear();
     this->streams.clear();
     this->endless.clear();
@@ -111,10 +124,17 @@
 
 void Upstream::drain() { this->publishState("draining"); }
 
-void Upstream::publishState(const char* state)
+void Upstream::registerAgain()
+{
+    if (this->running())
+        this->publishState(this->state);
+}
+
+void Upstream::publishState(const std::string& newState)
 {
+    this->state = newState;
     Json entry { { "service", this->engine ? "engines" : "desk" }, { "address", this->registeredAddress },
-        { "zone", "a" }, { "version", 1 }, { "slots", 8 }, { "state", state }, { "sequence", this->startCount },
+        { "zone", "a" }, { "version", 1 }, { "slots", 8 }, { "state", this->state }, { "sequence", ++this->reports },
         { "born", this->processStartedAt } };
     if (this->engine) {
         entry["models"] = Json::array();
@@ -221,6 +241,15 @@
         this->endless[request.id] = { .attempt = attempt, .unit = "endless " };
         return;
     }
+    const BodyFraming framing
+        = this->ledger.endsWithConnection(attempt) ? BodyFraming::Connection : BodyFraming::Chunks;
+    if (!this->engine && framing == BodyFraming::Connection) {
+        const std::string answer = "answer of " + attempt + " " + request.body;
+        this->front.begin(request.id, 200, sealedHeaders, framing);
+        this->front.body(request.id, answer.substr(0, answer.size() / 2));
+        this->halves[request.id] = answer.substr(answer.size() / 2);
+        return;
+    }
     if (!this->engine) {
         this->openCalls.erase(request.id);
         this->front.answer(request.id, 200, sealedHeaders, "answer of " + attempt + " " + request.body);
@@ -230,7 +259,7 @@
     sealedHeaders.push_back({ "Weight-Versions", std::to_string(this->version) });
     const bool hasParts = !attemptEntry->second.promptParts.empty();
     if (!hasParts)
-        this->front.begin(request.id, 200, std::exchange(sealedHeaders, {}));
+        this->front.begin(request.id, 200, std::exchange(sealedHeaders, {}), framing);
     this->streams[request.id] = { .attempt = attempt,
         .headers = std::move(sealedHeaders),
         .beginsAt = monotonicNow() + (hasParts ? readTime : Milliseconds {}),
@@ -249,6 +278,7 @@
     if (this->restartAt.value != 0 && monotonicNow() > this->restartAt)
         this->start(false);
     this->sendEvents();
+    this->sendHalves();
     this->sendEndless();
     this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
     this->timer.async_wait([this](const std::error_code& code) {
@@ -257,6 +287,15 @@
     });
 }
 
+void Upstream::sendHalves()
+{
+    for (const auto& [call, half] : std::exchange(this->halves, {})) {
+        this->front.body(call, half);
+        this->openCalls.erase(call);
+        this->front.finish(call);
+    }
+}
+
 void Upstream::sendEndless()
 {
     std::vector<CallId> tooLong;
@@ -292,7 +331,9 @@
                 this->crashOnRequest();
                 return;
             }
-            this->front.begin(stream->first, 200, std::exchange(stream->second.headers, {}));
+            this->front.begin(stream->first, 200, std::exchange(stream->second.headers, {}),
+                this->ledger.endsWithConnection(stream->second.attempt) ? BodyFraming::Connection
+                                                                        : BodyFraming::Chunks);
         }
         const AnswerFault fault = stream->second.next == 2 ? stream->second.fault : AnswerFault::None;
         if (fault == AnswerFault::Endless || fault == AnswerFault::EndlessEvents) {
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -35,9 +35,13 @@
     void start(bool withWeights);
     /// Simulates a crash: aborts all requests, loses all state and removes the registration.
     void crash();
+    /// Writes its registration again after the store has lost what was written lately.
+    void registerAgain();
     /// Registers as draining; requests that still arrive are run.
     void drain();
 
+    /// @return id that is registered, or still is after a crash that the store does not know of
+    const std::string& registeredId() const { return this->running() ? this->id : this->crashedId; }
     /// @return false between crash() and start()
     bool running() const { return !this->id.empty(); }
     std::uint64_t version { 0 }; ///< of the weights in service, 0 for none
@@ -64,7 +68,9 @@
     void onEngineCall(const FrontRequest& request);
     void runRequest(FrontRequest&& request);
     void answerJson(CallId call, int status, const std::string& body);
-    void publishState(const char* state);
+    void publishState(const std::string& state);
+    /// Sends the second halves of plain answers that end with their connections.
+    void sendHalves();
     void onStepTimer();
     /// Sends the next events of all streams. An engine that crashes in this sends nothing more.
     void sendEvents();
@@ -88,6 +94,9 @@
     bool listening { false }; ///< accepts connections
     Milliseconds restartAt { 0 }; ///< end of the down time after crashOnRequest(), 0 when there is none
     std::int64_t processStartedAt { 0 }; ///< time of the last start, Unix ms
+    std::string state; ///< as last registered, empty while down
+    std::uint64_t reports { 0 }; ///< registrations written since the last start
+    std::map<CallId, std::string> halves; ///< second halves of plain answers that end with their connections
     int startCount { 0 }; ///< number of starts so far, second part of `id`
     std::uint64_t acceptedOrders { 0 }; ///< load orders accepted since the last start
     std::uint64_t loading { 0 }; ///< weights version being loaded, 0 for none
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -49,12 +49,15 @@
 public:
     /// @param faultTime time in which faults are injected
     /// @param deadly the only fault is a prompt part that crashes engines, sent in requests to all entries
+    /// @param restores adds a store that comes back from an older copy, and answers that end with their connections
     /// @param buildFolder folder of the programs
     /// @param logFolder existing folder for settings and logs of this run
-    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, std::string buildFolder, std::string logFolder)
+    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, bool restores, std::string buildFolder,
+        std::string logFolder)
         : random(seed)
         , faultTime(faultTime)
         , deadly(deadly)
+        , restores(restores)
         , buildFolder(std::move(buildFolder))
         , logFolder(std::move(logFolder))
         , addressPrefix("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
@@ -62,6 +65,7 @@
         , origin(this->io, this->addressPrefix + "249:8081")
         , callers(this->io, this->ledger, this->entryAddresses())
     {
+        this->ledger.unframedAnswers = restores;
         if (deadly)
             this->ledger.deadlyPart = deadlyPart;
     }
@@ -282,14 +286,47 @@
                 { { { "name", "engines" }, { "engine", engine } }, { { "name", "desk" } },
                     { { "name", "origin" }, { "origin", this->addressPrefix + "249:8081" }, { "link_mbps", 50.0 } } } },
             { "tenants", { { { "name", "callers" }, { "api_keys", this->keys } } } } };
-        this->store.put("op", "config", config.dump());
+        this->writtenConfig = config.dump();
+        this->store.put("op", "config", this->writtenConfig);
     }
 
     /// Declares the next version of the weights.
     void declareWeights()
+    {
+        ++this->origin.newestVersion;
+        this->writeDeclaredWeights();
+    }
+
+    void writeDeclaredWeights()
     {
         this->store.put("op", std::string("version/") + modelName,
-            Json { { "model", modelName }, { "version", ++this->origin.newestVersion } }.dump());
+            Json { { "model", modelName }, { "version", this->origin.newestVersion } }.dump());
+    }
+
+    /// Lets the store come back from a copy of now at `until`, after an outage. Operators and upstreams write again
+    /// what it lost, a moment later.
+    void restoreStore(Milliseconds now, Milliseconds until)
+    {
+        this->logFault("store restored", now);
+        this->store.keepCopy();
+        const Milliseconds downFor { this->randomInt(0, 1000) };
+        const Milliseconds writtenAgainAfter { this->randomInt(0, 600) };
+        this->schedule(until, [this] { this->store.mode = Store::Mode::Busy; });
+        this->schedule(until + downFor, [this, writtenAgainAt = until + downFor + writtenAgainAfter] {
+            this->store.restore();
+            this->store.mode = Store::Mode::Up;
+            this->schedule(writtenAgainAt, [this] {
+                this->store.put("op", "config", this->writtenConfig);
+                if (this->origin.newestVersion > 1)
+                    this->writeDeclaredWeights();
+                for (const auto& upstream : this->upstreams)
+                    upstream->registerAgain();
+                for (const std::string& id : this->store.keys("servers"))
+                    if (std::none_of(this->upstreams.begin(), this->upstreams.end(),
+                            [&](const auto& upstream) { return upstream->registeredId() == id; }))
+                        this->store.remove("servers", id);
+            });
+        });
     }
 
     /// Sends a request of a random kind to a random entry.
@@ -359,7 +396,11 @@
     void injectFault(Milliseconds now)
     {
         const Milliseconds until = now + Milliseconds { this->randomInt(200, 2500) };
-        switch (this->randomInt(0, 9)) {
+        switch (this->randomInt(0, this->restores ? 11 : 9)) {
+        case 10:
+        case 11:
+            this->restoreStore(now, until);
+            break;
         case 0:
         case 1:
             this->signalProcess(now, until);
@@ -544,6 +585,8 @@
     std::mt19937_64 random; ///< source of all random choices
     Milliseconds faultTime; ///< length of the phase with faults
     bool deadly; ///< the only fault is a prompt part that crashes engines
+    bool restores; ///< adds a store that comes back older, and answers that end with their connections
+    std::string writtenConfig; ///< configuration written last
     std::size_t deadlySent { 0 }; ///< requests with that part sent so far
     std::string buildFolder; ///< where the programs are
     std::string logFolder; ///< receives settings, logs and faults.log of this run
@@ -578,7 +621,8 @@
         "seed", "first seed; 0 for a random one", cxxopts::value<std::uint64_t>()->default_value("0"))(
         "runs", "number of runs, each with the next seed", cxxopts::value<int>()->default_value("1"))(
         "seconds", "length of the phase with faults", cxxopts::value<int>()->default_value("10"))("deadly-part",
-        "instead of random faults, send requests with a prompt part that crashes each engine that begins them");
+        "instead of random faults, send requests with a prompt part that crashes each engine that begins them")(
+        "restores", "add a store that comes back from an older copy, and answers that end with their connections");
     const auto flags = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t seed = flags["seed"].as<std::uint64_t>();
@@ -592,7 +636,7 @@
         std::cout << "seed " << seed << std::endl;
         constexpr std::int64_t millisecondsPerSecond = 1000;
         Soak soak(seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, flags.count("deadly-part") > 0,
-            flags["bin"].as<std::string>(), logFolder);
+            flags.count("restores") > 0, flags["bin"].as<std::string>(), logFolder);
         if (!soak.run())
             ++failed;
     }
