Begin no stream anew whose events have no ids

Change: a stream goes on at another engine only if nothing was forwarded, or what was forwarded last is covered by an id. Result: the new test failed before (sent to a second engine, no abort) and passes.

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -31,7 +31,7 @@
     bool isRepeatable(const RelayRequest& request)
     {
         return request.route->kind == CallKind::Idempotent
-            || (request.route->kind == CallKind::Stream && request.route->resumable);
+            || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
     }
 
     /// @return the version that the engine is known to hold, or nothing while any version may be used
@@ -309,7 +309,8 @@
     view.lastHeardAt = now;
     send.lastProgressAt = now;
     recordUpstreamAlive(state, send.upstream, send.sentAt);
-    if (!event.lastEventId.empty())
+    request->resumePointKnown = !event.lastEventId.empty();
+    if (request->resumePointKnown)
         request->lastEventId = event.lastEventId;
     if (request->events++ == 0) {
         request->firstEventAt = now;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -96,6 +96,8 @@
     bool headForwarded { false }; ///< the caller received the head of a response
     bool mayHaveRun { false }; ///< an upstream may have run it
     std::string lastEventId; ///< id of the last event forwarded, at first that of the caller
+    /// Another engine can go on after lastEventId: no event was forwarded, or they have ids.
+    bool resumePointKnown { true };
     std::uint32_t events { 0 }; ///< StreamProgressed events so far
     Milliseconds firstEventAt { 0 }; ///< when the first event of a stream arrived, 0 before
 };
--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -162,6 +162,37 @@
     }
 }
 
+// Guards against events that reach the caller twice because a second engine begins anew.
+TEST_CASE("A stream whose events have no ids does not go on at another engine", "[answer-end]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    const auto sent = relay.request("/letters/");
+    const SendId send = findEffect<SendToUpstream>(sent)->send;
+    const CallId call = relay.lastCallId();
+    const auto progress = [&](const std::string& id) {
+        relay.event(StreamProgressed { .call = call, .send = send, .lastEventId = id });
+    };
+    const auto breakOff = [&] {
+        return relay.event(ResponseEnded { .call = call, .send = send, .end = SendResult::Broken });
+    };
+    relay.event(ResponseStarted { .call = call, .send = send, .status = 200, .sealed = true, .stream = true });
+    progress("");
+    SECTION("broken off")
+    {
+        const auto effects = breakOff();
+        CHECK_FALSE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<AbortResponse>(effects));
+    }
+    SECTION("unless one with an id has followed")
+    {
+        progress("3");
+        const auto effects = breakOff();
+        REQUIRE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "3");
+    }
+}
+
 // Guards against a stream that a second engine's answer of another type ends without its events.
 TEST_CASE("A stream cannot be completed by an answer that is no stream", "[answer-end]")
 {
