Tell peers of removals that a full read did not show

A process that read the whole table (at its start, after 410, in a new era) then sent a peer with an older copy no keys, and an upstream that was removed in between stayed listed there for good: the peer's revision passed the removal. Change: a copy knows the revision after which no row was removed. Result: the new test failed before in all four of its cases (after a restore or not, directly or through a third process) and passes.

--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -18,7 +18,8 @@
     {
         const platform::TableChanges changes = platform::changesSince(copy, held);
         Json table { { "era", changes.version.era }, { "revision", changes.version.revision },
-            { "era_start", changes.eraStart }, { "age_ms", (now - changes.asOf).value } };
+            { "era_start", changes.eraStart }, { "last_removal", changes.lastRemovalRevision },
+            { "age_ms", (now - changes.asOf).value } };
         if (!changes.rows.empty()) {
             Json rows = Json::array();
             for (const platform::TableRow& row : changes.rows)
@@ -35,6 +36,7 @@
         platform::TableChanges changes { .version
             = { .era = table.value("era", std::uint64_t { 0 }), .revision = table.at("revision").get<std::uint64_t>() },
             .eraStart = table.value("era_start", std::uint64_t { 0 }),
+            .lastRemovalRevision = table.value("last_removal", table.at("revision").get<std::uint64_t>()),
             .asOf = sentAt - Milliseconds { table.at("age_ms").get<std::int64_t>() } };
         if (table.contains("rows"))
             for (const Json& row : table.at("rows"))
--- a/tests/unit_store_era.cpp
+++ b/tests/unit_store_era.cpp
@@ -149,6 +149,40 @@
     CHECK(tables.value().lostConfig->writtenIn == WrittenEra { .era = 1, .isExact = true });
 }
 
+// Guards against rows that stay in the copies of peers because the process that tells them never had these rows.
+TEST_CASE("Peers learn of a removal from a copy that never held the row", "[store-era]")
+{
+    const bool isRestored = GENERATE(false, true);
+    const bool isToldByAnother = GENERATE(false, true);
+    FollowedStore source;
+    FollowedStore between;
+    FollowedStore last;
+    const auto copyFrom = [](const FollowedStore& from, FollowedStore& to) {
+        to.follower.adopt(platform::changesSince(from.follower.snapshot(), to.follower.snapshot().version));
+    };
+    if (isRestored) {
+        source.follower.adopt(peerCopy({ .era = 1, .revision = 90 }, 10, "lost", 90));
+        source.store.restore();
+    }
+    while (source.store.currentRevision() < 60)
+        source.store.put("op", "kept", "1");
+    source.follower.start();
+    REQUIRE(source.holds("kept", "1"));
+    const std::uint64_t era = source.follower.snapshot().version.era;
+    platform::TableChanges before { .version = { .era = era, .revision = 50 }, .eraStart = 10, .asOf = { 1 } };
+    before.rows = { { .key = "kept", .value = "1", .revision = 50 }, { .key = "gone", .value = "1", .revision = 40 } };
+    before.keys = std::set<std::string> { "gone", "kept" };
+    last.follower.adopt(before);
+    REQUIRE(last.follower.snapshot().rows.contains("gone"));
+    copyFrom(source, between);
+    copyFrom(isToldByAnother ? between : source, last);
+    CHECK_FALSE(last.follower.snapshot().rows.contains("gone"));
+    CHECK(last.follower.snapshot().rows.contains("kept"));
+    // Otherwise peers would send each other all keys in every answer.
+    CHECK_FALSE(platform::changesSince(last.follower.snapshot(), between.follower.snapshot().version).keys);
+    CHECK_FALSE(platform::changesSince(between.follower.snapshot(), last.follower.snapshot().version).keys);
+}
+
 // Guards against a row written after a restore that counts as restored because this entry read the store late.
 TEST_CASE("An earlier first read of the era by a peer shows that a row was written in it", "[store-era]")
 {
