Compare the configuration in force with those of other entries

Cause: only processes that were new to an entry were asked for what the store had lost, after the entry was ready, and only if their beacon came before that of another new process. That a row was written since a restore is known to those that read the era earlier; entries that poll the store did not ask them. Change: beacons tell the era in which the configuration in force was written; an entry that hears of a later one fetches it. Until an entry has heard one that is not later, or for 0.5 s without any, its configuration counts as unconfirmed: it is not ready and admits no key. The first beacon of a process is answered at once.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -86,4 +86,6 @@
   operatorsRevision @7 :UInt64; # revision of the sender's copy of the operators' table; entries only
   crashNews @8 :CrashNews;  # crashes of upstreams that the sender knows; entries only, absent in most beacons
   operatorsEra @9 :UInt64;  # era of the store in which operatorsRevision counts; 0 for one that does not tell
+  configEra @10 :UInt64;    # era of the store in which the configuration in force was written
+  configEraExact @11 :Bool; # false if it may have been written in an earlier era
 }
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -238,6 +238,8 @@
     auto root = message.initRoot<peer::Beacon>();
     writeEntry(root.initFrom(), beacon.from);
     root.setConfigVersion(beacon.configVersion.value);
+    root.setConfigEra(beacon.configWrittenIn.era);
+    root.setConfigEraExact(beacon.configWrittenIn.isExact);
     root.setOperatorsRevision(beacon.operatorTable.revision);
     root.setOperatorsEra(beacon.operatorTable.era);
     writeLoads(root.initLoads(static_cast<unsigned>(beacon.loads.size())), beacon.loads);
@@ -268,6 +270,7 @@
         PeerBeacon beacon;
         beacon.from = readEntry(root.getFrom());
         beacon.configVersion = { root.getConfigVersion() };
+        beacon.configWrittenIn = { .era = root.getConfigEra(), .isExact = root.getConfigEraExact() };
         beacon.operatorTable = { .era = root.getOperatorsEra(), .revision = root.getOperatorsRevision() };
         beacon.loads = readLoads(root.getLoads());
         if (root.hasEngine())
--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -79,6 +79,13 @@
 
 } // namespace
 
+bool hasLaterConfig(const PeerBeacon& beacon, const RelayState& state)
+{
+    return !state.config
+        || isWrittenLater(
+            beacon.configWrittenIn, beacon.configVersion.value, state.configWrittenIn, state.config->version.value);
+}
+
 std::string peerTablesTarget(const PeerVersions& held)
 {
     return std::string(peerTablesPath) + "?operators=" + std::to_string(held.operators.revision) + "&operators_era="
--- a/src/peer_table_func.h
+++ b/src/peer_table_func.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_pool_io.h"
+#include "peer_type.h"
 #include "platform_table_io.h"
 #include "relay_state_type.h"
 
@@ -42,6 +43,10 @@
     std::vector<PeerWeights> declared; ///< declared weights that the peer knows; none if it runs an older program
 };
 
+/// @param beacon of an entry with a configuration
+/// @return whether the sender has a configuration in force that was written later than the one in force here
+bool hasLaterConfig(const PeerBeacon& beacon, const RelayState& state);
+
 /// @param held versions of the requesting process
 /// @return path and query of the request
 std::string peerTablesTarget(const PeerVersions& held);
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -38,7 +38,8 @@
 /// State of a process, sent to its peers several times a second.
 struct PeerBeacon {
     PeerInfo from; ///< sender
-    ConfigVersion configVersion; ///< configuration in force at the sender
+    ConfigVersion configVersion; ///< configuration in force at the sender, 0 while it has not been compared with others
+    WrittenEra configWrittenIn; ///< era of the store in which that configuration was written
     StoreVersion operatorTable; ///< newest row that operators wrote in the sender's copy of their table, entries only
     std::vector<PeerLoad> loads; ///< requests in flight from the sender to each upstream, entries only
     std::optional<EngineReported> engine; ///< last report of the sender's engine, agents only
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -406,6 +406,8 @@
         flushLog();
     if (this->drainingSince.value != 0)
         this->continueDrain();
+    if (!this->configCompared && this->ticks * tickPeriod.value >= configComparisonTime.value)
+        this->endConfigComparison();
     this->armTimer(this->tickTimer, tickPeriod, &RelayLoop::onTick);
 }
 
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -80,6 +80,10 @@
     std::optional<LostConfig> lostConfig() const;
     /// Called when the store or a peer confirmed that the configuration is current.
     void onConfirmed();
+    /// Fetches the configuration of another entry if it was written later than the one in force.
+    void compareConfig(const PeerBeacon& beacon, Milliseconds now);
+    /// From now on confirmations of the copy of the store count.
+    void endConfigComparison();
     /// Passes the current list of upstreams to the reducer.
     void publishUpstreams();
     /// @return whether this entry is one of those that poll the store on behalf of all
@@ -136,6 +140,10 @@
     std::map<std::string, KnownReport> upstreamReports; ///< by key of the row
     bool upstreamsRestored { false }; ///< the next changes of the list come from a restored store
     std::string configText; ///< configuration in force as operators wrote it, empty before the first
+    /// Another entry was heard whose configuration is not later, or none was heard in time. Until then the
+    /// configuration counts as unconfirmed: a restored store may have lost the one that the fleet has in force.
+    bool configCompared { false };
+    Milliseconds laterConfigAskedAt { -1000000 }; ///< last request for a later configuration, starts far in the past
     std::map<std::string, Milliseconds> expiredRows; ///< rows that expired in an outage, and when to drop them
     Milliseconds relistingUntil { 0 }; ///< until then the list may lack live upstreams after an outage
     asio::steady_timer tickTimer; ///< calls onTick()
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -29,13 +29,23 @@
 void RelayLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
 {
     const Milliseconds now = monotonicNow();
-    const bool isNew = !beacon.from.front.empty() && !this->peers.entries.contains(beacon.from.host);
+    const bool isEntry = !beacon.from.front.empty() && beacon.from.host != this->settings.host.host;
+    const auto known = this->peers.entries.find(beacon.from.host);
+    const bool isNew
+        = isEntry && (known == this->peers.entries.end() || known->second.entry.incarnation < beacon.from.incarnation);
     recordBeacon(this->peers, this->settings.host.host, beacon, ip, now);
-    if (isNew)
+    if (isNew) {
         writeLog({ .event = "peer-found",
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
-    // A process that has just started learns what the fleet has in force and a restored store has lost.
-    if (beacon.operatorTable > this->operatorTable || isNew)
+        // A process that has just started waits for the configuration that is in force elsewhere.
+        PeerBeacon reply = this->makeBeacon();
+        if (beacon.from.dataCentre == this->settings.host.dataCentre)
+            reply.loads = ownLoads(this->state);
+        this->peerSocket.send(reply, { ip });
+    }
+    if (isEntry)
+        this->compareConfig(beacon, now);
+    if (beacon.operatorTable > this->operatorTable)
         this->fetchPeerTables(beacon.from, now);
     if (!beacon.crashNews.empty() && beacon.from.host != this->settings.host.host)
         this->dispatch(CrashNewsReceived { .news = beacon.crashNews });
@@ -56,11 +66,34 @@
         this->dispatch(PeerLoadsReceived { .peer = beacon.from.host, .loads = beacon.loads });
 }
 
+void RelayLoop::compareConfig(const PeerBeacon& beacon, Milliseconds now)
+{
+    if (beacon.configVersion.value == 0)
+        return;
+    // The store may have lost what the fleet has in force, or this process read a restored store too late to know that
+    // a configuration was written since.
+    if (!hasLaterConfig(beacon, this->state))
+        this->endConfigComparison();
+    else if (now - this->laterConfigAskedAt >= tablesPeriod) {
+        this->laterConfigAskedAt = now;
+        this->fetchPeerTables(beacon.from, now);
+    }
+}
+
+void RelayLoop::endConfigComparison()
+{
+    if (std::exchange(this->configCompared, true) || this->operatorRows.snapshot().asOf.value == 0)
+        return;
+    this->onConfirmed();
+}
+
 PeerBeacon RelayLoop::makeBeacon() const
 {
     PeerBeacon beacon { .from = this->self(), .operatorTable = this->operatorTable };
-    if (this->state.config)
+    if (this->state.config && this->configCompared) {
         beacon.configVersion = this->state.config->version;
+        beacon.configWrittenIn = this->state.configWrittenIn;
+    }
     return beacon;
 }
 
@@ -299,7 +332,8 @@
 void RelayLoop::onConfirmed()
 {
     const platform::TableSnapshot& copy = this->operatorRows.snapshot();
-    this->dispatch(ConfigConfirmed { .asOf = copy.asOf });
+    if (this->configCompared)
+        this->dispatch(ConfigConfirmed { .asOf = copy.asOf });
     recordMetric({ .kind = MetricSample::Kind::Gauge,
         .name = "store_era",
         .labels = {},
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -55,6 +55,10 @@
     maxListAge > upstreamPollTimeout * 2 + tablesPeriod * 2, "an unchanged list must not look like an outage");
 static_assert(storeFallbackAge > upstreamPollTimeout + upstreamDebounce + tablesPeriod + Milliseconds { 200 },
     "tables copied from a follower must not look stale");
+/// How long after its start an entry waits for another one to compare configurations with: for its own first beacon and
+/// the answer of an entry of its data centre.
+constexpr Milliseconds configComparisonTime { 500 };
+static_assert(configComparisonTime > beaconPeriod * 3, "a lost beacon must not end the comparison");
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
 constexpr Milliseconds probeTimeout { 400 }; ///< of a connection that shows whether an upstream still runs
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -80,6 +80,7 @@
                             .dataCentre = { "a" },
                             .ready = true },
         .configVersion = { 12 },
+        .configWrittenIn = { .era = 2, .isExact = true },
         .operatorTable = { .era = 3, .revision = 77 },
         .loads = { { .upstream = 99, .sent = 3, .prefillTokens = 1200 } } };
     beacon.engine = EngineReported { .address = "10.0.0.2:80",
@@ -95,6 +96,8 @@
     const auto decoded = decodeBeacon(encodeBeacon(beacon));
     REQUIRE(decoded);
     CHECK(decoded.value().operatorTable == StoreVersion { .era = 3, .revision = 77 });
+    CHECK(decoded.value().configVersion == ConfigVersion { 12 });
+    CHECK(decoded.value().configWrittenIn == WrittenEra { .era = 2, .isExact = true });
     REQUIRE(decoded.value().dataCentreSummary);
     CHECK(decoded.value().dataCentreSummary->totals.at(0).sent == 5);
     CHECK(decoded.value().dataCentreSummary->engines.at(0).report.slowdown == 1.5);
