Order an engine to load only if it is still the process that was checked

The engine had restarted at 20.166 s, between the read-back of its staged pieces and the order at 20.216 s; the report that told of the restart was read at 20.225 s. Cause: up to 1.5 s lie between the two, in which entries send work elsewhere and streams end. The order names the number of orders accepted, but a restarted engine counts anew and had 0 before as well. Change: just before the order the engine's report is read once more, and the order is sent only if it shows the same process. Result: unit_stage has the case; before, the order went out without a further report. A restart within that round trip on one host remains possible.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -117,6 +117,8 @@
         this->checkStagedPieces(*check);
     else if (std::holds_alternative<AnnounceLoadOrder>(effect))
         this->sendBeacon();
+    else if (std::holds_alternative<PollReport>(effect))
+        this->pollReport([] {});
     else if (const auto* order = std::get_if<SendLoadOrder>(&effect))
         this->sendLoadOrder(*order);
     else if (const auto* line = std::get_if<LogLine>(&effect))
@@ -303,26 +305,31 @@
 {
     if (!this->reportRequested) {
         this->reportRequested = true;
-        this->pool.fetch({ .address = this->settings.engine, .target = platform::reportPath, .timeout = reportTimeout },
-            [this](const Result<FetchResponse>& answer) {
-                this->reportRequested = false;
-                EngineReportRead event;
-                if (succeeded(answer)) {
-                    const auto report = platform::decodeReport(answer.value().body);
-                    if (report)
-                        event.report = report.value();
-                }
-                if (event.report.has_value() != this->state.report.has_value())
-                    writeLog({ .level = event.report ? LogLevel::Info : LogLevel::Warning,
-                        .event = event.report ? "dependency-regained" : "dependency-lost",
-                        .fields = { { "dependency", "engine" }, { "peer", this->settings.engine } } });
-                this->dispatch(event);
-            });
+        this->pollReport([this] { this->reportRequested = false; });
     }
     flushLog();
     this->armTimer(this->reportTimer, reportPollPeriod, &LoaderLoop::onReportTimer);
 }
 
+void LoaderLoop::pollReport(std::function<void()> ended)
+{
+    this->pool.fetch({ .address = this->settings.engine, .target = platform::reportPath, .timeout = reportTimeout },
+        [this, ended = std::move(ended), requestedAt = monotonicNow()](const Result<FetchResponse>& answer) {
+            ended();
+            EngineReportRead event { .requestedAt = requestedAt };
+            if (succeeded(answer)) {
+                const auto report = platform::decodeReport(answer.value().body);
+                if (report)
+                    event.report = report.value();
+            }
+            if (event.report.has_value() != this->state.report.has_value())
+                writeLog({ .level = event.report ? LogLevel::Info : LogLevel::Warning,
+                    .event = event.report ? "dependency-regained" : "dependency-lost",
+                    .fields = { { "dependency", "engine" }, { "peer", this->settings.engine } } });
+            this->dispatch(event);
+        });
+}
+
 void LoaderLoop::onBeaconTimer()
 {
     this->sendBeacon();
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -91,6 +91,9 @@
     std::string chooseEntry();
 
     void onReportTimer();
+    /// Polls the engine's report.
+    /// @param ended called when the poll has ended, before the event
+    void pollReport(std::function<void()> ended);
     void onBeaconTimer();
     void onFleetPollTimer();
     /// Sends the engine's report to entries and announces pieces to other agents.
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -31,8 +31,27 @@
             && now < latest;
     }
 
+    /// @return whether so few streams are left at the engine that they may be aborted
+    bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxAbortedStreams; }
+
 } // namespace
 
+void confirmOrder(StageState& state, const EngineReportRead& event, Milliseconds now, StageEffects& effects)
+{
+    StageJob& job = state.jobs.front();
+    if (job.order != OrderStep::Confirming || event.requestedAt < job.orderAt)
+        return;
+    job.orderAt = now;
+    if (!event.report) {
+        job.order = OrderStep::None;
+        return;
+    }
+    job.order = OrderStep::Sent;
+    effects.emplace_back(SendLoadOrder { .version = job.version,
+        .expectedOrders = event.report->orders,
+        .abortRunning = fewStreamsLeft(*event.report) });
+}
+
 void dropFirstJob(StageState& state, const char* reason, StageEffects& effects)
 {
     effects.emplace_back(LogLine { .event = "weights-next",
@@ -56,13 +75,11 @@
     if (job.order == OrderStep::Announced && now - job.orderAt > announceLead) {
         // Waiting for the last few streams keeps the engine out of service for longer than resuming them on other
         // engines takes.
-        const bool fewLeft = state.report->running + state.report->waiting <= maxAbortedStreams;
-        if (!fewLeft && now - job.orderAt < maxDrainTime)
+        if (!fewStreamsLeft(*state.report) && now - job.orderAt < maxDrainTime)
             return;
-        job.order = OrderStep::Sent;
+        job.order = OrderStep::Confirming;
         job.orderAt = now;
-        effects.emplace_back(
-            SendLoadOrder { .version = job.version, .expectedOrders = state.report->orders, .abortRunning = fewLeft });
+        effects.emplace_back(PollReport {});
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
         return;
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -71,8 +71,11 @@
         const bool heldBefore = engineHolds(state, first);
         state.report = event.report;
         state.orderUnconfirmed = false;
-        if (!event.report)
+        if (!event.report) {
+            if (!state.jobs.empty())
+                confirmOrder(state, event, now, effects);
             return;
+        }
         if (event.report->processStartedAt != state.processStartedAt) {
             if (state.processStartedAt != 0)
                 effects.emplace_back(LogLine { .event = "engine-restarted",
@@ -91,6 +94,7 @@
                         { "after_ms", std::to_string((now - job.knownSince).value) } } });
         } else if (job.order == OrderStep::Sent && !event.report->busy && now - job.orderAt > loadCompletionTimeout)
             job.order = OrderStep::None;
+        confirmOrder(state, event, now, effects);
     }
 
     /// Reads back pieces that were staged before this process started, so that they can be offered to other agents.
@@ -181,7 +185,8 @@
     if (state.orderUnconfirmed)
         return true;
     return !state.jobs.empty()
-        && (state.jobs.front().order == OrderStep::Announced || state.jobs.front().order == OrderStep::Sent);
+        && (state.jobs.front().order == OrderStep::Announced || state.jobs.front().order == OrderStep::Confirming
+            || state.jobs.front().order == OrderStep::Sent);
 }
 
 Milliseconds loadOrderDelay(const StageState& state, WeightsVersion version)
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -42,6 +42,7 @@
     None, ///< no load order is in progress
     Checking, ///< staged pieces are being read back
     Announced, ///< entries were informed and the engine drains
+    Confirming, ///< the engine is asked whether it is still the process whose staged pieces were read back
     Sent, ///< the order was sent to the engine
 };
 
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -39,6 +39,7 @@
 /// A poll of the engine's report ended.
 struct EngineReportRead {
     std::optional<EngineReport> report; ///< empty when the engine did not respond or its report was unreadable
+    Milliseconds requestedAt { 0 }; ///< when the poll was sent
 };
 
 /// A manifest request ended.
@@ -116,6 +117,9 @@
 /// Send a beacon at once, so that entries stop sending new work before the load order.
 struct AnnounceLoadOrder { };
 
+/// Poll the engine's report at once. Ends with EngineReportRead.
+struct PollReport { };
+
 /// Order the engine to load the staged pieces. Ends with LoadOrderAnswered.
 struct SendLoadOrder {
     WeightsVersion version; ///< version to load
@@ -124,6 +128,6 @@
 };
 
 using StageEffect = std::variant<RequestManifest, RequestPiece, StagePiece, CheckStagedPieces, AnnounceLoadOrder,
-    SendLoadOrder, LogLine, MetricSample>;
+    PollReport, SendLoadOrder, LogLine, MetricSample>;
 
 } // namespace hickory
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -45,8 +45,8 @@
         return this->event(EngineReportRead { report });
     }
 
-    /// Completes manifest requests, piece requests and staging successfully, until no more follow. Other effects are
-    /// added to `unhandled`.
+    /// Completes manifest requests, piece requests, staging and polls of an unchanged engine successfully, until no
+    /// more follow. Other effects are added to `unhandled`.
     void completeRequests(std::vector<StageEffect> effects)
     {
         while (!effects.empty()) {
@@ -60,6 +60,8 @@
                         .version = piece->version, .index = piece->index, .source = piece->source, .ok = true }));
                 else if (const auto* stage = std::get_if<StagePiece>(&effect))
                     add(this->event(PieceStaged { .version = stage->version, .index = stage->index, .ok = true }));
+                else if (std::holds_alternative<PollReport>(effect))
+                    add(this->event(EngineReportRead { .report = this->state.report, .requestedAt = this->now }));
                 else
                     this->unhandled.push_back(effect);
             }
@@ -203,6 +205,44 @@
     CHECK(agent.emitted<CheckStagedPieces>());
 }
 
+// Guards against a load order to an engine that lost its staged pieces in a restart since they were read back.
+TEST_CASE("An engine is ordered to load only if it has not restarted since the check", "[stage]")
+{
+    StageFixture agent;
+    agent.completeRequests(agent.declare(1));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 1));
+    agent.completeRequests(agent.report(0));
+    REQUIRE(agent.emitted<CheckStagedPieces>());
+    agent.unhandled = agent.event(StagedPiecesChecked { .version = { 1 } });
+    CHECK_FALSE(agent.emitted<SendLoadOrder>());
+    REQUIRE(agent.emitted<PollReport>());
+    SECTION("restarted")
+    {
+        agent.processStartedAt = 2;
+        agent.unhandled = agent.report(0);
+        CHECK_FALSE(agent.emitted<SendLoadOrder>());
+        CHECK(agent.emitted<StagePiece>());
+    }
+    SECTION("a report that was polled before does not count")
+    {
+        agent.unhandled = agent.event(
+            EngineReportRead { .report = agent.state.report, .requestedAt = agent.now - Milliseconds { 1 } });
+        CHECK_FALSE(agent.emitted<SendLoadOrder>());
+    }
+    SECTION("no answer")
+    {
+        agent.unhandled = agent.event(EngineReportRead { .requestedAt = agent.now });
+        CHECK_FALSE(agent.emitted<SendLoadOrder>());
+        agent.completeRequests(agent.report(0));
+        CHECK(agent.emitted<CheckStagedPieces>());
+    }
+    SECTION("the same process")
+    {
+        agent.unhandled = agent.event(EngineReportRead { .report = agent.state.report, .requestedAt = agent.now });
+        CHECK(agent.emitted<SendLoadOrder>());
+    }
+}
+
 // Guards against aborting many streams for a new version, and against a drain that never ends.
 TEST_CASE("An engine drains before the order, which aborts the last few streams", "[stage]")
 {
