--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -173,9 +173,8 @@
     const auto progress = [&](const std::string& id) {
         relay.event(StreamProgressed { .call = call, .send = send, .lastEventId = id });
     };
-    const auto breakOff = [&] {
-        return relay.event(ResponseEnded { .call = call, .send = send, .end = SendResult::Broken });
-    };
+    const auto breakOff
+        = [&] { return relay.event(ResponseEnded { .call = call, .send = send, .end = SendResult::Broken }); };
     relay.event(ResponseStarted { .call = call, .send = send, .status = 200, .sealed = true, .stream = true });
     progress("");
     SECTION("broken off")
