--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -74,7 +74,7 @@
     // a configuration was written since.
     if (!hasLaterConfig(beacon, this->state))
         this->endConfigComparison();
-    else if (now - this->laterConfigAskedAt >= tablesPeriod) {
+    else if (!this->peerFetchPending && now - this->laterConfigAskedAt >= tablesPeriod) {
         this->laterConfigAskedAt = now;
         this->fetchPeerTables(beacon.from, now);
     }
