Keep the pieces of a version until it is loaded or dropped

The kernel's log shows a full stack; the last lines are those of a third version declared while the first of two was still to be loaded. Cause: pieces of the two newest versions were kept, but an agent that has begun a version finishes it, and skips the second for the third. Its pieces gone, the check before the load order failed at once, from within the effect that asked for it, and the reducer asked again, without end. Change: the oldest versions that are not being brought into service are dropped; a check that ends at once tells it from the loop. Result: unit_stage has the case.

--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -53,8 +53,11 @@
                 own.pieces.resize(own.digests.size());
                 pieceCount = static_cast<std::uint32_t>(own.digests.size());
                 pieceBytes = manifest.value().pieceBytes;
-                while (this->held.size() > maxHeldVersions)
-                    this->held.erase(this->held.begin());
+                std::vector<WeightsVersion> versions;
+                for (const auto& [number, pieces] : this->held)
+                    versions.push_back({ number });
+                for (const WeightsVersion dropped : versionsToDrop(this->state, versions, maxHeldVersions))
+                    this->held.erase(dropped.value);
             }
         }
         if (pieceCount == 0)
@@ -151,8 +154,10 @@
 {
     const auto found = this->held.find(run->version.value);
     if (found == this->held.end() || run->next >= found->second.digests.size()) {
-        this->dispatch(
-            StagedPiecesChecked { .version = run->version, .bad = run->bad, .failed = found == this->held.end() });
+        // Not from within the effect that asked for the check: its event may ask for the next one.
+        asio::post(this->io, [this, run, failed = found == this->held.end()] {
+            this->dispatch(StagedPiecesChecked { .version = run->version, .bad = run->bad, .failed = failed });
+        });
         return;
     }
     this->pool.fetch({ .address = this->settings.engine,
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -180,6 +180,19 @@
     return heldPieces(state, [](const PieceState& piece) { return piece.fromOrigin; });
 }
 
+std::vector<WeightsVersion> versionsToDrop(
+    const StageState& state, const std::vector<WeightsVersion>& held, std::size_t maxHeld)
+{
+    std::vector<WeightsVersion> dropped;
+    for (const WeightsVersion version : held) {
+        const bool needed = std::any_of(
+            state.jobs.begin(), state.jobs.end(), [&](const StageJob& job) { return job.version == version; });
+        if (!needed && held.size() - dropped.size() > maxHeld)
+            dropped.push_back(version);
+    }
+    return dropped;
+}
+
 bool orderPending(const StageState& state)
 {
     if (state.orderUnconfirmed)
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -31,6 +31,12 @@
 /// @return the subset of ownPieces() that came from the origin; other data centres may not have these yet
 std::vector<PieceSet> piecesFromOrigin(const StageState& state);
 
+/// @param held versions whose pieces are in memory, ascending
+/// @param maxHeld number of versions to keep
+/// @return those to drop: the oldest that are not being brought into service
+std::vector<WeightsVersion> versionsToDrop(
+    const StageState& state, const std::vector<WeightsVersion>& held, std::size_t maxHeld);
+
 /// @return whether entries should send no new work: a load order is announced, or sent and not yet in effect
 bool orderPending(const StageState& state);
 
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -205,6 +205,23 @@
     CHECK(agent.emitted<CheckStagedPieces>());
 }
 
+// Guards against a version whose check fails without end because its pieces were dropped before it is loaded.
+TEST_CASE("Pieces of a version that is being brought into service are kept", "[stage]")
+{
+    StageFixture agent;
+    agent.completeRequests(agent.declare(4));
+    agent.completeRequests(agent.report(1));
+    agent.now += Milliseconds { 3000 };
+    agent.declare(5);
+    agent.declare(6);
+    REQUIRE(agent.state.jobs.size() == 2);
+    REQUIRE(agent.state.jobs.front().version == WeightsVersion { 4 });
+    using Versions = std::vector<WeightsVersion>;
+    CHECK(versionsToDrop(agent.state, { { 4 }, { 5 }, { 6 } }, 2) == Versions { { 5 } });
+    CHECK(versionsToDrop(agent.state, { { 3 }, { 4 }, { 6 } }, 2) == Versions { { 3 } });
+    CHECK(versionsToDrop(agent.state, { { 3 }, { 4 } }, 2).empty());
+}
+
 // Guards against a load order to an engine that lost its staged pieces in a restart since they were read back.
 TEST_CASE("An engine is ordered to load only if it has not restarted since the check", "[stage]")
 {
