Ask the upstream itself whether it still runs

Cause: that a connection is accepted says something of the process only where nothing stands between. 20 ms were a guess about how soon a proxy finds its upstream gone. An answer confirms, except a gateway's 502 or 504; the end of the connection without one does not. A process that does not answer in time but keeps the connection counts as running, as before; so does one without such a path after 20 ms.

--- a/src/probe_io.cpp
+++ b/src/probe_io.cpp
@@ -2,54 +2,99 @@
 
 #include "tcp_link_io.h"
 
+#include <array>
 #include <memory>
+#include <string_view>
 
 namespace hickory {
 
 namespace {
 
-    /// An accepted connection must stay open this long: a process that ends closes all its sockets together.
+    /// An accepted connection over which nothing is asked must stay open this long: a process that ends closes all its
+    /// sockets together.
     constexpr Milliseconds probeHold { 20 };
 
+    /// @param answer first bytes of an HTTP answer
+    /// @return whether it is a gateway's, sent because the process behind it cannot be reached
+    bool isGatewayFailure(std::string_view answer)
+    {
+        constexpr std::size_t statusAt = 9; ///< after "HTTP/1.1 "
+        return answer.size() > statusAt
+            && (answer.substr(statusAt).starts_with("502") || answer.substr(statusAt).starts_with("504"));
+    }
+
+    /// A probe in progress. Its callbacks keep it alive.
+    struct Probe : std::enable_shared_from_this<Probe> {
+        Probe(asio::io_context& io, const ProbeOptions& options, std::function<void(ProbeResult)> done)
+            : options(options)
+            , done(std::move(done))
+            , socket(io)
+            , timer(io)
+        {
+        }
+
+        void connect(const asio::ip::tcp::endpoint& endpoint)
+        {
+            this->closeAfter(this->options.timeout);
+            this->socket.async_connect(endpoint, [self = this->shared_from_this()](const std::error_code& code) {
+                self->timer.cancel();
+                if (!code)
+                    self->ask();
+                else
+                    self->done(
+                        code == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unreachable);
+            });
+        }
+
+        /// Asks for the path and waits for an answer or the end of the connection. The kernel accepts connections for a
+        /// process that is about to end, and resets them then.
+        void ask()
+        {
+            if (!this->options.statusPath.empty()) {
+                const std::string request = "GET " + this->options.statusPath
+                    + " HTTP/1.1\r\nHost: " + this->options.address + "\r\nConnection: close\r\n\r\n";
+                std::error_code ignored; // the read reports the failure
+                asio::write(this->socket, asio::buffer(request), ignored);
+            }
+            this->closeAfter(this->options.statusPath.empty() ? probeHold : this->options.timeout);
+            this->socket.async_read_some(asio::buffer(this->answer),
+                [self = this->shared_from_this()](const std::error_code& code, std::size_t size) {
+                    self->timer.cancel();
+                    const bool isKept = self->expired || (!code && !isGatewayFailure({ self->answer.data(), size }));
+                    self->done(isKept ? ProbeResult::Accepted : ProbeResult::Unreachable);
+                });
+        }
+
+        void closeAfter(Milliseconds delay)
+        {
+            this->expired = false;
+            this->timer.expires_after(std::chrono::milliseconds(delay.value));
+            this->timer.async_wait([self = this->shared_from_this()](const std::error_code& cancelled) {
+                std::error_code ignored; // the pending operation returns in any case
+                if (cancelled)
+                    return;
+                self->expired = true;
+                self->socket.close(ignored);
+            });
+        }
+
+        ProbeOptions options;
+        std::function<void(ProbeResult)> done;
+        asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
+        bool expired { false }; ///< the time of the current step is over
+        std::array<char, 64> answer {}; ///< its first bytes; the rest is not read
+    };
+
 } // namespace
 
-void probeConnection(
-    asio::io_context& io, const std::string& address, Milliseconds timeout, std::function<void(ProbeResult)> done)
+void probeConnection(asio::io_context& io, const ProbeOptions& options, std::function<void(ProbeResult)> done)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
+    const auto endpoint = parseEndpoint(options.address);
+    if (endpoint)
+        std::make_shared<Probe>(io, options, std::move(done))->connect(*endpoint);
+    else
         asio::post(io, [done = std::move(done)] { done(ProbeResult::Unreachable); });
-        return;
-    }
-    auto socket = std::make_shared<asio::ip::tcp::socket>(io);
-    auto timer = std::make_shared<asio::steady_timer>(io);
-    timer->expires_after(std::chrono::milliseconds(timeout.value));
-    timer->async_wait([socket](const std::error_code& code) {
-        std::error_code ignored; // the pending connect reports the failure
-        if (!code)
-            socket->close(ignored);
-    });
-    socket->async_connect(*endpoint, [socket, timer, done = std::move(done)](const std::error_code& code) {
-        timer->cancel();
-        if (code) {
-            done(code == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unreachable);
-            return;
-        }
-        // The kernel accepts connections for a process that is about to end, and resets them then.
-        auto byte = std::make_shared<char>();
-        auto kept = std::make_shared<bool>(false);
-        timer->expires_after(std::chrono::milliseconds(probeHold.value));
-        timer->async_wait([socket, kept](const std::error_code& cancelled) {
-            std::error_code ignored; // the pending read returns in any case
-            *kept = !cancelled;
-            socket->close(ignored);
-        });
-        socket->async_read_some(
-            asio::buffer(byte.get(), 1), [socket, timer, byte, kept, done](const std::error_code& ended, std::size_t) {
-                timer->cancel();
-                done(!ended || *kept ? ProbeResult::Accepted : ProbeResult::Unreachable);
-            });
-    });
 }
 
 } // namespace hickory
--- a/src/probe_io.h
+++ b/src/probe_io.h
@@ -8,12 +8,18 @@
 
 namespace hickory {
 
-/// Connects to an address and closes the connection without sending anything.
+/// What probeConnection() tries.
+struct ProbeOptions {
+    std::string address; ///< "ip:port"
+    std::string statusPath; ///< requested over HTTP once connected; empty to send nothing
+    Milliseconds timeout { 400 }; ///< for the connection, after which the address counts as unreachable; also how long
+                                  ///< a connection without an answer must be kept
+};
+
+/// Connects to an address and asks for a path, or waits briefly whether the connection is kept. Anything that accepts
+/// connections for another process, such as a proxy, cannot answer for it.
 /// @param io loop that runs the connection and calls `done`
-/// @param address "ip:port"
-/// @param timeout after which the address counts as unreachable
 /// @param done called once from the loop
-void probeConnection(
-    asio::io_context& io, const std::string& address, Milliseconds timeout, std::function<void(ProbeResult)> done);
+void probeConnection(asio::io_context& io, const ProbeOptions& options, std::function<void(ProbeResult)> done);
 
 } // namespace hickory
--- a/src/relay_config_type.h
+++ b/src/relay_config_type.h
@@ -70,6 +70,7 @@
     std::optional<EngineProfile> engine; ///< empty for plain services
     std::string originAddress; ///< "ip:port" of the origin of weights, empty for other services
     double originMbps { 0 }; ///< bandwidth of the origin's link in Mbit/s, 0 when unknown
+    std::string statusPath; ///< asked whether an upstream still runs; empty if it has no such path
     std::uint32_t maxConnections { 0 }; ///< connections that one upstream accepts from all its clients together
 };
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -292,7 +292,8 @@
         this->calls.erase(abort->call);
         this->front.abort(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
-        probeConnection(this->io, probe->address, probeTimeout,
+        probeConnection(this->io,
+            { .address = probe->address, .statusPath = probe->statusPath, .timeout = probeTimeout },
             [this, upstream = probe->upstream, startedAt = monotonicNow()](ProbeResult result) {
                 this->dispatch(UpstreamProbed { .upstream = upstream, .result = result, .startedAt = startedAt });
             });
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -341,9 +341,13 @@
     const bool probing = std::any_of(others.begin(), others.end(),
         [&](const CallId call) { return state.requests.at(call).active->closedAt == now; });
     request->active->closedAt = now;
-    if (!probing)
-        effects.emplace_back(
-            ProbeUpstream { .upstream = upstream, .address = state.upstreams.at(upstream).entry.address });
+    if (probing)
+        return;
+    const UpstreamEntry& entry = state.upstreams.at(upstream).entry;
+    const auto service = state.config->services.find(entry.service);
+    effects.emplace_back(ProbeUpstream { .upstream = upstream,
+        .address = entry.address,
+        .statusPath = service == state.config->services.end() ? std::string {} : service->second.statusPath });
 }
 
 void confirmAnswers(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -160,9 +160,9 @@
 
 /// What an attempt to connect shows of a process.
 enum class ProbeResult : std::uint8_t {
-    Accepted, ///< it accepts connections and keeps them
+    Accepted, ///< it answers, or accepts connections and keeps them
     Refused, ///< nothing listens at the address
-    Unreachable, ///< no answer, or a connection that ends at once: the process, its host or the network
+    Unreachable, ///< no connection, or one that ends without an answer: the process, its host or the network
 };
 
 /// A probe of an upstream ended.
@@ -235,6 +235,7 @@
 struct ProbeUpstream {
     UpstreamId upstream;
     std::string address; ///< "ip:port" of the upstream
+    std::string statusPath; ///< path to ask, so that the process itself has to answer; empty to connect only
 };
 
 /// Send other entries crashNews() at once.
--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -158,7 +158,8 @@
         const std::size_t scheme = url.find("//");
         asio::io_context io;
         ProbeResult result = ProbeResult::Unreachable;
-        probeConnection(io, scheme == std::string::npos ? url : url.substr(scheme + 2), probeTimeout,
+        probeConnection(io,
+            { .address = scheme == std::string::npos ? url : url.substr(scheme + 2), .timeout = probeTimeout },
             [&](ProbeResult probed) { result = probed; });
         io.run();
         return result == ProbeResult::Accepted;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -56,7 +56,7 @@
             .meanPromptTokens = 960,
             .meanOutputTokens = 120,
             .models = { { "model" } } };
-        made->services[{ "engine" }] = { .name = { "engine" }, .engine = engine };
+        made->services[{ "engine" }] = { .name = { "engine" }, .engine = engine, .statusPath = "/status" };
         made->services[{ "plain" }] = { .name = { "plain" } };
         made->workspaces.push_back({ .name = { "desk" } });
         made->keys["key"] = 0;
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -283,7 +283,8 @@
             { "models", { { { "name", modelName }, { "warmup_s", 0.15 } } } } };
         const Json config { { "version", this->writtenConfigVersion }, { "routes", routes },
             { "services",
-                { { { "name", "engines" }, { "engine", engine } }, { { "name", "desk" } },
+                { { { "name", "engines" }, { "engine", engine } },
+                    { { "name", "desk" }, { "health_path", "/api/health" } },
                     { { "name", "origin" }, { "origin", this->addressPrefix + "249:8081" }, { "link_mbps", 50.0 } } } },
             { "tenants", { { { "name", "callers" }, { "api_keys", this->keys } } } } };
         this->writtenConfig = config.dump();
--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -112,6 +112,7 @@
     CHECK_FALSE(findEffect<FinishResponse>(closed));
     REQUIRE(findEffect<ProbeUpstream>(closed));
     CHECK(findEffect<ProbeUpstream>(closed)->upstream == stream.upstream);
+    CHECK(findEffect<ProbeUpstream>(closed)->statusPath == "/status");
     stream.relay.now += Milliseconds { 25 };
     const Milliseconds startedAt = stream.relay.now - Milliseconds { 25 };
     SECTION("complete")
@@ -244,7 +245,7 @@
     asio::io_context io;
     const auto probe = [&](const std::string& address) {
         std::optional<ProbeResult> result;
-        probeConnection(io, address, { 500 }, [&](ProbeResult probed) { result = probed; });
+        probeConnection(io, { .address = address, .timeout = { 500 } }, [&](ProbeResult probed) { result = probed; });
         const Milliseconds until = monotonicNow() + Milliseconds { 2000 };
         while (!result && monotonicNow() < until) {
             io.restart();
@@ -261,3 +262,37 @@
     Listener ending(io, false);
     CHECK(probe(ending.address()) == ProbeResult::Unreachable);
 }
+
+// Guards against a proxy that accepts connections and takes a while to notice that its upstream has ended.
+TEST_CASE("A probe that asks for a path is answered by the process itself", "[answer-end]")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket accepted(io);
+    asio::steady_timer timer(io);
+    const auto probe = [&](const std::string& answer, Milliseconds closedAfter) {
+        accepted = asio::ip::tcp::socket(io);
+        acceptor.async_accept(accepted, [&, answer](const std::error_code&) {
+            std::error_code ignored;
+            asio::write(accepted, asio::buffer(answer), ignored);
+            timer.expires_after(std::chrono::milliseconds(closedAfter.value));
+            timer.async_wait([&](const std::error_code&) {
+                std::error_code alsoIgnored;
+                accepted.close(alsoIgnored);
+            });
+        });
+        std::optional<ProbeResult> result;
+        probeConnection(io,
+            { .address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                .statusPath = "/status",
+                .timeout = { 300 } },
+            [&](ProbeResult probed) { result = probed; });
+        io.restart();
+        io.run();
+        return result;
+    };
+    CHECK(probe("", { 60 }) == ProbeResult::Unreachable);
+    CHECK(probe("HTTP/1.1 502 Bad Gateway\r\n\r\n", { 60 }) == ProbeResult::Unreachable);
+    CHECK(probe("HTTP/1.1 503 Service Unavailable\r\n\r\n", { 60 }) == ProbeResult::Accepted);
+    CHECK(probe("", { 1000 }) == ProbeResult::Accepted);
+}
--- a/tests/unit_platform_decode.cpp
+++ b/tests/unit_platform_decode.cpp
@@ -25,6 +25,7 @@
     CHECK(value.routes.at(1).kind == CallKind::NonIdempotent);
     CHECK(value.services.at({ "x" }).engine->prefillTokensPerMs == Approx(30.6));
     CHECK(value.services.at({ "o" }).originAddress == "10.0.0.1:80");
+    CHECK(value.services.at({ "o" }).statusPath.empty());
     CHECK(value.keys.at("k2") == 0);
     CHECK(value.limits.bodyBytes == Bytes { 200 });
     CHECK(findRoute(value, "desk.example:8080", "/a/b/c?q=/x/")->name == "s");
