--- a/tests/tool_answer_end.cpp
+++ b/tests/tool_answer_end.cpp
@@ -147,6 +147,10 @@
     void answer(const std::shared_ptr<Session>& session)
     {
         const std::string* attempt = session->head.find("Attempt-Id");
+        if (!attempt) {
+            session->link->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); // a status request
+            return;
+        }
         Case& request = this->cases.at(std::stoul(attempt->substr(attempt->rfind('-') + 1)));
         const std::string* resumed = session->head.find("Last-Event-Id");
         std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + *attempt + "\r\nReplica-Seal: seal\r\n";
@@ -277,7 +281,10 @@
             if (each.kind == RouteKind::ResumableStream)
                 route["resumable"] = true;
             routes.push_back(std::move(route));
-            services.push_back({ { "name", each.service() } });
+            Json service { { "name", each.service() } };
+            if (each.number % 2 == 0)
+                service["health_path"] = "/status";
+            services.push_back(std::move(service));
             for (const char* part : { "a", "b" }) {
                 this->upstreams.push_back(std::make_unique<Upstream>(this->io, this->cases));
                 this->store.put("servers", each.service() + part,
