Log where the request of a caller that left was

Cause: after a report that engines ran requests whose callers had left, caller-left named no upstream. The log could not tell a request that waited at the entry from one at an engine, nor one that had been taken back from a silent engine and still lay there: the hypotheses were a host that stands still, a link that stands still, and a close that the entry does not pass on. Change: caller-left has sends=, upstream=, begun= and taken_back_from=; the metric callers_left_total counts by place.

--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -155,6 +155,23 @@
 
 namespace {
 
+    /// @return upstreams that a request was sent to and taken back from, separated by commas
+    std::string takenBackText(const RelayRequest& request)
+    {
+        std::string text;
+        for (const UpstreamId& upstream : request.excludedUpstreams)
+            text += (text.empty() ? "" : ",") + upstream.value;
+        return text;
+    }
+
+    /// @return where a request waits, for the metric of callers that left
+    const char* placeName(const RelayRequest& request)
+    {
+        if (!request.active)
+            return "queue";
+        return request.active->headReceived ? "begun" : "unbegun";
+    }
+
     void removeFromQueue(RelayState& state, RelayRequest& request)
     {
         if (request.queued)
@@ -171,7 +188,14 @@
     if (found == state.requests.end())
         return;
     RelayRequest& request = found->second;
-    effects.emplace_back(requestLogLine("caller-left", request, now));
+    LogLine line = requestLogLine("caller-left", request, now);
+    line.fields.emplace_back("sends", std::to_string(request.sends));
+    line.fields.emplace_back("upstream", request.active ? request.active->upstream.value : std::string {});
+    line.fields.emplace_back("begun", request.active && request.active->headReceived ? "true" : "false");
+    line.fields.emplace_back("taken_back_from", takenBackText(request));
+    effects.emplace_back(std::move(line));
+    effects.emplace_back(MetricSample { .name = "callers_left_total",
+        .labels = std::string("service=\"") + request.service.value + "\",at=\"" + placeName(request) + "\"" });
     removeFromQueue(state, request);
     releaseSend(state, request, true, effects);
     const ServiceId service = request.service;
