Send no callers' requests to an engine that stands still, and what lies there elsewhere first

Callers saw: requests whose engine's host stood still waited until they left; the engine began them when it went on. Cause: three together. After 0.3 s of ejection each entry tried the engine with a caller's request, which lay there too, with no attempt left. What was taken back was late and queued behind all requests on time until its caller left. An entry with nothing in flight there sent up to eleven at once before it noticed. Change: an engine that is silent for five passes is asked for its status; without an answer its requests are taken back, and it gets others only once it answers. What was taken back goes first, by the time at which its caller leaves, and may use the slots kept for rank 0. All entries together leave at most 16 requests unbegun at an engine. A queued request that cannot begin before its caller leaves is refused at once.

--- a/src/probe_io.cpp
+++ b/src/probe_io.cpp
@@ -60,7 +60,9 @@
             this->socket.async_read_some(asio::buffer(this->answer),
                 [self = this->shared_from_this()](const std::error_code& code, std::size_t size) {
                     self->timer.cancel();
-                    const bool isKept = self->expired || (!code && !isGatewayFailure({ self->answer.data(), size }));
+                    const bool isSilent = self->options.mustAnswer && !self->options.statusPath.empty();
+                    const bool isKept
+                        = self->expired ? !isSilent : !code && !isGatewayFailure({ self->answer.data(), size });
                     self->done(isKept ? ProbeResult::Accepted : ProbeResult::Unreachable);
                 });
         }
--- a/src/probe_io.h
+++ b/src/probe_io.h
@@ -12,6 +12,7 @@
 struct ProbeOptions {
     std::string address; ///< "ip:port"
     std::string statusPath; ///< requested over HTTP once connected; empty to send nothing
+    bool mustAnswer { false }; ///< a connection that is kept without an answer to the request counts as unreachable
     Milliseconds timeout { 400 }; ///< for the connection, after which the address counts as unreachable; also how long
                                   ///< a connection without an answer must be kept
 };
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -70,6 +70,9 @@
 {
     if (policy == RelayQueuePolicy::Fifo)
         return { .timeOrder = request.arrivedAt, .call = request.call.value };
+    // What an upstream may still run goes first: its caller may leave soon, and the upstream would work for nobody.
+    if (request.mayHaveRun)
+        return { .fresh = false, .timeOrder = request.leavesAt, .call = request.call.value };
     return { .late = now + minTimeToObjective(request) > request.objectiveAt,
         .urgency = request.urgency,
         .timeOrder = Milliseconds { -request.objectiveAt.value },
@@ -103,7 +106,8 @@
 
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now)
 {
-    return now + expectedServiceTime(request) > request.deadlineAt;
+    return now + expectedServiceTime(request) > request.deadlineAt
+        || now + minTimeToObjective(request) > request.leavesAt;
 }
 
 bool finishesBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now)
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -68,6 +68,14 @@
 /// @param what kind of failure, for the log and the metric
 void recordUpstreamFailure(
     RelayState& state, const UpstreamId& upstream, const char* what, Milliseconds now, RelayEffects& effects);
+/// Asks upstreams for their status: engines that have been silent for too long, and those that stand still once their
+/// ejection is over.
+void probeStillUpstreams(RelayState& state, Milliseconds now, RelayEffects& effects);
+/// Ends the standstill of an upstream that answered a probe. One that did not is ejected, and its requests are taken
+/// back.
+void applyStillProbe(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects);
+/// @return path at which upstreams of a service tell their status, empty if they have none
+std::string statusPathOf(const RelayState& state, const ServiceId& service);
 /// Records a whole response in the upstream's error rate.
 /// @param success whether its status was a success
 void recordUpstreamResponse(RelayState& state, const UpstreamId& upstream, bool success);
--- a/src/relay_config_type.h
+++ b/src/relay_config_type.h
@@ -37,6 +37,8 @@
     CallKind kind { CallKind::Idempotent }; ///< whether requests may be repeated
     Milliseconds timeout { 0 }; ///< longest time from the first byte of a request to the end of its response
     Milliseconds objective { 0 }; ///< whole responses, or first events of streams, within it are on time
+    /// The caller of a stream leaves after this long without an event, 0 if it waits until its deadline.
+    Milliseconds patience { 0 };
     Milliseconds gapObjective { 0 }; ///< longest pause between events that is on time, 0 when there is no objective
     std::uint8_t rank { 0 }; ///< 0 is most urgent
     std::vector<RouteShare> shares; ///< services among which requests are drawn by weight; at least one
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -293,9 +293,14 @@
         this->front.abort(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
         probeConnection(this->io,
-            { .address = probe->address, .statusPath = probe->statusPath, .timeout = probeTimeout },
-            [this, upstream = probe->upstream, startedAt = monotonicNow()](ProbeResult result) {
-                this->dispatch(UpstreamProbed { .upstream = upstream, .result = result, .startedAt = startedAt });
+            { .address = probe->address,
+                .statusPath = probe->statusPath,
+                .mustAnswer = probe->mustAnswer,
+                .timeout = probe->mustAnswer ? stillProbeTimeout : probeTimeout },
+            [this, upstream = probe->upstream, mustAnswer = probe->mustAnswer, startedAt = monotonicNow()](
+                ProbeResult result) {
+                this->dispatch(UpstreamProbed {
+                    .upstream = upstream, .result = result, .startedAt = startedAt, .mustAnswer = mustAnswer });
             });
     else if (const auto* news = std::get_if<AnnounceCrashNews>(&effect))
         this->announceCrashNews(news->learned);
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -75,20 +75,19 @@
                 request.metadata.promptTokens);
     }
 
-    /// @return whether an upstream has requests of this entry in flight and sent nothing for longer than they explain
-    bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now)
-    {
-        if (view.sent == 0)
-            return false;
-        const Milliseconds limit = engine
-            ? Milliseconds { static_cast<std::int64_t>(
-                static_cast<double>(engineStallTimeout.value) * std::max(1.0, slowdownOf(view, now))) }
-            : plainStallTimeout;
-        return now - view.lastHeardAt > limit;
-    }
-
 } // namespace
 
+bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now)
+{
+    if (view.sent == 0)
+        return false;
+    const Milliseconds limit = engine
+        ? Milliseconds { static_cast<std::int64_t>(
+            static_cast<double>(engineStallTimeout.value) * std::max(1.0, slowdownOf(view, now))) }
+        : plainStallTimeout;
+    return now - view.lastHeardAt > limit;
+}
+
 const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model)
 {
     // The agent's report is newer than the list.
@@ -193,13 +192,16 @@
             continue;
         if (!mustHaveRoom)
             return id;
-        if (now < view.ejectedUntil || now < view.fullUntil || now < view.orderPendingUntil
+        if (view.standsStill || now < view.ejectedUntil || now < view.fullUntil || now < view.orderPendingUntil
             || (view.report && view.report->busy))
             continue;
         if (isStalled(view, profile != nullptr, now) || (view.onProbation && view.sent >= maxProbationRequests))
             continue;
+        if (profile && view.unbegun >= std::max(maxUnbegun / std::max(1U, state.entryCount), minUnbegunShare))
+            continue;
         const EngineLoad load = upstreamLoad(state, view, now);
-        if (load.requests >= requestLimit(view.entry.slots, request.route->rank, profile != nullptr))
+        const std::uint8_t rank = request.mayHaveRun ? std::uint8_t { 0 } : request.route->rank;
+        if (load.requests >= requestLimit(view.entry.slots, rank, profile != nullptr))
             continue;
         const double cost = scoreUpstream(state, view, request, profile, load, now);
         if (!best || cost < bestScore) {
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -28,6 +28,9 @@
 /// @return the weights of a model, if an engine holds all of its layers, or nullptr
 const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model);
 
+/// @return whether an upstream has requests of this entry in flight and sent nothing for longer than they explain
+bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now);
+
 /// @return requests of all entries in flight at an upstream, as far as this entry knows
 EngineLoad upstreamLoad(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -103,6 +103,7 @@
         expireRequests(state, now, effects);
         updateCrashes(state, now, effects);
         cancelSilentSends(state, now, effects);
+        probeStillUpstreams(state, now, effects);
         cancelOutdatedSends(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
@@ -146,6 +147,7 @@
                    [&](const UpstreamProbed& probed) {
                        confirmAnswers(state, probed, now, effects);
                        applyProbe(state, probed);
+                       applyStillProbe(state, probed, now, effects);
                    },
                    [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -107,6 +107,7 @@
         request.deadlineAt = std::min(request.deadlineAt, request.arrivedAt + request.metadata.timeout);
     if (state.drainEndsAt)
         request.deadlineAt = std::min(request.deadlineAt, *state.drainEndsAt);
+    request.leavesAt = route.patience.value > 0 ? request.arrivedAt + route.patience : request.deadlineAt;
     request.lastEventId = request.metadata.resumeAfter;
     RelayRequest& stored = state.requests.emplace(request.call, std::move(request)).first->second;
     RelayServiceState& service = state.services[stored.service];
@@ -119,7 +120,9 @@
         return;
     }
     const bool held = !mayTry(state, stored, now);
-    if (!held && (service.queue.empty() || stored.urgency < service.queue.begin()->first.urgency)) {
+    const bool isFirst = service.queue.empty()
+        || (service.queue.begin()->first.fresh && stored.urgency < service.queue.begin()->first.urgency);
+    if (!held && isFirst) {
         if (const auto upstream = chooseUpstream(state, stored, now, true)) {
             sendRequest(state, stored, *upstream, now, effects);
             return;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -213,6 +213,7 @@
     if (view.sent == 0)
         view.lastHeardAt = now;
     ++view.sent;
+    ++view.unbegun;
     view.prefillTokens += request.metadata.promptTokens;
     LogLine line = requestLogLine("send", request, now);
     line.fields.emplace_back("upstream", upstream.value);
@@ -252,6 +253,8 @@
     if (found != state.upstreams.end()) {
         RelayUpstream& view = found->second;
         --view.sent;
+        if (!request.active->headReceived)
+            --view.unbegun;
         if (request.active->prefilling)
             view.prefillTokens -= request.metadata.promptTokens;
         if (!view.listed && view.sent == 0)
@@ -272,7 +275,11 @@
     RelayUpstream& view = state.upstreams.at(upstream);
     recordUpstreamAlive(state, upstream, send.sentAt);
     view.lastHeardAt = now;
+    view.answeredAt = now;
+    if (!send.headReceived)
+        --view.unbegun;
     view.onProbation = false;
+    view.standsStill = false;
     send.headReceived = true;
     send.status = event.status;
     send.sealed = event.sealed;
@@ -307,11 +314,14 @@
     ActiveSend& send = *request->active;
     RelayUpstream& view = state.upstreams.at(send.upstream);
     view.lastHeardAt = now;
+    view.answeredAt = now;
     send.lastProgressAt = now;
     recordUpstreamAlive(state, send.upstream, send.sentAt);
     request->resumePointKnown = !event.lastEventId.empty();
     if (request->resumePointKnown)
         request->lastEventId = event.lastEventId;
+    if (request->headForwarded && request->route->patience.value > 0)
+        request->leavesAt = now + request->route->patience;
     if (request->events++ == 0) {
         request->firstEventAt = now;
         effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
@@ -344,10 +354,8 @@
     if (probing)
         return;
     const UpstreamEntry& entry = state.upstreams.at(upstream).entry;
-    const auto service = state.config->services.find(entry.service);
-    effects.emplace_back(ProbeUpstream { .upstream = upstream,
-        .address = entry.address,
-        .statusPath = service == state.config->services.end() ? std::string {} : service->second.statusPath });
+    effects.emplace_back(ProbeUpstream {
+        .upstream = upstream, .address = entry.address, .statusPath = statusPathOf(state, entry.service) });
 }
 
 void confirmAnswers(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
@@ -390,7 +398,7 @@
             continue;
         const bool engine = isEngineRequest(request);
         const Milliseconds limit = engine
-            ? engineSilenceTimeout
+            ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
             : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
         const bool upstreamSilent = !engine || now - view->second.lastHeardAt > limit;
         if (now - send.lastProgressAt > limit && upstreamSilent)
@@ -406,6 +414,7 @@
             continue;
         const UpstreamId upstream = request.active->upstream;
         recordUpstreamFailure(state, upstream, "silent", now, effects);
+        state.upstreams.at(upstream).standsStill = true;
         request.excludedUpstreams.insert(upstream);
         releaseSend(state, request, true, effects);
         retryElsewhere(state, request, SendFailure::MayHaveRun, "silent", now, effects);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -63,9 +63,11 @@
     bool prefilling { true }; ///< no event of a stream came yet: the prompt still counts as unread
 };
 
-/// Sort key of a service's queue. Under RelayQueuePolicy::Urgency, requests that can still meet their objective come
-/// first, then the most urgent, then those with the latest objectiveAt; under Fifo, the oldest arrival comes first.
+/// Sort key of a service's queue. Under RelayQueuePolicy::Urgency, requests that an upstream may still run come first,
+/// by the time at which their callers leave, then those that can still meet their objective, then the most urgent, then
+/// those with the latest objectiveAt; under Fifo, the oldest arrival comes first.
 struct QueueKey {
+    bool fresh { true }; ///< no upstream may still run it
     bool late { false }; ///< can no longer meet its objective
     std::uint8_t urgency { 0 }; ///< 0 is first
     Milliseconds timeOrder; ///< smaller is first: -objectiveAt, or arrivedAt under RelayQueuePolicy::Fifo
@@ -99,6 +101,7 @@
     /// Another engine can go on after lastEventId: no event was forwarded, or they have ids.
     bool resumePointKnown { true };
     std::uint32_t events { 0 }; ///< StreamProgressed events so far
+    Milliseconds leavesAt { 0 }; ///< when the caller leaves if no event reaches it before
     Milliseconds firstEventAt { 0 }; ///< when the first event of a stream arrived, 0 before
 };
 
@@ -108,16 +111,23 @@
     std::uint64_t key { 0 }; ///< loadKey() of its id
     bool listed { true }; ///< false once it left the list; the record is kept until the last send to it ended
     std::uint32_t sent { 0 }; ///< requests of this entry in flight
+    std::uint32_t unbegun { 0 }; ///< of these, those without a response head
     std::uint32_t prefillTokens { 0 }; ///< prompt tokens of those without a first event
     PeerLoad advertised; ///< sent and prefillTokens as last reported to the upstream's data centre
     PeerLoad previousAdvertised; ///< as reported the time before
     std::optional<EngineReport> report; ///< last report of the agent on its host
     Milliseconds reportedAt; ///< when the report arrived
+    Milliseconds answeredAt { -1000000 }; ///< last head or event of a response; starts far in the past
     Milliseconds lastHeardAt; ///< last head or event of a response, or the last send while none was in flight
     Milliseconds longestWait { 0 }; ///< longest time that a send in flight has waited for its head
     Milliseconds ejectedUntil { 0 }; ///< gets no new work before
     std::uint32_t failures { 0 }; ///< ejections since the last success
     bool onProbation { false }; ///< failed and has not answered since: gets maxProbationRequests at a time
+    /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
+    /// Gets no requests until it has answered a status request.
+    bool standsStill { false };
+    bool probing { false }; ///< a status request that decides on standsStill is in flight
+    Milliseconds probedAt { -1000000 }; ///< when it last answered such a request; starts far in the past
     double errorRate { 0 }; ///< moving average of failures, 0 to 1
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
     Milliseconds orderPendingUntil { 0 }; ///< gets no new work before: it is about to receive a load order
@@ -128,6 +138,7 @@
 struct DelistedUpstream {
     std::int64_t processStartedAt { 0 }; ///< start of its process, Unix ms; a restarted one begins without failures
     std::uint32_t failures { 0 }; ///< ejections since the last success
+    bool standsStill { false }; ///< as in RelayUpstream
     Milliseconds delistedAt { 0 }; ///< when it left the list
 };
 
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -170,6 +170,7 @@
     UpstreamId upstream;
     ProbeResult result { ProbeResult::Unreachable };
     Milliseconds startedAt { 0 }; ///< when the probe began
+    bool mustAnswer { false }; ///< as in ProbeUpstream
 };
 
 /// Another entry told what it knows about crashes of upstreams.
@@ -236,6 +237,7 @@
     UpstreamId upstream;
     std::string address; ///< "ip:port" of the upstream
     std::string statusPath; ///< path to ask, so that the process itself has to answer; empty to connect only
+    bool mustAnswer { false }; ///< a connection that is kept without an answer to the status request is not enough
 };
 
 /// Send other entries crashNews() at once.
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -3,6 +3,7 @@
 #include "table/relay_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -14,6 +15,7 @@
         view.report.reset();
         view.failures = 0;
         view.onProbation = false;
+        view.standsStill = false;
         view.errorRate = 0;
         view.ejectedUntil = {};
         view.fullUntil = {};
@@ -30,6 +32,7 @@
         if (known->second.processStartedAt == entry.processStartedAt) {
             view.failures = known->second.failures;
             view.onProbation = true;
+            view.standsStill = known->second.standsStill;
         }
         state.delisted.erase(known);
     }
@@ -78,6 +81,7 @@
         if (view->second.listed && view->second.onProbation)
             state.delisted[view->first] = { .processStartedAt = view->second.entry.processStartedAt,
                 .failures = view->second.failures,
+                .standsStill = view->second.standsStill,
                 .delistedAt = now };
         view->second.listed = false;
         view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
@@ -130,6 +134,53 @@
     effects.emplace_back(MetricSample { .name = "ejections_total", .labels = "reason=\"" + std::string(what) + "\"" });
 }
 
+void probeStillUpstreams(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    for (auto& [id, view] : state.upstreams) {
+        const bool engine = !view.entry.models.empty();
+        const bool isSilent = engine && isStalled(view, engine, now) && now - view.probedAt > engineStallTimeout;
+        const bool isDue = view.standsStill ? view.listed && now >= view.ejectedUntil : isSilent;
+        if (!isDue || view.probing)
+            continue;
+        view.probing = true;
+        effects.emplace_back(ProbeUpstream { .upstream = id,
+            .address = view.entry.address,
+            .statusPath = statusPathOf(state, view.entry.service),
+            .mustAnswer = true });
+    }
+}
+
+void applyStillProbe(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
+{
+    const auto found = state.upstreams.find(event.upstream);
+    if (!event.mustAnswer || found == state.upstreams.end())
+        return;
+    RelayUpstream& view = found->second;
+    view.probing = false;
+    if (event.result != ProbeResult::Accepted) {
+        // What it sent while it was asked is an answer as well.
+        if (!view.standsStill && view.answeredAt >= event.startedAt)
+            return;
+        recordUpstreamFailure(state, event.upstream, "standing-still", now, effects);
+        view.standsStill = true;
+        cancelSilentSends(state, now, effects);
+        return;
+    }
+    view.probedAt = now;
+    if (!std::exchange(view.standsStill, false))
+        return;
+    effects.emplace_back(LogLine { .event = "upstream-answers", .fields = { { "upstream", event.upstream.value } } });
+    dispatchWaiting(state, view.entry.service, now, effects);
+}
+
+std::string statusPathOf(const RelayState& state, const ServiceId& service)
+{
+    if (!state.config)
+        return {};
+    const auto found = state.config->services.find(service);
+    return found == state.config->services.end() ? std::string {} : found->second.statusPath;
+}
+
 void recordUpstreamResponse(RelayState& state, const UpstreamId& upstream, bool success)
 {
     const auto found = state.upstreams.find(upstream);
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -108,11 +108,11 @@
     {
         auto caller = std::make_shared<RigCaller>();
         caller->progressAt = monotonicNow();
-        caller->id = this->pool.send({ .address = this->front(entry),
-                                         .bytes = "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
-                                             + this->nextAttempt() + "\r\nDeadline-Ms: "
-                                             + std::to_string(timeout.value) + "\r\n" + headers + "\r\n",
-                                         .maxIdle = { -1 } },
+        caller->id = this->pool.send(
+            { .address = this->front(entry),
+                .bytes = "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + this->nextAttempt()
+                    + "\r\nDeadline-Ms: " + std::to_string(timeout.value) + "\r\n" + headers + "\r\n",
+                .maxIdle = { -1 } },
             caller);
         return caller;
     }
@@ -128,8 +128,8 @@
     RigCaller get(const std::string& address, const std::string& target)
     {
         auto caller = std::make_shared<RigCaller>();
-        this->pool.send({ .address = address, .bytes = "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n" },
-            caller);
+        this->pool.send(
+            { .address = address, .bytes = "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n" }, caller);
         constexpr Milliseconds answerTimeout { 2000 };
         const Milliseconds until = monotonicNow() + answerTimeout;
         while (!caller->end && monotonicNow() < until)
--- a/tests/tool_frozen_engine.cpp
+++ b/tests/tool_frozen_engine.cpp
@@ -34,8 +34,8 @@
 public:
     Engine(asio::io_context& io, const std::string& address)
         : front(io, {},
-              { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
-                  .onCallerDisconnected = [this](CallId call) { this->onDisconnected(call); } })
+            { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
+                .onCallerDisconnected = [this](CallId call) { this->onDisconnected(call); } })
     {
         if (!this->front.listen(address))
             throw std::runtime_error("an engine cannot listen at " + address);
@@ -194,8 +194,8 @@
         std::exponential_distribution<double> interval(requestsPerSecond / 1000);
         while (monotonicNow() < until) {
             for (; this->nextAt <= static_cast<double>(monotonicNow().value); this->nextAt += interval(this->random)) {
-                const auto caller = this->rig.send(
-                    1 + static_cast<int>(this->random() % entryCount), "/letters/x", { 6000 }, "Model: model\r\nToken-Count: 900,84\r\n");
+                const auto caller = this->rig.send(1 + static_cast<int>(this->random() % entryCount), "/letters/x",
+                    { 6000 }, "Model: model\r\nToken-Count: 900,84\r\n");
                 this->callers["attempt-" + std::to_string(this->rig.attempts)] = caller;
             }
             for (const auto& [attempt, caller] : this->callers)
@@ -225,7 +225,7 @@
     const auto flags = options.parse(argc, argv);
     return FrozenEngineTest(
                flags["bin"].as<std::string>(), flags["logs"].as<std::string>(), flags["seed"].as<std::uint64_t>())
-                   .run()
+               .run()
         ? 0
         : 1;
 }
