Send a request that was taken back to an engine that was heard lately

Cause: an entry with little in flight at an engine does not know that it is silent. Measured: the new case of unit_relay_still fails without the change (sent to the unheard engine).

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -75,6 +75,20 @@
                 request.metadata.promptTokens);
     }
 
+    bool wasHeardLately(const RelayUpstream& view, Milliseconds now)
+    {
+        return now - view.answeredAt <= engineStallTimeout;
+    }
+
+    /// @return whether a request that was taken back must go to an engine that was heard lately, because there is one:
+    /// several hosts may have stopped together, and not all are known to have
+    bool needsHeardEngine(const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        return request.mayHaveRun && std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto& item) {
+            return wasHeardLately(item.second, now) && canRun(state, item.second, request, now);
+        });
+    }
+
 } // namespace
 
 bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now)
@@ -185,6 +199,7 @@
         = service != request.config->services.end() && service->second.engine && !request.metadata.model.empty()
         ? &*service->second.engine
         : nullptr;
+    const bool heardOnly = profile && mustHaveRoom && needsHeardEngine(state, request, now);
     const RelayUpstream* best = nullptr;
     double bestScore = 0;
     for (const auto& [id, view] : state.upstreams) {
@@ -197,6 +212,8 @@
             continue;
         if (isStalled(view, profile != nullptr, now) || (view.onProbation && view.sent >= maxProbationRequests))
             continue;
+        if (heardOnly && !wasHeardLately(view, now))
+            continue;
         if (profile && view.unbegun >= std::max(maxUnbegun / std::max(1U, state.entryCount), minUnbegunShare))
             continue;
         const EngineLoad load = upstreamLoad(state, view, now);
--- a/tests/unit_relay_still.cpp
+++ b/tests/unit_relay_still.cpp
@@ -87,6 +87,29 @@
     CHECK(next->call == still.call);
 }
 
+// Guards against a second engine whose host stopped at the same moment, which takes the last attempt.
+TEST_CASE("A request taken back waits for an engine that was heard lately", "[relay][still]")
+{
+    StillFixture still;
+    RelayFixture& relay = still.relay;
+    UpstreamEntry heard = RelayFixture::upstream("e2", "engine");
+    heard.slots = 1;
+    relay.list({ RelayFixture::upstream("e1", "engine"), heard });
+    std::vector<SendToUpstream> sent;
+    for (int count = 0; count < 2; ++count)
+        if (const auto* send = findEffect<SendToUpstream>(relay.request("/calls/")))
+            sent.push_back(*send);
+    REQUIRE(sent.size() == 2);
+    relay.list({ RelayFixture::upstream("e1", "engine"), heard, RelayFixture::upstream("e3", "engine") });
+    for (const SendToUpstream& send : sent)
+        relay.event(
+            ResponseStarted { .call = send.call, .send = send.send, .status = 200, .sealed = true, .stream = true });
+    CHECK_FALSE(findEffect<SendToUpstream>(still.probed(ProbeResult::Unreachable)));
+    const auto freed = relay.event(ResponseEnded { .call = sent[0].call, .send = sent[0].send });
+    REQUIRE(findEffect<SendToUpstream>(freed));
+    CHECK(findEffect<SendToUpstream>(freed)->upstream.value == "e2");
+}
+
 // Guards against holding a request until its caller leaves.
 TEST_CASE("A queued request that cannot begin before its caller leaves is refused", "[relay][still]")
 {
