Share the limit that an upstream names among all entries

Callers saw: nothing yet; upstreams got many times the requests a second that they said they take, and turn away what is more. Cause: no entry read the limit in the answers (Server-Limit on the platform). Change: platform_wire decodes what an upstream says of itself into UpstreamNotice; UpstreamStanding holds it for each process of an upstream; beacons carry it, so that entries that start or were cut off learn it, and what the upstream said last counts. Each of the live entries sends its share, by an allowance that grows from nothing. Where the limit is too low for all entries, the first of a rotation by process use it. The predicted wait counts the limits of a service, so what exceeds them is refused at once with Retry-After. An answer that names no limit ends it; answers that the upstream did not seal, or of another process, say nothing. Shown in upstream-limit, limit= of send, upstream_notices_total and hickoryctl explain.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -75,6 +75,13 @@
   sound @2 :List(SoundTrait);
 }
 
+struct Notice {
+  process @0 :UInt64;       # hash of an upstream's id and the start of its process
+  ageMs @1 :UInt32;         # time since it said this of itself
+  limited @2 :Bool;         # it named a limit
+  perSecond @3 :Float64;    # requests a second that it takes from all entries together
+}
+
 struct Beacon {
   from @0 :Entry;           # sender; front and control are empty for an agent
   configVersion @1 :UInt64;
@@ -88,4 +95,5 @@
   operatorsEra @9 :UInt64;  # era of the store in which operatorsRevision counts; 0 for one that does not tell
   configEra @10 :UInt64;    # era of the store in which the configuration in force was written
   configEraExact @11 :Bool; # false if it may have been written in an earlier era
+  notices @12 :List(Notice); # what upstreams said of themselves; entries only
 }
--- a/src/ctl_explain_cmd.cpp
+++ b/src/ctl_explain_cmd.cpp
@@ -52,12 +52,12 @@
             else
                 lines.push_back(line);
         });
-    std::vector<std::string> restores;
+    std::vector<std::string> nearby;
     forEachLine(paths, [&](const std::string& line) {
-        if (isRestoreNearby(line, lines))
-            restores.push_back(line);
+        if (isRestoreNearby(line, lines) || isNoticeNearby(line, lines))
+            nearby.push_back(line);
     });
-    lines.insert(lines.end(), restores.begin(), restores.end());
+    lines.insert(lines.end(), nearby.begin(), nearby.end());
     CtlResult result { .output = formatRequestTimeline(std::move(lines)) };
     if (otherRequests > 0)
         result.message = "lines of other requests that name the same trait: " + std::to_string(otherRequests);
--- a/src/ctl_explain_func.cpp
+++ b/src/ctl_explain_func.cpp
@@ -43,6 +43,17 @@
         return static_cast<long long>(timegm(&parts)) * millisecondsPerSecond + milliseconds;
     }
 
+    /// @return whether a line was logged by a process that handled a request, some seconds before or after it
+    bool isNearby(const std::string& line, const std::vector<std::string>& requestLines)
+    {
+        constexpr long long maxDistanceMs = 10000;
+        const long long at = parseTimestamp(logField(line, "time"));
+        return std::any_of(requestLines.begin(), requestLines.end(), [&](const std::string& of) {
+            return logField(of, "host") == logField(line, "host")
+                && std::abs(parseTimestamp(logField(of, "time")) - at) <= maxDistanceMs;
+        });
+    }
+
 } // namespace
 
 bool belongsToRequest(const std::string& line, const std::string& request)
@@ -74,14 +85,17 @@
 
 bool isRestoreNearby(const std::string& line, const std::vector<std::string>& requestLines)
 {
-    constexpr long long maxDistanceMs = 10000;
-    if (logField(line, "event") != "store-restored")
+    return logField(line, "event") == "store-restored" && isNearby(line, requestLines);
+}
+
+bool isNoticeNearby(const std::string& line, const std::vector<std::string>& requestLines)
+{
+    if (logField(line, "event") != "upstream-limit")
         return false;
-    const long long at = parseTimestamp(logField(line, "time"));
-    return std::any_of(requestLines.begin(), requestLines.end(), [&](const std::string& of) {
-        return logField(of, "host") == logField(line, "host")
-            && std::abs(parseTimestamp(logField(of, "time")) - at) <= maxDistanceMs;
-    });
+    const std::string upstream = logField(line, "upstream");
+    const bool isNamed = std::any_of(requestLines.begin(), requestLines.end(),
+        [&](const std::string& of) { return logField(of, "upstream") == upstream; });
+    return isNamed && isNearby(line, requestLines);
 }
 
 std::string formatRequestTimeline(std::vector<std::string> lines)
--- a/src/ctl_explain_func.h
+++ b/src/ctl_explain_func.h
@@ -30,6 +30,12 @@
 /// processes some seconds before or after the request: its configuration and upstreams may have changed with it
 bool isRestoreNearby(const std::string& line, const std::vector<std::string>& requestLines);
 
+/// @param line log line of any process
+/// @param requestLines log lines of one request
+/// @return whether the line tells what an upstream that the request was sent to said of itself, logged by one of these
+/// processes some seconds before or after the request
+bool isNoticeNearby(const std::string& line, const std::vector<std::string>& requestLines);
+
 /// Sorts log lines by time and formats them with their offset from the first one.
 /// @param lines log lines of one request from all processes, and of what it was refused for, in any order
 /// @return one line per log line: "+MILLISECONDS ms HOST event=..."
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -2,6 +2,7 @@
 
 #include "peer.capnp.h"
 #include "table/crash_news_limits.h"
+#include "table/upstream_notice_limits.h"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -230,6 +231,32 @@
         return news;
     }
 
+    void writeNotices(capnp::List<peer::Notice>::Builder out, const std::vector<UpstreamNoticeReport>& notices)
+    {
+        for (unsigned index = 0; index < out.size(); ++index) {
+            const UpstreamNoticeReport& notice = notices[index];
+            out[index].setProcess(notice.process.value);
+            out[index].setAgeMs(
+                static_cast<std::uint32_t>(std::clamp(notice.age, Milliseconds { 0 }, maxNoticeAge).value));
+            out[index].setLimited(notice.requestsPerSecond.has_value());
+            out[index].setPerSecond(notice.requestsPerSecond.value_or(0));
+        }
+    }
+
+    std::vector<UpstreamNoticeReport> readNotices(capnp::List<peer::Notice>::Reader in)
+    {
+        std::vector<UpstreamNoticeReport> notices;
+        for (unsigned index = 0; index < bounded(in, maxNoticesInBeacon); ++index) {
+            UpstreamNoticeReport notice { .process = { in[index].getProcess() },
+                .age = std::min(Milliseconds { in[index].getAgeMs() }, maxNoticeAge) };
+            const double perSecond = in[index].getPerSecond();
+            if (in[index].getLimited() && perSecond >= 0 && perSecond <= maxRequestsPerSecond)
+                notice.requestsPerSecond = perSecond;
+            notices.push_back(notice);
+        }
+        return notices;
+    }
+
 } // namespace
 
 std::string encodeBeacon(const PeerBeacon& beacon)
@@ -255,6 +282,8 @@
         writeDataCentreSummary(root.initPlace(), *beacon.dataCentreSummary);
     if (!beacon.crashNews.empty())
         writeCrashNews(root.initCrashNews(), beacon.crashNews);
+    if (!beacon.notices.empty())
+        writeNotices(root.initNotices(bounded(beacon.notices, maxNoticesInBeacon)), beacon.notices);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -282,6 +311,7 @@
         if (root.hasPlace())
             beacon.dataCentreSummary = readDataCentreSummary(root.getPlace());
         beacon.crashNews = readCrashNews(root.getCrashNews());
+        beacon.notices = readNotices(root.getNotices());
         return beacon;
     } catch (const kj::Exception& problem) {
         return Error { .code = make_error_code(ErrorCode::Protocol),
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -46,6 +46,7 @@
     std::vector<PieceSet> pieces; ///< weights that the sender offers to other agents, agents only
     std::vector<PeerInfo> known; ///< other live entries; empty in most beacons
     std::optional<DataCentreSummary> dataCentreSummary; ///< only in beacons to other data centres
+    std::vector<UpstreamNoticeReport> notices; ///< what upstreams said of themselves, entries only
     CrashNews crashNews; ///< crashes of upstreams that the sender knows, entries only; empty in most beacons
 };
 
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -2,6 +2,7 @@
 
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "upstream_notice_func.h"
 
 #include <algorithm>
 
@@ -89,7 +90,9 @@
     const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
     const auto recent = std::count_if(view.dispatchTimes.begin(), view.dispatchTimes.end(),
         [&](Milliseconds at) { return now - at < dispatchRateWindow; });
-    const double rate = std::max(minDispatchRate, static_cast<double>(recent));
+    double rate = std::max(minDispatchRate, static_cast<double>(recent));
+    if (const std::optional<double> limit = limitedRate(state, request.service))
+        rate = std::max(std::min(rate, *limit), minLimitedRate);
     return { static_cast<std::int64_t>(static_cast<double>(ahead) * millisecondsPerSecond / rate) };
 }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -427,8 +427,11 @@
         return now - item.second.seenAt > goneReportMaxAge && !this->upstreams.contains(item.first);
     });
     std::erase_if(this->engines, [&](const auto& item) { return now - item.second.receivedAt > reportMaxAge; });
-    this->dispatch(
-        EntryCountUpdated { .entryCount = static_cast<std::uint32_t>(liveEntries(this->peers, now).size() + 1) });
+    const std::vector<PeerInfo> live = liveEntries(this->peers, now);
+    const auto before = std::count_if(
+        live.begin(), live.end(), [&](const PeerInfo& entry) { return entry.host < this->settings.host.host; });
+    this->dispatch(EntryCountUpdated {
+        .entryCount = static_cast<std::uint32_t>(live.size() + 1), .position = static_cast<std::uint32_t>(before) });
     if (wasWritten(this->settingsFile))
         this->reload();
     bool listChanged = false;
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -6,6 +6,7 @@
 #include "relay_loop_io.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
+#include "upstream_notice_func.h"
 
 #include <algorithm>
 #include <random>
@@ -47,6 +48,8 @@
         this->compareConfig(beacon, now);
     if (beacon.operatorTable > this->operatorTable)
         this->fetchPeerTables(beacon.from, now);
+    if (!beacon.notices.empty() && beacon.from.host != this->settings.host.host)
+        this->dispatch(UpstreamNoticesReceived { .peer = beacon.from.host, .reports = beacon.notices });
     if (!beacon.crashNews.empty() && beacon.from.host != this->settings.host.host)
         this->dispatch(CrashNewsReceived { .news = beacon.crashNews });
     if (beacon.engine) {
@@ -151,8 +154,10 @@
     if (withPeerList)
         beacon.known = liveEntries(this->peers, now);
     beacon.crashNews = crashNews(this->state, withPeerList, now);
+    beacon.notices = upstreamNotices(this->state, withPeerList, now);
     this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
     beacon.crashNews = {};
+    beacon.notices.clear();
     if (withPeerList) {
         beacon.loads.clear();
         this->peerSocket.send(beacon, this->agentTargets());
@@ -189,7 +194,9 @@
         beacon.loads.clear();
         beacon.dataCentreSummary = std::move(summary);
         beacon.crashNews = crashNews(this->state, isFull, now);
+        beacon.notices = upstreamNotices(this->state, isFull, now);
         this->peerSocket.send(beacon, remoteTargets);
+        beacon.notices.clear();
         beacon.dataCentreSummary.reset();
         beacon.known.clear();
     } else {
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -2,6 +2,7 @@
 
 #include "digest_func.h"
 #include "table/relay_limits.h"
+#include "upstream_notice_func.h"
 
 #include <algorithm>
 
@@ -45,7 +46,7 @@
     {
         if (!view.listed || view.entry.leaving || view.entry.service != request.service)
             return false;
-        if (request.excludedUpstreams.contains(view.entry.id))
+        if (request.excludedUpstreams.contains(view.entry.id) || !mayEverSend(state, view))
             return false;
         return request.metadata.model.empty() || hasWeights(state, view, request, now);
     }
@@ -212,6 +213,8 @@
             continue;
         if (isStalled(view, profile != nullptr, now) || (view.onProbation && view.sent >= maxProbationRequests))
             continue;
+        if (!maySendNow(state, view, now))
+            continue;
         if (heardOnly && !wasHeardLately(view, now))
             continue;
         if (profile && view.unbegun >= std::max(maxUnbegun / std::max(1U, state.entryCount), minUnbegunShare))
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -3,6 +3,7 @@
 #include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
+#include "upstream_notice_cmd.h"
 
 #include <algorithm>
 
@@ -137,7 +138,11 @@
                    [&](const DataCentreLoadsReceived& update) {
                        replaceLoads(state.dataCentres[update.dataCentre], update.totals, now);
                    },
-                   [&](const EntryCountUpdated& counted) { state.entryCount = counted.entryCount; },
+                   [&](const EntryCountUpdated& counted) {
+                       applyEntryCount(state, counted, now);
+                       forgetStandings(state, now);
+                   },
+                   [&](const UpstreamNoticesReceived& received) { applyNotices(state, received, now, effects); },
                    [&](const ConfigConfirmed& confirmed) {
                        state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
                    },
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -3,6 +3,7 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "upstream_notice_cmd.h"
 #include "wire_head_type.h"
 
 #include <algorithm>
@@ -212,6 +213,7 @@
         = ActiveSend { .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .lastProgressAt = now };
     if (view.sent == 0)
         view.lastHeardAt = now;
+    countSend(state, view, now);
     ++view.sent;
     ++view.unbegun;
     view.prefillTokens += request.metadata.promptTokens;
@@ -224,6 +226,8 @@
         line.fields.emplace_back("weights", std::to_string(held->version.value));
         line.fields.emplace_back("required", std::to_string(requiredWeights(state, request.metadata.model, now).value));
     }
+    if (const UpstreamStanding* standing = findStanding(state, view); standing && standing->requestsPerSecond)
+        line.fields.emplace_back("limit", std::to_string(*standing->requestsPerSecond));
     if (suspicionHold(state.crashes, request.traits, now)) {
         state.crashes.trial = request.call;
         line.fields.emplace_back("trial_traits", traitsText(request.traits));
@@ -285,6 +289,9 @@
     send.sealed = event.sealed;
     send.stream = event.stream;
     send.lastProgressAt = now;
+    // Another process may have answered for the address, or something that is no answer of an upstream.
+    if (event.status != statusMisdirected && (event.sealed || event.notRun))
+        recordNotice(state, view, event.notice, now, effects);
     if (event.notRun || event.status == statusMisdirected) {
         const bool misdirected = event.status == statusMisdirected;
         view.fullUntil = now + fullBackoff;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -109,6 +109,7 @@
 struct RelayUpstream {
     UpstreamEntry entry; ///< as last listed
     std::uint64_t key { 0 }; ///< loadKey() of its id
+    UpstreamProcessId process; ///< upstreamProcessId() of its entry
     bool listed { true }; ///< false once it left the list; the record is kept until the last send to it ended
     std::uint32_t sent { 0 }; ///< requests of this entry in flight
     std::uint32_t unbegun { 0 }; ///< of these, those without a response head
@@ -183,7 +184,11 @@
     std::map<DataCentreId, ReportedLoads> dataCentres; ///< totals of other data centres at their own upstreams
     std::map<ModelId, DeclaredWeights> declared; ///< declared weights by model
     CrashState crashes; ///< crashes of upstreams and the requests behind them
+    UpstreamStandings standings; ///< what upstreams said of themselves
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
+    std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
+    std::uint32_t highestEntryCount { 1 }; ///< most of them lately: an entry that was not heard for a moment still sends
+    Milliseconds highestEntryCountAt { -1000000 }; ///< when that many were last counted; starts far in the past
     std::optional<Milliseconds> drainEndsAt; ///< end of the drain, empty unless the process was told to stop
     std::uint64_t lastSend { 0 }; ///< number of the last send
     std::mt19937_64 random { 1 }; ///< seeded from the options
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -5,6 +5,7 @@
 #include "relay_config_type.h"
 #include "store_version_type.h"
 #include "upstream_entry_type.h"
+#include "upstream_notice_type.h"
 
 #include <memory>
 #include <optional>
@@ -55,6 +56,7 @@
     bool notRun { false }; ///< the upstream states that it did not run the request
     bool sealed { false }; ///< carries the seal header: proof that the upstream itself produced the response
     bool stream { false }; ///< its body is a stream of events, which can be forwarded as they arrive
+    UpstreamNotice notice; ///< what the upstream says of itself
 };
 
 /// One or more complete events of a streamed response arrived.
@@ -122,6 +124,13 @@
 /// The number of live entries was counted. Entries share the retry budget equally.
 struct EntryCountUpdated {
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
+    std::uint32_t position { 0 }; ///< live entries whose hosts come before this one's by name
+};
+
+/// Another entry told what upstreams said of themselves.
+struct UpstreamNoticesReceived {
+    HostId peer; ///< host of that entry
+    std::vector<UpstreamNoticeReport> reports;
 };
 
 /// The platform's store, or a peer that reaches it, confirmed that no newer configuration existed at a moment.
@@ -181,7 +190,8 @@
 using RelayEvent
     = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded, RelayTick,
         ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived, EntryCountUpdated,
-        ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed, CrashNewsReceived>;
+        ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed, CrashNewsReceived,
+        UpstreamNoticesReceived>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -1,6 +1,7 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "upstream_notice_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -67,6 +68,7 @@
                 effects.emplace_back(upstreamLogLine("upstream-changed", entry));
         }
         view.entry = entry;
+        view.process = upstreamProcessId(entry.id, entry.processStartedAt);
         view.listed = true;
     }
     for (auto view = state.upstreams.begin(); view != state.upstreams.end();) {
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -26,6 +26,7 @@
 constexpr Milliseconds dispatchRateWindow { 1000 }; ///< over which the rate of dispatches is averaged
 constexpr double minDispatchRate = 4.0; ///< dispatches a second assumed when fewer were seen in the window
 
+constexpr double minLimitedRate = 0.01; ///< the same when the upstreams' own limits are known
 /// An engine that has requests in flight and sent nothing for this long is taken as dead: a pass of a full engine takes
 /// 70 ms, one of an engine at a fifth of the speed 350 ms.
 constexpr Milliseconds engineSilenceTimeout { 900 };
--- /dev/null
+++ b/src/upstream_notice_cmd.cpp
@@ -0,0 +1,111 @@
+#include "upstream_notice_cmd.h"
+
+#include "table/upstream_notice_limits.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace hickory {
+
+namespace {
+
+    std::string limitText(const std::optional<double>& requestsPerSecond)
+    {
+        if (!requestsPerSecond)
+            return "none";
+        std::ostringstream text;
+        text << *requestsPerSecond;
+        return text.str();
+    }
+
+    /// @return the standing of a process, added if there is room or an older one can be dropped
+    UpstreamStanding& findOrAddStanding(RelayState& state, UpstreamProcessId process, Milliseconds saidAt)
+    {
+        const auto [found, added] = state.standings.try_emplace(process);
+        if (added)
+            found->second.limitSaidAt = saidAt;
+        if (added && state.standings.size() > maxStandings) {
+            auto oldest = state.standings.end();
+            for (auto item = state.standings.begin(); item != state.standings.end(); ++item)
+                if (item != found
+                    && (oldest == state.standings.end() || item->second.limitSaidAt < oldest->second.limitSaidAt))
+                    oldest = item;
+            state.standings.erase(oldest);
+        }
+        return found->second;
+    }
+
+    /// @param source for the log: "answer", or host of the entry that told it
+    void setLimit(RelayState& state, UpstreamProcessId process, const std::optional<double>& limit, Milliseconds saidAt,
+        const std::string& source, Milliseconds now, RelayEffects& effects)
+    {
+        if (!limit && !state.standings.contains(process))
+            return;
+        UpstreamStanding& standing = findOrAddStanding(state, process, saidAt);
+        if (saidAt < standing.limitSaidAt)
+            return;
+        standing.limitSaidAt = saidAt;
+        if (standing.requestsPerSecond == limit)
+            return;
+        // The allowance grows from nothing: what was sent before the limit was known is on its way.
+        const bool isFirst = !standing.requestsPerSecond;
+        standing.allowance = isFirst || !limit ? 0 : std::min(standing.allowance, 1.0);
+        standing.refilledAt = now;
+        standing.changedAt = now;
+        LogLine line { .event = "upstream-limit",
+            .fields = { { "upstream", upstreamName(state, process) }, { "requests_per_second", limitText(limit) },
+                { "before", limitText(standing.requestsPerSecond) }, { "source", source },
+                { "entries", std::to_string(state.highestEntryCount) } } };
+        standing.requestsPerSecond = limit;
+        if (limit)
+            line.fields.emplace_back("share", limitText(limitShare(state, standing, process)));
+        effects.emplace_back(std::move(line));
+        effects.emplace_back(MetricSample { .name = "upstream_notices_total",
+            .labels = std::string("kind=\"limit\",source=\"") + (source == "answer" ? "answer" : "peer") + "\"" });
+    }
+
+} // namespace
+
+void recordNotice(
+    RelayState& state, const RelayUpstream& view, const UpstreamNotice& notice, Milliseconds now, RelayEffects& effects)
+{
+    setLimit(state, view.process, notice.requestsPerSecond, now, "answer", now, effects);
+}
+
+void applyNotices(RelayState& state, const UpstreamNoticesReceived& event, Milliseconds now, RelayEffects& effects)
+{
+    for (const UpstreamNoticeReport& report : event.reports)
+        setLimit(state, report.process, report.requestsPerSecond, now - report.age, event.peer.value, now, effects);
+}
+
+void countSend(RelayState& state, const RelayUpstream& view, Milliseconds now)
+{
+    const auto found = state.standings.find(view.process);
+    if (found == state.standings.end() || !found->second.requestsPerSecond)
+        return;
+    UpstreamStanding& standing = found->second;
+    standing.allowance = allowanceAt(state, standing, view.process, now) - 1;
+    standing.refilledAt = now;
+}
+
+void applyEntryCount(RelayState& state, const EntryCountUpdated& event, Milliseconds now)
+{
+    state.entryCount = event.entryCount;
+    state.entryPosition = event.position;
+    if (event.entryCount < state.highestEntryCount && now - state.highestEntryCountAt < entryCountMemory)
+        return;
+    state.highestEntryCount = event.entryCount;
+    state.highestEntryCountAt = now;
+}
+
+void forgetStandings(RelayState& state, Milliseconds now)
+{
+    std::set<UpstreamProcessId> listed;
+    for (const auto& [id, view] : state.upstreams)
+        listed.insert(view.process);
+    std::erase_if(state.standings, [&](const auto& item) {
+        return now - item.second.limitSaidAt > standingMaxAge && !listed.contains(item.first);
+    });
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/upstream_notice_func.cpp
@@ -0,0 +1,106 @@
+#include "upstream_notice_func.h"
+
+#include "digest_func.h"
+#include "table/upstream_notice_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hickory {
+
+namespace {
+
+    constexpr double millisecondsPerSecond = 1000.0;
+
+    std::uint32_t sharingEntries(const RelayState& state) { return std::max(1U, state.highestEntryCount); }
+
+    /// @return requests beyond a limit that all entries together may send at once
+    double fleetBurst(double requestsPerSecond) { return limitBurst + limitBurstPerRate * requestsPerSecond; }
+
+    /// Each entry that shares a limit may send one request at any time, so only so many can.
+    std::uint32_t entriesThatShare(const RelayState& state, double requestsPerSecond)
+    {
+        const auto most = static_cast<std::uint32_t>(std::max(1.0, std::floor(fleetBurst(requestsPerSecond))));
+        return std::min(sharingEntries(state), most);
+    }
+
+} // namespace
+
+UpstreamProcessId upstreamProcessId(const UpstreamId& upstream, std::int64_t processStartedAt)
+{
+    return { stableHash("process/" + std::to_string(processStartedAt), upstream.value) };
+}
+
+std::string upstreamName(const RelayState& state, UpstreamProcessId process)
+{
+    for (const auto& [id, view] : state.upstreams)
+        if (view.process == process)
+            return id.value;
+    return "unlisted";
+}
+
+const UpstreamStanding* findStanding(const RelayState& state, const RelayUpstream& view)
+{
+    const auto found = state.standings.find(view.process);
+    return found == state.standings.end() ? nullptr : &found->second;
+}
+
+double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process)
+{
+    const std::uint32_t sharing = entriesThatShare(state, *standing.requestsPerSecond);
+    const std::uint64_t turn = (state.entryPosition + process.value) % std::max(1U, state.entryCount);
+    return turn < sharing ? *standing.requestsPerSecond / sharing : 0;
+}
+
+double allowanceAt(
+    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process, Milliseconds now)
+{
+    const double limit = *standing.requestsPerSecond;
+    const double most = std::max(1.0, fleetBurst(limit) / entriesThatShare(state, limit));
+    const double passed = static_cast<double>((now - standing.refilledAt).value) / millisecondsPerSecond;
+    return std::min(most, standing.allowance + passed * limitShare(state, standing, process));
+}
+
+bool mayEverSend(const RelayState& state, const RelayUpstream& view)
+{
+    const UpstreamStanding* standing = findStanding(state, view);
+    return !standing || !standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0;
+}
+
+bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now)
+{
+    const UpstreamStanding* standing = findStanding(state, view);
+    return !standing || !standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1;
+}
+
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service)
+{
+    double rate = 0;
+    bool any = false;
+    for (const auto& [id, view] : state.upstreams) {
+        if (!view.listed || view.entry.leaving || view.entry.service != service)
+            continue;
+        const UpstreamStanding* standing = findStanding(state, view);
+        if (!standing || !standing->requestsPerSecond)
+            return std::nullopt;
+        any = true;
+        rate += limitShare(state, *standing, view.process);
+    }
+    return any ? std::optional(rate) : std::nullopt;
+}
+
+std::vector<UpstreamNoticeReport> upstreamNotices(const RelayState& state, bool whole, Milliseconds now)
+{
+    std::vector<UpstreamNoticeReport> reports;
+    for (const auto& [process, standing] : state.standings)
+        if (whole || now - standing.changedAt < noticeNewsPeriod)
+            reports.push_back({ .process = process,
+                .requestsPerSecond = standing.requestsPerSecond,
+                .age = now - standing.limitSaidAt });
+    std::stable_sort(reports.begin(), reports.end(),
+        [](const UpstreamNoticeReport& left, const UpstreamNoticeReport& right) { return left.age < right.age; });
+    reports.resize(std::min(reports.size(), maxNoticesInBeacon));
+    return reports;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/src/upstream_notice_func.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "relay_state_type.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// @param processStartedAt start of the upstream's process, Unix ms, 0 when unknown
+UpstreamProcessId upstreamProcessId(const UpstreamId& upstream, std::int64_t processStartedAt);
+
+/// @return what the process of an upstream said of itself, or nullptr
+const UpstreamStanding* findStanding(const RelayState& state, const RelayUpstream& view);
+
+/// @return requests a second that this entry may send to a process: its share of a limit that the process named for all
+/// entries. 0 where the limit is too low for so many entries and others use it.
+double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process);
+
+/// @return requests that this entry may send to a process at once
+/// @pre the process has named a limit
+double allowanceAt(
+    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process, Milliseconds now);
+
+/// @return id of the upstream that a process is a run of, for the log
+std::string upstreamName(const RelayState& state, UpstreamProcessId process);
+
+/// @return whether this entry may send requests to an upstream at all, now or as soon as its allowance grows
+bool mayEverSend(const RelayState& state, const RelayUpstream& view);
+
+/// @return whether this entry may send the upstream a request now
+bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now);
+
+/// @return requests a second that all upstreams of a service take from this entry, or nothing if one has no limit
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service);
+
+/// @param whole also lists what has not changed lately, for entries that started since
+/// @return what this entry knows that upstreams said of themselves, for the other entries; bounded, newest first
+std::vector<UpstreamNoticeReport> upstreamNotices(const RelayState& state, bool whole, Milliseconds now);
+
+} // namespace hickory
--- /dev/null
+++ b/src/upstream_notice_type.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "clock_type.h"
+#include "id_type.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hickory {
+
+/// Hash of an upstream's id and the start of its process: identifies one run of it in messages between entries.
+using UpstreamProcessId = NumberId<struct UpstreamProcessTag>;
+
+/// What an upstream says of itself in the head of an answer.
+struct UpstreamNotice {
+    std::optional<double> requestsPerSecond; ///< most that it takes from all entries together; empty for no limit
+};
+
+/// What an entry knows that a process of an upstream said of itself, and what follows for its own sends.
+struct UpstreamStanding {
+    std::optional<double> requestsPerSecond; ///< as in UpstreamNotice, newest
+    Milliseconds limitSaidAt; ///< when it said so
+    Milliseconds changedAt; ///< when this entry last learned something new
+    double allowance { 0 }; ///< requests that this entry may send at once, of its share of the limit
+    Milliseconds refilledAt; ///< when the allowance was last computed
+};
+
+/// By process. Only of processes that have named a limit.
+using UpstreamStandings = std::map<UpstreamProcessId, UpstreamStanding>;
+
+/// What a process of an upstream said of itself, as one entry tells the others.
+struct UpstreamNoticeReport {
+    UpstreamProcessId process;
+    std::optional<double> requestsPerSecond; ///< as in UpstreamNotice
+    Milliseconds age { 0 }; ///< time since it said so
+
+    bool operator==(const UpstreamNoticeReport&) const = default;
+};
+
+} // namespace hickory
--- a/tests/unit_ctl_explain.cpp
+++ b/tests/unit_ctl_explain.cpp
@@ -127,3 +127,19 @@
     std::filesystem::remove(path);
     CHECK_FALSE(wasWritten(watch));
 }
+
+// Guards against a request whose upstream was limited and whose timeline does not say so.
+TEST_CASE("The timeline of a request has what its upstreams said of themselves", "[ctl][notice]")
+{
+    const std::vector<std::string> request {
+        "time=2026-05-04T18:20:25.207Z host=entry-1 event=send request=r upstream=u1"
+    };
+    const auto line = [](const char* time, const char* host, const char* upstream) {
+        return std::string("time=2026-05-04T18:20:") + time + "Z host=" + host
+            + " event=upstream-limit upstream=" + upstream + " requests_per_second=2 before=none source=answer";
+    };
+    CHECK(isNoticeNearby(line("20.000", "entry-1", "u1"), request));
+    CHECK_FALSE(isNoticeNearby(line("20.000", "entry-1", "u2"), request));
+    CHECK_FALSE(isNoticeNearby(line("20.000", "entry-2", "u1"), request));
+    CHECK_FALSE(isNoticeNearby(line("05.000", "entry-1", "u1"), request));
+}
--- /dev/null
+++ b/tests/unit_upstream_notice.cpp
@@ -0,0 +1,167 @@
+#include "peer_codec_func.h"
+#include "platform_wire_func.h"
+#include "relay_fixture.h"
+#include "upstream_notice_func.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hickory;
+
+namespace {
+
+/// Several relays before one plain upstream "p1" that names a limit. Each gets more requests than it may send.
+struct LimitedFleet {
+    LimitedFleet(std::uint32_t relayCount, double requestsPerSecond)
+        : limit(requestsPerSecond)
+    {
+        for (std::uint32_t position = 0; position < relayCount; ++position) {
+            this->relays.emplace_back(RelayOptions { .seed = position + 1 });
+            RelayFixture& relay = this->relays.back();
+            relay.event(EntryCountUpdated { .entryCount = relayCount, .position = position });
+            UpstreamEntry upstream = RelayFixture::upstream("p1", "plain");
+            upstream.slots = 1000;
+            relay.list({ upstream });
+            this->tell(relay, requestsPerSecond);
+        }
+    }
+
+    /// Delivers what another entry heard.
+    void tell(RelayFixture& relay, std::optional<double> requestsPerSecond, Milliseconds age = {})
+    {
+        relay.event(UpstreamNoticesReceived { .peer = { "other" },
+            .reports
+            = { { .process = upstreamProcessId({ "p1" }, 0), .requestsPerSecond = requestsPerSecond, .age = age } } });
+    }
+
+    /// Plays some time in which each relay gets a request every 20 ms and the upstream answers at once.
+    void play(Milliseconds time)
+    {
+        constexpr Milliseconds step { 20 };
+        for (Milliseconds passed; passed < time; passed += step)
+            for (RelayFixture& relay : this->relays) {
+                relay.now += step;
+                relay.confirmConfig();
+                this->answerAll(relay, relay.request("/read/"));
+                this->answerAll(relay, relay.event(RelayTick {}));
+            }
+    }
+
+    /// Answers the requests that effects send, and those that are sent for it.
+    void answerAll(RelayFixture& relay, const std::vector<RelayEffect>& effects)
+    {
+        for (const RelayEffect& effect : effects)
+            if (const auto* send = std::get_if<SendToUpstream>(&effect)) {
+                this->sends.push_back(relay.now);
+                relay.event(ResponseStarted { .call = send->call,
+                    .send = send->send,
+                    .status = 200,
+                    .sealed = true,
+                    .notice = { .requestsPerSecond = this->limit } });
+                this->answerAll(relay, relay.event(ResponseEnded { .call = send->call, .send = send->send }));
+            }
+    }
+
+    /// @return most sends of all relays within 4 s
+    std::size_t mostSends() const
+    {
+        constexpr Milliseconds window { 4000 };
+        std::size_t most = 0;
+        for (const Milliseconds first : this->sends)
+            most = std::max(most,
+                static_cast<std::size_t>(std::count_if(this->sends.begin(), this->sends.end(),
+                    [&](Milliseconds at) { return at >= first && at < first + window; })));
+        return most;
+    }
+
+    std::optional<double> limit; ///< that the upstream names
+    std::vector<RelayFixture> relays;
+    std::vector<Milliseconds> sends;
+};
+
+WireHead answerHead(const std::vector<WireHeader>& headers) { return { .status = 200, .headers = headers }; }
+
+} // namespace
+
+// Guards against entries that each send what an upstream takes from all of them together.
+TEST_CASE("All entries together keep to the limit that an upstream named", "[relay][notice]")
+{
+    const std::uint32_t entries = GENERATE(1U, 4U, 17U, 60U);
+    const double limit = GENERATE(0.5, 2.0, 6.0, 40.0);
+    LimitedFleet fleet(entries, limit);
+    fleet.play({ 12000 });
+    CAPTURE(entries, limit);
+    CHECK(static_cast<double>(fleet.mostSends()) <= 1.5 * limit * 4 + 5);
+    CHECK(static_cast<double>(fleet.sends.size()) >= limit * 12 * 0.8 - 2);
+}
+
+// Guards against an upstream that stays limited after its limit has ended, and against old news that end it.
+TEST_CASE("What an upstream said last counts", "[relay][notice]")
+{
+    LimitedFleet fleet(1, 2.0);
+    RelayFixture& relay = fleet.relays.front();
+    fleet.play({ 2000 });
+    const RelayUpstream& view = relay.state.upstreams.at({ "p1" });
+    fleet.tell(relay, std::nullopt, { 5000 });
+    REQUIRE(findStanding(relay.state, view));
+    CHECK(findStanding(relay.state, view)->requestsPerSecond == 2.0);
+    fleet.limit.reset();
+    fleet.play({ 1000 });
+    CHECK_FALSE(findStanding(relay.state, view)->requestsPerSecond);
+    fleet.tell(relay, 2.0, { 5000 });
+    CHECK_FALSE(findStanding(relay.state, view)->requestsPerSecond);
+}
+
+// Guards against a limit that outlives the process that named it.
+TEST_CASE("A process that was started again has no limit until it names one", "[relay][notice]")
+{
+    LimitedFleet fleet(1, 2.0);
+    RelayFixture& relay = fleet.relays.front();
+    UpstreamEntry started = RelayFixture::upstream("p1", "plain");
+    started.processStartedAt = 5;
+    relay.list({ started });
+    for (int count = 0; count < 3; ++count)
+        CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
+}
+
+// Guards against requests that are held to their deadline because no upstream has an allowance left.
+TEST_CASE("Requests beyond the limits of all upstreams are refused at once", "[relay][notice]")
+{
+    LimitedFleet fleet(1, 0.5);
+    RelayFixture& relay = fleet.relays.front();
+    std::size_t refused = 0;
+    for (int count = 0; count < 20; ++count) {
+        const auto effects = relay.request("/read/");
+        if (const auto* refusal = findEffect<RefuseCall>(effects)) {
+            ++refused;
+            CHECK(refusal->status == 503);
+            CHECK(refusal->retryAfter.value > 0);
+        }
+    }
+    CHECK(refused >= 17);
+}
+
+// Guards against a malformed answer that stops or lifts a limit.
+TEST_CASE("A limit is a plain decimal number", "[platform][notice]")
+{
+    const auto limitOf = [](const std::string& text) {
+        return platform::decodeResponseHead(answerHead({ { "Server-Limit", text } })).notice.requestsPerSecond;
+    };
+    CHECK(limitOf("2") == 2.0);
+    CHECK(limitOf("0.25") == 0.25);
+    CHECK(limitOf("0") == 0.0);
+    for (const char* text : { "", "-1", "nan", "inf", "1e400", "2 requests", "0x10", "two" })
+        CHECK_FALSE(limitOf(text));
+    CHECK_FALSE(platform::decodeResponseHead(answerHead({})).notice.requestsPerSecond);
+}
+
+// Guards against entries that learn a limit only from their own requests.
+TEST_CASE("A beacon carries what upstreams said of themselves", "[peer][notice]")
+{
+    PeerBeacon beacon { .from = { .host = { "entry" } } };
+    beacon.notices
+        = { { .process = { 7 }, .requestsPerSecond = 2.5, .age = { 40 } }, { .process = { 8 }, .age = { 3 } } };
+    const auto decoded = decodeBeacon(encodeBeacon(beacon));
+    REQUIRE(decoded);
+    CHECK(decoded.value().notices == beacon.notices);
+}
