Send nothing to an upstream that said in an answer that it leaves

Callers saw: requests that were cut off when such an upstream stopped, while the store did not know yet. Cause: only the platform's list said that an upstream leaves; entries did not read it in answers (Server-Leaving). Change: UpstreamNotice has it, the standing of the process keeps it for good, beacons carry it. An entry that greets a process which has just started tells it all notices.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -80,6 +80,7 @@
   ageMs @1 :UInt32;         # time since it said this of itself
   limited @2 :Bool;         # it named a limit
   perSecond @3 :Float64;    # requests a second that it takes from all entries together
+  leaving @4 :Bool;         # it said that it leaves
 }
 
 struct Beacon {
--- a/src/ctl_explain_func.cpp
+++ b/src/ctl_explain_func.cpp
@@ -90,7 +90,8 @@
 
 bool isNoticeNearby(const std::string& line, const std::vector<std::string>& requestLines)
 {
-    if (logField(line, "event") != "upstream-limit")
+    static const std::set<std::string> events { "upstream-limit", "upstream-leaves" };
+    if (!events.contains(logField(line, "event")))
         return false;
     const std::string upstream = logField(line, "upstream");
     const bool isNamed = std::any_of(requestLines.begin(), requestLines.end(),
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -240,6 +240,7 @@
                 static_cast<std::uint32_t>(std::clamp(notice.age, Milliseconds { 0 }, maxNoticeAge).value));
             out[index].setLimited(notice.requestsPerSecond.has_value());
             out[index].setPerSecond(notice.requestsPerSecond.value_or(0));
+            out[index].setLeaving(notice.leaving);
         }
     }
 
@@ -248,7 +249,8 @@
         std::vector<UpstreamNoticeReport> notices;
         for (unsigned index = 0; index < bounded(in, maxNoticesInBeacon); ++index) {
             UpstreamNoticeReport notice { .process = { in[index].getProcess() },
-                .age = std::min(Milliseconds { in[index].getAgeMs() }, maxNoticeAge) };
+                .age = std::min(Milliseconds { in[index].getAgeMs() }, maxNoticeAge),
+                .leaving = in[index].getLeaving() };
             const double perSecond = in[index].getPerSecond();
             if (in[index].getLimited() && perSecond >= 0 && perSecond <= maxRequestsPerSecond)
                 notice.requestsPerSecond = perSecond;
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -40,6 +40,7 @@
             .fields = { { "peer", beacon.from.host.value }, { "front", beacon.from.front } } });
         // A process that has just started waits for the configuration that is in force elsewhere.
         PeerBeacon reply = this->makeBeacon();
+        reply.notices = upstreamNotices(this->state, true, now);
         if (beacon.from.dataCentre == this->settings.host.dataCentre)
             reply.loads = ownLoads(this->state);
         this->peerSocket.send(reply, { ip });
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -35,6 +35,12 @@
         return found->second;
     }
 
+    MetricSample noticeMetric(const std::string& kind, const std::string& source)
+    {
+        return { .name = "upstream_notices_total",
+            .labels = "kind=\"" + kind + "\",source=\"" + (source == "answer" ? "answer" : "peer") + "\"" };
+    }
+
     /// @param source for the log: "answer", or host of the entry that told it
     void setLimit(RelayState& state, UpstreamProcessId process, const std::optional<double>& limit, Milliseconds saidAt,
         const std::string& source, Milliseconds now, RelayEffects& effects)
@@ -60,8 +66,21 @@
         if (limit)
             line.fields.emplace_back("share", limitText(limitShare(state, standing, process)));
         effects.emplace_back(std::move(line));
-        effects.emplace_back(MetricSample { .name = "upstream_notices_total",
-            .labels = std::string("kind=\"limit\",source=\"") + (source == "answer" ? "answer" : "peer") + "\"" });
+        effects.emplace_back(noticeMetric("limit", source));
+    }
+
+    /// @param source as in setLimit()
+    void setLeaving(RelayState& state, UpstreamProcessId process, Milliseconds saidAt, const std::string& source,
+        Milliseconds now, RelayEffects& effects)
+    {
+        UpstreamStanding& standing = findOrAddStanding(state, process, saidAt);
+        if (standing.leavesSince)
+            return;
+        standing.leavesSince = saidAt;
+        standing.changedAt = now;
+        effects.emplace_back(LogLine { .event = "upstream-leaves",
+            .fields = { { "upstream", upstreamName(state, process) }, { "source", source } } });
+        effects.emplace_back(noticeMetric("leaving", source));
     }
 
 } // namespace
@@ -70,12 +89,18 @@
     RelayState& state, const RelayUpstream& view, const UpstreamNotice& notice, Milliseconds now, RelayEffects& effects)
 {
     setLimit(state, view.process, notice.requestsPerSecond, now, "answer", now, effects);
+    if (notice.leaving)
+        setLeaving(state, view.process, now, "answer", now, effects);
 }
 
 void applyNotices(RelayState& state, const UpstreamNoticesReceived& event, Milliseconds now, RelayEffects& effects)
 {
-    for (const UpstreamNoticeReport& report : event.reports)
-        setLimit(state, report.process, report.requestsPerSecond, now - report.age, event.peer.value, now, effects);
+    for (const UpstreamNoticeReport& report : event.reports) {
+        const Milliseconds saidAt = now - report.age;
+        setLimit(state, report.process, report.requestsPerSecond, saidAt, event.peer.value, now, effects);
+        if (report.leaving)
+            setLeaving(state, report.process, saidAt, event.peer.value, now, effects);
+    }
 }
 
 void countSend(RelayState& state, const RelayUpstream& view, Milliseconds now)
--- a/src/upstream_notice_func.cpp
+++ b/src/upstream_notice_func.cpp
@@ -64,7 +64,9 @@
 bool mayEverSend(const RelayState& state, const RelayUpstream& view)
 {
     const UpstreamStanding* standing = findStanding(state, view);
-    return !standing || !standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0;
+    if (!standing)
+        return true;
+    return !standing->leavesSince && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
 }
 
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now)
@@ -81,6 +83,8 @@
         if (!view.listed || view.entry.leaving || view.entry.service != service)
             continue;
         const UpstreamStanding* standing = findStanding(state, view);
+        if (standing && standing->leavesSince)
+            continue;
         if (!standing || !standing->requestsPerSecond)
             return std::nullopt;
         any = true;
@@ -96,7 +100,8 @@
         if (whole || now - standing.changedAt < noticeNewsPeriod)
             reports.push_back({ .process = process,
                 .requestsPerSecond = standing.requestsPerSecond,
-                .age = now - standing.limitSaidAt });
+                .age = now - standing.limitSaidAt,
+                .leaving = standing.leavesSince.has_value() });
     std::stable_sort(reports.begin(), reports.end(),
         [](const UpstreamNoticeReport& left, const UpstreamNoticeReport& right) { return left.age < right.age; });
     reports.resize(std::min(reports.size(), maxNoticesInBeacon));
--- a/src/upstream_notice_type.h
+++ b/src/upstream_notice_type.h
@@ -16,18 +16,20 @@
 /// What an upstream says of itself in the head of an answer.
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; ///< most that it takes from all entries together; empty for no limit
+    bool leaving { false }; ///< it is about to stop and takes no new requests
 };
 
 /// What an entry knows that a process of an upstream said of itself, and what follows for its own sends.
 struct UpstreamStanding {
     std::optional<double> requestsPerSecond; ///< as in UpstreamNotice, newest
     Milliseconds limitSaidAt; ///< when it said so
+    std::optional<Milliseconds> leavesSince; ///< when it said that it leaves, which it never takes back
     Milliseconds changedAt; ///< when this entry last learned something new
     double allowance { 0 }; ///< requests that this entry may send at once, of its share of the limit
     Milliseconds refilledAt; ///< when the allowance was last computed
 };
 
-/// By process. Only of processes that have named a limit.
+/// By process. Only of processes that have named a limit or said that they leave.
 using UpstreamStandings = std::map<UpstreamProcessId, UpstreamStanding>;
 
 /// What a process of an upstream said of itself, as one entry tells the others.
@@ -35,6 +37,7 @@
     UpstreamProcessId process;
     std::optional<double> requestsPerSecond; ///< as in UpstreamNotice
     Milliseconds age { 0 }; ///< time since it said so
+    bool leaving { false }; ///< as in UpstreamNotice
 
     bool operator==(const UpstreamNoticeReport&) const = default;
 };
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -155,12 +155,51 @@
     CHECK_FALSE(platform::decodeResponseHead(answerHead({})).notice.requestsPerSecond);
 }
 
+// Guards against requests for an upstream whose leaving the store does not show.
+TEST_CASE("An upstream that said that it leaves gets no more requests", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const bool fromPeer = GENERATE(false, true);
+    const auto sent = relay.request("/read/");
+    const auto* send = findEffect<SendToUpstream>(sent);
+    REQUIRE(send);
+    if (fromPeer)
+        relay.event(UpstreamNoticesReceived {
+            .peer = { "other" }, .reports = { { .process = upstreamProcessId({ "p1" }, 0), .leaving = true } } });
+    relay.event(ResponseStarted {
+        .call = send->call, .send = send->send, .status = 200, .sealed = true, .notice = { .leaving = !fromPeer } });
+    relay.event(ResponseEnded { .call = send->call, .send = send->send });
+    const auto effects = relay.request("/read/");
+    CHECK_FALSE(findEffect<SendToUpstream>(effects));
+    REQUIRE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<RefuseCall>(effects)->status == 503);
+    relay.list({});
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+    UpstreamEntry started = RelayFixture::upstream("p1", "plain");
+    started.processStartedAt = 5;
+    relay.list({ started });
+    CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
+}
+
+// Guards against a field that says that an upstream does not leave.
+TEST_CASE("An upstream leaves if it says 1", "[platform][notice]")
+{
+    const auto isLeaving = [](const std::string& text) {
+        return platform::decodeResponseHead(answerHead({ { "Server-Leaving", text } })).notice.leaving;
+    };
+    CHECK(isLeaving("1"));
+    CHECK_FALSE(isLeaving("0"));
+    CHECK_FALSE(isLeaving(""));
+}
+
 // Guards against entries that learn a limit only from their own requests.
 TEST_CASE("A beacon carries what upstreams said of themselves", "[peer][notice]")
 {
     PeerBeacon beacon { .from = { .host = { "entry" } } };
-    beacon.notices
-        = { { .process = { 7 }, .requestsPerSecond = 2.5, .age = { 40 } }, { .process = { 8 }, .age = { 3 } } };
+    beacon.notices = { { .process = { 7 }, .requestsPerSecond = 2.5, .age = { 40 }, .leaving = true },
+        { .process = { 8 }, .age = { 3 } } };
     const auto decoded = decodeBeacon(encodeBeacon(beacon));
     REQUIRE(decoded);
     CHECK(decoded.value().notices == beacon.notices);
