Send nothing to an upstream during the pause that it asked for

Callers saw: requests that were refused because both of their attempts went to upstreams that wanted none. Cause: entries did not read Retry-After in an upstream's 503 and tried again after 60 ms. Change: UpstreamNotice has the pause, the standing of the process keeps its end; it binds the entry that was asked alone. Requests that only pausing upstreams could take in time wait for the end; others are refused at once with Retry-After by that end.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -127,8 +127,9 @@
     if (state.drainEndsAt)
         return drainRetryAfter;
     const std::int64_t maxDelay = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
+    const std::optional<Milliseconds> pauseEnd = firstPauseEnd(state, request.service, now);
     const std::int64_t wait = noUpstream
-        ? maxDelay
+        ? (pauseEnd ? std::clamp((*pauseEnd - now).value, std::int64_t { 1 }, maxDelay) : maxDelay)
         : std::min(std::max(predictQueueWait(state, request, now), minRetryAfter).value, maxDelay);
     const std::int64_t jitter = std::uniform_int_distribution<std::int64_t>(0, wait / 4)(state.random);
     return { wait * 3 / 4 + jitter };
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -46,7 +46,7 @@
     {
         if (!view.listed || view.entry.leaving || view.entry.service != request.service)
             return false;
-        if (request.excludedUpstreams.contains(view.entry.id) || !mayEverSend(state, view))
+        if (request.excludedUpstreams.contains(view.entry.id) || !maySendBefore(state, view, request.leavesAt))
             return false;
         return request.metadata.model.empty() || hasWeights(state, view, request, now);
     }
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -290,7 +290,7 @@
     send.stream = event.stream;
     send.lastProgressAt = now;
     // Another process may have answered for the address, or something that is no answer of an upstream.
-    if (event.status != statusMisdirected && (event.sealed || event.notRun))
+    if (event.status != statusMisdirected && (event.sealed || event.notRun || event.notice.pause.value > 0))
         recordNotice(state, view, event.notice, now, effects);
     if (event.notRun || event.status == statusMisdirected) {
         const bool misdirected = event.status == statusMisdirected;
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -91,6 +91,13 @@
     setLimit(state, view.process, notice.requestsPerSecond, now, "answer", now, effects);
     if (notice.leaving)
         setLeaving(state, view.process, now, "answer", now, effects);
+    if (notice.pause.value <= 0)
+        return;
+    UpstreamStanding& standing = findOrAddStanding(state, view.process, now);
+    standing.pausedUntil = std::max(standing.pausedUntil, now + std::min(notice.pause, maxPause));
+    effects.emplace_back(LogLine { .event = "upstream-pauses",
+        .fields = { { "upstream", view.entry.id.value }, { "for_ms", std::to_string(notice.pause.value) } } });
+    effects.emplace_back(noticeMetric("pause", "answer"));
 }
 
 void applyNotices(RelayState& state, const UpstreamNoticesReceived& event, Milliseconds now, RelayEffects& effects)
--- a/src/upstream_notice_func.cpp
+++ b/src/upstream_notice_func.cpp
@@ -61,18 +61,32 @@
     return std::min(most, standing.allowance + passed * limitShare(state, standing, process));
 }
 
-bool mayEverSend(const RelayState& state, const RelayUpstream& view)
+bool maySendBefore(const RelayState& state, const RelayUpstream& view, Milliseconds latest)
 {
     const UpstreamStanding* standing = findStanding(state, view);
     if (!standing)
         return true;
-    return !standing->leavesSince && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
+    return !standing->leavesSince && standing->pausedUntil < latest
+        && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
 }
 
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now)
 {
     const UpstreamStanding* standing = findStanding(state, view);
-    return !standing || !standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1;
+    return !standing
+        || (now >= standing->pausedUntil
+            && (!standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1));
+}
+
+std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now)
+{
+    std::optional<Milliseconds> first;
+    for (const auto& [id, view] : state.upstreams) {
+        const UpstreamStanding* standing = findStanding(state, view);
+        if (view.listed && view.entry.service == service && standing && standing->pausedUntil > now)
+            first = std::min(first.value_or(standing->pausedUntil), standing->pausedUntil);
+    }
+    return first;
 }
 
 std::optional<double> limitedRate(const RelayState& state, const ServiceId& service)
--- a/src/upstream_notice_func.h
+++ b/src/upstream_notice_func.h
@@ -26,8 +26,12 @@
 /// @return id of the upstream that a process is a run of, for the log
 std::string upstreamName(const RelayState& state, UpstreamProcessId process);
 
-/// @return whether this entry may send requests to an upstream at all, now or as soon as its allowance grows
-bool mayEverSend(const RelayState& state, const RelayUpstream& view);
+/// @return whether this entry may send a request to an upstream, now or as soon as its allowance grows or a pause ends
+/// @param latest when the request is of no use any more
+bool maySendBefore(const RelayState& state, const RelayUpstream& view, Milliseconds latest);
+
+/// @return when the first pause of an upstream of a service ends, or nothing if none pauses
+std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now);
 
 /// @return whether this entry may send the upstream a request now
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now);
--- a/src/upstream_notice_type.h
+++ b/src/upstream_notice_type.h
@@ -17,6 +17,8 @@
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; ///< most that it takes from all entries together; empty for no limit
     bool leaving { false }; ///< it is about to stop and takes no new requests
+    /// It turned a request away and wants no other of this entry for so long; 0 for none.
+    Milliseconds pause { 0 };
 };
 
 /// What an entry knows that a process of an upstream said of itself, and what follows for its own sends.
@@ -24,12 +26,13 @@
     std::optional<double> requestsPerSecond; ///< as in UpstreamNotice, newest
     Milliseconds limitSaidAt; ///< when it said so
     std::optional<Milliseconds> leavesSince; ///< when it said that it leaves, which it never takes back
+    Milliseconds pausedUntil; ///< this entry sends it nothing before, as it asked; other entries may
     Milliseconds changedAt; ///< when this entry last learned something new
     double allowance { 0 }; ///< requests that this entry may send at once, of its share of the limit
     Milliseconds refilledAt; ///< when the allowance was last computed
 };
 
-/// By process. Only of processes that have named a limit or said that they leave.
+/// By process. Only of processes that have said something of themselves.
 using UpstreamStandings = std::map<UpstreamProcessId, UpstreamStanding>;
 
 /// What a process of an upstream said of itself, as one entry tells the others.
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -183,6 +183,44 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
 }
 
+// Guards against requests for an upstream that asked for a pause, and against callers held until it ends.
+TEST_CASE("An upstream that asked for a pause gets no requests until it ends", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const Milliseconds pause = GENERATE(Milliseconds { 300 }, Milliseconds { 30000 });
+    const auto sent = relay.request("/book/");
+    const auto* send = findEffect<SendToUpstream>(sent);
+    REQUIRE(send);
+    relay.event(ResponseStarted {
+        .call = send->call, .send = send->send, .status = 503, .notRun = true, .notice = { .pause = pause } });
+    const auto effects = relay.request("/read/");
+    CHECK_FALSE(findEffect<SendToUpstream>(effects));
+    const auto* refusal = findEffect<RefuseCall>(effects);
+    CHECK((refusal != nullptr) == (pause.value > 6000));
+    if (refusal)
+        CHECK(refusal->retryAfter.value > 0);
+    relay.now += pause - Milliseconds { 1 };
+    relay.confirmConfig();
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 100 };
+    CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
+}
+
+// Guards against a pause in a field that means something else, or that cannot be read.
+TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
+{
+    const auto pauseOf = [](std::uint16_t status, const std::string& text) {
+        return platform::decodeResponseHead({ .status = status, .headers = { { "Retry-After", text } } }).notice.pause;
+    };
+    CHECK(pauseOf(503, "3") == Milliseconds { 3000 });
+    CHECK(pauseOf(503, "0.25") == Milliseconds { 250 });
+    CHECK(pauseOf(429, "3") == Milliseconds {});
+    CHECK(pauseOf(503, "Fri, 31 Dec 1999 23:59:59 GMT") == Milliseconds {});
+    CHECK(pauseOf(503, "-3") == Milliseconds {});
+    CHECK(pauseOf(503, "1e400") == Milliseconds {});
+}
+
 // Guards against a field that says that an upstream does not leave.
 TEST_CASE("An upstream leaves if it says 1", "[platform][notice]")
 {
