Let the soak's upstreams name limits, leave, ask for pauses and stand still

Callers of the soak leave at random too. Checked: LIMIT over all entries, also those that were restarted or frozen, and GONE when an upstream goes on.

--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -187,11 +187,10 @@
     CrashNews news; ///< merged into what is known
 };
 
-using RelayEvent
-    = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded, RelayTick,
-        ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived, EntryCountUpdated,
-        ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed, CrashNewsReceived,
-        UpstreamNoticesReceived>;
+using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
+    RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
+    EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed,
+    CrashNewsReceived, UpstreamNoticesReceived>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/table/upstream_notice_limits.h
+++ b/src/table/upstream_notice_limits.h
@@ -13,8 +13,8 @@
 /// higher: half of what upstreams bear.
 constexpr double limitBurst = 2.5;
 constexpr double limitBurstPerRate = 1.0; ///< the same for each request a second of the limit
-/// How long the highest number of live entries counts when a limit is shared. Longer than beacons of a live entry may be
-/// missing.
+/// How long the highest number of live entries counts when a limit is shared. Longer than beacons of a live entry may
+/// be missing.
 constexpr Milliseconds entryCountMemory { 4000 };
 constexpr Milliseconds maxPause { 60000 }; ///< a longer pause is taken as this, so that a mistake ends
 constexpr Milliseconds noticeNewsPeriod { 3000 }; ///< what changed is repeated in beacons for this long
--- a/tests/soak_caller.cpp
+++ b/tests/soak_caller.cpp
@@ -95,12 +95,14 @@
                                                    .maxIdle = maxConnectionIdle },
         call);
     call->out = out;
-    call->timer.expires_after(std::chrono::milliseconds(callerTimeout.value));
+    const Milliseconds patience = request.leavesAfter.value > 0 ? request.leavesAfter : callerTimeout;
+    call->timer.expires_after(std::chrono::milliseconds(patience.value));
     call->timer.async_wait([this, out, weak = std::weak_ptr<Call>(call)](const std::error_code& code) {
         const auto pending = weak.lock();
         if (code || !pending)
             return;
         this->pool.cancel(out);
+        this->ledger.attempts.at(pending->id).leftAt = monotonicNow();
         this->checkAnswer(*pending, CallEnd::Broken);
     });
 }
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -17,6 +17,7 @@
     bool faultFree { false }; ///< no fault is active, so the request must succeed
     std::string promptParts; ///< parts of a stream's prompt as "id:tokens,..." without its own last part, may be empty
     bool deadly { false }; ///< promptParts contains Ledger::deadlyPart
+    Milliseconds leavesAfter { 0 }; ///< the caller closes its connection then, 0 if it waits for its deadline
 };
 
 /// Sends requests to the entries over reused connections and checks each response. Violations go to the ledger.
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
     std::string promptParts; ///< Prefix-Hash header, empty for none
     bool deadly { false }; ///< the prompt contains Ledger::deadlyPart before its last part
     bool began { false }; ///< the caller got bytes of a body with status 200
+    std::optional<Milliseconds> leftAt; ///< when the caller closed its connection before the answer was complete
 };
 
 /// What requests with the deadly part did to engines and to other requests.
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -3,6 +3,7 @@
 #include "digest_func.h"
 #include "query_func.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -51,13 +52,7 @@
     , engine(engine)
     , front(io, {},
           { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
-              .onCallerDisconnected =
-                  [this](CallId call) {
-                      this->streams.erase(call);
-                      this->endless.erase(call);
-                      this->halves.erase(call);
-                      this->openCalls.erase(call);
-                  } })
+              .onCallerDisconnected = [this](CallId call) { this->onDisconnected(call); } })
     , timer(io)
 {
     this->onStepTimer();
@@ -122,6 +117,72 @@
     this->ledger.crashes.push_back(now);
 }
 
+void Upstream::onDisconnected(CallId call)
+{
+    if (this->still) {
+        this->unnoticed.push_back(call);
+        return;
+    }
+    this->streams.erase(call);
+    this->endless.erase(call);
+    this->halves.erase(call);
+    this->openCalls.erase(call);
+}
+
+void Upstream::say(std::vector<WireHeader> fields, std::uint16_t refusalStatus)
+{
+    this->says = std::move(fields);
+    this->refusal = refusalStatus;
+}
+
+void Upstream::nameLimit(int requestsPerSecond)
+{
+    if (this->limit != 0)
+        this->checkLimit();
+    this->limit = requestsPerSecond;
+    this->limitNamedAt.reset();
+    this->arrivals.clear();
+}
+
+void Upstream::checkLimit()
+{
+    constexpr Milliseconds window { 4000 };
+    const auto allowed = static_cast<std::ptrdiff_t>(this->limit * 6 + 5);
+    for (const Milliseconds first : this->arrivals) {
+        if (!this->limitNamedAt || first < *this->limitNamedAt + stableWindow)
+            continue;
+        const auto count = std::count_if(this->arrivals.begin(), this->arrivals.end(),
+            [&](Milliseconds at) { return at >= first && at < first + window; });
+        if (count > allowed) {
+            this->ledger.addViolation("LIMIT " + this->name + " takes " + std::to_string(this->limit)
+                + " requests a second and got " + std::to_string(count) + " in 4 s");
+            return;
+        }
+    }
+}
+
+void Upstream::standStill(bool stopped)
+{
+    constexpr Milliseconds goneAfter { 500 };
+    constexpr int allowedRuns = 3;
+    this->still = stopped;
+    if (stopped)
+        return;
+    int gone = 0;
+    for (FrontRequest& request : std::exchange(this->deferred, {})) {
+        const auto attempt = this->ledger.attempts.find(headerValue(request, "Attempt-Id"));
+        const bool left = attempt != this->ledger.attempts.end() && attempt->second.leftAt
+            && monotonicNow() - *attempt->second.leftAt > goneAfter;
+        gone += left && this->running() ? 1 : 0;
+        this->onRequest(std::move(request));
+    }
+    for (const CallId call : std::exchange(this->unnoticed, {}))
+        this->onDisconnected(call);
+    if (gone > allowedRuns)
+        this->ledger.addViolation(
+            "GONE " + this->name + " began " + std::to_string(gone) + " requests whose callers had left");
+}
+
 void Upstream::drain() { this->publishState("draining"); }
 
 void Upstream::registerAgain()
@@ -152,6 +213,10 @@
 
 void Upstream::onRequest(FrontRequest&& request)
 {
+    if (this->still) {
+        this->deferred.push_back(std::move(request));
+        return;
+    }
     this->openCalls.insert(request.id);
     if (!this->running()) {
         this->openCalls.erase(request.id);
@@ -205,7 +270,14 @@
     const bool deadly = attemptEntry != this->ledger.attempts.end() && attemptEntry->second.deadly;
     if (deadly)
         this->ledger.deadlyArrivals.push_back(monotonicNow());
-    const std::vector<WireHeader> echo { { "Attempt-Id", attempt }, { "At-Server", this->id } };
+    std::vector<WireHeader> echo { { "Attempt-Id", attempt }, { "At-Server", this->id } };
+    echo.insert(echo.end(), this->says.begin(), this->says.end());
+    if (this->limit != 0) {
+        this->arrivals.push_back(monotonicNow());
+        if (!this->limitNamedAt)
+            this->limitNamedAt = monotonicNow();
+        echo.push_back({ "Server-Limit", std::to_string(this->limit) });
+    }
     const std::string expected = headerValue(request, "Expect-Replica");
     const std::string wantedVersion = headerValue(request, "Expect-Version");
     const bool wrongVersion = !wantedVersion.empty() && wantedVersion != std::to_string(this->version);
@@ -214,11 +286,11 @@
         this->front.answer(request.id, 421, echo, "");
         return;
     }
-    if (this->engine && (this->version == 0 || this->loading != 0)) {
+    if (this->refusal != 0 || (this->engine && (this->version == 0 || this->loading != 0))) {
         std::vector<WireHeader> headers = echo;
         headers.push_back({ "Not-Executed", "1" });
         this->openCalls.erase(request.id);
-        this->front.answer(request.id, 503, headers, "");
+        this->front.answer(request.id, this->refusal != 0 ? this->refusal : std::uint16_t { 503 }, headers, "");
         return;
     }
     if (attemptEntry == this->ledger.attempts.end()) {
@@ -270,6 +342,14 @@
 
 void Upstream::onStepTimer()
 {
+    if (this->still) {
+        this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
+        this->timer.async_wait([this](const std::error_code& code) {
+            if (!code)
+                this->onStepTimer();
+        });
+        return;
+    }
     if (this->loading != 0 && this->streams.empty() && monotonicNow() > this->loadedAt) {
         this->version = this->loading;
         this->loading = 0;
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -6,8 +6,10 @@
 
 #include <asio.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hickory::soak {
 
@@ -39,6 +41,15 @@
     void registerAgain();
     /// Registers as draining; requests that still arrive are run.
     void drain();
+    /// From now on its answers have these header fields.
+    /// @param refusal status with which it turns all requests away, 0 for none
+    void say(std::vector<WireHeader> fields, std::uint16_t refusal);
+    /// Names a limit in its answers, or no more. At the end checks what arrived meanwhile.
+    /// @param requestsPerSecond 0 ends it
+    void nameLimit(int requestsPerSecond);
+    /// Stops or goes on with its connections open. What arrived meanwhile is begun before closed connections are
+    /// noticed.
+    void standStill(bool still);
 
     /// @return id that is registered, or still is after a crash that the store does not know of
     const std::string& registeredId() const { return this->running() ? this->id : this->crashedId; }
@@ -67,6 +78,9 @@
     void onRequest(FrontRequest&& request);
     void onEngineCall(const FrontRequest& request);
     void runRequest(FrontRequest&& request);
+    void onDisconnected(CallId call);
+    /// Checks what arrived since stableWindow after it named its limit.
+    void checkLimit();
     void answerJson(CallId call, int status, const std::string& body);
     void publishState(const std::string& state);
     /// Sends the second halves of plain answers that end with their connections.
@@ -104,6 +118,14 @@
     std::map<int, std::string> staged; ///< uploaded pieces of the weights by index, not yet loaded
     std::map<CallId, ActiveStream> streams; ///< unfinished streams by request
     std::map<CallId, EndlessAnswer> endless; ///< answers without end by request
+    std::vector<WireHeader> says; ///< further header fields of its answers
+    std::uint16_t refusal { 0 }; ///< status with which it turns requests away, 0 for none
+    int limit { 0 }; ///< requests a second that it names, 0 for none
+    std::optional<Milliseconds> limitNamedAt; ///< when an answer first named the limit
+    std::vector<Milliseconds> arrivals; ///< of requests since the limit was set
+    bool still { false }; ///< between standStill(true) and standStill(false)
+    std::vector<FrontRequest> deferred; ///< requests that arrived meanwhile
+    std::vector<CallId> unnoticed; ///< connections that ended meanwhile
     std::set<CallId> openCalls; ///< requests without a complete response
 };
 
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -52,12 +52,14 @@
     /// @param restores adds a store that comes back from an older copy, and answers that end with their connections
     /// @param buildFolder folder of the programs
     /// @param logFolder existing folder for settings and logs of this run
-    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, bool restores, std::string buildFolder,
+    /// @param notices adds upstreams that say something of themselves or stand still, and callers that leave
+    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, bool restores, bool notices, std::string buildFolder,
         std::string logFolder)
         : random(seed)
         , faultTime(faultTime)
         , deadly(deadly)
         , restores(restores)
+        , notices(notices)
         , buildFolder(std::move(buildFolder))
         , logFolder(std::move(logFolder))
         , addressPrefix("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
@@ -337,11 +339,13 @@
             = { RequestKind::Streaming, RequestKind::Idempotent, RequestKind::NonIdempotent };
         const RequestKind kind = requestKinds[this->randomInt(0, 2)];
         const bool hasParts = this->deadly && kind == RequestKind::Streaming;
+        const bool leaves = this->notices && !faultFree && this->randomInt(0, 9) == 0;
         this->callers.send({ .requestKind = kind,
             .entry = static_cast<std::size_t>(this->randomInt(0, entryCount - 1)),
             .key = this->keys.back(),
             .faultFree = faultFree,
-            .promptParts = hasParts ? this->sharedParts(this->randomInt(1, 2)) : std::string {} });
+            .promptParts = hasParts ? this->sharedParts(this->randomInt(1, 2)) : std::string {},
+            .leavesAfter = leaves ? Milliseconds { this->randomInt(50, 1500) } : Milliseconds {} });
     }
 
     /// @param count 1 or more
@@ -397,6 +401,10 @@
     void injectFault(Milliseconds now)
     {
         const Milliseconds until = now + Milliseconds { this->randomInt(200, 2500) };
+        if (this->notices && this->randomInt(0, 1) == 0) {
+            this->injectNotice(now, until);
+            return;
+        }
         switch (this->randomInt(0, this->restores ? 11 : 9)) {
         case 10:
         case 11:
@@ -432,6 +440,40 @@
         }
     }
 
+    /// Lets a random upstream name a limit, say that it leaves, ask for a pause, or stand still.
+    void injectNotice(Milliseconds now, Milliseconds until)
+    {
+        constexpr Milliseconds limitTime { 8000 };
+        constexpr Milliseconds leaveTime { 2500 };
+        Upstream& upstream = *this->upstreams[static_cast<std::size_t>(
+            this->randomInt(0, static_cast<std::int64_t>(this->upstreams.size()) - 1))];
+        if (!upstream.running())
+            return;
+        const auto kind = this->randomInt(0, 4);
+        this->logFault("notice " + std::to_string(kind) + " of " + upstream.registeredId(), now);
+        if (kind == 0) {
+            upstream.nameLimit(static_cast<int>(this->randomInt(1, 6)));
+            this->schedule(now + limitTime, [&upstream] { upstream.nameLimit(0); });
+        } else if (kind == 1) {
+            upstream.say({ { "Server-Leaving", "1" } }, 0);
+            this->schedule(now + leaveTime, [&upstream] {
+                upstream.say({}, 0);
+                if (upstream.running())
+                    upstream.crash();
+            });
+            this->schedule(now + leaveTime * 2, [&upstream] {
+                if (!upstream.running())
+                    upstream.start(false);
+            });
+        } else if (kind == 2) {
+            upstream.say({ { "Retry-After", std::to_string(this->randomInt(1, 3)) } }, 503);
+            this->schedule(until, [&upstream] { upstream.say({}, 0); });
+        } else {
+            upstream.standStill(true);
+            this->schedule(until, [&upstream] { upstream.standStill(false); });
+        }
+    }
+
     /// Kills, stops gracefully, freezes or sends SIGHUP to a random process.
     void signalProcess(Milliseconds now, Milliseconds until)
     {
@@ -586,6 +628,7 @@
     std::mt19937_64 random; ///< source of all random choices
     Milliseconds faultTime; ///< length of the phase with faults
     bool deadly; ///< the only fault is a prompt part that crashes engines
+    bool notices; ///< adds upstreams that say something of themselves or stand still, and callers that leave
     bool restores; ///< adds a store that comes back older, and answers that end with their connections
     std::string writtenConfig; ///< configuration written last
     std::size_t deadlySent { 0 }; ///< requests with that part sent so far
@@ -623,7 +666,8 @@
         "runs", "number of runs, each with the next seed", cxxopts::value<int>()->default_value("1"))(
         "seconds", "length of the phase with faults", cxxopts::value<int>()->default_value("10"))("deadly-part",
         "instead of random faults, send requests with a prompt part that crashes each engine that begins them")(
-        "restores", "add a store that comes back from an older copy, and answers that end with their connections");
+        "restores", "add a store that comes back from an older copy, and answers that end with their connections")(
+        "notices", "add upstreams that name a limit, leave, ask for a pause or stand still, and callers that leave");
     const auto flags = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t seed = flags["seed"].as<std::uint64_t>();
@@ -637,7 +681,7 @@
         std::cout << "seed " << seed << std::endl;
         constexpr std::int64_t millisecondsPerSecond = 1000;
         Soak soak(seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, flags.count("deadly-part") > 0,
-            flags.count("restores") > 0, flags["bin"].as<std::string>(), logFolder);
+            flags.count("restores") > 0, flags.count("notices") > 0, flags["bin"].as<std::string>(), logFolder);
         if (!soak.run())
             ++failed;
     }
