Test that an error does not go on with a stream that has begun

Here the caller's connection is then broken; no byte of the error is forwarded. The test passed before any change, for errors that the upstream sealed and others.

--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -208,6 +208,26 @@
     CHECK(findEffect<AbortResponse>(effects));
 }
 
+// Guards against the text of an error in the middle of a caller's stream.
+TEST_CASE("A stream that has begun is neither continued nor completed by an error", "[answer-end]")
+{
+    const bool sealed = GENERATE(false, true);
+    const std::uint16_t status = GENERATE(std::uint16_t { 500 }, std::uint16_t { 503 }, std::uint16_t { 404 });
+    ClosedStream stream;
+    const auto resumed = stream.relay.event(
+        ResponseEnded { .call = stream.relay.lastCallId(), .send = stream.send, .end = SendResult::Broken });
+    REQUIRE(findEffect<SendToUpstream>(resumed));
+    const SendId second = findEffect<SendToUpstream>(resumed)->send;
+    auto effects = stream.relay.event(ResponseStarted {
+        .call = stream.relay.lastCallId(), .send = second, .status = status, .sealed = sealed, .stream = true });
+    const auto ended = stream.relay.event(ResponseEnded { .call = stream.relay.lastCallId(), .send = second });
+    effects.insert(effects.end(), ended.begin(), ended.end());
+    CHECK_FALSE(findEffect<FinishResponse>(effects));
+    CHECK_FALSE(findEffect<ForwardResponse>(effects));
+    CHECK_FALSE(findEffect<RefuseCall>(effects));
+    CHECK(findEffect<AbortResponse>(effects));
+}
+
 namespace {
 
 /// Listens and ends each connection at once, or keeps it.
