Keep a begun stream at an engine that is only silent

Cause: two steps that treat guesses as facts. A stream was taken back from an engine that had sent nothing for 0.9 s, or for 0.35 s once one status request had waited 0.2 s; and a stream that was queued again was refused at once when it was predicted to miss its deadline. With its head forwarded a refusal is a reset. The configuration is only what makes the rule count.

Change: mayEnd() is the one rule on what may end a request that an upstream has begun: a dead upstream, the caller or its deadline. An engine counts as dead when a status request is refused, or has no answer within 1.5 s and nothing came from the engine meanwhile. A begun stream then moves only to an engine that goes on at once, else it stays, since the engine may come back. A stream whose engine did end waits for another one until its deadline: when none is listed, when one after the other turns it away (which uses up no attempt, as nothing ran), and when the retry budget has no place for it yet. It does not hold up the queue. Quarantines no longer cancel a response whose head has come.

Evidence: unit_relay_begun, with 40 seeded sequences of silence, configurations, lists, reports and declared weights.

--- /dev/null
+++ b/src/begun_request_func.cpp
@@ -0,0 +1,21 @@
+#include "begun_request_func.h"
+
+namespace hickory {
+
+bool hasBegun(const RelayRequest& request)
+{
+    return request.headForwarded || (request.active && request.active->headReceived);
+}
+
+bool mayEnd(const RelayRequest& request, EndCause cause)
+{
+    return !hasBegun(request) || cause == EndCause::UpstreamDead || cause == EndCause::Deadline;
+}
+
+bool hasAttemptLeft(const RelayRequest& request)
+{
+    const bool resumedUnbegun = request.headForwarded && request.active && !request.active->headReceived;
+    return resumedUnbegun || request.sends < request.route->maxAttempts;
+}
+
+} // namespace hickory
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -52,7 +52,8 @@
 /// Takes the send in flight, if there is one, off its upstream's load.
 /// @param cancel whether the upstream may still be working on it
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects);
-/// Cancels and retries repeatable requests at upstreams that have sent nothing for too long.
+/// Takes requests back from upstreams that have sent nothing for too long: those that have not begun, and those that
+/// have if the upstream is dead and another one can go on at once.
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects);
 
 /// Cancels and retries requests that are still queued at engines whose weights are too old to start on.
@@ -74,6 +75,8 @@
 /// Ends the standstill of an upstream that answered a probe. One that did not is ejected, and its requests are taken
 /// back.
 void applyStillProbe(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects);
+/// @return name of a result for the log
+const char* probeResultName(ProbeResult result);
 /// @return path at which upstreams of a service tell their status, empty if they have none
 std::string statusPathOf(const RelayState& state, const ServiceId& service);
 /// Records a whole response in the upstream's error rate.
--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -1,3 +1,4 @@
+#include "begun_request_func.h"
 #include "crash_func.h"
 #include "relay_cmd.h"
 #include "relay_reduce_func.h"
@@ -184,7 +185,8 @@
     {
         std::vector<CallId> refused;
         for (const auto& [call, request] : state.requests)
-            if ((!request.active || request.active->prefilling) && findQuarantine(state.crashes, request.traits, now))
+            if ((!request.active || request.active->prefilling) && mayEnd(request, EndCause::Quarantine)
+                && findQuarantine(state.crashes, request.traits, now))
                 refused.push_back(call);
         for (const CallId call : refused) {
             RelayRequest& request = state.requests.at(call);
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -296,7 +296,7 @@
             { .address = probe->address,
                 .statusPath = probe->statusPath,
                 .mustAnswer = probe->mustAnswer,
-                .timeout = probe->mustAnswer ? stillProbeTimeout : probeTimeout },
+                .timeout = probe->timeout },
             [this, upstream = probe->upstream, mustAnswer = probe->mustAnswer, startedAt = monotonicNow()](
                 ProbeResult result) {
                 this->dispatch(UpstreamProbed {
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -1,3 +1,4 @@
+#include "begun_request_func.h"
 #include "crash_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
@@ -6,6 +7,7 @@
 #include "table/relay_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -240,16 +242,22 @@
     for (auto next = queue.begin(); next != queue.end();) {
         RelayRequest& request = state.requests.at(next->second);
         ++next; // the request may leave the queue
-        if (!mayTry(state, request, now))
+        RetryWindow& retries = state.services[service].retries;
+        if (!mayTry(state, request, now)
+            || (request.owesRetry && !mayRetry(retries, state.options, state.entryCount, now)))
             continue;
         const auto upstream = chooseUpstream(state, request, now, true);
+        if (!upstream && hasBegun(request))
+            continue; // it waits as long as it has time, and others need not wait for it
         if (!upstream)
             return;
-        const bool begun = request.headForwarded || request.mayHaveRun;
-        if (state.drainEndsAt && !begun && !finishesBefore(request, *state.drainEndsAt, now)) {
+        if (state.drainEndsAt && mayEnd(request, EndCause::Stopping) && !request.mayHaveRun
+            && !finishesBefore(request, *state.drainEndsAt, now)) {
             refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
             continue;
         }
+        if (std::exchange(request.owesRetry, false))
+            takeRetry(retries, state.options, state.entryCount, now);
         removeFromQueue(state, request);
         sendRequest(state, request, *upstream, now, effects);
     }
@@ -272,7 +280,7 @@
     for (auto& [call, request] : state.requests) {
         if (now >= request.deadlineAt)
             expired.push_back(call);
-        else if (request.queued && cannotMeetDeadline(request, now))
+        else if (request.queued && mayEnd(request, EndCause::Lateness) && cannotMeetDeadline(request, now))
             unservable.push_back(call);
         else if (request.queued && !request.queued->late
             && makeQueueKey(request, state.options.queuePolicy, now).late) {
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,3 +1,4 @@
+#include "begun_request_func.h"
 #include "crash_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -50,9 +51,21 @@
         NotSent, ///< no byte left this process
         NotRun, ///< the upstream states that it did not run the request
         CutOff, ///< the connection ended before the whole answer; it may have run
+        TakenBack, ///< the upstream had not begun it, as far as is known
         MayHaveRun, ///< anything else
     };
 
+    /// Queues a stream that its caller has in part, until an upstream can go on with it or its deadline passes.
+    /// @param owesRetry the retry budget has no place for it yet
+    void queueBegun(RelayState& state, RelayRequest& request, bool owesRetry, Milliseconds now, RelayEffects& effects)
+    {
+        request.owesRetry = owesRetry;
+        LogLine line = requestLogLine("hold-begun", request, now);
+        line.fields.emplace_back("reason", owesRetry ? "retry-budget" : "no-upstream");
+        effects.emplace_back(std::move(line));
+        enqueueRequest(state, request, now);
+    }
+
     /// Sends a request again after a failed send, queues it, or refuses it. A send that left this process counts as a
     /// retry against the retry budget.
     /// @param reason for the log, the metric and, if the request is refused, the response body
@@ -60,18 +73,27 @@
         Milliseconds now, RelayEffects& effects)
     {
         const bool notSent = failure == SendFailure::NotSent;
-        const bool mayHaveRun = failure == SendFailure::CutOff || failure == SendFailure::MayHaveRun;
+        const bool mayHaveRun = !notSent && failure != SendFailure::NotRun;
         if (mayHaveRun)
             request.mayHaveRun = true;
         const bool repeatable = !mayHaveRun || isRepeatable(request);
+        const bool begun = hasBegun(request);
+        if (begun && (failure == SendFailure::NotRun || failure == SendFailure::TakenBack))
+            --request.sends;
         const bool attemptsLeft
-            = notSent ? request.connectFailures < maxConnectFailures : request.sends < request.route->maxAttempts;
+            = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
         // A trial that did not begin has shown enough.
         const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
             && suspicionHold(state.crashes, request.traits, now);
         const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
         if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
-            if (notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now)) {
+            const bool hasRetry
+                = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
+            if (!hasRetry && begun) {
+                queueBegun(state, request, true, now, effects);
+                return;
+            }
+            if (hasRetry) {
                 LogLine line = requestLogLine("retry", request, now);
                 line.fields.emplace_back("reason", reason);
                 line.fields.emplace_back("resume_after", request.lastEventId);
@@ -87,6 +109,10 @@
                     enqueueRequest(state, request, now);
                     return;
                 }
+                if (begun) {
+                    queueBegun(state, request, false, now, effects);
+                    return;
+                }
             }
         }
         refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable,
@@ -183,19 +209,6 @@
         return calls;
     }
 
-    const char* probeResultName(ProbeResult result)
-    {
-        switch (result) {
-        case ProbeResult::Accepted:
-            return "accepted";
-        case ProbeResult::Refused:
-            return "refused";
-        case ProbeResult::Unreachable:
-            break;
-        }
-        return "unreachable";
-    }
-
 } // namespace
 
 void sendRequest(
@@ -284,6 +297,7 @@
         --view.unbegun;
     view.onProbation = false;
     view.standsStill = false;
+    view.dead = false;
     send.headReceived = true;
     send.status = event.status;
     send.sealed = event.sealed;
@@ -322,6 +336,7 @@
     RelayUpstream& view = state.upstreams.at(send.upstream);
     view.lastHeardAt = now;
     view.answeredAt = now;
+    view.dead = false;
     send.lastProgressAt = now;
     recordUpstreamAlive(state, send.upstream, send.sentAt);
     request->resumePointKnown = !event.lastEventId.empty();
@@ -384,31 +399,51 @@
     }
 }
 
+namespace {
+
+    /// Updates for each upstream how long its requests have waited for a response.
+    void updateLongestWaits(RelayState& state, Milliseconds now)
+    {
+        for (auto& [id, view] : state.upstreams)
+            view.longestWait = {};
+        for (const auto& [call, request] : state.requests) {
+            if (!request.active || request.active->headReceived)
+                continue;
+            const auto view = state.upstreams.find(request.active->upstream);
+            if (view != state.upstreams.end())
+                view->second.longestWait = std::max(view->second.longestWait, now - request.active->sentAt);
+        }
+    }
+
+    /// @param request has a send in flight at the upstream
+    /// @return whether both have been silent for so long that a request which has not begun is taken back
+    bool isTooSilent(const RelayRequest& request, const RelayUpstream& view, Milliseconds now)
+    {
+        const bool engine = isEngineRequest(request);
+        const Milliseconds limit = engine
+            ? (view.standsStill ? engineStallTimeout : engineSilenceTimeout)
+            : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
+        return now - request.active->lastProgressAt > limit && (!engine || now - view.lastHeardAt > limit);
+    }
+
+    /// @return whether another upstream could go on with a request at once
+    bool canMoveNow(const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        return mayTry(state, request, now) && !findQuarantine(state.crashes, request.traits, now)
+            && chooseUpstream(state, request, now, true);
+    }
+
+} // namespace
+
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects)
 {
-    for (auto& [id, view] : state.upstreams)
-        view.longestWait = {};
+    updateLongestWaits(state, now);
+    std::vector<CallId> silent;
     for (const auto& [call, request] : state.requests) {
-        if (!request.active || request.active->headReceived)
+        if (!request.active || !isRepeatable(request) || !hasAttemptLeft(request))
             continue;
         const auto view = state.upstreams.find(request.active->upstream);
-        if (view != state.upstreams.end())
-            view->second.longestWait = std::max(view->second.longestWait, now - request.active->sentAt);
-    }
-    std::vector<CallId> silent;
-    for (auto& [call, request] : state.requests) {
-        if (!request.active || !isRepeatable(request) || request.sends >= request.route->maxAttempts)
-            continue;
-        const ActiveSend& send = *request.active;
-        const auto view = state.upstreams.find(send.upstream);
-        if (view == state.upstreams.end())
-            continue;
-        const bool engine = isEngineRequest(request);
-        const Milliseconds limit = engine
-            ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
-            : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
-        const bool upstreamSilent = !engine || now - view->second.lastHeardAt > limit;
-        if (now - send.lastProgressAt > limit && upstreamSilent)
+        if (view != state.upstreams.end() && (view->second.dead || isTooSilent(request, view->second, now)))
             silent.push_back(call);
     }
     for (const CallId call : silent) {
@@ -420,11 +455,22 @@
         if (!mayRetry(retries, state.options, state.entryCount, now) || !request.active)
             continue;
         const UpstreamId upstream = request.active->upstream;
-        recordUpstreamFailure(state, upstream, "silent", now, effects);
-        state.upstreams.at(upstream).standsStill = true;
+        RelayUpstream& view = state.upstreams.at(upstream);
+        const bool atUpstream = request.active->headReceived;
+        if (atUpstream && !mayEnd(request, view.dead ? EndCause::UpstreamDead : EndCause::Silence))
+            continue;
+        request.mayHaveRun = true;
+        // One that is only taken for dead may still go on.
+        if (atUpstream && !canMoveNow(state, request, now))
+            continue;
         request.excludedUpstreams.insert(upstream);
+        if (!view.dead) {
+            recordUpstreamFailure(state, upstream, "silent", now, effects);
+            view.standsStill = true;
+        }
         releaseSend(state, request, true, effects);
-        retryElsewhere(state, request, SendFailure::MayHaveRun, "silent", now, effects);
+        retryElsewhere(
+            state, request, atUpstream ? SendFailure::MayHaveRun : SendFailure::TakenBack, "silent", now, effects);
     }
 }
 
@@ -443,7 +489,7 @@
     for (const CallId call : outdated) {
         RelayRequest& request = state.requests.at(call);
         releaseSend(state, request, true, effects);
-        retryElsewhere(state, request, SendFailure::MayHaveRun, "outdated-weights", now, effects);
+        retryElsewhere(state, request, SendFailure::TakenBack, "outdated-weights", now, effects);
     }
 }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -97,6 +97,7 @@
     std::optional<QueueKey> queued; ///< its key while it is in the queue
     bool headForwarded { false }; ///< the caller received the head of a response
     bool mayHaveRun { false }; ///< an upstream may have run it
+    bool owesRetry { false }; ///< queued without a place in the retry budget, which it takes when it is sent
     std::string lastEventId; ///< id of the last event forwarded, at first that of the caller
     /// Another engine can go on after lastEventId: no event was forwarded, or they have ids.
     bool resumePointKnown { true };
@@ -127,7 +128,10 @@
     /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
     /// Gets no requests until it has answered a status request.
     bool standsStill { false };
-    bool probing { false }; ///< a status request that decides on standsStill is in flight
+    /// It stood still and a status request was refused or had no answer for deadProbeTimeout; nothing came from it
+    /// since.
+    bool dead { false };
+    bool probing { false }; ///< a status request that decides on standsStill and dead is in flight
     Milliseconds probedAt { -1000000 }; ///< when it last answered such a request; starts far in the past
     double errorRate { 0 }; ///< moving average of failures, 0 to 1
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -247,6 +247,7 @@
     std::string address; ///< "ip:port" of the upstream
     std::string statusPath; ///< path to ask, so that the process itself has to answer; empty to connect only
     bool mustAnswer { false }; ///< a connection that is kept without an answer to the status request is not enough
+    Milliseconds timeout { 400 }; ///< for the connection, and again for the answer
 };
 
 /// Send other entries crashNews() at once.
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -27,11 +27,16 @@
 constexpr double minDispatchRate = 4.0; ///< dispatches a second assumed when fewer were seen in the window
 
 constexpr double minLimitedRate = 0.01; ///< the same when the upstreams' own limits are known
-/// An engine that has requests in flight and sent nothing for this long is taken as dead: a pass of a full engine takes
-/// 70 ms, one of an engine at a fifth of the speed 350 ms.
+/// Requests that an engine has not begun are taken back from it when it sent nothing for this long: a pass of a full
+/// engine takes 70 ms, one of an engine at a fifth of the speed 350 ms.
 constexpr Milliseconds engineSilenceTimeout { 900 };
 /// An engine that has requests in flight and sent nothing for this long gets no more: five passes of a full engine.
 constexpr Milliseconds engineStallTimeout { 350 };
+/// Of a status request to an engine that is silent: several round trips between regions, and the time of an answer.
+constexpr Milliseconds stillProbeTimeout { 200 };
+/// The same for one that did not answer in time. An engine that does not answer this one counts as dead: a sound one
+/// may be silent for a second or so.
+constexpr Milliseconds deadProbeTimeout { 1500 };
 /// Requests of all entries that may lie at an engine without having begun: as many as it gets in about a second of the
 /// ordinary load. If its host stops, they cannot be called back.
 constexpr std::uint32_t maxUnbegun = 16;
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -61,9 +61,6 @@
 static_assert(configComparisonTime > beaconPeriod * 3, "a lost beacon must not end the comparison");
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
-constexpr Milliseconds probeTimeout { 400 }; ///< of a connection that shows whether an upstream still runs
-/// Of a status request to an upstream that is silent: several round trips between regions, and the time of an answer.
-constexpr Milliseconds stillProbeTimeout { 200 };
 constexpr Milliseconds peerTablesTimeout { 400 }; ///< of a request for a peer's tables
 /// Idle time after which a kept connection to an upstream is not reused: upstreams that announce no idle timeout close
 /// connections after some seconds.
--- /dev/null
+++ b/tests/unit_relay_begun.cpp
@@ -0,0 +1,248 @@
+#include "begun_request_func.h"
+#include "relay_fixture.h"
+#include "table/relay_limits.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hickory;
+
+namespace {
+
+/// A relay with a stream that engine "e1" has begun.
+struct BegunStream {
+    BegunStream()
+    {
+        this->relay.list({ RelayFixture::upstream("e1", "engine") });
+        const auto* sent = findEffect<SendToUpstream>(this->relay.request("/letters/"));
+        REQUIRE(sent);
+        this->call = sent->call;
+        this->send = sent->send;
+        this->relay.event(
+            ResponseStarted { .call = this->call, .send = this->send, .status = 200, .sealed = true, .stream = true });
+        this->progress("19");
+    }
+
+    std::vector<RelayEffect> progress(const std::string& lastEventId)
+    {
+        return this->relay.event(
+            StreamProgressed { .call = this->call, .send = this->send, .lastEventId = lastEventId });
+    }
+
+    /// Lets the engine leave all status requests unanswered for some time.
+    /// @return effects of that time
+    std::vector<RelayEffect> silence(Milliseconds time)
+    {
+        std::vector<RelayEffect> all;
+        std::optional<ProbeUpstream> asked;
+        Milliseconds askedAt;
+        const Milliseconds until = this->relay.now + time;
+        while (this->relay.now < until) {
+            this->relay.now += Milliseconds { 20 };
+            std::vector<RelayEffect> effects;
+            if (asked && this->relay.now - askedAt >= asked->timeout) {
+                effects = this->relay.event(UpstreamProbed { .upstream = asked->upstream,
+                    .result = ProbeResult::Unreachable,
+                    .startedAt = askedAt,
+                    .mustAnswer = true });
+                asked.reset();
+            }
+            const auto ticked = this->relay.event(RelayTick {});
+            effects.insert(effects.end(), ticked.begin(), ticked.end());
+            if (const auto* probe = findEffect<ProbeUpstream>(effects)) {
+                asked = *probe;
+                askedAt = this->relay.now;
+            }
+            all.insert(all.end(), effects.begin(), effects.end());
+        }
+        return all;
+    }
+
+    RelayFixture relay;
+    CallId call;
+    SendId send;
+};
+
+/// Lists engine "e1" and another one whose slots are all in use.
+void listFullEngine(RelayFixture& relay)
+{
+    UpstreamEntry full = RelayFixture::upstream("e2", "engine");
+    full.slots = 1;
+    relay.list({ RelayFixture::upstream("e1", "engine"), full });
+    for (int count = 0; count < 2; ++count) {
+        const auto effects = relay.request("/calls/");
+        const auto* sent = findEffect<SendToUpstream>(effects);
+        if (sent && sent->upstream.value == "e2")
+            relay.event(ResponseStarted {
+                .call = sent->call, .send = sent->send, .status = 200, .sealed = true, .stream = true });
+    }
+}
+
+bool endsCall(const std::vector<RelayEffect>& effects, CallId call)
+{
+    return std::any_of(effects.begin(), effects.end(), [&](const RelayEffect& effect) {
+        const auto* aborted = std::get_if<AbortResponse>(&effect);
+        const auto* refused = std::get_if<RefuseCall>(&effect);
+        const auto* cancelled = std::get_if<CancelSend>(&effect);
+        return (aborted && aborted->call == call) || (refused && refused->call == call)
+            || (cancelled && cancelled->call == call);
+    });
+}
+
+} // namespace
+
+// Guards against streams that are taken back from a sound engine and then reset because no time is left to begin anew.
+TEST_CASE("A begun stream outlasts a second of silence of its engine", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    relay.now += Milliseconds { 2500 };
+    stream.progress("20");
+    SECTION("while no other engine could take it") { }
+    SECTION("while another engine could take it")
+    {
+        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    }
+    SECTION("while another engine is full") { listFullEngine(relay); }
+    relay.updateConfig(2);
+    CHECK_FALSE(endsCall(stream.silence({ 700 }), stream.call));
+    relay.updateConfig(3);
+    CHECK_FALSE(endsCall(stream.silence({ 700 }), stream.call));
+    stream.progress("21");
+    CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = stream.send })));
+}
+
+// Guards against streams that are given up when their engine, taken for dead, comes back.
+TEST_CASE("A stream stays at a dead engine until another one can go on with it", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    CHECK_FALSE(endsCall(stream.silence({ 3000 }), stream.call));
+    CHECK(relay.state.upstreams.at({ "e1" }).dead);
+    SECTION("which may be the same one")
+    {
+        stream.progress("20");
+        CHECK_FALSE(relay.state.upstreams.at({ "e1" }).dead);
+        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+        CHECK_FALSE(endsCall(relay.event(RelayTick {}), stream.call));
+    }
+    SECTION("which is told where to go on")
+    {
+        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+        const auto effects = relay.event(RelayTick {});
+        REQUIRE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(effects)->upstream.value == "e2");
+        CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "19");
+    }
+    SECTION("until its deadline")
+    {
+        relay.now += Milliseconds { 3000 };
+        CHECK(findEffect<AbortResponse>(relay.event(RelayTick {})));
+    }
+}
+
+// Guards against streams that are reset because the engine that is to go on with them is full or late.
+TEST_CASE("A stream whose engine ended waits for another one until its deadline", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    const auto end = [&](SendId send) {
+        return relay.event(ResponseEnded { .call = stream.call, .send = send, .end = SendResult::Broken });
+    };
+    SECTION("while none is listed")
+    {
+        CHECK_FALSE(endsCall(end(stream.send), stream.call));
+        relay.now += Milliseconds { 5000 };
+        CHECK_FALSE(endsCall(relay.event(RelayTick {}), stream.call));
+        CHECK(findEffect<SendToUpstream>(relay.list({ RelayFixture::upstream("e2", "engine") })));
+    }
+    SECTION("while one after the other turns it away")
+    {
+        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+        auto effects = end(stream.send);
+        for (int times = 0; times < 4; ++times) {
+            const auto* sent = findEffect<SendToUpstream>(effects);
+            REQUIRE(sent);
+            const auto refused = relay.event(
+                ResponseStarted { .call = stream.call, .send = sent->send, .status = 503, .notRun = true });
+            CHECK_FALSE(findEffect<AbortResponse>(refused));
+            relay.now += fullBackoff + Milliseconds { 20 };
+            effects = relay.event(RelayTick {});
+        }
+        CHECK(findEffect<SendToUpstream>(effects));
+    }
+    SECTION("while the retry budget is used up")
+    {
+        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+        relay.state.options.retryRatio = relay.state.options.retryExtra = 0;
+        CHECK_FALSE(endsCall(end(stream.send), stream.call));
+        CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+        relay.state.options.retryExtra = 10;
+        CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+        CHECK(relay.state.services.at({ "engine" }).retries.buckets.back().retries == 1);
+    }
+}
+
+// Guards against a stream without an upstream that keeps all others waiting.
+TEST_CASE("A stream that no engine can go on with does not hold up the queue", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    relay.event(ResponseEnded { .call = stream.call, .send = stream.send, .end = SendResult::Broken });
+    relay.now += maxEjection;
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    const auto effects = relay.request("/letters/");
+    REQUIRE(findEffect<SendToUpstream>(effects));
+    CHECK(findEffect<SendToUpstream>(effects)->call == relay.lastCallId());
+}
+
+// Guards against each way in which silence, lateness or a change could end what an upstream has begun.
+TEST_CASE("Nothing but its caller, its deadline or a dead engine ends a begun stream", "[relay][begun]")
+{
+    const auto seed = GENERATE(range(1, 41));
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto draw = [&](int most) { return static_cast<int>(random() % static_cast<unsigned>(most + 1)); };
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    const Milliseconds deadline = relay.now + Milliseconds { 5000 };
+    std::uint64_t version = 1;
+    int events = 19;
+    std::vector<std::vector<RelayEffect>> all;
+    while (relay.now < deadline) {
+        switch (draw(7)) {
+        case 0:
+            relay.updateConfig(++version);
+            break;
+        case 1:
+            all.push_back(relay.event(WeightsDeclared { .model = { "model" }, .version = { ++version } }));
+            break;
+        case 2:
+            all.push_back(relay.list({ RelayFixture::upstream("e1", "engine"),
+                RelayFixture::upstream("e2", "engine", static_cast<std::uint64_t>(draw(3))) }));
+            break;
+        case 3:
+            all.push_back(relay.list({ RelayFixture::upstream("e2", "engine") }));
+            break;
+        case 4: {
+            UpstreamEntry leaving = RelayFixture::upstream("e1", "engine");
+            leaving.leaving = true;
+            all.push_back(relay.list({ leaving }));
+            break;
+        }
+        case 5:
+            all.push_back(relay.request(draw(1) == 0 ? "/calls/" : "/digests/"));
+            break;
+        case 6:
+            all.push_back(relay.event(EngineReported {
+                .address = "e1:1", .report = { .models = {}, .running = 4 }, .orderPending = draw(1) == 0 }));
+            break;
+        default:
+            break;
+        }
+        all.push_back(stream.silence({ 20 + draw(1400) }));
+        all.push_back(stream.progress(std::to_string(++events)));
+    }
+    INFO("seed " << seed);
+    for (const auto& effects : all)
+        REQUIRE_FALSE(endsCall(effects, stream.call));
+}
