--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -7,7 +7,7 @@
 /// Why a request, or its send in flight, would be ended before its response is whole. A caller that leaves always ends
 /// its request.
 enum class EndCause : std::uint8_t {
-    UpstreamDead, ///< the upstream ended, broke the response off or counts as dead
+    UpstreamDead, ///< the upstream ended or broke the response off
     Deadline, ///< the request's deadline: the caller's, the route's timeout or the end of a drain
     Silence, ///< the upstream sent nothing for some time
     Lateness, ///< the request is predicted to miss its deadline
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -35,10 +35,31 @@
 
 // Sends (relay_send_cmd.cpp) ----------------------------------------------------------------------------------------
 
+/// What is known about a send that failed.
+enum class SendFailure : std::uint8_t {
+    NotSent, ///< no byte left this process
+    NotRun, ///< the upstream states that it did not run the request
+    CutOff, ///< the connection ended before the whole answer; it may have run
+    TakenBack, ///< the upstream had not begun it, as far as is known
+    MayHaveRun, ///< anything else
+};
+
 /// Sends a request to an upstream.
 /// @pre the request has no send in flight
 void sendRequest(
     RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects);
+/// Sends a request to another upstream, beside its send in flight.
+/// @pre the request has a send in flight and no backup
+void sendBackup(
+    RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects);
+/// Goes on with a request after a failed send: with its backup, at another upstream or in the queue; else refuses it. A
+/// send that left this process counts as a retry against the retry budget.
+/// @param reason for the log, the metric and, if the request is refused, the response body
+/// @pre the request has no send in flight but its backup
+void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
+    RelayEffects& effects);
+/// @return whether a request that may have run may be sent again
+bool isRepeatable(const RelayRequest& request);
 /// Starts to forward a streamed response, or retries a request that the upstream states it did not run.
 void applyResponseStarted(RelayState& state, const ResponseStarted& event, Milliseconds now, RelayEffects& effects);
 /// Records the progress of a stream, so that it can be resumed after its last event.
@@ -52,10 +73,14 @@
 /// Takes the send in flight, if there is one, off its upstream's load.
 /// @param cancel whether the upstream may still be working on it
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects);
-/// Takes requests back from upstreams that have sent nothing for too long: those that have not begun, and those that
-/// have if the upstream is dead and another one can go on at once.
-void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects);
+/// The same for the backup.
+void releaseBackup(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects);
+
+// Silent upstreams (relay_silence_cmd.cpp) --------------------------------------------------------------------------
 
+/// Takes requests that have not begun back from upstreams that have sent nothing for too long. Those that have begun
+/// stay, and get a backup at another upstream if one can go on at once.
+void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects);
 /// Cancels and retries requests that are still queued at engines whose weights are too old to start on.
 void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects);
 
@@ -75,8 +100,6 @@
 /// Ends the standstill of an upstream that answered a probe. One that did not is ejected, and its requests are taken
 /// back.
 void applyStillProbe(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects);
-/// @return name of a result for the log
-const char* probeResultName(ProbeResult result);
 /// @return path at which upstreams of a service tell their status, empty if they have none
 std::string statusPathOf(const RelayState& state, const ServiceId& service);
 /// Records a whole response in the upstream's error rate.
@@ -90,9 +113,9 @@
 /// @return false while a request must wait because it may crash its upstream: requests with a suspected prompt part are
 /// tried one at a time
 bool mayTry(const RelayState& state, const RelayRequest& request, Milliseconds now);
-/// Notes that the send in flight was cut off with its connection, and probes the upstream.
-/// @pre the request has a send in flight
-void recordBrokenSend(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects);
+/// Notes that a send of a request was cut off with its connection, and probes the upstream.
+void recordBrokenSend(
+    RelayState& state, const RelayRequest& request, const ActiveSend& send, Milliseconds now, RelayEffects& effects);
 /// Notes whether an upstream still accepts connections.
 void applyProbe(RelayState& state, const UpstreamProbed& event);
 /// Notes that an upstream left the list or was restarted. If connections to it broke a moment ago, its process crashed.
--- a/src/relay_crash_cmd.cpp
+++ b/src/relay_crash_cmd.cpp
@@ -319,9 +319,10 @@
         || !trial->second.active->prefilling;
 }
 
-void recordBrokenSend(RelayState& state, const RelayRequest& request, Milliseconds now, RelayEffects& effects)
+void recordBrokenSend(
+    RelayState& state, const RelayRequest& request, const ActiveSend& send, Milliseconds now, RelayEffects& effects)
 {
-    const UpstreamId& upstream = request.active->upstream;
+    const UpstreamId& upstream = send.upstream;
     const auto view = state.upstreams.find(upstream);
     const CrashId process = crashId(upstream, view == state.upstreams.end() ? 0 : view->second.entry.processStartedAt);
     const auto [found, added] = state.crashes.broken.try_emplace(upstream);
@@ -333,7 +334,7 @@
             effects.emplace_back(ProbeUpstream { .upstream = upstream, .address = view->second.entry.address });
     }
     ++broken.broken;
-    if (!request.active->prefilling)
+    if (!send.prefilling)
         return;
     for (const RequestTrait trait : request.traits)
         if (!isSound(state.crashes.sound, trait))
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -64,7 +64,7 @@
     WireHead head; ///< start line and headers as received
     std::string body; ///< without transfer coding
     std::string attemptId; ///< a response that carries another one belongs to another request
-    std::shared_ptr<UpstreamCall> upstreamCall; ///< last send to an upstream, null before the first
+    std::map<SendId, std::shared_ptr<UpstreamCall>> sends; ///< to upstreams, but those that were cancelled
     bool streaming { false }; ///< the caller received the head of a stream
 };
 
@@ -276,15 +276,16 @@
         this->refuse(*refusal);
     else if (const auto* cancel = std::get_if<CancelSend>(&effect)) {
         const auto found = this->calls.find(cancel->call);
-        if (found != this->calls.end() && found->second->upstreamCall
-            && found->second->upstreamCall->sendId == cancel->send)
-            this->pool.cancel(found->second->upstreamCall->out);
+        if (found == this->calls.end() || !found->second->sends.contains(cancel->send))
+            return;
+        this->pool.cancel(found->second->sends.at(cancel->send)->out);
+        found->second->sends.erase(cancel->send);
     } else if (const auto* finish = std::get_if<FinishResponse>(&effect)) {
         const auto found = this->calls.find(finish->call);
         if (found == this->calls.end())
             return;
         if (found->second->streaming) {
-            this->front.body(finish->call, found->second->upstreamCall->splitter.rest());
+            this->front.body(finish->call, found->second->sends.at(finish->send)->splitter.rest());
             this->front.finish(finish->call);
         }
         this->calls.erase(found);
@@ -317,7 +318,7 @@
         return;
     const std::shared_ptr<Call>& call = found->second;
     auto upstreamCall = std::make_shared<UpstreamCall>(*this, effect, call);
-    call->upstreamCall = upstreamCall;
+    call->sends[effect.send] = upstreamCall;
     upstreamCall->out = this->pool.send({ .address = effect.address,
                                             .bytes = platform::encodeUpstreamRequest(call->head, call->body, effect),
                                             .maxIdle = effect.newConnection   ? Milliseconds { -1 }
@@ -329,11 +330,10 @@
 void RelayLoop::forwardResponse(const ForwardResponse& effect)
 {
     const auto found = this->calls.find(effect.call);
-    if (found == this->calls.end() || !found->second->upstreamCall
-        || found->second->upstreamCall->sendId != effect.send)
+    if (found == this->calls.end() || !found->second->sends.contains(effect.send))
         return;
     Call& call = *found->second;
-    const UpstreamCall& upstreamCall = *call.upstreamCall;
+    const UpstreamCall& upstreamCall = *call.sends.at(effect.send);
     const auto headers = platform::callerHeaders(upstreamCall.head);
     if (!upstreamCall.stream) {
         this->front.answer(effect.call, upstreamCall.head.status, headers, upstreamCall.body);
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -203,6 +203,7 @@
         .labels = std::string("service=\"") + request.service.value + "\",at=\"" + placeName(request) + "\"" });
     removeFromQueue(state, request);
     releaseSend(state, request, true, effects);
+    releaseBackup(state, request, true, effects);
     const ServiceId service = request.service;
     state.requests.erase(found);
     dispatchWaiting(state, service, now, effects);
@@ -213,6 +214,7 @@
 {
     removeFromQueue(state, request);
     releaseSend(state, request, true, effects);
+    releaseBackup(state, request, true, effects);
     const bool notRun = status == statusUnavailable;
     const Quarantine* quarantine = findQuarantine(state.crashes, request.traits, now);
     const bool unservable = quarantine || !chooseUpstream(state, request, now, false);
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -8,6 +8,7 @@
 #include "wire_head_type.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -18,24 +19,34 @@
     constexpr std::uint16_t statusBadGateway = 502;
     constexpr std::uint16_t statusUnavailable = 503;
 
-    /// @return the request, if the send is the one in flight, or nullptr for an event of an earlier send
-    RelayRequest* findActive(RelayState& state, CallId call, SendId send)
+    /// @return the request, if the send is in flight or its backup, or nullptr for an event of an earlier send
+    RelayRequest* findRequest(RelayState& state, CallId call, SendId send)
     {
         const auto found = state.requests.find(call);
-        if (found == state.requests.end() || !found->second.active || found->second.active->send != send)
+        if (found == state.requests.end())
             return nullptr;
-        return &found->second;
+        const auto is = [&](const std::optional<ActiveSend>& known) { return known && known->send == send; };
+        return is(found->second.active) || is(found->second.backup) ? &found->second : nullptr;
     }
 
-    bool isEngineRequest(const RelayRequest& request) { return !request.metadata.model.empty(); }
+    bool isBackup(const RelayRequest& request, SendId send) { return request.backup && request.backup->send == send; }
 
-    /// @return whether a request that may have run may be sent again
-    bool isRepeatable(const RelayRequest& request)
+    /// Keeps the send that answered first, as the one in flight, and cancels the other.
+    void keepSend(RelayState& state, RelayRequest& request, SendId answered, Milliseconds now, RelayEffects& effects)
     {
-        return request.route->kind == CallKind::Idempotent
-            || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
+        if (!request.backup)
+            return;
+        if (isBackup(request, answered))
+            std::swap(request.active, request.backup);
+        LogLine line = requestLogLine("backup-ends", request, now);
+        line.fields.emplace_back("kept", request.active->upstream.value);
+        line.fields.emplace_back("cancelled", request.backup->upstream.value);
+        effects.emplace_back(std::move(line));
+        releaseBackup(state, request, true, effects);
     }
 
+    bool isEngineRequest(const RelayRequest& request) { return !request.metadata.model.empty(); }
+
     /// @return the version that the engine is known to hold, or nothing while any version may be used
     std::optional<WeightsVersion> expectedWeights(
         const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
@@ -46,15 +57,6 @@
         return held->version;
     }
 
-    /// What is known about a send that failed.
-    enum class SendFailure : std::uint8_t {
-        NotSent, ///< no byte left this process
-        NotRun, ///< the upstream states that it did not run the request
-        CutOff, ///< the connection ended before the whole answer; it may have run
-        TakenBack, ///< the upstream had not begun it, as far as is known
-        MayHaveRun, ///< anything else
-    };
-
     /// Queues a stream that its caller has in part, until an upstream can go on with it or its deadline passes.
     /// @param owesRetry the retry budget has no place for it yet
     void queueBegun(RelayState& state, RelayRequest& request, bool owesRetry, Milliseconds now, RelayEffects& effects)
@@ -66,58 +68,72 @@
         enqueueRequest(state, request, now);
     }
 
-    /// Sends a request again after a failed send, queues it, or refuses it. A send that left this process counts as a
-    /// retry against the retry budget.
-    /// @param reason for the log, the metric and, if the request is refused, the response body
-    void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason,
-        Milliseconds now, RelayEffects& effects)
-    {
-        const bool notSent = failure == SendFailure::NotSent;
-        const bool mayHaveRun = !notSent && failure != SendFailure::NotRun;
-        if (mayHaveRun)
-            request.mayHaveRun = true;
-        const bool repeatable = !mayHaveRun || isRepeatable(request);
-        const bool begun = hasBegun(request);
-        if (begun && (failure == SendFailure::NotRun || failure == SendFailure::TakenBack))
-            --request.sends;
-        const bool attemptsLeft
-            = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
-        // A trial that did not begin has shown enough.
-        const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
-            && suspicionHold(state.crashes, request.traits, now);
-        const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
-        if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
-            const bool hasRetry
-                = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
-            if (!hasRetry && begun) {
-                queueBegun(state, request, true, now, effects);
+} // namespace
+
+bool isRepeatable(const RelayRequest& request)
+{
+    return request.route->kind == CallKind::Idempotent
+        || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
+}
+
+void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
+    RelayEffects& effects)
+{
+    const bool notSent = failure == SendFailure::NotSent;
+    const bool mayHaveRun = !notSent && failure != SendFailure::NotRun;
+    if (mayHaveRun)
+        request.mayHaveRun = true;
+    const bool repeatable = !mayHaveRun || isRepeatable(request);
+    const bool begun = hasBegun(request);
+    if (begun && (failure == SendFailure::NotRun || failure == SendFailure::TakenBack))
+        --request.sends;
+    if (request.backup) {
+        request.active = std::exchange(request.backup, std::nullopt);
+        LogLine line = requestLogLine("backup-kept", request, now);
+        line.fields.emplace_back("reason", reason);
+        line.fields.emplace_back("upstream", request.active->upstream.value);
+        effects.emplace_back(std::move(line));
+        return;
+    }
+    const bool attemptsLeft = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
+    // A trial that did not begin has shown enough.
+    const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
+        && suspicionHold(state.crashes, request.traits, now);
+    const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
+    if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
+        const bool hasRetry
+            = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
+        if (!hasRetry && begun) {
+            queueBegun(state, request, true, now, effects);
+            return;
+        }
+        if (hasRetry) {
+            LogLine line = requestLogLine("retry", request, now);
+            line.fields.emplace_back("reason", reason);
+            line.fields.emplace_back("resume_after", request.lastEventId);
+            effects.emplace_back(std::move(line));
+            effects.emplace_back(
+                MetricSample { .name = "retries_total", .labels = "reason=\"" + std::string(reason) + "\"" });
+            const bool held = !mayTry(state, request, now);
+            if (const auto upstream = held ? std::nullopt : chooseUpstream(state, request, now, true)) {
+                sendRequest(state, request, *upstream, now, effects);
+                return;
+            }
+            if (chooseUpstream(state, request, now, false)) {
+                enqueueRequest(state, request, now);
                 return;
             }
-            if (hasRetry) {
-                LogLine line = requestLogLine("retry", request, now);
-                line.fields.emplace_back("reason", reason);
-                line.fields.emplace_back("resume_after", request.lastEventId);
-                effects.emplace_back(std::move(line));
-                effects.emplace_back(
-                    MetricSample { .name = "retries_total", .labels = "reason=\"" + std::string(reason) + "\"" });
-                const bool held = !mayTry(state, request, now);
-                if (const auto upstream = held ? std::nullopt : chooseUpstream(state, request, now, true)) {
-                    sendRequest(state, request, *upstream, now, effects);
-                    return;
-                }
-                if (chooseUpstream(state, request, now, false)) {
-                    enqueueRequest(state, request, now);
-                    return;
-                }
-                if (begun) {
-                    queueBegun(state, request, false, now, effects);
-                    return;
-                }
+            if (begun) {
+                queueBegun(state, request, false, now, effects);
+                return;
             }
         }
-        refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable,
-            quarantined ? "quarantined" : reason, now, effects);
     }
+    refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable,
+        quarantined ? "quarantined" : reason, now, effects);
+}
+
+namespace {
 
     /// Finishes the response to the caller, records its outcome and removes the request.
     /// @pre the response of the send in flight is whole
@@ -145,9 +161,10 @@
         if (send.prefilling && success)
             recordBegun(state, request, now, effects);
         releaseSend(state, request, false, effects);
+        releaseBackup(state, request, true, effects);
         if (!request.headForwarded)
             effects.emplace_back(ForwardResponse { .call = request.call, .send = send.send });
-        effects.emplace_back(FinishResponse { .call = request.call });
+        effects.emplace_back(FinishResponse { .call = request.call, .send = send.send });
         const ServiceId service = request.service;
         state.requests.erase(request.call);
         dispatchWaiting(state, service, now, effects);
@@ -164,17 +181,15 @@
         const bool continuesStream = !request.headForwarded || request.active->stream;
         const bool isValid = isSuccess(status) ? request.active->sealed && continuesStream : !request.headForwarded;
         if (isComplete && isValid) {
-            const bool retryable = status >= statusServerError && request.route->kind == CallKind::Idempotent
-                && request.sends < request.route->maxAttempts;
-            if (retryable) {
-                const RetryWindow& retries = state.services[request.service].retries;
-                if (mayRetry(retries, state.options, state.entryCount, now)) {
-                    recordUpstreamResponse(state, upstream, false);
-                    request.excludedUpstreams.insert(upstream);
-                    releaseSend(state, request, false, effects);
-                    retryElsewhere(state, request, SendFailure::MayHaveRun, "upstream-error", now, effects);
-                    return;
-                }
+            const bool mayRepeat = request.sends < request.route->maxAttempts
+                && mayRetry(state.services[request.service].retries, state.options, state.entryCount, now);
+            if (status >= statusServerError && request.route->kind == CallKind::Idempotent
+                && (request.backup || mayRepeat)) {
+                recordUpstreamResponse(state, upstream, false);
+                request.excludedUpstreams.insert(upstream);
+                releaseSend(state, request, false, effects);
+                retryElsewhere(state, request, SendFailure::MayHaveRun, "upstream-error", now, effects);
+                return;
             }
             completeRequest(state, request, now, effects);
             return;
@@ -182,7 +197,7 @@
         const ServiceId service = request.service;
         const bool notSent = end == SendResult::NotSent;
         if (end == SendResult::Broken)
-            recordBrokenSend(state, request, now, effects);
+            recordBrokenSend(state, request, *request.active, now, effects);
         recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
         request.excludedUpstreams.insert(upstream);
         releaseSend(state, request, false, effects);
@@ -198,6 +213,34 @@
         dispatchWaiting(state, service, now, effects);
     }
 
+    /// Ends the backup of a request, which goes on with its send in flight.
+    void endBackup(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
+    {
+        const UpstreamId upstream = request.backup->upstream;
+        const bool notSent = end == SendResult::NotSent;
+        if (end == SendResult::Broken)
+            recordBrokenSend(state, request, *request.backup, now, effects);
+        recordUpstreamFailure(state, upstream, notSent ? "connect" : "broken", now, effects);
+        request.excludedUpstreams.insert(upstream);
+        if (notSent)
+            --request.sends;
+        releaseBackup(state, request, false, effects);
+        dispatchWaiting(state, request.service, now, effects);
+    }
+
+    const char* probeResultName(ProbeResult result)
+    {
+        switch (result) {
+        case ProbeResult::Accepted:
+            return "accepted";
+        case ProbeResult::Refused:
+            return "refused";
+        case ProbeResult::Unreachable:
+            break;
+        }
+        return "unreachable";
+    }
+
     /// @return requests whose answers from an upstream ended with their connections up to a moment
     std::vector<CallId> unconfirmedAnswers(const RelayState& state, const UpstreamId& upstream, Milliseconds until)
     {
@@ -211,83 +254,118 @@
 
 } // namespace
 
+namespace {
+
+    /// Gives a request to an upstream.
+    ActiveSend startSend(
+        RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+    {
+        RelayUpstream& view = state.upstreams.at(upstream);
+        RelayServiceState& service = state.services[request.service];
+        if (request.sends == 0)
+            countFirstSend(service.retries, now, state.options.retryWindow);
+        service.dispatchTimes.push_back(now);
+        while (!service.dispatchTimes.empty() && now - service.dispatchTimes.front() > dispatchRateWindow)
+            service.dispatchTimes.pop_front();
+        ++request.sends;
+        const ActiveSend send {
+            .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .lastProgressAt = now
+        };
+        if (view.sent == 0)
+            view.lastHeardAt = now;
+        countSend(state, view, now);
+        ++view.sent;
+        ++view.unbegun;
+        view.prefillTokens += request.metadata.promptTokens;
+        LogLine line = requestLogLine("send", request, now);
+        line.fields.emplace_back("upstream", upstream.value);
+        line.fields.emplace_back("try", std::to_string(request.sends));
+        line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
+        line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+        if (const HeldModel* held = heldModel(view, request.metadata.model)) {
+            line.fields.emplace_back("weights", std::to_string(held->version.value));
+            line.fields.emplace_back(
+                "required", std::to_string(requiredWeights(state, request.metadata.model, now).value));
+        }
+        if (request.active)
+            line.fields.emplace_back("beside", request.active->upstream.value);
+        if (const UpstreamStanding* standing = findStanding(state, view); standing && standing->requestsPerSecond)
+            line.fields.emplace_back("limit", std::to_string(*standing->requestsPerSecond));
+        if (suspicionHold(state.crashes, request.traits, now)) {
+            state.crashes.trial = request.call;
+            line.fields.emplace_back("trial_traits", traitsText(request.traits));
+        }
+        effects.emplace_back(std::move(line));
+        effects.emplace_back(SendToUpstream { .call = request.call,
+            .send = send.send,
+            .upstream = upstream,
+            .address = view.entry.address,
+            .timeLeft = request.deadlineAt - now,
+            .urgency = isEngineRequest(request) && state.options.queuePolicy == RelayQueuePolicy::Urgency
+                ? std::optional(request.urgency)
+                : std::nullopt,
+            .workspace = request.workspace,
+            .expectVersion = expectedWeights(state, view, request, now),
+            .resumeAfter = request.lastEventId,
+            .expectsStream = request.route->kind == CallKind::Stream,
+            .avoidStaleConnection = request.route->kind == CallKind::NonIdempotent,
+            .newConnection = request.sends > 1 });
+        return send;
+    }
+
+    /// Takes a send, if there is one, off its upstream's load.
+    void dropSend(RelayState& state, const RelayRequest& request, std::optional<ActiveSend>& send, bool cancel,
+        RelayEffects& effects)
+    {
+        if (!send)
+            return;
+        const auto found = state.upstreams.find(send->upstream);
+        if (found != state.upstreams.end()) {
+            RelayUpstream& view = found->second;
+            --view.sent;
+            if (!send->headReceived)
+                --view.unbegun;
+            if (send->prefilling)
+                view.prefillTokens -= request.metadata.promptTokens;
+            if (!view.listed && view.sent == 0)
+                state.upstreams.erase(found);
+        }
+        if (cancel)
+            effects.emplace_back(CancelSend { .call = request.call, .send = send->send });
+        send.reset();
+    }
+
+} // namespace
+
 void sendRequest(
     RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
 {
-    RelayUpstream& view = state.upstreams.at(upstream);
-    RelayServiceState& service = state.services[request.service];
-    if (request.sends == 0)
-        countFirstSend(service.retries, now, state.options.retryWindow);
-    service.dispatchTimes.push_back(now);
-    while (!service.dispatchTimes.empty() && now - service.dispatchTimes.front() > dispatchRateWindow)
-        service.dispatchTimes.pop_front();
-    ++request.sends;
-    request.active
-        = ActiveSend { .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .lastProgressAt = now };
-    if (view.sent == 0)
-        view.lastHeardAt = now;
-    countSend(state, view, now);
-    ++view.sent;
-    ++view.unbegun;
-    view.prefillTokens += request.metadata.promptTokens;
-    LogLine line = requestLogLine("send", request, now);
-    line.fields.emplace_back("upstream", upstream.value);
-    line.fields.emplace_back("try", std::to_string(request.sends));
-    line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
-    line.fields.emplace_back("slots", std::to_string(view.entry.slots));
-    if (const HeldModel* held = heldModel(view, request.metadata.model)) {
-        line.fields.emplace_back("weights", std::to_string(held->version.value));
-        line.fields.emplace_back("required", std::to_string(requiredWeights(state, request.metadata.model, now).value));
-    }
-    if (const UpstreamStanding* standing = findStanding(state, view); standing && standing->requestsPerSecond)
-        line.fields.emplace_back("limit", std::to_string(*standing->requestsPerSecond));
-    if (suspicionHold(state.crashes, request.traits, now)) {
-        state.crashes.trial = request.call;
-        line.fields.emplace_back("trial_traits", traitsText(request.traits));
-    }
-    effects.emplace_back(std::move(line));
-    effects.emplace_back(SendToUpstream { .call = request.call,
-        .send = request.active->send,
-        .upstream = upstream,
-        .address = view.entry.address,
-        .timeLeft = request.deadlineAt - now,
-        .urgency = isEngineRequest(request) && state.options.queuePolicy == RelayQueuePolicy::Urgency
-            ? std::optional(request.urgency)
-            : std::nullopt,
-        .workspace = request.workspace,
-        .expectVersion = expectedWeights(state, view, request, now),
-        .resumeAfter = request.lastEventId,
-        .expectsStream = request.route->kind == CallKind::Stream,
-        .avoidStaleConnection = request.route->kind == CallKind::NonIdempotent,
-        .newConnection = request.sends > 1 });
+    request.active = startSend(state, request, upstream, now, effects);
+}
+
+void sendBackup(
+    RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+{
+    request.backup = startSend(state, request, upstream, now, effects);
 }
 
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
 {
-    if (!request.active)
-        return;
-    const auto found = state.upstreams.find(request.active->upstream);
-    if (found != state.upstreams.end()) {
-        RelayUpstream& view = found->second;
-        --view.sent;
-        if (!request.active->headReceived)
-            --view.unbegun;
-        if (request.active->prefilling)
-            view.prefillTokens -= request.metadata.promptTokens;
-        if (!view.listed && view.sent == 0)
-            state.upstreams.erase(found);
-    }
-    if (cancel)
-        effects.emplace_back(CancelSend { .call = request.call, .send = request.active->send });
-    request.active.reset();
+    dropSend(state, request, request.active, cancel, effects);
+}
+
+void releaseBackup(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
+{
+    dropSend(state, request, request.backup, cancel, effects);
 }
 
 void applyResponseStarted(RelayState& state, const ResponseStarted& event, Milliseconds now, RelayEffects& effects)
 {
-    RelayRequest* request = findActive(state, event.call, event.send);
+    RelayRequest* request = findRequest(state, event.call, event.send);
     if (!request)
         return;
-    ActiveSend& send = *request->active;
+    const bool fromBackup = isBackup(*request, event.send);
+    ActiveSend& send = fromBackup ? *request->backup : *request->active;
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
     recordUpstreamAlive(state, upstream, send.sentAt);
@@ -297,7 +375,6 @@
         --view.unbegun;
     view.onProbation = false;
     view.standsStill = false;
-    view.dead = false;
     send.headReceived = true;
     send.status = event.status;
     send.sealed = event.sealed;
@@ -315,12 +392,20 @@
         line.fields.emplace_back("upstream", upstream.value);
         line.fields.emplace_back("status", std::to_string(event.status));
         effects.emplace_back(std::move(line));
+        if (fromBackup) {
+            --request->sends;
+            releaseBackup(state, *request, true, effects);
+            return;
+        }
         releaseSend(state, *request, true, effects);
         retryElsewhere(
             state, *request, SendFailure::NotRun, misdirected ? "misdirected" : "upstream-full", now, effects);
         return;
     }
-    if (isSuccess(event.status) && request->route->kind == CallKind::Stream && event.stream && event.sealed) {
+    const bool isSound = isSuccess(event.status) && event.sealed;
+    if (isSound && (event.stream || !request->headForwarded))
+        keepSend(state, *request, event.send, now, effects);
+    if (isSound && request->route->kind == CallKind::Stream && event.stream) {
         if (!request->headForwarded)
             effects.emplace_back(ForwardResponse { .call = event.call, .send = event.send });
         request->headForwarded = true;
@@ -329,14 +414,14 @@
 
 void applyStreamProgressed(RelayState& state, const StreamProgressed& event, Milliseconds now, RelayEffects& effects)
 {
-    RelayRequest* request = findActive(state, event.call, event.send);
-    if (!request)
+    RelayRequest* request = findRequest(state, event.call, event.send);
+    if (!request || isBackup(*request, event.send))
         return;
+    keepSend(state, *request, event.send, now, effects);
     ActiveSend& send = *request->active;
     RelayUpstream& view = state.upstreams.at(send.upstream);
     view.lastHeardAt = now;
     view.answeredAt = now;
-    view.dead = false;
     send.lastProgressAt = now;
     recordUpstreamAlive(state, send.upstream, send.sentAt);
     request->resumePointKnown = !event.lastEventId.empty();
@@ -361,9 +446,13 @@
 
 void applyResponseEnded(RelayState& state, const ResponseEnded& event, Milliseconds now, RelayEffects& effects)
 {
-    RelayRequest* request = findActive(state, event.call, event.send);
+    RelayRequest* request = findRequest(state, event.call, event.send);
     if (!request)
         return;
+    if (isBackup(*request, event.send)) {
+        endBackup(state, *request, event.end, now, effects);
+        return;
+    }
     if (event.end != SendResult::Unconfirmed) {
         endSend(state, *request, event.end, now, effects);
         return;
@@ -399,98 +488,4 @@
     }
 }
 
-namespace {
-
-    /// Updates for each upstream how long its requests have waited for a response.
-    void updateLongestWaits(RelayState& state, Milliseconds now)
-    {
-        for (auto& [id, view] : state.upstreams)
-            view.longestWait = {};
-        for (const auto& [call, request] : state.requests) {
-            if (!request.active || request.active->headReceived)
-                continue;
-            const auto view = state.upstreams.find(request.active->upstream);
-            if (view != state.upstreams.end())
-                view->second.longestWait = std::max(view->second.longestWait, now - request.active->sentAt);
-        }
-    }
-
-    /// @param request has a send in flight at the upstream
-    /// @return whether both have been silent for so long that a request which has not begun is taken back
-    bool isTooSilent(const RelayRequest& request, const RelayUpstream& view, Milliseconds now)
-    {
-        const bool engine = isEngineRequest(request);
-        const Milliseconds limit = engine
-            ? (view.standsStill ? engineStallTimeout : engineSilenceTimeout)
-            : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
-        return now - request.active->lastProgressAt > limit && (!engine || now - view.lastHeardAt > limit);
-    }
-
-    /// @return whether another upstream could go on with a request at once
-    bool canMoveNow(const RelayState& state, const RelayRequest& request, Milliseconds now)
-    {
-        return mayTry(state, request, now) && !findQuarantine(state.crashes, request.traits, now)
-            && chooseUpstream(state, request, now, true);
-    }
-
-} // namespace
-
-void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects)
-{
-    updateLongestWaits(state, now);
-    std::vector<CallId> silent;
-    for (const auto& [call, request] : state.requests) {
-        if (!request.active || !isRepeatable(request) || !hasAttemptLeft(request))
-            continue;
-        const auto view = state.upstreams.find(request.active->upstream);
-        if (view != state.upstreams.end() && (view->second.dead || isTooSilent(request, view->second, now)))
-            silent.push_back(call);
-    }
-    for (const CallId call : silent) {
-        const auto found = state.requests.find(call);
-        if (found == state.requests.end())
-            continue;
-        RelayRequest& request = found->second;
-        const RetryWindow& retries = state.services[request.service].retries;
-        if (!mayRetry(retries, state.options, state.entryCount, now) || !request.active)
-            continue;
-        const UpstreamId upstream = request.active->upstream;
-        RelayUpstream& view = state.upstreams.at(upstream);
-        const bool atUpstream = request.active->headReceived;
-        if (atUpstream && !mayEnd(request, view.dead ? EndCause::UpstreamDead : EndCause::Silence))
-            continue;
-        request.mayHaveRun = true;
-        // One that is only taken for dead may still go on.
-        if (atUpstream && !canMoveNow(state, request, now))
-            continue;
-        request.excludedUpstreams.insert(upstream);
-        if (!view.dead) {
-            recordUpstreamFailure(state, upstream, "silent", now, effects);
-            view.standsStill = true;
-        }
-        releaseSend(state, request, true, effects);
-        retryElsewhere(
-            state, request, atUpstream ? SendFailure::MayHaveRun : SendFailure::TakenBack, "silent", now, effects);
-    }
-}
-
-void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects)
-{
-    std::vector<CallId> outdated;
-    for (const auto& [call, request] : state.requests) {
-        if (!request.active || request.active->headReceived || request.metadata.model.empty())
-            continue;
-        const auto view = state.upstreams.find(request.active->upstream);
-        const HeldModel* held
-            = view == state.upstreams.end() ? nullptr : heldModel(view->second, request.metadata.model);
-        if (held && held->version < requiredWeights(state, request.metadata.model, now - outdatedSendGrace))
-            outdated.push_back(call);
-    }
-    for (const CallId call : outdated) {
-        RelayRequest& request = state.requests.at(call);
-        releaseSend(state, request, true, effects);
-        retryElsewhere(state, request, SendFailure::TakenBack, "outdated-weights", now, effects);
-    }
-}
-
 } // namespace hickory
--- /dev/null
+++ b/src/relay_silence_cmd.cpp
@@ -0,0 +1,157 @@
+#include "begun_request_func.h"
+#include "crash_func.h"
+#include "relay_budget_func.h"
+#include "relay_cmd.h"
+#include "relay_place_func.h"
+#include "table/relay_limits.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+namespace {
+
+    bool isEngineRequest(const RelayRequest& request) { return !request.metadata.model.empty(); }
+
+    /// Updates for each upstream how long its requests have waited for a response.
+    void updateLongestWaits(RelayState& state, Milliseconds now)
+    {
+        for (auto& [id, view] : state.upstreams)
+            view.longestWait = {};
+        const auto count = [&](const std::optional<ActiveSend>& send) {
+            const auto view
+                = send && !send->headReceived ? state.upstreams.find(send->upstream) : state.upstreams.end();
+            if (view != state.upstreams.end())
+                view->second.longestWait = std::max(view->second.longestWait, now - send->sentAt);
+        };
+        for (const auto& [call, request] : state.requests) {
+            count(request.active);
+            count(request.backup);
+        }
+    }
+
+    /// @return the send of a request that was started last
+    const ActiveSend& lastSend(const RelayRequest& request)
+    {
+        return request.backup ? *request.backup : *request.active;
+    }
+
+    /// @return whether the last send of a request waits for longer than a sound upstream lets it wait
+    bool isTooSilent(const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        const ActiveSend& send = lastSend(request);
+        const auto view = state.upstreams.find(send.upstream);
+        if (view == state.upstreams.end())
+            return false;
+        const bool engine = isEngineRequest(request);
+        const Milliseconds limit = engine
+            ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
+            : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
+        return now - send.lastProgressAt > limit && (!engine || now - view->second.lastHeardAt > limit);
+    }
+
+    /// Sends an upstream no more requests until it answers a status request.
+    void suspect(RelayState& state, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+    {
+        recordUpstreamFailure(state, upstream, "silent", now, effects);
+        state.upstreams.at(upstream).standsStill = true;
+    }
+
+    /// Sends a request that stays at a silent upstream to another one as well, if one can begin at once.
+    void startBackup(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        const UpstreamId silent = request.active->upstream;
+        request.excludedUpstreams.insert(silent);
+        if (!mayTry(state, request, now) || findQuarantine(state.crashes, request.traits, now))
+            return;
+        const auto upstream = chooseUpstream(state, request, now, true);
+        if (!upstream || !takeRetry(state.services[request.service].retries, state.options, state.entryCount, now))
+            return;
+        LogLine line = requestLogLine("backup", request, now);
+        line.fields.emplace_back("silent", silent.value);
+        line.fields.emplace_back("silent_ms", std::to_string((now - request.active->lastProgressAt).value));
+        line.fields.emplace_back("resume_after", request.lastEventId);
+        effects.emplace_back(std::move(line));
+        effects.emplace_back(
+            MetricSample { .name = "backups_total", .labels = "service=\"" + request.service.value + "\"" });
+        suspect(state, silent, now, effects);
+        sendBackup(state, request, *upstream, now, effects);
+    }
+
+    /// @pre isTooSilent()
+    void handleSilence(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        request.mayHaveRun = true;
+        const UpstreamId upstream = lastSend(request).upstream;
+        if (request.backup) {
+            if (request.backup->headReceived)
+                return;
+            suspect(state, upstream, now, effects);
+            request.excludedUpstreams.insert(upstream);
+            releaseBackup(state, request, true, effects);
+            if (hasBegun(request))
+                --request.sends;
+            return;
+        }
+        if (request.active->headReceived && !mayEnd(request, EndCause::Silence)) {
+            startBackup(state, request, now, effects);
+            return;
+        }
+        suspect(state, upstream, now, effects);
+        request.excludedUpstreams.insert(upstream);
+        releaseSend(state, request, true, effects);
+        retryElsewhere(state, request, SendFailure::TakenBack, "silent", now, effects);
+    }
+
+    /// @return whether a send waits unbegun at an engine whose weights are too old to start on
+    bool isOutdated(
+        const RelayState& state, const RelayRequest& request, const std::optional<ActiveSend>& send, Milliseconds now)
+    {
+        if (!send || send->headReceived || !isEngineRequest(request))
+            return false;
+        const auto view = state.upstreams.find(send->upstream);
+        const HeldModel* held
+            = view == state.upstreams.end() ? nullptr : heldModel(view->second, request.metadata.model);
+        return held && held->version < requiredWeights(state, request.metadata.model, now - outdatedSendGrace);
+    }
+
+} // namespace
+
+void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    updateLongestWaits(state, now);
+    std::vector<CallId> silent;
+    for (const auto& [call, request] : state.requests)
+        if (request.active && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
+            && isTooSilent(state, request, now))
+            silent.push_back(call);
+    for (const CallId call : silent) {
+        const auto found = state.requests.find(call);
+        if (found == state.requests.end() || !found->second.active)
+            continue;
+        RelayRequest& request = found->second;
+        if (mayRetry(state.services[request.service].retries, state.options, state.entryCount, now))
+            handleSilence(state, request, now, effects);
+    }
+}
+
+void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects)
+{
+    std::vector<CallId> outdated;
+    for (const auto& [call, request] : state.requests)
+        if (isOutdated(state, request, request.active, now) || isOutdated(state, request, request.backup, now))
+            outdated.push_back(call);
+    for (const CallId call : outdated) {
+        RelayRequest& request = state.requests.at(call);
+        if (isOutdated(state, request, request.backup, now)) {
+            releaseBackup(state, request, true, effects);
+            --request.sends;
+        }
+        if (!isOutdated(state, request, request.active, now))
+            continue;
+        releaseSend(state, request, true, effects);
+        retryElsewhere(state, request, SendFailure::TakenBack, "outdated-weights", now, effects);
+    }
+}
+
+} // namespace hickory
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -92,8 +92,11 @@
     Milliseconds deadlineAt; ///< the earliest of timeoutAt, the caller's timeout and the end of a drain
     std::uint32_t sends { 0 }; ///< sends that may have reached an upstream
     std::uint32_t connectFailures { 0 }; ///< sends of which no byte left this process
-    std::set<UpstreamId> excludedUpstreams; ///< upstreams that failed or misdirected it; not chosen again
+    /// Upstreams that failed or misdirected it, or were silent with it; not chosen again.
+    std::set<UpstreamId> excludedUpstreams;
     std::optional<ActiveSend> active; ///< send in flight
+    /// A further send to another upstream, beside one that is silent. Whichever answers first is kept.
+    std::optional<ActiveSend> backup;
     std::optional<QueueKey> queued; ///< its key while it is in the queue
     bool headForwarded { false }; ///< the caller received the head of a response
     bool mayHaveRun { false }; ///< an upstream may have run it
@@ -128,10 +131,7 @@
     /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
     /// Gets no requests until it has answered a status request.
     bool standsStill { false };
-    /// It stood still and a status request was refused or had no answer for deadProbeTimeout; nothing came from it
-    /// since.
-    bool dead { false };
-    bool probing { false }; ///< a status request that decides on standsStill and dead is in flight
+    bool probing { false }; ///< a status request that decides on standsStill is in flight
     Milliseconds probedAt { -1000000 }; ///< when it last answered such a request; starts far in the past
     double errorRate { 0 }; ///< moving average of failures, 0 to 1
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -234,6 +234,7 @@
 /// The forwarded response is complete.
 struct FinishResponse {
     CallId call;
+    SendId send; ///< the send whose response ended it
 };
 
 /// The forwarded response ended early: break the caller's connection so that the response cannot look complete.
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -17,7 +17,6 @@
         view.failures = 0;
         view.onProbation = false;
         view.standsStill = false;
-        view.dead = false;
         view.errorRate = 0;
         view.ejectedUntil = {};
         view.fullUntil = {};
@@ -142,8 +141,7 @@
     for (auto& [id, view] : state.upstreams) {
         const bool engine = !view.entry.models.empty();
         const bool isSilent = engine && isStalled(view, engine, now) && now - view.probedAt > engineStallTimeout;
-        const bool isOfUse = view.listed || view.sent > 0;
-        const bool isDue = view.standsStill ? isOfUse && now >= view.ejectedUntil : isSilent;
+        const bool isDue = view.standsStill ? view.listed && now >= view.ejectedUntil : isSilent;
         if (!isDue || view.probing)
             continue;
         view.probing = true;
@@ -151,7 +149,7 @@
             .address = view.entry.address,
             .statusPath = statusPathOf(state, view.entry.service),
             .mustAnswer = true,
-            .timeout = view.standsStill ? deadProbeTimeout : stillProbeTimeout });
+            .timeout = stillProbeTimeout });
     }
 }
 
@@ -167,38 +165,17 @@
         if (!view.standsStill && view.answeredAt >= event.startedAt)
             return;
         recordUpstreamFailure(state, event.upstream, "standing-still", now, effects);
-        const bool waited = event.result == ProbeResult::Refused || now - event.startedAt >= deadProbeTimeout;
-        if (waited && view.answeredAt < event.startedAt && !std::exchange(view.dead, true))
-            effects.emplace_back(LogLine { .level = LogLevel::Warning,
-                .event = "upstream-dead",
-                .fields = { { "upstream", event.upstream.value }, { "probe", probeResultName(event.result) },
-                    { "silent_ms", std::to_string((now - view.lastHeardAt).value) },
-                    { "requests", std::to_string(view.sent) } } });
         view.standsStill = true;
         cancelSilentSends(state, now, effects);
         return;
     }
     view.probedAt = now;
-    view.dead = false;
     if (!std::exchange(view.standsStill, false))
         return;
     effects.emplace_back(LogLine { .event = "upstream-answers", .fields = { { "upstream", event.upstream.value } } });
     dispatchWaiting(state, view.entry.service, now, effects);
 }
 
-const char* probeResultName(ProbeResult result)
-{
-    switch (result) {
-    case ProbeResult::Accepted:
-        return "accepted";
-    case ProbeResult::Refused:
-        return "refused";
-    case ProbeResult::Unreachable:
-        break;
-    }
-    return "unreachable";
-}
-
 std::string statusPathOf(const RelayState& state, const ServiceId& service)
 {
     if (!state.config)
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -34,9 +34,6 @@
 constexpr Milliseconds engineStallTimeout { 350 };
 /// Of a status request to an engine that is silent: several round trips between regions, and the time of an answer.
 constexpr Milliseconds stillProbeTimeout { 200 };
-/// The same for one that did not answer in time. An engine that does not answer this one counts as dead: a sound one
-/// may be silent for a second or so.
-constexpr Milliseconds deadProbeTimeout { 1500 };
 /// Requests of all entries that may lie at an engine without having begun: as many as it gets in about a second of the
 /// ordinary load. If its host stops, they cannot be called back.
 constexpr std::uint32_t maxUnbegun = 16;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -89,17 +89,6 @@
         return this->event(UpstreamsUpdated { std::move(entries) });
     }
 
-    /// Lets a status request wait for its time in vain.
-    std::vector<RelayEffect> unanswered(const ProbeUpstream& probe)
-    {
-        const Milliseconds startedAt = this->now;
-        this->now += probe.timeout;
-        return this->event(UpstreamProbed { .upstream = probe.upstream,
-            .result = ProbeResult::Unreachable,
-            .startedAt = startedAt,
-            .mustAnswer = probe.mustAnswer });
-    }
-
     /// Receives a caller's request for a path below a route's prefix.
     std::vector<RelayEffect> request(const std::string& prefix, const std::string& key = "key")
     {
--- a/tests/unit_relay_begun.cpp
+++ b/tests/unit_relay_begun.cpp
@@ -78,14 +78,13 @@
     }
 }
 
+/// @return whether effects end a call before its response is whole
 bool endsCall(const std::vector<RelayEffect>& effects, CallId call)
 {
     return std::any_of(effects.begin(), effects.end(), [&](const RelayEffect& effect) {
         const auto* aborted = std::get_if<AbortResponse>(&effect);
         const auto* refused = std::get_if<RefuseCall>(&effect);
-        const auto* cancelled = std::get_if<CancelSend>(&effect);
-        return (aborted && aborted->call == call) || (refused && refused->call == call)
-            || (cancelled && cancelled->call == call);
+        return (aborted && aborted->call == call) || (refused && refused->call == call);
     });
 }
 
@@ -105,42 +104,117 @@
     }
     SECTION("while another engine is full") { listFullEngine(relay); }
     relay.updateConfig(2);
-    CHECK_FALSE(endsCall(stream.silence({ 700 }), stream.call));
+    const auto holds = [&] {
+        const auto effects = stream.silence({ 700 });
+        const auto* cancelled = findEffect<CancelSend>(effects);
+        return !endsCall(effects, stream.call) && !(cancelled && cancelled->send == stream.send);
+    };
+    CHECK(holds());
     relay.updateConfig(3);
-    CHECK_FALSE(endsCall(stream.silence({ 700 }), stream.call));
+    CHECK(holds());
     stream.progress("21");
     CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = stream.send })));
 }
 
-// Guards against streams that are given up when their engine, taken for dead, comes back.
-TEST_CASE("A stream stays at a dead engine until another one can go on with it", "[relay][begun]")
+/// @return the send to the given upstream, if the effects have one
+std::optional<SendToUpstream> sendTo(const std::vector<RelayEffect>& effects, const std::string& upstream)
+{
+    for (const RelayEffect& effect : effects)
+        if (const auto* sent = std::get_if<SendToUpstream>(&effect); sent && sent->upstream.value == upstream)
+            return *sent;
+    return std::nullopt;
+}
+
+// Guards against callers that wait for an engine that stands still though another one could go on.
+TEST_CASE("A stream at an engine that stands still gets a backup, and what answers first is kept", "[relay][begun]")
 {
     BegunStream stream;
     RelayFixture& relay = stream.relay;
-    CHECK_FALSE(endsCall(stream.silence({ 3000 }), stream.call));
-    CHECK(relay.state.upstreams.at({ "e1" }).dead);
-    SECTION("which may be the same one")
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    const auto silent = stream.silence({ 700 });
+    CHECK_FALSE(endsCall(silent, stream.call));
+    const auto backup = sendTo(silent, "e2");
+    REQUIRE(backup);
+    CHECK(backup->resumeAfter == "19");
+    const auto began = [&] {
+        return relay.event(ResponseStarted {
+            .call = stream.call, .send = backup->send, .status = 200, .sealed = true, .stream = true });
+    };
+    const auto cancels = [&](const std::vector<RelayEffect>& effects, SendId send) {
+        const auto* cancelled = findEffect<CancelSend>(effects);
+        return cancelled && cancelled->send == send;
+    };
+    SECTION("the engine that goes on")
     {
+        CHECK(cancels(stream.progress("20"), backup->send));
+        CHECK_FALSE(findEffect<ForwardResponse>(began()));
+        const auto effects = relay.event(ResponseEnded { .call = stream.call, .send = stream.send });
+        REQUIRE(findEffect<FinishResponse>(effects));
+        CHECK(findEffect<FinishResponse>(effects)->send == stream.send);
+    }
+    SECTION("the backup")
+    {
+        const auto effects = began();
+        CHECK(cancels(effects, stream.send));
+        CHECK_FALSE(findEffect<ForwardResponse>(effects));
         stream.progress("20");
-        CHECK_FALSE(relay.state.upstreams.at({ "e1" }).dead);
-        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
-        CHECK_FALSE(endsCall(relay.event(RelayTick {}), stream.call));
+        CHECK(relay.state.requests.at(stream.call).lastEventId == "19");
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = backup->send })));
     }
-    SECTION("which is told where to go on")
+    SECTION("the backup, if the engine breaks off")
     {
-        relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
-        const auto effects = relay.event(RelayTick {});
-        REQUIRE(findEffect<SendToUpstream>(effects));
-        CHECK(findEffect<SendToUpstream>(effects)->upstream.value == "e2");
-        CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "19");
+        const auto effects
+            = relay.event(ResponseEnded { .call = stream.call, .send = stream.send, .end = SendResult::Broken });
+        CHECK_FALSE(endsCall(effects, stream.call));
+        began();
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = backup->send })));
     }
-    SECTION("until its deadline")
+    SECTION("the engine, if the backup is turned away, fails or is broken off")
     {
-        relay.now += Milliseconds { 3000 };
-        CHECK(findEffect<AbortResponse>(relay.event(RelayTick {})));
+        const auto kind = GENERATE(0, 1, 2);
+        if (kind == 0)
+            relay.event(ResponseStarted {
+                .call = stream.call, .send = backup->send, .status = 503, .notRun = true, .sealed = true });
+        if (kind == 1)
+            relay.event(ResponseStarted { .call = stream.call, .send = backup->send, .status = 500, .sealed = true });
+        const auto effects = relay.event(ResponseEnded {
+            .call = stream.call, .send = backup->send, .end = kind == 2 ? SendResult::Broken : SendResult::Complete });
+        CHECK_FALSE(findEffect<AbortResponse>(effects));
+        stream.progress("20");
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = stream.send })));
+    }
+    SECTION("and both are cancelled when the caller leaves")
+    {
+        CHECK(countEffects<CancelSend>(relay.event(RelayCallerDisconnected { .call = stream.call })) == 2);
+        for (const auto& [id, view] : relay.state.upstreams)
+            CHECK(view.sent + view.unbegun + view.prefillTokens == 0);
+    }
+    SECTION("and both are cancelled at the deadline")
+    {
+        relay.now += Milliseconds { 6000 };
+        const auto effects = relay.event(RelayTick {});
+        CHECK(countEffects<CancelSend>(effects) == 2);
+        CHECK(findEffect<AbortResponse>(effects));
     }
 }
 
+// Guards against backups that lie at a second engine that stands still.
+TEST_CASE("A backup that does not begin is taken back, and another engine is tried", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    const auto first = sendTo(stream.silence({ 700 }), "e2");
+    REQUIRE(first);
+    const auto unbegun = stream.silence({ 1000 });
+    const auto* cancelled = findEffect<CancelSend>(unbegun);
+    REQUIRE(cancelled);
+    CHECK(cancelled->send == first->send);
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e3", "engine") });
+    CHECK(sendTo(relay.event(RelayTick {}), "e3"));
+    CHECK_FALSE(findEffect<AbortResponse>(stream.silence({ 500 })));
+}
+
 // Guards against streams that are reset because the engine that is to go on with them is full or late.
 TEST_CASE("A stream whose engine ended waits for another one until its deadline", "[relay][begun]")
 {
@@ -243,6 +317,9 @@
         all.push_back(stream.progress(std::to_string(++events)));
     }
     INFO("seed " << seed);
-    for (const auto& effects : all)
+    for (const auto& effects : all) {
         REQUIRE_FALSE(endsCall(effects, stream.call));
+        const auto* cancelled = findEffect<CancelSend>(effects);
+        REQUIRE_FALSE((cancelled && cancelled->send == stream.send));
+    }
 }
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -217,7 +217,7 @@
 }
 
 // Guards against streams that wait until their deadline for an engine that hangs without closing the connection.
-TEST_CASE("Resumable streams of a dead engine are resumed at another one", "[relay]")
+TEST_CASE("Resumable streams of a silent engine are resumed at another one", "[relay]")
 {
     RelayFixture relay;
     relay.list({ RelayFixture::upstream("e1", "engine") });
@@ -227,18 +227,19 @@
         ResponseStarted { .call = relay.lastCallId(), .send = send, .status = 200, .sealed = true, .stream = true });
     relay.event(StreamProgressed { .call = relay.lastCallId(), .send = send, .lastEventId = "3" });
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
-    std::vector<RelayEffect> effects;
-    Milliseconds waited;
-    for (; waited < Milliseconds { 3000 } && !findEffect<CancelSend>(effects); waited = waited + Milliseconds { 20 }) {
-        const auto* asked = findEffect<ProbeUpstream>(effects);
-        effects = asked ? relay.unanswered(*asked) : relay.event(RelayTick {});
-        relay.now += Milliseconds { 20 };
-    }
-    CHECK(waited < Milliseconds { 2600 });
-    CHECK(findEffect<CancelSend>(effects));
+    relay.now += Milliseconds { 800 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 200 };
+    const auto effects = relay.event(RelayTick {});
     REQUIRE(findEffect<SendToUpstream>(effects));
-    CHECK(findEffect<SendToUpstream>(effects)->upstream.value == "e2");
-    CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "3");
+    const SendToUpstream second = *findEffect<SendToUpstream>(effects);
+    CHECK(second.upstream.value == "e2");
+    CHECK(second.resumeAfter == "3");
+    CHECK_FALSE(findEffect<CancelSend>(effects));
+    const auto begun = relay.event(ResponseStarted {
+        .call = relay.lastCallId(), .send = second.send, .status = 200, .sealed = true, .stream = true });
+    REQUIRE(findEffect<CancelSend>(begun));
+    CHECK(findEffect<CancelSend>(begun)->send == send);
 }
 
 // Guards against responses from outdated weights, also by requests that were sent or queued before the grace period
