Give a late plain request a backup instead of taking it back

Callers of a plain service that takes its time got their answers late: a repeatable request was taken back from its upstream after twice its objective, though the upstream worked on it, and began anew elsewhere.

Cause: the same as with the streams: lateness ended what an upstream may have begun. Whether a plain upstream has begun shows only in its answer.

Change: the request stays, and a second upstream gets it as well; the first answer is kept. The wait is at least twice the mean time of an answer of the service, so that a service that is slow by nature is not asked twice.

Evidence: two cases in unit_relay_begun; before the change the first has a cancelled send, the second a second send after 1.6 s.

--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -7,9 +7,11 @@
     return request.headForwarded || (request.active && request.active->headReceived);
 }
 
-bool mayEnd(const RelayRequest& request, EndCause cause)
+bool mayEnd(const RelayRequest& request, EndCause /*cause*/) { return !hasBegun(request); }
+
+bool mayTakeBack(const RelayRequest& request, const ActiveSend& send)
 {
-    return !hasBegun(request) || cause == EndCause::UpstreamDead || cause == EndCause::Deadline;
+    return !request.metadata.model.empty() && !send.headReceived;
 }
 
 bool hasAttemptLeft(const RelayRequest& request)
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -4,27 +4,28 @@
 
 namespace hickory {
 
-/// Why a request, or its send in flight, would be ended before its response is whole. A caller that leaves always ends
-/// its request.
+// The only rules on what may end work that an upstream has begun. Always: the end of the upstream, the caller, the
+// request's deadline. Never: silence, since a sound upstream may be silent for a second or so; predictions; a
+// configuration.
+
+/// Why a request would be ended although neither its upstream, nor its caller, nor its deadline ended it.
 enum class EndCause : std::uint8_t {
-    UpstreamDead, ///< the upstream ended or broke the response off
-    Deadline, ///< the request's deadline: the caller's, the route's timeout or the end of a drain
-    Silence, ///< the upstream sent nothing for some time
-    Lateness, ///< the request is predicted to miss its deadline
-    Weights, ///< newer weights were declared
-    Quarantine, ///< the request resembles others that crashed upstreams
-    Stopping, ///< this process stops and the request may not end in time
+    Lateness, ///< it is predicted to miss its deadline
+    Quarantine, ///< it resembles others that crashed upstreams
+    Stopping, ///< this process stops and it may not end in time
 };
 
 /// @return whether an upstream has begun the request, as far as this entry knows: the caller received the head of a
 /// response, or it is here
 bool hasBegun(const RelayRequest& request);
 
-/// The only rule on what may end a request that an upstream has begun. A sound upstream may be silent for a second or
-/// so, and predictions may be wrong, so both end only requests that no upstream has begun.
 /// @return whether a cause may end a request
 bool mayEnd(const RelayRequest& request, EndCause cause);
 
+/// @return whether a send may be taken back from an upstream that is silent: an engine that has not begun it. Whether a
+/// plain upstream has begun shows only in its answer.
+bool mayTakeBack(const RelayRequest& request, const ActiveSend& send);
+
 /// @return whether a further upstream may be given the request. A stream that its caller has in part uses up an attempt
 /// only at upstreams that began it.
 bool hasAttemptLeft(const RelayRequest& request);
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -135,6 +135,15 @@
 
 namespace {
 
+    /// Adds the time of a whole success to the mean of its service.
+    void recordAnswerTime(RelayServiceState& service, Milliseconds time)
+    {
+        constexpr double answerWeight = 0.05;
+        const auto taken = static_cast<double>(time.value);
+        service.meanAnswerMs
+            = service.meanAnswerMs == 0 ? taken : service.meanAnswerMs + answerWeight * (taken - service.meanAnswerMs);
+    }
+
     /// Finishes the response to the caller, records its outcome and removes the request.
     /// @pre the response of the send in flight is whole
     void completeRequest(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
@@ -160,6 +169,8 @@
             .value = static_cast<double>((now - request.arrivedAt).value) });
         if (send.prefilling && success)
             recordBegun(state, request, now, effects);
+        if (success)
+            recordAnswerTime(state.services[request.service], now - send.sentAt);
         releaseSend(state, request, false, effects);
         releaseBackup(state, request, true, effects);
         if (!request.headForwarded)
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -36,6 +36,15 @@
         return request.backup ? *request.backup : *request.active;
     }
 
+    /// @return how long a request may wait at a plain upstream before it gets a backup
+    Milliseconds plainSilenceTimeout(const RelayState& state, const RelayRequest& request)
+    {
+        const auto service = state.services.find(request.service);
+        const double meanAnswerMs = service == state.services.end() ? 0 : service->second.meanAnswerMs;
+        return std::max({ minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor,
+            Milliseconds { static_cast<std::int64_t>(meanAnswerMs * plainSilenceAnswerFactor) } });
+    }
+
     /// @return whether the last send of a request waits for longer than a sound upstream lets it wait
     bool isTooSilent(const RelayState& state, const RelayRequest& request, Milliseconds now)
     {
@@ -44,9 +53,8 @@
         if (view == state.upstreams.end())
             return false;
         const bool engine = isEngineRequest(request);
-        const Milliseconds limit = engine
-            ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
-            : std::max(minPlainSilenceTimeout, request.route->objective * plainSilenceObjectiveFactor);
+        const Milliseconds limit = engine ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
+                                          : plainSilenceTimeout(state, request);
         return now - send.lastProgressAt > limit && (!engine || now - view->second.lastHeardAt > limit);
     }
 
@@ -83,8 +91,9 @@
     {
         request.mayHaveRun = true;
         const UpstreamId upstream = lastSend(request).upstream;
+        const bool staysThere = !mayTakeBack(request, lastSend(request));
         if (request.backup) {
-            if (request.backup->headReceived)
+            if (staysThere)
                 return;
             suspect(state, upstream, now, effects);
             request.excludedUpstreams.insert(upstream);
@@ -93,7 +102,7 @@
                 --request.sends;
             return;
         }
-        if (request.active->headReceived && !mayEnd(request, EndCause::Silence)) {
+        if (staysThere) {
             startBackup(state, request, now, effects);
             return;
         }
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -95,7 +95,7 @@
     /// Upstreams that failed or misdirected it, or were silent with it; not chosen again.
     std::set<UpstreamId> excludedUpstreams;
     std::optional<ActiveSend> active; ///< send in flight
-    /// A further send to another upstream, beside one that is silent. Whichever answers first is kept.
+    /// A further send to another upstream, beside one that is silent or late. Whichever answers first is kept.
     std::optional<ActiveSend> backup;
     std::optional<QueueKey> queued; ///< its key while it is in the queue
     bool headForwarded { false }; ///< the caller received the head of a response
@@ -158,6 +158,7 @@
     std::map<QueueKey, CallId> queue; ///< waiting requests in the order in which they are dispatched
     RetryWindow retries; ///< counts for the retry budget
     std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
+    double meanAnswerMs { 0 }; ///< moving average of the time from a send to its whole success, 0 before the first
 };
 
 /// What an entry knows about one declared version of a model's weights.
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -48,13 +48,14 @@
 constexpr std::uint32_t maxProbationRequests = 1; ///< requests in flight at an upstream that failed, until it answers
 /// Minimum silence of a plain upstream before a repeatable request to it is retried elsewhere.
 constexpr Milliseconds minPlainSilenceTimeout { 300 };
-/// Silence of a plain upstream before a repeatable request to it is retried elsewhere, as a multiple of the objective
-/// of the request's route. Applies when it is longer than minPlainSilenceTimeout.
+/// The same as a multiple of the objective of the request's route, if that is longer.
 constexpr std::int64_t plainSilenceObjectiveFactor = 2;
 constexpr Milliseconds minEjection { 300 }; ///< out of service after a first failure
 constexpr Milliseconds maxEjection { 3000 }; ///< out of service after repeated failures, as long as a restart takes
 /// How long an upstream gets no requests after it refused one without running it, e.g. because it is full. On the order
 /// of a pass, after which an engine may have capacity again.
+/// The same as a multiple of the mean time of an answer of the service, if that is longer.
+constexpr double plainSilenceAnswerFactor = 2.0;
 constexpr Milliseconds fullBackoff { 60 };
 /// How long an engine gets no requests after its agent announced a load order, unless a later report renews or ends
 /// this: the order ends or is reported within this time.
--- a/tests/unit_relay_begun.cpp
+++ b/tests/unit_relay_begun.cpp
@@ -323,3 +323,49 @@
         REQUIRE_FALSE((cancelled && cancelled->send == stream.send));
     }
 }
+
+// Guards against a slow answer that is thrown away for a second one that takes as long again.
+TEST_CASE("A plain request that is late gets a backup, and the first answer is kept", "[relay][begun]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    const auto first = *findEffect<SendToUpstream>(relay.request("/read/"));
+    relay.now += Milliseconds { 1500 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 120 };
+    const auto effects = relay.event(RelayTick {});
+    CHECK_FALSE(findEffect<CancelSend>(effects));
+    REQUIRE(findEffect<SendToUpstream>(effects));
+    const auto second = *findEffect<SendToUpstream>(effects);
+    CHECK(second.upstream != first.upstream);
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    const bool keepsFirst = GENERATE(true, false);
+    const SendId kept = keepsFirst ? first.send : second.send;
+    const auto answered
+        = relay.event(ResponseStarted { .call = first.call, .send = kept, .status = 200, .sealed = true });
+    REQUIRE(findEffect<CancelSend>(answered));
+    CHECK(findEffect<CancelSend>(answered)->send == (keepsFirst ? second.send : first.send));
+    const auto ended = relay.event(ResponseEnded { .call = first.call, .send = kept });
+    REQUIRE(findEffect<ForwardResponse>(ended));
+    CHECK(findEffect<ForwardResponse>(ended)->send == kept);
+    CHECK(findEffect<FinishResponse>(ended));
+}
+
+// Guards against second runs of what a sound upstream works on.
+TEST_CASE("A plain request is not sent twice while its service takes as long as it usually does", "[relay][begun]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    for (int count = 0; count < 3; ++count) {
+        const auto sent = *findEffect<SendToUpstream>(relay.request("/book/"));
+        relay.now += Milliseconds { 1500 };
+        relay.event(ResponseStarted { .call = sent.call, .send = sent.send, .status = 200, .sealed = true });
+        relay.event(ResponseEnded { .call = sent.call, .send = sent.send });
+    }
+    relay.confirmConfig();
+    REQUIRE(findEffect<SendToUpstream>(relay.request("/read/")));
+    relay.now += Milliseconds { 2900 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 200 };
+    CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+}
