Keep an answer that ended with its connection while its upstream is silent

An answer with neither a length nor chunks waits for a probe that shows that its upstream still runs. A host that stood still for a moment accepted no connection within 0.4 s, and the whole answer counted as broken off: a stream began anew, and a call that may not be repeated got a 502. A status request to a silent engine, which has 0.2 s, decided on such answers as well.

Change: only a refused or reset probe shows the end at once. One that had no answer in its time is asked again, until the upstream was silent for 2 s. The status request that decides whether an engine stands still no longer decides on answers, unless it is answered or refused.

Evidence: unit_answer_end, "outlasts a second in which its engine accepts no connection" and "outlasts a status request ..."; without the change both go on at another engine at the first probe (the sections above them demand that for a probe that is reset).

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -239,6 +239,16 @@
         dispatchWaiting(state, request.service, now, effects);
     }
 
+    /// Asks an upstream whether it still runs, so that answers that ended with their connections are whole.
+    void probeForAnswers(const RelayState& state, const UpstreamId& upstream, RelayEffects& effects)
+    {
+        const UpstreamEntry& entry = state.upstreams.at(upstream).entry;
+        effects.emplace_back(ProbeUpstream { .upstream = upstream,
+            .address = entry.address,
+            .statusPath = statusPathOf(state, entry.service),
+            .timeout = answerProbeTimeout });
+    }
+
     const char* probeResultName(ProbeResult result)
     {
         switch (result) {
@@ -475,17 +485,22 @@
     request->active->closedAt = now;
     if (probing)
         return;
-    const UpstreamEntry& entry = state.upstreams.at(upstream).entry;
-    effects.emplace_back(ProbeUpstream {
-        .upstream = upstream, .address = entry.address, .statusPath = statusPathOf(state, entry.service) });
+    probeForAnswers(state, upstream, effects);
 }
 
 void confirmAnswers(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
 {
+    const bool isSilent
+        = event.result == ProbeResult::Unreachable && (event.mustAnswer || now - event.startedAt >= answerProbeTimeout);
+    bool asksAgain = false;
     for (const CallId call : unconfirmedAnswers(state, event.upstream, event.startedAt)) {
         const auto found = state.requests.find(call);
         if (found == state.requests.end() || !found->second.active)
             continue;
+        if (isSilent && now - *found->second.active->closedAt < maxSoundSilence) {
+            asksAgain = !event.mustAnswer;
+            continue;
+        }
         const bool isComplete = event.result == ProbeResult::Accepted;
         LogLine line = requestLogLine(isComplete ? "answer-confirmed" : "answer-unconfirmed", found->second, now);
         line.fields.emplace_back("upstream", event.upstream.value);
@@ -497,6 +512,8 @@
                 .labels = "probe=\"" + std::string(probeResultName(event.result)) + "\"" });
         endSend(state, found->second, isComplete ? SendResult::Complete : SendResult::Broken, now, effects);
     }
+    if (asksAgain)
+        probeForAnswers(state, event.upstream, effects);
 }
 
 } // namespace hickory
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -32,6 +32,10 @@
 constexpr Milliseconds engineSilenceTimeout { 900 };
 /// An engine that has requests in flight and sent nothing for this long gets no more: five passes of a full engine.
 constexpr Milliseconds engineStallTimeout { 350 };
+/// A sound upstream may send nothing and accept no connection for a second or so.
+constexpr Milliseconds maxSoundSilence { 2000 };
+/// Of a probe of an upstream whose answer ended with its connection.
+constexpr Milliseconds answerProbeTimeout { 400 };
 /// Of a status request to an engine that is silent: several round trips between regions, and the time of an answer.
 constexpr Milliseconds stillProbeTimeout { 200 };
 /// Requests of all entries that may lie at an engine without having begun: as many as it gets in about a second of the
@@ -46,16 +50,16 @@
 /// therefore not used on such an upstream.
 constexpr Milliseconds probationWeightsLead { 2500 };
 constexpr std::uint32_t maxProbationRequests = 1; ///< requests in flight at an upstream that failed, until it answers
-/// Minimum silence of a plain upstream before a repeatable request to it is retried elsewhere.
+/// Minimum time that a repeatable request waits at a plain upstream before it gets a backup.
 constexpr Milliseconds minPlainSilenceTimeout { 300 };
 /// The same as a multiple of the objective of the request's route, if that is longer.
 constexpr std::int64_t plainSilenceObjectiveFactor = 2;
+/// The same as a multiple of the mean time of an answer of the service, if that is longer.
+constexpr double plainSilenceAnswerFactor = 2.0;
 constexpr Milliseconds minEjection { 300 }; ///< out of service after a first failure
 constexpr Milliseconds maxEjection { 3000 }; ///< out of service after repeated failures, as long as a restart takes
 /// How long an upstream gets no requests after it refused one without running it, e.g. because it is full. On the order
 /// of a pass, after which an engine may have capacity again.
-/// The same as a multiple of the mean time of an answer of the service, if that is longer.
-constexpr double plainSilenceAnswerFactor = 2.0;
 constexpr Milliseconds fullBackoff { 60 };
 /// How long an engine gets no requests after its agent announced a load order, unless a later report renews or ends
 /// this: the order ends or is reported within this time.
--- a/tests/unit_answer_end.cpp
+++ b/tests/unit_answer_end.cpp
@@ -136,6 +136,37 @@
         CHECK_FALSE(findEffect<FinishResponse>(effects));
         CHECK(stream.relay.state.requests.size() == 1);
     }
+    SECTION("outlasts a second in which its engine accepts no connection")
+    {
+        for (int times = 0; times < 3; ++times) {
+            const Milliseconds asked = stream.relay.now;
+            stream.relay.now += Milliseconds { 400 };
+            const auto effects = stream.probed(ProbeResult::Unreachable, asked);
+            CHECK_FALSE(findEffect<SendToUpstream>(effects));
+            REQUIRE(findEffect<ProbeUpstream>(effects));
+        }
+        CHECK(findEffect<FinishResponse>(stream.probed(ProbeResult::Accepted, stream.relay.now)));
+    }
+    SECTION("outlasts a status request that a busy engine does not answer in time")
+    {
+        const auto effects = stream.relay.event(UpstreamProbed { .upstream = stream.upstream,
+            .result = ProbeResult::Unreachable,
+            .startedAt = startedAt,
+            .mustAnswer = true });
+        CHECK_FALSE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<FinishResponse>(stream.probed(ProbeResult::Accepted, startedAt)));
+    }
+    SECTION("goes on at another engine when it stays unreachable")
+    {
+        std::vector<RelayEffect> effects;
+        for (int times = 0; times < 6 && !findEffect<SendToUpstream>(effects); ++times) {
+            const Milliseconds asked = stream.relay.now;
+            stream.relay.now += Milliseconds { 400 };
+            effects = stream.probed(ProbeResult::Unreachable, asked);
+        }
+        REQUIRE(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(effects)->resumeAfter == "7");
+    }
     SECTION("of a caller that left is forgotten")
     {
         stream.relay.event(RelayCallerDisconnected { .call = stream.relay.lastCallId() });
