Let connections to upstreams outlast two seconds without an acknowledgement

A host that stood still for 1.2 s with bytes unacknowledged lost its connections, and the requests on them with it, those that may not be repeated among them.

Cause: TCP_USER_TIMEOUT of 1.2 s is shorter than what a sound upstream may be silent. Change: 2.5 s. Requests that wait for an engine or a repeatable answer need no shorter one since they are taken back or have backups.

--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -9,7 +9,9 @@
 namespace hickory {
 
 /// Socket options of connections to upstreams.
-constexpr LinkOptions upstreamLinkOptions { .userTimeout = { 1200 }, .keepAliveIdleSeconds = 1, .keepAliveProbes = 2 };
+constexpr LinkOptions upstreamLinkOptions {
+    .userTimeout = maxSoundSilence + Milliseconds { 500 }, .keepAliveIdleSeconds = 1, .keepAliveProbes = 2
+};
 /// Socket options of connections of callers.
 constexpr LinkOptions callerLinkOptions { .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3 };
 
