Log how many requests are under way when an upstream asks for a pause

Requests that reach a resting upstream may have been sent after its 503 was read (the pause was forgotten) or before (they were on the way).

--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -96,7 +96,8 @@
     UpstreamStanding& standing = findOrAddStanding(state, view.process, now);
     standing.pausedUntil = std::max(standing.pausedUntil, now + std::min(notice.pause, maxPause));
     effects.emplace_back(LogLine { .event = "upstream-pauses",
-        .fields = { { "upstream", view.entry.id.value }, { "for_ms", std::to_string(notice.pause.value) } } });
+        .fields = { { "upstream", view.entry.id.value }, { "for_ms", std::to_string(notice.pause.value) },
+            { "under_way", std::to_string(view.unbegun) } } });
     effects.emplace_back(noticeMetric("pause", "answer"));
 }
 
