Keep the pause of an upstream whose process is listed late

An upstream that had just asked for a pause got requests again as soon as the list named another start of its process, or another id at its address: 1 of 1 request was sent 1 s into a pause of 3 s.

Cause: a pause was recorded for the process that was listed when the 503 came. An answer does not say which process gave it, and one that was started again answers before the list names it, for as long as the store is away. A limit under the wrong process is replaced by the next answer; a pause is said only once.

Pauses are kept by service and address, which is what the 503 came from. An upstream that is started again at the address rests for what is left of the pause.

Failed before: "A pause holds although the list names the process that asked for it later", both variants. "A pause outlasts a lease and later answers" guards what held before.

--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -189,6 +189,7 @@
     std::map<ModelId, DeclaredWeights> declared; ///< declared weights by model
     CrashState crashes; ///< crashes of upstreams and the requests behind them
     UpstreamStandings standings; ///< what upstreams said of themselves
+    UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -93,8 +93,9 @@
         setLeaving(state, view.process, now, "answer", now, effects);
     if (notice.pause.value <= 0)
         return;
-    UpstreamStanding& standing = findOrAddStanding(state, view.process, now);
-    standing.pausedUntil = std::max(standing.pausedUntil, now + std::min(notice.pause, maxPause));
+    std::erase_if(state.pauses, [&](const auto& item) { return item.second.until <= now; });
+    state.pauses[view.entry.address] = { .service = view.entry.service,
+        .until = std::max(pausedUntil(state, view), now + std::min(notice.pause, maxPause)) };
     effects.emplace_back(LogLine { .event = "upstream-pauses",
         .fields = { { "upstream", view.entry.id.value }, { "for_ms", std::to_string(notice.pause.value) },
             { "under_way", std::to_string(view.unbegun) } } });
--- a/src/upstream_notice_func.cpp
+++ b/src/upstream_notice_func.cpp
@@ -45,6 +45,13 @@
     return found == state.standings.end() ? nullptr : &found->second;
 }
 
+Milliseconds pausedUntil(const RelayState& state, const RelayUpstream& view)
+{
+    const auto found = state.pauses.find(view.entry.address);
+    return found == state.pauses.end() || found->second.service != view.entry.service ? Milliseconds {}
+                                                                                      : found->second.until;
+}
+
 double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process)
 {
     const std::uint32_t sharing = entriesThatShare(state, *standing.requestsPerSecond);
@@ -63,28 +70,29 @@
 
 bool maySendBefore(const RelayState& state, const RelayUpstream& view, Milliseconds latest)
 {
+    if (pausedUntil(state, view) >= latest)
+        return false;
     const UpstreamStanding* standing = findStanding(state, view);
     if (!standing)
         return true;
-    return !standing->leavesSince && standing->pausedUntil < latest
-        && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
+    return !standing->leavesSince && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
 }
 
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now)
 {
+    if (now < pausedUntil(state, view))
+        return false;
     const UpstreamStanding* standing = findStanding(state, view);
-    return !standing
-        || (now >= standing->pausedUntil
-            && (!standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1));
+    return !standing || !standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1;
 }
 
 std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now)
 {
     std::optional<Milliseconds> first;
     for (const auto& [id, view] : state.upstreams) {
-        const UpstreamStanding* standing = findStanding(state, view);
-        if (view.listed && view.entry.service == service && standing && standing->pausedUntil > now)
-            first = std::min(first.value_or(standing->pausedUntil), standing->pausedUntil);
+        const Milliseconds until = pausedUntil(state, view);
+        if (view.listed && view.entry.service == service && until > now)
+            first = std::min(first.value_or(until), until);
     }
     return first;
 }
--- a/src/upstream_notice_func.h
+++ b/src/upstream_notice_func.h
@@ -14,6 +14,9 @@
 /// @return what the process of an upstream said of itself, or nullptr
 const UpstreamStanding* findStanding(const RelayState& state, const RelayUpstream& view);
 
+/// @return when the pause ends that an upstream asked for; in the past if it has not
+Milliseconds pausedUntil(const RelayState& state, const RelayUpstream& view);
+
 /// @return requests a second that this entry may send to a process: its share of a limit that the process named for all
 /// entries. 0 where the limit is too low for so many entries and others use it.
 double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process);
--- a/src/upstream_notice_type.h
+++ b/src/upstream_notice_type.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace hickory {
@@ -26,7 +27,6 @@
     std::optional<double> requestsPerSecond; ///< as in UpstreamNotice, newest
     Milliseconds limitSaidAt; ///< when it said so
     std::optional<Milliseconds> leavesSince; ///< when it said that it leaves, which it never takes back
-    Milliseconds pausedUntil; ///< this entry sends it nothing before, as it asked; other entries may
     Milliseconds changedAt; ///< when this entry last learned something new
     double allowance { 0 }; ///< requests that this entry may send at once, of its share of the limit
     Milliseconds refilledAt; ///< when the allowance was last computed
@@ -35,6 +35,15 @@
 /// By process. Only of processes that have said something of themselves.
 using UpstreamStandings = std::map<UpstreamProcessId, UpstreamStanding>;
 
+/// A pause that an upstream asked this entry for. Other entries may send.
+struct UpstreamPause {
+    ServiceId service; ///< another service's upstream may get the address
+    Milliseconds until; ///< this entry sends it nothing before
+};
+
+/// By address, since the list may name the process that answered there later. Unlike a limit, a pause is said once.
+using UpstreamPauses = std::map<std::string, UpstreamPause>;
+
 /// What a process of an upstream said of itself, as one entry tells the others.
 struct UpstreamNoticeReport {
     UpstreamProcessId process;
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -79,6 +79,24 @@
     std::vector<Milliseconds> sends;
 };
 
+/// Lets upstream "p1" answer a request with 503 and a pause.
+std::vector<RelayEffect> askForPause(RelayFixture& relay, const SendToUpstream& send, Milliseconds pause)
+{
+    return relay.event(ResponseStarted {
+        .call = send.call, .send = send.send, .status = 503, .notRun = true, .notice = { .pause = pause } });
+}
+
+/// @return a relay whose only upstream, "p1", has just asked for a pause
+RelayFixture pausedRelay(Milliseconds pause)
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(sent), pause);
+    relay.event(RelayCallerDisconnected { .call = relay.lastCallId() });
+    return relay;
+}
+
 WireHead answerHead(const std::vector<WireHeader>& headers) { return { .status = 200, .headers = headers }; }
 
 } // namespace
@@ -207,6 +225,41 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
 }
 
+// Guards against requests to a resting upstream that the list names anew: its process's start, or its id, is listed
+// late.
+TEST_CASE("A pause holds although the list names the process that asked for it later", "[relay][notice]")
+{
+    RelayFixture relay = pausedRelay({ 3000 });
+    UpstreamEntry renamed = RelayFixture::upstream("p1", "plain");
+    if (GENERATE(false, true))
+        renamed.id = { "p2" };
+    else
+        renamed.processStartedAt = 5;
+    relay.list({ renamed });
+    relay.now += Milliseconds { 1000 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+    relay.now += Milliseconds { 2100 };
+    relay.confirmConfig();
+    CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+}
+
+// Guards against a pause that ends with the record of the upstream, or that later answers shorten.
+TEST_CASE("A pause outlasts a lease and later answers", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto first = relay.request("/book/");
+    const auto second = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(first), { 3000 });
+    askForPause(relay, *findEffect<SendToUpstream>(second), { 300 });
+    relay.list({});
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    relay.now += Milliseconds { 2900 };
+    relay.confirmConfig();
+    relay.event(RelayTick {});
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
