Don't end a pause early by rounding

All requests that waited for the end of a pause could go up to 2 ms before it: fractions of a millisecond in `Retry-After` were cut off, and the clock counts whole milliseconds, so the answer may have come later than it says. A burst within the pause breaks the bound however short it is.

--- a/src/table/upstream_notice_limits.h
+++ b/src/table/upstream_notice_limits.h
@@ -17,6 +17,7 @@
 /// be missing.
 constexpr Milliseconds entryCountMemory { 4000 };
 constexpr Milliseconds maxPause { 60000 }; ///< a longer pause is taken as this, so that a mistake ends
+constexpr Milliseconds clockStep { 1 }; ///< what happened now may have happened so much later than the clock says
 constexpr Milliseconds noticeNewsPeriod { 3000 }; ///< what changed is repeated in beacons for this long
 constexpr Milliseconds standingMaxAge { 60000 }; ///< what unlisted upstreams said is forgotten after this long
 constexpr std::size_t maxStandings = 1024; ///< the oldest are dropped first
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -95,7 +95,7 @@
         return;
     std::erase_if(state.pauses, [&](const auto& item) { return item.second.until <= now; });
     state.pauses[view.entry.address] = { .service = view.entry.service,
-        .until = std::max(pausedUntil(state, view), now + std::min(notice.pause, maxPause)) };
+        .until = std::max(pausedUntil(state, view), now + std::min(notice.pause, maxPause) + clockStep) };
     effects.emplace_back(LogLine { .event = "upstream-pauses",
         .fields = { { "upstream", view.entry.id.value }, { "for_ms", std::to_string(notice.pause.value) },
             { "under_way", std::to_string(view.unbegun) } } });
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -260,6 +260,25 @@
     CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
 }
 
+// Guards against requests that arrive before the end of a pause because times were rounded down.
+TEST_CASE("A pause is not shortened by rounding", "[relay][platform][notice]")
+{
+    const auto pauseOf = [](const std::string& text) {
+        return platform::decodeResponseHead({ .status = 503, .headers = { { "Retry-After", text } } }).notice.pause;
+    };
+    CHECK(pauseOf("0.2501") == Milliseconds { 251 });
+    CHECK(pauseOf("0.0004") == Milliseconds { 1 });
+    CHECK(pauseOf("0") == Milliseconds {});
+    CHECK(pauseOf("0.3") == Milliseconds { 300 });
+    RelayFixture relay = pausedRelay({ 300 });
+    relay.request("/read/");
+    // The clock counts whole milliseconds: the answer came up to one later than it says.
+    relay.now += Milliseconds { 300 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 1 };
+    CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
