Send one request to an upstream whose pause has ended, until it answers

When a pause ended, all requests that waited went to the upstream at once: 4 of 4 in the test. If it still rested, each of them was a repeat, again after each pause; on a path with a long round trip, further ones followed before the next 503 had arrived.

An upstream that asks for a pause is on probation, as one that failed: it gets one request at a time until it answers without a pause. If it does, the others follow at once. Failed before: "After a pause one request shows whether the upstream takes more".

--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -124,7 +124,8 @@
     Milliseconds longestWait { 0 }; ///< longest time that a send in flight has waited for its head
     Milliseconds ejectedUntil { 0 }; ///< gets no new work before
     std::uint32_t failures { 0 }; ///< ejections since the last success
-    bool onProbation { false }; ///< failed and has not answered since: gets maxProbationRequests at a time
+    /// Failed, or asked for a pause, and has not answered otherwise since: gets maxProbationRequests at a time.
+    bool onProbation { false };
     /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
     /// Gets no requests until it has answered a status request.
     bool standsStill { false };
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -279,6 +279,30 @@
     CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
 }
 
+// Guards against a burst of repeats at an upstream that asks for the next pause as soon as one has ended.
+TEST_CASE("After a pause one request shows whether the upstream takes more", "[relay][notice]")
+{
+    RelayFixture relay = pausedRelay({ 300 });
+    relay.now += Milliseconds { 400 };
+    std::vector<SendToUpstream> sends;
+    for (int count = 0; count < 4; ++count)
+        if (const auto effects = relay.request("/read/"); const auto* send = findEffect<SendToUpstream>(effects))
+            sends.push_back(*send);
+    REQUIRE(sends.size() == 1);
+    SECTION("it asks for another pause")
+    {
+        CHECK_FALSE(findEffect<SendToUpstream>(askForPause(relay, sends.front(), { 300 })));
+        relay.now += Milliseconds { 400 };
+        CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
+    }
+    SECTION("it answers")
+    {
+        const auto effects = relay.event(
+            ResponseStarted { .call = sends.front().call, .send = sends.front().send, .status = 200, .sealed = true });
+        CHECK(countEffects<SendToUpstream>(effects) + countEffects<SendToUpstream>(relay.event(RelayTick {})) == 3);
+    }
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
