Refuse requests at once that cannot wait for the end of a pause

Where all upstreams of a service pause, a request was held if the first pause ended before its caller left, and refused when it no longer had the time to be served; the predicted wait left the pause out.

An upstream counts as able to run a request only if the request can be served after the pause. The predicted wait includes what is left of the pause, and must not take more than half of the request's time, as for other waits. Another entry may take the caller at once.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -102,9 +102,8 @@
     if (service != state.services.end() && service->second.queue.size() >= maxQueuedPerService)
         return false;
     const Milliseconds left = request.deadlineAt - now - expectedServiceTime(request);
-    return left.value > 0
-        && static_cast<double>(predictQueueWait(state, request, now).value)
-        <= maxWaitShare * static_cast<double>(left.value);
+    const Milliseconds wait = pauseLeft(state, request, now) + predictQueueWait(state, request, now);
+    return left.value > 0 && static_cast<double>(wait.value) <= maxWaitShare * static_cast<double>(left.value);
 }
 
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now)
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -1,6 +1,8 @@
 #include "relay_place_func.h"
 
+#include "begun_request_func.h"
 #include "digest_func.h"
+#include "relay_admit_func.h"
 #include "table/relay_limits.h"
 #include "upstream_notice_func.h"
 
@@ -48,6 +50,9 @@
             return false;
         if (request.excludedUpstreams.contains(view.entry.id) || !maySendBefore(state, view, request.leavesAt))
             return false;
+        const Milliseconds pauseEnd = pausedUntil(state, view);
+        if (pauseEnd > now && mayEnd(request, EndCause::Lateness) && cannotMeetDeadline(request, pauseEnd))
+            return false;
         return request.metadata.model.empty() || hasWeights(state, view, request, now);
     }
 
@@ -113,6 +118,17 @@
     return nullptr;
 }
 
+Milliseconds pauseLeft(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    std::optional<Milliseconds> first;
+    for (const auto& [id, view] : state.upstreams)
+        if (canRun(state, view, request, now)) {
+            const Milliseconds until = pausedUntil(state, view);
+            first = std::min(first.value_or(until), until);
+        }
+    return std::max(first.value_or(now) - now, Milliseconds {});
+}
+
 WeightsVersion requiredWeights(const RelayState& state, const ModelId& model, Milliseconds now)
 {
     WeightsVersion required;
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -48,4 +48,8 @@
 std::optional<UpstreamId> chooseUpstream(
     const RelayState& state, const RelayRequest& request, Milliseconds now, bool mustHaveRoom);
 
+/// @return time until one of the upstreams that may run a request takes requests of this entry; 0 if one does now, or
+/// if there is none
+Milliseconds pauseLeft(const RelayState& state, const RelayRequest& request, Milliseconds now);
+
 } // namespace hickory
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -303,6 +303,28 @@
     }
 }
 
+// Guards against callers that are held for a pause that leaves no time to serve them.
+TEST_CASE("A request waits for the end of a pause only if it can be served in time", "[relay][notice]")
+{
+    const Milliseconds pause = GENERATE(Milliseconds { 1000 }, Milliseconds { 3500 }, Milliseconds { 5970 });
+    RelayFixture relay = pausedRelay(pause);
+    const auto effects = relay.request("/read/");
+    const auto* refusal = findEffect<RefuseCall>(effects);
+    CHECK((refusal != nullptr) == (pause > Milliseconds { 3000 }));
+    if (refusal)
+        CHECK(refusal->status == 503);
+}
+
+// Guards against a request that is held although the only upstream that could take it pauses for longer.
+TEST_CASE("A request that was turned away does not wait for a pause that outlasts it", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/read/");
+    const auto effects = askForPause(relay, *findEffect<SendToUpstream>(sent), { 5970 });
+    CHECK(findEffect<RefuseCall>(effects));
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
