Tell callers to return after a pause, not shortly before

`Retry-After` of a request that is refused because all upstreams pause lay up to a quarter before the end of the first pause, since the jitter was taken off. Such a caller is refused again, and does not come a third time.

The jitter is added to the pause, within the delay that callers follow. Failed before: "Callers are told to return after a pause if they have the time".

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -126,11 +126,15 @@
     if (state.drainEndsAt)
         return drainRetryAfter;
     const std::int64_t maxDelay = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
-    const std::optional<Milliseconds> pauseEnd = firstPauseEnd(state, request.service, now);
+    const std::int64_t pause = noUpstream ? (firstPauseEnd(state, request.service, now).value_or(now) - now).value
+                                          : pauseLeft(state, request, now).value;
     const std::int64_t wait = noUpstream
-        ? (pauseEnd ? std::clamp((*pauseEnd - now).value, std::int64_t { 1 }, maxDelay) : maxDelay)
+        ? (pause > 0 ? std::min(pause, maxDelay) : maxDelay)
         : std::min(std::max(predictQueueWait(state, request, now), minRetryAfter).value, maxDelay);
     const std::int64_t jitter = std::uniform_int_distribution<std::int64_t>(0, wait / 4)(state.random);
+    // Whoever returns before the pause ends is refused again.
+    if (pause > 0 && pause < maxDelay)
+        return { std::min(std::max(wait, pause) + jitter, maxDelay) };
     return { wait * 3 / 4 + jitter };
 }
 
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -34,6 +34,7 @@
 /// Chooses the Retry-After of a refused request: the predicted wait, with jitter so that callers refused together do
 /// not return together. It never exceeds a share of the request's remaining time, because callers ignore longer delays.
 /// Callers return only once, so where no upstream can run the request they get the longest delay that they follow.
+/// Where all upstreams pause, the delay ends no sooner than the first pause if it may be that long.
 /// @param noUpstream no upstream of the service could run the request now
 /// @return delay from now
 Milliseconds retryAfterDelay(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now);
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -325,6 +325,26 @@
     CHECK(findEffect<RefuseCall>(effects));
 }
 
+// Guards against callers that are told to return while every upstream still pauses.
+TEST_CASE("Callers are told to return after a pause if they have the time", "[relay][notice]")
+{
+    RelayFixture relay;
+    auto config = RelayFixture::config(2);
+    for (RelayRoute& route : config->routes)
+        route.patience = { 1000 };
+    relay.event(ConfigUpdated { .config = config });
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(sent), { 1500 });
+    for (int count = 0; count < 20; ++count) {
+        const auto effects = relay.request("/read/");
+        const auto* refusal = findEffect<RefuseCall>(effects);
+        REQUIRE(refusal);
+        CHECK(refusal->retryAfter >= Milliseconds { 1500 });
+        CHECK(refusal->retryAfter <= Milliseconds { 2000 });
+    }
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
