Don't take answers to earlier requests as the end of a pause

An upstream that asked for a pause still answers requests that it had begun before.

Probation ends with the answer to a request that was sent after the pause. Failed before: "What was sent before a pause does not show that it is over".

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -295,7 +295,6 @@
     view.answeredAt = now;
     if (!send.headReceived)
         --view.unbegun;
-    view.onProbation = false;
     view.standsStill = false;
     view.dead = false;
     send.headReceived = true;
@@ -306,9 +305,8 @@
     // Another process may have answered for the address, or something that is no answer of an upstream.
     if (event.status != statusMisdirected && (event.sealed || event.notRun || event.notice.pause.value > 0))
         recordNotice(state, view, event.notice, now, effects);
-    // One request at a time shows whether it takes more after the pause.
-    if (event.notice.pause.value > 0)
-        view.onProbation = true;
+    // After a pause one request at a time shows whether it takes more. What was sent before does not.
+    view.onProbation = send.sentAt < pausedUntil(state, view);
     if (event.notRun || event.status == statusMisdirected) {
         const bool misdirected = event.status == statusMisdirected;
         view.fullUntil = now + fullBackoff;
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -303,6 +303,23 @@
     }
 }
 
+// Guards against a trial that ends with an answer to a request from before the pause.
+TEST_CASE("What was sent before a pause does not show that it is over", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto first = relay.request("/book/");
+    const auto second = relay.request("/read/");
+    askForPause(relay, *findEffect<SendToUpstream>(first), { 300 });
+    relay.now += Milliseconds { 100 };
+    const auto* begun = findEffect<SendToUpstream>(second);
+    relay.event(ResponseStarted { .call = begun->call, .send = begun->send, .status = 200, .sealed = true });
+    relay.event(ResponseEnded { .call = begun->call, .send = begun->send });
+    relay.request("/read/");
+    relay.now += Milliseconds { 250 };
+    CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
+}
+
 // Guards against callers that are held for a pause that leaves no time to serve them.
 TEST_CASE("A request waits for the end of a pause only if it can be served in time", "[relay][notice]")
 {
