--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -394,7 +394,6 @@
     view.answeredAt = now;
     if (!send.headReceived)
         --view.unbegun;
-    view.onProbation = false;
     view.standsStill = false;
     send.headReceived = true;
     send.status = event.status;
@@ -404,6 +403,8 @@
     // Another process may have answered for the address, or something that is no answer of an upstream.
     if (event.status != statusMisdirected && (event.sealed || event.notRun || event.notice.pause.value > 0))
         recordNotice(state, view, event.notice, now, effects);
+    // After a pause one request at a time shows whether it takes more. What was sent before does not.
+    view.onProbation = send.sentAt < pausedUntil(state, view);
     if (event.notRun || event.status == statusMisdirected) {
         const bool misdirected = event.status == statusMisdirected;
         view.fullUntil = now + fullBackoff;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -127,7 +127,8 @@
     Milliseconds longestWait { 0 }; ///< longest time that a send in flight has waited for its head
     Milliseconds ejectedUntil { 0 }; ///< gets no new work before
     std::uint32_t failures { 0 }; ///< ejections since the last success
-    bool onProbation { false }; ///< failed and has not answered since: gets maxProbationRequests at a time
+    /// Failed, or asked for a pause, and has not answered otherwise since: gets maxProbationRequests at a time.
+    bool onProbation { false };
     /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
     /// Gets no requests until it has answered a status request.
     bool standsStill { false };
@@ -190,6 +191,7 @@
     std::map<ModelId, DeclaredWeights> declared; ///< declared weights by model
     CrashState crashes; ///< crashes of upstreams and the requests behind them
     UpstreamStandings standings; ///< what upstreams said of themselves
+    UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -79,6 +79,24 @@
     std::vector<Milliseconds> sends;
 };
 
+/// Lets upstream "p1" answer a request with 503 and a pause.
+std::vector<RelayEffect> askForPause(RelayFixture& relay, const SendToUpstream& send, Milliseconds pause)
+{
+    return relay.event(ResponseStarted {
+        .call = send.call, .send = send.send, .status = 503, .notRun = true, .notice = { .pause = pause } });
+}
+
+/// @return a relay whose only upstream, "p1", has just asked for a pause
+RelayFixture pausedRelay(Milliseconds pause)
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(sent), pause);
+    relay.event(RelayCallerDisconnected { .call = relay.lastCallId() });
+    return relay;
+}
+
 WireHead answerHead(const std::vector<WireHeader>& headers) { return { .status = 200, .headers = headers }; }
 
 } // namespace
@@ -207,6 +225,143 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/read/")));
 }
 
+// Guards against requests to a resting upstream that the list names anew: its process's start, or its id, is listed
+// late.
+TEST_CASE("A pause holds although the list names the process that asked for it later", "[relay][notice]")
+{
+    RelayFixture relay = pausedRelay({ 3000 });
+    UpstreamEntry renamed = RelayFixture::upstream("p1", "plain");
+    if (GENERATE(false, true))
+        renamed.id = { "p2" };
+    else
+        renamed.processStartedAt = 5;
+    relay.list({ renamed });
+    relay.now += Milliseconds { 1000 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+    relay.now += Milliseconds { 2100 };
+    relay.confirmConfig();
+    CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+}
+
+// Guards against a pause that ends with the record of the upstream, or that later answers shorten.
+TEST_CASE("A pause outlasts a lease and later answers", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto first = relay.request("/book/");
+    const auto second = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(first), { 3000 });
+    askForPause(relay, *findEffect<SendToUpstream>(second), { 300 });
+    relay.list({});
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    relay.now += Milliseconds { 2900 };
+    relay.confirmConfig();
+    relay.event(RelayTick {});
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.request("/read/")));
+}
+
+// Guards against requests that arrive before the end of a pause because times were rounded down.
+TEST_CASE("A pause is not shortened by rounding", "[relay][platform][notice]")
+{
+    const auto pauseOf = [](const std::string& text) {
+        return platform::decodeResponseHead({ .status = 503, .headers = { { "Retry-After", text } } }).notice.pause;
+    };
+    CHECK(pauseOf("0.2501") == Milliseconds { 251 });
+    CHECK(pauseOf("0.0004") == Milliseconds { 1 });
+    CHECK(pauseOf("0") == Milliseconds {});
+    CHECK(pauseOf("0.3") == Milliseconds { 300 });
+    RelayFixture relay = pausedRelay({ 300 });
+    relay.request("/read/");
+    // The clock counts whole milliseconds: the answer came up to one later than it says.
+    relay.now += Milliseconds { 300 };
+    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    relay.now += Milliseconds { 1 };
+    CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+}
+
+// Guards against a burst of repeats at an upstream that asks for the next pause as soon as one has ended.
+TEST_CASE("After a pause one request shows whether the upstream takes more", "[relay][notice]")
+{
+    RelayFixture relay = pausedRelay({ 300 });
+    relay.now += Milliseconds { 400 };
+    std::vector<SendToUpstream> sends;
+    for (int count = 0; count < 4; ++count)
+        if (const auto effects = relay.request("/read/"); const auto* send = findEffect<SendToUpstream>(effects))
+            sends.push_back(*send);
+    REQUIRE(sends.size() == 1);
+    SECTION("it asks for another pause")
+    {
+        CHECK_FALSE(findEffect<SendToUpstream>(askForPause(relay, sends.front(), { 300 })));
+        relay.now += Milliseconds { 400 };
+        CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
+    }
+    SECTION("it answers")
+    {
+        const auto effects = relay.event(
+            ResponseStarted { .call = sends.front().call, .send = sends.front().send, .status = 200, .sealed = true });
+        CHECK(countEffects<SendToUpstream>(effects) + countEffects<SendToUpstream>(relay.event(RelayTick {})) == 3);
+    }
+}
+
+// Guards against a trial that ends with an answer to a request from before the pause.
+TEST_CASE("What was sent before a pause does not show that it is over", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto first = relay.request("/book/");
+    const auto second = relay.request("/read/");
+    askForPause(relay, *findEffect<SendToUpstream>(first), { 300 });
+    relay.now += Milliseconds { 100 };
+    const auto* begun = findEffect<SendToUpstream>(second);
+    relay.event(ResponseStarted { .call = begun->call, .send = begun->send, .status = 200, .sealed = true });
+    relay.event(ResponseEnded { .call = begun->call, .send = begun->send });
+    relay.request("/read/");
+    relay.now += Milliseconds { 250 };
+    CHECK(countEffects<SendToUpstream>(relay.event(RelayTick {})) == 1);
+}
+
+// Guards against callers that are held for a pause that leaves no time to serve them.
+TEST_CASE("A request waits for the end of a pause only if it can be served in time", "[relay][notice]")
+{
+    const Milliseconds pause = GENERATE(Milliseconds { 1000 }, Milliseconds { 3500 }, Milliseconds { 5970 });
+    RelayFixture relay = pausedRelay(pause);
+    const auto effects = relay.request("/read/");
+    const auto* refusal = findEffect<RefuseCall>(effects);
+    CHECK((refusal != nullptr) == (pause > Milliseconds { 3000 }));
+    if (refusal)
+        CHECK(refusal->status == 503);
+}
+
+// Guards against a request that is held although the only upstream that could take it pauses for longer.
+TEST_CASE("A request that was turned away does not wait for a pause that outlasts it", "[relay][notice]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/read/");
+    const auto effects = askForPause(relay, *findEffect<SendToUpstream>(sent), { 5970 });
+    CHECK(findEffect<RefuseCall>(effects));
+}
+
+// Guards against callers that are told to return while every upstream still pauses.
+TEST_CASE("Callers are told to return after a pause if they have the time", "[relay][notice]")
+{
+    RelayFixture relay;
+    auto config = RelayFixture::config(2);
+    for (RelayRoute& route : config->routes)
+        route.patience = { 1000 };
+    relay.event(ConfigUpdated { .config = config });
+    relay.list({ RelayFixture::upstream("p1", "plain") });
+    const auto sent = relay.request("/book/");
+    askForPause(relay, *findEffect<SendToUpstream>(sent), { 1500 });
+    for (int count = 0; count < 20; ++count) {
+        const auto effects = relay.request("/read/");
+        const auto* refusal = findEffect<RefuseCall>(effects);
+        REQUIRE(refusal);
+        CHECK(refusal->retryAfter >= Milliseconds { 1500 });
+        CHECK(refusal->retryAfter <= Milliseconds { 2000 });
+    }
+}
+
 // Guards against a pause in a field that means something else, or that cannot be read.
 TEST_CASE("A pause is a number of seconds in an answer with status 503", "[platform][notice]")
 {
