Take nothing in a drain that its end may cut

Callers saw: of what came after SIGTERM, streams were reset at the end of the grace period in their middle, and requests that may not be repeated were answered 504 after an upstream had worked on them.

Cause: the check on arrival predicted too little. A stream without an engine profile, or whose request states no limit of tokens, was taken to last no longer than twice its objective, which limits only its first event. A plain request that takes far longer than its objective was accepted up to four objectives before the end, whether it may be repeated or not. No prediction left time for an upstream that is silent for a second and goes on. A request that a full upstream returned as not run was sent on without any check, and one that waited in the queue was refused only when an upstream became free.

Change: mayBegin() decides for arrivals, the queue and retries. A request whose own deadline is before the end of the drain is taken: it ends by then whatever happens. Otherwise one that may not be repeated is refused at once with the Retry-After of a drain, and the rest is taken by prediction only if something limits how long it takes, with time for a silence. What waits unbegun and does not pass is refused at the next tick.

--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -12,6 +12,12 @@
     return !hasBegun(request) || cause == EndCause::UpstreamDead || cause == EndCause::Deadline;
 }
 
+bool isRepeatable(const RelayRequest& request)
+{
+    return request.route->kind == CallKind::Idempotent
+        || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
+}
+
 bool hasAttemptLeft(const RelayRequest& request)
 {
     const bool resumedUnbegun = request.headForwarded && request.active && !request.active->headReceived;
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -25,6 +25,9 @@
 /// @return whether a cause may end a request
 bool mayEnd(const RelayRequest& request, EndCause cause);
 
+/// @return whether a request that may have run may be sent again
+bool isRepeatable(const RelayRequest& request);
+
 /// @return whether a further upstream may be given the request. A stream that its caller has in part uses up an attempt
 /// only at upstreams that began it.
 bool hasAttemptLeft(const RelayRequest& request);
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -1,5 +1,6 @@
 #include "relay_admit_func.h"
 
+#include "begun_request_func.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
 #include "upstream_notice_func.h"
@@ -55,6 +56,18 @@
             request, request.metadata.outputTokensHint > 0 ? request.metadata.outputTokensHint : meanTokens);
     }
 
+    /// @return the longest time that a request is predicted to take, or nothing if nothing limits it
+    std::optional<Milliseconds> longestServiceTime(const RelayRequest& request)
+    {
+        const bool limited = engineProfileOf(request) && request.metadata.maxOutputTokens > 0;
+        if (limited)
+            return serviceTime(request, request.metadata.maxOutputTokens);
+        // The objective of a stream limits only its first event. A plain request may take several times its mean.
+        if (request.route->kind == CallKind::Stream)
+            return std::nullopt;
+        return request.route->objective * 2;
+    }
+
 } // namespace
 
 std::uint8_t computeUrgency(std::optional<std::uint8_t> workspaceRank, std::uint8_t routeRank)
@@ -113,12 +126,17 @@
         || now + minTimeToObjective(request) > request.leavesAt;
 }
 
-bool finishesBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now)
+bool mayBegin(const RelayState& state, const RelayRequest& request, Milliseconds now)
 {
-    // A plain request may take several times its mean.
-    const Milliseconds longest = engineProfileOf(request) ? serviceTime(request, request.metadata.maxOutputTokens)
-                                                          : request.route->objective * 2;
-    return now + longest * drainTimeFactor < moment;
+    if (!state.drainEndsAt)
+        return true;
+    const Milliseconds callerLeaves = request.arrivedAt + request.metadata.timeout;
+    const bool endsByItself = request.timeoutAt < *state.drainEndsAt
+        || (request.metadata.timeout.value > 0 && callerLeaves < *state.drainEndsAt);
+    if (endsByItself)
+        return true;
+    const std::optional<Milliseconds> longest = longestServiceTime(request);
+    return isRepeatable(request) && longest && now + *longest * drainTimeFactor + soundSilence < *state.drainEndsAt;
 }
 
 Milliseconds retryAfterDelay(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now)
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -28,8 +28,11 @@
 /// @return whether a queued request would miss its deadline even if it were dispatched now
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now);
 
-/// @return whether even the longest response that a request allows ends before a moment, if it is dispatched now
-bool finishesBefore(const RelayRequest& request, Milliseconds moment, Milliseconds now);
+/// Decides what a process that stops may still pass on. Another entry can take what it refuses at once, so it takes
+/// only what ends before the drain: by the deadline of its caller or route, or, if the caller could repeat it, by
+/// prediction.
+/// @return whether a request that no upstream has begun may be sent to one now; always true unless this process stops
+bool mayBegin(const RelayState& state, const RelayRequest& request, Milliseconds now);
 
 /// Chooses the Retry-After of a refused request: the predicted wait, with jitter so that callers refused together do
 /// not return together. It never exceeds a share of the request's remaining time, because callers ignore longer delays.
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -117,7 +117,7 @@
         refuseRequest(state, stored, statusUnavailable, "quarantined", now, effects);
         return;
     }
-    if (state.drainEndsAt && !finishesBefore(stored, *state.drainEndsAt, now)) {
+    if (!mayBegin(state, stored, now)) {
         refuseRequest(state, stored, statusUnavailable, "stopping", now, effects);
         return;
     }
@@ -251,8 +251,7 @@
             continue; // it waits as long as it has time, and others need not wait for it
         if (!upstream)
             return;
-        if (state.drainEndsAt && mayEnd(request, EndCause::Stopping) && !request.mayHaveRun
-            && !finishesBefore(request, *state.drainEndsAt, now)) {
+        if (mayEnd(request, EndCause::Stopping) && !request.mayHaveRun && !mayBegin(state, request, now)) {
             refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
             continue;
         }
@@ -277,11 +276,15 @@
 {
     std::vector<CallId> expired;
     std::vector<CallId> unservable;
+    std::vector<CallId> stopping;
     for (auto& [call, request] : state.requests) {
         if (now >= request.deadlineAt)
             expired.push_back(call);
         else if (request.queued && mayEnd(request, EndCause::Lateness) && cannotMeetDeadline(request, now))
             unservable.push_back(call);
+        else if (request.queued && mayEnd(request, EndCause::Stopping) && !request.mayHaveRun
+            && !mayBegin(state, request, now))
+            stopping.push_back(call);
         else if (request.queued && !request.queued->late
             && makeQueueKey(request, state.options.queuePolicy, now).late) {
             removeFromQueue(state, request);
@@ -294,6 +297,9 @@
         refuseRequest(state, request, notRun ? statusUnavailable : statusTimeout, notRun ? "no-time-left" : "timeout",
             now, effects);
     }
+    // They need not wait for an upstream to be refused: another entry can take them at once.
+    for (const CallId call : stopping)
+        refuseRequest(state, state.requests.at(call), statusUnavailable, "stopping", now, effects);
     for (const CallId call : unservable) {
         RelayRequest& request = state.requests.at(call);
         refuseRequest(
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -29,13 +30,6 @@
 
     bool isEngineRequest(const RelayRequest& request) { return !request.metadata.model.empty(); }
 
-    /// @return whether a request that may have run may be sent again
-    bool isRepeatable(const RelayRequest& request)
-    {
-        return request.route->kind == CallKind::Idempotent
-            || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
-    }
-
     /// @return the version that the engine is known to hold, or nothing while any version may be used
     std::optional<WeightsVersion> expectedWeights(
         const RelayState& state, const RelayUpstream& view, const RelayRequest& request, Milliseconds now)
@@ -86,6 +80,10 @@
         const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
             && suspicionHold(state.crashes, request.traits, now);
         const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
+        if (!begun && !request.mayHaveRun && !mayBegin(state, request, now)) {
+            refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
+            return;
+        }
         if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
             const bool hasRetry
                 = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -78,12 +78,18 @@
         this->store.put("servers", id, row.dump());
     }
 
+    /// @return file with the settings of an entry
+    std::string settingsPath(int number) const
+    {
+        return this->logFolder + "/entry-" + std::to_string(number) + ".toml";
+    }
+
     /// Starts an entry and waits until it is ready.
     void startEntry(int number)
     {
         const std::string ip = this->hostAddress(number);
         const std::string name = "entry-" + std::to_string(number);
-        const std::string path = this->logFolder + "/" + name + ".toml";
+        const std::string path = this->settingsPath(number);
         std::string seeds;
         for (int seed = 1; seed <= this->entryCount; ++seed)
             seeds += (seeds.empty() ? "\"" : ", \"") + this->hostAddress(seed) + ":8003\"";
@@ -91,7 +97,7 @@
                             << "\"\npeer_port = 8010\nstore = \"" << this->addressPrefix << "250:8081\"\nseeds = ["
                             << seeds << "]\n[relay]\nfront = \"" << ip << ":8000\"\nreadiness = \"" << ip
                             << ":8001\"\nlookup = \"" << ip << ":8002\"\ncontrol = \"" << ip
-                            << ":8003\"\nrevoke_ms = 5000\nweights_ms = 6000\ngrace_s = 8\n";
+                            << ":8003\"\nrevoke_ms = 5000\nweights_ms = 6000\ngrace_s = " << this->graceSeconds << "\n";
         this->entries[number].start(
             { this->buildFolder + "/hickory-entry", "--settings", path }, this->logFolder + "/" + name + ".log");
         constexpr Milliseconds startTimeout { 10000 };
@@ -154,6 +160,7 @@
     std::string nextAttempt() { return "attempt-" + std::to_string(++this->attempts); }
 
     std::uint64_t attempts { 0 }; ///< requests sent so far
+    int graceSeconds { 8 }; ///< grace_s of entries that are started from now on
 
 private:
     std::string buildFolder;
