Let requests run on into the last part of a short grace period

Callers saw: with a grace period of 2 s, what was in flight at SIGTERM was cut 1.6 s after it, a fifth of the period before its end.

Cause: the drain ended a fixed 400 ms before the end of the grace period, fit for one of 8 s.

Change: the margin is a tenth of the grace period where that is shorter. The process leaves half of the margin before the end, as before.

--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -50,6 +50,12 @@
         return 0;
     }
 
+    /// @return how long before the end of a grace period the responses end
+    Milliseconds drainMarginOf(Milliseconds gracePeriod)
+    {
+        return std::min(drainMargin, gracePeriod / drainMarginDivisor);
+    }
+
     LogLine storeLogLine(const char* event, const char* table, const std::string& detail)
     {
         return { .level = LogLevel::Warning,
@@ -471,7 +477,8 @@
     this->drainingSince = monotonicNow();
     writeLog({ .event = "drain", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
     this->front.startDrain();
-    this->dispatch(DrainStarted { .endsAt = this->drainingSince + this->settings.gracePeriod - drainMargin });
+    const Milliseconds gracePeriod = this->settings.gracePeriod;
+    this->dispatch(DrainStarted { .endsAt = this->drainingSince + gracePeriod - drainMarginOf(gracePeriod) });
     // Tells peers to leave this entry out of their answers to lookups.
     this->sendBeacons();
 }
@@ -479,10 +486,11 @@
 void RelayLoop::continueDrain()
 {
     const Milliseconds elapsed = monotonicNow() - this->drainingSince;
+    const Milliseconds gracePeriod = this->settings.gracePeriod;
     const bool idle = this->calls.empty();
     if ((elapsed > minDrainPeriod && idle) || elapsed > drainAcceptPeriod)
         this->front.closeIdle();
-    if ((elapsed > minDrainPeriod && idle) || elapsed + drainMargin / 2 > this->settings.gracePeriod) {
+    if ((elapsed > minDrainPeriod && idle) || elapsed + drainMarginOf(gracePeriod) / 2 > gracePeriod) {
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
         this->sweepTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -73,7 +73,9 @@
 constexpr Milliseconds minDrainPeriod { 3300 };
 /// Time from the start of a drain after which no connections are accepted and idle ones are closed.
 constexpr Milliseconds drainAcceptPeriod { 5500 };
-constexpr Milliseconds drainMargin { 400 }; ///< responses end this long before the end of the grace period
+/// Responses end this long before the end of the grace period, or a share of that period if that is shorter.
+constexpr Milliseconds drainMargin { 400 };
+constexpr std::int64_t drainMarginDivisor = 10; ///< of the grace period
 constexpr Milliseconds drainFlushDelay { 60 }; ///< for bytes of responses that are still to be written
 
 } // namespace hickory
