Keep to the grace period that was in force at SIGTERM

Callers saw: where the settings named a shorter grace period while an entry stopped, it went at the end of that one, with requests in flight that got no answer.

Cause: the reducer had the end of the drain as of SIGTERM, but the loop read the grace period from the settings each time, and a reload replaces them.

Change: both use the end that was computed at SIGTERM, when the platform began to measure it.

--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -477,20 +477,23 @@
     this->drainingSince = monotonicNow();
     writeLog({ .event = "drain", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
     this->front.startDrain();
+    // The platform measures the period in force now, whatever the settings say later.
     const Milliseconds gracePeriod = this->settings.gracePeriod;
-    this->dispatch(DrainStarted { .endsAt = this->drainingSince + gracePeriod - drainMarginOf(gracePeriod) });
+    const Milliseconds margin = drainMarginOf(gracePeriod);
+    this->exitsAt = this->drainingSince + gracePeriod - margin / 2;
+    this->dispatch(DrainStarted { .endsAt = this->drainingSince + gracePeriod - margin });
     // Tells peers to leave this entry out of their answers to lookups.
     this->sendBeacons();
 }
 
 void RelayLoop::continueDrain()
 {
-    const Milliseconds elapsed = monotonicNow() - this->drainingSince;
-    const Milliseconds gracePeriod = this->settings.gracePeriod;
+    const Milliseconds now = monotonicNow();
+    const Milliseconds elapsed = now - this->drainingSince;
     const bool idle = this->calls.empty();
     if ((elapsed > minDrainPeriod && idle) || elapsed > drainAcceptPeriod)
         this->front.closeIdle();
-    if ((elapsed > minDrainPeriod && idle) || elapsed + drainMarginOf(gracePeriod) / 2 > gracePeriod) {
+    if ((elapsed > minDrainPeriod && idle) || now > this->exitsAt) {
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
         this->sweepTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
