Let callers take what is written before a stopping process goes

Callers saw: of a whole answer that one took slowly, the rest was cut when the entry went, 3.3 s after SIGTERM, with most of the grace period left.

Cause: the process went once no request was open. A request counts as closed when its answer is written, but what the kernel does not take yet waits in the process. Each further tick also armed the timer of drainFlushDelay again, whose handler took its cancellation for its end: the process went after one tick, 20 ms, instead of 60 ms.

Change: FrontServer keeps the links that are closing until their bytes are written, and a drain that is done early waits for them, up to the end of the grace period. A closing link whose peer is gone is closed at once, so that it holds up no drain. The timer of the delay is armed once.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -2,6 +2,7 @@
 
 #include "wire_parser_func.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -214,6 +215,8 @@
     this->connections.erase(connection->number);
     if (connection->link->pending() == 0)
         connection->link->close();
+    else if (connection->link->open())
+        this->closing.push_back(connection->link);
     if (call.value != 0 && this->calls.erase(call) > 0)
         this->handlers.onCallerDisconnected(call);
 }
@@ -317,6 +320,15 @@
     return connection ? connection->link->pending() : 0;
 }
 
+bool FrontServer::hasUnsent()
+{
+    const auto hasPending = [](const std::shared_ptr<TcpLink>& link) { return link->open() && link->pending() > 0; };
+    std::erase_if(this->closing, [&](const auto& link) { return !hasPending(link); });
+    return !this->closing.empty()
+        || std::any_of(this->connections.begin(), this->connections.end(),
+            [&](const auto& entry) { return hasPending(entry.second->link); });
+}
+
 void FrontServer::closeIdle()
 {
     for (const auto& acceptor : this->acceptors) {
@@ -335,6 +347,7 @@
 
 void FrontServer::sweep(Milliseconds now)
 {
+    this->hasUnsent(); // forgets the links that are done
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -81,6 +81,8 @@
 
     /// Makes each further answer carry `Connection: close`.
     void startDrain() { this->draining = true; }
+    /// @return whether bytes of complete answers are queued that the kernel has not taken
+    bool hasUnsent();
     /// Stops accepting and closes the connections that have no request in progress.
     void closeIdle();
     /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. To be called regularly: the time
@@ -119,6 +121,7 @@
     std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors; ///< one for each address passed to listen()
     std::unordered_map<std::uint64_t, ConnectionPointer> connections; ///< open connections by Connection::number
     std::unordered_map<CallId, ConnectionPointer> calls; ///< connections by the request in progress on them
+    std::vector<std::shared_ptr<TcpLink>> closing; ///< links without a connection that still have bytes to write
     std::uint64_t lastNumber { 0 }; ///< last number given to a connection or request
     bool draining { false }; ///< startDrain() was called
 };
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -490,10 +490,11 @@
 {
     const Milliseconds now = monotonicNow();
     const Milliseconds elapsed = now - this->drainingSince;
-    const bool idle = this->calls.empty();
-    if ((elapsed > minDrainPeriod && idle) || elapsed > drainAcceptPeriod)
+    const bool isDone = elapsed > minDrainPeriod && this->calls.empty() && !this->front.hasUnsent();
+    if (isDone || elapsed > drainAcceptPeriod)
         this->front.closeIdle();
-    if ((elapsed > minDrainPeriod && idle) || now > this->exitsAt) {
+    if (!this->exiting && (isDone || now > this->exitsAt)) {
+        this->exiting = true;
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
         this->sweepTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -169,6 +169,7 @@
     std::map<std::string, KnownEngine> engines; ///< reports of agents of this data centre, by address of the engine
     Milliseconds drainingSince { 0 }; ///< when SIGTERM or SIGINT came, 0 before
     Milliseconds exitsAt { 0 }; ///< when this process ends at the latest, once it drains
+    bool exiting { false }; ///< only drainFlushDelay is left
     std::string operatorRowsSource { "store" }; ///< while a copy is adopted: host of the peer that it came from
     bool peerFetchPending { false }; ///< a request for a peer's tables is in flight
     int exitCode { 0 }; ///< result of run()
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -163,6 +163,8 @@
 
 void TcpLink::end(LinkEnd how)
 {
+    if (this->closing && how == LinkEnd::Broken)
+        this->close(); // the rest cannot be written
     if (!this->onEnd)
         return;
     const OnEnd handler = std::move(this->onEnd);
--- a/tests/tool_planned_stop.cpp
+++ b/tests/tool_planned_stop.cpp
@@ -10,6 +10,7 @@
 #include <cxxopts.hpp>
 #include <functional>
 #include <iostream>
+#include <netinet/tcp.h>
 #include <random>
 
 using namespace hickory;
@@ -155,6 +156,9 @@
         const auto endpoint = *parseEndpoint(address);
         this->socket.open(endpoint.protocol());
         this->socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        // As on a network: segments as large as those of the loopback let the kernel take all of the answer at once.
+        constexpr int segmentBytes = 1000;
+        (void)::setsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
         this->socket.connect(endpoint);
         asio::write(this->socket, asio::buffer(request));
         this->socket.non_blocking(true);
