Do not take an interim answer for the answer on the older path

Callers of the older path got an answer with status 103 and an empty body, framed as whole, where an upstream had sent 103 Early Hints and then stopped inside the head of its answer.

Cause: the blocking client's library knows only the interim status 100. Any other one counts as the answer, and what follows it as a body that ends with its connection. As the upstream still ran, such an answer counted as complete.

Change: completeTransfer() says of an interim status that the answer is broken; agents pass on and record nothing of it, and end the request as crashed.

On the users' platform a head that breaks off completes nothing.

--- a/src/answer_end_func.cpp
+++ b/src/answer_end_func.cpp
@@ -13,6 +13,9 @@
 
 AnswerTransfer completeTransfer(std::uint16_t status, bool hasLength, std::string_view transferEncoding)
 {
+    constexpr std::uint16_t firstFinal = 200;
+    if (status < firstFinal)
+        return AnswerTransfer::Broken; // an interim answer says nothing of the answer that was to follow
     constexpr std::uint16_t noContent = 204;
     constexpr std::uint16_t notModified = 304;
     const bool hasNoBody = status == noContent || status == notModified;
--- a/src/upstream_io.cpp
+++ b/src/upstream_io.cpp
@@ -93,6 +93,9 @@
         /// @return false to abort the request
         bool receiveBody(const char* data, std::size_t size)
         {
+            // The library takes an interim answer for the answer, and what follows it for its body.
+            if (this->transfer == AnswerTransfer::Broken)
+                return true;
             if (this->record)
                 this->recordPiece(data, size);
             // A server error or a refusal is reported as the result of the attempt; its body is not sent to the caller.
@@ -184,6 +187,8 @@
                 : error == httplib::Error::Canceled ? UpstreamResult::Cancelled
                                                     : UpstreamResult::Crashed;
         }
+        if (reader.transfer == AnswerTransfer::Broken)
+            return UpstreamResult::Crashed;
         if (reader.engine && (reader.status == statusConflict || reader.status == statusUnavailable))
             return UpstreamResult::Refused;
         if (reader.status >= firstServerError)
--- a/tests/tool_answer_end.cpp
+++ b/tests/tool_answer_end.cpp
@@ -1,6 +1,7 @@
-// Runs one hickory-entry before stand-in upstreams that end their answers in every framing and at every kind of place:
-// whole, cut by a close, a reset or the end of the process. Checks that no caller takes a part of an answer for the
-// whole one, and that a whole answer, or one that another upstream can complete, arrives whole. Exit code 1 otherwise.
+// Runs one hickory-entry before stand-in upstreams that end their answers in every framing and at every kind of place,
+// inside the head too: whole, cut by a close, a reset or the end of the process. Checks that no caller takes a part of
+// an answer for the whole one, and that a whole answer, or one that another upstream can complete, arrives whole. Exit
+// code 1 otherwise.
 
 #include "call_pool_io.h"
 #include "scenario_process.h"
@@ -73,6 +74,7 @@
     StreamType type { StreamType::Usual };
     Ending ending { Ending::Whole };
     std::size_t cut { 0 }; ///< bytes of the body that are sent
+    std::optional<std::size_t> headShare; ///< percent of the head that is sent, without a body; empty for all of it
     int runs { 0 }; ///< times that an upstream got it
 
     std::string name() const
@@ -81,7 +83,9 @@
         std::string name = std::string(text(kindNames, this->kind)) + ", " + text(framingNames, this->framing) + ", ";
         if (isStream(this->kind))
             name += std::string(text(typeNames, this->type)) + ", ";
-        return name + text(endingNames, this->ending) + " after " + std::to_string(this->cut) + " bytes";
+        return name + text(endingNames, this->ending) + " after "
+            + (this->headShare ? std::to_string(*this->headShare) + " percent of the head"
+                               : std::to_string(this->cut) + " bytes");
     }
     std::string attempt() const { return "attempt-" + std::to_string(this->number); }
     std::string prefix() const { return "/case" + std::to_string(this->number) + "/"; }
@@ -95,7 +99,7 @@
     {
         const std::size_t event = eventText(1).size();
         const bool betweenEvents = this->cut > 0 && this->cut % event == 0;
-        return this->framing == Framing::None && this->ending == Ending::Close
+        return !this->headShare && this->framing == Framing::None && this->ending == Ending::Close
             && (!isStream(this->kind) || betweenEvents);
     }
 };
@@ -175,6 +179,10 @@
             chunk << std::hex << body.size();
             head += "Transfer-Encoding: chunked\r\n\r\n" + (body.empty() ? "" : chunk.str() + "\r\n" + body + "\r\n");
         }
+        if (request.headShare) {
+            head.resize(head.find("\r\n\r\n") + 4);
+            head.resize(std::min(head.size() * *request.headShare / 100, head.size() - 1));
+        }
         session->link->write(head);
         auto timer = std::make_shared<asio::steady_timer>(this->io, std::chrono::milliseconds(settleTime.value));
         timer->async_wait([this, session, timer, &request](const std::error_code&) { this->end(*session, request); });
@@ -225,6 +233,14 @@
         const std::vector<std::size_t> cuts = isStream(made.kind)
             ? std::vector<std::size_t> { 0, event / 2, event, event + 1, event * 2, event * 3 - 1, whole }
             : std::vector<std::size_t> { 0, whole / 2, whole };
+        for (const std::size_t share : { 1U, 8U, 30U, 60U, 90U, 100U }) {
+            if (made.ending == Ending::Whole || made.type != StreamType::Usual)
+                continue;
+            Case cutInHead = made;
+            cutInHead.number = cases.size();
+            cutInHead.headShare = share;
+            cases.push_back(cutInHead);
+        }
         for (const std::size_t cut : cuts) {
             if ((made.ending == Ending::Whole) != (cut == whole && made.ending == Ending::Whole))
                 continue;
@@ -368,6 +384,8 @@
             problem = "has other bytes";
         else if (!complete && !request.looksWhole() && (request.ending == Ending::Whole || request.repeatable()))
             problem = "is not complete, status " + std::to_string(caller.head.status);
+        else if (request.runs > 1 && !request.repeatable())
+            problem = "ran twice";
         if (problem.empty())
             return;
         ++this->failures;
