Stop accepting from a listening socket that was closed

An entry that stops could spend the rest of its grace period at full load.

Cause: a connection that was accepted just before closeIdle() closes the listening socket has its handler run after it. That accepts again, from a closed socket, which fails at once, and so on: only an aborted accept ended this.

Change: the handler accepts again only while the socket is open.

Evidence: unit_front.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -146,7 +146,9 @@
             connection->link->start([this, connection](std::string_view bytes) { this->onData(connection, bytes); },
                 [this, connection](LinkEnd) { this->removeConnection(connection); });
         }
-        this->accept(acceptor);
+        // It may have been closed since the connection was accepted.
+        if (acceptor.is_open())
+            this->accept(acceptor);
     });
 }
 
