Answer what is being read when a drain closes idle connections

Callers saw: a request that arrived while a stopping entry closed its idle connections got no answer, though nothing of it was passed on and a refusal would have let any caller repeat it at once.

Cause: closeIdle() took each connection without a request in progress for idle, also one whose request had arrived in part, or whole and unread.

Change: a drain leaves these open, and answers or refuses them. The process goes once no connection is left, at the latest at the end of its grace period. A request that stalls is closed by the limit of its time, as before.

Evidence: the second case of unit_front.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -331,15 +331,18 @@
             [&](const auto& entry) { return hasPending(entry.second->link); });
 }
 
-void FrontServer::closeIdle()
+void FrontServer::closeIdle(bool readingToo)
 {
     for (const auto& acceptor : this->acceptors) {
         std::error_code code; // ignored: the process is about to end
         acceptor->close(code);
     }
+    const auto isReading = [](const Connection& connection) {
+        return connection.parser.inMessage() || !connection.unread.empty() || connection.link->hasUnread();
+    };
     std::vector<ConnectionPointer> idle;
     for (const auto& [number, connection] : this->connections)
-        if (connection->call.value == 0)
+        if (connection->call.value == 0 && (readingToo || !isReading(*connection)))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
         connection->link->closeAfterWrite();
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -84,7 +84,10 @@
     /// @return whether bytes of complete answers are queued that the kernel has not taken
     bool hasUnsent();
     /// Stops accepting and closes the connections that have no request in progress.
-    void closeIdle();
+    /// @param readingToo also those on which a request has arrived in part, or whole and unread
+    void closeIdle(bool readingToo = true);
+    /// @return whether any connection is open
+    bool hasConnections() const { return !this->connections.empty(); }
     /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. To be called regularly: the time
     /// between calls is the precision of these limits.
     /// @param now monotonic time
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -492,8 +492,10 @@
     const Milliseconds elapsed = now - this->drainingSince;
     const bool isDone = elapsed > minDrainPeriod && this->calls.empty() && !this->front.hasUnsent();
     if (isDone || elapsed > drainAcceptPeriod)
-        this->front.closeIdle();
-    if (!this->exiting && (isDone || now > this->exitsAt)) {
+        this->front.closeIdle(false);
+    // What is still being read is answered first.
+    const bool isEmpty = isDone && !this->front.hasConnections();
+    if (!this->exiting && (isEmpty || now > this->exitsAt)) {
         this->exiting = true;
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -147,6 +147,12 @@
         this->close();
 }
 
+bool TcpLink::hasUnread() const
+{
+    std::error_code code; // a closed socket has none
+    return this->socket.available(code) > 0;
+}
+
 void TcpLink::reset()
 {
     std::error_code code;
