--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -14,6 +14,12 @@
     return !request.metadata.model.empty() && !send.headReceived;
 }
 
+bool isRepeatable(const RelayRequest& request)
+{
+    return request.route->kind == CallKind::Idempotent
+        || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
+}
+
 bool hasAttemptLeft(const RelayRequest& request)
 {
     const bool resumedUnbegun = request.headForwarded && request.active && !request.active->headReceived;
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -26,6 +26,9 @@
 /// plain upstream has begun shows only in its answer.
 bool mayTakeBack(const RelayRequest& request, const ActiveSend& send);
 
+/// @return whether a request that may have run may be sent again
+bool isRepeatable(const RelayRequest& request);
+
 /// @return whether a further upstream may be given the request. A stream that its caller has in part uses up an attempt
 /// only at upstreams that began it.
 bool hasAttemptLeft(const RelayRequest& request);
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -2,6 +2,7 @@
 
 #include "wire_parser_func.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -145,7 +146,9 @@
             connection->link->start([this, connection](std::string_view bytes) { this->onData(connection, bytes); },
                 [this, connection](LinkEnd) { this->removeConnection(connection); });
         }
-        this->accept(acceptor);
+        // It may have been closed since the connection was accepted.
+        if (acceptor.is_open())
+            this->accept(acceptor);
     });
 }
 
@@ -214,6 +217,8 @@
     this->connections.erase(connection->number);
     if (connection->link->pending() == 0)
         connection->link->close();
+    else if (connection->link->open())
+        this->closing.push_back(connection->link);
     if (call.value != 0 && this->calls.erase(call) > 0)
         this->handlers.onCallerDisconnected(call);
 }
@@ -317,15 +322,27 @@
     return connection ? connection->link->pending() : 0;
 }
 
-void FrontServer::closeIdle()
+bool FrontServer::hasUnsent()
+{
+    const auto hasPending = [](const std::shared_ptr<TcpLink>& link) { return link->open() && link->pending() > 0; };
+    std::erase_if(this->closing, [&](const auto& link) { return !hasPending(link); });
+    return !this->closing.empty()
+        || std::any_of(this->connections.begin(), this->connections.end(),
+            [&](const auto& entry) { return hasPending(entry.second->link); });
+}
+
+void FrontServer::closeIdle(bool readingToo)
 {
     for (const auto& acceptor : this->acceptors) {
         std::error_code code; // ignored: the process is about to end
         acceptor->close(code);
     }
+    const auto isReading = [](const Connection& connection) {
+        return connection.parser.inMessage() || !connection.unread.empty() || connection.link->hasUnread();
+    };
     std::vector<ConnectionPointer> idle;
     for (const auto& [number, connection] : this->connections)
-        if (connection->call.value == 0)
+        if (connection->call.value == 0 && (readingToo || !isReading(*connection)))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
         connection->link->closeAfterWrite();
@@ -335,6 +352,7 @@
 
 void FrontServer::sweep(Milliseconds now)
 {
+    this->hasUnsent(); // forgets the links that are done
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -58,8 +58,6 @@
 /// @pre the request has no send in flight but its backup
 void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
     RelayEffects& effects);
-/// @return whether a request that may have run may be sent again
-bool isRepeatable(const RelayRequest& request);
 /// Starts to forward a streamed response, or retries a request that the upstream states it did not run.
 void applyResponseStarted(RelayState& state, const ResponseStarted& event, Milliseconds now, RelayEffects& effects);
 /// Records the progress of a stream, so that it can be resumed after its last event.
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -50,6 +50,12 @@
         return 0;
     }
 
+    /// @return how long before the end of a grace period the responses end
+    Milliseconds drainMarginOf(Milliseconds gracePeriod)
+    {
+        return std::min(drainMargin, gracePeriod / drainMarginDivisor);
+    }
+
     LogLine storeLogLine(const char* event, const char* table, const std::string& detail)
     {
         return { .level = LogLevel::Warning,
@@ -471,18 +477,26 @@
     this->drainingSince = monotonicNow();
     writeLog({ .event = "drain", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
     this->front.startDrain();
-    this->dispatch(DrainStarted { .endsAt = this->drainingSince + this->settings.gracePeriod - drainMargin });
+    // The platform measures the period in force now, whatever the settings say later.
+    const Milliseconds gracePeriod = this->settings.gracePeriod;
+    const Milliseconds margin = drainMarginOf(gracePeriod);
+    this->exitsAt = this->drainingSince + gracePeriod - margin / 2;
+    this->dispatch(DrainStarted { .endsAt = this->drainingSince + gracePeriod - margin });
     // Tells peers to leave this entry out of their answers to lookups.
     this->sendBeacons();
 }
 
 void RelayLoop::continueDrain()
 {
-    const Milliseconds elapsed = monotonicNow() - this->drainingSince;
-    const bool idle = this->calls.empty();
-    if ((elapsed > minDrainPeriod && idle) || elapsed > drainAcceptPeriod)
-        this->front.closeIdle();
-    if ((elapsed > minDrainPeriod && idle) || elapsed + drainMargin / 2 > this->settings.gracePeriod) {
+    const Milliseconds now = monotonicNow();
+    const Milliseconds elapsed = now - this->drainingSince;
+    const bool isDone = elapsed > minDrainPeriod && this->calls.empty() && !this->front.hasUnsent();
+    if (isDone || elapsed > drainAcceptPeriod)
+        this->front.closeIdle(false);
+    // What is still being read is answered first.
+    const bool isEmpty = isDone && !this->front.hasConnections();
+    if (!this->exiting && (isEmpty || now > this->exitsAt)) {
+        this->exiting = true;
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
         this->sweepTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -70,12 +71,6 @@
 
 } // namespace
 
-bool isRepeatable(const RelayRequest& request)
-{
-    return request.route->kind == CallKind::Idempotent
-        || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
-}
-
 void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
     RelayEffects& effects)
 {
@@ -100,6 +95,10 @@
     const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
         && suspicionHold(state.crashes, request.traits, now);
     const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
+    if (!begun && !request.mayHaveRun && !mayBegin(state, request, now)) {
+        refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
+        return;
+    }
     if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
         const bool hasRetry
             = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -147,6 +147,12 @@
         this->close();
 }
 
+bool TcpLink::hasUnread() const
+{
+    std::error_code code; // a closed socket has none
+    return this->socket.available(code) > 0;
+}
+
 void TcpLink::reset()
 {
     std::error_code code;
@@ -163,6 +169,8 @@
 
 void TcpLink::end(LinkEnd how)
 {
+    if (this->closing && how == LinkEnd::Broken)
+        this->close(); // the rest cannot be written
     if (!this->onEnd)
         return;
     const OnEnd handler = std::move(this->onEnd);
