Take the parts of an answer one after the other

Callers that read slowly saw answers without some of their parts, ended as whole.

Cause: each part arrives as a call of its own. While one waited for room in the caller's buffer, the next ones were offered, counted as out of sequence and dropped, yet acknowledged; the agent then reported the answer as completed.

Change: a part is offered once the one before it was taken.

Evidence: the new test sends 8 parts of 100 KB to a caller that reads every 50 ms.

--- a/src/agent_link_io.cpp
+++ b/src/agent_link_io.cpp
@@ -43,8 +43,17 @@
             const auto params = context.getParams();
             const auto data = params.getData();
             this->options.onMessage();
-            return this->offer(params.getSequence(), { reinterpret_cast<const char*>(data.begin()), data.size() },
-                params.getStatus(), params.getContentType().cStr());
+            // A part that waits for room in the buffer must not be overtaken: the table drops parts out of sequence.
+            auto taken = this->previous
+                             .then([this, sequence = params.getSequence(),
+                                       data = std::string(reinterpret_cast<const char*>(data.begin()), data.size()),
+                                       status = params.getStatus(),
+                                       contentType = std::string(params.getContentType().cStr())]() mutable {
+                                 return this->offer(sequence, std::move(data), status, std::move(contentType));
+                             })
+                             .fork();
+            this->previous = taken.addBranch();
+            return taken.addBranch();
         }
 
     private:
@@ -77,6 +86,7 @@
         }
 
         Options options;
+        kj::Promise<void> previous { kj::READY_NOW }; ///< fulfilled when the part before the next one was taken
         bool firstPartEmitted { false };
     };
 
--- a/tests/unit_rpc.cpp
+++ b/tests/unit_rpc.cpp
@@ -116,6 +116,20 @@
     EntryRpc entry; ///< connects to the agent
 };
 
+/// Takes the parts of an answer until all are taken or its attempt has ended.
+void readSlowly(PendingRequest& pending, std::size_t parts)
+{
+    for (std::size_t taken = 0; taken < parts;) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        const std::lock_guard lock(pending.mutex);
+        taken += pending.parts.size();
+        pending.parts.clear();
+        pending.bufferedBytes = 0;
+        if (pending.attempt.value == 0)
+            return;
+    }
+}
+
 } // namespace
 
 // Guards against a truncated answer, when the result of a dispatch overtakes the parts of its answer.
@@ -166,3 +180,18 @@
         .call = { .key = { .entry = { "entry-1" }, .request = pending->request, .attempt = { 1 } } } });
     REQUIRE(pair.entryEvents.waitFor<AttemptEnded>().result.kind == DispatchResultKind::NotRun);
 }
+
+// Guards against an answer without some of its parts that reaches a slow caller as whole.
+TEST_CASE("No part overtakes one that waits for a slow caller")
+{
+    EntryAgentPair pair;
+    const auto pending = pair.dispatch();
+    const auto channel = pair.waitForDispatch();
+    constexpr int parts = 8;
+    constexpr std::size_t partBytes = 100000;
+    for (int i = 0; i < parts; ++i)
+        REQUIRE(channel->send(std::string(partBytes, 'x'), 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    readSlowly(*pending, parts);
+    CHECK(pair.entryEvents.waitFor<AttemptEnded>().delivered == parts);
+}
