Continue a recorded answer after the bytes that the caller has

Callers of non-repeatable calls could get the first parts of an answer, ended as whole, when the connection to the agent was lost in the middle of it.

Cause: the agent runs the call to its end and records the answer; the entry fetches it and gets it as part 0. With parts delivered before, part 0 was out of sequence and dropped, and the fetch was reported as done.

Change: part 0 of an attempt that does not begin the answer is the recorded one; what the caller has of it is left out.

Evidence: the new test of the request table failed before (the part was dropped). It plays the table only, not two processes.

--- a/src/request_table_io.cpp
+++ b/src/request_table_io.cpp
@@ -48,6 +48,7 @@
         return false;
     const std::lock_guard lock(pending->mutex);
     pending->attempt = attempt;
+    pending->resumedAt = pending->nextSequence;
     return true;
 }
 
@@ -69,7 +70,9 @@
     if (!pending)
         return PartResult::Dropped;
     const std::lock_guard lock(pending->mutex);
-    if (pending->attempt != attempt || sequence != pending->nextSequence || pending->end)
+    const bool recorded = sequence == 0 && pending->resumedAt > 0 && pending->nextSequence == pending->resumedAt
+        && data.size() >= pending->acceptedBytes;
+    if (pending->attempt != attempt || (sequence != pending->nextSequence && !recorded) || pending->end)
         return PartResult::Dropped;
     if (pending->bufferedBytes > maxBufferedBytes)
         return PartResult::Full;
@@ -78,7 +81,10 @@
         pending->status = status;
         pending->contentType = contentType;
     }
+    if (recorded)
+        data.erase(0, pending->acceptedBytes);
     ++pending->nextSequence;
+    pending->acceptedBytes += data.size();
     pending->bufferedBytes += data.size();
     pending->parts.push_back(std::move(data));
     pending->changed.notify_all();
--- a/src/request_table_io.h
+++ b/src/request_table_io.h
@@ -31,6 +31,8 @@
     std::uint32_t nextSequence { 0 }; ///< number of the next part: parts accepted so far over all attempts
     std::deque<std::string> parts; ///< accepted parts that are not yet written to the caller
     std::size_t bufferedBytes { 0 }; ///< total size of parts
+    std::size_t acceptedBytes { 0 }; ///< total size of the parts accepted so far over all attempts
+    std::uint32_t resumedAt { 0 }; ///< nextSequence when the open attempt began
     std::uint16_t status { 200 }; ///< HTTP status of the answer, valid once a part was accepted
     std::string contentType; ///< Content-Type of the answer, valid once a part was accepted
     std::optional<AnswerEnd> end; ///< how the answer ended; set at most once, empty before
@@ -63,6 +65,7 @@
     std::uint32_t closeAttempt(RequestId request, Attempt attempt);
 
     /// Accepts a part of an answer if it is the next one of the open attempt.
+    /// A recorded answer arrives as a whole in part 0; what the caller has of it is left out.
     /// @param sequence number of the part in the answer, counted from 0 over all attempts
     /// @param status HTTP status of the answer, used with the first part
     /// @param contentType Content-Type of the answer, used with the first part
--- a/tests/unit_request_table.cpp
+++ b/tests/unit_request_table.cpp
@@ -64,3 +64,18 @@
     }
     REQUIRE(pending->bufferedBytes <= 4 * part.size());
 }
+
+// Guards against an answer that ends after the parts of a lost attempt and is framed as whole.
+TEST_CASE("A recorded answer continues after the bytes that the caller has")
+{
+    RequestTable table;
+    const auto pending = table.add({});
+    table.openAttempt(pending->request, firstAttempt);
+    REQUIRE(table.takePart(pending->request, firstAttempt, 0, "ab", 200, "") == PartResult::First);
+    REQUIRE(table.takePart(pending->request, firstAttempt, 1, "c", 200, "") == PartResult::Taken);
+    REQUIRE(table.closeAttempt(pending->request, firstAttempt) == 2);
+    table.openAttempt(pending->request, secondAttempt);
+    REQUIRE(table.takePart(pending->request, secondAttempt, 0, "abcdef", 200, "") == PartResult::Taken);
+    REQUIRE(table.takePart(pending->request, secondAttempt, 0, "abcdef", 200, "") == PartResult::Dropped);
+    REQUIRE(pending->parts == std::deque<std::string> { "ab", "c", "def" });
+}
