End or hold requests whose service is removed between two attempts

Beside a configuration that removes a service, callers got neither an answer nor a refusal, even after their deadline, and begun streams were cut.

Cause: a request that waited for its retry was put into a queue that no longer exists and lost its timer with it. A stream that a sound engine had set aside for a more urgent one, and that waited in the queue, was refused at once, which after its first part is a reset.

Change: awaitUpstream() is the one place that queues a request again. Without the service it refuses a request that no upstream has begun and holds a begun one until the service is back or its deadline passes. begun_call_func has the rule of begun_request_func for requests that run at agents.

Evidence: both new tests failed before: no refusal within 2 s at a timeout of 1.5 s; streams that waited were aborted, streams in their backoff never went on.

--- /dev/null
+++ b/src/begun_call_func.cpp
@@ -0,0 +1,12 @@
+#include "begun_call_func.h"
+
+namespace hickory {
+
+bool hasBegun(const Request& request) { return request.delivered > 0 || request.firstPart || request.replay; }
+
+bool mayEnd(const Request& request, EndCause cause)
+{
+    return !hasBegun(request) || cause == EndCause::UpstreamDead || cause == EndCause::Deadline;
+}
+
+} // namespace hickory
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -13,6 +13,8 @@
     Lateness, ///< the request is predicted to miss its deadline
     Weights, ///< newer weights were declared
     Quarantine, ///< the request resembles others that crashed upstreams
+    Configuration, ///< the configuration no longer has the service
+    Overload, ///< the queues are full
     Stopping, ///< this process stops and the request may not end in time
 };
 
--- a/src/request_config_cmd.cpp
+++ b/src/request_config_cmd.cpp
@@ -82,8 +82,7 @@
             const Milliseconds queuedAt = request.queuedAt;
             request.phase = RequestPhase::Backoff;
             if (!state.requests.pools.contains(request.call.service)) {
-                failRequest(state, request,
-                    { .outcome = Outcome::NotRun, .reason = "service-removed", .step = "queue" }, effects);
+                awaitUpstream(state, request, effects);
                 continue;
             }
             const Milliseconds wakeAt = request.wakeAt;
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_func.h"
 #include "admission_queue_func.h"
+#include "begun_call_func.h"
 #include "request_end_cmd.h"
 #include "request_log_func.h"
 #include "route_func.h"
@@ -18,6 +19,8 @@
 
     /// Limit of suspect and pinned requests of a rank that are tried for each event; the others wait for the next one.
     constexpr std::size_t maxConstrainedTried = 32;
+    /// Time after which a request whose service has been removed checks whether it is back.
+    constexpr Milliseconds serviceCheckInterval { 1000 };
     /// Version that no row has. A dispatch that only fetches a recorded answer names it, so that it cannot start the
     /// call even if the row has expired in the meantime.
     constexpr RowVersion impossibleRowVersion { std::numeric_limits<std::uint64_t>::max() };
@@ -197,6 +200,20 @@
     setWake(state, request, first ? state.now + queueWaitLimit(state, pool->second, request.rank) : request.deadline);
 }
 
+void awaitUpstream(EntryState& state, Request& request, EntryEffects& effects)
+{
+    if (state.requests.pools.contains(request.call.service)) {
+        enqueueRequest(state, request);
+        dispatchQueued(state, ServiceId(request.call.service), effects);
+    } else if (mayEnd(request, EndCause::Configuration)) {
+        failRequest(
+            state, request, { .outcome = Outcome::NotRun, .reason = "service-removed", .step = "queue" }, effects);
+    } else {
+        request.phase = RequestPhase::Backoff;
+        setWake(state, request, state.now + serviceCheckInterval);
+    }
+}
+
 void dispatchQueued(EntryState& state, const ServiceId& service, EntryEffects& effects)
 {
     rebuildPools(state, effects);
--- a/src/request_dispatch_cmd.h
+++ b/src/request_dispatch_cmd.h
@@ -10,6 +10,11 @@
 /// @pre the request is in no queue and has no attempt in flight
 void enqueueRequest(EntryState& state, Request& request);
 
+/// Queues a request and dispatches what there is room for. One whose service has been removed is refused, or waits for
+/// the return of the service if an upstream has begun it.
+/// @pre the request is in no queue and has no attempt in flight
+void awaitUpstream(EntryState& state, Request& request, EntryEffects& effects);
+
 /// Dispatches waiting requests of a service to upstreams with room for them, most urgent rank first.
 void dispatchQueued(EntryState& state, const ServiceId& service, EntryEffects& effects);
 
--- a/src/request_row_cmd.cpp
+++ b/src/request_row_cmd.cpp
@@ -100,8 +100,7 @@
         }
         request.replay = true;
         request.mayHaveRun = true;
-        enqueueRequest(state, request);
-        dispatchQueued(state, ServiceId(request.call.service), effects);
+        awaitUpstream(state, request, effects);
     }
 
     /// Handles a row that was written by an earlier attempt or by another request with the same key.
@@ -140,8 +139,7 @@
         }
         request.replay = false;
         request.rowVersion = answer.status == StoreStatus::Absent ? RowVersion {} : answer.version;
-        enqueueRequest(state, request);
-        dispatchQueued(state, ServiceId(request.call.service), effects);
+        awaitUpstream(state, request, effects);
     }
 
     /// Retries a request whose dispatched attempt was cancelled in the row and can no longer start.
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -1,5 +1,6 @@
 #include "retry_cmd.h"
 
+#include "begun_call_func.h"
 #include "request_dispatch_cmd.h"
 #include "request_log_func.h"
 #include "request_row_cmd.h"
@@ -37,7 +38,10 @@
     {
         const ServiceConfig* service
             = state.config.config ? state.config.config->findService(request.call.service) : nullptr;
-        if (!service)
+        const auto ends = [&](EndCause cause) {
+            return mayEnd(request, failure.outcome == Outcome::NotRun ? cause : EndCause::UpstreamDead);
+        };
+        if (!service && ends(EndCause::Configuration))
             return "service-removed";
         if (request.detached)
             return "caller-gone";
@@ -46,7 +50,8 @@
         if (failure.outcome != Outcome::NotRun && !request.repeatable)
             return "not-repeatable";
         const bool partlyDelivered = request.delivered > 0;
-        if (partlyDelivered && (service->kind != ServiceKind::Engine || !request.repeatable))
+        const bool resumable = !service || service->kind == ServiceKind::Engine;
+        if (partlyDelivered && (!resumable || !request.repeatable))
             return "cannot-resume";
         if (request.firstPart && !partlyDelivered)
             return "delivered-count-unknown";
@@ -54,7 +59,7 @@
         // count for it. Refusals cause no work at an upstream; the backoff and the deadline bound them.
         if ((partlyDelivered ? request.lostAttempts : request.retries + 1) >= maxAttempts)
             return "attempts";
-        if (quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {})
+        if (service && quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {})
             return "quarantined";
         return nullptr;
     }
@@ -137,8 +142,7 @@
         readCallRow(state, request, effects);
         return;
     }
-    enqueueRequest(state, request);
-    dispatchQueued(state, ServiceId(request.call.service), effects);
+    awaitUpstream(state, request, effects);
 }
 
 } // namespace hickory
--- /dev/null
+++ b/tests/unit_request_begun.cpp
@@ -0,0 +1,67 @@
+#include "request_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+namespace {
+
+constexpr std::uint32_t deliveredParts = 2; ///< parts of each begun stream that its caller has
+
+/// Begins a stream whose caller has its first parts.
+/// @param how end of the first attempt
+/// @return the first attempt
+DispatchAttempt beginStream(RequestFixture& fixture, const RequestArrived& call, DispatchResultKind how)
+{
+    const DispatchAttempt dispatch = all<DispatchAttempt>(fixture.run(call)).at(0);
+    fixture.run(FirstPart { .request = call.request, .attempt = dispatch.call.key.attempt, .host = dispatch.host });
+    fixture.run(fixture.ended(dispatch, how, deliveredParts));
+    return dispatch;
+}
+
+/// Applies a configuration.
+EntryEffects applyConfig(RequestFixture& fixture, const Config& config)
+{
+    EntryEffects effects;
+    fixture.state.config.config = std::make_shared<const Config>(config);
+    applyConfigToRequests(fixture.state, effects);
+    return effects;
+}
+
+/// Connects an agent as it reports now.
+EntryEffects connectAgent(RequestFixture& fixture, AgentStatus& status)
+{
+    ++status.sequence;
+    return fixture.run(AgentConnected { .host = status.host, .status = status });
+}
+
+} // namespace
+
+// Guards against a begun stream that is cut beside a change of the configuration while it waits for an upstream.
+TEST_CASE("A stream that was set aside outlives a configuration without its service")
+{
+    RequestFixture fixture(1);
+    fixture.start();
+    beginStream(fixture, fixture.call(), DispatchResultKind::Preempted);
+    const bool queued = GENERATE(false, true);
+    if (queued) {
+        AgentStatus full = fixture.statuses[0];
+        full.sequence = 2;
+        full.ready = false;
+        fixture.run(AgentStatusReceived { .status = full });
+        fixture.advance({ 500 });
+        REQUIRE(fixture.state.requests.queued == 1);
+    }
+    Config changed = fixture.config;
+    changed.services[0].name = { "other" };
+    EntryEffects effects = applyConfig(fixture, changed);
+    for (const EntryEffect& effect : fixture.advance({ 10000 }))
+        effects.push_back(effect);
+    CHECK(all<AbortRequest>(effects).empty());
+    effects = applyConfig(fixture, fixture.config);
+    for (const EntryEffects& more : { connectAgent(fixture, fixture.statuses[0]), fixture.advance({ 2000 }) })
+        effects.insert(effects.end(), more.begin(), more.end());
+    const auto resumed = all<DispatchAttempt>(effects);
+    REQUIRE(resumed.size() == 1);
+    CHECK(resumed[0].call.resumeFrom == deliveredParts);
+}
--- a/tests/unit_request_retry.cpp
+++ b/tests/unit_request_retry.cpp
@@ -120,3 +120,36 @@
         CHECK(
             all<FinishRequest>(fixture.run(fixture.ended(running[index], DispatchResultKind::Completed))).size() == 1);
 }
+
+// Guards against a caller that gets neither an answer nor a refusal, even after its deadline.
+TEST_CASE("A request whose service is removed between two attempts is refused")
+{
+    RequestFixture fixture(2);
+    fixture.start();
+    RequestArrived call = fixture.call();
+    call.timeout = { 1500 };
+    const bool reading = GENERATE(false, true);
+    if (reading) {
+        call.path = "/repayments";
+        call.idempotencyKey = "key";
+    }
+    const EntryEffects arrived = fixture.run(call);
+    if (!reading)
+        fixture.run(fixture.ended(all<DispatchAttempt>(arrived).at(0), DispatchResultKind::NotRun));
+    Config changed = fixture.config;
+    changed.services[0].name = { "other" };
+    fixture.state.config.config = std::make_shared<const Config>(changed);
+    EntryEffects effects;
+    applyConfigToRequests(fixture.state, effects);
+    if (reading)
+        for (const StoreRead& read : all<StoreRead>(arrived))
+            for (const EntryEffect& effect :
+                fixture.run(StoreAnswer { .token = read.token, .status = StoreStatus::Absent }))
+                effects.push_back(effect);
+    for (const EntryEffect& effect : fixture.advance({ 2000 }))
+        effects.push_back(effect);
+    REQUIRE(all<FailRequest>(effects).size() == 1);
+    CHECK(all<FailRequest>(effects)[0].outcome == Outcome::NotRun);
+    CHECK(all<FailRequest>(effects)[0].reason == "service-removed");
+    CHECK(requestsInProgress(fixture.state) == 0);
+}
