Hold a begun stream while equal requests are in quarantine

Callers saw begun streams reset when other requests with the same content crashed engines, though their own engine was sound and had only set them aside for a more urgent request.

Cause: the queue and the retry refuse whatever resembles a request in quarantine, also a stream whose caller has its first parts.

Change: the quarantine may end only what no upstream has begun, and streams whose own engine crashed. Other begun streams wait for its end or for their deadline; they do not use up the tries of an event.

Evidence: the new test failed before: the stream was aborted in the first 3.5 s. It is now dispatched after the quarantine.

--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -117,15 +117,16 @@
     {
         auto position = pool.constrained.lower_bound({ static_cast<std::uint8_t>(rank), 0 });
         for (std::size_t tried = 0;
-             tried < maxConstrainedTried && position != pool.constrained.end() && position->first.first == rank;
-             ++tried) {
+             tried < maxConstrainedTried && position != pool.constrained.end() && position->first.first == rank;) {
             Request& request = state.requests.requests.at(position->second);
             const Milliseconds quarantine = quarantineRemaining(state, service, request.call.requestDigest);
             if (quarantine > Milliseconds {}) {
                 ++position;
-                failQuarantined(state, request, quarantine, effects);
+                if (mayEnd(request, EndCause::Quarantine))
+                    failQuarantined(state, request, quarantine, effects);
                 continue;
             }
+            ++tried;
             auto choice = chooseUpstream(state, service, pool, makeRouteQuery(state, request));
             if (!choice) {
                 ++position;
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -59,7 +59,8 @@
         // count for it. Refusals cause no work at an upstream; the backoff and the deadline bound them.
         if ((partlyDelivered ? request.lostAttempts : request.retries + 1) >= maxAttempts)
             return "attempts";
-        if (service && quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {})
+        if (service && quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {}
+            && ends(EndCause::Quarantine))
             return "quarantined";
         return nullptr;
     }
--- a/tests/unit_request_begun.cpp
+++ b/tests/unit_request_begun.cpp
@@ -65,3 +65,21 @@
     REQUIRE(resumed.size() == 1);
     CHECK(resumed[0].call.resumeFrom == deliveredParts);
 }
+
+// Guards against a begun stream that is cut because equal requests crashed other upstreams.
+TEST_CASE("A stream that was set aside outlives the quarantine of equal requests")
+{
+    RequestFixture fixture(3);
+    fixture.config.services[0].quarantine = { 4000 };
+    fixture.start();
+    RequestArrived call = fixture.call();
+    call.requestDigest = { "equal" };
+    beginStream(fixture, call, DispatchResultKind::Preempted);
+    EntryEffects gossip;
+    applySuspicions(fixture.state,
+        { { .service = call.service, .requestDigest = call.requestDigest, .crashes = 2, .age = { 0 } } }, gossip);
+    const EntryEffects quarantined = fixture.advance({ 3500 });
+    CHECK(all<AbortRequest>(quarantined).empty());
+    CHECK(all<DispatchAttempt>(quarantined).empty());
+    CHECK(all<DispatchAttempt>(fixture.advance({ 2000 })).size() == 1);
+}
