Deliver a recorded answer however long its fetch waits

Callers that repeated a non-repeatable call whose answer was recorded got 503 under load, though the answer stood ready.

Cause: the fetch of a recorded answer is queued like a new request. It was refused for its predicted wait, for waiting too long, for a full queue, after four refusals by agents, for want of retry budget, and as a crash suspect, though it runs nothing.

Change: a request whose answer is recorded counts as begun (begun_call_func) and ends at its deadline only. Requests that are not begun are refused as before.

Evidence: the new test fills the only agent; the fetch was refused there before, and is now dispatched with the first slot.

--- a/src/request_cmd.cpp
+++ b/src/request_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_func.h"
 #include "admission_queue_func.h"
+#include "begun_call_func.h"
 #include "request_attempt_cmd.h"
 #include "request_dispatch_cmd.h"
 #include "request_end_cmd.h"
@@ -59,6 +60,8 @@
                 Request& victim = state.requests.requests.at(item->request);
                 if (other == rank && victim.call.workspace == arriving.call.workspace)
                     continue;
+                if (!mayEnd(victim, EndCause::Overload))
+                    continue;
                 failRequest(state, victim,
                     { .outcome = Outcome::NotRun,
                         .reason = "queue-full",
@@ -112,6 +115,8 @@
         if (found == state.requests.requests.end() || found->second.phase != RequestPhase::Queued)
             return;
         Request& request = found->second;
+        if (!mayEnd(request, EndCause::Lateness))
+            return;
         const ServicePool& pool = state.requests.pools.at(request.call.service);
         // The admission checks must not count the request itself.
         dequeueRequest(state, request);
@@ -156,7 +161,7 @@
     /// Handles the timer of a queued request: its wait limit, or the limit set by limitResumeWait().
     void wakeQueued(EntryState& state, Request& request, EntryEffects& effects)
     {
-        if (request.attempt.value == 0) {
+        if (request.attempt.value == 0 && mayEnd(request, EndCause::Lateness)) {
             failRequest(state, request,
                 { .outcome = Outcome::NotRun,
                     .status = 503,
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -143,7 +143,9 @@
     /// @return true when the request is no longer at the front of the queue
     bool moveSuspectAside(EntryState& state, const ServiceConfig& service, Request& request, EntryEffects& effects)
     {
-        if (state.requests.suspects.entries.empty() || crashCount(state, service.name, request.call.requestDigest) == 0)
+        // A recorded answer is only fetched, which crashes no upstream.
+        if (request.replay || state.requests.suspects.entries.empty()
+            || crashCount(state, service.name, request.call.requestDigest) == 0)
             return false;
         const Milliseconds quarantine = quarantineRemaining(state, service, request.call.requestDigest);
         if (quarantine > Milliseconds {}) {
@@ -183,8 +185,8 @@
         return;
     request.phase = RequestPhase::Queued;
     request.queuedAt = state.now;
-    request.constrained
-        = request.delivered > 0 || crashCount(state, request.call.service, request.call.requestDigest) > 0;
+    request.constrained = !request.replay
+        && (request.delivered > 0 || crashCount(state, request.call.service, request.call.requestDigest) > 0);
     ++state.requests.queued;
     if (const auto share = state.requests.workspaces.find(request.call.workspace);
         share != state.requests.workspaces.end())
@@ -197,8 +199,8 @@
         pushItem(pool->second.queues[index], flowKey(state, request.call.workspace),
             flowWeight(state, request.call.workspace), request.sequence,
             { .request = request.call.request, .tokens = request.call.cost.value, .charged = request.charged });
-    const bool first = request.attempt.value == 0;
-    setWake(state, request, first ? state.now + queueWaitLimit(state, pool->second, request.rank) : request.deadline);
+    const bool limited = request.attempt.value == 0 && mayEnd(request, EndCause::Lateness);
+    setWake(state, request, limited ? state.now + queueWaitLimit(state, pool->second, request.rank) : request.deadline);
 }
 
 void awaitUpstream(EntryState& state, Request& request, EntryEffects& effects)
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -55,9 +55,9 @@
             return "cannot-resume";
         if (request.firstPart && !partlyDelivered)
             return "delivered-count-unknown";
-        // Giving up breaks a partly delivered stream for the caller, so only attempts that an upstream may have run
-        // count for it. Refusals cause no work at an upstream; the backoff and the deadline bound them.
-        if ((partlyDelivered ? request.lostAttempts : request.retries + 1) >= maxAttempts)
+        // Giving up breaks a begun answer for the caller, so only attempts that an upstream may have run count for it.
+        // Refusals cause no work at an upstream; the backoff and the deadline bound them.
+        if ((hasBegun(request) ? request.lostAttempts : request.retries + 1) >= maxAttempts)
             return "attempts";
         if (service && quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {}
             && ends(EndCause::Quarantine))
@@ -96,8 +96,9 @@
     }
     const char* refusalReason = retryRefusalReason(state, request, failure);
     const auto pool = state.requests.pools.find(request.call.service);
-    // A resumed stream continues after the parts already delivered and adds no load, so it costs no retry budget.
-    const bool resumes = request.delivered > 0;
+    // A resumed stream continues after the parts already delivered, and a recorded answer is only fetched. Neither adds
+    // load, so they cost no retry budget.
+    const bool resumes = request.delivered > 0 || request.replay;
     if (!refusalReason && !resumes && (pool == state.requests.pools.end() || pool->second.retryBalance < 1))
         refusalReason = "budget";
     if (refusalReason) {
--- a/tests/unit_request_begun.cpp
+++ b/tests/unit_request_begun.cpp
@@ -1,5 +1,7 @@
 #include "request_fixture.h"
 
+#include "call_row_func.h"
+
 #include <catch2/catch.hpp>
 
 using namespace hickory;
@@ -35,6 +37,34 @@
     return fixture.run(AgentConnected { .host = status.host, .status = status });
 }
 
+/// @return a non-repeatable call with the idempotency key "key"
+RequestArrived makeRepayment(RequestFixture& fixture)
+{
+    RequestArrived call = fixture.call();
+    call.path = "/repayments";
+    call.idempotencyKey = "key";
+    call.requestDigest = { "body" };
+    return call;
+}
+
+/// Answers all reads of call rows.
+EntryEffects answerReads(RequestFixture& fixture, const EntryEffects& effects, StoreStatus status, const CallRow& row)
+{
+    EntryEffects answers;
+    for (const StoreRead& read : all<StoreRead>(effects)) {
+        if (read.token.purpose != StorePurpose::CallRow)
+            continue;
+        const EntryEffects more = fixture.run(StoreAnswer {
+            .token = read.token,
+            .status = status,
+            .version = { status == StoreStatus::Ok ? 5U : 0U },
+            .value = encodeCallRow(row),
+        });
+        answers.insert(answers.end(), more.begin(), more.end());
+    }
+    return answers;
+}
+
 } // namespace
 
 // Guards against a begun stream that is cut beside a change of the configuration while it waits for an upstream.
@@ -83,3 +113,30 @@
     CHECK(all<DispatchAttempt>(quarantined).empty());
     CHECK(all<DispatchAttempt>(fixture.advance({ 2000 })).size() == 1);
 }
+
+// Guards against refusing a caller, because of a predicted wait, whose answer stands ready in its call row.
+TEST_CASE("A recorded answer is delivered however long its fetch has to wait")
+{
+    RequestFixture fixture(1);
+    fixture.start();
+    std::vector<DispatchAttempt> running;
+    for (int number = 0; number < 30; ++number)
+        for (const DispatchAttempt& dispatch : all<DispatchAttempt>(fixture.run(fixture.call())))
+            running.push_back(dispatch);
+    const EntryEffects arrived = fixture.run(makeRepayment(fixture));
+    EntryEffects effects
+        = answerReads(fixture, arrived, StoreStatus::Ok, { .state = CallRowState::Done, .requestDigest = { "body" } });
+    const RequestId id { fixture.nextRequest - 1 };
+    for (const EntryEffect& effect : fixture.advance({ 5000 }))
+        effects.push_back(effect);
+    for (const FailRequest& refusal : all<FailRequest>(effects))
+        CHECK(refusal.request != id);
+    effects.clear();
+    for (const DispatchAttempt& dispatch : running)
+        for (const EntryEffect& effect : fixture.run(fixture.ended(dispatch, DispatchResultKind::Completed)))
+            effects.push_back(effect);
+    const auto fetches = all<DispatchAttempt>(effects);
+    CHECK(std::count_if(fetches.begin(), fetches.end(), [&](const DispatchAttempt& fetch) {
+        return fetch.call.key.request == id;
+    }) == 1);
+}
