Await the outcome of a non-repeatable call that its agent runs

Callers got 503 with an unknown outcome for calls that were running: their agent had been silent for 2 s, or the connection to it was lost.

Cause: the call row said that the call was started, and that was taken as the end. The upstream runs such a call to its end and records the answer, whoever is connected.

Change: as long as the process that started the call may be there, the entry reads the row every 0.5 s until the deadline, and fetches the answer once it is recorded. The process counts as ended when its host refuses connections or reports another process. Calls that another request started are refused as before. Nothing is started again.

It covers a silent agent and a lost connection, each with a recorded outcome, an ended process and a deadline.

--- a/src/request_agent_cmd.cpp
+++ b/src/request_agent_cmd.cpp
@@ -16,6 +16,8 @@
     /// Attempts that ended as Unknown within this time before the loss of the connection are attributed to the same
     /// crash.
     constexpr Milliseconds crashWindow { 1000 };
+    /// Reason of AgentDisconnected when no connection could be made.
+    constexpr std::string_view connectFailed = "connect-failed";
     /// Consecutive missed heartbeats after which an agent counts as frozen.
     constexpr std::uint32_t maxMissedHeartbeats = 3;
 
@@ -65,6 +67,7 @@
         return;
     const bool wasConnected = view->connected;
     setViewDisconnected(state, *view);
+    view->unreachable = event.reason == connectFailed;
     if (wasConnected) {
         effects.emplace_back(LogLine { .level = LogLevel::Warning,
             .event = "agent-lost",
--- a/src/request_row_cmd.cpp
+++ b/src/request_row_cmd.cpp
@@ -24,6 +24,8 @@
     constexpr Milliseconds readTimeout { 2000 };
     /// Time limit of resolving a lost attempt. It may end after the caller's deadline.
     constexpr Milliseconds resolveTimeout { 5000 };
+    /// Interval of reads of the row while a lost attempt runs on.
+    constexpr Milliseconds outcomeCheckInterval { 500 };
     /// Time after which an operation without an answer is repeated.
     constexpr Milliseconds operationTimeout { 2500 };
     /// Lifetime of a cancelled row, the same as the default for recorded answers: far longer than a dispatch can be
@@ -76,6 +78,27 @@
             { .outcome = Outcome::Unknown, .status = 503, .reason = std::move(reason), .step = "call-row" }, effects);
     }
 
+    /// @return whether the agent process that wrote a row may still be there: it counts as ended once its host refuses
+    /// connections or reports another process
+    bool mayStarterRun(const EntryState& state, const CallRow& row)
+    {
+        if (row.incarnation == Incarnation {})
+            return false;
+        const auto& views = state.requests.views.views;
+        return std::any_of(views.begin(), views.end(), [&](const UpstreamView& view) {
+            return !view.host.empty() && !view.unreachable && view.status.incarnation == row.incarnation;
+        });
+    }
+
+    /// @return whether the upstream runs the request's own lost attempt, so that its outcome will be recorded
+    bool runsOn(const EntryState& state, const Request& request, const CallRow& row)
+    {
+        const AttemptKey own {
+            .entry = state.settings.process.host, .request = request.call.request, .attempt = request.attempt
+        };
+        return row.state == CallRowState::Started && row.attempt == own && mayStarterRun(state, row);
+    }
+
     /// Fails a request whose row is `started`: the call is running if the agent that started it is connected, otherwise
     /// its outcome is unknown.
     void failStarted(EntryState& state, Request& request, const CallRow& row, EntryEffects& effects)
@@ -173,6 +196,12 @@
             failUnknown(state, request, "call-row-damaged", effects);
             return;
         }
+        if (runsOn(state, request, row.value()) && state.now < request.deadline && !request.detached) {
+            request.rowFailures = 0;
+            request.rowDeadline = state.now + resolveTimeout;
+            setWake(state, request, std::min(request.deadline, state.now + outcomeCheckInterval));
+            return;
+        }
         // The row no longer has the dispatched version, so the attempt cannot start any more; had it started, the row
         // would be `started` or `done`.
         if (!reportRecorded(state, request, row.value(), effects))
--- a/src/upstream_view_cmd.cpp
+++ b/src/upstream_view_cmd.cpp
@@ -233,6 +233,7 @@
     if (!view.connected)
         ++state.requests.views.connections;
     view.connected = true;
+    view.unreachable = false;
     view.connectFailures = 0;
     view.reconnectAt = {};
     view.missed = 0;
--- a/src/upstream_view_type.h
+++ b/src/upstream_view_type.h
@@ -39,6 +39,7 @@
     std::uint8_t tier { 2 }; ///< distance from the entry: 0 same data centre, 1 same region, 2 elsewhere
     bool inSubset { false }; ///< it belongs to the subset that this entry connects to
     bool connected { false }; ///< the connection is open
+    bool unreachable { false }; ///< the last attempt to connect failed, as when the process has ended
     bool slowStart { false }; ///< it was out of service before, so its share of requests grows slowly
     std::uint32_t missed { 0 }; ///< heartbeats missed in a row
     std::uint32_t connectFailures { 0 }; ///< lost or refused connections in a row
--- a/tests/unit_request_row.cpp
+++ b/tests/unit_request_row.cpp
@@ -101,6 +101,59 @@
     CHECK(all<FailRequest>(effects)[0].outcome == Outcome::Unknown);
 }
 
+// Guards against a call that is ended as unknown because its agent was silent, although the agent runs it.
+TEST_CASE("A call that its agent started is awaited until its outcome is recorded")
+{
+    RequestFixture fixture(2);
+    fixture.start();
+    const DispatchAttempt dispatch = sendRepayment(fixture);
+    const StoreWrite write = failUnknown(fixture, dispatch);
+    const std::size_t replica = dispatch.host.value == "r0" ? 0 : 1;
+    CallRow row { .state = CallRowState::Started,
+        .attempt = dispatch.call.key,
+        .incarnation = fixture.statuses[replica].incarnation,
+        .requestDigest = { "body" } };
+    const bool lost = GENERATE(false, true);
+    if (lost)
+        fixture.run(AgentDisconnected { .host = dispatch.host, .reason = "connection-lost" });
+    EntryEffects effects = fixture.run(storeAnswer(write.token, StoreStatus::Conflict, 1, encodeCallRow(row)));
+    const auto answerReads = [&](Milliseconds span) {
+        for (const Milliseconds end = fixture.now + span; fixture.now < end;) {
+            for (const EntryEffect& effect : fixture.advance({ 50 })) {
+                effects.push_back(effect);
+                if (const auto* read = std::get_if<StoreRead>(&effect);
+                    read && read->token.purpose == StorePurpose::CallRow)
+                    for (const EntryEffect& more :
+                        fixture.run(storeAnswer(read->token, StoreStatus::Ok, 1, encodeCallRow(row))))
+                        effects.push_back(more);
+            }
+        }
+    };
+    answerReads({ 8000 });
+    REQUIRE(all<FailRequest>(effects).empty());
+    SECTION("the outcome is recorded")
+    {
+        row.state = CallRowState::Done;
+        answerReads({ 2000 });
+        REQUIRE(all<DispatchAttempt>(effects).size() == 1);
+        CHECK(all<DispatchAttempt>(effects)[0].call.rowVersion.value == std::numeric_limits<std::uint64_t>::max());
+    }
+    SECTION("the agent's process has ended")
+    {
+        fixture.run(AgentDisconnected { .host = dispatch.host, .reason = "connect-failed" });
+        answerReads({ 2000 });
+        REQUIRE(all<FailRequest>(effects).size() == 1);
+        CHECK(all<FailRequest>(effects)[0].outcome == Outcome::Unknown);
+    }
+    SECTION("the deadline passes")
+    {
+        answerReads({ 55000 });
+        REQUIRE(all<FailRequest>(effects).size() == 1);
+        CHECK(all<FailRequest>(effects)[0].outcome == Outcome::Unknown);
+        CHECK(fixture.now >= Milliseconds { 61000 });
+    }
+}
+
 // Guards against losing a recorded answer, and against starting the call again when the answer is fetched.
 TEST_CASE("A recorded answer is fetched by a dispatch that can never start the call")
 {
