Cancel only what came over the connection that was lost

Callers saw sound requests cut or repeated after an entry had connected to an agent again.

Cause: when an agent noticed the end of a connection it cancelled all attempts of that entry, also those that had come over a newer connection. The end of an old one may be noticed late, e.g. by an agent that stood still, or after a cut.

Change: attempts carry the number of their connection, and the end of a connection cancels those with its number.

Evidence: the new test fails without the comparison of the numbers: both attempts were cancelled.

--- a/src/agent_event_type.h
+++ b/src/agent_event_type.h
@@ -17,6 +17,7 @@
 /// An entry dispatched an attempt to this agent.
 struct DispatchReceived {
     DispatchCall call; ///< metadata; the body stays in the I/O layer
+    std::uint64_t connection { 0 }; ///< number of the connection that it came over
 };
 
 /// An entry cancelled an attempt.
@@ -29,9 +30,10 @@
     HostId entry; ///< host of the entry
 };
 
-/// The connection of an entry was lost; no one waits for the results of its attempts.
+/// A connection of an entry was lost; no one waits for the results of the attempts that came over it.
 struct EntryDetached {
     HostId entry; ///< host of the entry
+    std::uint64_t connection { 0 }; ///< number of the connection
 };
 
 /// The upstream produced the first part of an attempt's answer.
--- a/src/agent_loop_io.cpp
+++ b/src/agent_loop_io.cpp
@@ -136,12 +136,13 @@
     return {
         .onEvent = [this](AgentEventBody body) { this->post(std::move(body)); },
         .onDispatch =
-            [this](DispatchCall call, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) {
-                this->loop.post([this, call = std::move(call), payload = std::move(payload),
+            [this](
+                DispatchReceived event, std::shared_ptr<RequestPayload> payload, std::shared_ptr<PartChannel> channel) {
+                this->loop.post([this, event = std::move(event), payload = std::move(payload),
                                     channel = std::move(channel)]() mutable {
-                    this->pendingDispatches[call.key]
+                    this->pendingDispatches[event.call.key]
                         = { .payload = std::move(payload), .channel = std::move(channel) };
-                    this->step(DispatchReceived { .call = std::move(call) });
+                    this->step(std::move(event));
                 });
             },
         .chunkMap =
--- a/src/agent_rpc_io.cpp
+++ b/src/agent_rpc_io.cpp
@@ -151,7 +151,8 @@
                     .result = kj::mv(answered.fulfiller),
                     .channel = channel });
             context.releaseParams();
-            this->shared.handlers.onDispatch(std::move(call), std::move(payload), std::move(channel));
+            this->shared.handlers.onDispatch(
+                { .call = std::move(call), .connection = this->connection }, std::move(payload), std::move(channel));
             return answered.promise.then(
                 [context](DispatchResult&& result) mutable { encode(result, context.getResults().initResult()); });
         }
@@ -280,7 +281,7 @@
         return;
     const HostId entry = found->second;
     this->attached.erase(found);
-    this->handlers.onEvent(EntryDetached { .entry = entry });
+    this->handlers.onEvent(EntryDetached { .entry = entry, .connection = connection });
 }
 
 AgentRpc::AgentRpc(AgentRpcHandlers handlers)
--- a/src/agent_rpc_io.h
+++ b/src/agent_rpc_io.h
@@ -44,7 +44,7 @@
 /// Callbacks of an AgentRpc, called on the RPC thread.
 struct AgentRpcHandlers {
     std::function<void(AgentEventBody)> onEvent; ///< EntryAttached, EntryDetached, CancelReceived, ConfigReceived
-    std::function<void(DispatchCall, std::shared_ptr<RequestPayload>, std::shared_ptr<PartChannel>)>
+    std::function<void(DispatchReceived, std::shared_ptr<RequestPayload>, std::shared_ptr<PartChannel>)>
         onDispatch; ///< a dispatch arrived; it is answered by answerDispatch()
     std::function<std::string(const ManifestDigest&)> chunkMap; ///< bitmap of held chunks, lowest bit first
     std::function<Result<std::string>(const ManifestDigest&, ChunkIndex)> readChunk; ///< content of a verified chunk
--- a/src/slot_cmd.cpp
+++ b/src/slot_cmd.cpp
@@ -136,7 +136,10 @@
             .fields = { { "request", std::to_string(key.request.value) }, { "reason", "duplicate-attempt" } } });
         return;
     }
-    const Dispatch dispatch { .call = event.call, .arrivedAt = state.now, .deadline = state.now + event.call.timeout };
+    const Dispatch dispatch { .call = event.call,
+        .connection = event.connection,
+        .arrivedAt = state.now,
+        .deadline = state.now + event.call.timeout };
     state.slots.dispatches.emplace(key, dispatch);
     const std::string_view refusalReason = arrivalRefusalReason(state, dispatch);
     if (!refusalReason.empty())
@@ -160,7 +163,8 @@
 {
     std::vector<AttemptKey> lost;
     for (const auto& [key, dispatch] : state.slots.dispatches)
-        if (key.entry == event.entry)
+        // The entry may have connected again before the end of its old connection was noticed.
+        if (key.entry == event.entry && dispatch.connection == event.connection)
             lost.push_back(key);
     effects.emplace_back(LogLine { .event = "entry-detached",
         .fields = { { "entry", event.entry.value }, { "attempts", std::to_string(lost.size()) } } });
--- a/src/slot_cmd.h
+++ b/src/slot_cmd.h
@@ -14,7 +14,7 @@
 /// Cancels an attempt on request of its entry. An attempt that has not arrived yet will be refused.
 void applyCancelReceived(AgentState& state, const CancelReceived& event, AgentEffects& effects);
 
-/// Cancels all attempts of an entry whose connection was lost. Non-repeatable calls run to completion.
+/// Cancels all attempts that came over a connection which was lost. Non-repeatable calls run to completion.
 void applyEntryDetached(AgentState& state, const EntryDetached& event, AgentEffects& effects);
 
 /// Records the time to the first part of a response for the adaptive limit.
--- a/src/slot_state_type.h
+++ b/src/slot_state_type.h
@@ -45,6 +45,7 @@
 /// One dispatch from its arrival until its result was sent and its call row is settled.
 struct Dispatch {
     DispatchCall call; ///< metadata as received
+    std::uint64_t connection { 0 }; ///< number of the connection that it came over
     DispatchPhase phase { DispatchPhase::Waiting };
     Milliseconds arrivedAt; ///< when it was received
     Milliseconds deadline; ///< arrival time plus the timeout of the call
--- a/tests/unit_rpc.cpp
+++ b/tests/unit_rpc.cpp
@@ -90,10 +90,11 @@
         return {
             .onEvent = [this](AgentEventBody body) { this->agentEvents.add(std::move(body)); },
             .onDispatch =
-                [this](const DispatchCall& call, const std::shared_ptr<RequestPayload>& given,
+                [this](const DispatchReceived& event, const std::shared_ptr<RequestPayload>& given,
                     std::shared_ptr<PartChannel> parts) {
                     const std::lock_guard lock(this->mutex);
-                    this->key = call.key;
+                    this->key = event.call.key;
+                    this->connection = event.connection;
                     this->payload = given;
                     this->channel = std::move(parts);
                     this->changed.notify_all();
@@ -107,6 +108,7 @@
     std::mutex mutex; ///< protects `key`, `payload` and `channel`
     std::condition_variable changed; ///< signalled when a dispatch arrives
     AttemptKey key; ///< key of the last dispatch
+    std::uint64_t connection { 0 }; ///< connection of the last dispatch
     std::shared_ptr<RequestPayload> payload; ///< payload of the last dispatch
     std::shared_ptr<PartChannel> channel; ///< answer channel of the last dispatch, empty before the first
     RequestTable table; ///< the entry's requests in progress
@@ -167,7 +169,9 @@
     pair.dispatch();
     const auto channel = pair.waitForDispatch();
     pair.entry.stop();
-    REQUIRE(pair.agentEvents.waitFor<EntryDetached>().entry == HostId { "entry-1" });
+    const auto detached = pair.agentEvents.waitFor<EntryDetached>();
+    REQUIRE(detached.entry == HostId { "entry-1" });
+    REQUIRE(detached.connection == pair.connection);
     REQUIRE_FALSE(channel->send("late", 200, "text/plain"));
 }
 
--- a/tests/unit_slot.cpp
+++ b/tests/unit_slot.cpp
@@ -65,3 +65,17 @@
     agent.send(Tick {});
     REQUIRE(agent.all<ExitProcess>().size() == 1);
 }
+
+// Guards against cutting the requests of an entry that has connected again, once the end of its old connection is seen.
+TEST_CASE("The loss of an entry's old connection spares what came over its new one")
+{
+    AgentHarness agent;
+    agent.reportReachable();
+    agent.send(DispatchReceived { .call = AgentHarness::call(1), .connection = 1 });
+    agent.send(DispatchReceived { .call = AgentHarness::call(2), .connection = 2 });
+    agent.send(EntryDetached { .entry = { "entry-1" }, .connection = 1 });
+    REQUIRE(agent.all<CancelUpstream>().size() == 1);
+    CHECK(agent.firstEffect<CancelUpstream>().key.request.value == 1);
+    agent.end(2);
+    CHECK(agent.firstEffect<AnswerDispatch>().result.kind == DispatchResultKind::Completed);
+}
