Ask a silent agent before its requests are given up

Callers saw begun answers of plain services cut, and requests of all kinds repeated, at agents that only sent nothing for a while; with a timeout below a second, at every agent whose upstream took longer than it.

Cause: an attempt was given up once nothing had come from its agent for the timeout, whether the agent was asked or not. The count of attempts that decides whether to ask went wrong with each cancelled attempt that had just ended. Time in which the entry itself stood still counted as silence, and heartbeats counted as missed while parts arrived.

Change: agent_silence_func decides. A begun answer is given up when a heartbeat was unanswered for the whole timeout and nothing else came, anything else after half of that and the timeout in all, as by default before. Steps of more than 0.2 s between two checks do not count in full.

Evidence: the RPC test failed before: with a timeout of 0.4 s an agent that answers heartbeats lost its request.

--- a/src/agent_link_io.cpp
+++ b/src/agent_link_io.cpp
@@ -5,17 +5,15 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace hickory {
 
 namespace {
 
-    /// A heartbeat that is not answered within this time counts as missed; also the limit for registering at an agent.
-    constexpr Milliseconds heartbeatTimeout { 1000 };
-
-    /// An agent that has attempts in flight and sent nothing for this long gets a heartbeat ahead of the interval.
-    constexpr Milliseconds probeAfterSilence { 1000 };
+    /// Time limit for registering at an agent.
+    constexpr Milliseconds attachTimeout { 1000 };
 
     /// Time until a part is offered again to a caller whose buffer is full.
     constexpr Milliseconds fullBufferRetryDelay { 5 };
@@ -158,8 +156,7 @@
         [this, host, serial](AgentStatus status) { this->receiveStatus(host, serial, std::move(status)); }));
     auto answered
         = this->loop
-              .within(
-                  heartbeatTimeout, request.send().then([](auto&& response) { return decode(response.getStatus()); }))
+              .within(attachTimeout, request.send().then([](auto&& response) { return decode(response.getStatus()); }))
               .then(
                   [this, host, serial](AgentStatus&& status) {
                       if (Link* link = this->recordMessage(host, serial))
@@ -175,7 +172,7 @@
     const auto found = this->links.find(host);
     if (found == this->links.end() || found->second.serial != serial)
         return nullptr;
-    found->second.lastMessageAt = monotonicNow();
+    endSilence(found->second.silence);
     return &found->second;
 }
 
@@ -216,9 +213,6 @@
     if (found == this->inFlight.end())
         return;
     const HostId host = found->second.host;
-    const auto link = this->links.find(host);
-    if (link != this->links.end() && link->second.serial == found->second.serial)
-        --link->second.attempts;
     this->inFlight.erase(found);
     const std::uint32_t delivered = this->table.closeAttempt(key.first, key.second);
     this->onEvent(AttemptEnded { .request = key.first,
@@ -233,9 +227,7 @@
     const InFlightKey key { effect.call.key.request, effect.call.key.attempt };
     const auto pending = this->table.find(key.first);
     const auto found = this->links.find(effect.host);
-    const Milliseconds now = monotonicNow();
-    this->inFlight[key]
-        = { .host = effect.host, .dispatchedAt = now, .agentSilenceTimeout = effect.agentSilenceTimeout };
+    this->inFlight[key] = { .host = effect.host, .agentSilenceTimeout = effect.agentSilenceTimeout };
     if (!pending || found == this->links.end() || found->second.agent == nullptr
         || !this->table.openAttempt(key.first, key.second)) {
         this->endAttempt(key, unansweredResult("not-connected", DispatchResultKind::NotRun));
@@ -244,7 +236,6 @@
     Link& link = found->second;
     const std::uint64_t serial = link.serial;
     this->inFlight[key].serial = serial;
-    ++link.attempts;
     const HostId host = effect.host;
     auto request = KJ_ASSERT_NONNULL(link.agent).dispatchRequest();
     encode(effect.call, pending->payload, request.initCall());
@@ -276,8 +267,6 @@
     const auto found = this->links.find(effect.host);
     if (found == this->links.end() || found->second.agent == nullptr)
         return;
-    if (found->second.attempts > 0)
-        --found->second.attempts;
     auto request = KJ_ASSERT_NONNULL(found->second.agent).cancelRequest();
     request.setEntry(this->self.value);
     request.setRequest(effect.request.value);
@@ -294,7 +283,7 @@
 void AgentLinks::sendHeartbeat(const HostId& host, Link& link)
 {
     link.lastHeartbeatAt = monotonicNow();
-    link.heartbeatPending = true;
+    askSilent(link.silence);
     const std::uint64_t serial = link.serial;
     auto request = KJ_ASSERT_NONNULL(link.agent).heartbeatRequest();
     request.setEntry(this->self.value);
@@ -304,7 +293,7 @@
             Link* answering = this->recordMessage(host, serial);
             if (!answering)
                 return;
-            answering->heartbeatPending = false;
+            answering->silence.asked = false;
             if (!response.getUnchanged())
                 answering->status = decode(response.getStatus());
             this->onEvent(AgentStatusReceived { .status = answering->status });
@@ -313,28 +302,45 @@
     this->loop.detach(kj::mv(answered));
 }
 
-void AgentLinks::tick()
+void AgentLinks::tickHeartbeats(Milliseconds now, Milliseconds counted)
 {
-    const Milliseconds now = monotonicNow();
     for (auto& [host, link] : this->links) {
         if (link.agent == nullptr)
             continue;
-        const Milliseconds sinceHeartbeat = now - link.lastHeartbeatAt;
-        if (link.heartbeatPending && sinceHeartbeat >= heartbeatTimeout) {
+        passSilence(link.silence, counted);
+        if (missesHeartbeat(link.silence)) {
             this->onEvent(HeartbeatMissed { .host = host });
             this->sendHeartbeat(host, link);
             continue;
         }
-        const bool probe
-            = link.attempts > 0 && now - link.lastMessageAt >= probeAfterSilence && sinceHeartbeat >= probeAfterSilence;
-        if (!link.heartbeatPending && (sinceHeartbeat >= this->heartbeatInterval || probe))
+        const bool probe = link.shortestTimeout > Milliseconds {} && mustAsk(link.silence, link.shortestTimeout);
+        if (!link.silence.asked && (now - link.lastHeartbeatAt >= this->heartbeatInterval || probe))
             this->sendHeartbeat(host, link);
     }
+}
+
+void AgentLinks::tick()
+{
+    const Milliseconds now = monotonicNow();
+    const Milliseconds counted = countedTime(now - std::exchange(this->lastTickAt, now));
+    for (auto& [host, link] : this->links)
+        link.shortestTimeout = {};
+    for (auto& [key, attempt] : this->inFlight) {
+        attempt.inFlightFor += counted;
+        const auto link = this->links.find(attempt.host);
+        if (link == this->links.end())
+            continue;
+        Milliseconds& shortest = link->second.shortestTimeout;
+        shortest = shortest == Milliseconds {} ? attempt.agentSilenceTimeout
+                                               : std::min(shortest, attempt.agentSilenceTimeout);
+    }
+    this->tickHeartbeats(now, counted);
     std::vector<InFlightKey> silent;
-    for (const auto& [key, inFlightAttempt] : this->inFlight) {
-        const auto link = this->links.find(inFlightAttempt.host);
-        const Milliseconds lastMessage = link == this->links.end() ? Milliseconds {} : link->second.lastMessageAt;
-        if (now - std::max(lastMessage, inFlightAttempt.dispatchedAt) >= inFlightAttempt.agentSilenceTimeout)
+    for (const auto& [key, attempt] : this->inFlight) {
+        const auto link = this->links.find(attempt.host);
+        if (link != this->links.end() && link->second.silence.asked
+            && isGivenUp(link->second.silence, attempt.inFlightFor, attempt.agentSilenceTimeout,
+                this->table.hasBegun(key.first)))
             silent.push_back(key);
     }
     for (const InFlightKey& key : silent) {
--- a/src/agent_link_io.h
+++ b/src/agent_link_io.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent_silence_func.h"
 #include "entry_effect_type.h"
 #include "entry_event_type.h"
 #include "request_table_io.h"
@@ -56,23 +57,26 @@
         std::uint64_t serial { 0 };
         std::shared_ptr<void> handle; ///< keeps the connection open
         kj::Maybe<rpc::Agent::Client> agent; ///< empty until the connection is made
-        Milliseconds lastMessageAt { 0 }; ///< monotonic time of the last message of any kind from the agent
+        AgentSilence silence; ///< since the last message of any kind from the agent
+        Milliseconds shortestTimeout {
+            0
+        }; ///< shortest agentSilenceTimeout of its attempts at the last tick, 0 for none
         Milliseconds lastHeartbeatAt { 0 }; ///< monotonic time at which the last heartbeat was sent
         AgentStatus status; ///< newest status received over this connection
-        bool heartbeatPending { false }; ///< the last heartbeat is not answered yet
-        std::uint32_t attempts { 0 }; ///< attempts in flight over this connection
     };
 
     /// One attempt in flight.
     struct InFlightAttempt {
         HostId host; ///< host of the agent
         std::uint64_t serial { 0 }; ///< number of the connection that carries it
-        Milliseconds dispatchedAt { 0 }; ///< monotonic time at which it was sent
-        Milliseconds agentSilenceTimeout { 0 }; ///< the attempt is given up when the agent is silent for this long
+        Milliseconds inFlightFor { 0 }; ///< time since it was sent, as counted for AgentSilence
+        Milliseconds agentSilenceTimeout { 0 }; ///< see isGivenUp()
     };
 
     using InFlightKey = std::pair<RequestId, Attempt>;
 
+    /// Sends a heartbeat to each agent that is due for one, and reports those that were not answered.
+    void tickHeartbeats(Milliseconds now, Milliseconds counted);
     /// Registers this entry at the agent over a new connection.
     void registerAtAgent(const HostId& host, std::uint64_t serial, RpcLoop::Connection connection);
     void sendHeartbeat(const HostId& host, Link& link);
@@ -89,6 +93,7 @@
     RpcLoop& loop; ///< thread on which all members run
     RequestTable& table; ///< requests to which arriving parts are added
     std::function<void(EntryEventBody)> onEvent; ///< events for the reducer
+    Milliseconds lastTickAt { 0 }; ///< monotonic time of the last tick()
     Milliseconds heartbeatInterval { 1000 }; ///< time between heartbeats to one agent
     std::uint64_t nextSerial { 1 }; ///< number of the next connection
     std::map<HostId, Link> links; ///< connections, also those being made
--- a/src/request_table_io.cpp
+++ b/src/request_table_io.cpp
@@ -63,6 +63,15 @@
     return pending->nextSequence;
 }
 
+bool RequestTable::hasBegun(RequestId request) const
+{
+    const auto pending = this->find(request);
+    if (!pending)
+        return false;
+    const std::lock_guard lock(pending->mutex);
+    return pending->nextSequence > 0;
+}
+
 PartResult RequestTable::takePart(RequestId request, Attempt attempt, std::uint32_t sequence, std::string data,
     std::uint16_t status, const std::string& contentType)
 {
--- a/tests/unit_rpc.cpp
+++ b/tests/unit_rpc.cpp
@@ -199,3 +199,15 @@
     readSlowly(*pending, parts);
     CHECK(pair.entryEvents.waitFor<AttemptEnded>().delivered == parts);
 }
+
+// Guards against ending a request as lost at an agent that was not asked whether it is there.
+TEST_CASE("An agent that answers heartbeats keeps a request that takes longer than the silence timeout")
+{
+    EntryAgentPair pair;
+    pair.dispatch({ 400 });
+    const auto channel = pair.waitForDispatch();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    REQUIRE(channel->send("late", 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    CHECK(pair.entryEvents.waitFor<AttemptEnded>().result.kind == DispatchResultKind::Completed);
+}
