Set no stream aside at an engine whose version is being replaced

Callers could see begun streams cut during a rollout: a stream that was preempted for a more urgent request found no engine of its version any more and was aborted after 3 s.

Change: an agent preempts no stream while the configuration names another version than its engine serves. Streams that were preempted before still depend on the engines that have not been replaced yet.

Evidence: the new test failed before (the stream was cancelled).

--- a/src/slot_dispatch_cmd.cpp
+++ b/src/slot_dispatch_cmd.cpp
@@ -98,6 +98,14 @@
             startUpstream(state, dispatch, effects);
     }
 
+    /// A stream goes on only at an engine of its version, and there may soon be none.
+    /// @return whether the configuration names another version than the engine serves
+    bool isVersionReplaced(const AgentState& state)
+    {
+        const ServiceConfig* service = state.config.config->findService(state.engine.serving->service);
+        return service && service->model && service->model->version != state.engine.serving->version;
+    }
+
     /// Cancels running streams when all slots are in use and a waiting rank is below its entitlement.
     void preemptForWaiting(AgentState& state, AgentEffects& effects)
     {
@@ -231,7 +239,8 @@
         startDispatch(state, state.slots.dispatches.at(state.slots.waiting[pick->index]), pick->reason, effects);
         use = slotUse(state.slots);
     }
-    if (state.settings.engine && state.settings.slotPolicy == SlotPolicy::Floors && !state.slots.waiting.empty())
+    if (state.settings.engine && state.settings.slotPolicy == SlotPolicy::Floors && !state.slots.waiting.empty()
+        && !isVersionReplaced(state))
         preemptForWaiting(state, effects);
 }
 
--- a/tests/unit_slot_share.cpp
+++ b/tests/unit_slot_share.cpp
@@ -177,3 +177,17 @@
     serve(50, 400);
     REQUIRE(slotLimit(agent.state.slots) == 8);
 }
+
+// Guards against a stream that is set aside while its version is replaced, so that no engine can go on with it.
+TEST_CASE("No stream is preempted at an engine whose version is being replaced")
+{
+    AgentHarness agent = servingEngine(2);
+    Config config = *agent.state.config.config;
+    const bool replaced = GENERATE(false, true);
+    config.services[0].model = ModelConfig { .version = { replaced ? "v2" : "v1" } };
+    agent.state.config.config = std::make_shared<const Config>(config);
+    for (std::uint64_t request = 1; request <= 2; ++request)
+        agent.send(DispatchReceived { AgentHarness::call(request, 2) });
+    agent.send(DispatchReceived { AgentHarness::call(3, 0) });
+    REQUIRE(agent.all<CancelUpstream>().size() == (replaced ? 0 : 1));
+}
