Deliver the answers that stand ready before an agent exits

At a planned stop of an agent, slow callers saw whole answers cut: the upstream had completed them, and their last parts or the result were still on the way to the entry.

Cause: the agent exits once its upstream has no request left; the RPC thread then dropped all open dispatches, also those whose result waited for the entry to take the parts.

Change: stop() refuses further dispatches as not run and waits until all results are sent, at most for the longest timeout of a dispatch. An entry that leaves or cancels frees its own. The RPC loop writes what its last tasks sent before it ends.

--- a/src/agent_rpc_io.cpp
+++ b/src/agent_rpc_io.cpp
@@ -4,8 +4,11 @@
 
 #include <kj/debug.h>
 
+#include <chrono>
+#include <future>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace hickory {
 
@@ -14,6 +17,10 @@
     /// Parts of one attempt that may be unacknowledged; limits the memory used when the entry or caller reads slowly.
     constexpr std::uint32_t maxUnacknowledgedParts = 16;
 
+    /// Longest wait of a stopping agent for the entries to take the answers that stand ready. It equals the longest
+    /// timeout of a dispatch.
+    constexpr Milliseconds maxDrainTime { 600000 };
+
     /// A peer that does not answer a control message within this time counts as unreachable.
     constexpr Milliseconds controlTimeout { 2000 };
 
@@ -71,16 +78,24 @@
     void partAcknowledged(const AttemptKey& key);
     /// Answers the dispatch if its result is known and all its parts are acknowledged.
     void finishIfDrained(const AttemptKey& key);
+    /// Refuses further dispatches and drops those without a result, which no one will report any more.
+    void beginStop();
+    /// Wakes stop() once all answers that stood ready are sent.
+    void reportIfDrained();
     /// Closes the channels of the connection's dispatches and forgets its entry.
     void connectionClosed(std::uint64_t connection);
 
     AgentRpcHandlers handlers;
+    bool running { false }; ///< start() succeeded and stop() was not called; used by their callers only
     RpcLoop loop; ///< RPC thread; all members below are used on it only
     AgentStatus status; ///< status that heartbeats are answered with
     std::uint64_t nextConnection { 1 }; ///< number of the next accepted connection
     std::map<AttemptKey, OpenDispatch> dispatches; ///< dispatches that have not been answered
     std::map<std::uint64_t, HostId> attached; ///< host of the entry by connection number
     std::map<std::uint64_t, rpc::AgentListener::Client> listeners; ///< listener of the entry by connection number
+    bool stopping { false }; ///< stop() was called
+    std::promise<void> drained; ///< fulfilled once when stopping and no dispatch is open
+    bool drainReported { false }; ///< `drained` is fulfilled
 };
 
 namespace {
@@ -98,6 +113,7 @@
             Dispatches& dispatches;
             std::map<std::uint64_t, HostId>& attached;
             std::map<std::uint64_t, rpc::AgentListener::Client>& listeners;
+            bool& stopping;
             std::function<void(const AttemptKey&, std::uint32_t, std::string, std::uint16_t, std::string)> sendPart;
         };
 
@@ -135,6 +151,11 @@
             const AttemptKey key = call.key;
             if (this->shared.dispatches.contains(key))
                 return KJ_EXCEPTION(FAILED, "duplicate attempt");
+            if (this->shared.stopping) {
+                encode(DispatchResult { .kind = DispatchResultKind::NotRun, .reason = "leaving" },
+                    context.getResults().initResult());
+                return kj::READY_NOW;
+            }
             auto payload = std::make_shared<RequestPayload>(decodePayload(reader));
             auto channel = std::make_shared<PartChannel>();
             channel->nextSequence = call.resumeFrom;
@@ -263,6 +284,25 @@
         return;
     openDispatch.result->fulfill(std::move(*openDispatch.finalResult));
     this->dispatches.erase(found);
+    this->reportIfDrained();
+}
+
+void AgentRpc::State::beginStop()
+{
+    this->stopping = true;
+    this->listeners.clear();
+    std::erase_if(this->dispatches, [](auto& entry) {
+        if (!entry.second.finalResult)
+            entry.second.channel->close();
+        return !entry.second.finalResult;
+    });
+    this->reportIfDrained();
+}
+
+void AgentRpc::State::reportIfDrained()
+{
+    if (this->stopping && this->dispatches.empty() && !std::exchange(this->drainReported, true))
+        this->drained.set_value();
 }
 
 void AgentRpc::State::connectionClosed(std::uint64_t connection)
@@ -275,6 +315,7 @@
         it->second.channel->close();
         it = this->dispatches.erase(it);
     }
+    this->reportIfDrained();
     this->listeners.erase(connection);
     const auto found = this->attached.find(connection);
     if (found == this->attached.end())
@@ -295,7 +336,7 @@
 unsigned AgentRpc::start(const std::string& listen)
 {
     State& data = *this->state;
-    return data.loop.start(listen, [&data] {
+    const unsigned port = data.loop.start(listen, [&data] {
         const std::uint64_t connection = data.nextConnection++;
         AgentServer::Shared shared {
             .handlers = data.handlers,
@@ -304,6 +345,7 @@
             .dispatches = data.dispatches,
             .attached = data.attached,
             .listeners = data.listeners,
+            .stopping = data.stopping,
             .sendPart
             = [&data](const AttemptKey& key, std::uint32_t sequence, const std::string& part, std::uint16_t status,
                   const std::string& contentType) { data.sendPart(key, sequence, part, status, contentType); },
@@ -311,13 +353,18 @@
         return AcceptedPeer { .bootstrap = kj::heap<AgentServer>(std::move(shared), connection),
             .onClosed = [&data, connection] { data.connectionClosed(connection); } };
     });
+    data.running = true;
+    return port;
 }
 
 void AgentRpc::stop()
 {
+    if (!std::exchange(this->state->running, false))
+        return;
+    const auto drained = this->state->drained.get_future();
+    this->state->loop.post([data = this->state.get()] { data->beginStop(); });
+    drained.wait_for(std::chrono::milliseconds(maxDrainTime.value));
     this->state->loop.post([data = this->state.get()] {
-        for (auto& [key, openDispatch] : data->dispatches)
-            openDispatch.channel->close();
         data->dispatches.clear();
         data->listeners.clear();
     });
--- a/src/agent_rpc_io.h
+++ b/src/agent_rpc_io.h
@@ -65,7 +65,8 @@
     /// @throws std::runtime_error when the address cannot be bound
     unsigned start(const std::string& listen);
 
-    /// Closes all channels and connections and ends the RPC thread.
+    /// Refuses further dispatches, waits until the entries have taken the answers that stand ready, then closes all
+    /// channels and connections and ends the RPC thread.
     void stop();
 
     /// Replaces the status that heartbeats and new connections are answered with.
--- a/src/rpc_loop_io.cpp
+++ b/src/rpc_loop_io.cpp
@@ -169,8 +169,10 @@
         }
         for (const auto& task : ready)
             task();
-        if (ended)
-            break;
+        if (!ended)
+            continue;
+        local.io.waitScope.poll(); // writes the messages that the tasks have sent
+        break;
     }
 }
 
--- a/tests/unit_rpc.cpp
+++ b/tests/unit_rpc.cpp
@@ -200,6 +200,25 @@
     CHECK(pair.entryEvents.waitFor<AttemptEnded>().delivered == parts);
 }
 
+// Guards against a whole answer that is cut because its agent stops before a slow caller has read it.
+TEST_CASE("A stopping agent delivers the answers that stand ready")
+{
+    EntryAgentPair pair;
+    const auto pending = pair.dispatch();
+    const auto channel = pair.waitForDispatch();
+    constexpr int parts = 8;
+    constexpr std::size_t partBytes = 100000;
+    for (int i = 0; i < parts; ++i)
+        REQUIRE(channel->send(std::string(partBytes, 'x'), 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    std::thread caller([&] { readSlowly(*pending, parts); });
+    pair.agent.stop();
+    const auto ended = pair.entryEvents.waitFor<AttemptEnded>();
+    caller.join();
+    CHECK(ended.result.kind == DispatchResultKind::Completed);
+    CHECK(ended.delivered == parts);
+}
+
 // Guards against ending a request as lost at an agent that was not asked whether it is there.
 TEST_CASE("An agent that answers heartbeats keeps a request that takes longer than the silence timeout")
 {
