Answer every request that an exiting entry has read

At the end of a planned stop callers saw requests end without an answer or a refusal, and whole answers cut.

Cause: the reducer decides to exit when no request is in progress, but its loop runs on for 0.2 s and accepted requests in this time. Requests whose body was still being read reached the stopped loop and waited for ever. The HTTP server breaks off answers that a slow caller has not read, although they stand ready.

Change: from the first decision to exit, requests are refused as not run. The process exits once no request is in the table any more, which holds each until its answer is written, and stop() waits for slow callers up to 30 s.

The order in the loop itself has no test of its own; scenario planned_stop runs it.

--- a/src/entry_loop_io.cpp
+++ b/src/entry_loop_io.cpp
@@ -13,6 +13,7 @@
 #include "request_table_io.h"
 
 #include <atomic>
+#include <utility>
 
 namespace hickory {
 
@@ -43,7 +44,7 @@
     void perform(const ObjectRead& effect) { this->platform->readObject(effect); }
     void perform(const LogLine& effect) { writeLog(effect); }
     void perform(const MetricSample& effect) { recordMetric(effect); }
-    void perform(const ExitProcess&) { this->loop.exitSoon(); }
+    void perform(const ExitProcess& effect);
 
     EntryRpcHandlers rpcHandlers();
     EntryHttpOptions httpOptions();
@@ -53,6 +54,7 @@
     EntryState reducerState; ///< used on the loop's thread only
     ProcessLoop loop; ///< runs the timer, the signal handlers and all events on one thread
     std::atomic<bool> ready { false }; ///< whether /readyz answers 200
+    bool refusing { false }; ///< callers' requests are refused; used on the loop's thread only
     RequestTable table;
     std::unique_ptr<PlatformClient> platform; ///< table service, object store, membership
     std::unique_ptr<EntryRpc> rpc; ///< connections with agents and other entries
@@ -79,6 +81,14 @@
     this->ready = this->reducerState.config.config && !this->reducerState.leaving;
 }
 
+void EntryLoop::State::perform(const ExitProcess&)
+{
+    this->http->refuseArrivals();
+    // A request that arrived before is in the table, and its event may still be queued.
+    if (std::exchange(this->refusing, true) && this->table.empty())
+        this->loop.exitSoon();
+}
+
 ConfigRecord EntryLoop::State::configNewerThan(Generation known) const
 {
     return this->reducerState.config.record.generation > known ? this->reducerState.config.record : ConfigRecord {};
--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -23,6 +23,12 @@
     /// An operator's request that is not answered within this time gets status 504.
     constexpr Milliseconds operatorTimeout { 15000 };
 
+    /// Longest wait for slow callers to read the answers that stand ready when the server stops.
+    constexpr Milliseconds maxDrainTime { 30000 };
+
+    /// Interval of looks at the table while the server stops.
+    constexpr Milliseconds drainCheckInterval { 10 };
+
     /// Idle time after which a kept connection is closed. Short, because an idle connection occupies a worker thread.
     constexpr int keepAliveSeconds = 2;
 
@@ -100,6 +106,7 @@
     std::unique_ptr<httplib::Server> server; ///< plain HTTP or TLS, created by start()
     std::atomic<HttpTaskQueue*> queue { nullptr }; ///< owned by the server, set before it accepts connections
     std::thread thread; ///< accepts connections
+    std::atomic<bool> refusing { false }; ///< callers' requests are refused
     std::mutex mutex; ///< guards nextCall and calls
     std::uint64_t nextCall { 1 }; ///< number of the next operator call
     std::map<std::uint64_t, std::promise<OperatorAnswer>> calls; ///< operator calls that wait for an answer, by number
@@ -139,12 +146,19 @@
 
 void EntryHttp::stop()
 {
-    if (!this->state->thread.joinable())
+    State& data = *this->state;
+    if (!data.thread.joinable())
         return;
-    this->state->server->stop();
-    this->state->thread.join();
+    this->refuseArrivals();
+    // A stopped server breaks off answers that have not been written to their end.
+    for (const Milliseconds until = monotonicNow() + maxDrainTime; !data.table.empty() && monotonicNow() < until;)
+        std::this_thread::sleep_for(std::chrono::milliseconds(drainCheckInterval.value));
+    data.server->stop();
+    data.thread.join();
 }
 
+void EntryHttp::refuseArrivals() { this->state->refusing = true; }
+
 void EntryHttp::answerOperator(const OperatorAnswer& answer)
 {
     const std::lock_guard lock(this->state->mutex);
@@ -220,6 +234,18 @@
         .contentType = request.get_header_value("Content-Type"),
         .body = request.body,
     });
+    // Checked after add(): when this reads false, the table shows the request to those that wait for the table to be
+    // empty.
+    if (this->refusing) {
+        this->table.remove(pending->request);
+        writeRefusal({ .outcome = Outcome::NotRun,
+                         .status = 503,
+                         .reason = "leaving",
+                         .retryAfter = { 1000 },
+                         .step = "accept" },
+            response);
+        return;
+    }
     const PromptEstimate prompt = estimatePrompt(request.body);
     this->options.onEvent(RequestArrived {
         .request = pending->request,
--- a/src/http_io.h
+++ b/src/http_io.h
@@ -45,7 +45,11 @@
     /// @throws std::runtime_error when the certificate cannot be used or the address cannot be bound
     unsigned start();
 
-    /// Stops accepting connections and waits until the worker threads have ended.
+    /// Refuses callers' requests from now on. Those that were passed on before are in the table. Safe from any thread.
+    void refuseArrivals();
+
+    /// Refuses further requests, waits until the answers that stand ready are written, stops accepting connections and
+    /// waits until the worker threads have ended.
     void stop();
 
     /// Answers an operator's request; ignored after its timeout. Safe from any thread.
--- a/src/request_table_io.cpp
+++ b/src/request_table_io.cpp
@@ -72,6 +72,12 @@
     return pending->nextSequence > 0;
 }
 
+bool RequestTable::empty() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests.empty();
+}
+
 PartResult RequestTable::takePart(RequestId request, Attempt attempt, std::uint32_t sequence, std::string data,
     std::uint16_t status, const std::string& contentType)
 {
--- a/src/request_table_io.h
+++ b/src/request_table_io.h
@@ -67,6 +67,9 @@
     /// @return whether a part of the answer was accepted, over all attempts
     bool hasBegun(RequestId request) const;
 
+    /// @return whether no request is in the table
+    bool empty() const;
+
     /// Accepts a part of an answer if it is the next one of the open attempt.
     /// A recorded answer arrives as a whole in part 0; what the caller has of it is left out.
     /// @param sequence number of the part in the answer, counted from 0 over all attempts
