--- a/src/entry_effect_type.h
+++ b/src/entry_effect_type.h
@@ -25,7 +25,7 @@
 struct DispatchAttempt {
     HostId host; ///< host of the agent
     DispatchCall call; ///< metadata; key.entry is this entry
-    Milliseconds agentSilenceTimeout; ///< the attempt ends as Unknown when the agent sends no message for this long
+    Milliseconds agentSilenceTimeout; ///< the attempt ends as Unknown by it, see isGivenUp()
 };
 
 /// Cancel an attempt at an agent; parts that still arrive are dropped.
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -74,7 +74,7 @@
     std::uint32_t subsetSize { 12 }; ///< [policy] subset: replicas of a service to which the entry keeps connections
     double retryBudget { 0.1 }; ///< [policy] retry_budget: retries allowed per successful request
     std::uint32_t maxQueued { 2000 }; ///< [policy] max_queued: requests that may wait at the entry, over all workspaces
-    /// [policy] accept_timeout_ms: a dispatch without any sign of life for this long counts as lost.
+    /// [policy] accept_timeout_ms: dispatches at a silent agent count as lost after it, see isGivenUp().
     Milliseconds agentSilenceTimeout { 2000 };
     Milliseconds defaultTimeout { 600000 }; ///< [policy] default_timeout_ms: timeout of requests that specify none
 };
