--- a/src/agent_rpc_io.h
+++ b/src/agent_rpc_io.h
@@ -44,7 +44,7 @@
 /// Callbacks of an AgentRpc, called on the RPC thread.
 struct AgentRpcHandlers {
     std::function<void(AgentEventBody)> onEvent; ///< EntryAttached, EntryDetached, CancelReceived, ConfigReceived
-    std::function<void(DispatchCall, std::shared_ptr<RequestPayload>, std::shared_ptr<PartChannel>)>
+    std::function<void(DispatchReceived, std::shared_ptr<RequestPayload>, std::shared_ptr<PartChannel>)>
         onDispatch; ///< a dispatch arrived; it is answered by answerDispatch()
     std::function<std::string(const ManifestDigest&)> chunkMap; ///< bitmap of held chunks, lowest bit first
     std::function<Result<std::string>(const ManifestDigest&, ChunkIndex)> readChunk; ///< content of a verified chunk
@@ -65,7 +65,8 @@
     /// @throws std::runtime_error when the address cannot be bound
     unsigned start(const std::string& listen);
 
-    /// Closes all channels and connections and ends the RPC thread.
+    /// Refuses further dispatches, waits until the entries have taken the answers that stand ready, then closes all
+    /// channels and connections and ends the RPC thread.
     void stop();
 
     /// Replaces the status that heartbeats and new connections are answered with.
--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -2,6 +2,8 @@
 
 namespace hickory {
 
+bool endsBegunWork(EndCause cause) { return cause == EndCause::UpstreamDead; }
+
 bool hasBegun(const RelayRequest& request)
 {
     return request.headForwarded || (request.active && request.active->headReceived);
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -8,13 +8,19 @@
 // request's deadline. Never: silence, since a sound upstream may be silent for a second or so; predictions; a
 // configuration.
 
-/// Why a request would be ended although neither its upstream, nor its caller, nor its deadline ended it.
+/// Why a request would be ended although neither its caller nor its deadline ended it.
 enum class EndCause : std::uint8_t {
+    UpstreamDead, ///< the upstream ended or broke the response off
     Lateness, ///< it is predicted to miss its deadline
     Quarantine, ///< it resembles others that crashed upstreams
+    Configuration, ///< the configuration no longer has its service
+    Overload, ///< the queues are full
     Stopping, ///< this process stops and it may not end in time
 };
 
+/// @return whether a cause ends work that an upstream has begun
+bool endsBegunWork(EndCause cause);
+
 /// @return whether an upstream has begun the request, as far as this entry knows: the caller received the head of a
 /// response, or it is here
 bool hasBegun(const RelayRequest& request);
--- a/src/request_dispatch_cmd.cpp
+++ b/src/request_dispatch_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_func.h"
 #include "admission_queue_func.h"
+#include "begun_call_func.h"
 #include "request_end_cmd.h"
 #include "request_log_func.h"
 #include "route_func.h"
@@ -18,6 +19,8 @@
 
     /// Limit of suspect and pinned requests of a rank that are tried for each event; the others wait for the next one.
     constexpr std::size_t maxConstrainedTried = 32;
+    /// Time after which a request whose service has been removed checks whether it is back.
+    constexpr Milliseconds serviceCheckInterval { 1000 };
     /// Version that no row has. A dispatch that only fetches a recorded answer names it, so that it cannot start the
     /// call even if the row has expired in the meantime.
     constexpr RowVersion impossibleRowVersion { std::numeric_limits<std::uint64_t>::max() };
@@ -114,15 +117,16 @@
     {
         auto position = pool.constrained.lower_bound({ static_cast<std::uint8_t>(rank), 0 });
         for (std::size_t tried = 0;
-             tried < maxConstrainedTried && position != pool.constrained.end() && position->first.first == rank;
-             ++tried) {
+             tried < maxConstrainedTried && position != pool.constrained.end() && position->first.first == rank;) {
             Request& request = state.requests.requests.at(position->second);
             const Milliseconds quarantine = quarantineRemaining(state, service, request.call.requestDigest);
             if (quarantine > Milliseconds {}) {
                 ++position;
-                failQuarantined(state, request, quarantine, effects);
+                if (mayEnd(request, EndCause::Quarantine))
+                    failQuarantined(state, request, quarantine, effects);
                 continue;
             }
+            ++tried;
             auto choice = chooseUpstream(state, service, pool, makeRouteQuery(state, request));
             if (!choice) {
                 ++position;
@@ -139,7 +143,9 @@
     /// @return true when the request is no longer at the front of the queue
     bool moveSuspectAside(EntryState& state, const ServiceConfig& service, Request& request, EntryEffects& effects)
     {
-        if (state.requests.suspects.entries.empty() || crashCount(state, service.name, request.call.requestDigest) == 0)
+        // A recorded answer is only fetched, which crashes no upstream.
+        if (request.replay || state.requests.suspects.entries.empty()
+            || crashCount(state, service.name, request.call.requestDigest) == 0)
             return false;
         const Milliseconds quarantine = quarantineRemaining(state, service, request.call.requestDigest);
         if (quarantine > Milliseconds {}) {
@@ -179,8 +185,8 @@
         return;
     request.phase = RequestPhase::Queued;
     request.queuedAt = state.now;
-    request.constrained
-        = request.delivered > 0 || crashCount(state, request.call.service, request.call.requestDigest) > 0;
+    request.constrained = !request.replay
+        && (request.delivered > 0 || crashCount(state, request.call.service, request.call.requestDigest) > 0);
     ++state.requests.queued;
     if (const auto share = state.requests.workspaces.find(request.call.workspace);
         share != state.requests.workspaces.end())
@@ -193,8 +199,22 @@
         pushItem(pool->second.queues[index], flowKey(state, request.call.workspace),
             flowWeight(state, request.call.workspace), request.sequence,
             { .request = request.call.request, .tokens = request.call.cost.value, .charged = request.charged });
-    const bool first = request.attempt.value == 0;
-    setWake(state, request, first ? state.now + queueWaitLimit(state, pool->second, request.rank) : request.deadline);
+    const bool limited = request.attempt.value == 0 && mayEnd(request, EndCause::Lateness);
+    setWake(state, request, limited ? state.now + queueWaitLimit(state, pool->second, request.rank) : request.deadline);
+}
+
+void awaitUpstream(EntryState& state, Request& request, EntryEffects& effects)
+{
+    if (state.requests.pools.contains(request.call.service)) {
+        enqueueRequest(state, request);
+        dispatchQueued(state, ServiceId(request.call.service), effects);
+    } else if (mayEnd(request, EndCause::Configuration)) {
+        failRequest(
+            state, request, { .outcome = Outcome::NotRun, .reason = "service-removed", .step = "queue" }, effects);
+    } else {
+        request.phase = RequestPhase::Backoff;
+        setWake(state, request, state.now + serviceCheckInterval);
+    }
 }
 
 void dispatchQueued(EntryState& state, const ServiceId& service, EntryEffects& effects)
--- a/src/request_table_io.cpp
+++ b/src/request_table_io.cpp
@@ -48,6 +48,7 @@
         return false;
     const std::lock_guard lock(pending->mutex);
     pending->attempt = attempt;
+    pending->resumedAt = pending->nextSequence;
     return true;
 }
 
@@ -62,6 +63,21 @@
     return pending->nextSequence;
 }
 
+bool RequestTable::hasBegun(RequestId request) const
+{
+    const auto pending = this->find(request);
+    if (!pending)
+        return false;
+    const std::lock_guard lock(pending->mutex);
+    return pending->nextSequence > 0;
+}
+
+bool RequestTable::empty() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests.empty();
+}
+
 PartResult RequestTable::takePart(RequestId request, Attempt attempt, std::uint32_t sequence, std::string data,
     std::uint16_t status, const std::string& contentType)
 {
@@ -69,7 +85,9 @@
     if (!pending)
         return PartResult::Dropped;
     const std::lock_guard lock(pending->mutex);
-    if (pending->attempt != attempt || sequence != pending->nextSequence || pending->end)
+    const bool recorded = sequence == 0 && pending->resumedAt > 0 && pending->nextSequence == pending->resumedAt
+        && data.size() >= pending->acceptedBytes;
+    if (pending->attempt != attempt || (sequence != pending->nextSequence && !recorded) || pending->end)
         return PartResult::Dropped;
     if (pending->bufferedBytes > maxBufferedBytes)
         return PartResult::Full;
@@ -78,7 +96,10 @@
         pending->status = status;
         pending->contentType = contentType;
     }
+    if (recorded)
+        data.erase(0, pending->acceptedBytes);
     ++pending->nextSequence;
+    pending->acceptedBytes += data.size();
     pending->bufferedBytes += data.size();
     pending->parts.push_back(std::move(data));
     pending->changed.notify_all();
--- a/src/retry_cmd.cpp
+++ b/src/retry_cmd.cpp
@@ -1,5 +1,6 @@
 #include "retry_cmd.h"
 
+#include "begun_call_func.h"
 #include "request_dispatch_cmd.h"
 #include "request_log_func.h"
 #include "request_row_cmd.h"
@@ -37,7 +38,10 @@
     {
         const ServiceConfig* service
             = state.config.config ? state.config.config->findService(request.call.service) : nullptr;
-        if (!service)
+        const auto ends = [&](EndCause cause) {
+            return mayEnd(request, failure.outcome == Outcome::NotRun ? cause : EndCause::UpstreamDead);
+        };
+        if (!service && ends(EndCause::Configuration))
             return "service-removed";
         if (request.detached)
             return "caller-gone";
@@ -46,15 +50,17 @@
         if (failure.outcome != Outcome::NotRun && !request.repeatable)
             return "not-repeatable";
         const bool partlyDelivered = request.delivered > 0;
-        if (partlyDelivered && (service->kind != ServiceKind::Engine || !request.repeatable))
+        const bool resumable = !service || service->kind == ServiceKind::Engine;
+        if (partlyDelivered && (!resumable || !request.repeatable))
             return "cannot-resume";
         if (request.firstPart && !partlyDelivered)
             return "delivered-count-unknown";
-        // Giving up breaks a partly delivered stream for the caller, so only attempts that an upstream may have run
-        // count for it. Refusals cause no work at an upstream; the backoff and the deadline bound them.
-        if ((partlyDelivered ? request.lostAttempts : request.retries + 1) >= maxAttempts)
+        // Giving up breaks a begun answer for the caller, so only attempts that an upstream may have run count for it.
+        // Refusals cause no work at an upstream; the backoff and the deadline bound them.
+        if ((hasBegun(request) ? request.lostAttempts : request.retries + 1) >= maxAttempts)
             return "attempts";
-        if (quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {})
+        if (service && quarantineRemaining(state, *service, request.call.requestDigest) > Milliseconds {}
+            && ends(EndCause::Quarantine))
             return "quarantined";
         return nullptr;
     }
@@ -90,8 +96,9 @@
     }
     const char* refusalReason = retryRefusalReason(state, request, failure);
     const auto pool = state.requests.pools.find(request.call.service);
-    // A resumed stream continues after the parts already delivered and adds no load, so it costs no retry budget.
-    const bool resumes = request.delivered > 0;
+    // A resumed stream continues after the parts already delivered, and a recorded answer is only fetched. Neither adds
+    // load, so they cost no retry budget.
+    const bool resumes = request.delivered > 0 || request.replay;
     if (!refusalReason && !resumes && (pool == state.requests.pools.end() || pool->second.retryBalance < 1))
         refusalReason = "budget";
     if (refusalReason) {
@@ -137,8 +144,7 @@
         readCallRow(state, request, effects);
         return;
     }
-    enqueueRequest(state, request);
-    dispatchQueued(state, ServiceId(request.call.service), effects);
+    awaitUpstream(state, request, effects);
 }
 
 } // namespace hickory
--- a/tests/unit_rpc.cpp
+++ b/tests/unit_rpc.cpp
@@ -90,10 +90,11 @@
         return {
             .onEvent = [this](AgentEventBody body) { this->agentEvents.add(std::move(body)); },
             .onDispatch =
-                [this](const DispatchCall& call, const std::shared_ptr<RequestPayload>& given,
+                [this](const DispatchReceived& event, const std::shared_ptr<RequestPayload>& given,
                     std::shared_ptr<PartChannel> parts) {
                     const std::lock_guard lock(this->mutex);
-                    this->key = call.key;
+                    this->key = event.call.key;
+                    this->connection = event.connection;
                     this->payload = given;
                     this->channel = std::move(parts);
                     this->changed.notify_all();
@@ -107,6 +108,7 @@
     std::mutex mutex; ///< protects `key`, `payload` and `channel`
     std::condition_variable changed; ///< signalled when a dispatch arrives
     AttemptKey key; ///< key of the last dispatch
+    std::uint64_t connection { 0 }; ///< connection of the last dispatch
     std::shared_ptr<RequestPayload> payload; ///< payload of the last dispatch
     std::shared_ptr<PartChannel> channel; ///< answer channel of the last dispatch, empty before the first
     RequestTable table; ///< the entry's requests in progress
@@ -116,6 +118,20 @@
     EntryRpc entry; ///< connects to the agent
 };
 
+/// Takes the parts of an answer until all are taken or its attempt has ended.
+void readSlowly(PendingRequest& pending, std::size_t parts)
+{
+    for (std::size_t taken = 0; taken < parts;) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        const std::lock_guard lock(pending.mutex);
+        taken += pending.parts.size();
+        pending.parts.clear();
+        pending.bufferedBytes = 0;
+        if (pending.attempt.value == 0)
+            return;
+    }
+}
+
 } // namespace
 
 // Guards against a truncated answer, when the result of a dispatch overtakes the parts of its answer.
@@ -153,7 +169,9 @@
     pair.dispatch();
     const auto channel = pair.waitForDispatch();
     pair.entry.stop();
-    REQUIRE(pair.agentEvents.waitFor<EntryDetached>().entry == HostId { "entry-1" });
+    const auto detached = pair.agentEvents.waitFor<EntryDetached>();
+    REQUIRE(detached.entry == HostId { "entry-1" });
+    REQUIRE(detached.connection == pair.connection);
     REQUIRE_FALSE(channel->send("late", 200, "text/plain"));
 }
 
@@ -166,3 +184,49 @@
         .call = { .key = { .entry = { "entry-1" }, .request = pending->request, .attempt = { 1 } } } });
     REQUIRE(pair.entryEvents.waitFor<AttemptEnded>().result.kind == DispatchResultKind::NotRun);
 }
+
+// Guards against an answer without some of its parts that reaches a slow caller as whole.
+TEST_CASE("No part overtakes one that waits for a slow caller")
+{
+    EntryAgentPair pair;
+    const auto pending = pair.dispatch();
+    const auto channel = pair.waitForDispatch();
+    constexpr int parts = 8;
+    constexpr std::size_t partBytes = 100000;
+    for (int i = 0; i < parts; ++i)
+        REQUIRE(channel->send(std::string(partBytes, 'x'), 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    readSlowly(*pending, parts);
+    CHECK(pair.entryEvents.waitFor<AttemptEnded>().delivered == parts);
+}
+
+// Guards against a whole answer that is cut because its agent stops before a slow caller has read it.
+TEST_CASE("A stopping agent delivers the answers that stand ready")
+{
+    EntryAgentPair pair;
+    const auto pending = pair.dispatch();
+    const auto channel = pair.waitForDispatch();
+    constexpr int parts = 8;
+    constexpr std::size_t partBytes = 100000;
+    for (int i = 0; i < parts; ++i)
+        REQUIRE(channel->send(std::string(partBytes, 'x'), 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    std::thread caller([&] { readSlowly(*pending, parts); });
+    pair.agent.stop();
+    const auto ended = pair.entryEvents.waitFor<AttemptEnded>();
+    caller.join();
+    CHECK(ended.result.kind == DispatchResultKind::Completed);
+    CHECK(ended.delivered == parts);
+}
+
+// Guards against ending a request as lost at an agent that was not asked whether it is there.
+TEST_CASE("An agent that answers heartbeats keeps a request that takes longer than the silence timeout")
+{
+    EntryAgentPair pair;
+    pair.dispatch({ 400 });
+    const auto channel = pair.waitForDispatch();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    REQUIRE(channel->send("late", 200, "text/plain"));
+    pair.agent.answerDispatch({ .key = pair.key, .result = { .kind = DispatchResultKind::Completed } });
+    CHECK(pair.entryEvents.waitFor<AttemptEnded>().result.kind == DispatchResultKind::Completed);
+}
