Soak with sound upstreams that fall silent beside series of planned work

Few other faults. LOST is judged from what callers and upstreams saw: a request that a sound upstream had begun ends with its whole answer, unless its caller or deadline, a crash, a disturbed link, a killed or frozen entry or the last sixth of the grace period ended it. The run prints how many requests were judged and excused, and fails if hardly any met a silence. Plain upstreams of the soak now answer their health check.

--- a/tests/soak_caller.cpp
+++ b/tests/soak_caller.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr Milliseconds callerTimeout { 4000 }; ///< deadline sent with each request
     constexpr Milliseconds maxConnectionIdle { 2000 }; ///< connections idle for longer are not reused
 
 } // namespace
@@ -38,7 +37,7 @@
     }
 
     Callers& owner; ///< checks the finished response
-    asio::steady_timer timer; ///< ends the request after callerTimeout
+    asio::steady_timer timer; ///< ends the request when its caller leaves
     std::string id; ///< Attempt-Id header, key of Ledger::attempts
     OutboundCallId out; ///< to pause it in the pool
     bool reads { true }; ///< reads the response; otherwise only its head
@@ -62,13 +61,18 @@
     auto call = std::make_shared<Call>(*this);
     call->id = "attempt-" + std::to_string(++this->lastId);
     call->faultFree = request.faultFree;
-    Attempt attempt { .requestKind = requestKind, .at = monotonicNow(), .deadly = request.deadly };
+    Attempt attempt { .requestKind = requestKind,
+        .at = monotonicNow(),
+        .deadly = request.deadly,
+        .entry = "entry-" + std::to_string(request.entry + 1),
+        .deadline = request.deadline,
+        .leavesEarly = request.leavesAfter.value > 0 };
     if (!request.promptParts.empty()) {
         std::ostringstream own;
         own << std::hex << 0xa00000 + this->lastId << ":" << std::dec << 300 + this->lastId % 600;
         attempt.promptParts = request.promptParts + "," + own.str();
     }
-    if (this->ledger.deadlyPart.empty())
+    if (this->ledger.deadlyPart.empty() && !request.soundAnswers)
         attempt.fault = answerFault(call->id, requestKind);
     call->reads = attempt.fault != AnswerFault::EndlessEvents;
     if (request.faultFree && !call->reads) {
@@ -82,7 +86,7 @@
                                : stream                        ? "POST /s/x"
                                                                : "POST /b/x")
         + std::string(" HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: ") + call->id + "\r\nDeadline-Ms: "
-        + std::to_string(callerTimeout.value) + "\r\nAuthorization: Bearer " + request.key + "\r\n";
+        + std::to_string(request.deadline.value) + "\r\nAuthorization: Bearer " + request.key + "\r\n";
     if (stream)
         text += "Model: soak-model\r\nToken-Count: 500,80\r\n";
     if (!attempt.promptParts.empty())
@@ -95,7 +99,7 @@
                                                    .maxIdle = maxConnectionIdle },
         call);
     call->out = out;
-    const Milliseconds patience = request.leavesAfter.value > 0 ? request.leavesAfter : callerTimeout;
+    const Milliseconds patience = request.leavesAfter.value > 0 ? request.leavesAfter : request.deadline;
     call->timer.expires_after(std::chrono::milliseconds(patience.value));
     call->timer.async_wait([this, out, weak = std::weak_ptr<Call>(call)](const std::error_code& code) {
         const auto pending = weak.lock();
@@ -115,6 +119,7 @@
     };
     const bool stream = attempt.requestKind == RequestKind::Streaming;
     const bool responseStarted = call.head.status == 200;
+    attempt.endedAt = monotonicNow();
     attempt.began = responseStarted && !call.body.empty();
     attempt.status = end == CallEnd::Complete ? call.head.status : 0;
     if (responseStarted && call.reads) {
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -18,6 +18,8 @@
     std::string promptParts; ///< parts of a stream's prompt as "id:tokens,..." without its own last part, may be empty
     bool deadly { false }; ///< promptParts contains Ledger::deadlyPart
     Milliseconds leavesAfter { 0 }; ///< the caller closes its connection then, 0 if it waits for its deadline
+    Milliseconds deadline { 4000 }; ///< sent with the request
+    bool soundAnswers { false }; ///< no answer of an upstream to it has a fault
 };
 
 /// Sends requests to the entries over reused connections and checks each response. Violations go to the ledger.
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -25,6 +25,21 @@
     EndlessEvents, ///< a stream goes on without end, and its caller does not read it
 };
 
+/// A run of a request at an upstream, as seen by the upstream.
+struct Run {
+    std::string upstream; ///< stable name of the upstream
+    Milliseconds beganAt { 0 }; ///< when it began to work on the request
+    std::optional<Milliseconds> completedAt; ///< when it had written the whole answer
+    std::optional<Milliseconds> closedAt; ///< when it noticed that the entry had closed the connection
+    bool failed { false }; ///< the upstream crashed or broke the answer off
+};
+
+/// A time in which a host or its link was disturbed, both bounds included.
+struct TimeSpan {
+    Milliseconds from { 0 };
+    Milliseconds until { 0 };
+};
+
 /// One request of a caller, as seen by the caller and by the upstreams.
 struct Attempt {
     RequestKind requestKind { RequestKind::Idempotent }; ///< decides how many executions are allowed
@@ -36,8 +51,16 @@
     bool deadly { false }; ///< the prompt contains Ledger::deadlyPart before its last part
     bool began { false }; ///< the caller got bytes of a body with status 200
     std::optional<Milliseconds> leftAt; ///< when the caller closed its connection before the answer was complete
+    std::string entry; ///< name of the entry that it was sent to
+    Milliseconds deadline { 0 }; ///< from sending, as the caller told the entry
+    bool leavesEarly { false }; ///< the caller leaves before the deadline
+    std::optional<Milliseconds> endedAt; ///< when the answer was complete, the connection ended or the caller left
+    std::vector<Run> runs; ///< at upstreams, in the order of their beginnings
 };
 
+/// @return whether a status promises that the request has not run
+inline bool saysNotRun(int status) { return status == 503 || status == 429 || status == 421; }
+
 /// What requests with the deadly part did to engines and to other requests.
 struct DeadlyFigures {
     std::size_t crashes { 0 }; ///< engines that the part ended, each start counted
@@ -58,7 +81,7 @@
 /// engine serves outdated weights), READY and START (an entry is not ready in time), EXIT (unexpected end of a
 /// process), UNANSWERED (a request failed although no fault was active), BUDGET (a part that crashes engines reaches
 /// them too often), ENDLESS (an entry reads an answer without end), LOST (requests without that part are served too
-/// rarely), SOAK (the test equipment failed).
+/// rarely; a request that a sound upstream had begun ended without its answer), SOAK (the test equipment failed).
 struct Ledger {
     std::map<std::string, Attempt> attempts; ///< all requests sent so far, by their Attempt-Id header
     std::vector<std::string> violations; ///< one line each, code of the rule first
@@ -69,6 +92,10 @@
     std::string deadlyPart; ///< id of the prompt part that crashes engines, empty for none
     std::vector<Milliseconds> crashes; ///< when it crashed an engine
     std::vector<Milliseconds> deadlyArrivals; ///< when a request with it reached an engine
+    /// Faults of the soak, by name of the entry (killed, frozen) or upstream (its link cut, frozen or delayed)
+    std::map<std::string, std::vector<TimeSpan>> disturbances;
+    std::map<std::string, std::vector<Milliseconds>> stops; ///< times of SIGTERM by name of the entry
+    std::map<std::string, std::vector<TimeSpan>> silences; ///< of upstreams that are sound, by name
 
     /// @return whether upstreams send the answer to an attempt with neither a length nor chunks
     bool endsWithConnection(const std::string& attempt) const
@@ -76,6 +103,17 @@
         return this->unframedAnswers && std::hash<std::string> {}(attempt + "/framing") % 4 == 0;
     }
 
+    /// @return whether a host or its link was disturbed in a time, both bounds included
+    bool isDisturbed(const std::string& name, Milliseconds from, Milliseconds until) const
+    {
+        return overlaps(this->disturbances, name, from, until);
+    }
+    /// @return whether a sound upstream was silent in a time, both bounds included
+    bool isSilent(const std::string& name, Milliseconds from, Milliseconds until) const
+    {
+        return overlaps(this->silences, name, from, until);
+    }
+
     /// @param text code of the rule, then what was seen
     void addViolation(const std::string& text) { this->violations.push_back(text); }
 
@@ -84,8 +122,7 @@
     void checkAtEnd()
     {
         for (const auto& [id, attempt] : this->attempts) {
-            const bool saidNotRun = attempt.status == 503 || attempt.status == 429 || attempt.status == 421;
-            if (saidNotRun && attempt.executions > 0)
+            if (saysNotRun(attempt.status) && attempt.executions > 0)
                 this->addViolation(
                     "REFUSED " + id + " was answered " + std::to_string(attempt.status) + " and has run");
             if (attempt.requestKind == RequestKind::NonIdempotent && attempt.executions > 1)
@@ -130,6 +167,15 @@
 private:
     static constexpr std::size_t crashesToContain = 5; ///< from this crash on the part must be contained
 
+    static bool overlaps(const std::map<std::string, std::vector<TimeSpan>>& spans, const std::string& name,
+        Milliseconds from, Milliseconds until)
+    {
+        const auto found = spans.find(name);
+        return found != spans.end()
+            && std::any_of(found->second.begin(), found->second.end(),
+                [&](const TimeSpan& span) { return span.from <= until && span.until >= from; });
+    }
+
     /// Checks that the fleet contained the deadly part (BUDGET) and still served other requests (LOST).
     void checkDeadlyPart()
     {
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -24,6 +24,16 @@
     constexpr std::size_t maxEndlessBytes = 24U << 20U;
     constexpr Milliseconds downTime { 2000 }; ///< time from a crash on a request to the next start
 
+    constexpr Milliseconds minServiceTime { 30 }; ///< shortest time that a paced plain answer takes
+    constexpr std::size_t serviceTimeRange = 870; ///< ms that the longest one takes beyond it
+    constexpr std::size_t maxPace = 6; ///< longest time between events of a paced stream, in eventInterval
+
+    /// @return a number derived from the id of an attempt, another one for each purpose
+    std::size_t attemptNumber(const std::string& attempt, const char* purpose)
+    {
+        return std::hash<std::string> {}(attempt + "/" + purpose);
+    }
+
     std::string headerValue(const FrontRequest& request, const char* name)
     {
         const std::string* value = request.head.find(name);
@@ -43,7 +53,8 @@
 
 Upstream::Upstream(asio::io_context& io, Store& store, Ledger& ledger, std::string name, const std::string& address,
     std::string registeredAddress, bool engine)
-    : io(io)
+    : service(engine ? "engines" : "desk")
+    , io(io)
     , store(store)
     , ledger(ledger)
     , name(std::move(name))
@@ -60,8 +71,9 @@
 
 void Upstream::start(bool withWeights)
 {
-    if (!this->listening && !this->front.listen(this->address))
-        throw std::runtime_error(this->name + " cannot listen at " + this->address);
+    if (!this->listening)
+        if (const auto port = this->front.listen(this->address); !port)
+            throw std::runtime_error(this->name + " cannot listen: " + port.error().text());
     this->listening = true;
     this->restartAt = {};
     if (!this->crashedId.empty())
@@ -80,6 +92,7 @@
 void Upstream::crash()
 {
     for (const CallId call : std::set<CallId>(this->openCalls)) {
+        this->failRun(call);
         // The kernel closes the connections of a process that ends; a reset of half an answer would show that.
         const auto stream = this->streams.find(call);
         const bool unframed = this->halves.contains(call)
@@ -92,6 +105,7 @@
     this->front.closeIdle();
     this->listening = false;
     this->halves.clear();
+    this->slowAnswers.clear();
     this->openCalls.clear();
     this->streams.clear();
     this->endless.clear();
@@ -103,8 +117,10 @@
 
 void Upstream::crashOnRequest()
 {
-    for (const CallId call : std::set<CallId>(this->openCalls))
+    for (const CallId call : std::set<CallId>(this->openCalls)) {
+        this->failRun(call);
         this->front.abort(call);
+    }
     this->openCalls.clear();
     this->streams.clear();
     this->endless.clear();
@@ -126,7 +142,41 @@
     this->streams.erase(call);
     this->endless.erase(call);
     this->halves.erase(call);
+    this->slowAnswers.erase(call);
     this->openCalls.erase(call);
+    if (Run* run = this->endRun(call))
+        run->closedAt = monotonicNow();
+}
+
+void Upstream::beginRun(CallId call, const std::string& attempt)
+{
+    if (std::find(this->unnoticed.begin(), this->unnoticed.end(), call) != this->unnoticed.end())
+        return;
+    std::vector<Run>& all = this->ledger.attempts.at(attempt).runs;
+    this->runs[call] = { .attempt = attempt, .index = all.size() };
+    all.push_back({ .upstream = this->name, .beganAt = monotonicNow(), .completedAt = {}, .closedAt = {} });
+}
+
+Run* Upstream::endRun(CallId call)
+{
+    const auto found = this->runs.find(call);
+    if (found == this->runs.end())
+        return nullptr;
+    Run* run = &this->ledger.attempts.at(found->second.attempt).runs[found->second.index];
+    this->runs.erase(found);
+    return run;
+}
+
+void Upstream::completeRun(CallId call)
+{
+    if (Run* run = this->endRun(call))
+        run->completedAt = monotonicNow();
+}
+
+void Upstream::failRun(CallId call)
+{
+    if (Run* run = this->endRun(call))
+        run->failed = true;
 }
 
 void Upstream::say(std::vector<WireHeader> fields, std::uint16_t refusalStatus)
@@ -165,9 +215,12 @@
 {
     constexpr Milliseconds goneAfter { 500 };
     constexpr int allowedRuns = 3;
+    if (stopped && !this->still)
+        this->stillSince = monotonicNow();
     this->still = stopped;
     if (stopped)
         return;
+    this->ledger.silences[this->name].push_back({ .from = this->stillSince, .until = monotonicNow() });
     int gone = 0;
     for (FrontRequest& request : std::exchange(this->deferred, {})) {
         const auto attempt = this->ledger.attempts.find(headerValue(request, "Attempt-Id"));
@@ -194,8 +247,8 @@
 void Upstream::publishState(const std::string& newState)
 {
     this->state = newState;
-    Json entry { { "service", this->engine ? "engines" : "desk" }, { "address", this->registeredAddress },
-        { "zone", "a" }, { "version", 1 }, { "slots", 8 }, { "state", this->state }, { "sequence", ++this->reports },
+    Json entry { { "service", this->service }, { "address", this->registeredAddress }, { "zone", "a" },
+        { "version", 1 }, { "slots", 8 }, { "state", this->state }, { "sequence", ++this->reports },
         { "born", this->processStartedAt } };
     if (this->engine) {
         entry["models"] = Json::array();
@@ -259,6 +312,9 @@
         this->loading = wanted;
         this->loadedAt = monotonicNow() + loadTime;
         this->answerJson(request.id, 202, "{}");
+    } else if (target == "/api/health" && !this->engine) {
+        this->openCalls.erase(request.id);
+        this->front.answer(request.id, 200, { { "Replica-Id", this->id } }, "");
     } else
         this->answerJson(request.id, 404, "{}");
 }
@@ -304,10 +360,13 @@
         this->ledger.addViolation("UNASKED " + attempt + " arrived with other prompt parts");
     const std::string lastEventId = headerValue(request, "Last-Event-Id");
     attemptEntry->second.executions += lastEventId.empty() ? 1 : 0;
+    this->beginRun(request.id, attempt);
     std::vector<WireHeader> sealedHeaders = echo;
     sealedHeaders.push_back({ "Replica-Seal", "seal." + attempt });
     const bool first = lastEventId.empty() && attemptEntry->second.executions == 1;
     const AnswerFault fault = first ? attemptEntry->second.fault : AnswerFault::None;
+    if (fault != AnswerFault::None)
+        this->failRun(request.id);
     if (!this->engine && fault == AnswerFault::Endless) {
         this->front.begin(request.id, 200, sealedHeaders);
         this->endless[request.id] = { .attempt = attempt, .unit = "endless " };
@@ -322,8 +381,22 @@
         this->halves[request.id] = answer.substr(answer.size() / 2);
         return;
     }
+    if (!this->engine && this->paced) {
+        SlowAnswer slow { .headers = std::move(sealedHeaders),
+            .rest = "answer of " + attempt + " " + request.body,
+            .dueAt = monotonicNow() + minServiceTime
+                + Milliseconds { static_cast<std::int64_t>(attemptNumber(attempt, "time") % serviceTimeRange) } };
+        if (attemptNumber(attempt, "half") % 2 == 0) {
+            this->front.begin(request.id, 200, std::exchange(slow.headers, {}));
+            this->front.body(request.id, slow.rest.substr(0, slow.rest.size() / 2));
+            slow.rest.erase(0, slow.rest.size() / 2);
+        }
+        this->slowAnswers[request.id] = std::move(slow);
+        return;
+    }
     if (!this->engine) {
         this->openCalls.erase(request.id);
+        this->completeRun(request.id);
         this->front.answer(request.id, 200, sealedHeaders, "answer of " + attempt + " " + request.body);
         return;
     }
@@ -337,7 +410,8 @@
         .beginsAt = monotonicNow() + (hasParts ? readTime : Milliseconds {}),
         .deadly = deadly,
         .next = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1,
-        .fault = fault };
+        .fault = fault,
+        .nextAt = {} };
 }
 
 void Upstream::onStepTimer()
@@ -359,6 +433,7 @@
         this->start(false);
     this->sendEvents();
     this->sendHalves();
+    this->sendSlow();
     this->sendEndless();
     this->timer.expires_after(std::chrono::milliseconds(eventInterval.value));
     this->timer.async_wait([this](const std::error_code& code) {
@@ -372,10 +447,29 @@
     for (const auto& [call, half] : std::exchange(this->halves, {})) {
         this->front.body(call, half);
         this->openCalls.erase(call);
+        this->completeRun(call);
         this->front.finish(call);
     }
 }
 
+void Upstream::sendSlow()
+{
+    const Milliseconds now = monotonicNow();
+    std::erase_if(this->slowAnswers, [&](const auto& item) {
+        const auto& [call, answer] = item;
+        if (now < answer.dueAt)
+            return false;
+        this->openCalls.erase(call);
+        this->completeRun(call);
+        if (answer.headers.empty()) {
+            this->front.body(call, answer.rest);
+            this->front.finish(call);
+        } else
+            this->front.answer(call, 200, answer.headers, answer.rest);
+        return true;
+    });
+}
+
 void Upstream::sendEndless()
 {
     std::vector<CallId> tooLong;
@@ -432,13 +526,22 @@
             stream = this->streams.erase(stream);
             continue;
         }
+        if (monotonicNow() < stream->second.nextAt) {
+            ++stream;
+            continue;
+        }
         if (stream->second.next <= eventCount(stream->second.attempt))
             this->front.body(stream->first, eventText(stream->second.attempt, stream->second.next++));
+        if (this->paced)
+            stream->second.nextAt = monotonicNow()
+                + eventInterval
+                    * static_cast<std::int64_t>(1 + attemptNumber(stream->second.attempt, "pace") % maxPace);
         if (stream->second.next <= eventCount(stream->second.attempt)) {
             ++stream;
             continue;
         }
         this->openCalls.erase(stream->first);
+        this->completeRun(stream->first);
         this->front.finish(stream->first);
         stream = this->streams.erase(stream);
     }
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -51,11 +51,16 @@
     /// noticed.
     void standStill(bool still);
 
+    /// @return name that stays the same when it starts again
+    const std::string& stableName() const { return this->name; }
     /// @return id that is registered, or still is after a crash that the store does not know of
     const std::string& registeredId() const { return this->running() ? this->id : this->crashedId; }
+    bool standsStill() const { return this->still; }
     /// @return false between crash() and start()
     bool running() const { return !this->id.empty(); }
     std::uint64_t version { 0 }; ///< of the weights in service, 0 for none
+    std::string service; ///< name of its service, set before the first start
+    bool paced { false }; ///< its answers take up to a second or so, different for each attempt
 
 private:
     /// An event stream that is being sent.
@@ -66,6 +71,20 @@
         bool deadly { false }; ///< the engine crashes when the response begins
         int next { 1 }; ///< number of the next event; higher at first for a resumed stream
         AnswerFault fault { AnswerFault::None }; ///< becomes effective after the first event
+        Milliseconds nextAt { 0 }; ///< earliest time of the next event
+    };
+
+    /// A plain answer that takes some time.
+    struct SlowAnswer {
+        std::vector<WireHeader> headers; ///< of a response that has not begun, else empty
+        std::string rest; ///< of the body
+        Milliseconds dueAt { 0 };
+    };
+
+    /// A run that is in the ledger.
+    struct RunKey {
+        std::string attempt; ///< Attempt-Id of the request
+        std::size_t index { 0 }; ///< in Attempt::runs
     };
 
     /// An answer without end that is being sent.
@@ -85,6 +104,14 @@
     void publishState(const std::string& state);
     /// Sends the second halves of plain answers that end with their connections.
     void sendHalves();
+    /// Sends the plain answers that took some time and are due.
+    void sendSlow();
+    /// Records in the ledger that a run begins, unless its connection has ended already.
+    void beginRun(CallId call, const std::string& attempt);
+    /// @return the run of a request in the ledger, which ends now, or nullptr
+    Run* endRun(CallId call);
+    void completeRun(CallId call);
+    void failRun(CallId call);
     void onStepTimer();
     /// Sends the next events of all streams. An engine that crashes in this sends nothing more.
     void sendEvents();
@@ -127,6 +154,9 @@
     std::vector<FrontRequest> deferred; ///< requests that arrived meanwhile
     std::vector<CallId> unnoticed; ///< connections that ended meanwhile
     std::set<CallId> openCalls; ///< requests without a complete response
+    std::map<CallId, SlowAnswer> slowAnswers; ///< by request
+    std::map<CallId, RunKey> runs; ///< unfinished runs by request
+    Milliseconds stillSince { 0 }; ///< time of standStill(true)
 };
 
 /// Stand-in for the origin of weights: serves the newest two versions, 410 for older and 404 for undeclared ones.
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -4,6 +4,7 @@
 
 #include "scenario_process.h"
 #include "soak_caller.h"
+#include "soak_lost_check.h"
 #include "soak_upstream.h"
 
 #include <csignal>
@@ -23,7 +24,9 @@
 constexpr int entryCount = 3; ///< number of hickory-entry processes
 constexpr int engineCount = 4; ///< number of stand-in engines, each with a hickory-agent process
 constexpr int plainCount = 2; ///< number of stand-in plain upstreams, which have no agent
+constexpr int archiveCount = 2; ///< number of those of a second plain service, with --pauses
 constexpr Milliseconds requestInterval { 15 }; ///< time between two requests, over all callers
+constexpr Milliseconds pacedRequestInterval { 20 }; ///< the same for upstreams whose answers take some time
 constexpr Milliseconds settleTime {
     6000
 }; ///< from the end of faults to the fault-free phase: for restarts, membership and weights to settle
@@ -44,22 +47,29 @@
     Milliseconds restartAt { 0 }; ///< earliest time of the restart after an expected exit
 };
 
+/// What a run does besides, or instead of, random faults.
+struct SoakModes {
+    bool deadly { false }; ///< the only fault is a prompt part that crashes engines, sent in requests to all entries
+    bool restores { false }; ///< adds a store that comes back older, and answers that end with their connections
+    bool notices { false }; ///< adds upstreams that say something of themselves or stand still, and callers that leave
+    /// Instead of random faults: sound upstreams that are silent for a second or so, beside planned work in series.
+    bool pauses { false };
+};
+
 /// One run with one seed.
 class Soak {
 public:
     /// @param faultTime time in which faults are injected
-    /// @param deadly the only fault is a prompt part that crashes engines, sent in requests to all entries
-    /// @param restores adds a store that comes back from an older copy, and answers that end with their connections
     /// @param buildFolder folder of the programs
     /// @param logFolder existing folder for settings and logs of this run
-    /// @param notices adds upstreams that say something of themselves or stand still, and callers that leave
-    Soak(std::uint64_t seed, Milliseconds faultTime, bool deadly, bool restores, bool notices, std::string buildFolder,
+    Soak(std::uint64_t seed, Milliseconds faultTime, const SoakModes& modes, std::string buildFolder,
         std::string logFolder)
         : random(seed)
         , faultTime(faultTime)
-        , deadly(deadly)
-        , restores(restores)
-        , notices(notices)
+        , deadly(modes.deadly)
+        , restores(modes.restores)
+        , notices(modes.notices)
+        , pauses(modes.pauses)
         , buildFolder(std::move(buildFolder))
         , logFolder(std::move(logFolder))
         , addressPrefix("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
@@ -67,8 +77,8 @@
         , origin(this->io, this->addressPrefix + "249:8081")
         , callers(this->io, this->ledger, this->entryAddresses())
     {
-        this->ledger.unframedAnswers = restores;
-        if (deadly)
+        this->ledger.unframedAnswers = this->restores;
+        if (this->deadly)
             this->ledger.deadlyPart = deadlyPart;
     }
 
@@ -86,10 +96,13 @@
         const Milliseconds end = faultFreeStart + faultFreeTime;
         Milliseconds nextRequest = startTime;
         bool faultsEnded = false;
+        if (this->pauses)
+            this->planPauses(startTime, faultsEnd);
+        const Milliseconds interval = this->pauses ? pacedRequestInterval : requestInterval;
         for (Milliseconds now = startTime; now < end; now = monotonicNow()) {
-            for (; nextRequest <= now; nextRequest += requestInterval)
+            for (; nextRequest <= now; nextRequest += interval)
                 this->send(now >= faultFreeStart);
-            if (now < faultsEnd && now >= nextFault) {
+            if (!this->pauses && now < faultsEnd && now >= nextFault) {
                 if (this->deadly)
                     this->sendDeadly();
                 else
@@ -122,6 +135,9 @@
         return std::uniform_int_distribution<std::int64_t>(from, to)(this->random);
     }
 
+    /// @return number of engines and plain upstreams
+    int upstreamCount() const { return engineCount + plainCount + (this->pauses ? archiveCount : 0); }
+
     /// @param number 1 and up for entries, 20 and up for upstreams and their agents
     /// @return loopback address of a simulated host
     std::string hostAddress(int number) const { return this->addressPrefix + std::to_string(number); }
@@ -159,7 +175,7 @@
         for (int entry = 1; entry <= entryCount; ++entry)
             addLink(
                 "store-" + std::to_string(entry), this->hostAddress(entry) + ":8090", this->addressPrefix + "250:8081");
-        for (int number = 0; number < engineCount + plainCount; ++number)
+        for (int number = 0; number < this->upstreamCount(); ++number)
             addLink("upstream-" + std::to_string(number), this->hostAddress(20 + number) + ":8080",
                 this->hostAddress(20 + number) + ":8081");
     }
@@ -192,11 +208,14 @@
     /// Starts upstreams, entries and agents, and waits up to 10 s until all entries are ready.
     void startFleet()
     {
-        for (int number = 0; number < engineCount + plainCount; ++number) {
+        for (int number = 0; number < this->upstreamCount(); ++number) {
             const std::string ip = this->hostAddress(20 + number);
             this->upstreams.push_back(std::make_unique<Upstream>(this->io, this->store, this->ledger,
                 (number < engineCount ? "engine" : "plain") + std::to_string(number), ip + ":8081",
                 this->upstreamAddress(20 + number), number < engineCount));
+            if (number >= engineCount + plainCount)
+                this->upstreams.back()->service = "archive";
+            this->upstreams.back()->paced = this->pauses;
             this->upstreams.back()->start(true);
         }
         this->keys = { "key-0" };
@@ -280,6 +299,12 @@
             const std::string prefix = "/extra" + std::to_string(extra) + "/";
             routes.push_back(route(prefix.c_str(), "idempotent", "desk", 2, false));
         }
+        if (this->pauses) {
+            const auto weight = this->randomInt(0, 10);
+            routes[1].erase("service");
+            routes[1]["traffic_split"] = { { { "service", "desk" }, { "weight", 10 - weight } },
+                { { "service", "archive" }, { "weight", weight } } };
+        }
         const Json engine { { "slots", 8 }, { "step_ms", 3.0 }, { "read_per_s", 30000 }, { "stride", 7 },
             { "chunks", pieceCount }, { "chunk_bytes", 4096 }, { "usual", { { "prompt", 500 }, { "answer", 50 } } },
             { "models", { { { "name", modelName }, { "warmup_s", 0.15 } } } } };
@@ -287,6 +312,7 @@
             { "services",
                 { { { "name", "engines" }, { "engine", engine } },
                     { { "name", "desk" }, { "health_path", "/api/health" } },
+                    { { "name", "archive" }, { "health_path", "/api/health" } },
                     { { "name", "origin" }, { "origin", this->addressPrefix + "249:8081" }, { "link_mbps", 50.0 } } } },
             { "tenants", { { { "name", "callers" }, { "api_keys", this->keys } } } } };
         this->writtenConfig = config.dump();
@@ -345,7 +371,9 @@
             .key = this->keys.back(),
             .faultFree = faultFree,
             .promptParts = hasParts ? this->sharedParts(this->randomInt(1, 2)) : std::string {},
-            .leavesAfter = leaves ? Milliseconds { this->randomInt(50, 1500) } : Milliseconds {} });
+            .leavesAfter = leaves ? Milliseconds { this->randomInt(50, 1500) } : Milliseconds {},
+            .deadline = this->pauses ? Milliseconds { this->randomInt(2500, 4000) } : Milliseconds { 4000 },
+            .soundAnswers = this->pauses });
     }
 
     /// @param count 1 or more
@@ -423,20 +451,128 @@
             this->injectUpstreamFault(now, until);
             break;
         case 6:
-            this->store.mode = static_cast<Store::Mode>(this->randomInt(1, 3));
-            this->logFault("store mode " + std::to_string(static_cast<int>(this->store.mode)), now);
-            this->schedule(until, [this] { this->store.mode = Store::Mode::Up; });
+            this->injectStoreFault(now, until);
             break;
         case 7:
             this->logFault("weights", now);
             this->declareWeights();
             break;
         default:
-            this->logFault("config", now);
-            this->extraRoutes = static_cast<int>(this->randomInt(0, 5));
+            this->changeConfig();
+        }
+    }
+
+    /// Writes a configuration with other extra routes and, at times, one more key.
+    void changeConfig()
+    {
+        this->logFault("config", monotonicNow());
+        this->extraRoutes = static_cast<int>(this->randomInt(0, 5));
+        if (this->randomInt(0, 1) == 0)
+            this->keys.push_back("key-" + std::to_string(this->keys.size()));
+        this->writeConfig();
+    }
+
+    void injectStoreFault(Milliseconds now, Milliseconds until)
+    {
+        this->store.mode = static_cast<Store::Mode>(this->randomInt(1, 3));
+        this->logFault("store mode " + std::to_string(static_cast<int>(this->store.mode)), now);
+        this->schedule(until, [this] { this->store.mode = Store::Mode::Up; });
+    }
+
+    /// Schedules the faults of --pauses: silences of sound upstreams, and planned work in series that overlap with
+    /// them.
+    void planPauses(Milliseconds start, Milliseconds end)
+    {
+        for (const auto& upstream : this->upstreams)
+            this->planSilences(*upstream, start, end);
+        for (Milliseconds at = start + this->randomTime(300, 1500); at < end; at += this->randomTime(500, 2000))
+            for (const Milliseconds seriesEnd = at + this->randomTime(2000, 5000); at < seriesEnd && at < end;
+                 at += this->randomTime(300, 1100))
+                this->schedule(at, [this] { this->changeConfig(); });
+        const auto repeat = [&](int least, int most, Milliseconds until, const std::function<void()>& action) {
+            for (Milliseconds at = start + this->randomTime(least / 2, most); at < until;
+                 at += this->randomTime(least, most))
+                this->schedule(at, action);
+        };
+        constexpr Milliseconds lastStop { 2500 }; ///< before the end, so that an entry is back before the last phase
+        repeat(400, 1500, end, [this] {
+            ManagedProcess& entry = this->randomEntry();
+            this->logFault("SIGHUP to " + entry.name, monotonicNow());
+            entry.process.signal(SIGHUP);
+        });
+        repeat(1500, 3500, end - lastStop, [this] { this->stopEntry(); });
+        repeat(3000, 6000, end, [this] {
+            this->logFault("weights", monotonicNow());
+            this->declareWeights();
+        });
+        repeat(4000, 9000, end - lastStop, [this] { this->injectUnplanned(); });
+    }
+
+    /// Schedules silences of an upstream. It sends for some time between them.
+    void planSilences(Upstream& upstream, Milliseconds start, Milliseconds end)
+    {
+        for (Milliseconds at = start + this->randomTime(300, 3000); at < end; at += this->randomTime(700, 3500)) {
+            this->schedule(at, [this, &upstream] {
+                if (!upstream.running())
+                    return;
+                this->logFault("silence of " + upstream.stableName(), monotonicNow());
+                upstream.standStill(true);
+            });
+            at += this->randomTime(800, 1300);
+            this->schedule(at, [this, &upstream] {
+                if (!upstream.standsStill())
+                    return;
+                this->logFault("end of the silence of " + upstream.stableName(), monotonicNow());
+                upstream.standStill(false);
+            });
+        }
+    }
+
+    ManagedProcess& randomEntry()
+    {
+        return this->processes[static_cast<std::size_t>(this->randomInt(0, entryCount - 1))];
+    }
+
+    Milliseconds randomTime(std::int64_t from, std::int64_t to) { return { this->randomInt(from, to) }; }
+
+    /// Sends SIGTERM to a random entry, unless it is the last one that runs.
+    void stopEntry()
+    {
+        ManagedProcess& entry = this->randomEntry();
+        const auto running = std::count_if(this->processes.begin(), this->processes.begin() + entryCount,
+            [](const ManagedProcess& managed) { return !managed.endExpected; });
+        const Milliseconds now = monotonicNow();
+        if (entry.endExpected || running < 2 || this->ledger.isDisturbed(entry.name, now, now))
+            return;
+        this->logFault("SIGTERM to " + entry.name, now);
+        this->stopProcess(entry, now, now + this->randomTime(200, 1500));
+    }
+
+    /// Kills or freezes an entry, crashes an upstream, disturbs a link, or lets the store fail.
+    void injectUnplanned()
+    {
+        const Milliseconds now = monotonicNow();
+        const Milliseconds until = now + this->randomTime(200, 1500);
+        ManagedProcess& entry = this->randomEntry();
+        switch (this->randomInt(0, 4)) {
+        case 0:
+        case 1:
+            if (entry.endExpected)
+                return;
+            this->logFault("SIGKILL or SIGSTOP to " + entry.name, now);
             if (this->randomInt(0, 1) == 0)
-                this->keys.push_back("key-" + std::to_string(this->keys.size()));
-            this->writeConfig();
+                this->killProcess(entry, now, until);
+            else
+                this->freezeProcess(entry, now, until);
+            break;
+        case 2:
+            this->injectUpstreamFault(now, until);
+            break;
+        case 3:
+            this->injectLinkFault(now, until);
+            break;
+        default:
+            this->injectStoreFault(now, until);
         }
     }
 
@@ -483,21 +619,41 @@
             return;
         const auto kind = this->randomInt(0, 3);
         this->logFault("signal " + std::to_string(kind) + " to " + managed.name, now);
-        if (kind == 0) {
-            managed.endExpected = true;
-            managed.restartAt = until;
-            managed.process.signal(SIGKILL);
-        } else if (kind == 1) {
-            managed.endExpected = managed.stopRequested = true;
-            managed.stopRequestedAt = now;
-            managed.restartAt = until;
-            managed.process.signal(SIGTERM);
-        } else if (kind == 2)
+        if (kind == 0)
+            this->killProcess(managed, now, until);
+        else if (kind == 1)
+            this->stopProcess(managed, now, until);
+        else if (kind == 2)
             managed.process.signal(SIGHUP);
-        else {
-            managed.process.signal(SIGSTOP);
-            this->schedule(until, [&managed] { managed.process.signal(SIGCONT); });
-        }
+        else
+            this->freezeProcess(managed, now, until);
+    }
+
+    /// Sends SIGKILL.
+    void killProcess(ManagedProcess& managed, Milliseconds now, Milliseconds restartAt)
+    {
+        this->ledger.disturbances[managed.name].push_back({ .from = now, .until = now });
+        managed.endExpected = true;
+        managed.restartAt = restartAt;
+        managed.process.signal(SIGKILL);
+    }
+
+    /// Sends SIGTERM.
+    void stopProcess(ManagedProcess& managed, Milliseconds now, Milliseconds restartAt)
+    {
+        this->ledger.stops[managed.name].push_back(now);
+        managed.endExpected = managed.stopRequested = true;
+        managed.stopRequestedAt = now;
+        managed.restartAt = restartAt;
+        managed.process.signal(SIGTERM);
+    }
+
+    /// Sends SIGSTOP, and SIGCONT at `until`.
+    void freezeProcess(ManagedProcess& managed, Milliseconds now, Milliseconds until)
+    {
+        this->ledger.disturbances[managed.name].push_back({ .from = now, .until = until });
+        managed.process.signal(SIGSTOP);
+        this->schedule(until, [&managed] { managed.process.signal(SIGCONT); });
     }
 
     /// Cuts, freezes (in one or both directions) or delays a random link.
@@ -521,6 +677,12 @@
             fault = { { "delay_ms", this->randomInt(20, 400) } };
         }
         this->logFault(target + " " + fault.dump(), now);
+        const std::string upstreamPrefix = "upstream-";
+        if (name.starts_with(upstreamPrefix)) {
+            constexpr Milliseconds clearTime { 500 }; // what was held back is still on its way
+            const auto& upstream = *this->upstreams[std::stoul(name.substr(upstreamPrefix.size()))];
+            this->ledger.disturbances[upstream.stableName()].push_back({ .from = now, .until = until + clearTime });
+        }
         this->sendProxyRequest("PUT", target, fault);
         this->schedule(until, [this, target] {
             this->sendProxyRequest("PUT", target, { { "mode", "pass" }, { "delay_ms", 0 } });
@@ -596,6 +758,8 @@
     void checkFinalState()
     {
         this->ledger.checkAtEnd();
+        if (this->pauses)
+            this->lostFigures = checkLost(this->ledger, gracePeriod);
         for (int number = 0; number < engineCount; ++number)
             if (this->upstreams[static_cast<std::size_t>(number)]->version != this->origin.newestVersion)
                 this->ledger.addViolation("VERSION engine" + std::to_string(number) + " serves weights version "
@@ -614,6 +778,8 @@
         std::cout << this->ledger.attempts.size() << " requests, " << this->ledger.answered
                   << " answered completely; in the fault-free phase " << this->ledger.faultFreeAnswered << " of "
                   << this->ledger.faultFreeRequests << "; " << this->ledger.violations.size() << " violations\n";
+        if (this->pauses)
+            std::cout << lostText(this->lostFigures) << "\n";
         if (this->deadly) {
             const DeadlyFigures figures = this->ledger.deadlyFigures();
             std::cout << this->deadlySent << " requests with the deadly part sent, "
@@ -630,6 +796,8 @@
     bool deadly; ///< the only fault is a prompt part that crashes engines
     bool notices; ///< adds upstreams that say something of themselves or stand still, and callers that leave
     bool restores; ///< adds a store that comes back older, and answers that end with their connections
+    bool pauses { false }; ///< sound upstreams that are silent, beside planned work in series
+    LostFigures lostFigures; ///< of the final check, with --pauses
     std::string writtenConfig; ///< configuration written last
     std::size_t deadlySent { 0 }; ///< requests with that part sent so far
     std::string buildFolder; ///< where the programs are
@@ -667,7 +835,10 @@
         "seconds", "length of the phase with faults", cxxopts::value<int>()->default_value("10"))("deadly-part",
         "instead of random faults, send requests with a prompt part that crashes each engine that begins them")(
         "restores", "add a store that comes back from an older copy, and answers that end with their connections")(
-        "notices", "add upstreams that name a limit, leave, ask for a pause or stand still, and callers that leave");
+        "notices", "add upstreams that name a limit, leave, ask for a pause or stand still, and callers that leave")(
+        "pauses",
+        "instead of random faults, sound upstreams that are silent for a second or so, beside series of "
+        "configurations, signals and restarts");
     const auto flags = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t seed = flags["seed"].as<std::uint64_t>();
@@ -680,8 +851,12 @@
         std::filesystem::create_directories(logFolder);
         std::cout << "seed " << seed << std::endl;
         constexpr std::int64_t millisecondsPerSecond = 1000;
-        Soak soak(seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, flags.count("deadly-part") > 0,
-            flags.count("restores") > 0, flags.count("notices") > 0, flags["bin"].as<std::string>(), logFolder);
+        const SoakModes modes { .deadly = flags.count("deadly-part") > 0,
+            .restores = flags.count("restores") > 0,
+            .notices = flags.count("notices") > 0,
+            .pauses = flags.count("pauses") > 0 };
+        Soak soak(seed, { flags["seconds"].as<int>() * millisecondsPerSecond }, modes, flags["bin"].as<std::string>(),
+            logFolder);
         if (!soak.run())
             ++failed;
     }
