Give the slow plain service of the soak enough upstreams

Answers take up to 0.9 s in this mode, and a configuration may give the first service all of the shared route, which is about as much as two upstreams hold. It has four now; the check of this phase stays as it is.

--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -24,6 +24,7 @@
 constexpr int entryCount = 3; ///< number of hickory-entry processes
 constexpr int engineCount = 4; ///< number of stand-in engines, each with a hickory-agent process
 constexpr int plainCount = 2; ///< number of stand-in plain upstreams, which have no agent
+constexpr int pacedPlainCount = 4; ///< the same with --pauses, where answers take longer
 constexpr int archiveCount = 2; ///< number of those of a second plain service, with --pauses
 constexpr Milliseconds requestInterval { 15 }; ///< time between two requests, over all callers
 constexpr Milliseconds pacedRequestInterval { 20 }; ///< the same for upstreams whose answers take some time
@@ -136,7 +137,7 @@
     }
 
     /// @return number of engines and plain upstreams
-    int upstreamCount() const { return engineCount + plainCount + (this->pauses ? archiveCount : 0); }
+    int upstreamCount() const { return engineCount + (this->pauses ? pacedPlainCount + archiveCount : plainCount); }
 
     /// @param number 1 and up for entries, 20 and up for upstreams and their agents
     /// @return loopback address of a simulated host
@@ -213,7 +214,7 @@
             this->upstreams.push_back(std::make_unique<Upstream>(this->io, this->store, this->ledger,
                 (number < engineCount ? "engine" : "plain") + std::to_string(number), ip + ":8081",
                 this->upstreamAddress(20 + number), number < engineCount));
-            if (number >= engineCount + plainCount)
+            if (number >= engineCount + pacedPlainCount)
                 this->upstreams.back()->service = "archive";
             this->upstreams.back()->paced = this->pauses;
             this->upstreams.back()->start(true);
