Soak with upstreams that ask for pauses

The entry is the one that the caller sent the request to. A 503 on a connection that had ended while the upstream stood still counts for nothing: the entry cannot have read it. The run prints how many pauses were judged and fails below five.

--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -40,6 +40,21 @@
     Milliseconds until { 0 };
 };
 
+/// A time in which an upstream wants no requests of an entry, since it answered that entry 503 with Retry-After.
+struct Pause {
+    std::string upstream; ///< stable name of the upstream
+    std::string server; ///< id of its process
+    std::string entry; ///< that sent the request
+    TimeSpan span; ///< from the answer, as long as it says
+};
+
+/// A request that reached an upstream, whether it ran or not.
+struct Arrival {
+    std::string server; ///< id of the upstream's process
+    std::string entry; ///< that the caller sent the request to
+    Milliseconds at { 0 };
+};
+
 /// One request of a caller, as seen by the caller and by the upstreams.
 struct Attempt {
     RequestKind requestKind { RequestKind::Idempotent }; ///< decides how many executions are allowed
@@ -80,8 +95,9 @@
 /// a request that no caller sent, or with the caller's key), WHOLE (weights ordered with a wrong piece), VERSION (an
 /// engine serves outdated weights), READY and START (an entry is not ready in time), EXIT (unexpected end of a
 /// process), UNANSWERED (a request failed although no fault was active), BUDGET (a part that crashes engines reaches
-/// them too often), ENDLESS (an entry reads an answer without end), LOST (requests without that part are served too
-/// rarely; a request that a sound upstream had begun ended without its answer), SOAK (the test equipment failed).
+/// them too often, or requests reach an upstream that asked for a pause), ENDLESS (an entry reads an answer without
+/// end), LOST (requests without that part are served too rarely; a request that a sound upstream had begun ended
+/// without its answer), SOAK (the test equipment failed).
 struct Ledger {
     std::map<std::string, Attempt> attempts; ///< all requests sent so far, by their Attempt-Id header
     std::vector<std::string> violations; ///< one line each, code of the rule first
@@ -94,6 +110,9 @@
     std::vector<Milliseconds> deadlyArrivals; ///< when a request with it reached an engine
     /// Faults of the soak, by name of the entry (killed, frozen) or upstream (its link cut, frozen or delayed)
     std::map<std::string, std::vector<TimeSpan>> disturbances;
+    std::map<std::string, std::vector<Milliseconds>> starts; ///< times of further starts by name of the entry
+    std::vector<Pause> pauses; ///< that upstreams asked for
+    std::vector<Arrival> arrivals; ///< of callers' requests at upstreams
     std::map<std::string, std::vector<Milliseconds>> stops; ///< times of SIGTERM by name of the entry
     std::map<std::string, std::vector<TimeSpan>> silences; ///< of upstreams that are sound, by name
 
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -148,9 +148,14 @@
         run->closedAt = monotonicNow();
 }
 
+bool Upstream::hasEnded(CallId call) const
+{
+    return std::find(this->unnoticed.begin(), this->unnoticed.end(), call) != this->unnoticed.end();
+}
+
 void Upstream::beginRun(CallId call, const std::string& attempt)
 {
-    if (std::find(this->unnoticed.begin(), this->unnoticed.end(), call) != this->unnoticed.end())
+    if (this->hasEnded(call))
         return;
     std::vector<Run>& all = this->ledger.attempts.at(attempt).runs;
     this->runs[call] = { .attempt = attempt, .index = all.size() };
@@ -179,10 +184,32 @@
         run->failed = true;
 }
 
-void Upstream::say(std::vector<WireHeader> fields, std::uint16_t refusalStatus)
+void Upstream::turnAway(std::string seconds, std::size_t every)
+{
+    this->retryAfter = std::move(seconds);
+    this->turnAwayEvery = every;
+    this->offered = 0;
+}
+
+bool Upstream::isTurnedAway(const FrontRequest& request, const std::vector<WireHeader>& echo)
 {
-    this->says = std::move(fields);
-    this->refusal = refusalStatus;
+    if (this->turnAwayEvery == 0 || ++this->offered % this->turnAwayEvery != 0)
+        return false;
+    constexpr double millisecondsPerSecond = 1000;
+    const Milliseconds now = monotonicNow();
+    const Milliseconds time { static_cast<std::int64_t>(std::stod(this->retryAfter) * millisecondsPerSecond) };
+    const auto attempt = this->ledger.attempts.find(headerValue(request, "Attempt-Id"));
+    if (attempt != this->ledger.attempts.end() && !this->hasEnded(request.id))
+        this->ledger.pauses.push_back({ .upstream = this->name,
+            .server = this->id,
+            .entry = attempt->second.entry,
+            .span = { .from = now, .until = now + time } });
+    std::vector<WireHeader> headers = echo;
+    headers.push_back({ "Not-Executed", "1" });
+    headers.push_back({ "Retry-After", this->retryAfter });
+    this->openCalls.erase(request.id);
+    this->front.answer(request.id, 503, headers, "");
+    return true;
 }
 
 void Upstream::nameLimit(int requestsPerSecond)
@@ -227,7 +254,7 @@
         const bool left = attempt != this->ledger.attempts.end() && attempt->second.leftAt
             && monotonicNow() - *attempt->second.leftAt > goneAfter;
         gone += left && this->running() ? 1 : 0;
-        this->onRequest(std::move(request));
+        this->handleRequest(std::move(request));
     }
     for (const CallId call : std::exchange(this->unnoticed, {}))
         this->onDisconnected(call);
@@ -266,10 +293,17 @@
 
 void Upstream::onRequest(FrontRequest&& request)
 {
-    if (this->still) {
+    const auto attempt = this->ledger.attempts.find(headerValue(request, "Attempt-Id"));
+    if (this->running() && attempt != this->ledger.attempts.end())
+        this->ledger.arrivals.push_back({ .server = this->id, .entry = attempt->second.entry, .at = monotonicNow() });
+    if (this->still)
         this->deferred.push_back(std::move(request));
-        return;
-    }
+    else
+        this->handleRequest(std::move(request));
+}
+
+void Upstream::handleRequest(FrontRequest&& request)
+{
     this->openCalls.insert(request.id);
     if (!this->running()) {
         this->openCalls.erase(request.id);
@@ -342,11 +376,13 @@
         this->front.answer(request.id, 421, echo, "");
         return;
     }
-    if (this->refusal != 0 || (this->engine && (this->version == 0 || this->loading != 0))) {
+    if (this->isTurnedAway(request, echo))
+        return;
+    if (this->engine && (this->version == 0 || this->loading != 0)) {
         std::vector<WireHeader> headers = echo;
         headers.push_back({ "Not-Executed", "1" });
         this->openCalls.erase(request.id);
-        this->front.answer(request.id, this->refusal != 0 ? this->refusal : std::uint16_t { 503 }, headers, "");
+        this->front.answer(request.id, 503, headers, "");
         return;
     }
     if (attemptEntry == this->ledger.attempts.end()) {
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -42,8 +42,11 @@
     /// Registers as draining; requests that still arrive are run.
     void drain();
     /// From now on its answers have these header fields.
-    /// @param refusal status with which it turns all requests away, 0 for none
-    void say(std::vector<WireHeader> fields, std::uint16_t refusal);
+    void say(std::vector<WireHeader> fields) { this->says = std::move(fields); }
+    /// Turns requests away with 503 and Retry-After, or no more.
+    /// @param seconds value of Retry-After
+    /// @param every number of requests of which the last is turned away: 1 for all, 0 for none
+    void turnAway(std::string seconds, std::size_t every);
     /// Names a limit in its answers, or no more. At the end checks what arrived meanwhile.
     /// @param requestsPerSecond 0 ends it
     void nameLimit(int requestsPerSecond);
@@ -94,7 +97,12 @@
         std::size_t sent { 0 }; ///< bytes so far, without those of events before
     };
 
+    /// Takes a request from its connection.
     void onRequest(FrontRequest&& request);
+    /// Begins the work on a request.
+    void handleRequest(FrontRequest&& request);
+    /// @return whether it turns this request away; the answer is then sent
+    bool isTurnedAway(const FrontRequest& request, const std::vector<WireHeader>& echo);
     void onEngineCall(const FrontRequest& request);
     void runRequest(FrontRequest&& request);
     void onDisconnected(CallId call);
@@ -106,6 +114,8 @@
     void sendHalves();
     /// Sends the plain answers that took some time and are due.
     void sendSlow();
+    /// @return whether the connection of a request ended while the upstream stood still
+    bool hasEnded(CallId call) const;
     /// Records in the ledger that a run begins, unless its connection has ended already.
     void beginRun(CallId call, const std::string& attempt);
     /// @return the run of a request in the ledger, which ends now, or nullptr
@@ -146,7 +156,9 @@
     std::map<CallId, ActiveStream> streams; ///< unfinished streams by request
     std::map<CallId, EndlessAnswer> endless; ///< answers without end by request
     std::vector<WireHeader> says; ///< further header fields of its answers
-    std::uint16_t refusal { 0 }; ///< status with which it turns requests away, 0 for none
+    std::string retryAfter; ///< seconds for which it asks when it turns requests away
+    std::size_t turnAwayEvery { 0 }; ///< as passed to turnAway()
+    std::size_t offered { 0 }; ///< requests since then
     int limit { 0 }; ///< requests a second that it names, 0 for none
     std::optional<Milliseconds> limitNamedAt; ///< when an answer first named the limit
     std::vector<Milliseconds> arrivals; ///< of requests since the limit was set
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -5,6 +5,7 @@
 #include "scenario_process.h"
 #include "soak_caller.h"
 #include "soak_lost_check.h"
+#include "soak_pause_check.h"
 #include "soak_upstream.h"
 
 #include <csignal>
@@ -502,6 +503,7 @@
             entry.process.signal(SIGHUP);
         });
         repeat(1500, 3500, end - lastStop, [this] { this->stopEntry(); });
+        repeat(500, 1400, end, [this] { this->askForPause(); });
         repeat(3000, 6000, end, [this] {
             this->logFault("weights", monotonicNow());
             this->declareWeights();
@@ -509,6 +511,21 @@
         repeat(4000, 9000, end - lastStop, [this] { this->injectUnplanned(); });
     }
 
+    /// Lets a random upstream turn away some requests, then all, and ask for a pause.
+    void askForPause()
+    {
+        constexpr const char* pauseTimes[] = { "1", "2", "3", "0.8", "1.25", "2.5" };
+        Upstream& upstream = *this->upstreams[static_cast<std::size_t>(
+            this->randomInt(0, static_cast<std::int64_t>(this->upstreams.size()) - 1))];
+        const std::string seconds = pauseTimes[this->randomInt(0, std::ssize(pauseTimes) - 1)];
+        const Milliseconds now = monotonicNow();
+        const Milliseconds allFrom = now + this->randomTime(300, 1200);
+        this->logFault("pause of " + seconds + " s asked for by " + upstream.stableName(), now);
+        upstream.turnAway(seconds, 3);
+        this->schedule(allFrom, [&upstream, seconds] { upstream.turnAway(seconds, 1); });
+        this->schedule(allFrom + this->randomTime(200, 1500), [&upstream] { upstream.turnAway({}, 0); });
+    }
+
     /// Schedules silences of an upstream. It sends for some time between them.
     void planSilences(Upstream& upstream, Milliseconds start, Milliseconds end)
     {
@@ -592,9 +609,9 @@
             upstream.nameLimit(static_cast<int>(this->randomInt(1, 6)));
             this->schedule(now + limitTime, [&upstream] { upstream.nameLimit(0); });
         } else if (kind == 1) {
-            upstream.say({ { "Server-Leaving", "1" } }, 0);
+            upstream.say({ { "Server-Leaving", "1" } });
             this->schedule(now + leaveTime, [&upstream] {
-                upstream.say({}, 0);
+                upstream.say({});
                 if (upstream.running())
                     upstream.crash();
             });
@@ -603,8 +620,8 @@
                     upstream.start(false);
             });
         } else if (kind == 2) {
-            upstream.say({ { "Retry-After", std::to_string(this->randomInt(1, 3)) } }, 503);
-            this->schedule(until, [&upstream] { upstream.say({}, 0); });
+            upstream.turnAway(std::to_string(this->randomInt(1, 3)), 1);
+            this->schedule(until, [&upstream] { upstream.turnAway({}, 0); });
         } else {
             upstream.standStill(true);
             this->schedule(until, [&upstream] { upstream.standStill(false); });
@@ -751,6 +768,7 @@
             if (now < managed.restartAt)
                 continue;
             managed.endExpected = false;
+            this->ledger.starts[managed.name].push_back(now);
             managed.process.start(managed.command, this->logFolder + "/" + managed.name + ".log");
         }
     }
@@ -761,6 +779,10 @@
         this->ledger.checkAtEnd();
         if (this->pauses)
             this->lostFigures = checkLost(this->ledger, gracePeriod);
+        this->pauseFigures = checkPauses(this->ledger);
+        constexpr std::size_t minPauses = 5; // fewer would show little
+        if (this->pauses && this->pauseFigures.judged < minPauses)
+            this->ledger.addViolation("SOAK too few pauses could be judged: " + pauseText(this->pauseFigures));
         for (int number = 0; number < engineCount; ++number)
             if (this->upstreams[static_cast<std::size_t>(number)]->version != this->origin.newestVersion)
                 this->ledger.addViolation("VERSION engine" + std::to_string(number) + " serves weights version "
@@ -781,6 +803,8 @@
                   << this->ledger.faultFreeRequests << "; " << this->ledger.violations.size() << " violations\n";
         if (this->pauses)
             std::cout << lostText(this->lostFigures) << "\n";
+        if (this->pauses || this->notices)
+            std::cout << pauseText(this->pauseFigures) << "\n";
         if (this->deadly) {
             const DeadlyFigures figures = this->ledger.deadlyFigures();
             std::cout << this->deadlySent << " requests with the deadly part sent, "
@@ -795,10 +819,11 @@
     std::mt19937_64 random; ///< source of all random choices
     Milliseconds faultTime; ///< length of the phase with faults
     bool deadly; ///< the only fault is a prompt part that crashes engines
-    bool notices; ///< adds upstreams that say something of themselves or stand still, and callers that leave
     bool restores; ///< adds a store that comes back older, and answers that end with their connections
+    bool notices; ///< adds upstreams that say something of themselves or stand still, and callers that leave
     bool pauses { false }; ///< sound upstreams that are silent, beside planned work in series
     LostFigures lostFigures; ///< of the final check, with --pauses
+    PauseFigures pauseFigures; ///< of the final check
     std::string writtenConfig; ///< configuration written last
     std::size_t deadlySent { 0 }; ///< requests with that part sent so far
     std::string buildFolder; ///< where the programs are
@@ -838,7 +863,8 @@
         "restores", "add a store that comes back from an older copy, and answers that end with their connections")(
         "notices", "add upstreams that name a limit, leave, ask for a pause or stand still, and callers that leave")(
         "pauses",
-        "instead of random faults, sound upstreams that are silent for a second or so, beside series of "
+        "instead of random faults, sound upstreams that are silent for a second or so or ask for pauses, beside series "
+        "of "
         "configurations, signals and restarts");
     const auto flags = options.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
