--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -42,8 +42,11 @@
     /// Registers as draining; requests that still arrive are run.
     void drain();
     /// From now on its answers have these header fields.
-    /// @param refusal status with which it turns all requests away, 0 for none
-    void say(std::vector<WireHeader> fields, std::uint16_t refusal);
+    void say(std::vector<WireHeader> fields) { this->says = std::move(fields); }
+    /// Turns requests away with 503 and Retry-After, or no more.
+    /// @param seconds value of Retry-After
+    /// @param every number of requests of which the last is turned away: 1 for all, 0 for none
+    void turnAway(std::string seconds, std::size_t every);
     /// Names a limit in its answers, or no more. At the end checks what arrived meanwhile.
     /// @param requestsPerSecond 0 ends it
     void nameLimit(int requestsPerSecond);
@@ -51,11 +54,16 @@
     /// noticed.
     void standStill(bool still);
 
+    /// @return name that stays the same when it starts again
+    const std::string& stableName() const { return this->name; }
     /// @return id that is registered, or still is after a crash that the store does not know of
     const std::string& registeredId() const { return this->running() ? this->id : this->crashedId; }
+    bool standsStill() const { return this->still; }
     /// @return false between crash() and start()
     bool running() const { return !this->id.empty(); }
     std::uint64_t version { 0 }; ///< of the weights in service, 0 for none
+    std::string service; ///< name of its service, set before the first start
+    bool paced { false }; ///< its answers take up to a second or so, different for each attempt
 
 private:
     /// An event stream that is being sent.
@@ -66,6 +74,20 @@
         bool deadly { false }; ///< the engine crashes when the response begins
         int next { 1 }; ///< number of the next event; higher at first for a resumed stream
         AnswerFault fault { AnswerFault::None }; ///< becomes effective after the first event
+        Milliseconds nextAt { 0 }; ///< earliest time of the next event
+    };
+
+    /// A plain answer that takes some time.
+    struct SlowAnswer {
+        std::vector<WireHeader> headers; ///< of a response that has not begun, else empty
+        std::string rest; ///< of the body
+        Milliseconds dueAt { 0 };
+    };
+
+    /// A run that is in the ledger.
+    struct RunKey {
+        std::string attempt; ///< Attempt-Id of the request
+        std::size_t index { 0 }; ///< in Attempt::runs
     };
 
     /// An answer without end that is being sent.
@@ -75,7 +97,12 @@
         std::size_t sent { 0 }; ///< bytes so far, without those of events before
     };
 
+    /// Takes a request from its connection.
     void onRequest(FrontRequest&& request);
+    /// Begins the work on a request.
+    void handleRequest(FrontRequest&& request);
+    /// @return whether it turns this request away; the answer is then sent
+    bool isTurnedAway(const FrontRequest& request, const std::vector<WireHeader>& echo);
     void onEngineCall(const FrontRequest& request);
     void runRequest(FrontRequest&& request);
     void onDisconnected(CallId call);
@@ -85,6 +112,16 @@
     void publishState(const std::string& state);
     /// Sends the second halves of plain answers that end with their connections.
     void sendHalves();
+    /// Sends the plain answers that took some time and are due.
+    void sendSlow();
+    /// @return whether the connection of a request ended while the upstream stood still
+    bool hasEnded(CallId call) const;
+    /// Records in the ledger that a run begins, unless its connection has ended already.
+    void beginRun(CallId call, const std::string& attempt);
+    /// @return the run of a request in the ledger, which ends now, or nullptr
+    Run* endRun(CallId call);
+    void completeRun(CallId call);
+    void failRun(CallId call);
     void onStepTimer();
     /// Sends the next events of all streams. An engine that crashes in this sends nothing more.
     void sendEvents();
@@ -119,7 +156,9 @@
     std::map<CallId, ActiveStream> streams; ///< unfinished streams by request
     std::map<CallId, EndlessAnswer> endless; ///< answers without end by request
     std::vector<WireHeader> says; ///< further header fields of its answers
-    std::uint16_t refusal { 0 }; ///< status with which it turns requests away, 0 for none
+    std::string retryAfter; ///< seconds for which it asks when it turns requests away
+    std::size_t turnAwayEvery { 0 }; ///< as passed to turnAway()
+    std::size_t offered { 0 }; ///< requests since then
     int limit { 0 }; ///< requests a second that it names, 0 for none
     std::optional<Milliseconds> limitNamedAt; ///< when an answer first named the limit
     std::vector<Milliseconds> arrivals; ///< of requests since the limit was set
@@ -127,6 +166,9 @@
     std::vector<FrontRequest> deferred; ///< requests that arrived meanwhile
     std::vector<CallId> unnoticed; ///< connections that ended meanwhile
     std::set<CallId> openCalls; ///< requests without a complete response
+    std::map<CallId, SlowAnswer> slowAnswers; ///< by request
+    std::map<CallId, RunKey> runs; ///< unfinished runs by request
+    Milliseconds stillSince { 0 }; ///< time of standStill(true)
 };
 
 /// Stand-in for the origin of weights: serves the newest two versions, 410 for older and 404 for undeclared ones.
