--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -9,7 +9,7 @@
     return request.headForwarded || (request.active && request.active->headReceived);
 }
 
-bool mayEnd(const RelayRequest& request, EndCause /*cause*/) { return !hasBegun(request); }
+bool mayEnd(const RelayRequest& request, EndCause cause) { return !hasBegun(request) || endsBegunWork(cause); }
 
 bool mayTakeBack(const RelayRequest& request, const ActiveSend& send)
 {
