Mend what the review of the backups found

- An answer that had ended, and waited for the probe of its upstream, got a backup whose head could cancel it: such an answer gets none, and one that is under way ends.
- A stream was handed to the backup at its head: the backup is kept from its first event on, so that an engine that breaks off before it costs nothing.
- A backup's whole answer of status 404 and the like was thrown away and its upstream ejected: it is an answer.
A 5xx no longer ejects.
- Events of a backup without a seal reached the caller: a stream without a seal is none, and only events of the send that is kept are forwarded.
- A backup that was taken back gave its attempt back, so that more upstreams could run a request than its route allows: it counts.
- A plain request whose head is here, and a plain resumed stream without an attempt left, get no backup.
- A request counted as run elsewhere, and its upstream as excluded, though no backup could begin.
- Calls and their sends referred to each other and were never freed: RelayLoop::forget() parts them.
Found by reading; the memory was not measured.

--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -24,7 +24,7 @@
 
 bool hasAttemptLeft(const RelayRequest& request)
 {
-    const bool resumedUnbegun = request.headForwarded && request.active && !request.active->headReceived;
+    const bool resumedUnbegun = request.headForwarded && request.active && mayTakeBack(request, *request.active);
     return resumedUnbegun || request.sends < request.route->maxAttempts;
 }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -90,8 +90,8 @@
     void onHead(WireHead&& received) override
     {
         this->head = std::move(received);
-        this->stream = isSuccess(this->head.status) && isEventStream(this->head, this->expectsStream);
         ResponseStarted event = platform::decodeResponseHead(this->head);
+        this->stream = event.sealed && isSuccess(this->head.status) && isEventStream(this->head, this->expectsStream);
         event.stream = this->stream;
         event.call = this->call;
         event.send = this->sendId;
@@ -107,12 +107,13 @@
         const std::string whole = this->splitter.take(bytes);
         if (whole.empty())
             return this->splitter.rest().size() <= maxEvent;
-        if (this->owner->streaming)
-            this->loop.front.body(this->call, whole);
-        else
+        if (!this->owner->streaming)
             this->body.append(whole);
+        // The relay decides first whether the caller gets the events of this send.
         this->loop.dispatch(
             StreamProgressed { .call = this->call, .send = this->sendId, .lastEventId = this->splitter.lastId() });
+        if (this->owner->streaming && this->loop.isInFlight(this->call, this->sendId))
+            this->loop.front.body(this->call, whole);
         this->streamedBytes += whole.size();
         const std::size_t unsent = std::min(this->streamedBytes, this->loop.front.pending(this->call));
         return this->body.size() <= maxPlainAnswer && unsent <= maxUnsentStream;
@@ -294,9 +295,9 @@
             this->front.body(finish->call, found->second->sends.at(finish->send)->splitter.rest());
             this->front.finish(finish->call);
         }
-        this->calls.erase(found);
+        this->forget(finish->call);
     } else if (const auto* abort = std::get_if<AbortResponse>(&effect)) {
-        this->calls.erase(abort->call);
+        this->forget(abort->call);
         this->front.abort(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
         probeConnection(this->io,
@@ -350,11 +351,27 @@
     call.streaming = true;
 }
 
+bool RelayLoop::isInFlight(CallId call, SendId send) const
+{
+    const auto found = this->state.requests.find(call);
+    return found != this->state.requests.end() && found->second.active && found->second.active->send == send;
+}
+
+void RelayLoop::forget(CallId call)
+{
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end())
+        return;
+    // A call and its sends refer to each other.
+    found->second->sends.clear();
+    this->calls.erase(found);
+}
+
 void RelayLoop::refuse(const RefuseCall& effect)
 {
     const auto found = this->calls.find(effect.call);
     const std::string attempt = found == this->calls.end() ? std::string {} : found->second->attemptId;
-    this->calls.erase(effect.call);
+    this->forget(effect.call);
     this->front.answer(
         effect.call, effect.status, platform::refusalHeaders(attempt, effect.retryAfter), effect.reason + "\n");
 }
@@ -395,7 +412,7 @@
 void RelayLoop::onCallerDisconnected(CallId call)
 {
     this->dispatch(RelayCallerDisconnected { .call = call });
-    this->calls.erase(call);
+    this->forget(call);
 }
 
 bool RelayLoop::ready() const
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -53,6 +53,10 @@
     void send(const SendToUpstream& effect);
     void forwardResponse(const ForwardResponse& effect);
     void refuse(const RefuseCall& effect);
+    /// @return whether a send is the one whose response its caller gets
+    bool isInFlight(CallId call, SendId send) const;
+    /// Removes a call and its sends.
+    void forget(CallId call);
 
     /// Handles a request on any port: a caller's request, a readiness check, a lookup or a control request.
     void onRequest(FrontRequest&& request);
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -180,6 +180,14 @@
         dispatchWaiting(state, service, now, effects);
     }
 
+    /// @return whether the response of a send, once it is whole, may be given to the caller
+    bool isValidAnswer(const RelayRequest& request, const ActiveSend& send)
+    {
+        // If the caller already has the head of a stream, a response that does not continue it must not complete it.
+        const bool continuesStream = !request.headForwarded || send.stream;
+        return isSuccess(send.status) ? send.sealed && continuesStream : !request.headForwarded;
+    }
+
     /// Ends the send in flight: completes the request, retries it or refuses it.
     /// @param end not Unconfirmed
     void endSend(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
@@ -187,10 +195,7 @@
         const UpstreamId upstream = request.active->upstream;
         const std::uint16_t status = request.active->status;
         const bool isComplete = end == SendResult::Complete;
-        // If the caller already has the head of a stream, a response that does not continue it must not complete it.
-        const bool continuesStream = !request.headForwarded || request.active->stream;
-        const bool isValid = isSuccess(status) ? request.active->sealed && continuesStream : !request.headForwarded;
-        if (isComplete && isValid) {
+        if (isComplete && isValidAnswer(request, *request.active)) {
             const bool mayRepeat = request.sends < request.route->maxAttempts
                 && mayRetry(state.services[request.service].retries, state.options, state.entryCount, now);
             if (status >= statusServerError && request.route->kind == CallKind::Idempotent
@@ -230,7 +235,10 @@
         const bool notSent = end == SendResult::NotSent;
         if (end == SendResult::Broken)
             recordBrokenSend(state, request, *request.backup, now, effects);
-        recordUpstreamFailure(state, upstream, notSent ? "connect" : "broken", now, effects);
+        if (end == SendResult::Complete)
+            recordUpstreamResponse(state, upstream, false);
+        else
+            recordUpstreamFailure(state, upstream, notSent ? "connect" : "broken", now, effects);
         request.excludedUpstreams.insert(upstream);
         if (notSent)
             --request.sends;
@@ -424,7 +432,7 @@
         return;
     }
     const bool isSound = isSuccess(event.status) && event.sealed;
-    if (isSound && (event.stream || !request->headForwarded))
+    if (isSound && !request->headForwarded)
         keepSend(state, *request, event.send, now, effects);
     if (isSound && request->route->kind == CallKind::Stream && event.stream) {
         if (!request->headForwarded)
@@ -436,7 +444,10 @@
 void applyStreamProgressed(RelayState& state, const StreamProgressed& event, Milliseconds now, RelayEffects& effects)
 {
     RelayRequest* request = findRequest(state, event.call, event.send);
-    if (!request || isBackup(*request, event.send))
+    if (!request)
+        return;
+    if (isBackup(*request, event.send)
+        && !(request->backup->stream && isSuccess(request->backup->status) && request->backup->sealed))
         return;
     keepSend(state, *request, event.send, now, effects);
     ActiveSend& send = *request->active;
@@ -471,13 +482,19 @@
     if (!request)
         return;
     if (isBackup(*request, event.send)) {
-        endBackup(state, *request, event.end, now, effects);
-        return;
+        const bool isAnswer = event.end == SendResult::Complete && isValidAnswer(*request, *request->backup)
+            && request->backup->status < statusServerError;
+        if (!isAnswer) {
+            endBackup(state, *request, event.end, now, effects);
+            return;
+        }
+        keepSend(state, *request, event.send, now, effects);
     }
     if (event.end != SendResult::Unconfirmed) {
         endSend(state, *request, event.end, now, effects);
         return;
     }
+    releaseBackup(state, *request, true, effects);
     const UpstreamId& upstream = request->active->upstream;
     const std::vector<CallId> others = unconfirmedAnswers(state, upstream, now);
     const bool probing = std::any_of(others.begin(), others.end(),
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -6,6 +6,7 @@
 #include "table/relay_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -65,16 +66,29 @@
         state.upstreams.at(upstream).standsStill = true;
     }
 
+    /// @return another upstream that can begin at once with a request that stays at a silent one
+    std::optional<UpstreamId> chooseBackup(const RelayState& state, RelayRequest& request, Milliseconds now)
+    {
+        if (!mayTry(state, request, now) || findQuarantine(state.crashes, request.traits, now))
+            return std::nullopt;
+        const bool couldHaveRun = std::exchange(request.mayHaveRun, true);
+        const bool wasExcluded = !request.excludedUpstreams.insert(request.active->upstream).second;
+        const auto upstream = chooseUpstream(state, request, now, true);
+        request.mayHaveRun = couldHaveRun;
+        if (!wasExcluded)
+            request.excludedUpstreams.erase(request.active->upstream);
+        return upstream;
+    }
+
     /// Sends a request that stays at a silent upstream to another one as well, if one can begin at once.
     void startBackup(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
     {
         const UpstreamId silent = request.active->upstream;
-        request.excludedUpstreams.insert(silent);
-        if (!mayTry(state, request, now) || findQuarantine(state.crashes, request.traits, now))
-            return;
-        const auto upstream = chooseUpstream(state, request, now, true);
+        const auto upstream = chooseBackup(state, request, now);
         if (!upstream || !takeRetry(state.services[request.service].retries, state.options, state.entryCount, now))
             return;
+        request.mayHaveRun = true;
+        request.excludedUpstreams.insert(silent);
         LogLine line = requestLogLine("backup", request, now);
         line.fields.emplace_back("silent", silent.value);
         line.fields.emplace_back("silent_ms", std::to_string((now - request.active->lastProgressAt).value));
@@ -89,7 +103,6 @@
     /// @pre isTooSilent()
     void handleSilence(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
     {
-        request.mayHaveRun = true;
         const UpstreamId upstream = lastSend(request).upstream;
         const bool staysThere = !mayTakeBack(request, lastSend(request));
         if (request.backup) {
@@ -98,8 +111,6 @@
             suspect(state, upstream, now, effects);
             request.excludedUpstreams.insert(upstream);
             releaseBackup(state, request, true, effects);
-            if (hasBegun(request))
-                --request.sends;
             return;
         }
         if (staysThere) {
@@ -130,10 +141,14 @@
 {
     updateLongestWaits(state, now);
     std::vector<CallId> silent;
-    for (const auto& [call, request] : state.requests)
-        if (request.active && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
+    for (const auto& [call, request] : state.requests) {
+        // An answer that ended, or a plain one whose head is here, is about to be whole.
+        const bool isAnswered = request.active
+            && (request.active->closedAt || (!isEngineRequest(request) && request.active->headReceived));
+        if (request.active && !isAnswered && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
             && isTooSilent(state, request, now))
             silent.push_back(call);
+    }
     for (const CallId call : silent) {
         const auto found = state.requests.find(call);
         if (found == state.requests.end() || !found->second.active)
@@ -152,10 +167,8 @@
             outdated.push_back(call);
     for (const CallId call : outdated) {
         RelayRequest& request = state.requests.at(call);
-        if (isOutdated(state, request, request.backup, now)) {
+        if (isOutdated(state, request, request.backup, now))
             releaseBackup(state, request, true, effects);
-            --request.sends;
-        }
         if (!isOutdated(state, request, request.active, now))
             continue;
         releaseSend(state, request, true, effects);
--- a/tests/unit_relay_begun.cpp
+++ b/tests/unit_relay_begun.cpp
@@ -154,12 +154,30 @@
     }
     SECTION("the backup")
     {
-        const auto effects = began();
+        CHECK_FALSE(findEffect<CancelSend>(began()));
+        const auto effects
+            = relay.event(StreamProgressed { .call = stream.call, .send = backup->send, .lastEventId = "20" });
         CHECK(cancels(effects, stream.send));
         CHECK_FALSE(findEffect<ForwardResponse>(effects));
+        stream.progress("25");
+        CHECK(relay.state.requests.at(stream.call).lastEventId == "20");
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = backup->send })));
+    }
+    SECTION("the engine, if the backup breaks off before its first event")
+    {
+        began();
+        CHECK_FALSE(endsCall(
+            relay.event(ResponseEnded { .call = stream.call, .send = backup->send, .end = SendResult::Broken }),
+            stream.call));
         stream.progress("20");
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = stream.send })));
+    }
+    SECTION("the engine, if the backup's events do not come from an engine")
+    {
+        relay.event(ResponseStarted { .call = stream.call, .send = backup->send, .status = 200, .stream = true });
+        CHECK_FALSE(findEffect<CancelSend>(
+            relay.event(StreamProgressed { .call = stream.call, .send = backup->send, .lastEventId = "30" })));
         CHECK(relay.state.requests.at(stream.call).lastEventId == "19");
-        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = backup->send })));
     }
     SECTION("the backup, if the engine breaks off")
     {
@@ -198,8 +216,8 @@
     }
 }
 
-// Guards against backups that lie at a second engine that stands still.
-TEST_CASE("A backup that does not begin is taken back, and another engine is tried", "[relay][begun]")
+// Guards against one request after the other that lies unbegun at engines that stand still.
+TEST_CASE("A backup that does not begin is taken back, uses up an attempt, and the stream stays", "[relay][begun]")
 {
     BegunStream stream;
     RelayFixture& relay = stream.relay;
@@ -211,8 +229,31 @@
     REQUIRE(cancelled);
     CHECK(cancelled->send == first->send);
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e3", "engine") });
-    CHECK(sendTo(relay.event(RelayTick {}), "e3"));
-    CHECK_FALSE(findEffect<AbortResponse>(stream.silence({ 500 })));
+    const auto later = stream.silence({ 500 });
+    CHECK_FALSE(sendTo(later, "e3"));
+    CHECK_FALSE(endsCall(later, stream.call));
+    stream.progress("20");
+    CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = stream.send })));
+}
+
+// Guards against a second run, and a lost answer, of a request whose whole answer waits for a probe.
+TEST_CASE("An answer that ended gets no backup", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    std::optional<SendToUpstream> backup;
+    SECTION("after its end") { }
+    SECTION("before its end") { backup = sendTo(stream.silence({ 700 }), "e2"); }
+    const auto ended
+        = relay.event(ResponseEnded { .call = stream.call, .send = stream.send, .end = SendResult::Unconfirmed });
+    CHECK(countEffects<CancelSend>(ended) == (backup ? 1 : 0));
+    const auto effects = stream.silence({ 1000 });
+    CHECK_FALSE(findEffect<SendToUpstream>(effects));
+    CHECK_FALSE(endsCall(effects, stream.call));
+    const auto confirmed
+        = relay.event(UpstreamProbed { .upstream = { "e1" }, .result = ProbeResult::Accepted, .startedAt = relay.now });
+    CHECK(findEffect<FinishResponse>(confirmed));
 }
 
 // Guards against streams that are reset because the engine that is to go on with them is full or late.
@@ -339,6 +380,15 @@
     const auto second = *findEffect<SendToUpstream>(effects);
     CHECK(second.upstream != first.upstream);
     CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    SECTION("or the backup's whole answer that is no success")
+    {
+        relay.event(ResponseStarted { .call = first.call, .send = second.send, .status = 404, .sealed = true });
+        const auto ended = relay.event(ResponseEnded { .call = first.call, .send = second.send });
+        REQUIRE(findEffect<ForwardResponse>(ended));
+        CHECK(findEffect<ForwardResponse>(ended)->send == second.send);
+        CHECK(findEffect<CancelSend>(ended)->send == first.send);
+        return;
+    }
     const bool keepsFirst = GENERATE(true, false);
     const SendId kept = keepsFirst ? first.send : second.send;
     const auto answered
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -236,8 +236,10 @@
     CHECK(second.upstream.value == "e2");
     CHECK(second.resumeAfter == "3");
     CHECK_FALSE(findEffect<CancelSend>(effects));
-    const auto begun = relay.event(ResponseStarted {
+    relay.event(ResponseStarted {
         .call = relay.lastCallId(), .send = second.send, .status = 200, .sealed = true, .stream = true });
+    const auto begun
+        = relay.event(StreamProgressed { .call = relay.lastCallId(), .send = second.send, .lastEventId = "4" });
     REQUIRE(findEffect<CancelSend>(begun));
     CHECK(findEffect<CancelSend>(begun)->send == send);
 }
