--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -135,7 +135,7 @@
     if (endsByItself)
         return true;
     const std::optional<Milliseconds> longest = longestServiceTime(request);
-    return isRepeatable(request) && longest && now + *longest * drainTimeFactor + soundSilence < *state.drainEndsAt;
+    return isRepeatable(request) && longest && now + *longest * drainTimeFactor + maxSoundSilence < *state.drainEndsAt;
 }
 
 Milliseconds retryAfterDelay(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now)
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -70,9 +70,8 @@
 constexpr Milliseconds reportMaxAge { 1000 }; ///< older load reports are ignored: beacons come ten times a second
 constexpr std::uint32_t maxConnectFailures = 4; ///< connections tried for one request when none could be opened
 /// An entry that stops accepts a request by prediction only if this multiple of the longest time that the request is
-/// predicted to take is left until the drain ends, and soundSilence besides.
+/// predicted to take is left until the drain ends, and maxSoundSilence besides.
 constexpr std::int64_t drainTimeFactor = 2;
-constexpr Milliseconds soundSilence { 1500 }; ///< longest silence of an upstream that is sound
 constexpr Milliseconds minPlainServiceTime { 40 }; ///< least time in which a plain service answers
 /// A request with an unknown route is answered 404 and one with an unknown key 401 only if the store confirmed the
 /// configuration at most this long ago. Otherwise they may be new, and the answer is 503.
