Check again that a stream is neither cancelled nor sent before its silence counts

The test of silent engines lost three checks when the stream came to stay with its engine: that nothing is cancelled at 0.8 s, that the send is cancelled at 1 s, and where and how it goes on.

--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -228,7 +228,9 @@
     relay.event(StreamProgressed { .call = relay.lastCallId(), .send = send, .lastEventId = "3" });
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
     relay.now += Milliseconds { 800 };
-    CHECK_FALSE(findEffect<SendToUpstream>(relay.event(RelayTick {})));
+    const auto early = relay.event(RelayTick {});
+    CHECK_FALSE(findEffect<CancelSend>(early));
+    CHECK_FALSE(findEffect<SendToUpstream>(early));
     relay.now += Milliseconds { 200 };
     const auto effects = relay.event(RelayTick {});
     REQUIRE(findEffect<SendToUpstream>(effects));
