--- a/src/ctl_explain_func.cpp
+++ b/src/ctl_explain_func.cpp
@@ -90,7 +90,8 @@
 
 bool isNoticeNearby(const std::string& line, const std::vector<std::string>& requestLines)
 {
-    static const std::set<std::string> events { "upstream-limit", "upstream-leaves", "upstream-pauses" };
+    static const std::set<std::string> events { "upstream-limit", "upstream-leaves", "upstream-pauses",
+        "upstream-ejected", "upstream-answers" };
     if (!events.contains(logField(line, "event")))
         return false;
     const std::string upstream = logField(line, "upstream");
--- a/src/ctl_explain_func.h
+++ b/src/ctl_explain_func.h
@@ -32,8 +32,8 @@
 
 /// @param line log line of any process
 /// @param requestLines log lines of one request
-/// @return whether the line tells what an upstream that the request was sent to said of itself, logged by one of these
-/// processes some seconds before or after the request
+/// @return whether the line tells what an upstream that the request was sent to said of itself, or that it stood still
+/// or answers again, logged by one of these processes some seconds before or after the request
 bool isNoticeNearby(const std::string& line, const std::vector<std::string>& requestLines);
 
 /// Sorts log lines by time and formats them with their offset from the first one.
--- a/tests/unit_ctl_explain.cpp
+++ b/tests/unit_ctl_explain.cpp
@@ -143,3 +143,18 @@
     CHECK_FALSE(isNoticeNearby(line("20.000", "entry-2", "u1"), request));
     CHECK_FALSE(isNoticeNearby(line("05.000", "entry-1", "u1"), request));
 }
+
+// Guards against a request with a backup whose timeline does not say whether its upstream was silent or only late.
+TEST_CASE("The timeline of a request has the standstills of its upstreams", "[ctl]")
+{
+    const std::vector<std::string> request {
+        "time=2026-05-04T18:20:25.207Z host=entry-1 event=backup request=r silent=u1 silent_ms=420",
+        "time=2026-05-04T18:20:24.507Z host=entry-1 event=send request=r upstream=u1"
+    };
+    const auto line = [](const std::string& event, const std::string& upstream) {
+        return "time=2026-05-04T18:20:25.000Z host=entry-1 event=" + event + " upstream=" + upstream;
+    };
+    CHECK(isNoticeNearby(line("upstream-ejected", "u1") + " reason=standing-still", request));
+    CHECK(isNoticeNearby(line("upstream-answers", "u1"), request));
+    CHECK_FALSE(isNoticeNearby(line("upstream-answers", "u2"), request));
+}
