--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -29,6 +29,9 @@
   memoryTotal @8 :UInt64;   # capacity of the engine's KV cache in tokens
   pace @9 :Float64;         # step time relative to the engine's profile; above 1 is slower
   bornAt @10 :Int64;        # start time of the engine process, Unix time in ms
+  agentStart @11 :UInt64;   # start time of the agent process that read the report, Unix time in ms
+  sequence @12 :UInt32;     # reports that this agent process had read, this one included
+  ageMs @13 :UInt32;        # time since it was read
 }
 
 struct Pieces {
@@ -97,4 +100,6 @@
   configEra @10 :UInt64;    # era of the store in which the configuration in force was written
   configEraExact @11 :Bool; # false if it may have been written in an earlier era
   notices @12 :List(Notice); # what upstreams said of themselves; entries only
+  wantsPieces @14 :Bool;    # the sender asks the receiver for its pieces; agents only
+  engines @13 :List(Engine); # reports that the agents sent to this entry, for the other entries of its data centre
 }
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -177,9 +177,10 @@
 
 void LoaderLoop::onBeacon(const PeerBeacon& beacon, const std::string& ip)
 {
-    if (beacon.from.front.empty())
-        this->dispatch(PeerPiecesReceived { .ip = ip, .sets = beacon.pieces });
-    else {
+    if (beacon.from.front.empty()) {
+        this->dispatch(PeerPiecesReceived { .ip = ip, .sets = beacon.pieces, .wantsPieces = beacon.wantsPieces });
+        this->announcePieces(this->makeBeacon());
+    } else {
         recordBeacon(this->peers, this->settings.host.host, beacon, ip, monotonicNow());
         if (beacon.operatorTable > this->operatorTable && beacon.from.dataCentre == this->settings.host.dataCentre) {
             this->operatorTable = beacon.operatorTable;
@@ -189,51 +190,61 @@
     }
 }
 
+PeerBeacon LoaderLoop::makeBeacon() const
+{
+    return { .from = { .host = this->settings.host.host,
+                 .incarnation = this->incarnation,
+                 .dataCentre = this->settings.host.dataCentre } };
+}
+
 void LoaderLoop::sendBeacon()
 {
-    PeerBeacon beacon { .from = { .host = this->settings.host.host,
-                            .incarnation = this->incarnation,
-                            .dataCentre = this->settings.host.dataCentre } };
-    if (this->state.report)
-        beacon.engine = EngineReported {
-            .address = this->settings.engine, .report = *this->state.report, .orderPending = orderPending(this->state)
-        };
-    this->peerSocket.send(beacon, this->entryBeaconTargets());
-    this->announcePieces(std::move(beacon));
+    this->sendReport(this->makeBeacon());
+    this->announcePieces(this->makeBeacon());
 }
 
-std::vector<std::string> LoaderLoop::entryBeaconTargets() const
+void LoaderLoop::sendReport(PeerBeacon beacon)
 {
-    const bool anyInSameDataCentre
-        = !liveEntriesIn(this->peers, this->settings.host.dataCentre, monotonicNow()).empty();
-    // Entries of this data centre forward the engine's report to the other data centres, as long as one is live.
-    return anyInSameDataCentre ? dataCentreTargets(this->peers, this->settings.host.dataCentre, this->settings.host.ip)
-                               : beaconTargets(this->peers, this->settings.host.ip);
+    const Milliseconds now = monotonicNow();
+    if (this->state.report)
+        beacon.engine = EngineReported { .address = this->settings.engine,
+            .report = *this->state.report,
+            .orderPending = orderPending(this->state),
+            .order = { .agentStart = this->incarnation, .sequence = this->reportSequence },
+            .age = now - this->reportReadAt };
+    std::vector<PeerInfo> homes
+        = homeEntries(this->peers, this->settings.host.host, this->settings.host.dataCentre, now);
+    if (homes.empty()) {
+        // All entries known may be gone: some are tried at a time.
+        std::vector<std::string> ips = beaconTargets(this->peers, this->settings.host.ip);
+        if (ips.size() > maxSearchTargets) {
+            std::shuffle(ips.begin(), ips.end(), this->state.random);
+            ips.resize(maxSearchTargets);
+        }
+        this->peerSocket.send(beacon, ips);
+        return;
+    }
+    const bool toAll = this->reportsSent++ % reportsPerReportToAll == 0
+        || this->lastReported.has_value() != beacon.engine.has_value()
+        || (beacon.engine && changedBeyondLoad(*this->lastReported, *beacon.engine));
+    if (toAll)
+        this->lastReported = beacon.engine;
+    else
+        homes.resize(1);
+    std::vector<std::string> ips;
+    for (const PeerInfo& home : homes)
+        ips.push_back(home.ip);
+    recordReportSent(this->peers, homes, now);
+    this->peerSocket.send(beacon, ips);
 }
 
 void LoaderLoop::announcePieces(PeerBeacon beacon)
 {
-    const Milliseconds now = monotonicNow();
-    const auto announce
-        = [&](AnnouncedPieces& sent, std::vector<PieceSet> pieces, Milliseconds period, bool sameDataCentre) {
-              if (pieces == sent.pieces && now - sent.sentAt < period)
-                  return;
-              sent = { .pieces = pieces, .sentAt = now };
-              beacon.engine.reset();
-              beacon.pieces = std::move(pieces);
-              std::vector<std::string> agents;
-              for (const WeightsPeer& peer : this->state.peers)
-                  if (peer.ip != this->settings.host.ip
-                      && (peer.dataCentre == this->settings.host.dataCentre) == sameDataCentre)
-                      agents.push_back(peer.ip);
-              this->peerSocket.send(beacon, agents);
-          };
-    announce(this->announcedSameDataCentre, ownPieces(this->state), sameDataCentreAnnouncePeriod, true);
-    // Another data centre fetches each piece only once and then distributes it itself. Between full announcements only
-    // pieces that came from the origin are announced to it, because no other data centre may have these yet.
-    const bool full = now - this->announcedOtherDataCentres.sentAt >= otherDataCentreAnnouncePeriod;
-    announce(this->announcedOtherDataCentres, full ? ownPieces(this->state) : piecesFromOrigin(this->state),
-        otherDataCentreAnnouncePeriod, false);
+    for (PieceAnnouncement& announcement : takeAnnouncements(this->state, monotonicNow())) {
+        beacon.pieces = std::move(announcement.pieces);
+        beacon.wantsPieces = announcement.wantsPieces;
+        this->peerSocket.send(beacon, announcement.ips);
+    }
 }
 
 std::string LoaderLoop::chooseEntry()
@@ -319,8 +330,11 @@
             EngineReportRead event { .requestedAt = requestedAt };
             if (succeeded(answer)) {
                 const auto report = platform::decodeReport(answer.value().body);
-                if (report)
+                if (report) {
                     event.report = report.value();
+                    ++this->reportSequence;
+                    this->reportReadAt = monotonicNow();
+                }
             }
             if (event.report.has_value() != this->state.report.has_value())
                 writeLog({ .level = event.report ? LogLevel::Info : LogLevel::Warning,
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -7,6 +7,7 @@
 #include "peer_state_type.h"
 #include "platform_decode_func.h"
 #include "settings_type.h"
+#include "stage_partner_func.h"
 #include "stage_reduce_func.h"
 
 #include <asio.hpp>
@@ -52,11 +53,6 @@
         std::size_t sent { 0 }; ///< bytes already passed to the connection
     };
     struct CheckRun;
-    /// Last announcement of this agent's pieces to a group of agents.
-    struct AnnouncedPieces {
-        std::vector<PieceSet> pieces; ///< one for each version
-        Milliseconds sentAt { 0 }; ///< 0 before the first one
-    };
 
     /// Passes an event to the reducer and applies the resulting effects.
     void dispatch(const StageEvent& event);
@@ -96,13 +92,16 @@
     void pollReport(std::function<void()> ended);
     void onBeaconTimer();
     void onFleetPollTimer();
+    /// @return a beacon without report and pieces
+    PeerBeacon makeBeacon() const;
     /// Sends the engine's report to entries and announces pieces to other agents.
     void sendBeacon();
-    /// Sends a beacon with this agent's pieces to the other agents if they changed or the last one is old.
-    /// @param beacon as sent to entries
+    /// Sends the engine's report to this agent's home entries: to the first one, and to the others now and then or when
+    /// more than the load changed.
+    void sendReport(PeerBeacon beacon);
+    /// Sends other agents beacons with this agent's pieces, as planned.
+    /// @param beacon fields common to all
     void announcePieces(PeerBeacon beacon);
-    /// @return addresses of the entries that receive this agent's beacons
-    std::vector<std::string> entryBeaconTargets() const;
     /// Calls the handler once after the period.
     void armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)());
 
@@ -124,8 +123,10 @@
     asio::signal_set signals; ///< SIGTERM, SIGINT, SIGHUP
     Incarnation incarnation; ///< start of the process, Unix ms
     std::string entry; ///< control address of the entry to poll for the fleet view, empty before the first
-    AnnouncedPieces announcedSameDataCentre; ///< to agents of this data centre
-    AnnouncedPieces announcedOtherDataCentres; ///< to agents of all other data centres
+    std::optional<EngineReported> lastReported; ///< last report that all home entries were sent
+    std::uint32_t reportsSent { 0 }; ///< beacons with a report since start
+    std::uint32_t reportSequence { 0 }; ///< reports that were read since start
+    Milliseconds reportReadAt { 0 }; ///< when the last one was read
     bool fleetViewRequested { false }; ///< a poll of an entry is in flight
     bool reportRequested { false }; ///< a poll of the engine is in flight
 };
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -36,6 +36,13 @@
         return entry;
     }
 
+    std::uint32_t writtenAge(Milliseconds age)
+    {
+        return static_cast<std::uint32_t>(std::clamp(age, Milliseconds { 0 }, maxNewsAge).value);
+    }
+
+    Milliseconds readAge(std::uint32_t age) { return std::min(Milliseconds { age }, maxNewsAge); }
+
     void writeEngine(peer::Engine::Builder out, const EngineReported& engine)
     {
         out.setAddress(engine.address);
@@ -48,6 +55,9 @@
         out.setMemoryTotal(engine.report.kvCacheTotal);
         out.setPace(engine.report.slowdown);
         out.setBornAt(engine.report.processStartedAt);
+        out.setAgentStart(engine.order.agentStart.value);
+        out.setSequence(engine.order.sequence);
+        out.setAgeMs(writtenAge(engine.age));
         auto held = out.initHeld(static_cast<unsigned>(engine.report.models.size()));
         for (unsigned index = 0; index < held.size(); ++index) {
             held[index].setModel(engine.report.models[index].model.value);
@@ -69,12 +79,28 @@
         engine.report.kvCacheTotal = in.getMemoryTotal();
         engine.report.slowdown = in.getPace();
         engine.report.processStartedAt = in.getBornAt();
+        engine.order = { .agentStart = { in.getAgentStart() }, .sequence = in.getSequence() };
+        engine.age = readAge(in.getAgeMs());
         for (const auto held : in.getHeld())
             engine.report.models.push_back(
                 { .model = { held.getModel().cStr() }, .version = { held.getVersion() }, .whole = held.getWhole() });
         return engine;
     }
 
+    void writeEngines(capnp::List<peer::Engine>::Builder out, const std::vector<EngineReported>& engines)
+    {
+        for (unsigned index = 0; index < out.size(); ++index)
+            writeEngine(out[index], engines[index]);
+    }
+
+    std::vector<EngineReported> readEngines(capnp::List<peer::Engine>::Reader in)
+    {
+        std::vector<EngineReported> engines;
+        for (const auto engine : in)
+            engines.push_back(readEngine(engine));
+        return engines;
+    }
+
     constexpr unsigned bitsPerByte = 8;
 
     void writePieces(peer::Pieces::Builder out, const PieceSet& set)
@@ -118,9 +144,7 @@
     void writeDataCentreSummary(peer::Place::Builder out, const DataCentreSummary& summary)
     {
         writeLoads(out.initTotals(static_cast<unsigned>(summary.totals.size())), summary.totals);
-        auto engines = out.initEngines(static_cast<unsigned>(summary.engines.size()));
-        for (unsigned index = 0; index < engines.size(); ++index)
-            writeEngine(engines[index], summary.engines[index]);
+        writeEngines(out.initEngines(static_cast<unsigned>(summary.engines.size())), summary.engines);
         auto entries = out.initEntries(static_cast<unsigned>(summary.entries.size()));
         for (unsigned index = 0; index < entries.size(); ++index)
             writeEntry(entries[index], summary.entries[index]);
@@ -129,20 +153,12 @@
     DataCentreSummary readDataCentreSummary(peer::Place::Reader in)
     {
         DataCentreSummary summary { .totals = readLoads(in.getTotals()) };
-        for (const auto engine : in.getEngines())
-            summary.engines.push_back(readEngine(engine));
+        summary.engines = readEngines(in.getEngines());
         for (const auto entry : in.getEntries())
             summary.entries.push_back(readEntry(entry));
         return summary;
     }
 
-    std::uint32_t writtenAge(Milliseconds age)
-    {
-        return static_cast<std::uint32_t>(std::clamp(age, Milliseconds { 0 }, maxNewsAge).value);
-    }
-
-    Milliseconds readAge(std::uint32_t age) { return std::min(Milliseconds { age }, maxNewsAge); }
-
     /// @return number of elements of a list that are encoded or decoded
     template <typename List> unsigned bounded(const List& list, std::size_t limit)
     {
@@ -274,12 +290,15 @@
     writeLoads(root.initLoads(static_cast<unsigned>(beacon.loads.size())), beacon.loads);
     if (beacon.engine)
         writeEngine(root.initEngine(), *beacon.engine);
+    if (!beacon.engines.empty())
+        writeEngines(root.initEngines(static_cast<unsigned>(beacon.engines.size())), beacon.engines);
     auto known = root.initKnown(static_cast<unsigned>(beacon.known.size()));
     for (unsigned index = 0; index < known.size(); ++index)
         writeEntry(known[index], beacon.known[index]);
     auto pieces = root.initPieces(static_cast<unsigned>(beacon.pieces.size()));
     for (unsigned index = 0; index < pieces.size(); ++index)
         writePieces(pieces[index], beacon.pieces[index]);
+    root.setWantsPieces(beacon.wantsPieces);
     if (beacon.dataCentreSummary)
         writeDataCentreSummary(root.initPlace(), *beacon.dataCentreSummary);
     if (!beacon.crashNews.empty())
@@ -306,8 +325,10 @@
         beacon.loads = readLoads(root.getLoads());
         if (root.hasEngine())
             beacon.engine = readEngine(root.getEngine());
+        beacon.engines = readEngines(root.getEngines());
         for (const auto set : root.getPieces())
             beacon.pieces.push_back(readPieces(set));
+        beacon.wantsPieces = root.getWantsPieces();
         for (const auto entry : root.getKnown())
             beacon.known.push_back(readEntry(entry));
         if (root.hasPlace())
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hickory {
 
@@ -18,6 +19,11 @@
     constexpr Milliseconds recentWithin { 10000 };
     /// An entry of the same data centre that was silent for longer, three beacons, may be dead.
     constexpr Milliseconds announcerTimeout = beaconPeriod * 3;
+    constexpr std::size_t homesPerAgent = 2; ///< so that reports go on while one of them is dead or frozen
+    /// An agent chooses another entry after this time without an answer: three beacons of an entry to its agents.
+    constexpr Milliseconds homeAnswerTimeout { 1500 };
+    constexpr Milliseconds homeRetryDelay { 10000 }; ///< after which an entry that did not answer is tried again
+    constexpr std::size_t maxListedElsewhere = 16; ///< entries of other data centres in one list
     /// Peers are removed after this silence, which is longer than a host takes to restart.
     constexpr Milliseconds removeAfter { 30000 };
 
@@ -37,12 +43,62 @@
             known.entry.ip = ip;
             known.lastHeardAt = now;
             known.indirect = false;
+            known.unansweredSince = {};
             known.firstSeenAt = known.firstSeenAt.value == 0 ? now : known.firstSeenAt;
         }
     }
-    for (const PeerInfo& entry : beacon.known)
-        if (entry.host != self && !table.entries.contains(entry.host) && !entry.ip.empty())
-            table.entries[entry.host] = { .entry = entry, .firstSeenAt = now };
+    for (const PeerInfo& entry : beacon.known) {
+        if (entry.host == self || entry.ip.empty())
+            continue;
+        const auto [found, isNew] = table.entries.try_emplace(entry.host);
+        if (isNew)
+            found->second = { .entry = entry, .firstSeenAt = now };
+        found->second.listedAt = now;
+    }
+}
+
+std::vector<PeerInfo> homeEntries(
+    const PeerTable& table, const HostId& agent, const DataCentreId& dataCentre, Milliseconds now)
+{
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, const PeerInfo*>> ranked;
+    for (const auto& [host, known] : table.entries) {
+        const Milliseconds heardAt = std::max(known.lastHeardAt, known.listedAt);
+        const Milliseconds unanswered
+            = known.unansweredSince.value == 0 ? Milliseconds {} : now - known.unansweredSince;
+        if (now - heardAt > table.liveTimeout || (unanswered > homeAnswerTimeout && unanswered < homeRetryDelay))
+            continue;
+        ranked.push_back(
+            { { known.entry.dataCentre != dataCentre, stableHash(agent.value, host.value) }, &known.entry });
+    }
+    std::sort(ranked.begin(), ranked.end());
+    // Entries elsewhere stand in only where there is none here.
+    const bool anyHere = !ranked.empty() && !ranked.front().first.first;
+    std::vector<PeerInfo> homes;
+    for (const auto& [rank, entry] : ranked)
+        if (homes.size() < homesPerAgent && rank.first != anyHere)
+            homes.push_back(*entry);
+    return homes;
+}
+
+void recordReportSent(PeerTable& table, const std::vector<PeerInfo>& homes, Milliseconds now)
+{
+    for (const PeerInfo& home : homes) {
+        KnownPeer& known = table.entries.at(home.host);
+        const bool isDue = known.unansweredSince.value == 0 || now - known.unansweredSince >= homeRetryDelay;
+        known.unansweredSince = isDue ? now : known.unansweredSince;
+    }
+}
+
+std::vector<PeerInfo> peerList(
+    const PeerTable& table, const DataCentreId& dataCentre, std::uint32_t round, Milliseconds now)
+{
+    std::vector<PeerInfo> list;
+    std::vector<PeerInfo> others;
+    for (PeerInfo& entry : liveEntries(table, now))
+        (entry.dataCentre == dataCentre ? list : others).push_back(std::move(entry));
+    for (std::size_t index = 0; index < std::min(others.size(), maxListedElsewhere); ++index)
+        list.push_back(others[(round * maxListedElsewhere + index) % others.size()]);
+    return list;
 }
 
 void removeSilentPeers(PeerTable& table, Milliseconds now)
@@ -80,6 +136,12 @@
     return { ips.begin(), ips.end() };
 }
 
+Milliseconds dataCentreBeaconPeriod(std::size_t targets)
+{
+    return std::clamp(
+        dataCentreDatagramInterval * static_cast<std::int64_t>(targets), beaconPeriod, maxDataCentreBeaconPeriod);
+}
+
 std::vector<std::string> otherDataCentreTargets(const PeerTable& table, const DataCentreId& dataCentre)
 {
     std::vector<std::string> ips;
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -17,6 +17,9 @@
     Milliseconds lastHeardAt { -1000000 };
     Milliseconds firstSeenAt { 0 }; ///< when it became known, 0 before
     bool indirect { false }; ///< its beacons reach the entry that represents its data centre, but not this process
+    Milliseconds listedAt { -1000000 }; ///< when another entry last named it as live; starts far in the past
+    /// When an agent first sent it a report that it has not answered by a beacon yet, 0 when there is none.
+    Milliseconds unansweredSince { 0 };
 };
 
 /// Entries and agents that one process knows.
@@ -34,6 +37,22 @@
 void recordBeacon(
     PeerTable& table, const HostId& self, const PeerBeacon& beacon, const std::string& ip, Milliseconds now);
 
+/// Chooses the entries that an agent reports to. They follow from a hash of agent and entry, so that agents spread over
+/// the entries of their data centre and only those of an entry that is gone choose another one. Entries elsewhere are
+/// chosen when none here is live. One that does not answer is left out for a while.
+/// @param agent host of the agent
+/// @return at most homesPerAgent live entries, the first one first; none until an entry was heard
+std::vector<PeerInfo> homeEntries(
+    const PeerTable& table, const HostId& agent, const DataCentreId& dataCentre, Milliseconds now);
+/// Records that an agent sent these entries a report.
+void recordReportSent(PeerTable& table, const std::vector<PeerInfo>& homes, Milliseconds now);
+
+/// Lists entries for a beacon: all live ones of the data centre, and some of the others in turn, so that the beacon
+/// does not grow with the fleet.
+/// @param round counts the lists that were sent
+std::vector<PeerInfo> peerList(
+    const PeerTable& table, const DataCentreId& dataCentre, std::uint32_t round, Milliseconds now);
+
 /// Removes peers that have been silent for longer than a host takes to restart.
 void removeSilentPeers(PeerTable& table, Milliseconds now);
 
@@ -43,6 +62,9 @@
 /// @return ips of the known entries of a data centre and of seeds whose data centre is unknown, without this host
 std::vector<std::string> dataCentreTargets(
     const PeerTable& table, const DataCentreId& dataCentre, const std::string& selfIp);
+/// @param targets entries of the data centre, without this one
+/// @return time between beacons of an entry to these, which grows with them
+Milliseconds dataCentreBeaconPeriod(std::size_t targets);
 /// @return ips of the known entries of all data centres but this one
 std::vector<std::string> otherDataCentreTargets(const PeerTable& table, const DataCentreId& dataCentre);
 
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -43,7 +43,9 @@
     StoreVersion operatorTable; ///< newest row that operators wrote in the sender's copy of their table, entries only
     std::vector<PeerLoad> loads; ///< requests in flight from the sender to each upstream, entries only
     std::optional<EngineReported> engine; ///< last report of the sender's engine, agents only
+    std::vector<EngineReported> engines; ///< reports that agents sent to this entry, for its data centre
     std::vector<PieceSet> pieces; ///< weights that the sender offers to other agents, agents only
+    bool wantsPieces { false }; ///< the sender asks the receiver which pieces it holds, agents only
     std::vector<PeerInfo> known; ///< other live entries; empty in most beacons
     std::optional<DataCentreSummary> dataCentreSummary; ///< only in beacons to other data centres
     std::vector<UpstreamNoticeReport> notices; ///< what upstreams said of themselves, entries only
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -86,8 +86,8 @@
 
 /// Replaces the list of upstreams. The health of one that stays is kept unless its process restarted.
 void applyUpstreams(RelayState& state, const UpstreamsUpdated& event, Milliseconds now, RelayEffects& effects);
-/// Records an agent's report about its engine.
-void applyEngineReport(RelayState& state, const EngineReported& event, Milliseconds now, RelayEffects& effects);
+/// Records agents' reports about their engines.
+void applyEngineReports(RelayState& state, const EngineReportsReceived& event, Milliseconds now, RelayEffects& effects);
 /// Records a failed connection or response, and ejects the upstream for a time that doubles with each ejection.
 /// @param what kind of failure, for the log and the metric
 void recordUpstreamFailure(
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -449,7 +449,8 @@
     std::erase_if(this->upstreamReports, [&](const auto& item) {
         return now - item.second.seenAt > goneReportMaxAge && !this->upstreams.contains(item.first);
     });
-    std::erase_if(this->engines, [&](const auto& item) { return now - item.second.receivedAt > reportMaxAge; });
+    removeOldReports(this->engines, now);
+    removeOldReports(this->remoteEngines, now);
     const std::vector<PeerInfo> live = liveEntries(this->peers, now);
     const auto before = std::count_if(
         live.begin(), live.end(), [&](const PeerInfo& entry) { return entry.host < this->settings.host.host; });
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_pool_io.h"
+#include "engine_news_func.h"
 #include "file_watch_func.h"
 #include "front_io.h"
 #include "peer_io.h"
@@ -37,12 +38,6 @@
 private:
     struct Call;
     struct UpstreamCall;
-    /// Last report of an agent of this data centre.
-    struct KnownEngine {
-        EngineReported report;
-        Milliseconds receivedAt { 0 };
-        bool changed { true }; ///< differs in more than load from what other data centres were sent
-    };
 
     /// Opens all listening sockets.
     /// @return whether all could be opened; failures are logged
@@ -96,12 +91,18 @@
     void fetchPeerTables(const PeerInfo& peer, Milliseconds now);
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
     void announceOperatorTable();
+    /// Passes reports of engines to the reducer, and on to the entries of this data centre at once if an engine changed
+    /// in more than load.
+    /// @param fromAgent they came from the agent itself
+    void useEngineReports(EngineNews& news, const std::vector<EngineReported>& reports, bool fromAgent);
+    /// Sends the entries of this data centre a beacon with the requests in flight and the reports of agents.
+    void sendToDataCentre(PeerBeacon beacon, Milliseconds now);
     /// Sends beacons with crash news at once. If it did so just before, the next regular beacons carry them.
     /// @param learned as in AnnounceCrashNews
     void announceCrashNews(bool learned);
     /// @return a beacon without loads
     PeerBeacon makeBeacon() const;
-    /// @return ips of all known agents
+    /// @return ips of the agents that report to this entry
     std::vector<std::string> agentTargets() const;
 
     void onTick();
@@ -165,12 +166,13 @@
     std::uint32_t beaconsSent { 0 }; ///< rounds of beacons since start
     std::uint32_t summariesSent { 0 }; ///< summaries sent to other data centres since start
     Milliseconds remoteBeaconAt { 0 }; ///< last beacons to other data centres
-    bool engineChanged { false }; ///< an engine changed in more than load since the last remote beacon
     Milliseconds crashNewsAnnouncedAt { 0 }; ///< last call of announceCrashNews() that sent beacons
     bool crashNewsPending { false }; ///< the next regular beacons to other data centres are sent without delay
     bool advertisedReady { false }; ///< readiness last sent to other data centres
     std::set<DataCentreId> advertisedTo; ///< data centres whose entries were last sent loads above zero
-    std::map<std::string, KnownEngine> engines; ///< reports of agents of this data centre, by address of the engine
+    EngineNews engines; ///< of this data centre, and of agents elsewhere that report here
+    EngineNews remoteEngines; ///< of other data centres
+    Milliseconds dataCentreBeaconAt { 0 }; ///< last beacons to the entries of this data centre
     Milliseconds drainingSince { 0 }; ///< when SIGTERM or SIGINT came, 0 before
     Milliseconds exitsAt { 0 }; ///< when this process ends at the latest, once it drains
     bool exiting { false }; ///< only drainFlushDelay is left
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -31,6 +31,7 @@
 {
     const Milliseconds now = monotonicNow();
     const bool isEntry = !beacon.from.front.empty() && beacon.from.host != this->settings.host.host;
+    const bool isNewAgent = beacon.from.front.empty() && !this->peers.agents.contains(ip);
     const auto known = this->peers.entries.find(beacon.from.host);
     const bool isNew
         = isEntry && (known == this->peers.entries.end() || known->second.entry.incarnation < beacon.from.incarnation);
@@ -45,6 +46,11 @@
             reply.loads = ownLoads(this->state);
         this->peerSocket.send(reply, { ip });
     }
+    if (isNewAgent) {
+        PeerBeacon reply = this->makeBeacon();
+        reply.known = peerList(this->peers, this->settings.host.dataCentre, this->beaconsSent, now);
+        this->peerSocket.send(reply, { ip });
+    }
     if (isEntry)
         this->compareConfig(beacon, now);
     if (beacon.operatorTable > this->operatorTable)
@@ -53,23 +59,30 @@
         this->dispatch(UpstreamNoticesReceived { .peer = beacon.from.host, .reports = beacon.notices });
     if (!beacon.crashNews.empty() && beacon.from.host != this->settings.host.host)
         this->dispatch(CrashNewsReceived { .news = beacon.crashNews });
+    this->useEngineReports(this->engines, beacon.engines, false);
     if (beacon.engine) {
-        KnownEngine& known = this->engines[beacon.engine->address];
-        known.changed = known.changed || changedBeyondLoad(known.report, *beacon.engine);
-        known.report = *beacon.engine;
-        known.receivedAt = now;
-        this->engineChanged = this->engineChanged || known.changed;
-        this->dispatch(*beacon.engine);
+        this->useEngineReports(this->engines, { *beacon.engine }, true);
     } else if (beacon.dataCentreSummary) {
         recordIndirectEntries(this->peers, beacon.from.dataCentre, beacon.dataCentreSummary->entries, now);
         this->dispatch(DataCentreLoadsReceived {
             .dataCentre = beacon.from.dataCentre, .totals = beacon.dataCentreSummary->totals });
-        for (const EngineReported& engine : beacon.dataCentreSummary->engines)
-            this->dispatch(engine);
+        this->useEngineReports(this->remoteEngines, beacon.dataCentreSummary->engines, false);
     } else if (beacon.from.host != this->settings.host.host)
         this->dispatch(PeerLoadsReceived { .peer = beacon.from.host, .loads = beacon.loads });
 }
 
+void RelayLoop::useEngineReports(EngineNews& news, const std::vector<EngineReported>& reports, bool fromAgent)
+{
+    if (reports.empty())
+        return;
+    const Milliseconds now = monotonicNow();
+    std::vector<EngineReported> recorded = recordReports(news, reports, fromAgent, now);
+    if (!recorded.empty())
+        this->dispatch(EngineReportsReceived { .reports = std::move(recorded) });
+    if (news.relayAtOnce && now - this->dataCentreBeaconAt >= minEngineNewsInterval)
+        this->sendToDataCentre(this->makeBeacon(), now);
+}
+
 void RelayLoop::compareConfig(const PeerBeacon& beacon, Milliseconds now)
 {
     if (beacon.configVersion.value == 0)
@@ -104,8 +117,10 @@
 std::vector<std::string> RelayLoop::agentTargets() const
 {
     std::vector<std::string> ips;
+    const Milliseconds now = monotonicNow();
     for (const auto& [ip, lastHeardAt] : this->peers.agents)
-        ips.push_back(ip);
+        if (now - lastHeardAt < reportingAgentTimeout)
+            ips.push_back(ip);
     return ips;
 }
 
@@ -149,46 +164,52 @@
 {
     const Milliseconds now = monotonicNow();
     PeerBeacon beacon = this->makeBeacon();
-    beacon.loads = ownLoads(this->state);
     const DataCentreId& dataCentre = this->settings.host.dataCentre;
-    const bool withPeerList = this->beaconsSent++ % beaconsPerPeerList == 0;
+    const std::uint32_t round = this->beaconsSent++;
+    const bool withPeerList = round % beaconsPerPeerList == 0;
     if (withPeerList)
-        beacon.known = liveEntries(this->peers, now);
+        beacon.known = peerList(this->peers, dataCentre, round / beaconsPerPeerList, now);
     beacon.crashNews = crashNews(this->state, withPeerList, now);
     beacon.notices = upstreamNotices(this->state, withPeerList, now);
-    this->peerSocket.send(beacon, dataCentreTargets(this->peers, dataCentre, this->settings.host.ip));
+    const Milliseconds period
+        = dataCentreBeaconPeriod(dataCentreTargets(this->peers, dataCentre, this->settings.host.ip).size());
+    if (withPeerList || !beacon.crashNews.empty() || now - this->dataCentreBeaconAt >= period - beaconPeriod / 2)
+        this->sendToDataCentre(beacon, now);
     beacon.crashNews = {};
     beacon.notices.clear();
-    if (withPeerList) {
-        beacon.loads.clear();
+    if (round % beaconsPerAgentBeacon == 0)
         this->peerSocket.send(beacon, this->agentTargets());
-        beacon.known.clear();
-    }
+    beacon.known.clear();
     const std::vector<std::string> remoteTargets = otherDataCentreTargets(this->peers, dataCentre);
     const Milliseconds remotePeriod = std::clamp(
         remoteDatagramInterval * static_cast<std::int64_t>(remoteTargets.size()), beaconPeriod, maxRemoteBeaconPeriod);
-    if (now - this->remoteBeaconAt >= remotePeriod || beacon.from.ready != this->advertisedReady || this->engineChanged
+    if (now - this->remoteBeaconAt >= remotePeriod || beacon.from.ready != this->advertisedReady
+        || this->engines.summarizeAtOnce
         || (this->crashNewsPending && announcesToOtherDataCentres(this->peers, beacon.from, now)))
         this->sendToOtherDataCentres(std::move(beacon), remoteTargets, now);
     this->crashNewsPending = false;
     this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::sendBeacons);
 }
 
+void RelayLoop::sendToDataCentre(PeerBeacon beacon, Milliseconds now)
+{
+    this->dataCentreBeaconAt = now;
+    beacon.loads = ownLoads(this->state);
+    beacon.engines = takeReportsToRelay(this->engines, now);
+    this->peerSocket.send(
+        beacon, dataCentreTargets(this->peers, this->settings.host.dataCentre, this->settings.host.ip));
+}
+
 void RelayLoop::sendToOtherDataCentres(
     PeerBeacon beacon, const std::vector<std::string>& remoteTargets, Milliseconds now)
 {
     const bool readyChanged = beacon.from.ready != this->advertisedReady;
     this->advertisedReady = beacon.from.ready;
-    this->engineChanged = false;
     this->remoteBeaconAt = now;
     if (representsDataCentre(this->peers, beacon.from, now)) {
         DataCentreSummary summary { .totals = dataCentreTotals(this->state, now) };
         const bool isFull = this->summariesSent++ % summariesPerFullSummary == 0;
-        for (auto& [address, item] : this->engines) {
-            if (now - item.receivedAt < reportMaxAge && (isFull || item.changed))
-                summary.engines.push_back(item.report);
-            item.changed = false;
-        }
+        summary.engines = takeReportsForSummary(this->engines, isFull, now);
         summary.entries = liveEntriesIn(this->peers, beacon.from.dataCentre, now);
         if (isFull)
             beacon.known = recentEntries(this->peers, now);
@@ -201,6 +222,8 @@
         beacon.dataCentreSummary.reset();
         beacon.known.clear();
     } else {
+        // Sent by the entry that represents the data centre, which knows the same reports.
+        this->engines.summarizeAtOnce = false;
         // The entry that represents the data centre may be dead, and nobody has replaced it yet.
         if (announcesToOtherDataCentres(this->peers, beacon.from, now))
             beacon.crashNews = crashNews(this->state, false, now);
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -133,7 +133,7 @@
                    [&](const RelayTick&) { applyTick(state, now, effects); },
                    [&](const ConfigUpdated& update) { applyConfig(state, update, now, effects); },
                    [&](const UpstreamsUpdated& update) { applyUpstreams(state, update, now, effects); },
-                   [&](const EngineReported& reported) { applyEngineReport(state, reported, now, effects); },
+                   [&](const EngineReportsReceived& received) { applyEngineReports(state, received, now, effects); },
                    [&](const PeerLoadsReceived& update) { replaceLoads(state.peers[update.peer], update.loads, now); },
                    [&](const DataCentreLoadsReceived& update) {
                        replaceLoads(state.dataCentres[update.dataCentre], update.totals, now);
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -95,11 +95,25 @@
     std::vector<UpstreamEntry> entries; ///< the whole list
 };
 
-/// An agent reported the state of the engine on its host.
+/// Position of a report among those of one host's agent. Later ones are greater.
+struct EngineReportOrder {
+    Incarnation agentStart; ///< start of the agent process that read it
+    std::uint32_t sequence { 0 }; ///< reports that this process had read, this one included
+    auto operator<=>(const EngineReportOrder&) const = default;
+};
+
+/// State of the engine on the host of an agent, as the agent read it.
 struct EngineReported {
     std::string address; ///< "ip:port" of the engine
     EngineReport report; ///< as the agent last read it
     bool orderPending { false }; ///< the agent is about to send the engine a load order: send no new work for now
+    EngineReportOrder order; ///< reports reach an entry on several ways and may overtake each other
+    Milliseconds age { 0 }; ///< time since the agent read it
+};
+
+/// Reports of engines arrived, from their agents or from another entry.
+struct EngineReportsReceived {
+    std::vector<EngineReported> reports; ///< at most one for each engine, newer than those received before
 };
 
 /// Requests of one or more entries at one upstream.
@@ -188,7 +202,7 @@
 };
 
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
-    RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReported, PeerLoadsReceived, DataCentreLoadsReceived,
+    RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReportsReceived, PeerLoadsReceived, DataCentreLoadsReceived,
     EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed,
     CrashNewsReceived, UpstreamNoticesReceived>;
 
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -4,6 +4,8 @@
 #include "upstream_notice_func.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace hickory {
@@ -92,21 +94,26 @@
     dispatchAllWaiting(state, now, effects);
 }
 
-void applyEngineReport(RelayState& state, const EngineReported& event, Milliseconds now, RelayEffects& effects)
+void applyEngineReports(RelayState& state, const EngineReportsReceived& event, Milliseconds now, RelayEffects& effects)
 {
+    std::unordered_map<std::string_view, const EngineReported*> byAddress;
+    for (const EngineReported& reported : event.reports)
+        byAddress[reported.address] = &reported;
     for (auto& [id, view] : state.upstreams) {
-        if (view.entry.address != event.address || !view.listed)
+        const auto found = view.listed ? byAddress.find(view.entry.address) : byAddress.end();
+        if (found == byAddress.end())
             continue;
+        const EngineReported& reported = *found->second;
         // The report is about an earlier or later process than the listed one.
-        if (view.entry.processStartedAt != 0 && event.report.processStartedAt != 0
-            && view.entry.processStartedAt != event.report.processStartedAt) {
-            if (event.report.processStartedAt > view.entry.processStartedAt)
+        if (view.entry.processStartedAt != 0 && reported.report.processStartedAt != 0
+            && view.entry.processStartedAt != reported.report.processStartedAt) {
+            if (reported.report.processStartedAt > view.entry.processStartedAt)
                 recordUpstreamEnd(state, id);
             continue;
         }
-        view.report = event.report;
-        view.reportedAt = now;
-        view.orderPendingUntil = event.orderPending ? now + orderPendingTimeout : Milliseconds {};
+        view.report = reported.report;
+        view.reportedAt = now - reported.age;
+        view.orderPendingUntil = reported.orderPending ? now - reported.age + orderPendingTimeout : Milliseconds {};
     }
     dispatchAllWaiting(state, now, effects);
 }
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -1,5 +1,6 @@
 #include "digest_func.h"
 #include "stage_cmd.h"
+#include "stage_partner_func.h"
 #include "stage_source_func.h"
 #include "table/stage_limits.h"
 
@@ -159,6 +160,8 @@
 {
     PeerHoldings& held = state.peerHoldings[event.ip];
     held.receivedAt = now;
+    if (event.wantsPieces)
+        recordPieceRequest(state, event.ip);
     // Agents of other data centres announce only part of their pieces at a time, so announcements are merged.
     for (const PieceSet& reported : event.sets) {
         const auto known = std::find_if(
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -2,6 +2,7 @@
 
 #include "overloaded_type.h"
 #include "stage_cmd.h"
+#include "stage_partner_func.h"
 #include "stage_source_func.h"
 #include "table/stage_limits.h"
 
@@ -40,6 +41,7 @@
         state.originMbps = event.view.originMbps;
         state.model = event.view.model;
         state.peers = event.view.hosts;
+        state.fleet = makeStageFleet(state.peers, state.options);
         if (!state.model.empty())
             startJob(state, event.view.declared, event.declaredNotBefore.value_or(now), now, effects);
     }
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_source_func.h"
 
 #include "digest_func.h"
+#include "stage_partner_func.h"
 #include "table/stage_limits.h"
 
 #include <algorithm>
@@ -9,55 +10,50 @@
 
 namespace {
 
-    /// @return whether a host announced recently that it holds a piece
-    bool holds(
-        const StageState& state, const std::string& ip, WeightsVersion version, std::uint32_t piece, Milliseconds now)
+    /// @return whether an agent announced recently that it holds a piece
+    bool holds(const PeerHoldings& holdings, WeightsVersion version, std::uint32_t piece, Milliseconds now)
     {
-        const auto found = state.peerHoldings.find(ip);
-        if (found == state.peerHoldings.end() || now - found->second.receivedAt > holdingsMaxAge)
-            return false;
-        return std::any_of(found->second.sets.begin(), found->second.sets.end(),
-            [&](const PieceSet& set) { return set.version == version && piece < set.held.size() && set.held[piece]; });
+        return now - holdings.receivedAt <= holdingsMaxAge
+            && std::any_of(holdings.sets.begin(), holdings.sets.end(), [&](const PieceSet& set) {
+                   return set.version == version && piece < set.held.size() && set.held[piece];
+               });
     }
 
-    /// @return number of this agent's piece requests in flight to a host
-    std::size_t countInFlightFrom(const StageState& state, const std::string& ip)
+    /// @return source of each of this agent's piece requests in flight
+    std::vector<const std::string*> sourcesInFlight(const StageState& state)
     {
-        std::size_t count = 0;
+        std::vector<const std::string*> sources;
         for (const StageJob& job : state.jobs)
-            count += static_cast<std::size_t>(std::count_if(job.pieces.begin(), job.pieces.end(),
-                [&](const PieceState& piece) { return piece.step == PieceStep::Fetching && piece.source == ip; }));
-        return count;
+            for (const PieceState& piece : job.pieces)
+                if (piece.step == PieceStep::Fetching)
+                    sources.push_back(&piece.source);
+        return sources;
     }
 
     /// @param offset where the search starts; differs between agents, so that they resolve ties differently
-    /// @return the peer with the fewest requests in flight from this agent, or nullptr when all are at the limit
-    const WeightsPeer* leastLoadedSource(
-        const StageState& state, const std::vector<const WeightsPeer*>& peers, std::uint64_t offset)
+    /// @return the host with the fewest requests in flight from this agent, or nullptr when all are at the limit
+    const std::string* leastLoadedSource(
+        const StageState& state, const std::vector<const std::string*>& ips, std::uint64_t offset)
     {
-        const WeightsPeer* best = nullptr;
+        const std::vector<const std::string*> inFlight = sourcesInFlight(state);
+        const std::string* best = nullptr;
         std::size_t bestCount = maxInFlightPerSource;
-        for (std::size_t step = 0; step < peers.size(); ++step) {
-            const WeightsPeer* peer = peers[(offset + step) % peers.size()];
-            const std::size_t count = countInFlightFrom(state, peer->ip);
+        for (std::size_t step = 0; step < ips.size(); ++step) {
+            const std::string* ip = ips[(offset + step) % ips.size()];
+            const auto count = static_cast<std::size_t>(std::count_if(
+                inFlight.begin(), inFlight.end(), [&](const std::string* source) { return *source == *ip; }));
             if (count < bestCount) {
-                best = peer;
+                best = ip;
                 bestCount = count;
             }
         }
         return best;
     }
 
-    /// Assigns fetches to hosts in rotation, so that each has the same share.
-    /// @param number position of the fetch in the rotation
-    /// @param sameDataCentreOnly rotates among the hosts of this data centre instead of all hosts of the service
-    bool isDesignatedFetcher(const StageState& state, std::uint64_t number, bool sameDataCentreOnly)
+    bool isDesignated(
+        const StageState& state, const std::vector<std::string>& hosts, std::uint64_t number, std::uint64_t rounds)
     {
-        std::vector<const std::string*> ips;
-        for (const WeightsPeer& peer : state.peers)
-            if (!sameDataCentreOnly || peer.dataCentre == state.options.dataCentre)
-                ips.push_back(&peer.ip);
-        return !ips.empty() && *ips[number % ips.size()] == state.options.ip;
+        return !hosts.empty() && designatedFetcher(hosts, number, rounds) == state.options.ip;
     }
 
     /// @param first duration of the first round; each further one lasts fetcherRound
@@ -86,30 +82,28 @@
 
 std::optional<StageSource> chooseSource(StageState& state, StageJob& job, std::uint32_t piece, Milliseconds now)
 {
-    std::vector<const WeightsPeer*> sameDataCentre;
-    std::vector<const WeightsPeer*> otherDataCentres;
-    for (const WeightsPeer& peer : state.peers)
-        if (peer.ip != state.options.ip && holds(state, peer.ip, job.version, piece, now))
-            (peer.dataCentre == state.options.dataCentre ? sameDataCentre : otherDataCentres).push_back(&peer);
-    const std::uint64_t offset = piece + stableHash("first-holder", state.options.ip);
-    if (!sameDataCentre.empty()) {
-        const WeightsPeer* peer = leastLoadedSource(state, sameDataCentre, offset + job.pieces[piece].failures);
-        return peer ? std::optional(StageSource { peer->ip }) : std::nullopt;
+    std::vector<const std::string*> sameDataCentre;
+    std::vector<const std::string*> otherDataCentres;
+    for (const auto& [ip, holdings] : state.peerHoldings) {
+        const auto host = state.fleet.dataCentres.find(ip);
+        if (ip != state.options.ip && host != state.fleet.dataCentres.end() && holds(holdings, job.version, piece, now))
+            (host->second == state.options.dataCentre ? sameDataCentre : otherDataCentres).push_back(&ip);
     }
-    constexpr std::uint64_t roundStep = 5; ///< skips neighbours in the host list, which may have failed together
+    const std::uint64_t offset = piece + stableHash("first-holder", state.options.ip) + job.pieces[piece].failures;
+    const auto sourceOf = [](const std::string* ip) { return ip ? std::optional(StageSource { *ip }) : std::nullopt; };
+    if (!sameDataCentre.empty())
+        return sourceOf(leastLoadedSource(state, sameDataCentre, offset));
     Milliseconds& remoteSeenAt = job.pieces[piece].remoteSeenAt;
     if (!otherDataCentres.empty()) {
         remoteSeenAt = remoteSeenAt.value == 0 ? now : remoteSeenAt;
-        if (!isDesignatedFetcher(state, piece + roundStep * elapsedRounds(remoteSeenAt, fetcherRound, now), true))
+        if (!isDesignated(state, state.fleet.here, piece, elapsedRounds(remoteSeenAt, fetcherRound, now)))
             return std::nullopt;
-        const WeightsPeer* peer = leastLoadedSource(state, otherDataCentres, offset + job.pieces[piece].failures);
-        return peer ? std::optional(StageSource { peer->ip }) : std::nullopt;
+        return sourceOf(leastLoadedSource(state, otherDataCentres, offset));
     }
     const Milliseconds dueAt = job.knownSince + originRequestDelay(state, job, piece);
     if (now < dueAt)
         return std::nullopt;
-    const std::uint64_t rounds = elapsedRounds(dueAt, originRound, now);
-    return isDesignatedFetcher(state, piece + job.version.value + roundStep * rounds, false)
+    return isDesignated(state, state.fleet.all, piece + job.version.value, elapsedRounds(dueAt, originRound, now))
         ? std::optional(StageSource {})
         : std::nullopt;
 }
@@ -125,14 +119,15 @@
 {
     std::vector<std::string> sameDataCentre;
     std::vector<std::string> otherDataCentres;
-    for (const WeightsPeer& peer : state.peers) {
-        const auto holder = state.peerHoldings.find(peer.ip);
-        if (peer.ip == state.options.ip || holder == state.peerHoldings.end()
-            || now - holder->second.receivedAt > holdingsMaxAge)
+    for (const auto& [ip, holdings] : state.peerHoldings) {
+        const auto host = state.fleet.dataCentres.find(ip);
+        if (ip == state.options.ip || host == state.fleet.dataCentres.end()
+            || now - holdings.receivedAt > holdingsMaxAge)
             continue;
-        if (std::any_of(holder->second.sets.begin(), holder->second.sets.end(),
-                [&](const PieceSet& set) { return set.version == job.version; }))
-            (peer.dataCentre == state.options.dataCentre ? sameDataCentre : otherDataCentres).push_back(peer.ip);
+        // A set without pieces names a version whose manifest the host lacks as well.
+        if (std::any_of(holdings.sets.begin(), holdings.sets.end(),
+                [&](const PieceSet& set) { return set.version == job.version && !set.held.empty(); }))
+            (host->second == state.options.dataCentre ? sameDataCentre : otherDataCentres).push_back(ip);
     }
     const std::vector<std::string>& holders = sameDataCentre.empty() ? otherDataCentres : sameDataCentre;
     const bool tryOrigin = job.manifestFailures % manifestTriesPerOriginTry == manifestTriesPerOriginTry - 1;
@@ -145,8 +140,8 @@
 
 bool isShared(const StageState& state, const StageSource& source)
 {
-    return std::none_of(state.peers.begin(), state.peers.end(),
-        [&](const WeightsPeer& peer) { return peer.ip == source.ip && peer.dataCentre == state.options.dataCentre; });
+    const auto host = state.fleet.dataCentres.find(source.ip);
+    return host == state.fleet.dataCentres.end() || host->second != state.options.dataCentre;
 }
 
 } // namespace hickory
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -3,7 +3,10 @@
 #include "stage_type.h"
 #include "table/stage_limits.h"
 
+#include <map>
 #include <random>
+#include <set>
+#include <unordered_map>
 
 namespace hickory {
 
@@ -68,6 +71,28 @@
     Milliseconds orderAt { 0 }; ///< when the current order step began
 };
 
+/// What follows from the list of hosts of the service.
+struct StageFleet {
+    std::vector<std::string> all; ///< ips of all hosts, in the order of the list
+    std::vector<std::string> here; ///< of those in this data centre
+    std::map<DataCentreId, std::vector<std::string>> elsewhere; ///< of those in each other data centre
+    std::unordered_map<std::string, DataCentreId> dataCentres; ///< of each host by ip
+    std::vector<std::string> partners; ///< hosts of this data centre that this one exchanges announcements with
+};
+
+/// Announcements that were sent and requested.
+struct PieceExchange {
+    std::vector<PieceSet> announced; ///< as partners were last told
+    Milliseconds announcedAt { -1000000 }; ///< when they were; starts far in the past
+    Milliseconds askedAt { -1000000 }; ///< when partners were last asked for what they hold; starts far in the past
+    std::uint64_t requests { 0 }; ///< how often they were asked
+    std::map<std::string, Milliseconds> toldAt; ///< last announcement to each host
+    std::set<std::string> requestedBy; ///< hosts that asked and have not been answered
+    std::vector<PieceSet> fromOrigin; ///< pieces from the origin as last announced
+    Milliseconds fromOriginChangedAt { -1000000 }; ///< when these changed; starts far in the past
+    Milliseconds fromOriginAnnouncedAt { -1000000 }; ///< when they were last announced; starts far in the past
+};
+
 /// Complete input of an agent's decisions.
 struct StageState {
     StageOptions options; ///< from the settings
@@ -75,6 +100,8 @@
     std::string originAddress; ///< "ip:port" of the origin
     double originMbps { 0 }; ///< bandwidth of the origin's link in Mbit/s, 0 when unknown
     std::vector<WeightsPeer> peers; ///< all hosts of the service, this one included, sorted by ip
+    StageFleet fleet; ///< computed from peers
+    PieceExchange exchange; ///< announcements to other agents
     std::map<std::string, PeerHoldings> peerHoldings; ///< announcements of other agents by ip
     std::vector<StageJob> jobs; ///< at most two: the version to load first, and one declared after it
     std::optional<EngineReport> report; ///< empty when the last poll of the engine failed
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -63,6 +63,7 @@
 struct PeerPiecesReceived {
     std::string ip; ///< address of that host
     std::vector<PieceSet> sets; ///< one for each version
+    bool wantsPieces { false }; ///< it asks for what this agent holds
 };
 
 /// Writing a piece to the engine's staging area ended.
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -30,12 +30,13 @@
 constexpr Milliseconds engineTimeout { 800 };
 /// Timeout of the response to a load order.
 constexpr Milliseconds orderResponseTimeout { 800 };
-/// Interval between announcements of unchanged pieces to agents of the same data centre. They ignore announcements that
-/// are older than holdingsMaxAge.
-constexpr Milliseconds sameDataCentreAnnouncePeriod { 1000 };
-/// Interval between announcements of unchanged pieces to agents of other data centres, which rarely need them.
-constexpr Milliseconds otherDataCentreAnnouncePeriod { 2000 };
-/// Silence after which an entry counts as gone. Entries send beacons to agents once a second.
+/// Every n-th report of an engine goes to all home entries, the others to the first one: within reportMaxAge the second
+/// one passes on two, should the first one be gone.
+constexpr std::uint32_t reportsPerReportToAll = 3;
+/// Entries that a report is sent to while no entry is known to be live.
+constexpr std::size_t maxSearchTargets = 6;
+/// Silence after which an entry counts as gone. Entries send beacons to agents twice a second, and name the other live
+/// ones once a second.
 constexpr Milliseconds entryLiveTimeout { 2500 };
 /// Bytes of a piece sent at once. Delays an event of a stream by at most 4 ms on a link of 7.6 Mbit/s.
 constexpr std::size_t uploadSliceBytes = 4096;
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -41,7 +41,19 @@
 /// reports did not change.
 constexpr std::uint32_t summariesPerFullSummary = 3;
 constexpr Milliseconds minCrashNewsInterval { 50 }; ///< between announcements of crash news, half a beaconPeriod
-constexpr std::uint32_t beaconsPerPeerList = 10; ///< each tenth beacon lists the other live entries
+constexpr std::uint32_t beaconsPerPeerList = 10; ///< each tenth beacon lists other live entries
+/// Each fifth beacon goes to the agents that report to this entry, so that they notice when it is gone.
+constexpr std::uint32_t beaconsPerAgentBeacon = 5;
+/// An agent that was silent for longer reports to another entry: it sends a report here at least every 0.45 s.
+constexpr Milliseconds reportingAgentTimeout { 3000 };
+/// Mean time between datagrams to the entries of the same data centre: 80 a second. From nine other entries on the time
+/// between beacons grows.
+constexpr Milliseconds dataCentreDatagramInterval { 12 };
+/// Longest time between beacons to the entries of the same data centre: a quarter of the time after which a silent one
+/// does not count as live.
+constexpr Milliseconds maxDataCentreBeaconPeriod { 250 };
+/// Least time between beacons that are sent at once since an engine changed in more than load.
+constexpr Milliseconds minEngineNewsInterval { 20 };
 constexpr Milliseconds sweepPeriod { 500 }; ///< between removals of idle connections and silent peers
 /// Changes of the list of upstreams are collected for this long: heartbeats of all upstreams change it many times a
 /// second.
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -24,8 +24,22 @@
 constexpr Milliseconds maxUncongestedRoundTrip { 300 };
 /// Piece requests in flight to one host: one is being received while the next is queued there.
 constexpr std::size_t maxInFlightPerSource = 2;
-/// Age after which an announcement of pieces is ignored. Agents announce at least every 2 s.
+/// Age after which an announcement of pieces is ignored. An agent that lacks pieces asks every
+/// pieceRequestPeriod for what is held.
 constexpr Milliseconds holdingsMaxAge { 5000 };
+/// Least time between announcements of pieces to partners.
+constexpr Milliseconds minAnnounceInterval { 140 };
+/// Time between requests for what partners hold, while pieces are missing. Partners tell by themselves when they get
+/// pieces; a request finds what was lost on the way, and what a host that has just joined was not told.
+constexpr Milliseconds pieceRequestPeriod { 500 };
+/// Least time between two answers to one host.
+constexpr Milliseconds minPieceReplyInterval { 250 };
+/// Pieces from the origin are announced for this time, again and again in case datagrams are lost.
+constexpr Milliseconds originAnnounceTime { 2500 };
+constexpr Milliseconds originAnnouncePeriod { 500 }; ///< between these announcements
+/// Hosts that each announcement of a piece from the origin reaches in a data centre: the designated fetcher and those
+/// that are designated if it is slow or gone.
+constexpr std::uint64_t originAnnounceRounds = 3;
 /// Pieces requested from the origin ahead of its sending rate, so that its link stays busy.
 constexpr double originLeadPieces { 8.0 };
 /// Interval between requests to the origin, relative to the time that its link needs for a piece. Below 1, so that its
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -67,6 +67,10 @@
     std::vector<RelayEffect> event(const RelayEvent& event) { return reduceRelay(this->state, event, this->now); }
 
     /// Delivers the configuration config() with the given version.
+    std::vector<RelayEffect> report(const EngineReported& reported)
+    {
+        return this->event(EngineReportsReceived { .reports = { reported } });
+    }
     void updateConfig(std::uint64_t version) { this->event(ConfigUpdated { .config = config(version) }); }
     /// Confirms that the configuration is current.
     void confirmConfig() { this->event(ConfigConfirmed { .asOf = this->now }); }
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -89,6 +89,10 @@
             .slowdown = 1.5,
             .processStartedAt = 5 },
         .orderPending = true };
+    beacon.engines = { *beacon.engine };
+    beacon.engines[0].order = { .agentStart = { 9 }, .sequence = 44 };
+    beacon.engines[0].age = { 120 };
+    beacon.wantsPieces = true;
     beacon.pieces = { { .version = { 4 }, .held = { true, false, true, true, false, false, true, false, true } } };
     beacon.dataCentreSummary = DataCentreSummary { .totals = { { .upstream = 8, .sent = 5, .prefillTokens = 70 } },
         .engines = { *beacon.engine },
@@ -107,6 +111,9 @@
     CHECK(decoded.value().engine->report.models.at(0).version == WeightsVersion { 4 });
     CHECK(decoded.value().engine->orderPending);
     CHECK(decoded.value().pieces.at(0) == beacon.pieces.at(0));
+    CHECK(decoded.value().wantsPieces);
+    CHECK(decoded.value().engines.at(0).order == beacon.engines[0].order);
+    CHECK(decoded.value().engines.at(0).age == Milliseconds { 120 });
 }
 
 // Guards against adopting part of a beacon that was cut off or is of another protocol.
--- a/tests/unit_relay_begun.cpp
+++ b/tests/unit_relay_begun.cpp
@@ -348,8 +348,8 @@
             all.push_back(relay.request(draw(1) == 0 ? "/calls/" : "/digests/"));
             break;
         case 6:
-            all.push_back(relay.event(EngineReported {
-                .address = "e1:1", .report = { .models = {}, .running = 4 }, .orderPending = draw(1) == 0 }));
+            all.push_back(relay.report(
+                { .address = "e1:1", .report = { .models = {}, .running = 4 }, .orderPending = draw(1) == 0 }));
             break;
         default:
             break;
--- a/tests/unit_relay_crash.cpp
+++ b/tests/unit_relay_crash.cpp
@@ -73,7 +73,7 @@
 {
     RelayFixture relay;
     relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
-    relay.event(EngineReported { .address = "e2:1",
+    relay.report({ .address = "e2:1",
         .report = { .models = { { .model = { "model" }, .version = { 1 } } } },
         .orderPending = true });
     std::vector<ResponseEnded> broken;
@@ -181,8 +181,8 @@
 TEST_CASE("Requests with a suspected prompt part are tried one at a time", "[relay][crash]")
 {
     RelayFixture relay = relayAfterCrash({ { 0x10 }, { 0x20 }, { 0x30 } });
-    const auto effects = relay.event(
-        EngineReported { .address = "e2:1", .report = { .models = { { .model = { "model" }, .version = { 1 } } } } });
+    const auto effects
+        = relay.report({ .address = "e2:1", .report = { .models = { { .model = { "model" }, .version = { 1 } } } } });
     CHECK(countEffects<SendToUpstream>(effects) == 1);
     const auto* trial = findEffect<SendToUpstream>(effects);
     REQUIRE(trial);
--- a/tests/unit_relay_suspect.cpp
+++ b/tests/unit_relay_suspect.cpp
@@ -39,7 +39,7 @@
 {
     RelayFixture relay;
     relay.list({ RelayFixture::upstream("e1", "engine") });
-    relay.event(EngineReported { .address = "e1:1",
+    relay.report({ .address = "e1:1",
         .report = { .models = { { .model = { "model" }, .version = { 1 } } }, .running = 1, .slowdown = 3.0 } });
     sentTo(relay.request("/letters/"), "e1");
     relay.now += Milliseconds { 500 };
