Let reports count as signs of life of an engine

Load pattern: many entries before many engines, each entry with one request or none at an engine. An entry that hears nothing but its own request took a sound engine for silent while this one read other entries' prompts: the request was taken back after 0.9 s, read again elsewhere and came late.

Change: an engine whose agent told within 0.45 s that it answers keeps requests that have not begun for maxSoundSilence (2 s), and counts as stalled after 0.9 s. A host that stands still sends no reports, so the old limits hold there.

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -97,10 +97,17 @@
 
 } // namespace
 
+bool reportedLately(const RelayUpstream& view, Milliseconds now)
+{
+    return view.report && now - view.reportedAt <= reportLifeSignAge;
+}
+
 bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now)
 {
     if (view.sent == 0)
         return false;
+    if (engine && reportedLately(view, now))
+        return now - view.lastHeardAt > engineSilenceTimeout;
     const Milliseconds limit = engine
         ? Milliseconds { static_cast<std::int64_t>(
             static_cast<double>(engineStallTimeout.value) * std::max(1.0, slowdownOf(view, now))) }
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -28,6 +28,10 @@
 /// @return the weights of a model, if an engine holds all of its layers, or nullptr
 const HeldModel* heldModel(const RelayUpstream& view, const ModelId& model);
 
+/// @return whether the agent on an upstream's host told lately that the upstream answered it. An entry of many has one
+/// request or none at an upstream at a time, so it may hear nothing of one that is sound.
+bool reportedLately(const RelayUpstream& view, Milliseconds now);
+
 /// @return whether an upstream has requests of this entry in flight and sent nothing for longer than they explain
 bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now);
 
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -54,8 +54,12 @@
         if (view == state.upstreams.end())
             return false;
         const bool engine = isEngineRequest(request);
-        const Milliseconds limit = engine ? (view->second.standsStill ? engineStallTimeout : engineSilenceTimeout)
-                                          : plainSilenceTimeout(state, request);
+        // An engine that answers its agent reads the prompts that came before.
+        const bool reads = engine && !send.headReceived && reportedLately(view->second, now);
+        const Milliseconds limit = !engine ? plainSilenceTimeout(state, request)
+            : reads                        ? maxSoundSilence
+            : view->second.standsStill     ? engineStallTimeout
+                                           : engineSilenceTimeout;
         return now - send.lastProgressAt > limit && (!engine || now - view->second.lastHeardAt > limit);
     }
 
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -45,6 +45,8 @@
 /// A plain upstream that has requests in flight and sent nothing for this long gets no more: its longest requests take
 /// that long.
 constexpr Milliseconds plainStallTimeout { 450 };
+/// A report of this age shows that its engine still runs: three reports, and their way through another entry.
+constexpr Milliseconds reportLifeSignAge { 450 };
 constexpr Milliseconds delistedMaxAge { 10000 }; ///< how long the health of a delisted upstream is kept: three leases
 /// A request may take this long to reach an upstream on probation. Weights that become too old within that time are
 /// therefore not used on such an upstream.
