Refuse beacons that are far larger once unpacked

Cause: the packed encoding stores zeros in almost no bytes, and a list in a beacon had no limit: a datagram of some 15 KB with 300,000 empty reports was decoded whole, and a larger one takes more memory than an agent has (128 MB). Change: a beacon may have 1 MB once unpacked. The test failed before.

--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -101,6 +101,10 @@
         return engines;
     }
 
+    /// Words of a beacon once it is unpacked: 1 MB, several times a beacon of the largest fleet. Zeros pack to almost
+    /// nothing, so that a datagram could otherwise fill the memory of the process that decodes it.
+    constexpr std::uint64_t maxBeaconWords = 1U << 17U;
+
     constexpr unsigned bitsPerByte = 8;
 
     void writePieces(peer::Pieces::Builder out, const PieceSet& set)
@@ -315,7 +319,7 @@
 {
     try {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader message(in);
+        capnp::PackedMessageReader message(in, { .traversalLimitInWords = maxBeaconWords });
         const auto root = message.getRoot<peer::Beacon>();
         PeerBeacon beacon;
         beacon.from = readEntry(root.getFrom());
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -116,6 +116,18 @@
     CHECK(decoded.value().engines.at(0).age == Milliseconds { 120 });
 }
 
+// Guards against a datagram that takes the memory of the process that decodes it: empty elements pack to almost
+// nothing.
+TEST_CASE("A beacon that is far larger once it is unpacked is refused", "[peer]")
+{
+    const unsigned count = GENERATE(100U, 300000U);
+    capnp::MallocMessageBuilder message;
+    message.initRoot<peer::Beacon>().initEngines(count);
+    const std::string bytes = packed(message);
+    REQUIRE(bytes.size() < 65507); // it fits into a datagram
+    CHECK(decodeBeacon(bytes).ok() == (count == 100));
+}
+
 // Guards against adopting part of a beacon that was cut off or is of another protocol.
 TEST_CASE("Invalid and truncated beacons are rejected", "[peer]")
 {
