Bound what the answers of faulty upstreams hold in an entry and an agent

Cause: each answer had a limit of 1 MB, but all together had none: 160 answers of which each upstream sends 960 KB and then a byte now and then held 122 to 139 MB in an entry. The kernel's receive buffer grows to tens of megabytes for a peer that sends faster than a busy process reads. An agent parsed documents of its engine and of the origin of up to 8 MB, which takes some forty times as much parsed (derived, not measured) and so more than a host's 128 MB.

Change: answers that are not forwarded yet are counted together; above 16 MB those over 64 KB are broken off, so that small answers of other callers go on. Connections get a receive buffer of 128 KB. Documents of engines, the origin and other agents are limited to 512 KB.

The proxy's sockets now have fixed buffers, and the soak prints the largest figure; the bound stays.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -4,6 +4,7 @@
 #include "metrics_io.h"
 #include "platform_names.h"
 #include "program_func.h"
+#include "table/answer_limits.h"
 #include "table/loader_limits.h"
 #include "table/relay_loop_limits.h"
 
@@ -326,7 +327,10 @@
 
 void LoaderLoop::pollReport(std::function<void()> ended)
 {
-    this->pool.fetch({ .address = this->settings.engine, .target = platform::reportPath, .timeout = reportTimeout },
+    this->pool.fetch({ .address = this->settings.engine,
+                         .target = platform::reportPath,
+                         .maxAnswerBody = maxFetchedDocument,
+                         .timeout = reportTimeout },
         [this, ended = std::move(ended), requestedAt = monotonicNow()](const Result<FetchResponse>& answer) {
             ended();
             EngineReportRead event { .requestedAt = requestedAt };
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -4,6 +4,7 @@
 #include "platform_names.h"
 #include "platform_wire_func.h"
 #include "stage_source_func.h"
+#include "table/answer_limits.h"
 #include "table/loader_limits.h"
 
 namespace hickory {
@@ -39,6 +40,7 @@
         = origin ? this->state.originAddress : effect.source.ip + ":" + std::to_string(this->settings.host.peerPort),
         .target
         = origin ? platform::manifestTarget(this->state.model, effect.version) : peerTarget(effect.version, "manifest"),
+        .maxAnswerBody = maxFetchedDocument,
         .timeout = originTimeout,
         .keep = !origin };
     this->pool.fetch(std::move(call), [this, version = effect.version](const Result<FetchResponse>& answer) {
@@ -123,6 +125,7 @@
                          .target = platform::stagePutTarget(this->state.model, effect.index),
                          .headers = { { "Content-Type", "application/octet-stream" } },
                          .body = found->second.pieces.at(effect.index),
+                         .maxAnswerBody = maxFetchedDocument,
                          .timeout = engineTimeout },
         [this, effect](const Result<FetchResponse>& answer) {
             constexpr std::uint16_t firstFailure = 300;
@@ -185,6 +188,7 @@
                          .headers = { { "Content-Type", "application/json" } },
                          .body = platform::encodeLoadOrder(
                              this->state.model, effect.version, effect.expectedOrders, effect.abortRunning),
+                         .maxAnswerBody = maxFetchedDocument,
                          .timeout = orderResponseTimeout },
         [this, version = effect.version](const Result<FetchResponse>& answer) {
             this->dispatch(LoadOrderAnswered {
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -82,6 +82,7 @@
         , sendId(effect.send)
         , owner(std::move(owner))
         , expectsStream(effect.expectsStream)
+        , held(loop.answerMemory)
     {
     }
 
@@ -102,11 +103,11 @@
     {
         if (!this->stream) {
             this->body.append(bytes);
-            return this->body.size() <= maxPlainAnswer;
+            return this->mayHold(this->body.capacity());
         }
         const std::string whole = this->splitter.take(bytes);
         if (whole.empty())
-            return this->splitter.rest().size() <= maxEvent;
+            return this->splitter.rest().size() <= maxEvent && this->mayHold(this->splitter.rest().size());
         if (!this->owner->streaming)
             this->body.append(whole);
         // The relay decides first whether the caller gets the events of this send.
@@ -116,7 +117,15 @@
             this->loop.front.body(this->call, whole);
         this->streamedBytes += whole.size();
         const std::size_t unsent = std::min(this->streamedBytes, this->loop.front.pending(this->call));
-        return this->body.size() <= maxPlainAnswer && unsent <= maxUnsentStream;
+        return unsent <= maxUnsentStream
+            && this->mayHold(this->body.capacity() + unsent + this->splitter.rest().size());
+    }
+
+    /// @param bytes that this answer holds now
+    bool mayHold(std::size_t bytes)
+    {
+        this->held.set(bytes);
+        return this->held.mayGoOn();
     }
 
     void onEnd(CallEnd end) override
@@ -153,6 +162,7 @@
     EventSplitter splitter; ///< cuts a stream into whole events
     bool stream { false }; ///< the response is a stream of events
     std::size_t streamedBytes { 0 }; ///< bytes of its whole events
+    HeldAnswer held; ///< what this answer holds in memory
 };
 
 RelayLoop::RelayLoop(RelaySettings given, std::string path)
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "answer_memory_func.h"
+#include "beacon_schedule_func.h"
 #include "call_pool_io.h"
 #include "engine_news_func.h"
 #include "file_watch_func.h"
@@ -127,6 +129,7 @@
     RelaySettings settings; ///< as read at start or on the last reload
     std::string settingsPath; ///< file that settings were read from
     FileWatch settingsFile; ///< detects changes of that file
+    AnswerMemory answerMemory; ///< bytes of answers that are not forwarded yet
     asio::io_context io; ///< runs all of the loop on one thread
     CallPool pool; ///< HTTP client for upstreams, the store and peers
     FrontServer front; ///< HTTP server for callers, readiness checks, lookups and peers
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -8,12 +8,18 @@
 
 namespace hickory {
 
+/// Kernel's receive buffer of a connection, in bytes: four pieces of weights, many times an answer. A thousand
+/// connections whose peers send without end stay within the memory of an entry host.
+constexpr int linkReceiveBuffer = 128 << 10;
 /// Socket options of connections to upstreams.
-constexpr LinkOptions upstreamLinkOptions {
-    .userTimeout = maxSoundSilence + Milliseconds { 500 }, .keepAliveIdleSeconds = 1, .keepAliveProbes = 2
-};
+constexpr LinkOptions upstreamLinkOptions { .userTimeout = maxSoundSilence + Milliseconds { 500 },
+    .keepAliveIdleSeconds = 1,
+    .keepAliveProbes = 2,
+    .receiveBuffer = linkReceiveBuffer };
 /// Socket options of connections of callers.
-constexpr LinkOptions callerLinkOptions { .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3 };
+constexpr LinkOptions callerLinkOptions {
+    .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .receiveBuffer = linkReceiveBuffer
+};
 
 /// Age up to which a confirmed configuration is trusted to decide on keys, as a percentage of maxRevocationDelay. The
 /// rest of that time is left to send a request that was just admitted.
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -24,6 +24,8 @@
         setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
         setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, options.keepAliveProbes);
         setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.userTimeout.value));
+        if (options.receiveBuffer > 0)
+            setOption(handle, SOL_SOCKET, SO_RCVBUF, options.receiveBuffer);
     }
 
 } // namespace
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -17,6 +17,9 @@
     Milliseconds userTimeout { 1500 }; ///< TCP_USER_TIMEOUT: sent bytes unacknowledged for this long end the connection
     int keepAliveIdleSeconds { 2 }; ///< idle time before the first keep-alive probe
     int keepAliveProbes { 2 }; ///< unanswered probes, one second apart, that end the connection
+    /// Bytes that the kernel holds for a connection until they are read, 0 for its default: then it holds tens of
+    /// megabytes of a peer that sends faster than a busy process reads.
+    int receiveBuffer { 0 };
 };
 
 /// How a connection ended.
--- a/tests/scenario_process.h
+++ b/tests/scenario_process.h
@@ -17,6 +17,8 @@
     void start(const std::vector<std::string>& command, const std::string& logPath);
     /// Sends a signal if the process is running.
     void signal(int number);
+    /// @return id of the process, 0 if it is not running
+    pid_t id() const { return this->pid; }
     /// Reaps the process if it has ended.
     /// @return true if it is running
     bool running();
--- a/tests/soak_ledger.h
+++ b/tests/soak_ledger.h
@@ -103,6 +103,7 @@
     std::vector<std::string> violations; ///< one line each, code of the rule first
     int answered { 0 }; ///< requests with a complete response of status 200
     int faultFreeRequests { 0 }; ///< requests sent in the fault-free end of the run
+    std::size_t longestEndless { 0 }; ///< bytes that an upstream could send of an answer without end
     int faultFreeAnswered { 0 }; ///< fault-free requests with a complete response of status 200
     bool unframedAnswers { false }; ///< every fourth answer of an upstream ends with its connection
     std::string deadlyPart; ///< id of the prompt part that crashes engines, empty for none
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -516,6 +516,7 @@
         while (this->front.pending(call) < maxUnread && answer.sent <= maxEndlessBytes) {
             this->front.body(call, block);
             answer.sent += block.size();
+            this->ledger.longestEndless = std::max(this->ledger.longestEndless, answer.sent);
         }
         if (answer.sent > maxEndlessBytes)
             tooLong.push_back(call);
--- a/tests/tool_fault_proxy.cpp
+++ b/tests/tool_fault_proxy.cpp
@@ -179,9 +179,23 @@
 /// Links by name.
 using Links = std::map<std::string, std::shared_ptr<Link>>;
 
+/// Limits what the kernel holds for a socket in each direction. Its defaults are tens of megabytes on some machines: a
+/// sender would not notice for long that the process behind the proxy has stopped reading.
+void limitBuffers(tcp::socket& socket)
+{
+    constexpr int socketBuffer = 256 << 10;
+    std::error_code ignored; // the kernel's defaults hold more and delay the same bytes
+    socket.set_option(asio::socket_base::receive_buffer_size(socketBuffer), ignored);
+    socket.set_option(asio::socket_base::send_buffer_size(socketBuffer), ignored);
+}
+
 /// Connects to the target of a link and forwards both directions, unless the link is cut.
 void connect(const std::shared_ptr<Connection>& connection, const std::shared_ptr<Link>& link)
 {
+    std::error_code failed; // reported by the connection attempt
+    connection->target.open(link->target.protocol(), failed);
+    limitBuffers(connection->client);
+    limitBuffers(connection->target);
     connection->target.async_connect(link->target, [connection, link](std::error_code error) {
         std::error_code ignored;
         connection->client.set_option(tcp::no_delay(true), ignored);
--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -800,7 +800,8 @@
             std::cout << line << "\n";
         std::cout << this->ledger.attempts.size() << " requests, " << this->ledger.answered
                   << " answered completely; in the fault-free phase " << this->ledger.faultFreeAnswered << " of "
-                  << this->ledger.faultFreeRequests << "; " << this->ledger.violations.size() << " violations\n";
+                  << this->ledger.faultFreeRequests << "; " << this->ledger.violations.size() << " violations\n"
+                  << "of an answer without end at most " << this->ledger.longestEndless << " bytes could be sent\n";
         if (this->pauses)
             std::cout << lostText(this->lostFigures) << "\n";
         if (this->pauses || this->notices)
