Send news of engines beside the regular beacons, and count messages by kind

Cause, found by reading: a beacon that is sent at once since an engine changed put the next regular one off, by up to 250 ms in a data centre of more than 21 entries, and only the regular one says what upstreams said of themselves (leaving, limits). Agents never forgot entries that had been replaced. Nothing told which entries an agent reports to, or what kind of message a product of two counts of machines comes from.

Change: separate times for both kinds of beacons; agents remove silent entries, and keep those that others name; log line report-homes; counters beacon_datagrams_total and beacon_bytes_total by kind and direction.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -227,6 +227,16 @@
         this->peerSocket.send(beacon, ips);
         return;
     }
+    std::vector<HostId> hosts;
+    for (const PeerInfo& home : homes)
+        hosts.push_back(home.host);
+    if (hosts != this->homes) {
+        LogLine line { .event = "report-homes", .fields = {} };
+        for (const PeerInfo& home : homes)
+            line.fields.emplace_back("entry", home.host.value);
+        writeLog(line);
+        this->homes = std::move(hosts);
+    }
     const bool toAll = this->reportsSent++ % reportsPerReportToAll == 0
         || this->lastReported.has_value() != beacon.engine.has_value()
         || (beacon.engine && changedBeyondLoad(*this->lastReported, *beacon.engine));
@@ -362,6 +372,8 @@
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
     this->dispatch(StageTick {});
+    this->peerSocket.publishCounts();
+    removeSilentPeers(this->peers, monotonicNow());
     this->armTimer(this->fleetPollTimer, this->fleetStamp == 0 ? initialFleetPollPeriod : fleetPollPeriod,
         &LoaderLoop::onFleetPollTimer);
 }
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -125,6 +125,7 @@
     std::string entry; ///< control address of the entry to poll for the fleet view, empty before the first
     std::optional<EngineReported> lastReported; ///< last report that all home entries were sent
     std::uint32_t reportsSent { 0 }; ///< beacons with a report since start
+    std::vector<HostId> homes; ///< entries that the last report went to
     std::uint32_t reportSequence { 0 }; ///< reports that were read since start
     Milliseconds reportReadAt { 0 }; ///< when the last one was read
     bool fleetViewRequested { false }; ///< a poll of an entry is in flight
--- a/src/peer_io.cpp
+++ b/src/peer_io.cpp
@@ -32,6 +32,7 @@
 void PeerSocket::send(const PeerBeacon& beacon, const std::vector<std::string>& ips)
 {
     const std::string bytes = encodeBeacon(beacon);
+    countBeacon(this->counts.sent, beacon, ips.size(), bytes.size());
     for (const std::string& ip : ips) {
         std::error_code code;
         const auto address = asio::ip::make_address(ip, code);
@@ -43,6 +44,12 @@
     }
 }
 
+void PeerSocket::publishCounts()
+{
+    for (const MetricSample& sample : takeSamples(this->counts))
+        recordMetric(sample);
+}
+
 void PeerSocket::receive()
 {
     this->socket.async_receive_from(
@@ -52,9 +59,10 @@
             if (!code) {
                 const std::string ip = this->sender.address().to_string();
                 const Result<PeerBeacon> beacon = decodeBeacon({ this->buffer.data(), count });
-                if (beacon)
+                if (beacon) {
+                    countBeacon(this->counts.received, beacon.value(), 1, count);
                     this->onBeacon(beacon.value(), ip);
-                else
+                } else
                     writeLog({ .level = LogLevel::Warning,
                         .event = "beacon-refused",
                         .fields = { { "peer", ip }, { "error", beacon.error().text() } } });
--- a/src/peer_io.h
+++ b/src/peer_io.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "beacon_count_func.h"
 #include "error_type.h"
 #include "peer_type.h"
 
@@ -25,6 +26,8 @@
     /// Sends a beacon to each ip, at this socket's own port number. A datagram that cannot be sent is dropped and
     /// counted.
     void send(const PeerBeacon& beacon, const std::vector<std::string>& ips);
+    /// Adds what was sent and received since the last call to the metrics.
+    void publishCounts();
 
 private:
     void receive();
@@ -34,6 +37,7 @@
     asio::ip::udp::socket socket; ///< bound to the host's address
     std::array<char, maxDatagram> buffer {}; ///< datagram being received
     asio::ip::udp::endpoint sender; ///< source of the datagram being received
+    BeaconCounts counts; ///< since the last publishCounts()
     std::uint16_t port { 0 }; ///< port that all peers use, 0 before open()
     OnBeacon onBeacon;
 };
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -104,7 +104,9 @@
 void removeSilentPeers(PeerTable& table, Milliseconds now)
 {
     std::erase_if(table.entries, [&](const auto& item) {
-        return now - std::max(item.second.lastHeardAt, item.second.firstSeenAt) > removeAfter;
+        const KnownPeer& known = item.second;
+        // An agent hears from its homes only; the others are named in their beacons.
+        return now - std::max({ known.lastHeardAt, known.firstSeenAt, known.listedAt }) > removeAfter;
     });
     std::erase_if(table.agents, [&](const auto& item) { return now - item.second > removeAfter; });
 }
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -455,6 +455,7 @@
     const Milliseconds now = monotonicNow();
     this->front.sweep(now);
     this->pool.sweep(now);
+    this->peerSocket.publishCounts();
     removeSilentPeers(this->peers, now);
     std::erase_if(this->upstreamReports, [&](const auto& item) {
         return now - item.second.seenAt > goneReportMaxAge && !this->upstreams.contains(item.first);
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -98,7 +98,7 @@
     /// @param fromAgent they came from the agent itself
     void useEngineReports(EngineNews& news, const std::vector<EngineReported>& reports, bool fromAgent);
     /// Sends the entries of this data centre a beacon with the requests in flight and the reports of agents.
-    void sendToDataCentre(PeerBeacon beacon, Milliseconds now);
+    void sendToDataCentre(PeerBeacon beacon);
     /// Sends beacons with crash news at once. If it did so just before, the next regular beacons carry them.
     /// @param learned as in AnnounceCrashNews
     void announceCrashNews(bool learned);
@@ -175,7 +175,7 @@
     std::set<DataCentreId> advertisedTo; ///< data centres whose entries were last sent loads above zero
     EngineNews engines; ///< of this data centre, and of agents elsewhere that report here
     EngineNews remoteEngines; ///< of other data centres
-    Milliseconds dataCentreBeaconAt { 0 }; ///< last beacons to the entries of this data centre
+    BeaconSchedule dataCentreBeacons; ///< to the entries of this data centre
     Milliseconds drainingSince { 0 }; ///< when SIGTERM or SIGINT came, 0 before
     Milliseconds exitsAt { 0 }; ///< when this process ends at the latest, once it drains
     bool exiting { false }; ///< only drainFlushDelay is left
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -79,8 +79,10 @@
     std::vector<EngineReported> recorded = recordReports(news, reports, fromAgent, now);
     if (!recorded.empty())
         this->dispatch(EngineReportsReceived { .reports = std::move(recorded) });
-    if (news.relayAtOnce && now - this->dataCentreBeaconAt >= minEngineNewsInterval)
-        this->sendToDataCentre(this->makeBeacon(), now);
+    if (news.relayAtOnce && mayAnnounceEngines(this->dataCentreBeacons, now)) {
+        this->dataCentreBeacons.engineNewsAt = now;
+        this->sendToDataCentre(this->makeBeacon());
+    }
 }
 
 void RelayLoop::compareConfig(const PeerBeacon& beacon, Milliseconds now)
@@ -173,8 +175,10 @@
     beacon.notices = upstreamNotices(this->state, withPeerList, now);
     const Milliseconds period
         = dataCentreBeaconPeriod(dataCentreTargets(this->peers, dataCentre, this->settings.host.ip).size());
-    if (withPeerList || !beacon.crashNews.empty() || now - this->dataCentreBeaconAt >= period - beaconPeriod / 2)
-        this->sendToDataCentre(beacon, now);
+    if (withPeerList || !beacon.crashNews.empty() || isRegularBeaconDue(this->dataCentreBeacons, period, now)) {
+        this->dataCentreBeacons.regularAt = now;
+        this->sendToDataCentre(beacon);
+    }
     beacon.crashNews = {};
     beacon.notices.clear();
     if (round % beaconsPerAgentBeacon == 0)
@@ -191,11 +195,10 @@
     this->armTimer(this->beaconTimer, beaconPeriod, &RelayLoop::sendBeacons);
 }
 
-void RelayLoop::sendToDataCentre(PeerBeacon beacon, Milliseconds now)
+void RelayLoop::sendToDataCentre(PeerBeacon beacon)
 {
-    this->dataCentreBeaconAt = now;
     beacon.loads = ownLoads(this->state);
-    beacon.engines = takeReportsToRelay(this->engines, now);
+    beacon.engines = takeReportsToRelay(this->engines, monotonicNow());
     this->peerSocket.send(
         beacon, dataCentreTargets(this->peers, this->settings.host.dataCentre, this->settings.host.ip));
 }
