Ask a store that is away at a rate that does not grow with the entries

Cause: while the store is away the copies of all entries become stale together, and each asks for two tables every 0.25 s: at 40 entries 320 calls a second, at 400 more than the 2,000 reads that a store serves.

Change: entries that do not poll the store on behalf of others wait longer the more entries there are, at most 2 s. With a stale copy an entry asks the pollers and any entry in turn: pollers know first that the store is back, and others may reach it where they cannot.

Test: unit_engine_news, 3 to 400 entries ask for less than a third of 2,000 reads a second.

--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -229,6 +229,16 @@
     return static_cast<std::size_t>(before) < std::max(minStorePollers, entries.size() / entriesPerStorePoller);
 }
 
+Milliseconds storeRetryDelay(bool isPoller, std::size_t entries)
+{
+    constexpr Milliseconds pollerDelay { 250 };
+    constexpr Milliseconds maxDelay { 2000 };
+    constexpr std::int64_t entriesPerDelay = 8;
+    if (isPoller)
+        return pollerDelay;
+    return std::clamp(pollerDelay * (static_cast<std::int64_t>(entries) / entriesPerDelay), pollerDelay, maxDelay);
+}
+
 std::vector<PeerInfo> tableSources(const std::vector<PeerInfo>& live, const DataCentreId& dataCentre)
 {
     std::vector<HostId> ready;
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -103,6 +103,13 @@
 /// from them. Every entry keeps its copy of a table in a platform::TableFollower, store follower or not.
 bool isStorePoller(const HostId& self, const std::vector<HostId>& entries);
 
+/// Load pattern: the store is away, and all entries' copies become stale together.
+/// @param isPoller the entry polls the store on behalf of others
+/// @param entries live entries, this one included
+/// @return delay between requests to a store that does not answer. The others wait longer the more entries there are:
+/// the pollers notice the store's return, and copies come from them
+Milliseconds storeRetryDelay(bool isPoller, std::size_t entries);
+
 /// @param live other live entries
 /// @param dataCentre data centre of the requesting entry
 /// @return entries to request copies of the store's tables from: followers of the same data centre, or all followers
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -181,6 +181,7 @@
     bool exiting { false }; ///< only drainFlushDelay is left
     std::string operatorRowsSource { "store" }; ///< while a copy is adopted: host of the peer that it came from
     bool peerFetchPending { false }; ///< a request for a peer's tables is in flight
+    bool askAnyEntry { false }; ///< the last such request of refreshTables() went to any entry
     int exitCode { 0 }; ///< result of run()
 };
 
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -262,10 +262,15 @@
     const bool stale
         = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf) > storeFallbackAge;
     const bool follows = this->pollsStore(now);
-    this->operatorRows.setPolling(follows || stale);
-    this->upstreamRows.setPolling(follows || stale);
     const std::vector<PeerInfo> live = liveEntries(this->peers, now);
-    const std::vector<PeerInfo> sources = stale ? live : tableSources(live, this->settings.host.dataCentre);
+    const Milliseconds retryDelay = storeRetryDelay(follows, live.size() + 1);
+    for (platform::TableFollower* rows : { &this->operatorRows, &this->upstreamRows }) {
+        rows->setRetryDelay(retryDelay);
+        rows->setPolling(follows || stale);
+    }
+    // The entries that poll the store know first that it is back; if they cannot reach it, others may.
+    this->askAnyEntry = stale && !this->askAnyEntry;
+    const std::vector<PeerInfo> sources = this->askAnyEntry ? live : tableSources(live, this->settings.host.dataCentre);
     if ((!follows || stale) && !sources.empty())
         this->fetchPeerTables(sources[this->state.random() % sources.size()], now);
     this->armTimer(this->tablesTimer, tablesPeriod, &RelayLoop::refreshTables);
--- a/tests/unit_engine_news.cpp
+++ b/tests/unit_engine_news.cpp
@@ -337,3 +337,44 @@
     }
     CHECK(named.size() == 400);
 }
+
+// Guards against lists of entries that grow with each host that is ever replaced.
+TEST_CASE("An agent forgets an entry that was replaced, and keeps one that others name", "[peer]")
+{
+    PeerTable table;
+    const auto entry = [](const char* name) {
+        return PeerInfo { .host = { name }, .incarnation = { 1 }, .ip = name, .front = name, .dataCentre = { "a" } };
+    };
+    recordBeacon(table, { "agent" }, { .from = entry("gone") }, "gone", { 1000 });
+    constexpr Milliseconds beacons { 500 };
+    Milliseconds now { 1000 };
+    for (; now < Milliseconds { 60000 }; now += beacons) {
+        PeerBeacon beacon { .from = entry("home") };
+        beacon.known = { entry("named") };
+        recordBeacon(table, { "agent" }, beacon, "home", now);
+        removeSilentPeers(table, now);
+        REQUIRE(table.entries.contains({ "named" }));
+    }
+    CHECK(table.entries.at({ "named" }).firstSeenAt == Milliseconds { 1000 });
+    CHECK(table.entries.contains({ "home" }));
+    CHECK_FALSE(table.entries.contains({ "gone" }));
+}
+
+TEST_CASE(
+    "While the store is away all entries together ask it for less than a third of what it serves", "[peer][store]")
+{
+    constexpr double readsPerSecond = 2000; // of the store of the smallest deployments
+    constexpr double tables = 2;
+    for (const std::size_t count : { 3U, 17U, 40U, 400U }) {
+        std::vector<HostId> entries;
+        for (std::size_t index = 0; index < count; ++index)
+            entries.push_back({ "entry-" + std::to_string(index) });
+        double perSecond = 0;
+        for (const HostId& entry : entries) {
+            const Milliseconds delay = storeRetryDelay(isStorePoller(entry, entries), count);
+            CHECK(delay <= Milliseconds { 2000 });
+            perSecond += tables * 1000.0 / static_cast<double>(delay.value);
+        }
+        CHECK(perSecond < readsPerSecond / 3);
+    }
+}
