Load weights sooner while a fleet has none

Cause: after a loss of power no engine serves until the weights are there. Agents pace uploads to 80 in 100 of their links for the sake of streams that no engine has; each entry that is still down costs an agent 150 ms; the end of a load is noticed up to 150 ms late.

Change: uploads take 95 in 100 of the link while the engine holds no weights; the first connections to entries time out after 60 ms; the report is read every 50 ms while the engine loads.

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -300,7 +300,7 @@
     this->pool.fetch(
         { .address = this->entry,
             .target = fleetViewRequestTarget({ .service = this->settings.service, .stamp = this->fleetStamp }),
-            .connectTimeout = fleetConnectTimeout,
+            .connectTimeout = this->fleetStamp == 0 ? initialFleetConnectTimeout : fleetConnectTimeout,
             .timeout = fleetPollTimeout },
         [this, sentAt, entryInSameDataCentre](const Result<FetchResponse>& answer) {
             this->fleetViewRequested = false;
@@ -332,7 +332,8 @@
         this->pollReport([this] { this->reportRequested = false; });
     }
     flushLog();
-    this->armTimer(this->reportTimer, reportPollPeriod, &LoaderLoop::onReportTimer);
+    this->armTimer(this->reportTimer, orderPending(this->state) ? loadingReportPollPeriod : reportPollPeriod,
+        &LoaderLoop::onReportTimer);
 }
 
 void LoaderLoop::pollReport(std::function<void()> ended)
@@ -371,9 +372,9 @@
     this->requestFleetView();
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
-    this->dispatch(StageTick {});
     this->peerSocket.publishCounts();
     removeSilentPeers(this->peers, monotonicNow());
+    this->dispatch(StageTick {});
     this->armTimer(this->fleetPollTimer, this->fleetStamp == 0 ? initialFleetPollPeriod : fleetPollPeriod,
         &LoaderLoop::onFleetPollTimer);
 }
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -115,7 +115,7 @@
     StoreVersion operatorTable; ///< newest version in a beacon of an entry of this data centre
     std::uint64_t fleetStamp { 0 }; ///< stamp of the last fleet view, 0 before the first
     std::map<std::uint64_t, HeldVersion> held; ///< by version; see versionsToDrop()
-    std::deque<Upload> uploads; ///< sent one after the other, at linkShareForWeights of the link
+    std::deque<Upload> uploads; ///< sent one after the other, at uploadLinkShare() of the link
     asio::steady_timer uploadTimer; ///< paces upload slices
     asio::steady_timer reportTimer; ///< polls the engine's report
     asio::steady_timer beaconTimer;
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -221,7 +221,7 @@
         this->front.finish(current.call);
         this->uploads.pop_front();
     }
-    const double bytesPerMs = this->settings.linkMbps * linkShareForWeights * bytesPerMsPerMbps;
+    const double bytesPerMs = this->settings.linkMbps * uploadLinkShare(this->state) * bytesPerMsPerMbps;
     this->uploadTimer.expires_after(
         std::chrono::microseconds(static_cast<std::int64_t>(1000.0 * uploadSliceBytes / bytesPerMs)));
     this->uploadTimer.async_wait([this](const std::error_code& code) {
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -1,4 +1,5 @@
 #include "stage_cmd.h"
+#include "stage_reduce_func.h"
 #include "table/stage_limits.h"
 
 #include <algorithm>
@@ -9,13 +10,6 @@
 
     constexpr std::int64_t percent = 100;
 
-    /// @return whether the engine has no complete version of the model, and so can serve nothing
-    bool engineHasNoWeights(const StageState& state)
-    {
-        return std::none_of(state.report->models.begin(), state.report->models.end(),
-            [&](const HeldModel& held) { return held.model == state.model && held.whole; });
-    }
-
     /// @return whether enough pieces of the second version are held to skip loading the first one. Each load takes the
     /// engine out of service for a while.
     bool nextIsAlmostComplete(const StageState& state, Milliseconds now)
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -148,6 +148,18 @@
             [&](const HeldModel& held) { return held.model == state.model && held.version >= version && held.whole; });
 }
 
+bool engineHasNoWeights(const StageState& state)
+{
+    return state.report
+        && std::none_of(state.report->models.begin(), state.report->models.end(),
+            [&](const HeldModel& held) { return held.model == state.model && held.whole; });
+}
+
+double uploadLinkShare(const StageState& state)
+{
+    return engineHasNoWeights(state) ? linkShareWithoutStreams : linkShareForWeights;
+}
+
 WeightsVersion newestWanted(const StageState& state)
 {
     return state.jobs.empty() ? WeightsVersion {} : state.jobs.back().version;
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -19,6 +19,13 @@
 /// @return delay after the version became known
 Milliseconds loadOrderDelay(const StageState& state, WeightsVersion version);
 
+/// @return whether the engine has no complete version of the model, and so can serve nothing
+bool engineHasNoWeights(const StageState& state);
+
+/// Load pattern: the whole fleet is back after a loss of power, and its engines hold nothing.
+/// @return share of the host's link that uploads of pieces may use
+double uploadLinkShare(const StageState& state);
+
 /// @return whether the engine holds all layers of a version or of a newer one
 bool engineHolds(const StageState& state, WeightsVersion version);
 
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -8,6 +8,8 @@
 
 /// Interval between polls of the engine's report: about two passes of an engine. Polling occupies no slot.
 constexpr Milliseconds reportPollPeriod { 150 };
+/// The same while the engine loads weights: callers wait for the end of it.
+constexpr Milliseconds loadingReportPollPeriod { 50 };
 /// An engine that does not respond within this time counts as gone.
 constexpr Milliseconds reportTimeout { 600 };
 /// Interval between beacons that carry the engine's load to entries. Between two beacons an entry counts the requests
@@ -20,6 +22,9 @@
 constexpr Milliseconds initialFleetPollPeriod { 60 };
 /// Connect timeout of a poll. An entry that is down does not respond, and the next one is polled.
 constexpr Milliseconds fleetConnectTimeout { 150 };
+/// The same until the first poll succeeds: many entries may be down, and the agent tries them one by one. Allows
+/// several round trips between regions.
+constexpr Milliseconds initialFleetConnectTimeout { 60 };
 /// Timeout of a poll, after which another entry is polled.
 constexpr Milliseconds fleetPollTimeout { 700 };
 /// Timeout of a piece request to an agent. Sending a piece takes 35 ms over an idle link, after a few queued ones.
@@ -40,8 +45,6 @@
 constexpr Milliseconds entryLiveTimeout { 2500 };
 /// Bytes of a piece sent at once. Delays an event of a stream by at most 4 ms on a link of 7.6 Mbit/s.
 constexpr std::size_t uploadSliceBytes = 4096;
-/// Share of the host's link used for uploads; the engine's streams take a tenth of it.
-constexpr double linkShareForWeights = 0.8;
 /// Uploads waiting for the link: 0.2 s at 7.6 Mbit/s.
 constexpr std::size_t maxUploads = 5;
 /// Conversion factor: 1 Mbit/s in bytes per millisecond.
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -58,6 +58,11 @@
 constexpr Milliseconds fetcherRound { 1000 };
 /// Writes in flight to the staging area of the engine on the same host.
 constexpr std::size_t maxWritesInFlight = 4;
+/// Share of the host's link used for uploads; the engine's streams take a tenth of it.
+constexpr double linkShareForWeights = 0.8;
+/// The same while the engine holds no weights: it has no streams, and after a loss of power the whole fleet waits for
+/// the uploads. The rest is for headers and acknowledgements.
+constexpr double linkShareWithoutStreams = 0.95;
 /// Wait after a failed request, before the next source is tried.
 constexpr Milliseconds sourceRetryDelay { 120 };
 
--- a/tests/unit_piece_exchange.cpp
+++ b/tests/unit_piece_exchange.cpp
@@ -152,7 +152,9 @@
         }
         Milliseconds& freeAt
             = origin ? this->originFreeAt : this->agents[this->byIp.at(request.source.ip)].uplinkFreeAt;
-        const double rate = (origin ? originMbps : hostMbps * 0.8) * bytesPerMsPerMbps;
+        const double rate
+            = (origin ? originMbps : hostMbps * uploadLinkShare(this->agents[this->byIp.at(request.source.ip)].state))
+            * bytesPerMsPerMbps;
         freeAt = std::max(freeAt, this->now) + Milliseconds { static_cast<std::int64_t>(pieceBytes / rate) };
         fetched.ok = true;
         this->at(freeAt - this->now + Milliseconds { 3 }, [this, agent, fetched] { this->event(agent, fetched); });
@@ -257,6 +259,27 @@
     CHECK(fleet.originManifests <= 20);
 }
 
+// Load pattern: the fleet is back after a loss of power, and no engine serves until the weights are there. The origin
+// needs 2.8 s for a copy; each host sends as much as it receives, 2.2 s at its whole link.
+TEST_CASE("After a loss of power uploads use the links that no streams need", "[stage][exchange]")
+{
+    const FleetSize size = GENERATE(FleetSize { 14, 3 }, FleetSize { 88, 3 }, FleetSize { 235, 5 });
+    CAPTURE(size.hosts, size.dataCentres);
+    const auto stagingTime = [&](std::uint32_t held) {
+        PieceFleet fleet(size.hosts, size.dataCentres, 0.01);
+        for (PieceFleet::Agent& agent : fleet.agents)
+            agent.engineVersion = held;
+        fleet.run({ 1000 });
+        fleet.declare(2);
+        return fleet.runUntilStaged({ 12000 });
+    };
+    const Milliseconds serving = stagingTime(1);
+    const Milliseconds empty = stagingTime(0);
+    INFO(serving.value << " ms beside streams, " << empty.value << " ms without");
+    CHECK(empty <= serving);
+    CHECK(empty < Milliseconds { 4500 });
+}
+
 // Guards against a piece that is left to the same few hosts again and again, in data centres whose number of hosts is a
 // multiple of the step between them.
 TEST_CASE("Every host is designated in turn", "[stage][exchange]")
