Let requests wait for weights that engines are just loading

Load pattern: all machines lost power, no engine holds weights for some seconds, and callers return only once.

Cause: requests that no upstream could run were refused at once, each time with the longest Retry-After; callers came back before the weights were there, were refused again and gave up.

Change: such a request waits if the weights are expected (one copy from the origin, the exchange, the load) before its caller leaves; at most half of the engines' slots are kept for these, since they are late by then and callers who come when the engines are back can still be on time. What was taken back from outdated engines waits in the same way.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -6,6 +6,8 @@
 #include "upstream_notice_func.h"
 
 #include <algorithm>
+#include <bit>
+#include <map>
 
 namespace hickory {
 
@@ -56,6 +58,50 @@
             request, request.metadata.outputTokensHint > 0 ? request.metadata.outputTokensHint : meanTokens);
     }
 
+    /// @return time that the origin needs to send one copy of the weights, 0 when its rate is not known
+    Milliseconds copyTime(const RelayConfig& config, const EngineProfile& profile)
+    {
+        constexpr double bitsPerByte = 8.0;
+        constexpr double kilobitsPerMegabit = 1000.0;
+        for (const auto& [name, service] : config.services)
+            if (!service.originAddress.empty() && service.originMbps > 0)
+                return { static_cast<std::int64_t>(static_cast<double>(profile.pieceCount) * profile.pieceBytes
+                    * bitsPerByte / (service.originMbps * kilobitsPerMegabit)) };
+        return {};
+    }
+
+    /// @return when an engine of the service is expected to have usable weights, or nothing if none is listed or it
+    /// takes much longer than it should
+    std::optional<Milliseconds> expectedWeightsAt(
+        const RelayState& state, const RelayRequest& request, const EngineProfile& profile, Milliseconds now)
+    {
+        std::map<DataCentreId, std::size_t> hosts;
+        bool isLoading = false;
+        for (const auto& [id, view] : state.upstreams) {
+            if (!view.listed || view.entry.leaving || view.entry.service != request.service)
+                continue;
+            ++hosts[view.entry.dataCentre];
+            isLoading = isLoading || now < view.orderPendingUntil || (view.report && view.report->busy);
+        }
+        if (hosts.empty())
+            return std::nullopt;
+        const auto service = state.services.find(request.service);
+        const Milliseconds since
+            = service == state.services.end() ? now : service->second.withoutWeightsSince.value_or(now);
+        const Milliseconds copy = copyTime(*request.config, profile);
+        const auto most = std::max_element(
+            hosts.begin(), hosts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+        const Milliseconds exchange = exchangeDoublingTime * static_cast<std::int64_t>(std::bit_width(most->second));
+        const Milliseconds usual = copy + exchange + profile.loadTime + weightsNewsTime;
+        if (now - since > usual * 2)
+            return std::nullopt;
+        if (isLoading)
+            return now + profile.loadTime + weightsNewsTime;
+        if (copy.value == 0)
+            return std::nullopt;
+        return std::max(since + usual, now + weightsNewsTime);
+    }
+
     /// @return the longest time that a request is predicted to take, or nothing if nothing limits it
     std::optional<Milliseconds> longestServiceTime(const RelayRequest& request)
     {
@@ -119,6 +165,22 @@
     return left.value > 0 && static_cast<double>(wait.value) <= maxWaitShare * static_cast<double>(left.value);
 }
 
+bool mayAwaitWeights(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    const EngineProfile* profile = engineProfileOf(request);
+    if (!profile || state.drainEndsAt)
+        return false;
+    const std::optional<Milliseconds> at = expectedWeightsAt(state, request, *profile, now);
+    if (!at || cannotMeetDeadline(request, *at))
+        return false;
+    std::size_t slots = 0;
+    for (const auto& [id, view] : state.upstreams)
+        slots += view.listed && !view.entry.leaving && view.entry.service == request.service ? view.entry.slots : 0;
+    const auto service = state.services.find(request.service);
+    const std::size_t waiting = service == state.services.end() ? 0 : service->second.queue.size();
+    return waiting < slots / 2 / std::max<std::size_t>(state.entryCount, 1);
+}
+
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now)
 {
     return now + expectedServiceTime(request) > request.deadlineAt
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -25,6 +25,13 @@
 /// @return whether a request may be queued: the queue is not full and the predicted wait leaves time to serve it
 bool mayQueue(const RelayState& state, const RelayRequest& request, Milliseconds now);
 
+/// Load pattern: a service's engines have all lost their weights, after a loss of power, or all hold older ones than
+/// may be used. Callers return once; whoever is refused for longer than that is not served at all.
+/// @return whether a request that no upstream can run may wait: engines load weights, are expected to have them in time
+/// to answer, and few requests wait for them. At most half of the slots are kept for these, which are late by then, so
+/// that callers who come when the engines are back are still on time.
+bool mayAwaitWeights(const RelayState& state, const RelayRequest& request, Milliseconds now);
+
 /// @return whether a queued request would miss its deadline even if it were dispatched now
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now);
 
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -83,6 +83,23 @@
         return true;
     }
 
+    /// Queues a request that no upstream can run until engines have loaded weights, or refuses it.
+    void awaitWeights(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        RelayServiceState& service = state.services[request.service];
+        service.withoutWeightsSince = service.withoutWeightsSince.value_or(now);
+        if (!mayAwaitWeights(state, request, now)) {
+            refuseRequest(state, request, statusUnavailable, "no-upstream", now, effects);
+            return;
+        }
+        LogLine line = requestLogLine("hold", request, now);
+        line.fields.emplace_back("reason", "weights");
+        line.fields.emplace_back("without_weights_ms", std::to_string((now - *service.withoutWeightsSince).value));
+        line.fields.emplace_back("queued", std::to_string(service.queue.size()));
+        effects.emplace_back(std::move(line));
+        enqueueRequest(state, request, now);
+    }
+
 } // namespace
 
 LogLine requestLogLine(const char* event, const RelayRequest& request, Milliseconds now)
@@ -131,7 +148,7 @@
         }
     }
     if (!chooseUpstream(state, stored, now, false)) {
-        refuseRequest(state, stored, statusUnavailable, "no-upstream", now, effects);
+        awaitWeights(state, stored, now, effects);
         return;
     }
     if (state.drainEndsAt) {
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -118,7 +118,7 @@
                 sendRequest(state, request, *upstream, now, effects);
                 return;
             }
-            if (chooseUpstream(state, request, now, false)) {
+            if (chooseUpstream(state, request, now, false) || mayAwaitWeights(state, request, now)) {
                 enqueueRequest(state, request, now);
                 return;
             }
@@ -290,6 +290,7 @@
     {
         RelayUpstream& view = state.upstreams.at(upstream);
         RelayServiceState& service = state.services[request.service];
+        service.withoutWeightsSince.reset();
         if (request.sends == 0)
             countFirstSend(service.retries, now, state.options.retryWindow);
         service.dispatchTimes.push_back(now);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -160,6 +160,8 @@
     RetryWindow retries; ///< counts for the retry budget
     std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
     double meanAnswerMs { 0 }; ///< moving average of the time from a send to its whole success, 0 before the first
+    /// First request since the last send for which no engine had usable weights; empty before one.
+    std::optional<Milliseconds> withoutWeightsSince;
 };
 
 /// What an entry knows about one declared version of a model's weights.
