Let an unexpected error cost one message, not the process

No such exception is known; the decoders catch their own.

Change: guarded() around the handling of each message logs and counts the error (event=unexpected-error, unexpected_errors_total); the request or the answer that it belongs to is broken off, and a timer is armed again.

Tests: unit_front and unit_call_pool, [guard]: the next request is answered.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -1,5 +1,7 @@
 #include "call_pool_io.h"
 
+#include "guard_func.h"
+
 #include <charconv>
 
 namespace hickory {
@@ -175,10 +177,12 @@
     }
     const OutboundCallId call = connection->call;
     while (!bytes.empty() && connection->call == call && !connection->complete) {
-        const std::size_t used = connection->parser.feed(bytes, *connection);
+        std::size_t used = 0;
+        const bool isHandled
+            = guarded("answer", connection->address, [&] { used = connection->parser.feed(bytes, *connection); });
         bytes.remove_prefix(used);
         connection->receivedBytes += used;
-        const bool broken = connection->parser.fault() || connection->rejected
+        const bool broken = !isHandled || connection->parser.fault() || connection->rejected
             || (!connection->complete && connection->overheadTooLarge());
         if (connection->call == call && broken) {
             this->endCall(connection, CallEnd::Broken);
@@ -229,7 +233,7 @@
     connection->sink = nullptr;
     if (end != CallEnd::Complete && connection->link)
         connection->link->close();
-    sink->onEnd(end);
+    guarded("answer-end", connection->address, [&] { sink->onEnd(end); });
 }
 
 void CallPool::cancel(OutboundCallId id)
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -1,5 +1,6 @@
 #include "front_io.h"
 
+#include "guard_func.h"
 #include "wire_parser_func.h"
 
 #include <algorithm>
@@ -195,8 +196,14 @@
     current.closeAfter = !current.parser.keepAlive();
     current.request.id = current.call;
     current.request.port = current.port;
-    this->calls[current.call] = connection;
-    this->handlers.onRequest(std::move(current.request));
+    const CallId call = current.call;
+    this->calls[call] = connection;
+    const bool isHandled = guarded("request", "caller", [&] { this->handlers.onRequest(std::move(current.request)); });
+    // An upstream may have it already: the close of the connection promises nothing.
+    if (!isHandled) {
+        connection->link->reset();
+        guarded("request-end", "caller", [&] { this->removeConnection(connection); });
+    }
 }
 
 void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status)
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -1,5 +1,6 @@
 #include "loader_loop_io.h"
 
+#include "guard_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 #include "platform_names.h"
@@ -92,9 +93,10 @@
 void LoaderLoop::armTimer(asio::steady_timer& timer, Milliseconds period, void (LoaderLoop::*handler)())
 {
     timer.expires_after(std::chrono::milliseconds(period.value));
-    timer.async_wait([this, handler](const std::error_code& code) {
-        if (!code)
-            (this->*handler)();
+    timer.async_wait([this, &timer, period, handler](const std::error_code& code) {
+        if (code || guarded("timer", {}, [&] { (this->*handler)(); }))
+            return;
+        this->armTimer(timer, period, handler); // the handler did not get to it
     });
 }
 
--- a/src/peer_io.cpp
+++ b/src/peer_io.cpp
@@ -1,5 +1,6 @@
 #include "peer_io.h"
 
+#include "guard_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 #include "peer_codec_func.h"
@@ -61,7 +62,7 @@
                 const Result<PeerBeacon> beacon = decodeBeacon({ this->buffer.data(), count });
                 if (beacon) {
                     countBeacon(this->counts.received, beacon.value(), 1, count);
-                    this->onBeacon(beacon.value(), ip);
+                    guarded("beacon", ip, [&] { this->onBeacon(beacon.value(), ip); });
                 } else
                     writeLog({ .level = LogLevel::Warning,
                         .event = "beacon-refused",
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -2,6 +2,7 @@
 
 #include "answer_end_func.h"
 #include "event_splitter_func.h"
+#include "guard_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 #include "platform_decode_func.h"
@@ -269,9 +270,10 @@
 void RelayLoop::armTimer(asio::steady_timer& timer, Milliseconds period, void (RelayLoop::*handler)())
 {
     timer.expires_after(std::chrono::milliseconds(period.value));
-    timer.async_wait([this, handler](const std::error_code& code) {
-        if (!code)
-            (this->*handler)();
+    timer.async_wait([this, &timer, period, handler](const std::error_code& code) {
+        if (code || guarded("timer", {}, [&] { (this->*handler)(); }))
+            return;
+        this->armTimer(timer, period, handler); // the handler did not get to it
     });
 }
 
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -275,3 +276,26 @@
         CHECK(server.sent < 2 * limit + socketBuffers);
     }
 }
+
+// Guards against an error in the handling of one answer that ends the process.
+TEST_CASE("A sink that fails unexpectedly costs its own call only", "[call-pool][guard]")
+{
+    struct FailingSink : CountingSink {
+        FailingSink()
+            : CountingSink(true)
+        {
+        }
+        void onHead(WireHead&&) override { throw std::out_of_range("no such request"); }
+    };
+    asio::io_context io;
+    FakeHttpServer server(io);
+    CallPool pool(io, {});
+    const auto failing = std::make_shared<FailingSink>();
+    const auto sound = std::make_shared<CountingSink>(true);
+    pool.send({ .address = server.address(), .bytes = "GET / HTTP/1.1\r\n\r\n" }, failing);
+    CHECK(runUntil(io, [&] { return failing->end.has_value(); }));
+    CHECK(failing->end == CallEnd::Broken);
+    pool.send({ .address = server.address(), .bytes = "GET / HTTP/1.1\r\n\r\n" }, sound);
+    CHECK(runUntil(io, [&] { return sound->end.has_value(); }));
+    CHECK(sound->end == CallEnd::Complete);
+}
--- a/tests/unit_front.cpp
+++ b/tests/unit_front.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
+#include <stdexcept>
 #include <string>
 
 using namespace hickory;
@@ -55,3 +57,35 @@
     CHECK(answer.starts_with("HTTP/1.1 503"));
     CHECK_FALSE(server->hasConnections());
 }
+
+// Guards against an error in the handling of one request that ends the process, and with it the requests of all others.
+TEST_CASE("A request whose handling fails unexpectedly costs its own connection only", "[front][guard]")
+{
+    asio::io_context io;
+    std::unique_ptr<FrontServer> server;
+    std::optional<CallId> disconnected;
+    server = std::make_unique<FrontServer>(io, LinkOptions {},
+        FrontServer::Handlers { .onRequest =
+                                    [&](FrontRequest&& request) {
+                                        if (request.head.target == "/bad")
+                                            throw std::out_of_range("no such route");
+                                        server->answer(request.id, 200, {}, "");
+                                    },
+            .onCallerDisconnected = [&](CallId call) { disconnected = call; } });
+    const auto port = server->listen("127.0.0.1:0");
+    REQUIRE(port);
+    const auto ask = [&](const std::string& target) {
+        asio::ip::tcp::socket caller(io);
+        caller.connect({ asio::ip::make_address("127.0.0.1"), port.value() });
+        asio::write(caller, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n"));
+        io.restart();
+        io.run_for(std::chrono::milliseconds(20));
+        std::string answer(1000, '\0');
+        std::error_code code; // the connection was reset
+        answer.resize(caller.read_some(asio::buffer(answer), code));
+        return answer;
+    };
+    CHECK(ask("/bad").empty());
+    CHECK(disconnected);
+    CHECK(ask("/good").starts_with("HTTP/1.1 200"));
+}
