Go on after an unexpected error in any event of the loop

The guards of messages and timers do not cover connects, probes and signals. Such an error left the event loop as well; it is logged and the loop goes on. Without the guards unit_front and unit_call_pool, [guard], fail: the exception leaves io.run().

--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -85,7 +85,7 @@
         });
     };
     waitSignal();
-    this->io.run();
+    while (!guarded("event", {}, [this] { this->io.run(); })) { }
     writeLog({ .event = "stop" });
     return exitSuccess;
 }
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -262,7 +262,7 @@
         });
     };
     waitSignal();
-    this->io.run();
+    while (!guarded("event", {}, [this] { this->io.run(); })) { }
     writeLog({ .event = "stop", .fields = { { "open_calls", std::to_string(this->front.openCalls()) } } });
     return this->exitCode;
 }
