Keep to an upstream's limit while entries are restarted

Five of 40 entries share such a limit, by the number and the order of the live entries; a restart names five others, and each of these counted the time before as time with a share and sent at once.

Change: allowances are settled when the number or the order of entries changes, and an entry that comes to have a share begins with nothing.

--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -3,6 +3,7 @@
 #include "table/upstream_notice_limits.h"
 
 #include <algorithm>
+#include <map>
 #include <sstream>
 
 namespace hickory {
@@ -124,12 +125,27 @@
 
 void applyEntryCount(RelayState& state, const EntryCountUpdated& event, Milliseconds now)
 {
+    std::map<UpstreamProcessId, double> sharesBefore;
+    for (auto& [process, standing] : state.standings) {
+        if (!standing.requestsPerSecond)
+            continue;
+        // The time until now counts at the share that this entry had.
+        standing.allowance = allowanceAt(state, standing, process, now);
+        standing.refilledAt = now;
+        sharesBefore[process] = limitShare(state, standing, process);
+    }
     state.entryCount = event.entryCount;
     state.entryPosition = event.position;
-    if (event.entryCount < state.highestEntryCount && now - state.highestEntryCountAt < entryCountMemory)
-        return;
-    state.highestEntryCount = event.entryCount;
-    state.highestEntryCountAt = now;
+    if (event.entryCount >= state.highestEntryCount || now - state.highestEntryCountAt >= entryCountMemory) {
+        state.highestEntryCount = event.entryCount;
+        state.highestEntryCountAt = now;
+    }
+    // The entries that had this share until now may just have used it up.
+    for (const auto& [process, before] : sharesBefore) {
+        UpstreamStanding& standing = state.standings.at(process);
+        if (before == 0 && limitShare(state, standing, process) > 0)
+            standing.allowance = 0;
+    }
 }
 
 void forgetStandings(RelayState& state, Milliseconds now)
--- a/tests/unit_upstream_notice.cpp
+++ b/tests/unit_upstream_notice.cpp
@@ -114,6 +114,35 @@
 }
 
 // Guards against an upstream that stays limited after its limit has ended, and against old news that end it.
+// Load pattern: 40 entries before an upstream whose limit five of them share, and entries are restarted. Which five
+// follows from their number and order. Guards against entries that take the time in which they had no share for a
+// share.
+TEST_CASE("A limit holds while entries are restarted", "[relay][notice]")
+{
+    constexpr std::uint32_t entries = 40;
+    constexpr double limit = 2.8;
+    LimitedFleet fleet(entries, limit);
+    fleet.play({ 6000 });
+    fleet.sends.clear();
+    const auto count = [&](std::uint32_t live, std::uint32_t missing) {
+        // They notice it one after the other.
+        for (std::uint32_t index = 0; index < entries; ++index) {
+            if (index % 10 == 0)
+                fleet.play({ 200 });
+            fleet.relays[index].event(EntryCountUpdated {
+                .entryCount = live, .position = index - (live < entries && index > missing ? 1U : 0U) });
+        }
+    };
+    for (const std::uint32_t restarted : { 3U, 17U, 31U }) {
+        count(entries - 1, restarted);
+        fleet.play({ 1000 });
+        count(entries, restarted);
+        fleet.play({ 1000 });
+    }
+    // Twice what the upstream named.
+    CHECK(static_cast<double>(fleet.mostSends()) <= 2 * limit * 4);
+}
+
 TEST_CASE("What an upstream said last counts", "[relay][notice]")
 {
     LimitedFleet fleet(1, 2.0);
