--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -26,8 +26,8 @@
 constexpr Milliseconds dispatchRateWindow { 1000 }; ///< over which the rate of dispatches is averaged
 constexpr double minDispatchRate = 4.0; ///< dispatches a second assumed when fewer were seen in the window
 
-/// Time in which hosts pass the pieces of a version on to twice as many: each sends some pieces that it was asked for
-/// before, 36 ms each at a link of 7.6 Mbit/s.
+/// Time in which hosts pass the last pieces of a version on to twice as many, in the model of unit_piece_exchange with
+/// links of 7.6 Mbit/s.
 constexpr Milliseconds exchangeDoublingTime { 230 };
 /// For hosts to learn which weights to load, to check the pieces, and for entries to learn that they are loaded.
 constexpr Milliseconds weightsNewsTime { 400 };
