Let no load order cut off streams: move those that can go on, wait for the others

Seen by callers: beside a declared version of the weights, a whole request's stream began and ended with a reset.

Cause: the agent ordered the load in mode "cut" as soon as at most three streams ran or waited at its engine. It cannot know whether a stream has an attempt left. The entry resumed it at another engine, often one whose own order came next; the second cut used up the route's attempts.

Change: load orders always use mode "queue". Once few streams are left, the agent tells the entries (`Engine.clearing`), which know each stream's attempts: a stream that another engine can go on with at once is moved there, all others stay to their end. What goes on elsewhere prefers engines that hold the declared weights, since it cannot be moved a second time and would hold up the next load. The announcement of an order had the count of a report that may have been sent before, so that entries dropped it as old; it is counted now.

The section of unit_stage that demanded the cut asked for the fault. It now demands that the order is sent at the same moment, that entries are told, and that nothing is cut off: SendLoadOrder can no longer ask for it, and unit_platform_decode checks the mode on the wire.

Evidence: the soak's engines ignored the mode of an order. Now they obey it, and a cut of running streams is a violation.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -30,8 +30,9 @@
   pace @9 :Float64;         # step time relative to the engine's profile; above 1 is slower
   bornAt @10 :Int64;        # start time of the engine process, Unix time in ms
   agentStart @11 :UInt64;   # start time of the agent process that read the report, Unix time in ms
-  sequence @12 :UInt32;     # reports that this agent process had read, this one included
+  sequence @12 :UInt32;     # reports that this agent process had read or changed, this one included
   ageMs @13 :UInt32;        # time since it was read
+  clearing @14 :Bool;       # the load order waits for the requests that still run
 }
 
 struct Pieces {
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -120,9 +120,10 @@
         this->stagePiece(*stage);
     else if (const auto* check = std::get_if<CheckStagedPieces>(&effect))
         this->checkStagedPieces(*check);
-    else if (std::holds_alternative<AnnounceLoadOrder>(effect))
+    else if (std::holds_alternative<AnnounceLoadOrder>(effect)) {
+        ++this->reportSequence; // the report may have been sent before without the order
         this->sendBeacon();
-    else if (std::holds_alternative<PollReport>(effect))
+    } else if (std::holds_alternative<PollReport>(effect))
         this->pollReport([] {});
     else if (const auto* order = std::get_if<SendLoadOrder>(&effect))
         this->sendLoadOrder(*order);
@@ -215,6 +216,7 @@
         beacon.engine = EngineReported { .address = this->settings.engine,
             .report = *this->state.report,
             .orderPending = orderPending(this->state),
+            .clearing = isClearing(this->state),
             .order = { .agentStart = this->incarnation, .sequence = this->reportSequence },
             .age = now - this->reportReadAt };
     std::vector<PeerInfo> homes
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -126,7 +126,7 @@
     std::optional<EngineReported> lastReported; ///< last report that all home entries were sent
     std::uint32_t reportsSent { 0 }; ///< beacons with a report since start
     std::vector<HostId> homes; ///< entries that the last report went to
-    std::uint32_t reportSequence { 0 }; ///< reports that were read since start
+    std::uint32_t reportSequence { 0 }; ///< reports read, and announcements of load orders, since start
     Milliseconds reportReadAt { 0 }; ///< when the last one was read
     bool fleetViewRequested { false }; ///< a poll of an entry is in flight
     bool reportRequested { false }; ///< a poll of the engine is in flight
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -186,8 +186,7 @@
                          .method = "POST",
                          .target = platform::orderPath,
                          .headers = { { "Content-Type", "application/json" } },
-                         .body = platform::encodeLoadOrder(
-                             this->state.model, effect.version, effect.expectedOrders, effect.abortRunning),
+                         .body = platform::encodeLoadOrder(this->state.model, effect.version, effect.expectedOrders),
                          .maxAnswerBody = maxFetchedDocument,
                          .timeout = orderResponseTimeout },
         [this, version = effect.version](const Result<FetchResponse>& answer) {
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -47,6 +47,7 @@
     {
         out.setAddress(engine.address);
         out.setOrdering(engine.orderPending);
+        out.setClearing(engine.clearing);
         out.setBusy(engine.report.busy);
         out.setOrders(engine.report.orders);
         out.setWaiting(engine.report.waiting);
@@ -71,6 +72,7 @@
         EngineReported engine;
         engine.address = in.getAddress().cStr();
         engine.orderPending = in.getOrdering();
+        engine.clearing = in.getClearing();
         engine.report.busy = in.getBusy();
         engine.report.orders = in.getOrders();
         engine.report.waiting = in.getWaiting();
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -79,9 +79,17 @@
 /// Takes requests that have not begun back from upstreams that have sent nothing for too long. Those that have begun
 /// stay, and get a backup at another upstream if one can go on at once.
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects);
+/// @return another upstream that can begin at once with a request that is in flight
+std::optional<UpstreamId> chooseBeside(const RelayState& state, RelayRequest& request, Milliseconds now);
 /// Cancels and retries requests that are still queued at engines whose weights are too old to start on.
 void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects);
 
+// Load orders (relay_clear_cmd.cpp) ---------------------------------------------------------------------------------
+
+/// Moves requests from engines whose loads wait for them to other engines, where these can go on at once. The others
+/// stay until they end.
+void clearEngines(RelayState& state, Milliseconds now, RelayEffects& effects);
+
 // Upstreams (relay_upstream_cmd.cpp) ------------------------------------------------------------------------------
 
 /// Replaces the list of upstreams. The health of one that stays is kept unless its process restarted.
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -18,6 +18,9 @@
     constexpr double jitterMs = 50.0;
     constexpr double errorPenaltyMs = 400.0; ///< for an error rate of 1
     constexpr Milliseconds expectedWait { 400 }; ///< a full engine or a long plain request may take it to answer
+    /// For a request that goes on elsewhere, at engines that are still to load newer weights: it could not be moved
+    /// again, and the load would wait for its end.
+    constexpr double loadAheadPenaltyMs = 400.0;
     constexpr double plainRequestMs = 60.0; ///< mean time that a plain upstream takes for a request
 
     /// @return pseudo-random number from 0 to 1, the same for each evaluation of a request and an upstream
@@ -56,6 +59,15 @@
         return request.metadata.model.empty() || hasWeights(state, view, request, now);
     }
 
+    /// @return whether newer weights than those of an engine are declared
+    bool willLoad(const RelayState& state, const RelayUpstream& view, const ModelId& model)
+    {
+        const auto declared = state.declared.find(model);
+        const HeldModel* held = heldModel(view, model);
+        return declared != state.declared.end() && !declared->second.empty() && held
+            && held->version < declared->second.rbegin()->first;
+    }
+
     double slowdownOf(const RelayUpstream& view, Milliseconds now)
     {
         return view.report && now - view.reportedAt < reportMaxAge ? view.report->slowdown : 1.0;
@@ -75,6 +87,8 @@
         cost += static_cast<double>(std::max(view.longestWait - expectedWait, Milliseconds {}).value);
         if (!profile)
             return cost + plainRequestMs * load.requests / std::max<std::uint32_t>(view.entry.slots, 1);
+        if (request.mayHaveRun && willLoad(state, view, request.metadata.model))
+            cost += loadAheadPenaltyMs;
         return cost + jitterMs * jitter(request, view)
             + predictFirstToken(*profile,
                 { .requests = load.requests, .prefillTokens = load.prefillTokens, .slowdown = slowdownOf(view, now) },
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -70,25 +70,11 @@
         state.upstreams.at(upstream).standsStill = true;
     }
 
-    /// @return another upstream that can begin at once with a request that stays at a silent one
-    std::optional<UpstreamId> chooseBackup(const RelayState& state, RelayRequest& request, Milliseconds now)
-    {
-        if (!mayTry(state, request, now) || findQuarantine(state.crashes, request.traits, now))
-            return std::nullopt;
-        const bool couldHaveRun = std::exchange(request.mayHaveRun, true);
-        const bool wasExcluded = !request.excludedUpstreams.insert(request.active->upstream).second;
-        const auto upstream = chooseUpstream(state, request, now, true);
-        request.mayHaveRun = couldHaveRun;
-        if (!wasExcluded)
-            request.excludedUpstreams.erase(request.active->upstream);
-        return upstream;
-    }
-
     /// Sends a request that stays at a silent upstream to another one as well, if one can begin at once.
     void startBackup(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
     {
         const UpstreamId silent = request.active->upstream;
-        const auto upstream = chooseBackup(state, request, now);
+        const auto upstream = chooseBeside(state, request, now);
         if (!upstream || !takeRetry(state.services[request.service].retries, state.options, state.entryCount, now))
             return;
         request.mayHaveRun = true;
@@ -141,6 +127,19 @@
 
 } // namespace
 
+std::optional<UpstreamId> chooseBeside(const RelayState& state, RelayRequest& request, Milliseconds now)
+{
+    if (!mayTry(state, request, now) || findQuarantine(state.crashes, request.traits, now))
+        return std::nullopt;
+    const bool couldHaveRun = std::exchange(request.mayHaveRun, true);
+    const bool wasExcluded = !request.excludedUpstreams.insert(request.active->upstream).second;
+    const auto upstream = chooseUpstream(state, request, now, true);
+    request.mayHaveRun = couldHaveRun;
+    if (!wasExcluded)
+        request.excludedUpstreams.erase(request.active->upstream);
+    return upstream;
+}
+
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects)
 {
     updateLongestWaits(state, now);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -137,6 +137,7 @@
     double errorRate { 0 }; ///< moving average of failures, 0 to 1
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
     Milliseconds orderPendingUntil { 0 }; ///< gets no new work before: it is about to receive a load order
+    bool clearing { false }; ///< as last reported: its load waits only for the requests that still run there
 };
 
 /// Health of a failing upstream that left the list. It is kept because a lease that expired on a congested link is
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -98,7 +98,7 @@
 /// Position of a report among those of one host's agent. Later ones are greater.
 struct EngineReportOrder {
     Incarnation agentStart; ///< start of the agent process that read it
-    std::uint32_t sequence { 0 }; ///< reports that this process had read, this one included
+    std::uint32_t sequence { 0 }; ///< reports that this process had read or changed, this one included
     auto operator<=>(const EngineReportOrder&) const = default;
 };
 
@@ -107,6 +107,8 @@
     std::string address; ///< "ip:port" of the engine
     EngineReport report; ///< as the agent last read it
     bool orderPending { false }; ///< the agent is about to send the engine a load order: send no new work for now
+    /// The load waits only for the few requests that still run there: those that can go on elsewhere should.
+    bool clearing { false };
     EngineReportOrder order; ///< reports reach an entry on several ways and may overtake each other
     Milliseconds age { 0 }; ///< time since the agent read it
 };
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -23,6 +23,7 @@
         view.ejectedUntil = {};
         view.fullUntil = {};
         view.orderPendingUntil = {};
+        view.clearing = false;
     }
 
     /// Puts an upstream that is listed again back on probation, if it failed before it left the list and its process
@@ -114,7 +115,9 @@
         view.report = reported.report;
         view.reportedAt = now - reported.age;
         view.orderPendingUntil = reported.orderPending ? now - reported.age + orderPendingTimeout : Milliseconds {};
+        view.clearing = reported.clearing;
     }
+    clearEngines(state, now, effects);
     dispatchAllWaiting(state, now, effects);
 }
 
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -25,8 +25,8 @@
             && now < latest;
     }
 
-    /// @return whether so few streams are left at the engine that they may be aborted
-    bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxAbortedStreams; }
+    /// @return whether so few streams are left at the engine that other engines can take them over
+    bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxMovedStreams; }
 
 } // namespace
 
@@ -41,9 +41,15 @@
         return;
     }
     job.order = OrderStep::Sent;
-    effects.emplace_back(SendLoadOrder { .version = job.version,
-        .expectedOrders = event.report->orders,
-        .abortRunning = fewStreamsLeft(*event.report) });
+    effects.emplace_back(SendLoadOrder { .version = job.version, .expectedOrders = event.report->orders });
+}
+
+bool isClearing(const StageState& state)
+{
+    if (!state.report || state.jobs.empty() || !fewStreamsLeft(*state.report))
+        return false;
+    const OrderStep order = state.jobs.front().order;
+    return order == OrderStep::Confirming || order == OrderStep::Sent;
 }
 
 void dropFirstJob(StageState& state, const char* reason, StageEffects& effects)
@@ -67,12 +73,13 @@
     if (job.order == OrderStep::Checking && now - job.orderAt > checkTimeout)
         job.order = OrderStep::None;
     if (job.order == OrderStep::Announced && now - job.orderAt > announceLead) {
-        // Waiting for the last few streams keeps the engine out of service for longer than resuming them on other
-        // engines takes.
+        // The engine ends what runs before it loads. Entries move the last few streams: waiting for their ends keeps
+        // the engine out of service for longer.
         if (!fewStreamsLeft(*state.report) && now - job.orderAt < maxDrainTime)
             return;
         job.order = OrderStep::Confirming;
         job.orderAt = now;
+        effects.emplace_back(AnnounceLoadOrder {});
         effects.emplace_back(PollReport {});
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -115,17 +115,16 @@
     WeightsVersion version; ///< version whose digests are used
 };
 
-/// Send a beacon at once, so that entries stop sending new work before the load order.
+/// Send a beacon at once: entries stop sending new work before the load order, and move what the load waits for.
 struct AnnounceLoadOrder { };
 
 /// Poll the engine's report at once. Ends with EngineReportRead.
 struct PollReport { };
 
-/// Order the engine to load the staged pieces. Ends with LoadOrderAnswered.
+/// Order the engine to load the staged pieces after the requests that run there. Ends with LoadOrderAnswered.
 struct SendLoadOrder {
     WeightsVersion version; ///< version to load
     std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far, from its last report
-    bool abortRunning { false }; ///< abort streams that still run; entries resume them on other engines
 };
 
 using StageEffect = std::variant<RequestManifest, RequestPiece, StagePiece, CheckStagedPieces, AnnounceLoadOrder,
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -75,8 +75,8 @@
 constexpr Milliseconds announceLead { 120 };
 /// Longest wait for running requests before a load order is sent; a response of usual length takes as long.
 constexpr Milliseconds maxDrainTime { 1400 };
-/// Streams that a load order may abort. Resuming one costs another engine 40 ms.
-constexpr std::uint32_t maxAbortedStreams = 3;
+/// Streams that entries move to other engines for a load order. Resuming one costs another engine 40 ms.
+constexpr std::uint32_t maxMovedStreams = 3;
 /// Time after which an order without effect is sent again. An engine finishes its longest responses, then loads.
 constexpr Milliseconds loadCompletionTimeout { 6000 };
 // An agent may have to bring two versions into service, one after the other. The time allowed for a version is the
--- a/tests/soak_upstream.cpp
+++ b/tests/soak_upstream.cpp
@@ -133,6 +133,19 @@
     this->ledger.crashes.push_back(now);
 }
 
+void Upstream::cutStreams()
+{
+    if (!this->streams.empty())
+        this->ledger.addViolation(
+            "LOST a load order cut off " + std::to_string(this->streams.size()) + " streams of " + this->id);
+    for (const auto& [call, stream] : this->streams) {
+        this->openCalls.erase(call);
+        this->endRun(call);
+        this->front.abort(call);
+    }
+    this->streams.clear();
+}
+
 void Upstream::onDisconnected(CallId call)
 {
     if (this->still) {
@@ -343,6 +356,8 @@
                 this->ledger.addViolation("WHOLE " + this->id + " was ordered to load version " + std::to_string(wanted)
                     + " with a missing or wrong piece " + std::to_string(index));
         ++this->acceptedOrders;
+        if (order.value("mode", "queue") == "cut")
+            this->cutStreams();
         this->loading = wanted;
         this->loadedAt = monotonicNow() + loadTime;
         this->answerJson(request.id, 202, "{}");
--- a/tests/soak_upstream.h
+++ b/tests/soak_upstream.h
@@ -127,6 +127,8 @@
     void sendEvents();
     /// Sends more of the answers without end, as fast as they are read.
     void sendEndless();
+    /// Breaks off all streams for a load order. The upstream is sound: who ordered that answers for their ends.
+    void cutStreams();
     /// Simulates a crash that the store learns of only when the process starts again, after downTime: resets requests,
     /// stops listening and loses all state but the staged pieces.
     void crashOnRequest();
--- a/tests/unit_engine_news.cpp
+++ b/tests/unit_engine_news.cpp
@@ -257,6 +257,11 @@
     recordReports(news, { ordered }, true, { 1200 });
     CHECK(news.relayAtOnce);
     takeReportsToRelay(news, { 1200 });
+    ordered.order.sequence = 4;
+    ordered.clearing = true;
+    recordReports(news, { ordered }, true, { 1205 });
+    CHECK(news.relayAtOnce);
+    takeReportsToRelay(news, { 1205 });
     recordReports(news, { reportOf("f", 1) }, false, { 1210 });
     CHECK(takeReportsToRelay(news, { 1220 }).empty());
     CHECK(takeReportsForSummary(news, false, { 1230 }).size() == 2);
--- a/tests/unit_platform_decode.cpp
+++ b/tests/unit_platform_decode.cpp
@@ -143,3 +143,12 @@
         CHECK(platform::decodeReportOrder(odd) == UpstreamReportOrder {});
     }
 }
+
+// Guards against load orders that cut off the streams of an engine.
+TEST_CASE("A load order lets the engine end what runs there", "[platform]")
+{
+    const std::string order = platform::encodeLoadOrder({ "m" }, { 4 }, 2);
+    CHECK(order.find(R"("mode":"queue")") != std::string::npos);
+    CHECK(order.find(R"("expected":2)") != std::string::npos);
+    CHECK(order.find(R"("version":4)") != std::string::npos);
+}
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -261,7 +261,8 @@
 }
 
 // Guards against aborting many streams for a new version, and against a drain that never ends.
-TEST_CASE("An engine drains before the order, which aborts the last few streams", "[stage]")
+// Guards against streams that end without their answers because a load order cuts them off.
+TEST_CASE("An engine drains before the order, and the last few streams are moved or end there", "[stage]")
 {
     StageFixture agent;
     agent.completeRequests(agent.declare(1));
@@ -292,16 +293,25 @@
     SECTION("the order is sent as soon as few requests are left")
     {
         agent.now += Milliseconds { 300 };
+        CHECK_FALSE(isClearing(agent.state));
+        agent.unhandled.clear();
         reportRunning(2);
         REQUIRE(sentOrder());
-        CHECK(sentOrder()->abortRunning);
+        CHECK(agent.emitted<AnnounceLoadOrder>());
+        CHECK(isClearing(agent.state));
+        agent.completeRequests(agent.event(LoadOrderAnswered { .version = { 2 }, .status = 202 }));
+        CHECK(isClearing(agent.state));
+        agent.completeRequests(agent.report(2));
+        CHECK_FALSE(isClearing(agent.state));
     }
-    SECTION("after the longest drain time the order is sent without aborting streams")
+    SECTION("after the longest drain time the order is sent, and the last few streams are moved later")
     {
         agent.now += Milliseconds { 1500 };
         reportRunning(9);
         REQUIRE(sentOrder());
-        CHECK_FALSE(sentOrder()->abortRunning);
+        CHECK_FALSE(isClearing(agent.state));
+        reportRunning(3);
+        CHECK(isClearing(agent.state));
     }
 }
 
