Move requests for a load order only once it was accepted, and count each move as an attempt

Entries are told to clear an engine when its order was accepted and as long as it reports to be busy with few requests left; a report that is older than a second does not count. A move needs an attempt of the route.

--- a/src/relay_clear_cmd.cpp
+++ b/src/relay_clear_cmd.cpp
@@ -1,6 +1,7 @@
 #include "begun_request_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
+#include "table/relay_limits.h"
 
 #include <utility>
 #include <vector>
@@ -9,11 +10,13 @@
 
 namespace {
 
-    /// @return whether a request may leave its engine: it can go on elsewhere, and no answer is about to be whole
+    /// @return whether a request may leave its engine: it can go on elsewhere, and no answer is about to be whole. The
+    /// engine has room and is likely to have begun it, so that it uses up an attempt there.
     bool mayMove(const RelayRequest& request)
     {
-        return request.active && !request.backup && !request.active->closedAt && isRepeatable(request)
-            && hasAttemptLeft(request);
+        const bool hasAttempt = request.sends < request.route->maxAttempts;
+        return request.active && !request.backup && !request.active->closedAt && hasAttempt && isRepeatable(request)
+            && (request.route->kind == CallKind::Stream || !request.active->headReceived);
     }
 
     /// Cancels a request at its engine and resumes it at another one, if one can begin at once.
@@ -34,10 +37,6 @@
         effects.emplace_back(
             MetricSample { .name = "retries_total", .labels = "reason=\"" + std::string(reason) + "\"" });
         request.mayHaveRun = true;
-        request.excludedUpstreams.insert(request.active->upstream);
-        // A stream uses up an attempt only at engines that began it.
-        if (request.headForwarded && !request.active->headReceived)
-            --request.sends;
         releaseSend(state, request, true, effects);
         sendRequest(state, request, *upstream, now, effects);
     }
@@ -51,7 +50,7 @@
         if (!mayMove(request))
             continue;
         const auto view = state.upstreams.find(request.active->upstream);
-        if (view != state.upstreams.end() && view->second.clearing && now < view->second.orderPendingUntil)
+        if (view != state.upstreams.end() && view->second.clearing && now - view->second.reportedAt < reportMaxAge)
             calls.push_back(call);
     }
     for (const CallId call : calls)
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -46,10 +46,7 @@
 
 bool isClearing(const StageState& state)
 {
-    if (!state.report || state.jobs.empty() || !fewStreamsLeft(*state.report))
-        return false;
-    const OrderStep order = state.jobs.front().order;
-    return order == OrderStep::Confirming || order == OrderStep::Sent;
+    return state.report && (state.orderUnconfirmed || state.report->busy) && fewStreamsLeft(*state.report);
 }
 
 void dropFirstJob(StageState& state, const char* reason, StageEffects& effects)
@@ -79,7 +76,6 @@
             return;
         job.order = OrderStep::Confirming;
         job.orderAt = now;
-        effects.emplace_back(AnnounceLoadOrder {});
         effects.emplace_back(PollReport {});
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
@@ -138,6 +134,7 @@
         return;
     if (event.status == accepted || event.status == inEffect) {
         state.orderUnconfirmed = true;
+        effects.emplace_back(AnnounceLoadOrder {});
         if (state.jobs.size() > 1)
             dropFirstJob(state, "order-accepted", effects);
         return;
--- a/src/stage_reduce_func.h
+++ b/src/stage_reduce_func.h
@@ -47,7 +47,8 @@
 /// @return whether entries should send no new work: a load order is announced, or sent and not yet in effect
 bool orderPending(const StageState& state);
 
-/// @return whether a load order waits only for the last few requests at the engine, so that entries should move them
+/// @return whether the load of an accepted order waits only for the last few requests at the engine, so that entries
+/// should move them
 bool isClearing(const StageState& state);
 
 } // namespace hickory
