Leave an unbegun request at its silent engine until another one can begin it

Callers saw 504 (`no-time-left`) 2.36 s after a request with a deadline of 6 s, or 502, while the engine that had the request was sound and merely silent for a second.

Cause: after `engineSilenceTimeout`, or an unanswered status request, an entry took back whatever the engine had not begun, whether or not another engine had room. Without room the request went to the queue, and there a prediction (of the time that its answer takes, or of its caller's patience) ended it.

A request is now taken back when another engine can begin it at once and in time, and in the same step sent there. Until then it stays, and has its place at the head of the queue besides, so that it still gets the next free slot before requests that were never sent.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -131,7 +131,7 @@
     if (policy == RelayQueuePolicy::Fifo)
         return { .timeOrder = request.arrivedAt, .call = request.call.value };
     // What an upstream may still run goes first: its caller may leave soon, and the upstream would work for nobody.
-    if (request.mayHaveRun)
+    if (request.mayHaveRun || request.active)
         return { .fresh = false, .timeOrder = request.leavesAt, .call = request.call.value };
     return { .late = now + minTimeToObjective(request) > request.objectiveAt,
         .urgency = request.urgency,
@@ -183,8 +183,12 @@
 
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now)
 {
-    return now + expectedServiceTime(request) > request.deadlineAt
-        || now + minTimeToObjective(request) > request.leavesAt;
+    return now + expectedServiceTime(request) > request.deadlineAt || cannotBeginInTime(request, now);
+}
+
+bool cannotBeginInTime(const RelayRequest& request, Milliseconds now)
+{
+    return now + minTimeToObjective(request) > request.leavesAt;
 }
 
 bool mayBegin(const RelayState& state, const RelayRequest& request, Milliseconds now)
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -35,6 +35,9 @@
 /// @return whether a queued request would miss its deadline even if it were dispatched now
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now);
 
+/// @return whether the caller of a queued request would leave before its first event even if it were dispatched now
+bool cannotBeginInTime(const RelayRequest& request, Milliseconds now);
+
 /// Decides what a process that stops may still pass on. Another entry can take what it refuses at once, so it takes
 /// only what ends before the drain: by the deadline of its caller or route, or, if the caller could repeat it, by
 /// prediction.
--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -26,9 +26,11 @@
 void dispatchWaiting(RelayState& state, const ServiceId& service, Milliseconds now, RelayEffects& effects);
 /// Sends queued requests of all services while upstreams have room.
 void dispatchAllWaiting(RelayState& state, Milliseconds now, RelayEffects& effects);
-/// Puts a request into its service's queue.
-/// @pre the request is not queued and has no send in flight
+/// Puts a request into its service's queue. One that lies unbegun at a silent engine stays there meanwhile.
+/// @pre the request is not queued
 void enqueueRequest(RelayState& state, RelayRequest& request, Milliseconds now);
+/// Takes a request out of its service's queue if it is there.
+void removeFromQueue(RelayState& state, RelayRequest& request);
 /// Refuses requests that are past their deadline or, while queued, can no longer meet it. Moves queued requests that
 /// became late behind those that can still meet their objective.
 void expireRequests(RelayState& state, Milliseconds now, RelayEffects& effects);
@@ -76,9 +78,15 @@
 
 // Silent upstreams (relay_silence_cmd.cpp) --------------------------------------------------------------------------
 
-/// Takes requests that have not begun back from upstreams that have sent nothing for too long. Those that have begun
-/// stay, and get a backup at another upstream if one can go on at once.
+/// Takes requests that have not begun back from engines that have sent nothing for too long, if another one can begin
+/// them at once; else they stay and wait for one in the queue as well. Those that have begun stay, and get a backup at
+/// another upstream if one can go on at once.
 void cancelSilentSends(RelayState& state, Milliseconds now, RelayEffects& effects);
+/// Sends a queued request that stays at a silent engine to another one instead, if one can begin it at once.
+/// @pre the request has a send in flight
+void dispatchFromSilent(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects);
+/// @return whether a request lies at an upstream that may be sound and begin it: it was heard lately
+bool mayStillBegin(const RelayState& state, const RelayRequest& request, Milliseconds now);
 /// Cancels and retries requests that are still queued at engines whose weights are too old to start on.
 void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects);
 
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -175,6 +175,13 @@
     state.services[request.service].queue[*request.queued] = request.call;
 }
 
+void removeFromQueue(RelayState& state, RelayRequest& request)
+{
+    if (request.queued)
+        state.services[request.service].queue.erase(*request.queued);
+    request.queued.reset();
+}
+
 namespace {
 
     /// @return upstreams that a request was sent to and taken back from, separated by commas
@@ -194,11 +201,14 @@
         return request.active->headReceived ? "begun" : "unbegun";
     }
 
-    void removeFromQueue(RelayState& state, RelayRequest& request)
+    /// @return whether a queued request is ended because it could not be answered in time
+    bool isTooLate(const RelayState& state, const RelayRequest& request, Milliseconds now)
     {
-        if (request.queued)
-            state.services[request.service].queue.erase(*request.queued);
-        request.queued.reset();
+        if (!request.queued || !mayEnd(request, EndCause::Lateness) || !cannotMeetDeadline(request, now))
+            return false;
+        return !request.active
+            || (!mayStillBegin(state, request, now) && request.leavesAt < request.deadlineAt
+                && cannotBeginInTime(request, now));
     }
 
 } // namespace
@@ -261,6 +271,10 @@
     for (auto next = queue.begin(); next != queue.end();) {
         RelayRequest& request = state.requests.at(next->second);
         ++next; // the request may leave the queue
+        if (request.active) {
+            dispatchFromSilent(state, request, now, effects);
+            continue;
+        }
         RetryWindow& retries = state.services[service].retries;
         if (!mayTry(state, request, now)
             || (request.owesRetry && !mayRetry(retries, state.options, state.entryCount, now)))
@@ -299,9 +313,9 @@
     for (auto& [call, request] : state.requests) {
         if (now >= request.deadlineAt)
             expired.push_back(call);
-        else if (request.queued && mayEnd(request, EndCause::Lateness) && cannotMeetDeadline(request, now))
+        else if (isTooLate(state, request, now))
             unservable.push_back(call);
-        else if (request.queued && mayEnd(request, EndCause::Stopping) && !request.mayHaveRun
+        else if (request.queued && !request.active && mayEnd(request, EndCause::Stopping) && !request.mayHaveRun
             && !mayBegin(state, request, now))
             stopping.push_back(call);
         else if (request.queued && !request.queued->late
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -380,6 +380,8 @@
 
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
 {
+    if (request.active)
+        removeFromQueue(state, request);
     dropSend(state, request, request.active, cancel, effects);
 }
 
@@ -397,6 +399,7 @@
     ActiveSend& send = fromBackup ? *request->backup : *request->active;
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
+    removeFromQueue(state, *request);
     recordUpstreamAlive(state, upstream, send.sentAt);
     view.lastHeardAt = now;
     view.answeredAt = now;
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -104,6 +105,20 @@
         sendBackup(state, request, *upstream, now, effects);
     }
 
+    /// Sends a request that lies unbegun at a silent engine to another one instead, if one can begin it at once and in
+    /// time.
+    /// @return whether it did
+    bool moveFromSilent(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+    {
+        const bool isLate = mayEnd(request, EndCause::Lateness) && cannotMeetDeadline(request, now);
+        if (isLate || !chooseBackup(state, request, now))
+            return false;
+        request.excludedUpstreams.insert(request.active->upstream);
+        releaseSend(state, request, true, effects);
+        retryElsewhere(state, request, SendFailure::TakenBack, "silent", now, effects);
+        return true;
+    }
+
     /// @pre isTooSilent()
     void handleSilence(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
     {
@@ -121,10 +136,27 @@
             startBackup(state, request, now, effects);
             return;
         }
-        suspect(state, upstream, now, effects);
-        request.excludedUpstreams.insert(upstream);
-        releaseSend(state, request, true, effects);
-        retryElsewhere(state, request, SendFailure::TakenBack, "silent", now, effects);
+        if (!request.queued)
+            suspect(state, upstream, now, effects);
+        if (moveFromSilent(state, request, now, effects) || request.queued)
+            return;
+        // The engine may be sound and about to begin it.
+        LogLine line = requestLogLine("hold", request, now);
+        line.fields.emplace_back("reason", "silent");
+        line.fields.emplace_back("upstream", upstream.value);
+        line.fields.emplace_back("silent_ms", std::to_string((now - request.active->lastProgressAt).value));
+        effects.emplace_back(std::move(line));
+        enqueueRequest(state, request, now);
+    }
+
+    /// @return whether a request may be sent elsewhere because its upstream is silent
+    bool isHeldUp(const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        // An answer that ended, or a plain one whose head is here, is about to be whole.
+        const bool isAnswered = request.active
+            && (request.active->closedAt || (!isEngineRequest(request) && request.active->headReceived));
+        return request.active && !isAnswered && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
+            && isTooSilent(state, request, now);
     }
 
     /// @return whether a send waits unbegun at an engine whose weights are too old to start on
@@ -145,13 +177,11 @@
 {
     updateLongestWaits(state, now);
     std::vector<CallId> silent;
-    for (const auto& [call, request] : state.requests) {
-        // An answer that ended, or a plain one whose head is here, is about to be whole.
-        const bool isAnswered = request.active
-            && (request.active->closedAt || (!isEngineRequest(request) && request.active->headReceived));
-        if (request.active && !isAnswered && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
-            && isTooSilent(state, request, now))
+    for (auto& [call, request] : state.requests) {
+        if (isHeldUp(state, request, now))
             silent.push_back(call);
+        else if (request.active)
+            removeFromQueue(state, request);
     }
     for (const CallId call : silent) {
         const auto found = state.requests.find(call);
@@ -163,6 +193,22 @@
     }
 }
 
+void dispatchFromSilent(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
+{
+    if (isHeldUp(state, request, now)
+        && mayRetry(state.services[request.service].retries, state.options, state.entryCount, now))
+        moveFromSilent(state, request, now, effects);
+}
+
+bool mayStillBegin(const RelayState& state, const RelayRequest& request, Milliseconds now)
+{
+    if (!request.active)
+        return false;
+    const auto view = state.upstreams.find(request.active->upstream);
+    const Milliseconds heardAt = view == state.upstreams.end() ? Milliseconds {} : view->second.lastHeardAt;
+    return now - std::max(heardAt, request.active->lastProgressAt) <= maxSoundSilence;
+}
+
 void cancelOutdatedSends(RelayState& state, Milliseconds now, RelayEffects& effects)
 {
     std::vector<CallId> outdated;
