Count attempts in runs: an upstream that turns a request away does not use one up

Callers saw 502 (`upstream-full`) when the first upstream had run a request and failed, and the second turned it away with 429 or 503: the two sends used up the route's two attempts although it had run once, while a third upstream had room. The same when an upstream turned it away first and the second one broke off.

Cause: each send counted as an attempt until its end showed that no byte left the entry; a send that the upstream states it did not run stayed counted (but not for streams that their callers have in part).

A request that was turned away now goes on while it has time and the retry budget has a place for it. One that never ran is still refused with 503 after as many refusals as its route has attempts: that promise is true, and another entry may know an upstream with room.

--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -80,8 +80,10 @@
         request.mayHaveRun = true;
     const bool repeatable = !mayHaveRun || isRepeatable(request);
     const bool begun = hasBegun(request);
-    if (begun && (failure == SendFailure::NotRun || failure == SendFailure::TakenBack))
+    if (failure == SendFailure::NotRun || (begun && failure == SendFailure::TakenBack))
         --request.sends;
+    if (failure == SendFailure::NotRun)
+        ++request.turnedAway;
     if (request.backup) {
         request.active = std::exchange(request.backup, std::nullopt);
         LogLine line = requestLogLine("backup-kept", request, now);
@@ -91,6 +93,8 @@
         return;
     }
     const bool attemptsLeft = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
+    // Its caller can be told that it did not run, and come back to an upstream with room.
+    const bool isTurnedAway = !request.mayHaveRun && request.turnedAway >= request.route->maxAttempts;
     // A trial that did not begin has shown enough.
     const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
         && suspicionHold(state.crashes, request.traits, now);
@@ -99,7 +103,7 @@
         refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
         return;
     }
-    if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
+    if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed) {
         const bool hasRetry
             = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
         if (!hasRetry && begun) {
@@ -291,7 +295,8 @@
         RelayUpstream& view = state.upstreams.at(upstream);
         RelayServiceState& service = state.services[request.service];
         service.withoutWeightsSince.reset();
-        if (request.sends == 0)
+        const std::uint32_t earlierSends = request.sends + request.turnedAway;
+        if (earlierSends == 0)
             countFirstSend(service.retries, now, state.options.retryWindow);
         service.dispatchTimes.push_back(now);
         while (!service.dispatchTimes.empty() && now - service.dispatchTimes.front() > dispatchRateWindow)
@@ -308,7 +313,7 @@
         view.prefillTokens += request.metadata.promptTokens;
         LogLine line = requestLogLine("send", request, now);
         line.fields.emplace_back("upstream", upstream.value);
-        line.fields.emplace_back("try", std::to_string(request.sends));
+        line.fields.emplace_back("try", std::to_string(earlierSends + 1));
         line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
         line.fields.emplace_back("slots", std::to_string(view.entry.slots));
         if (const HeldModel* held = heldModel(view, request.metadata.model)) {
@@ -338,7 +343,7 @@
             .resumeAfter = request.lastEventId,
             .expectsStream = request.route->kind == CallKind::Stream,
             .avoidStaleConnection = request.route->kind == CallKind::NonIdempotent,
-            .newConnection = request.sends > 1 });
+            .newConnection = earlierSends > 0 });
         return send;
     }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -90,7 +90,8 @@
     Milliseconds objectiveAt; ///< a whole response, or the first event of a stream, is on time until then
     Milliseconds timeoutAt; ///< arrival plus the timeout of its route
     Milliseconds deadlineAt; ///< the earliest of timeoutAt, the caller's timeout and the end of a drain
-    std::uint32_t sends { 0 }; ///< sends that may have reached an upstream
+    std::uint32_t sends { 0 }; ///< sends that an upstream may have run
+    std::uint32_t turnedAway { 0 }; ///< sends that an upstream states it did not run
     std::uint32_t connectFailures { 0 }; ///< sends of which no byte left this process
     /// Upstreams that failed or misdirected it, or were silent with it; not chosen again.
     std::set<UpstreamId> excludedUpstreams;
