Resume a stream where it was when no other upstream has its version

On the path through agents a stream that its caller has in part, set aside by (or cut off from) the only upstream that holds its version, was never given to it again: it waited for its deadline, or was given up, while that upstream was connected and had room.

Cause: a request is not sent to the host of its last attempt while the service has another candidate. Upstreams of another version counted as candidates, although a stream that was begun is pinned to its version.

Evidence: "A stream that was set aside resumes where it was if no other upstream has its version" fails with the former route_func.cpp (run) and passes now.

--- a/src/route_func.cpp
+++ b/src/route_func.cpp
@@ -84,11 +84,24 @@
 
         Room room(std::uint32_t index) const { return this->view(index).rooms[this->query.rank.value].room; }
 
+        /// @return true when the service has a candidate besides the given one, of the request's version if it is
+        /// pinned
+        bool hasOther(const UpstreamView& avoided) const
+        {
+            if (this->query.pinned.empty())
+                return this->pool.upstreams.candidates > 1;
+            const auto& views = this->state.requests.views.views;
+            return std::any_of(views.begin(), views.end(), [&](const UpstreamView& view) {
+                return view.host != avoided.host && view.connected && view.status.service == avoided.status.service
+                    && view.status.version == this->query.pinned;
+            });
+        }
+
         /// @return true when the request may be dispatched to the upstream, provided that it has room
         bool permitted(std::uint32_t index) const
         {
             const UpstreamView& view = this->view(index);
-            if (view.host == this->query.avoidHost && this->pool.upstreams.candidates > 1)
+            if (view.host == this->query.avoidHost && this->hasOther(view))
                 return false;
             return !this->state.members.leavingNotices.contains(view.host)
                 && permitsRequest(this->pool, view, this->query);
--- a/src/route_func.h
+++ b/src/route_func.h
@@ -14,7 +14,7 @@
     std::uint64_t prefixHash { 0 }; ///< hash of the prompt's first characters for affinity, 0 when there is no prompt
     ModelVersion pinned; ///< model version that the upstream must serve, empty for any
     bool suspect { false }; ///< may have crashed an upstream; must be the only suspect on its upstream
-    HostId avoidHost; ///< host of the previous attempt, excluded unless it is the only candidate
+    HostId avoidHost; ///< host of the previous attempt, excluded unless it is the only candidate of the version
 };
 
 /// A routing decision.
--- a/tests/unit_request_begun.cpp
+++ b/tests/unit_request_begun.cpp
@@ -96,6 +96,21 @@
     CHECK(resumed[0].call.resumeFrom == deliveredParts);
 }
 
+// Guards against a begun stream that never resumes, because only the upstream that set it aside has its version.
+TEST_CASE("A stream that was set aside resumes where it was if no other upstream has its version")
+{
+    RequestFixture fixture(2);
+    fixture.statuses[1].version = { "v2" };
+    fixture.statuses[1].dataCentre = { "b" };
+    fixture.start();
+    const DispatchAttempt first = beginStream(fixture, fixture.call(), DispatchResultKind::Preempted);
+    REQUIRE(first.host.value == "r0");
+    const auto resumed = all<DispatchAttempt>(fixture.advance({ 2000 }));
+    REQUIRE(resumed.size() == 1);
+    CHECK(resumed[0].host == first.host);
+    CHECK(resumed[0].call.resumeFrom == deliveredParts);
+}
+
 // Guards against a begun stream that is cut because equal requests crashed other upstreams.
 TEST_CASE("A stream that was set aside outlives the quarantine of equal requests")
 {
