Keep a begun stream while an upstream of its version may come back

On the path through agents a stream whose agent was disconnected for 3 s was aborted (`version-gone`) if no other upstream held its version, 57 s before its deadline in the test, although its engine may only be cut off.

A stream is now given up early only when every known upstream was heard to hold another version. One that is not connected counts with the version that it held when it was last heard, one that was never heard counts as well; that is asked again every 3 s, and the deadline ends the stream.

unit_request_suspect demanded the end within 5 s while the only upstream of the version was disconnected; whether it has the version is not known then. The test now demands that the stream waits 20 s and resumes when that upstream returns, that nothing ends it before its deadline, that the deadline does, and the end within 5 s once that upstream returns with another version.

Load orders of this path need no change by reading: the agent sends them when none of its slots is in use.

--- a/src/request_attempt_cmd.cpp
+++ b/src/request_attempt_cmd.cpp
@@ -188,6 +188,16 @@
     });
 }
 
+bool versionMayReturn(const EntryState& state, const Request& request)
+{
+    const auto& views = state.requests.views.views;
+    return std::any_of(views.begin(), views.end(), [&](const UpstreamView& view) {
+        const bool wasHeard = !view.status.service.value.empty();
+        return !view.connected
+            && (!wasHeard || (view.status.service == request.call.service && view.status.version == request.version));
+    });
+}
+
 void applyFirstPart(EntryState& state, const FirstPart& event, EntryEffects& effects)
 {
     const auto found = state.requests.requests.find(event.request);
--- a/src/request_attempt_cmd.h
+++ b/src/request_attempt_cmd.h
@@ -14,4 +14,7 @@
 /// @return true when a connected upstream serves the model version of the request's last attempt
 bool versionAvailable(const EntryState& state, const Request& request);
 
+/// @return true when an upstream that is not connected served that version when it was last heard, or was never heard
+bool versionMayReturn(const EntryState& state, const Request& request);
+
 } // namespace hickory
--- a/src/request_cmd.cpp
+++ b/src/request_cmd.cpp
@@ -25,7 +25,8 @@
     constexpr Milliseconds gaugesPeriod { 1000 };
     /// Retry-After when this entry has no room for another request.
     constexpr Milliseconds overloadRetryAfter { 1000 };
-    /// Time that a partly delivered stream waits for an upstream of its version before it is aborted.
+    /// Time that a partly delivered stream waits before it is aborted if no known upstream has its version. As often,
+    /// it is checked whether one does.
     constexpr Milliseconds resumeWait { 3000 };
 
     void refuseArrival(const RequestArrived& call, const Refusal& refusal, EntryEffects& effects)
@@ -155,7 +156,7 @@
     void limitResumeWait(EntryState& state, Request& request)
     {
         if (request.delivered > 0 && !versionAvailable(state, request))
-            setWake(state, request, state.now + resumeWait);
+            setWake(state, request, std::min(state.now + resumeWait, request.deadline));
     }
 
     /// Handles the timer of a queued request: its wait limit, or the limit set by limitResumeWait().
@@ -175,6 +176,10 @@
             setWake(state, request, request.deadline);
             return;
         }
+        if (versionMayReturn(state, request)) {
+            limitResumeWait(state, request);
+            return;
+        }
         failRequest(state, request,
             { .outcome = Outcome::Unknown, .status = 503, .reason = "version-gone", .step = "resume" }, effects);
     }
