Let a request that may have run wait when it is turned away, instead of ending it

It is neither the upstream's end nor the deadline, and an engine that asks for a pause takes requests again soon. The same when the retry budget had no place for the next send.

Such a request now waits in the queue, as a stream that its caller has in part does, until an upstream can run it, the retry budget has a place for it or its time is up. One that no upstream can run does not hold up others.

Evidence: two sections of unit_relay_turned_away fail without the change (run) and pass with it.

--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -280,7 +280,8 @@
             || (request.owesRetry && !mayRetry(retries, state.options, state.entryCount, now)))
             continue;
         const auto upstream = chooseUpstream(state, request, now, true);
-        if (!upstream && hasBegun(request))
+        const bool mayRunNowhere = request.mayHaveRun && !chooseUpstream(state, request, now, false);
+        if (!upstream && (hasBegun(request) || mayRunNowhere))
             continue; // it waits as long as it has time, and others need not wait for it
         if (!upstream)
             return;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -58,7 +58,7 @@
         return held->version;
     }
 
-    /// Queues a stream that its caller has in part, until an upstream can go on with it or its deadline passes.
+    /// Queues a request that no upstream can run now although one may have begun it, until one can or its time is up.
     /// @param owesRetry the retry budget has no place for it yet
     void queueBegun(RelayState& state, RelayRequest& request, bool owesRetry, Milliseconds now, RelayEffects& effects)
     {
@@ -106,7 +106,8 @@
     if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed) {
         const bool hasRetry
             = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
-        if (!hasRetry && begun) {
+        const bool waits = begun || (failure == SendFailure::NotRun && request.mayHaveRun);
+        if (!hasRetry && waits) {
             queueBegun(state, request, true, now, effects);
             return;
         }
@@ -126,7 +127,7 @@
                 enqueueRequest(state, request, now);
                 return;
             }
-            if (begun) {
+            if (waits) {
                 queueBegun(state, request, false, now, effects);
                 return;
             }
