--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -58,7 +58,7 @@
         return held->version;
     }
 
-    /// Queues a stream that its caller has in part, until an upstream can go on with it or its deadline passes.
+    /// Queues a request that no upstream can run now although one may have begun it, until one can or its time is up.
     /// @param owesRetry the retry budget has no place for it yet
     void queueBegun(RelayState& state, RelayRequest& request, bool owesRetry, Milliseconds now, RelayEffects& effects)
     {
@@ -80,8 +80,10 @@
         request.mayHaveRun = true;
     const bool repeatable = !mayHaveRun || isRepeatable(request);
     const bool begun = hasBegun(request);
-    if (begun && (failure == SendFailure::NotRun || failure == SendFailure::TakenBack))
+    if (failure == SendFailure::NotRun || (begun && failure == SendFailure::TakenBack))
         --request.sends;
+    if (failure == SendFailure::NotRun)
+        ++request.turnedAway;
     if (request.backup) {
         request.active = std::exchange(request.backup, std::nullopt);
         LogLine line = requestLogLine("backup-kept", request, now);
@@ -91,6 +93,8 @@
         return;
     }
     const bool attemptsLeft = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
+    // Its caller can be told that it did not run, and come back to an upstream with room.
+    const bool isTurnedAway = !request.mayHaveRun && request.turnedAway >= request.route->maxAttempts;
     // A trial that did not begin has shown enough.
     const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
         && suspicionHold(state.crashes, request.traits, now);
@@ -99,10 +103,11 @@
         refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
         return;
     }
-    if (repeatable && attemptsLeft && now < request.deadlineAt && !quarantined && !trialFailed) {
+    if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed) {
         const bool hasRetry
             = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
-        if (!hasRetry && begun) {
+        const bool waits = begun || (failure == SendFailure::NotRun && request.mayHaveRun);
+        if (!hasRetry && waits) {
             queueBegun(state, request, true, now, effects);
             return;
         }
@@ -122,7 +127,7 @@
                 enqueueRequest(state, request, now);
                 return;
             }
-            if (begun) {
+            if (waits) {
                 queueBegun(state, request, false, now, effects);
                 return;
             }
@@ -291,7 +296,8 @@
         RelayUpstream& view = state.upstreams.at(upstream);
         RelayServiceState& service = state.services[request.service];
         service.withoutWeightsSince.reset();
-        if (request.sends == 0)
+        const std::uint32_t earlierSends = request.sends + request.turnedAway;
+        if (earlierSends == 0)
             countFirstSend(service.retries, now, state.options.retryWindow);
         service.dispatchTimes.push_back(now);
         while (!service.dispatchTimes.empty() && now - service.dispatchTimes.front() > dispatchRateWindow)
@@ -308,7 +314,7 @@
         view.prefillTokens += request.metadata.promptTokens;
         LogLine line = requestLogLine("send", request, now);
         line.fields.emplace_back("upstream", upstream.value);
-        line.fields.emplace_back("try", std::to_string(request.sends));
+        line.fields.emplace_back("try", std::to_string(earlierSends + 1));
         line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
         line.fields.emplace_back("slots", std::to_string(view.entry.slots));
         if (const HeldModel* held = heldModel(view, request.metadata.model)) {
@@ -338,7 +344,7 @@
             .resumeAfter = request.lastEventId,
             .expectsStream = request.route->kind == CallKind::Stream,
             .avoidStaleConnection = request.route->kind == CallKind::NonIdempotent,
-            .newConnection = request.sends > 1 });
+            .newConnection = earlierSends > 0 });
         return send;
     }
 
@@ -380,6 +386,8 @@
 
 void releaseSend(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects)
 {
+    if (request.active)
+        removeFromQueue(state, request);
     dropSend(state, request, request.active, cancel, effects);
 }
 
@@ -397,6 +405,7 @@
     ActiveSend& send = fromBackup ? *request->backup : *request->active;
     const UpstreamId upstream = send.upstream;
     RelayUpstream& view = state.upstreams.at(upstream);
+    removeFromQueue(state, *request);
     recordUpstreamAlive(state, upstream, send.sentAt);
     view.lastHeardAt = now;
     view.answeredAt = now;
