Space out the sends of a request that upstreams keep turning away, and answer 504 where one may run it

Found by review, by reading: a request that may have run and that all upstreams turn away was sent again every 60 ms, each time with a place in the retry budget of its service, until that was empty for all others; and a request that lies unbegun at a silent engine was answered 503 when its caller was about to leave, although the engine might still run it.

From as many refusals as its route has attempts on, such a request waits in the queue, twice as long each time.

--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -276,7 +276,7 @@
             continue;
         }
         RetryWindow& retries = state.services[service].retries;
-        if (!mayTry(state, request, now)
+        if (!mayTry(state, request, now) || now < request.waitsUntil
             || (request.owesRetry && !mayRetry(retries, state.options, state.entryCount, now)))
             continue;
         const auto upstream = chooseUpstream(state, request, now, true);
@@ -336,8 +336,8 @@
         refuseRequest(state, state.requests.at(call), statusUnavailable, "stopping", now, effects);
     for (const CallId call : unservable) {
         RelayRequest& request = state.requests.at(call);
-        refuseRequest(
-            state, request, request.mayHaveRun ? statusTimeout : statusUnavailable, "no-time-left", now, effects);
+        const bool notRun = !request.mayHaveRun && !request.active;
+        refuseRequest(state, request, notRun ? statusUnavailable : statusTimeout, "no-time-left", now, effects);
     }
 }
 
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -58,13 +58,23 @@
         return held->version;
     }
 
+    /// @param count how often upstreams turned the request away
+    /// @return time until it is sent again
+    Milliseconds turnedAwayWait(std::uint32_t count)
+    {
+        constexpr std::uint32_t maxDoublings = 5;
+        return fullBackoff * (std::int64_t { 1 } << std::min(count, maxDoublings));
+    }
+
     /// Queues a request that no upstream can run now although one may have begun it, until one can or its time is up.
-    /// @param owesRetry the retry budget has no place for it yet
-    void queueBegun(RelayState& state, RelayRequest& request, bool owesRetry, Milliseconds now, RelayEffects& effects)
+    /// @param reason for the log
+    /// @param owesRetry it has no place in the retry budget yet
+    void queueBegun(RelayState& state, RelayRequest& request, const char* reason, bool owesRetry, Milliseconds now,
+        RelayEffects& effects)
     {
         request.owesRetry = owesRetry;
         LogLine line = requestLogLine("hold-begun", request, now);
-        line.fields.emplace_back("reason", owesRetry ? "retry-budget" : "no-upstream");
+        line.fields.emplace_back("reason", reason);
         effects.emplace_back(std::move(line));
         enqueueRequest(state, request, now);
     }
@@ -92,9 +102,10 @@
         effects.emplace_back(std::move(line));
         return;
     }
+    const bool isTurnedAwayAgain = failure == SendFailure::NotRun && request.turnedAway >= request.route->maxAttempts;
     const bool attemptsLeft = notSent ? begun || request.connectFailures < maxConnectFailures : hasAttemptLeft(request);
     // Its caller can be told that it did not run, and come back to an upstream with room.
-    const bool isTurnedAway = !request.mayHaveRun && request.turnedAway >= request.route->maxAttempts;
+    const bool isTurnedAway = !request.mayHaveRun && isTurnedAwayAgain;
     // A trial that did not begin has shown enough.
     const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
         && suspicionHold(state.crashes, request.traits, now);
@@ -104,11 +115,17 @@
         return;
     }
     if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed) {
+        if (isTurnedAwayAgain && !begun) {
+            // Each further send takes a place in the retry budget, which other requests need as well.
+            request.waitsUntil = now + turnedAwayWait(request.turnedAway);
+            queueBegun(state, request, "turned-away", true, now, effects);
+            return;
+        }
         const bool hasRetry
             = notSent || takeRetry(state.services[request.service].retries, state.options, state.entryCount, now);
         const bool waits = begun || (failure == SendFailure::NotRun && request.mayHaveRun);
         if (!hasRetry && waits) {
-            queueBegun(state, request, true, now, effects);
+            queueBegun(state, request, "retry-budget", true, now, effects);
             return;
         }
         if (hasRetry) {
@@ -128,7 +145,7 @@
                 return;
             }
             if (waits) {
-                queueBegun(state, request, false, now, effects);
+                queueBegun(state, request, "no-upstream", false, now, effects);
                 return;
             }
         }
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -92,6 +92,7 @@
     Milliseconds deadlineAt; ///< the earliest of timeoutAt, the caller's timeout and the end of a drain
     std::uint32_t sends { 0 }; ///< sends that an upstream may have run
     std::uint32_t turnedAway { 0 }; ///< sends that an upstream states it did not run
+    Milliseconds waitsUntil { 0 }; ///< stays in the queue until then, after it was turned away
     std::uint32_t connectFailures { 0 }; ///< sends of which no byte left this process
     /// Upstreams that failed or misdirected it, or were silent with it; not chosen again.
     std::set<UpstreamId> excludedUpstreams;
