Log and count connections that are ended with something on them

The server reports each connection that it ends with a request on it or bytes unread to its owner, which logs event=connection-closed with the reason, the request's id if it is known and the bytes, and counts it in hickory_connections_closed_total. A connection with nothing on it is not reported.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -67,6 +67,11 @@
     {
     }
 
+    /// @return whether a request has arrived in part, or whole and unread
+    bool isReading() const
+    {
+        return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
+    }
     void onHead(WireHead&& received) override
     {
         this->request.head = std::move(received);
@@ -201,6 +206,7 @@
     const bool isHandled = guarded("request", "caller", [&] { this->handlers.onRequest(std::move(current.request)); });
     // An upstream may have it already: the close of the connection promises nothing.
     if (!isHandled) {
+        this->reportClosed(current, CloseReason::UnexpectedError);
         connection->link->reset();
         guarded("request-end", "caller", [&] { this->removeConnection(connection); });
     }
@@ -208,12 +214,31 @@
 
 void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status)
 {
+    this->reportClosed(*connection, CloseReason::Refused);
     connection->closeAfter = true;
     this->sendHead(connection, status, {}, 0);
     connection->link->closeAfterWrite();
     this->removeConnection(connection);
 }
 
+void FrontServer::reportClosed(const Connection& connection, CloseReason reason, const std::string& detail) const
+{
+    const bool inRequest = connection.call.value == 0 && connection.parser.inMessage();
+    if (!this->handlers.onConnectionClosed || connection.ended)
+        return;
+    if (connection.call.value == 0 && reason != CloseReason::Refused && !connection.isReading())
+        return;
+    this->handlers.onConnectionClosed({ .reason = reason,
+        .detail = detail,
+        .call = connection.call,
+        .head = connection.call.value == 0 ? connection.request.head : WireHead {},
+        .inRequest = inRequest,
+        .unparsed = connection.unread.size(),
+        .unread = connection.link->unreadBytes(),
+        .port = connection.port,
+        .age = monotonicNow() - connection.since });
+}
+
 void FrontServer::removeConnection(const ConnectionPointer& connection)
 {
     if (connection->ended)
@@ -303,6 +328,7 @@
     connection->call = {};
     connection->since = monotonicNow();
     if (connection->closeAfter) {
+        this->reportClosed(*connection, CloseReason::AfterAnswer);
         connection->link->closeAfterWrite();
         this->removeConnection(connection);
         return;
@@ -312,11 +338,12 @@
         asio::post(this->io, [this, connection] { this->parse(connection); });
 }
 
-void FrontServer::abort(CallId id)
+void FrontServer::abort(CallId id, const std::string& why)
 {
     const ConnectionPointer connection = this->find(id);
     if (!connection)
         return;
+    this->reportClosed(*connection, CloseReason::Aborted, why);
     this->calls.erase(id);
     connection->call = {};
     connection->link->reset();
@@ -344,14 +371,12 @@
         std::error_code code; // ignored: the process is about to end
         acceptor->close(code);
     }
-    const auto isReading = [](const Connection& connection) {
-        return connection.parser.inMessage() || !connection.unread.empty() || connection.link->hasUnread();
-    };
     std::vector<ConnectionPointer> idle;
     for (const auto& [number, connection] : this->connections)
-        if (connection->call.value == 0 && (readingToo || !isReading(*connection)))
+        if (connection->call.value == 0 && (readingToo || !connection->isReading()))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
+        this->reportClosed(*connection, CloseReason::Drain);
         connection->link->closeAfterWrite();
         this->removeConnection(connection);
     }
@@ -369,6 +394,8 @@
             expired.push_back(connection);
     }
     for (const ConnectionPointer& connection : expired) {
+        const bool inRequest = connection->parser.inMessage();
+        this->reportClosed(*connection, inRequest ? CloseReason::RequestTimeout : CloseReason::Idle);
         connection->link->closeAfterWrite();
         this->removeConnection(connection);
     }
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -40,6 +40,30 @@
     Connection, ///< neither a length nor chunks: the body ends with its connection
 };
 
+/// Why a FrontServer ended a connection.
+enum class CloseReason : std::uint8_t {
+    Idle, ///< no request came within FrontLimits::idleTimeout
+    RequestTimeout, ///< a request was not complete within FrontLimits::headTimeout
+    Drain, ///< the process is about to stop
+    Refused, ///< the request was not valid HTTP or exceeded a limit
+    Aborted, ///< see FrontServer::abort()
+    AfterAnswer, ///< an answer announced it
+    UnexpectedError, ///< the handling of a request failed
+};
+
+/// A connection that the server ended while it held a request or bytes that had not been read.
+struct ClosedConnection {
+    CloseReason reason { CloseReason::Idle };
+    std::string detail; ///< why an answer was broken off, else empty
+    CallId call; ///< request that was being answered, 0 for none
+    WireHead head; ///< of the request that was being read, empty if its head was not complete
+    bool inRequest { false }; ///< a request was being read
+    std::size_t unparsed { 0 }; ///< bytes that were received and belong to no request yet
+    std::size_t unread { 0 }; ///< bytes that the kernel held
+    std::uint16_t port { 0 }; ///< local port
+    Milliseconds age { 0 }; ///< time since the request being read began, or since the connection became idle
+};
+
 /// HTTP/1.1 server on the Asio loop, used by RelayLoop and LoaderLoop; EntryLoop and AgentLoop use the servers of
 /// http_io.h. It handles one request per connection at a time: a pipelined request
 /// is parsed after the previous answer is complete.
@@ -49,6 +73,7 @@
     struct Handlers {
         std::function<void(FrontRequest&&)> onRequest; ///< a complete request arrived
         std::function<void(CallId)> onCallerDisconnected; ///< the caller disconnected before its answer was complete
+        std::function<void(const ClosedConnection&)> onConnectionClosed {}; ///< may be empty; must not call the server
     };
 
     /// @param link socket options of accepted connections
@@ -72,7 +97,8 @@
     /// Ends the body.
     void finish(CallId id);
     /// Resets the connection, so that the caller cannot take the part of the answer sent so far for a complete one.
-    void abort(CallId id);
+    /// @param why passed on to Handlers::onConnectionClosed
+    void abort(CallId id, const std::string& why = {});
 
     /// @return bytes queued for the caller and not yet taken by the kernel, 0 for an unknown id
     std::size_t pending(CallId id) const;
@@ -106,6 +132,8 @@
     void deliver(const ConnectionPointer& connection);
     /// Answers an invalid request with an error status and closes the connection.
     void refuse(const ConnectionPointer& connection, std::uint16_t status);
+    /// Passes a connection that is about to be ended to Handlers::onConnectionClosed, if anything is on it.
+    void reportClosed(const Connection& connection, CloseReason reason, const std::string& detail = {}) const;
     /// Removes a connection from the server and reports a request in progress as gone.
     void removeConnection(const ConnectionPointer& connection);
     /// Ends a request; closes the connection or continues with the next request.
--- /dev/null
+++ b/src/front_log_func.cpp
@@ -0,0 +1,58 @@
+#include "front_log_func.h"
+
+#include "log_io.h"
+#include "metrics_io.h"
+
+namespace hickory {
+
+const char* closeReasonName(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Idle:
+        return "idle";
+    case CloseReason::RequestTimeout:
+        return "request-timeout";
+    case CloseReason::Drain:
+        return "drain";
+    case CloseReason::Refused:
+        return "refused";
+    case CloseReason::Aborted:
+        return "aborted";
+    case CloseReason::AfterAnswer:
+        return "after-answer";
+    case CloseReason::UnexpectedError:
+        return "unexpected-error";
+    }
+    return "unknown";
+}
+
+LogLine closedLogLine(const ClosedConnection& closed, const std::string& request)
+{
+    const char* stage = "none";
+    if (closed.call.value != 0)
+        stage = "answer";
+    else if (closed.inRequest)
+        stage = closed.head.method.empty() ? "head" : "body";
+    LogLine line { .level = LogLevel::Warning,
+        .event = "connection-closed",
+        .fields = { { "reason", closeReasonName(closed.reason) } } };
+    if (!closed.detail.empty())
+        line.fields.emplace_back("detail", closed.detail);
+    if (!request.empty())
+        line.fields.emplace_back("request", request);
+    line.fields.emplace_back("in", stage);
+    line.fields.emplace_back("unparsed", std::to_string(closed.unparsed));
+    line.fields.emplace_back("unread", std::to_string(closed.unread));
+    line.fields.emplace_back("port", std::to_string(closed.port));
+    line.fields.emplace_back("age_ms", std::to_string(closed.age.value));
+    return line;
+}
+
+void recordClosed(const ClosedConnection& closed, const std::string& request)
+{
+    writeLog(closedLogLine(closed, request));
+    recordMetric({ .name = "connections_closed_total",
+        .labels = std::string("reason=\"") + closeReasonName(closed.reason) + "\"" });
+}
+
+} // namespace hickory
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -1,5 +1,6 @@
 #include "loader_loop_io.h"
 
+#include "front_log_func.h"
 #include "guard_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
@@ -31,7 +32,8 @@
               .onCallerDisconnected =
                   [this](CallId call) {
                       std::erase_if(this->uploads, [&](const Upload& queued) { return queued.call == call; });
-                  } })
+                  },
+              .onConnectionClosed = [](const ClosedConnection& closed) { recordClosed(closed, {}); } })
     , peerSocket(this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
     , state(makeStageState({ .host = this->settings.host.host,
           .ip = this->settings.host.ip,
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -1,5 +1,6 @@
 #include "relay_loop_io.h"
 
+#include "front_log_func.h"
 #include "guard_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
@@ -71,7 +72,8 @@
     , pool(this->io, upstreamLinkOptions)
     , front(this->io, callerLinkOptions,
           { .onRequest = [this](FrontRequest&& request) { this->onRequest(std::move(request)); },
-              .onCallerDisconnected = [this](CallId call) { this->onCallerDisconnected(call); } })
+              .onCallerDisconnected = [this](CallId call) { this->onCallerDisconnected(call); },
+              .onConnectionClosed = [this](const ClosedConnection& closed) { this->onConnectionClosed(closed); } })
     , peerSocket(this->io, [this](const PeerBeacon& beacon, const std::string& ip) { this->onBeacon(beacon, ip); })
     , operatorRows(this->io, this->pool,
           { .address = this->settings.host.store, .table = platform::operatorTable, .wait = operatorPollTimeout },
@@ -207,8 +209,8 @@
         }
         this->forget(finish->call);
     } else if (const auto* abort = std::get_if<AbortResponse>(&effect)) {
+        this->front.abort(abort->call, abort->reason);
         this->forget(abort->call);
-        this->front.abort(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
         probeConnection(this->io,
             { .address = probe->address,
@@ -325,6 +327,13 @@
     this->forget(call);
 }
 
+void RelayLoop::onConnectionClosed(const ClosedConnection& closed)
+{
+    const auto found = this->calls.find(closed.call);
+    recordClosed(
+        closed, found == this->calls.end() ? platform::decodeRequest(closed.head).attemptId : found->second->attemptId);
+}
+
 bool RelayLoop::ready() const
 {
     return this->drainingSince.value == 0 && this->state.config && !this->upstreams.empty() && this->isConfigTrusted();
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -64,6 +64,7 @@
     /// Answers an agent that asks for its service's view of the fleet.
     void onFleetView(const FrontRequest& request);
     void onCallerDisconnected(CallId call);
+    void onConnectionClosed(const ClosedConnection& closed);
     /// Sends other data centres this one's summary and crash news, if this entry represents it, and the load of this
     /// entry at their upstreams.
     /// @param beacon fields common to all
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -248,7 +248,7 @@
     effects.emplace_back(MetricSample { .name = "refused_total",
         .labels = "reason=\"" + std::string(reason) + "\",service=\"" + request.service.value + "\"" });
     if (request.headForwarded)
-        effects.emplace_back(AbortResponse { .call = request.call });
+        effects.emplace_back(AbortResponse { .call = request.call, .reason = reason });
     else
         effects.emplace_back(
             RefuseCall { .call = request.call, .status = status, .retryAfter = retryAfter, .reason = reason });
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -254,6 +254,7 @@
 /// The forwarded response ended early: break the caller's connection so that the response cannot look complete.
 struct AbortResponse {
     CallId call;
+    std::string reason; ///< short, for the log
 };
 
 /// Connect to an upstream to learn whether its process ended. Ends with UpstreamProbed.
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -149,10 +149,10 @@
         this->close();
 }
 
-bool TcpLink::hasUnread() const
+std::size_t TcpLink::unreadBytes() const
 {
     std::error_code code; // a closed socket has none
-    return this->socket.available(code) > 0;
+    return this->socket.available(code);
 }
 
 void TcpLink::reset()
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -56,8 +56,8 @@
 
     /// @return bytes queued and not yet taken by the kernel
     std::size_t pending() const { return this->queue.size() - this->queueOffset; }
-    /// @return whether the kernel holds received bytes that were not read
-    bool hasUnread() const;
+    /// @return received bytes that the kernel holds and that were not read
+    std::size_t unreadBytes() const;
     /// @return whether the socket is open
     bool open() const { return this->socket.is_open(); }
 
