Read what lies unread before a connection's time is up

Callers saw the end of the connection without an answer.

Such a connection gets a second more, once for each request, so that a caller who sends without end is still cut off.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -102,6 +102,7 @@
     bool chunked { false }; ///< the answer in progress has a chunked body
     bool closeAfter { false }; ///< close the connection after the answer
     Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
+    Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
 };
 
 FrontServer::FrontServer(asio::io_context& io, const LinkOptions& link, Handlers handlers)
@@ -178,6 +179,7 @@
         return;
     if (!current.parser.inMessage()) {
         current.since = monotonicNow();
+        current.unreadUntil = {};
         current.request = {};
         current.request.firstByteAt = current.since;
         current.maxBody = this->limits.bodyBytes.value;
@@ -384,13 +386,20 @@
 
 void FrontServer::sweep(Milliseconds now)
 {
+    constexpr Milliseconds unreadTime { 1000 };
     this->hasUnsent(); // forgets the links that are done
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
             continue;
         const Milliseconds limit = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
-        if (now - connection->since > limit)
+        if (now - connection->since <= limit)
+            continue;
+        // What arrived while this process stood still is read after the sweep.
+        const bool isUnread = !connection->unread.empty() || connection->link->unreadBytes() > 0;
+        if (isUnread && connection->unreadUntil.value == 0)
+            connection->unreadUntil = now + unreadTime;
+        if (now >= connection->unreadUntil)
             expired.push_back(connection);
     }
     for (const ConnectionPointer& connection : expired) {
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -114,7 +114,8 @@
     void closeIdle(bool readingToo = true);
     /// @return whether any connection is open
     bool hasConnections() const { return !this->connections.empty(); }
-    /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. To be called regularly: the time
+    /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. One with bytes unread gets a second
+    /// more, once: they may be the request, or the rest of it. To be called regularly: the time
     /// between calls is the precision of these limits.
     /// @param now monotonic time
     void sweep(Milliseconds now);
