Keep the limits that a connection or request began with when a configuration lowers them

A configuration that lowers idle_timeout_ms or header_timeout_ms was applied at once to connections that callers had opened and reuse by the limit that they know (when idle for up to four fifths of it), and to requests that were being read: they were closed on without an answer. A configuration that raises max_header_bytes did not hold for open connections: their callers got 431 for requests that it allows.

A connection keeps the limits in force when its idle time began, a request those of its first byte, its size limits included. Longer times hold at once.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -61,9 +61,10 @@
 
 /// One connection of a caller and the request being read from it.
 struct FrontServer::Connection : WireSink {
-    Connection(std::uint64_t number, std::size_t maxHeadBytes)
+    Connection(std::uint64_t number, const FrontLimits& limits)
         : number(number)
-        , parser(WireKind::Request, maxHeadBytes)
+        , parser(WireKind::Request, limits.headBytes.value)
+        , limits(limits)
     {
     }
 
@@ -81,7 +82,7 @@
     }
     void onBody(std::string_view bytes) override
     {
-        if (this->request.body.size() + bytes.size() > this->maxBody)
+        if (this->request.body.size() + bytes.size() > this->limits.bodyBytes.value)
             this->bodyTooLarge = true;
         else
             this->request.body.append(bytes);
@@ -92,10 +93,10 @@
     std::uint16_t port { 0 }; ///< local port that the connection was accepted at
     std::shared_ptr<TcpLink> link;
     WireParser parser;
+    FrontLimits limits; ///< in force when the request being read began, or when the connection became idle
     std::string unread; ///< bytes received and not yet parsed
     FrontRequest request; ///< request being read, incomplete until `complete` is set
-    std::size_t maxBody { 0 }; ///< limit of the request being read, in bytes
-    bool bodyTooLarge { false }; ///< the body exceeded maxBody
+    bool bodyTooLarge { false }; ///< the body exceeded its limit
     bool complete { false }; ///< the request was read in full and not yet delivered
     bool ended { false }; ///< the connection was removed from the server
     CallId call; ///< delivered request whose answer is not complete, 0 for none
@@ -145,7 +146,7 @@
         if (!code) {
             std::error_code ignored; // a connection that is already closed is detected by its first read
             const auto local = socket.local_endpoint(ignored);
-            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits.headBytes.value);
+            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits);
             connection->port = local.port();
             connection->since = monotonicNow();
             connection->link = std::make_shared<TcpLink>(std::move(socket), this->link);
@@ -182,7 +183,8 @@
         current.unreadUntil = {};
         current.request = {};
         current.request.firstByteAt = current.since;
-        current.maxBody = this->limits.bodyBytes.value;
+        current.limits = this->limits;
+        current.parser.setMaxHeadBytes(current.limits.headBytes.value);
     }
     const std::size_t used = current.parser.feed(current.unread, current);
     current.unread.erase(0, used);
@@ -329,6 +331,7 @@
     this->calls.erase(id);
     connection->call = {};
     connection->since = monotonicNow();
+    connection->limits = this->limits;
     if (connection->closeAfter) {
         this->reportClosed(*connection, CloseReason::AfterAnswer);
         connection->link->closeAfterWrite();
@@ -392,7 +395,10 @@
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
             continue;
-        const Milliseconds limit = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
+        const bool inRequest = connection->parser.inMessage();
+        const auto limitOf
+            = [&](const FrontLimits& given) { return inRequest ? given.headTimeout : given.idleTimeout; };
+        const Milliseconds limit = std::max(limitOf(connection->limits), limitOf(this->limits));
         if (now - connection->since <= limit)
             continue;
         // What arrived while this process stood still is read after the sweep.
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -84,7 +84,8 @@
     /// @param address "ip:port", port 0 lets the kernel choose
     /// @return the bound port, or the error
     Result<std::uint16_t> listen(const std::string& address);
-    /// Sets the limits of later requests. Open connections keep their limit of the head.
+    /// Sets the limits of later requests. Callers act on the limits that they know: a request that is being read and a
+    /// connection that is idle keep theirs. Longer times hold at once.
     void setLimits(const FrontLimits& limits) { this->limits = limits; }
 
     /// Sends a complete answer. Here and below, an unknown id is ignored: the caller has disconnected.
--- a/src/wire_parser_func.cpp
+++ b/src/wire_parser_func.cpp
@@ -137,6 +137,8 @@
 
 WireParser::~WireParser() = default;
 
+void WireParser::setMaxHeadBytes(std::size_t limit) { this->state->maxHeadBytes = limit; }
+
 std::size_t WireParser::feed(std::string_view bytes, WireSink& sink)
 {
     static const http_parser_settings callbacks = makeCallbacks<State>();
--- a/src/wire_parser_func.h
+++ b/src/wire_parser_func.h
@@ -40,6 +40,9 @@
     WireParser(const WireParser&) = delete;
     WireParser& operator=(const WireParser&) = delete;
 
+    /// Sets the limit of the head from the next message on.
+    /// @pre no message has begun
+    void setMaxHeadBytes(std::size_t limit);
     /// Parses until the end of the bytes or of the message.
     /// @param bytes next bytes of the connection
     /// @param sink receives the message
--- a/tests/unit_front_close.cpp
+++ b/tests/unit_front_close.cpp
@@ -193,3 +193,44 @@
     rig.server->sweep(start + Milliseconds { 2000 });
     CHECK(rig.closed.size() == 1);
 }
+
+// Guards against a configuration that ends what callers began under the limits before it.
+TEST_CASE("Lowered limits leave open connections and begun requests theirs", "[front][front-close]")
+{
+    FrontRig rig;
+    rig.server->setLimits({ .headTimeout = { 10000 }, .idleTimeout = { 10000 } });
+    auto caller = rig.connect();
+    send(caller, plainRequest);
+    REQUIRE(rig.receive(caller).starts_with("HTTP/1.1 200"));
+    const bool inPart = GENERATE(true, false);
+    const std::size_t first = inPart ? plainRequest.size() - 1 : 0;
+    send(caller, plainRequest.substr(0, first));
+    rig.run();
+    rig.server->setLimits({ .headBytes = { 20 }, .bodyBytes = { 1 }, .headTimeout = { 100 }, .idleTimeout = { 100 } });
+    rig.server->sweep(monotonicNow() + Milliseconds { 8000 });
+    if (!inPart)
+        rig.server->setLimits({ .headTimeout = { 100 }, .idleTimeout = { 100 } });
+    send(caller, plainRequest.substr(first));
+    CHECK(rig.receive(caller).starts_with("HTTP/1.1 200"));
+    // From the answer on, the new limit holds.
+    rig.server->sweep(monotonicNow() + Milliseconds { 2000 });
+    rig.receive(caller);
+    CHECK(rig.lastError == asio::error::eof);
+}
+
+TEST_CASE("Raised limits hold for open connections at once", "[front][front-close]")
+{
+    FrontRig rig;
+    rig.server->setLimits({ .headBytes = { 100 }, .headTimeout = { 100 }, .idleTimeout = { 100 } });
+    auto caller = rig.connect();
+    send(caller, plainRequest);
+    REQUIRE(rig.receive(caller).starts_with("HTTP/1.1 200"));
+    rig.server->setLimits({ .headBytes = { 4000 }, .headTimeout = { 10000 }, .idleTimeout = { 10000 } });
+    rig.server->sweep(monotonicNow() + Milliseconds { 8000 });
+    const std::string request = "GET /plain HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n";
+    send(caller, request.substr(0, 1000));
+    rig.run();
+    rig.server->sweep(monotonicNow() + Milliseconds { 8000 });
+    send(caller, request.substr(1000));
+    CHECK(rig.receive(caller).starts_with("HTTP/1.1 200"));
+}
