Read on from a connection that was ended until its caller closes it

A close with bytes unread makes the kernel send a reset and drop what it has not sent: a caller that sent something behind a request whose answer closes lost the rest of a large answer, and one whose body was refused early (413) was reset while it sent, and may never read the status. In a drain a request that lay whole behind another one was closed on, and a request that was not complete in time, or when the process exits, got no answer at all.

An ended connection has its sending side shut down and is read on, and what comes is discarded, until the caller closes it: for one second, 8 MiB and 1024 connections at most. A drain waits for that until its end, not until the exit. A request in part is refused with 408 (or 503 at the exit), which say that it has not run, and an answer in a drain announces the close only if no further request has arrived behind its own.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -12,8 +12,13 @@
 namespace {
 
     constexpr std::uint16_t statusBadRequest = 400;
+    constexpr std::uint16_t statusRequestTimeout = 408;
     constexpr std::uint16_t statusTooLarge = 413;
+    constexpr std::uint16_t statusUnavailable = 503;
     constexpr std::uint16_t statusHeadTooLarge = 431;
+    constexpr Milliseconds lingerTime { 1000 }; ///< after the last byte to a connection that was ended
+    constexpr std::size_t maxLingering = 1024; ///< ended connections that are read on; more are closed at once
+    constexpr std::size_t maxDiscarded = 8U << 20U; ///< bytes read from an ended connection before it is closed
     constexpr int listenBacklog
         = 1024; ///< when it is full, SYN packets are dropped and callers retry only after a second or more
 
@@ -40,6 +45,8 @@
         return "Unauthorized";
     case 404:
         return "Not Found";
+    case 408:
+        return "Request Timeout";
     case 413:
         return "Content Too Large";
     case 421:
@@ -103,6 +110,8 @@
     bool chunked { false }; ///< the answer in progress has a chunked body
     bool closeAfter { false }; ///< close the connection after the answer
     Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
+    Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
+    std::size_t discarded { 0 }; ///< bytes read since the connection was ended
     Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
 };
 
@@ -163,6 +172,12 @@
 void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
 {
     constexpr std::size_t maxPipelined = 64U << 10U; // bytes received ahead before reading pauses
+    if (connection->ended) {
+        connection->discarded += bytes.size();
+        if (connection->discarded > maxDiscarded)
+            connection->link->close();
+        return;
+    }
     connection->unread.append(bytes);
     if (connection->call.value != 0) {
         // A pipelined request is parsed after the answer to the current one is complete.
@@ -189,10 +204,11 @@
     const std::size_t used = current.parser.feed(current.unread, current);
     current.unread.erase(0, used);
     if (current.parser.fault())
-        this->refuse(
-            connection, *current.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest);
+        this->refuse(connection,
+            *current.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest,
+            CloseReason::Refused);
     else if (current.bodyTooLarge)
-        this->refuse(connection, statusTooLarge);
+        this->refuse(connection, statusTooLarge, CloseReason::Refused);
     else if (current.complete)
         this->deliver(connection);
 }
@@ -216,15 +232,36 @@
     }
 }
 
-void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status)
+void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason)
 {
-    this->reportClosed(*connection, CloseReason::Refused);
+    this->reportClosed(*connection, reason);
     connection->closeAfter = true;
     this->sendHead(connection, status, {}, 0);
-    connection->link->closeAfterWrite();
+    this->endConnection(connection);
+}
+
+void FrontServer::endConnection(const ConnectionPointer& connection)
+{
+    if (this->closing.size() < maxLingering)
+        connection->link->lingerAfterWrite();
+    else
+        connection->link->closeAfterWrite();
     this->removeConnection(connection);
 }
 
+void FrontServer::sweepLingering(Milliseconds now)
+{
+    for (const ConnectionPointer& connection : this->closing) {
+        if (connection->link->pending() > 0)
+            continue;
+        if (connection->lingersUntil.value == 0)
+            connection->lingersUntil = now + lingerTime;
+        if (now >= connection->lingersUntil)
+            connection->link->close();
+    }
+    std::erase_if(this->closing, [](const auto& connection) { return !connection->link->open(); });
+}
+
 void FrontServer::reportClosed(const Connection& connection, CloseReason reason, const std::string& detail) const
 {
     const bool inRequest = connection.call.value == 0 && connection.parser.inMessage();
@@ -251,10 +288,10 @@
     const CallId call = connection->call;
     connection->call = {};
     this->connections.erase(connection->number);
-    if (connection->link->pending() == 0)
+    if (connection->link->pending() == 0 && !connection->link->isLingering())
         connection->link->close();
     else if (connection->link->open())
-        this->closing.push_back(connection->link);
+        this->closing.push_back(connection);
     if (call.value != 0 && this->calls.erase(call) > 0)
         this->handlers.onCallerDisconnected(call);
 }
@@ -278,7 +315,8 @@
     else if (framing == BodyFraming::Chunks)
         text += "Transfer-Encoding: chunked\r\n";
     connection->chunked = !length && framing == BodyFraming::Chunks;
-    connection->closeAfter = connection->closeAfter || this->draining || framing == BodyFraming::Connection;
+    const bool drains = this->draining && connection->unread.empty() && connection->link->unreadBytes() == 0;
+    connection->closeAfter = connection->closeAfter || drains || framing == BodyFraming::Connection;
     if (connection->closeAfter)
         text += "Connection: close\r\n";
     text += "\r\n";
@@ -334,8 +372,7 @@
     connection->limits = this->limits;
     if (connection->closeAfter) {
         this->reportClosed(*connection, CloseReason::AfterAnswer);
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        this->endConnection(connection);
         return;
     }
     connection->link->pauseReading(false);
@@ -363,11 +400,13 @@
 
 bool FrontServer::hasUnsent()
 {
-    const auto hasPending = [](const std::shared_ptr<TcpLink>& link) { return link->open() && link->pending() > 0; };
-    std::erase_if(this->closing, [&](const auto& link) { return !hasPending(link); });
-    return !this->closing.empty()
+    this->sweepLingering(monotonicNow());
+    const auto hasPending = [](const ConnectionPointer& connection) {
+        return connection->link->open() && connection->link->pending() > 0;
+    };
+    return std::any_of(this->closing.begin(), this->closing.end(), hasPending)
         || std::any_of(this->connections.begin(), this->connections.end(),
-            [&](const auto& entry) { return hasPending(entry.second->link); });
+            [&](const auto& entry) { return hasPending(entry.second); });
 }
 
 void FrontServer::closeIdle(bool readingToo)
@@ -381,16 +420,19 @@
         if (connection->call.value == 0 && (readingToo || !connection->isReading()))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
+        if (connection->parser.inMessage()) {
+            this->refuse(connection, statusUnavailable, CloseReason::Drain);
+            continue;
+        }
         this->reportClosed(*connection, CloseReason::Drain);
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        this->endConnection(connection);
     }
 }
 
 void FrontServer::sweep(Milliseconds now)
 {
     constexpr Milliseconds unreadTime { 1000 };
-    this->hasUnsent(); // forgets the links that are done
+    this->sweepLingering(now);
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
@@ -409,10 +451,12 @@
             expired.push_back(connection);
     }
     for (const ConnectionPointer& connection : expired) {
-        const bool inRequest = connection->parser.inMessage();
-        this->reportClosed(*connection, inRequest ? CloseReason::RequestTimeout : CloseReason::Idle);
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        if (connection->parser.inMessage()) {
+            this->refuse(connection, statusRequestTimeout, CloseReason::RequestTimeout);
+            continue;
+        }
+        this->reportClosed(*connection, CloseReason::Idle);
+        this->endConnection(connection);
     }
 }
 
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -106,18 +106,21 @@
     /// @return number of requests whose answer is not complete
     std::size_t openCalls() const { return this->calls.size(); }
 
-    /// Makes each further answer carry `Connection: close`.
+    /// Makes each further answer carry `Connection: close`, unless the next request has already arrived behind it.
     void startDrain() { this->draining = true; }
     /// @return whether bytes of complete answers are queued that the kernel has not taken
     bool hasUnsent();
+    /// @return whether a connection that was ended here is kept until its caller closes it, for about a second at most
+    bool isLingering() const { return !this->closing.empty(); }
     /// Stops accepting and closes the connections that have no request in progress.
-    /// @param readingToo also those on which a request has arrived in part, or whole and unread
+    /// @param readingToo also those on which a request has arrived in part, which is refused with status 503, or whole
+    ///   and unread
     void closeIdle(bool readingToo = true);
     /// @return whether any connection is open
     bool hasConnections() const { return !this->connections.empty(); }
-    /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. One with bytes unread gets a second
-    /// more, once: they may be the request, or the rest of it. To be called regularly: the time
-    /// between calls is the precision of these limits.
+    /// Ends connections that exceeded FrontLimits::headTimeout, with status 408, or idleTimeout. One with bytes unread
+    /// gets a second more, once: they may be the request, or the rest of it. To be called regularly: the time between
+    /// calls is the precision of these limits.
     /// @param now monotonic time
     void sweep(Milliseconds now);
 
@@ -132,10 +135,15 @@
     void parse(const ConnectionPointer& connection);
     /// Passes a complete request to Handlers::onRequest.
     void deliver(const ConnectionPointer& connection);
-    /// Answers an invalid request with an error status and closes the connection.
-    void refuse(const ConnectionPointer& connection, std::uint16_t status);
+    /// Answers a request that is invalid or not complete in time with an error status and ends the connection.
+    void refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason);
     /// Passes a connection that is about to be ended to Handlers::onConnectionClosed, if anything is on it.
     void reportClosed(const Connection& connection, CloseReason reason, const std::string& detail = {}) const;
+    /// Ends a connection once what was written to it has been sent. It is read on for a moment, so that the kernel
+    /// does not reset it before its caller has read that.
+    void endConnection(const ConnectionPointer& connection);
+    /// Closes the ended connections whose time to linger is over, and forgets those that are closed.
+    void sweepLingering(Milliseconds now);
     /// Removes a connection from the server and reports a request in progress as gone.
     void removeConnection(const ConnectionPointer& connection);
     /// Ends a request; closes the connection or continues with the next request.
@@ -154,7 +162,7 @@
     std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors; ///< one for each address passed to listen()
     std::unordered_map<std::uint64_t, ConnectionPointer> connections; ///< open connections by Connection::number
     std::unordered_map<CallId, ConnectionPointer> calls; ///< connections by the request in progress on them
-    std::vector<std::shared_ptr<TcpLink>> closing; ///< links without a connection that still have bytes to write
+    std::vector<ConnectionPointer> closing; ///< removed from `connections`, their links not closed yet
     std::uint64_t lastNumber { 0 }; ///< last number given to a connection or request
     bool draining { false }; ///< startDrain() was called
 };
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -431,10 +431,12 @@
     const bool isDone = elapsed > minDrainPeriod && this->calls.empty() && !this->front.hasUnsent();
     if (isDone || elapsed > drainAcceptPeriod)
         this->front.closeIdle(false);
-    // What is still being read is answered first.
-    const bool isEmpty = isDone && !this->front.hasConnections();
+    // What is still being read is answered first, and callers get the time to read their answers.
+    const bool isLingering = this->front.isLingering() && now < this->state.drainEndsAt.value_or(now);
+    const bool isEmpty = isDone && !this->front.hasConnections() && !isLingering;
     if (!this->exiting && (isEmpty || now > this->exitsAt)) {
         this->exiting = true;
+        this->front.closeIdle();
         // The delay lets bytes already written reach the callers.
         this->sweepTimer.expires_after(std::chrono::milliseconds(drainFlushDelay.value));
         this->sweepTimer.async_wait([this](const std::error_code&) { this->io.stop(); });
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -117,6 +117,15 @@
     this->queue.clear();
     this->queueOffset = 0;
     if (this->closing)
+        this->endSending();
+}
+
+void TcpLink::endSending()
+{
+    std::error_code code;
+    if (this->lingering)
+        this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, code);
+    if (!this->lingering || code)
         this->close();
 }
 
@@ -149,6 +158,18 @@
         this->close();
 }
 
+void TcpLink::lingerAfterWrite()
+{
+    if (this->closing || !this->socket.is_open())
+        return;
+    this->closing = true;
+    this->lingering = true;
+    this->onEnd = nullptr;
+    this->pauseReading(false);
+    if (this->pending() == 0)
+        this->endSending();
+}
+
 std::size_t TcpLink::unreadBytes() const
 {
     std::error_code code; // a closed socket has none
@@ -171,8 +192,9 @@
 
 void TcpLink::end(LinkEnd how)
 {
-    if (this->closing && how == LinkEnd::Broken)
-        this->close(); // the rest cannot be written
+    this->lingering = false;
+    if (this->closing && (how == LinkEnd::Broken || this->pending() == 0))
+        this->close(); // nothing is left to write, or it cannot be written
     if (!this->onEnd)
         return;
     const OnEnd handler = std::move(this->onEnd);
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -39,7 +39,8 @@
 
     /// Starts reading. close() releases the handlers.
     /// @param data called with received bytes
-    /// @param end called once when the connection ends other than by close(), closeAfterWrite() or reset()
+    /// @param end called once when the connection ends other than by close(), closeAfterWrite() or reset(); not
+    /// after lingerAfterWrite()
     void start(OnData data, OnEnd end);
     /// Sends bytes, queueing them if necessary; ignored after closeAfterWrite(). Errors are reported through OnEnd,
     /// never from within this call.
@@ -49,6 +50,9 @@
     void close();
     /// Closes the connection after all queued bytes have been written.
     void closeAfterWrite();
+    /// Ends the sending side after all queued bytes have been written, and goes on reading until the peer closes: bytes
+    /// left unread would make the kernel send a reset, which can take from the peer what it has not read yet.
+    void lingerAfterWrite();
     /// Closes the connection with a reset, so that the peer cannot take a partial body for a complete one.
     void reset();
     /// Stops or resumes reading, for flow control.
@@ -58,6 +62,8 @@
     std::size_t pending() const { return this->queue.size() - this->queueOffset; }
     /// @return received bytes that the kernel holds and that were not read
     std::size_t unreadBytes() const;
+    /// @return whether the connection stays open for reading after lingerAfterWrite()
+    bool isLingering() const { return this->lingering && this->socket.is_open(); }
     /// @return whether the socket is open
     bool open() const { return this->socket.is_open(); }
 
@@ -66,6 +72,8 @@
     void readSome();
     /// Writes as much of the queue as the socket takes.
     void flush();
+    /// Ends the connection, or only its sending side, after closeAfterWrite() or lingerAfterWrite().
+    void endSending();
     /// Continues flush() when the socket is writable.
     void waitWritable();
     /// Calls onEnd, once.
@@ -81,7 +89,8 @@
     bool reading { false }; ///< a read is in progress
     bool paused { false }; ///< set by pauseReading()
     bool writeFailed { false }; ///< the connection is broken, whatever a read reports then
-    bool closing { false }; ///< closeAfterWrite() was called
+    bool closing { false }; ///< closeAfterWrite() or lingerAfterWrite() was called
+    bool lingering { false }; ///< lingerAfterWrite() was called, and the peer has not closed its side
     bool inDataHandler { false }; ///< onData is running, so that close() must not destroy it
     OnData onData; ///< see start(); empty after close()
     OnEnd onEnd; ///< see start(); empty after its call or close()
--- a/tests/unit_front_close.cpp
+++ b/tests/unit_front_close.cpp
@@ -234,3 +234,67 @@
     send(caller, request.substr(1000));
     CHECK(rig.receive(caller).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against answers that are lost because the kernel resets a connection that is closed with bytes unread.
+TEST_CASE("An answer arrives whole though its caller goes on sending", "[front][front-close]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    const std::string surplus(30000, 'x');
+    const bool refused = GENERATE(true, false);
+    if (refused) {
+        rig.server->setLimits({ .bodyBytes = { 1000 } });
+        send(caller, "POST /plain HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n" + surplus);
+        rig.run();
+        send(caller, surplus);
+        CHECK(rig.receive(caller).starts_with("HTTP/1.1 413"));
+    } else {
+        send(caller, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + surplus);
+        CHECK(rig.receive(caller).size() > largeAnswer);
+    }
+    CHECK(rig.lastError == asio::error::eof);
+    CHECK_FALSE(rig.server->hasConnections());
+    CHECK(rig.server->isLingering());
+    if (GENERATE(true, false)) {
+        caller.close();
+        rig.run();
+        rig.server->sweep(monotonicNow());
+        CHECK_FALSE(rig.server->isLingering());
+    } else {
+        const Milliseconds now = monotonicNow();
+        rig.server->sweep(now);
+        CHECK(rig.server->isLingering());
+        rig.server->sweep(now + Milliseconds { 1000 });
+        CHECK_FALSE(rig.server->isLingering());
+        std::error_code code;
+        for (int attempt = 0; attempt < 5 && !code; ++attempt)
+            asio::write(caller, asio::buffer(surplus), code);
+        CHECK(code);
+    }
+}
+
+// Guards against a drain that ends requests which were sent before their caller could know of it.
+TEST_CASE("A request that lies behind another one is answered during a drain", "[front][front-close]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    send(caller, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n" + plainRequest);
+    rig.run();
+    rig.server->startDrain();
+    rig.server->answer(rig.lastCall, 200, {}, "first");
+    const std::string answers = rig.receive(caller);
+    CHECK(answers.find("first") != std::string::npos);
+    CHECK(answers.ends_with("done"));
+    CHECK(rig.lastError == asio::error::eof);
+}
+
+TEST_CASE("A request that is not complete in time is refused as not run", "[front][front-close]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    send(caller, plainRequest.substr(0, plainRequest.size() - 1));
+    rig.run();
+    rig.server->sweep(monotonicNow() + Milliseconds { 60000 });
+    CHECK(rig.receive(caller).starts_with("HTTP/1.1 408"));
+    CHECK(rig.lastError == asio::error::eof);
+}
