Close connections after refusals while an entry with agents stops

An entry that leaves refuses each request, but kept the connection unless it was short of workers: its caller sent the next request over it, and the exit closed it on that without an answer. The refusal says Connection: close now.

Evidence: "A refusal while the entry stops says that the connection closes" fails on the code before (no such header) and passes now.

--- a/src/http_io.cpp
+++ b/src/http_io.cpp
@@ -172,7 +172,7 @@
 void EntryHttp::State::addRoutes()
 {
     this->server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
-        if (HttpTaskQueue::overloaded() || this->queue.load()->busy())
+        if (this->refusing || HttpTaskQueue::overloaded() || this->queue.load()->busy())
             response.set_header("Connection", "close");
     });
     const auto caller = [this](const httplib::Request& request, httplib::Response& response) {
--- a/tests/unit_entry_http.cpp
+++ b/tests/unit_entry_http.cpp
@@ -21,10 +21,10 @@
 /// An entry's HTTP server without its reducer, and one caller.
 class StoppingServer {
 public:
-    StoppingServer()
+    explicit StoppingServer(unsigned workers = 2)
         : http({
                    .listen = "127.0.0.1:0",
-                   .workers = 2,
+                   .workers = workers,
                    .maxBody = { 1000000 },
                    .onEvent =
                        [this](EntryEventBody body) {
@@ -133,3 +133,16 @@
     const std::string answer = server.readAll();
     CHECK(answer.substr(answer.size() - std::min<std::size_t>(answer.size(), 14)) == "4\r\nlast\r\n0\r\n\r\n");
 }
+
+// Guards against callers that send their next request over a connection that the entry closes when it exits.
+TEST_CASE("A refusal while the entry stops says that the connection closes")
+{
+    StoppingServer server(8);
+    const auto held = server.table.add({ .method = "POST", .path = "/x", .contentType = {}, .body = {} });
+    server.stop();
+    server.send(head + "body");
+    const std::string answer = server.readAll();
+    server.table.remove(held->request);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+}
