Give callers that read nothing for some seconds the time to go on

An answer that its caller did not read for a little over 3 s while its buffers were full was reset: the entry's user timeout of 3 s for callers' connections covers not only data that a vanished host leaves unacknowledged. The kernel counts the time of a closed window too, and ends an idle connection after one unanswered probe once the timeout has passed. The log called it the caller's leaving.

The timeout is 15 s. Requests end at their deadlines whether or not their caller's host has vanished.

The part about probes is by reading, not run: a lost packet cannot be made here without root.

--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -16,9 +16,10 @@
     .keepAliveIdleSeconds = 1,
     .keepAliveProbes = 2,
     .receiveBuffer = linkReceiveBuffer };
-/// Socket options of connections of callers.
+/// Socket options of connections of callers. The kernel applies the user timeout to a caller whose buffer is full and
+/// to unanswered probes as well, so it is far longer than a pause of a sound caller.
 constexpr LinkOptions callerLinkOptions {
-    .userTimeout = { 3000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .receiveBuffer = linkReceiveBuffer
+    .userTimeout = { 15000 }, .keepAliveIdleSeconds = 5, .keepAliveProbes = 3, .receiveBuffer = linkReceiveBuffer
 };
 
 /// Age up to which a confirmed configuration is trusted to decide on keys, as a percentage of maxRevocationDelay. The
--- a/tests/unit_tcp_link.cpp
+++ b/tests/unit_tcp_link.cpp
@@ -1,3 +1,4 @@
+#include "table/relay_loop_limits.h"
 #include "tcp_link_io.h"
 
 #include <catch2/catch.hpp>
@@ -29,3 +30,21 @@
     CHECK(*end == LinkEnd::Broken);
     link->close();
 }
+
+// Guards against answers that are cut because their caller reads nothing for some seconds: the kernel counts the time
+// in which the peer's buffer is full as well.
+TEST_CASE("A caller that reads nothing for some seconds keeps its connection", "[tcp-link]")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket caller(io);
+    caller.connect(acceptor.local_endpoint());
+    const auto link = std::make_shared<TcpLink>(acceptor.accept(), callerLinkOptions);
+    std::optional<LinkEnd> end;
+    link->start([](std::string_view) {}, [&](LinkEnd how) { end = how; });
+    link->write(std::string(32U << 20U, 'x')); // more than the kernel's buffers hold
+    REQUIRE(link->pending() > 0);
+    io.run_for(std::chrono::milliseconds(4500));
+    CHECK_FALSE(end);
+    link->close();
+}
