--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -12,8 +12,13 @@
 namespace {
 
     constexpr std::uint16_t statusBadRequest = 400;
+    constexpr std::uint16_t statusRequestTimeout = 408;
     constexpr std::uint16_t statusTooLarge = 413;
+    constexpr std::uint16_t statusUnavailable = 503;
     constexpr std::uint16_t statusHeadTooLarge = 431;
+    constexpr Milliseconds lingerTime { 1000 }; ///< after the last byte to a connection that was ended
+    constexpr std::size_t maxLingering = 1024; ///< ended connections that are read on; more are closed at once
+    constexpr std::size_t maxDiscarded = 8U << 20U; ///< bytes read from an ended connection before it is closed
     constexpr int listenBacklog
         = 1024; ///< when it is full, SYN packets are dropped and callers retry only after a second or more
 
@@ -40,6 +45,8 @@
         return "Unauthorized";
     case 404:
         return "Not Found";
+    case 408:
+        return "Request Timeout";
     case 413:
         return "Content Too Large";
     case 421:
@@ -61,12 +68,18 @@
 
 /// One connection of a caller and the request being read from it.
 struct FrontServer::Connection : WireSink {
-    Connection(std::uint64_t number, std::size_t maxHeadBytes)
+    Connection(std::uint64_t number, const FrontLimits& limits)
         : number(number)
-        , parser(WireKind::Request, maxHeadBytes)
+        , parser(WireKind::Request, limits.headBytes.value)
+        , limits(limits)
     {
     }
 
+    /// @return whether a request has arrived in part, or whole and unread
+    bool isReading() const
+    {
+        return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
+    }
     void onHead(WireHead&& received) override
     {
         this->request.head = std::move(received);
@@ -76,7 +89,7 @@
     }
     void onBody(std::string_view bytes) override
     {
-        if (this->request.body.size() + bytes.size() > this->maxBody)
+        if (this->request.body.size() + bytes.size() > this->limits.bodyBytes.value)
             this->bodyTooLarge = true;
         else
             this->request.body.append(bytes);
@@ -87,16 +100,19 @@
     std::uint16_t port { 0 }; ///< local port that the connection was accepted at
     std::shared_ptr<TcpLink> link;
     WireParser parser;
+    FrontLimits limits; ///< in force when the request being read began, or when the connection became idle
     std::string unread; ///< bytes received and not yet parsed
     FrontRequest request; ///< request being read, incomplete until `complete` is set
-    std::size_t maxBody { 0 }; ///< limit of the request being read, in bytes
-    bool bodyTooLarge { false }; ///< the body exceeded maxBody
+    bool bodyTooLarge { false }; ///< the body exceeded its limit
     bool complete { false }; ///< the request was read in full and not yet delivered
     bool ended { false }; ///< the connection was removed from the server
     CallId call; ///< delivered request whose answer is not complete, 0 for none
     bool chunked { false }; ///< the answer in progress has a chunked body
     bool closeAfter { false }; ///< close the connection after the answer
     Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
+    Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
+    std::size_t discarded { 0 }; ///< bytes read since the connection was ended
+    Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
 };
 
 FrontServer::FrontServer(asio::io_context& io, const LinkOptions& link, Handlers handlers)
@@ -139,7 +155,7 @@
         if (!code) {
             std::error_code ignored; // a connection that is already closed is detected by its first read
             const auto local = socket.local_endpoint(ignored);
-            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits.headBytes.value);
+            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits);
             connection->port = local.port();
             connection->since = monotonicNow();
             connection->link = std::make_shared<TcpLink>(std::move(socket), this->link);
@@ -156,6 +172,12 @@
 void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
 {
     constexpr std::size_t maxPipelined = 64U << 10U; // bytes received ahead before reading pauses
+    if (connection->ended) {
+        connection->discarded += bytes.size();
+        if (connection->discarded > maxDiscarded)
+            connection->link->close();
+        return;
+    }
     connection->unread.append(bytes);
     if (connection->call.value != 0) {
         // A pipelined request is parsed after the answer to the current one is complete.
@@ -173,17 +195,20 @@
         return;
     if (!current.parser.inMessage()) {
         current.since = monotonicNow();
+        current.unreadUntil = {};
         current.request = {};
         current.request.firstByteAt = current.since;
-        current.maxBody = this->limits.bodyBytes.value;
+        current.limits = this->limits;
+        current.parser.setMaxHeadBytes(current.limits.headBytes.value);
     }
     const std::size_t used = current.parser.feed(current.unread, current);
     current.unread.erase(0, used);
     if (current.parser.fault())
-        this->refuse(
-            connection, *current.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest);
+        this->refuse(connection,
+            *current.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest,
+            CloseReason::Refused);
     else if (current.bodyTooLarge)
-        this->refuse(connection, statusTooLarge);
+        this->refuse(connection, statusTooLarge, CloseReason::Refused);
     else if (current.complete)
         this->deliver(connection);
 }
@@ -201,19 +226,60 @@
     const bool isHandled = guarded("request", "caller", [&] { this->handlers.onRequest(std::move(current.request)); });
     // An upstream may have it already: the close of the connection promises nothing.
     if (!isHandled) {
+        this->reportClosed(current, CloseReason::UnexpectedError);
         connection->link->reset();
         guarded("request-end", "caller", [&] { this->removeConnection(connection); });
     }
 }
 
-void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status)
+void FrontServer::refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason)
 {
+    this->reportClosed(*connection, reason);
     connection->closeAfter = true;
     this->sendHead(connection, status, {}, 0);
-    connection->link->closeAfterWrite();
+    this->endConnection(connection);
+}
+
+void FrontServer::endConnection(const ConnectionPointer& connection)
+{
+    if (this->closing.size() < maxLingering)
+        connection->link->lingerAfterWrite();
+    else
+        connection->link->closeAfterWrite();
     this->removeConnection(connection);
 }
 
+void FrontServer::sweepLingering(Milliseconds now)
+{
+    for (const ConnectionPointer& connection : this->closing) {
+        if (connection->link->pending() > 0)
+            continue;
+        if (connection->lingersUntil.value == 0)
+            connection->lingersUntil = now + lingerTime;
+        if (now >= connection->lingersUntil)
+            connection->link->close();
+    }
+    std::erase_if(this->closing, [](const auto& connection) { return !connection->link->open(); });
+}
+
+void FrontServer::reportClosed(const Connection& connection, CloseReason reason, const std::string& detail) const
+{
+    const bool inRequest = connection.call.value == 0 && connection.parser.inMessage();
+    if (!this->handlers.onConnectionClosed || connection.ended)
+        return;
+    if (connection.call.value == 0 && reason != CloseReason::Refused && !connection.isReading())
+        return;
+    this->handlers.onConnectionClosed({ .reason = reason,
+        .detail = detail,
+        .call = connection.call,
+        .head = connection.call.value == 0 ? connection.request.head : WireHead {},
+        .inRequest = inRequest,
+        .unparsed = connection.unread.size(),
+        .unread = connection.link->unreadBytes(),
+        .port = connection.port,
+        .age = monotonicNow() - connection.since });
+}
+
 void FrontServer::removeConnection(const ConnectionPointer& connection)
 {
     if (connection->ended)
@@ -222,10 +288,10 @@
     const CallId call = connection->call;
     connection->call = {};
     this->connections.erase(connection->number);
-    if (connection->link->pending() == 0)
+    if (connection->link->pending() == 0 && !connection->link->isLingering())
         connection->link->close();
     else if (connection->link->open())
-        this->closing.push_back(connection->link);
+        this->closing.push_back(connection);
     if (call.value != 0 && this->calls.erase(call) > 0)
         this->handlers.onCallerDisconnected(call);
 }
@@ -249,7 +315,8 @@
     else if (framing == BodyFraming::Chunks)
         text += "Transfer-Encoding: chunked\r\n";
     connection->chunked = !length && framing == BodyFraming::Chunks;
-    connection->closeAfter = connection->closeAfter || this->draining || framing == BodyFraming::Connection;
+    const bool drains = this->draining && connection->unread.empty() && connection->link->unreadBytes() == 0;
+    connection->closeAfter = connection->closeAfter || drains || framing == BodyFraming::Connection;
     if (connection->closeAfter)
         text += "Connection: close\r\n";
     text += "\r\n";
@@ -302,9 +369,10 @@
     this->calls.erase(id);
     connection->call = {};
     connection->since = monotonicNow();
+    connection->limits = this->limits;
     if (connection->closeAfter) {
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        this->reportClosed(*connection, CloseReason::AfterAnswer);
+        this->endConnection(connection);
         return;
     }
     connection->link->pauseReading(false);
@@ -312,11 +380,12 @@
         asio::post(this->io, [this, connection] { this->parse(connection); });
 }
 
-void FrontServer::abort(CallId id)
+void FrontServer::abort(CallId id, const std::string& why)
 {
     const ConnectionPointer connection = this->find(id);
     if (!connection)
         return;
+    this->reportClosed(*connection, CloseReason::Aborted, why);
     this->calls.erase(id);
     connection->call = {};
     connection->link->reset();
@@ -331,11 +400,13 @@
 
 bool FrontServer::hasUnsent()
 {
-    const auto hasPending = [](const std::shared_ptr<TcpLink>& link) { return link->open() && link->pending() > 0; };
-    std::erase_if(this->closing, [&](const auto& link) { return !hasPending(link); });
-    return !this->closing.empty()
+    this->sweepLingering(monotonicNow());
+    const auto hasPending = [](const ConnectionPointer& connection) {
+        return connection->link->open() && connection->link->pending() > 0;
+    };
+    return std::any_of(this->closing.begin(), this->closing.end(), hasPending)
         || std::any_of(this->connections.begin(), this->connections.end(),
-            [&](const auto& entry) { return hasPending(entry.second->link); });
+            [&](const auto& entry) { return hasPending(entry.second); });
 }
 
 void FrontServer::closeIdle(bool readingToo)
@@ -344,33 +415,48 @@
         std::error_code code; // ignored: the process is about to end
         acceptor->close(code);
     }
-    const auto isReading = [](const Connection& connection) {
-        return connection.parser.inMessage() || !connection.unread.empty() || connection.link->hasUnread();
-    };
     std::vector<ConnectionPointer> idle;
     for (const auto& [number, connection] : this->connections)
-        if (connection->call.value == 0 && (readingToo || !isReading(*connection)))
+        if (connection->call.value == 0 && (readingToo || !connection->isReading()))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        if (connection->parser.inMessage()) {
+            this->refuse(connection, statusUnavailable, CloseReason::Drain);
+            continue;
+        }
+        this->reportClosed(*connection, CloseReason::Drain);
+        this->endConnection(connection);
     }
 }
 
 void FrontServer::sweep(Milliseconds now)
 {
-    this->hasUnsent(); // forgets the links that are done
+    constexpr Milliseconds unreadTime { 1000 };
+    this->sweepLingering(now);
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
             continue;
-        const Milliseconds limit = connection->parser.inMessage() ? this->limits.headTimeout : this->limits.idleTimeout;
-        if (now - connection->since > limit)
+        const bool inRequest = connection->parser.inMessage();
+        const auto limitOf
+            = [&](const FrontLimits& given) { return inRequest ? given.headTimeout : given.idleTimeout; };
+        const Milliseconds limit = std::max(limitOf(connection->limits), limitOf(this->limits));
+        if (now - connection->since <= limit)
+            continue;
+        // What arrived while this process stood still is read after the sweep.
+        const bool isUnread = !connection->unread.empty() || connection->link->unreadBytes() > 0;
+        if (isUnread && connection->unreadUntil.value == 0)
+            connection->unreadUntil = now + unreadTime;
+        if (now >= connection->unreadUntil)
             expired.push_back(connection);
     }
     for (const ConnectionPointer& connection : expired) {
-        connection->link->closeAfterWrite();
-        this->removeConnection(connection);
+        if (connection->parser.inMessage()) {
+            this->refuse(connection, statusRequestTimeout, CloseReason::RequestTimeout);
+            continue;
+        }
+        this->reportClosed(*connection, CloseReason::Idle);
+        this->endConnection(connection);
     }
 }
 
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -40,6 +40,30 @@
     Connection, ///< neither a length nor chunks: the body ends with its connection
 };
 
+/// Why a FrontServer ended a connection.
+enum class CloseReason : std::uint8_t {
+    Idle, ///< no request came within FrontLimits::idleTimeout
+    RequestTimeout, ///< a request was not complete within FrontLimits::headTimeout
+    Drain, ///< the process is about to stop
+    Refused, ///< the request was not valid HTTP or exceeded a limit
+    Aborted, ///< see FrontServer::abort()
+    AfterAnswer, ///< an answer announced it
+    UnexpectedError, ///< the handling of a request failed
+};
+
+/// A connection that the server ended while it held a request or bytes that had not been read.
+struct ClosedConnection {
+    CloseReason reason { CloseReason::Idle };
+    std::string detail; ///< why an answer was broken off, else empty
+    CallId call; ///< request that was being answered, 0 for none
+    WireHead head; ///< of the request that was being read, empty if its head was not complete
+    bool inRequest { false }; ///< a request was being read
+    std::size_t unparsed { 0 }; ///< bytes that were received and belong to no request yet
+    std::size_t unread { 0 }; ///< bytes that the kernel held
+    std::uint16_t port { 0 }; ///< local port
+    Milliseconds age { 0 }; ///< time since the request being read began, or since the connection became idle
+};
+
 /// HTTP/1.1 server on the Asio loop, used by RelayLoop and LoaderLoop; EntryLoop and AgentLoop use the servers of
 /// http_io.h. It handles one request per connection at a time: a pipelined request
 /// is parsed after the previous answer is complete.
@@ -49,6 +73,7 @@
     struct Handlers {
         std::function<void(FrontRequest&&)> onRequest; ///< a complete request arrived
         std::function<void(CallId)> onCallerDisconnected; ///< the caller disconnected before its answer was complete
+        std::function<void(const ClosedConnection&)> onConnectionClosed {}; ///< may be empty; must not call the server
     };
 
     /// @param link socket options of accepted connections
@@ -59,7 +84,8 @@
     /// @param address "ip:port", port 0 lets the kernel choose
     /// @return the bound port, or the error
     Result<std::uint16_t> listen(const std::string& address);
-    /// Sets the limits of later requests. Open connections keep their limit of the head.
+    /// Sets the limits of later requests. Callers act on the limits that they know: a request that is being read and a
+    /// connection that is idle keep theirs. Longer times hold at once.
     void setLimits(const FrontLimits& limits) { this->limits = limits; }
 
     /// Sends a complete answer. Here and below, an unknown id is ignored: the caller has disconnected.
@@ -72,24 +98,29 @@
     /// Ends the body.
     void finish(CallId id);
     /// Resets the connection, so that the caller cannot take the part of the answer sent so far for a complete one.
-    void abort(CallId id);
+    /// @param why passed on to Handlers::onConnectionClosed
+    void abort(CallId id, const std::string& why = {});
 
     /// @return bytes queued for the caller and not yet taken by the kernel, 0 for an unknown id
     std::size_t pending(CallId id) const;
     /// @return number of requests whose answer is not complete
     std::size_t openCalls() const { return this->calls.size(); }
 
-    /// Makes each further answer carry `Connection: close`.
+    /// Makes each further answer carry `Connection: close`, unless the next request has already arrived behind it.
     void startDrain() { this->draining = true; }
     /// @return whether bytes of complete answers are queued that the kernel has not taken
     bool hasUnsent();
+    /// @return whether a connection that was ended here is kept until its caller closes it, for about a second at most
+    bool isLingering() const { return !this->closing.empty(); }
     /// Stops accepting and closes the connections that have no request in progress.
-    /// @param readingToo also those on which a request has arrived in part, or whole and unread
+    /// @param readingToo also those on which a request has arrived in part, which is refused with status 503, or whole
+    ///   and unread
     void closeIdle(bool readingToo = true);
     /// @return whether any connection is open
     bool hasConnections() const { return !this->connections.empty(); }
-    /// Closes connections that exceeded FrontLimits::headTimeout or idleTimeout. To be called regularly: the time
-    /// between calls is the precision of these limits.
+    /// Ends connections that exceeded FrontLimits::headTimeout, with status 408, or idleTimeout. One with bytes unread
+    /// gets a second more, once: they may be the request, or the rest of it. To be called regularly: the time between
+    /// calls is the precision of these limits.
     /// @param now monotonic time
     void sweep(Milliseconds now);
 
@@ -104,8 +135,15 @@
     void parse(const ConnectionPointer& connection);
     /// Passes a complete request to Handlers::onRequest.
     void deliver(const ConnectionPointer& connection);
-    /// Answers an invalid request with an error status and closes the connection.
-    void refuse(const ConnectionPointer& connection, std::uint16_t status);
+    /// Answers a request that is invalid or not complete in time with an error status and ends the connection.
+    void refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason);
+    /// Passes a connection that is about to be ended to Handlers::onConnectionClosed, if anything is on it.
+    void reportClosed(const Connection& connection, CloseReason reason, const std::string& detail = {}) const;
+    /// Ends a connection once what was written to it has been sent. It is read on for a moment, so that the kernel
+    /// does not reset it before its caller has read that.
+    void endConnection(const ConnectionPointer& connection);
+    /// Closes the ended connections whose time to linger is over, and forgets those that are closed.
+    void sweepLingering(Milliseconds now);
     /// Removes a connection from the server and reports a request in progress as gone.
     void removeConnection(const ConnectionPointer& connection);
     /// Ends a request; closes the connection or continues with the next request.
@@ -124,7 +162,7 @@
     std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors; ///< one for each address passed to listen()
     std::unordered_map<std::uint64_t, ConnectionPointer> connections; ///< open connections by Connection::number
     std::unordered_map<CallId, ConnectionPointer> calls; ///< connections by the request in progress on them
-    std::vector<std::shared_ptr<TcpLink>> closing; ///< links without a connection that still have bytes to write
+    std::vector<ConnectionPointer> closing; ///< removed from `connections`, their links not closed yet
     std::uint64_t lastNumber { 0 }; ///< last number given to a connection or request
     bool draining { false }; ///< startDrain() was called
 };
