Give retries a file of their own, and make two tests stricter

Found in the read-through, by taking mends out again: the case of unit_relay_clear on placement passed without the preference for engines with the declared weights; the engine that must be chosen is now the last choice by its load, and the case fails without the preference (run). The sections of unit_request_suspect that wait check again that nothing fails the request.

--- a/src/relay_cmd.h
+++ b/src/relay_cmd.h
@@ -54,12 +54,6 @@
 /// @pre the request has a send in flight and no backup
 void sendBackup(
     RelayState& state, RelayRequest& request, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects);
-/// Goes on with a request after a failed send: with its backup, at another upstream or in the queue; else refuses it. A
-/// send that left this process counts as a retry against the retry budget.
-/// @param reason for the log, the metric and, if the request is refused, the response body
-/// @pre the request has no send in flight but its backup
-void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
-    RelayEffects& effects);
 /// Starts to forward a streamed response, or retries a request that the upstream states it did not run.
 void applyResponseStarted(RelayState& state, const ResponseStarted& event, Milliseconds now, RelayEffects& effects);
 /// Records the progress of a stream, so that it can be resumed after its last event.
@@ -76,6 +70,15 @@
 /// The same for the backup.
 void releaseBackup(RelayState& state, RelayRequest& request, bool cancel, RelayEffects& effects);
 
+// Retries (relay_retry_cmd.cpp) ------------------------------------------------------------------------------------
+
+/// Goes on with a request after a failed send: with its backup, at another upstream or in the queue; else refuses it. A
+/// send that left this process counts as a retry against the retry budget.
+/// @param reason for the log, the metric and, if the request is refused, the response body
+/// @pre the request has no send in flight but its backup
+void retryElsewhere(RelayState& state, RelayRequest& request, SendFailure failure, const char* reason, Milliseconds now,
+    RelayEffects& effects);
+
 // Silent upstreams (relay_silence_cmd.cpp) --------------------------------------------------------------------------
 
 /// Takes requests that have not begun back from engines that have sent nothing for too long, if another one can begin
--- a/tests/unit_relay_clear.cpp
+++ b/tests/unit_relay_clear.cpp
@@ -161,6 +161,9 @@
         stream.report({ .address = engine, .report = { .models = { { .model = { "model" }, .version = { 1 } } } } });
     stream.report(
         { .address = "e3:1", .report = { .models = { { .model = { "model" }, .version = { 2 } } }, .running = 2 } });
+    // It would be the last choice by its load.
+    stream.relay.event(PeerLoadsReceived {
+        .peer = { "entry-2" }, .loads = { { .upstream = loadKey({ "e3" }), .sent = 2, .prefillTokens = 3000 } } });
     const auto moved = stream.sentTo(stream.clear("e1"));
     REQUIRE(moved);
     CHECK(moved->upstream.value == "e3");
--- a/tests/unit_request_suspect.cpp
+++ b/tests/unit_request_suspect.cpp
@@ -184,6 +184,7 @@
     SECTION("while the agent of the version is not connected")
     {
         const EntryEffects waiting = fixture.advance({ 20000 });
+        CHECK(all<FailRequest>(waiting).empty());
         CHECK(all<AbortRequest>(waiting).empty());
         CHECK(all<DispatchAttempt>(waiting).empty());
         EntryEffects effects = fixture.run(AgentConnected { .host = first.host, .status = returned });
@@ -194,7 +195,9 @@
     }
     SECTION("until its deadline")
     {
-        CHECK(all<AbortRequest>(fixture.advance({ 59000 })).empty());
+        const EntryEffects waiting = fixture.advance({ 59000 });
+        CHECK(all<FailRequest>(waiting).empty());
+        CHECK(all<AbortRequest>(waiting).empty());
         CHECK(all<AbortRequest>(fixture.advance({ 1100 })).size() == 1);
     }
     SECTION("once no agent has the version")
