Read staged pieces back again if the last read-back is too old for the order

Cause: an agent reads all staged pieces back, announces its load order, waits for the streams at the engine to end, polls the engine's report and sends the order. It never asked how old the read-back was. Where the agent stood still in between, or the engine did not answer its reports, the order rested on a read-back of seconds ago; pieces that had turned bad since were loaded.

Change: the start of the last good read-back is kept. Where it is older than 2.4 s as the order would be confirmed or sent, the pieces are read back once more; the order stays announced, so that the engine does not drain twice. A report that was polled more than 0.6 s ago does not show that the engine still runs, and is polled again. A read-back that took longer than its timeout counts as none. Each repeat is logged (check-repeated, with the age) and counted. The bounds follow from the 3 s after which a spoilt piece counts; static_asserts tie them to the longest drain, so that nothing is repeated where nothing stood still.

Ruled out: that the report polled before the order would show it (it shows only a restart), and that the engine refuses such an order (it loads what is staged).

--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -44,7 +44,8 @@
 /// @pre there is a job and the engine's report is known
 void advanceOrder(StageState& state, Milliseconds now, StageEffects& effects);
 /// Sends the load order once the engine has reported that it is still the process whose staged pieces were read back:
-/// a restarted one may have lost them, and counts its orders anew.
+/// a restarted one may have lost them, and counts its orders anew. Repeats the read-back or the poll if it is too old
+/// by now, e.g. because this process stood still.
 /// @pre there is a job, and a report of another process has reset it
 void confirmOrder(StageState& state, const EngineReportRead& event, Milliseconds now, StageEffects& effects);
 /// Announces the load order when the read-back succeeded, or marks bad pieces for staging again.
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -25,6 +25,45 @@
             && now < latest;
     }
 
+    void startCheck(StageJob& job, OrderStep step, Milliseconds now, StageEffects& effects)
+    {
+        job.order = step;
+        job.orderAt = now;
+        effects.emplace_back(CheckStagedPieces { .version = job.version });
+    }
+
+    /// Asks the engine whether it is still the process whose staged pieces were read back.
+    void startConfirmation(StageJob& job, Milliseconds now, StageEffects& effects)
+    {
+        job.order = OrderStep::Confirming;
+        job.orderAt = now;
+        effects.emplace_back(PollReport {});
+    }
+
+    /// @param check what is too old for an order: "staged-pieces" or "report"
+    void recordRepeatedCheck(const StageJob& job, const char* check, Milliseconds age, StageEffects& effects)
+    {
+        effects.emplace_back(LogLine { .level = LogLevel::Warning,
+            .event = "check-repeated",
+            .fields = { { "version", std::to_string(job.version.value) }, { "check", check },
+                { "age_ms", std::to_string(age.value) } } });
+        effects.emplace_back(
+            MetricSample { .name = "checks_repeated_total", .labels = "check=\"" + std::string(check) + "\"" });
+    }
+
+    /// Reads the staged pieces back again if the last check is too old for an order. The order stays announced, because
+    /// draining the engine once more would take longer.
+    /// @return whether it does so
+    bool repeatOldCheck(StageJob& job, Milliseconds now, StageEffects& effects)
+    {
+        const Milliseconds age = now - job.checkedAt;
+        if (age <= maxCheckAge)
+            return false;
+        recordRepeatedCheck(job, "staged-pieces", age, effects);
+        startCheck(job, OrderStep::Rechecking, now, effects);
+        return true;
+    }
+
     /// @return whether so few streams are left at the engine that other engines can take them over
     bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxMovedStreams; }
 
@@ -35,12 +74,20 @@
     StageJob& job = state.jobs.front();
     if (job.order != OrderStep::Confirming || event.requestedAt < job.orderAt)
         return;
-    job.orderAt = now;
     if (!event.report) {
         job.order = OrderStep::None;
         return;
     }
+    if (repeatOldCheck(job, now, effects))
+        return;
+    const Milliseconds age = now - event.requestedAt;
+    if (age > maxReportAge) {
+        recordRepeatedCheck(job, "report", age, effects);
+        startConfirmation(job, now, effects);
+        return;
+    }
     job.order = OrderStep::Sent;
+    job.orderAt = now;
     effects.emplace_back(SendLoadOrder { .version = job.version, .expectedOrders = event.report->orders });
 }
 
@@ -67,16 +114,15 @@
 void advanceOrder(StageState& state, Milliseconds now, StageEffects& effects)
 {
     StageJob& job = state.jobs.front();
-    if (job.order == OrderStep::Checking && now - job.orderAt > checkTimeout)
+    if ((job.order == OrderStep::Checking || job.order == OrderStep::Rechecking) && now - job.orderAt > checkTimeout)
         job.order = OrderStep::None;
     if (job.order == OrderStep::Announced && now - job.orderAt > announceLead) {
         // The engine ends what runs before it loads. Entries move the last few streams: waiting for their ends keeps
         // the engine out of service for longer.
         if (!fewStreamsLeft(*state.report) && now - job.orderAt < maxDrainTime)
             return;
-        job.order = OrderStep::Confirming;
-        job.orderAt = now;
-        effects.emplace_back(PollReport {});
+        if (!repeatOldCheck(job, now, effects))
+            startConfirmation(job, now, effects);
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
         return;
@@ -86,9 +132,7 @@
         dropFirstJob(state, "next-is-near", effects);
         return;
     }
-    job.order = OrderStep::Checking;
-    job.orderAt = now;
-    effects.emplace_back(CheckStagedPieces { .version = job.version });
+    startCheck(job, OrderStep::Checking, now, effects);
 }
 
 void applyChecked(StageState& state, const StagedPiecesChecked& event, Milliseconds now, StageEffects& effects)
@@ -96,7 +140,7 @@
     StageJob* job = findJob(state, event.version);
     if (!job)
         return;
-    if (job->order != OrderStep::Checking) {
+    if (job->order != OrderStep::Checking && job->order != OrderStep::Rechecking) {
         // Read-back of a version that the engine has held since before this process started.
         for (PieceState& piece : job->pieces)
             piece.step = PieceStep::Staged;
@@ -104,9 +148,15 @@
             job->pieces.at(index).step = PieceStep::Missing;
         return;
     }
+    const bool isAnnounced = job->order == OrderStep::Rechecking;
+    const Milliseconds startedAt = job->orderAt;
     job->order = OrderStep::None;
     if (event.failed)
         return;
+    if (now - startedAt > checkTimeout) {
+        recordRepeatedCheck(*job, "staged-pieces", now - startedAt, effects);
+        return;
+    }
     for (const std::uint32_t index : event.bad)
         job->pieces.at(index).step = PieceStep::Held;
     if (!event.bad.empty()) {
@@ -116,6 +166,11 @@
             = { { "version", std::to_string(event.version.value) }, { "bad", std::to_string(event.bad.size()) } } });
         return;
     }
+    job->checkedAt = startedAt;
+    if (isAnnounced) {
+        startConfirmation(*job, now, effects);
+        return;
+    }
     job->order = OrderStep::Announced;
     // An engine without weights receives no requests, so the order need not wait for it to drain.
     job->orderAt = engineHasNoWeights(state) ? now - announceLead * 2 : now;
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -212,8 +212,8 @@
     if (state.orderUnconfirmed)
         return true;
     return !state.jobs.empty()
-        && (state.jobs.front().order == OrderStep::Announced || state.jobs.front().order == OrderStep::Confirming
-            || state.jobs.front().order == OrderStep::Sent);
+        && (state.jobs.front().order == OrderStep::Announced || state.jobs.front().order == OrderStep::Rechecking
+            || state.jobs.front().order == OrderStep::Confirming || state.jobs.front().order == OrderStep::Sent);
 }
 
 Milliseconds loadOrderDelay(const StageState& state, WeightsVersion version)
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -45,6 +45,7 @@
     None, ///< no load order is in progress
     Checking, ///< staged pieces are being read back
     Announced, ///< entries were informed and the engine drains
+    Rechecking, ///< as Announced, and staged pieces are read back again because the last check is too old
     Confirming, ///< the engine is asked whether it is still the process whose staged pieces were read back
     Sent, ///< the order was sent to the engine
 };
@@ -69,6 +70,7 @@
     std::vector<PieceState> pieces; ///< empty until the manifest is known
     OrderStep order { OrderStep::None };
     Milliseconds orderAt { 0 }; ///< when the current order step began
+    Milliseconds checkedAt { 0 }; ///< start of the last read-back that found all staged pieces good
 };
 
 /// What follows from the list of hosts of the service.
--- a/src/table/loader_limits.h
+++ b/src/table/loader_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock_type.h"
+#include "table/stage_limits.h"
 
 #include <cstddef>
 
@@ -12,6 +13,7 @@
 constexpr Milliseconds loadingReportPollPeriod { 50 };
 /// An engine that does not respond within this time counts as gone.
 constexpr Milliseconds reportTimeout { 600 };
+static_assert(maxReportAge >= reportTimeout, "a report in time must suffice for a load order");
 /// Interval between beacons that carry the engine's load to entries. Between two beacons an entry counts the requests
 /// that it sends to the engine itself.
 constexpr Milliseconds engineBeaconPeriod { 150 };
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -99,6 +99,15 @@
 constexpr std::int64_t orderCutoffPercent = 80;
 /// Timeout of reading back all staged pieces, which takes a tenth of this.
 constexpr Milliseconds checkTimeout { 1500 };
+/// Age of a read-back, from its start, above which it is repeated before a load order. A piece that turns bad must not
+/// be loaded 3 s later; the rest of that time is for the order's way to the engine.
+constexpr Milliseconds maxCheckAge { 2400 };
+/// Age of a report, from its poll, above which it no longer shows that the engine has not restarted. A poll that takes
+/// longer has failed, so an older report was held up in this process.
+constexpr Milliseconds maxReportAge { 600 };
+static_assert(maxCheckAge > checkTimeout + maxReportAge, "a read-back and a report in time must suffice for an order");
+static_assert(maxCheckAge > announceLead + maxDrainTime + maxReportAge,
+    "a drain of the usual length must not repeat the read-back");
 /// Percentage of the time allowed for a version before the first host of a service loads it; the pieces take about as
 /// long to arrive.
 constexpr std::int64_t firstLoadPercent = 38;
