Use the result of a read-back only for what it was started for

Cause: every result of a read-back that did not belong to a check before an order counted as that of the read-back after a start, and set all pieces but the bad ones to staged, also where the read-back had failed. The result of a check that had timed out, or was started before the engine restarted, was taken in the same way, or for the check that had been started since.

Change: read-backs are numbered and know their purpose. A result that nobody waits for is dropped, logged (late-check, both rounds) and counted. A failed read-back finds nothing, and is repeated after 1 s. One that succeeds changes only pieces that are missing. A piece whose bytes are not in memory is fetched again and never staged.

Without a result that marks unread pieces as staged, the loop of empty pieces cannot begin; the guard before staging ends it whatever its beginning.

--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -118,8 +118,15 @@
 void LoaderLoop::stagePiece(const StagePiece& effect)
 {
     const auto found = this->held.find(effect.version.value);
-    if (found == this->held.end())
+    if (found == this->held.end() || found->second.pieces.at(effect.index).empty()) {
+        writeLog({ .level = LogLevel::Warning,
+            .event = "stage-failed",
+            .fields = { { "piece", std::to_string(effect.index) }, { "error", "not in memory" } } });
+        asio::post(this->io, [this, effect] {
+            this->dispatch(PieceStaged { .version = effect.version, .index = effect.index, .inMemory = false });
+        });
         return;
+    }
     this->pool.fetch({ .address = this->settings.engine,
                          .method = "PUT",
                          .target = platform::stagePutTarget(this->state.model, effect.index),
@@ -144,13 +151,14 @@
 /// Progress of reading back all staged pieces.
 struct LoaderLoop::CheckRun {
     WeightsVersion version; ///< version whose digests are used
+    std::uint32_t round { 0 }; ///< of the effect that asked for it
     std::uint32_t next { 0 }; ///< index of the next piece to read
     std::vector<std::uint32_t> bad; ///< indices of pieces that are missing or do not match
 };
 
 void LoaderLoop::checkStagedPieces(const CheckStagedPieces& effect)
 {
-    this->checkNext(std::make_shared<CheckRun>(CheckRun { .version = effect.version }));
+    this->checkNext(std::make_shared<CheckRun>(CheckRun { .version = effect.version, .round = effect.round }));
 }
 
 void LoaderLoop::checkNext(const std::shared_ptr<CheckRun>& run)
@@ -159,7 +167,8 @@
     if (found == this->held.end() || run->next >= found->second.digests.size()) {
         // Not from within the effect that asked for the check: its event may ask for the next one.
         asio::post(this->io, [this, run, failed = found == this->held.end()] {
-            this->dispatch(StagedPiecesChecked { .version = run->version, .bad = run->bad, .failed = failed });
+            this->dispatch(StagedPiecesChecked {
+                .version = run->version, .round = run->round, .bad = run->bad, .failed = failed });
         });
         return;
     }
@@ -170,7 +179,7 @@
         [this, run](const Result<FetchResponse>& answer) {
             const auto version = this->held.find(run->version.value);
             if (!answer || version == this->held.end()) {
-                this->dispatch(StagedPiecesChecked { .version = run->version, .failed = true });
+                this->dispatch(StagedPiecesChecked { .version = run->version, .round = run->round, .failed = true });
                 return;
             }
             if (!succeeded(answer) || !this->storeVerifiedPiece(run->version, run->next, answer.value().body))
--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -48,6 +48,10 @@
 /// by now, e.g. because this process stood still.
 /// @pre there is a job, and a report of another process has reset it
 void confirmOrder(StageState& state, const EngineReportRead& event, Milliseconds now, StageEffects& effects);
+/// Reads the staged pieces of a job back. A result of an earlier read-back is dropped from now on.
+void startCheck(StageState& state, StageJob& job, CheckPurpose purpose, Milliseconds now, StageEffects& effects);
+/// Gives up the load order in progress, with its read-back.
+void withdrawOrder(StageJob& job);
 /// Announces the load order when the read-back succeeded, or marks bad pieces for staging again.
 void applyChecked(StageState& state, const StagedPiecesChecked& event, Milliseconds now, StageEffects& effects);
 /// Applies the engine's response to a load order.
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -3,6 +3,8 @@
 #include "table/stage_limits.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace hickory {
 
@@ -25,11 +27,12 @@
             && now < latest;
     }
 
-    void startCheck(StageJob& job, OrderStep step, Milliseconds now, StageEffects& effects)
+    void startOrderCheck(StageState& state, OrderStep step, Milliseconds now, StageEffects& effects)
     {
+        StageJob& job = state.jobs.front();
         job.order = step;
         job.orderAt = now;
-        effects.emplace_back(CheckStagedPieces { .version = job.version });
+        startCheck(state, job, CheckPurpose::Order, now, effects);
     }
 
     /// Asks the engine whether it is still the process whose staged pieces were read back.
@@ -54,16 +57,36 @@
     /// Reads the staged pieces back again if the last check is too old for an order. The order stays announced, because
     /// draining the engine once more would take longer.
     /// @return whether it does so
-    bool repeatOldCheck(StageJob& job, Milliseconds now, StageEffects& effects)
+    bool repeatOldCheck(StageState& state, Milliseconds now, StageEffects& effects)
     {
+        const StageJob& job = state.jobs.front();
         const Milliseconds age = now - job.checkedAt;
         if (age <= maxCheckAge)
             return false;
         recordRepeatedCheck(job, "staged-pieces", age, effects);
-        startCheck(job, OrderStep::Rechecking, now, effects);
+        startOrderCheck(state, OrderStep::Rechecking, now, effects);
         return true;
     }
 
+    /// Takes the pieces that were found in the staging area as staged. The others are fetched as soon as the engine
+    /// needs them.
+    void applyReadBack(StageJob& job, const StagedPiecesChecked& event, Milliseconds now, StageEffects& effects)
+    {
+        if (event.failed) {
+            job.readBackAt = now + readBackRetryDelay;
+            effects.emplace_back(LogLine { .level = LogLevel::Warning,
+                .event = "read-back-failed",
+                .fields = { { "version", std::to_string(event.version.value) },
+                    { "age_ms", std::to_string((now - job.check.startedAt).value) } } });
+            return;
+        }
+        job.readBackEnded = true;
+        const std::set<std::uint32_t> bad(event.bad.begin(), event.bad.end());
+        for (std::uint32_t index = 0; index < job.pieces.size(); ++index)
+            if (job.pieces[index].step == PieceStep::Missing && !bad.contains(index))
+                job.pieces[index].step = PieceStep::Staged;
+    }
+
     /// @return whether so few streams are left at the engine that other engines can take them over
     bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxMovedStreams; }
 
@@ -75,10 +98,10 @@
     if (job.order != OrderStep::Confirming || event.requestedAt < job.orderAt)
         return;
     if (!event.report) {
-        job.order = OrderStep::None;
+        withdrawOrder(job);
         return;
     }
-    if (repeatOldCheck(job, now, effects))
+    if (repeatOldCheck(state, now, effects))
         return;
     const Milliseconds age = now - event.requestedAt;
     if (age > maxReportAge) {
@@ -115,13 +138,13 @@
 {
     StageJob& job = state.jobs.front();
     if ((job.order == OrderStep::Checking || job.order == OrderStep::Rechecking) && now - job.orderAt > checkTimeout)
-        job.order = OrderStep::None;
+        withdrawOrder(job);
     if (job.order == OrderStep::Announced && now - job.orderAt > announceLead) {
         // The engine ends what runs before it loads. Entries move the last few streams: waiting for their ends keeps
         // the engine out of service for longer.
         if (!fewStreamsLeft(*state.report) && now - job.orderAt < maxDrainTime)
             return;
-        if (!repeatOldCheck(job, now, effects))
+        if (!repeatOldCheck(state, now, effects))
             startConfirmation(job, now, effects);
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
@@ -132,24 +155,40 @@
         dropFirstJob(state, "next-is-near", effects);
         return;
     }
-    startCheck(job, OrderStep::Checking, now, effects);
+    startOrderCheck(state, OrderStep::Checking, now, effects);
+}
+
+void startCheck(StageState& state, StageJob& job, CheckPurpose purpose, Milliseconds now, StageEffects& effects)
+{
+    job.check = { .purpose = purpose, .round = ++state.checkRounds, .startedAt = now };
+    effects.emplace_back(CheckStagedPieces { .version = job.version, .round = job.check.round });
+}
+
+void withdrawOrder(StageJob& job)
+{
+    job.order = OrderStep::None;
+    if (job.check.purpose == CheckPurpose::Order)
+        job.check.purpose = CheckPurpose::None;
 }
 
 void applyChecked(StageState& state, const StagedPiecesChecked& event, Milliseconds now, StageEffects& effects)
 {
     StageJob* job = findJob(state, event.version);
-    if (!job)
+    if (!job || job->check.purpose == CheckPurpose::None || job->check.round != event.round) {
+        // Pieces may have been staged again, or by another process of the engine, since they were read.
+        effects.emplace_back(LogLine { .event = "late-check",
+            .fields = { { "version", std::to_string(event.version.value) }, { "round", std::to_string(event.round) },
+                { "last_round", std::to_string(state.checkRounds) } } });
+        effects.emplace_back(MetricSample { .name = "late_checks_total", .labels = {} });
         return;
-    if (job->order != OrderStep::Checking && job->order != OrderStep::Rechecking) {
-        // Read-back of a version that the engine has held since before this process started.
-        for (PieceState& piece : job->pieces)
-            piece.step = PieceStep::Staged;
-        for (const std::uint32_t index : event.bad)
-            job->pieces.at(index).step = PieceStep::Missing;
+    }
+    const bool isForOrder = std::exchange(job->check.purpose, CheckPurpose::None) == CheckPurpose::Order;
+    if (!isForOrder) {
+        applyReadBack(*job, event, now, effects);
         return;
     }
     const bool isAnnounced = job->order == OrderStep::Rechecking;
-    const Milliseconds startedAt = job->orderAt;
+    const Milliseconds startedAt = job->check.startedAt;
     job->order = OrderStep::None;
     if (event.failed)
         return;
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -187,7 +187,7 @@
     PieceState& piece = job->pieces[event.index];
     if (piece.step != PieceStep::Staging)
         return;
-    piece.step = event.ok ? PieceStep::Staged : PieceStep::Held;
+    piece.step = event.ok ? PieceStep::Staged : event.inMemory ? PieceStep::Held : PieceStep::Missing;
     if (allStaged(*job))
         effects.emplace_back(LogLine { .event = "weights-staged",
             .fields = { { "version", std::to_string(job->version.value) },
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -64,6 +64,8 @@
                 if (piece.step == PieceStep::Staged || piece.step == PieceStep::Staging)
                     piece.step = PieceStep::Held;
             job.order = OrderStep::None;
+            job.check.purpose = CheckPurpose::None;
+            job.readBackEnded = false;
         }
     }
 
@@ -89,7 +91,7 @@
             return;
         StageJob& job = state.jobs.front();
         if (engineHolds(state, first)) {
-            job.order = OrderStep::None;
+            withdrawOrder(job);
             if (!heldBefore)
                 effects.emplace_back(LogLine { .event = "weights-in-service",
                     .fields = { { "version", std::to_string(first.value) },
@@ -100,12 +102,14 @@
     }
 
     /// Reads back pieces that were staged before this process started, so that they can be offered to other agents.
-    void startReadBack(StageJob& job, StageEffects& effects)
+    void startReadBack(StageState& state, Milliseconds now, StageEffects& effects)
     {
-        if (!job.manifestKnown || job.readBackStarted || countStep(job, PieceStep::Missing) == 0)
+        StageJob& job = state.jobs.front();
+        const bool isRunning = job.check.purpose == CheckPurpose::Offer;
+        if (!job.manifestKnown || job.readBackEnded || isRunning || now < job.readBackAt
+            || countStep(job, PieceStep::Missing) == 0)
             return;
-        job.readBackStarted = true;
-        effects.emplace_back(CheckStagedPieces { .version = job.version });
+        startCheck(state, job, CheckPurpose::Offer, now, effects);
     }
 
     void advance(StageState& state, Milliseconds now, StageEffects& effects)
@@ -121,7 +125,7 @@
             requestManifest(state, job, now, effects);
         StageJob& first = state.jobs.front();
         if (engineHolds(state, first.version)) {
-            startReadBack(first, effects);
+            startReadBack(state, now, effects);
             return;
         }
         requestPieces(state, first, false, now, effects);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -50,6 +50,20 @@
     Sent, ///< the order was sent to the engine
 };
 
+/// What a read-back of staged pieces is for.
+enum class CheckPurpose : std::uint8_t {
+    None, ///< none is in progress, or its result is no longer of use
+    Offer, ///< to offer other agents what was staged before this process started
+    Order, ///< to order the engine to load the pieces
+};
+
+/// The last read-back of a version's staged pieces.
+struct StageCheck {
+    CheckPurpose purpose { CheckPurpose::None };
+    std::uint32_t round { 0 }; ///< tells its result from that of an earlier one
+    Milliseconds startedAt { 0 };
+};
+
 /// Pieces that another agent announced.
 struct PeerHoldings {
     Milliseconds receivedAt; ///< arrival of its last announcement
@@ -62,12 +76,14 @@
     Milliseconds knownSince { 0 }; ///< when this agent learned that the version was declared
     Milliseconds declaredSince { 0 }; ///< earliest moment at which it may have been declared, knownSince when unknown
     bool manifestKnown { false }; ///< the digests of its pieces are known
-    bool readBackStarted { false }; ///< read-back of pieces staged before this process started was requested
+    bool readBackEnded { false }; ///< pieces that were staged before this process started were read back
+    Milliseconds readBackAt { 0 }; ///< they are not read back before this time
     bool manifestRequested { false }; ///< a manifest request is in flight
     std::uint32_t manifestFailures { 0 }; ///< failed manifest requests
     Milliseconds manifestRetryAt { 0 }; ///< the manifest is not requested again before this time
     std::uint32_t pieceBytes { 0 }; ///< size of a piece in bytes, 0 until the manifest is known
     std::vector<PieceState> pieces; ///< empty until the manifest is known
+    StageCheck check;
     OrderStep order { OrderStep::None };
     Milliseconds orderAt { 0 }; ///< when the current order step began
     Milliseconds checkedAt { 0 }; ///< start of the last read-back that found all staged pieces good
@@ -109,6 +125,7 @@
     std::optional<EngineReport> report; ///< empty when the last poll of the engine failed
     std::int64_t processStartedAt { 0 }; ///< start of the engine that holds the staged pieces, Unix ms, 0 before
     std::size_t fetchWindow { maxPiecesInFlight }; ///< piece requests that may be in flight, adapted to the link
+    std::uint32_t checkRounds { 0 }; ///< read-backs started so far
     bool orderUnconfirmed { false }; ///< an order was accepted and no report has arrived since
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -71,11 +71,13 @@
     WeightsVersion version; ///< version that the piece belongs to
     std::uint32_t index { 0 }; ///< index of the piece within the version
     bool ok { false }; ///< the engine accepted it
+    bool inMemory { true }; ///< this process still holds its bytes
 };
 
 /// The staged pieces were read back from the engine and compared with their digests.
 struct StagedPiecesChecked {
     WeightsVersion version; ///< version whose digests were used
+    std::uint32_t round { 0 }; ///< of the CheckStagedPieces that it answers
     std::vector<std::uint32_t> bad; ///< indices of pieces that are missing or do not match
     bool failed { false }; ///< the check was cut short: the engine did not respond, or the version is no longer held
 };
@@ -113,6 +115,7 @@
 /// Read back all staged pieces and compare them with their digests. Ends with StagedPiecesChecked.
 struct CheckStagedPieces {
     WeightsVersion version; ///< version whose digests are used
+    std::uint32_t round { 0 }; ///< counts read-backs; one in progress is of no use any more
 };
 
 /// Send a beacon at once: entries stop sending new work before the load order, and move what the load waits for.
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -99,6 +99,8 @@
 constexpr std::int64_t orderCutoffPercent = 80;
 /// Timeout of reading back all staged pieces, which takes a tenth of this.
 constexpr Milliseconds checkTimeout { 1500 };
+/// Wait after a read-back of what was staged before this process started has failed, before it is repeated.
+constexpr Milliseconds readBackRetryDelay { 1000 };
 /// Age of a read-back, from its start, above which it is repeated before a load order. A piece that turns bad must not
 /// be loaded 3 s later; the rest of that time is for the order's way to the engine.
 constexpr Milliseconds maxCheckAge { 2400 };
--- a/tests/stage_fixture.h
+++ b/tests/stage_fixture.h
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Ends the read-back that was asked for last.
+    std::vector<StageEffect> checked(std::uint64_t version, const std::vector<std::uint32_t>& bad = {})
+    {
+        return this->event(
+            StagedPiecesChecked { .version = { version }, .round = this->state.checkRounds, .bad = bad });
+    }
+
     /// Delivers an announcement of another agent that holds all pieces of a version.
     std::vector<StageEffect> peerHolds(const std::string& ip, std::uint64_t version)
     {
--- a/tests/unit_stage.cpp
+++ b/tests/unit_stage.cpp
@@ -19,7 +19,7 @@
     SECTION("a bad piece is staged again before the order")
     {
         agent.unhandled.clear();
-        const auto effects = agent.event(StagedPiecesChecked { .version = { 1 }, .bad = { 5 } });
+        const auto effects = agent.checked(1, { 5 });
         bool written = false;
         for (const StageEffect& effect : effects)
             if (const auto* stage = std::get_if<StagePiece>(&effect))
@@ -31,7 +31,7 @@
     }
     SECTION("the order is announced and stays pending until the engine reports the version")
     {
-        agent.completeRequests(agent.event(StagedPiecesChecked { .version = { 1 } }));
+        agent.completeRequests(agent.checked(1));
         CHECK(agent.emitted<AnnounceLoadOrder>());
         CHECK(orderPending(agent.state));
         CHECK(agent.emitted<SendLoadOrder>()); // no drain: it has no requests
@@ -49,7 +49,7 @@
     agent.completeRequests(agent.declare(1));
     agent.completeRequests(agent.peerHolds("10.1.0.2", 1));
     agent.completeRequests(agent.report(0));
-    agent.completeRequests(agent.event(StagedPiecesChecked { .version = { 1 } }));
+    agent.completeRequests(agent.checked(1));
     agent.now += Milliseconds { 200 };
     agent.completeRequests(agent.event(StageTick {}));
     agent.completeRequests(agent.event(LoadOrderAnswered { .version = { 1 }, .status = 202 }));
@@ -72,7 +72,7 @@
     agent.completeRequests(agent.declare(1));
     agent.completeRequests(agent.peerHolds("10.1.0.2", 1));
     agent.completeRequests(agent.report(0));
-    agent.completeRequests(agent.event(StagedPiecesChecked { .version = { 1 } }));
+    agent.completeRequests(agent.checked(1));
     agent.now += Milliseconds { 200 };
     agent.completeRequests(agent.event(StageTick {}));
     agent.completeRequests(agent.event(LoadOrderAnswered { .version = { 1 }, .status = 0 }));
@@ -147,7 +147,7 @@
     agent.completeRequests(agent.peerHolds("10.1.0.2", 1));
     agent.completeRequests(agent.report(0));
     REQUIRE(agent.emitted<CheckStagedPieces>());
-    agent.unhandled = agent.event(StagedPiecesChecked { .version = { 1 } });
+    agent.unhandled = agent.checked(1);
     CHECK_FALSE(agent.emitted<SendLoadOrder>());
     REQUIRE(agent.emitted<PollReport>());
     SECTION("restarted")
@@ -189,7 +189,7 @@
     agent.now += loadOrderDelay(agent.state, { 2 }) + Milliseconds { 1 };
     agent.state.peerHoldings["10.1.0.2"].receivedAt = agent.now;
     agent.completeRequests(agent.report(1));
-    agent.completeRequests(agent.event(StagedPiecesChecked { .version = { 2 } }));
+    agent.completeRequests(agent.checked(2));
     REQUIRE(agent.emitted<AnnounceLoadOrder>());
     CHECK(orderPending(agent.state));
     CHECK_FALSE(agent.emitted<SendLoadOrder>());
--- a/tests/unit_stage_check.cpp
+++ b/tests/unit_stage_check.cpp
@@ -1,6 +1,7 @@
 #include "stage_fixture.h"
 #include "table/stage_limits.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace hickory;
@@ -47,12 +48,6 @@
         return this->event(EngineReportRead { .report = report, .requestedAt = this->now - Milliseconds { 1 } });
     }
 
-    /// Ends the read-back in progress.
-    std::vector<StageEffect> checked(const std::vector<std::uint32_t>& bad = {})
-    {
-        return this->event(StagedPiecesChecked { .version = { 2 }, .bad = bad });
-    }
-
     /// Delivers the report that the agent polls before it sends the order.
     std::vector<StageEffect> confirm()
     {
@@ -71,20 +66,20 @@
     std::vector<StageEffect> effects;
     SECTION("while the engine drained")
     {
-        agent.checked();
+        agent.checked(2);
         agent.now = checkStartedAt + still;
         effects = agent.event(StageTick {});
     }
     SECTION("while reports failed")
     {
-        agent.checked();
+        agent.checked(2);
         agent.event(EngineReportRead { .requestedAt = agent.now });
         agent.now = checkStartedAt + still;
         effects = agent.reportStreams(0);
     }
     SECTION("before the engine's report was read")
     {
-        agent.checked();
+        agent.checked(2);
         agent.now += Milliseconds { 200 };
         REQUIRE(contains<PollReport>(agent.reportStreams(0)));
         const Milliseconds polledAt = agent.now;
@@ -94,7 +89,7 @@
     SECTION("in the middle of the read-back")
     {
         agent.now = checkStartedAt + still;
-        effects = agent.checked();
+        effects = agent.checked(2);
         CHECK_FALSE(contains<AnnounceLoadOrder>(effects));
     }
     CHECK_FALSE(contains<SendLoadOrder>(effects));
@@ -106,21 +101,21 @@
 TEST_CASE("An order stays announced while staged pieces are read back again", "[stage][check]")
 {
     CheckFixture agent;
-    agent.checked();
+    agent.checked(2);
     agent.now += Milliseconds { 4000 };
     REQUIRE(contains<CheckStagedPieces>(agent.event(StageTick {})));
     CHECK(orderPending(agent.state));
     agent.now += Milliseconds { 150 };
     SECTION("good pieces")
     {
-        CHECK(contains<PollReport>(agent.checked()));
+        CHECK(contains<PollReport>(agent.checked(2)));
         CHECK(orderPending(agent.state));
         agent.now += Milliseconds { 5 };
         CHECK(contains<SendLoadOrder>(agent.confirm()));
     }
     SECTION("a bad piece")
     {
-        const auto effects = agent.checked({ 7 });
+        const auto effects = agent.checked(2, { 7 });
         CHECK(contains<StagePiece>(effects));
         CHECK_FALSE(contains<SendLoadOrder>(effects));
         CHECK_FALSE(orderPending(agent.state));
@@ -136,7 +131,7 @@
     }
     SECTION("a restarted engine")
     {
-        agent.checked();
+        agent.checked(2);
         agent.processStartedAt = 2;
         agent.now += Milliseconds { 5 };
         const auto effects = agent.reportStreams(0);
@@ -149,7 +144,7 @@
 TEST_CASE("The engine is asked again if its last report lay unread before the order", "[stage][check]")
 {
     CheckFixture agent;
-    agent.checked();
+    agent.checked(2);
     agent.now += Milliseconds { 200 };
     REQUIRE(contains<PollReport>(agent.reportStreams(0)));
     const Milliseconds polledAt = agent.now;
@@ -167,7 +162,7 @@
 {
     CheckFixture agent;
     agent.now += Milliseconds { 150 };
-    agent.checked();
+    agent.checked(2);
     agent.now += maxDrainTime;
     agent.unhandled = agent.reportStreams(12);
     REQUIRE(agent.emitted<PollReport>());
@@ -177,3 +172,113 @@
     CHECK(agent.emitted<SendLoadOrder>());
     CHECK(countSamples(agent.unhandled, "checks_repeated_total") == 0);
 }
+
+// Guards against a load order on a read-back from before the engine restarted or its pieces were staged again.
+TEST_CASE("The result of an earlier read-back is dropped", "[stage][check]")
+{
+    CheckFixture agent;
+    const std::uint32_t first = agent.state.checkRounds;
+    const bool isRestarted = GENERATE(false, true);
+    if (isRestarted) {
+        agent.processStartedAt = 2;
+        agent.completeRequests(agent.reportStreams(12));
+    } else {
+        agent.now += checkTimeout + Milliseconds { 1 };
+        agent.event(StageTick {});
+    }
+    REQUIRE(agent.state.checkRounds == first + 1);
+    std::vector<std::uint32_t> bad;
+    if (GENERATE(false, true))
+        bad = { 7 };
+    const auto late = agent.event(StagedPiecesChecked { .version = { 2 }, .round = first, .bad = bad });
+    CHECK_FALSE(contains<AnnounceLoadOrder>(late));
+    CHECK_FALSE(contains<StagePiece>(late));
+    CHECK_FALSE(orderPending(agent.state));
+    CHECK(countSamples(late, "late_checks_total") == 1);
+    CHECK(contains<AnnounceLoadOrder>(agent.checked(2)));
+}
+
+namespace {
+
+/// An agent that has started beside an engine which holds version 2 and staged pieces from before.
+struct ReadBackFixture : StageFixture {
+    ReadBackFixture()
+    {
+        this->completeRequests(this->declare(2));
+        this->completeRequests(this->report(2));
+        REQUIRE(this->emitted<CheckStagedPieces>());
+        this->unhandled.clear();
+    }
+
+    std::size_t offered() const
+    {
+        const std::vector<PieceSet> sets = ownPieces(this->state);
+        return sets.empty() ? 0 : static_cast<std::size_t>(std::count(sets[0].held.begin(), sets[0].held.end(), true));
+    }
+
+    std::vector<StageEffect> failReadBack()
+    {
+        return this->event(StagedPiecesChecked { .version = { 2 }, .round = this->state.checkRounds, .failed = true });
+    }
+};
+
+} // namespace
+
+// Guards against offering pieces that were not read, and against staging empty ones once the engine needs them.
+TEST_CASE("A read-back that fails finds no pieces and is repeated later", "[stage][check]")
+{
+    ReadBackFixture agent;
+    agent.unhandled = agent.failReadBack();
+    CHECK(agent.offered() == 0);
+    CHECK_FALSE(agent.emitted<CheckStagedPieces>());
+    agent.now += readBackRetryDelay;
+    SECTION("the engine answers then")
+    {
+        agent.unhandled = agent.report(2);
+        REQUIRE(agent.emitted<CheckStagedPieces>());
+        agent.checked(2, { 7 });
+        CHECK(agent.offered() == pieceCount - 1);
+        agent.now += readBackRetryDelay * 10;
+        agent.unhandled = agent.report(2);
+        CHECK_FALSE(agent.emitted<CheckStagedPieces>());
+    }
+    SECTION("the engine has restarted without weights")
+    {
+        agent.processStartedAt = 2;
+        agent.peerHolds("10.1.0.2", 2);
+        agent.unhandled = agent.report(0);
+        CHECK_FALSE(agent.emitted<StagePiece>());
+        CHECK(agent.emitted<RequestPiece>());
+    }
+}
+
+// Guards against pieces that count as staged in a process of the engine that may have lost them.
+TEST_CASE("A read-back that ends after a restart of the engine finds no pieces", "[stage][check]")
+{
+    ReadBackFixture agent;
+    const std::uint32_t round = agent.state.checkRounds;
+    agent.processStartedAt = 2;
+    agent.report(0);
+    agent.event(StagedPiecesChecked { .version = { 2 }, .round = round });
+    CHECK(agent.offered() == 0);
+}
+
+// Guards against a piece that is staged without its bytes, over the good one, and checked without end.
+TEST_CASE("A piece that is no longer in memory is fetched again before it is staged", "[stage][check]")
+{
+    StageFixture agent;
+    agent.declare(1);
+    agent.peerHolds("10.1.0.2", 1);
+    agent.report(0);
+    const auto effects = agent.event(ManifestFetched { .version = { 1 }, .pieceCount = pieceCount });
+    REQUIRE_FALSE(effects.empty());
+    const auto* piece = std::get_if<RequestPiece>(&effects.front());
+    REQUIRE(piece);
+    const auto staging
+        = agent.event(PieceFetched { .version = { 1 }, .index = piece->index, .source = piece->source, .ok = true });
+    REQUIRE(contains<StagePiece>(staging));
+    const auto after = agent.event(PieceStaged { .version = { 1 }, .index = piece->index, .inMemory = false });
+    CHECK_FALSE(contains<StagePiece>(after));
+    // It is fetched as soon as a source has room.
+    CHECK(agent.state.jobs.front().pieces.at(piece->index).step == PieceStep::Missing);
+}
