Do not send over a connection that was there too late

A process that stood still while it connected sent its request once it went on, however old the decision behind it was: a load order on an old read-back, a request to an upstream that had left the list, with the time left of long ago.

Cause: the connect timeout is enforced by a timer alone. If the connection and the timer are ready together, the connection is handled first.

Change: a connection that is there after the connect timeout is not used, and the call ends as not sent.

Evidence: the new test of unit_call_pool failed on (the answer arrived) and passes; the one of unit_stage_check fails without the reducer's part. A connect takes two round trips, so only a process that stands still in them is affected.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -146,12 +146,15 @@
         if (!code && connection->connecting)
             connection->connecting->close(ignored);
     });
-    connection->connecting->async_connect(*endpoint, [this, connection](const std::error_code& code) {
+    const Milliseconds until = monotonicNow() + call.connectTimeout;
+    connection->connecting->async_connect(*endpoint, [this, connection, until](const std::error_code& code) {
         connection->connectTimer.reset();
         const auto socket = std::move(connection->connecting);
         if (connection->call.value == 0)
             return; // cancelled in the meantime
-        if (code || !socket->is_open()) {
+        // If this process stood still, the connection may be there before the timer is handled. What the request was
+        // decided on is as old as the decision.
+        if (code || !socket->is_open() || monotonicNow() > until) {
             this->endCall(connection, CallEnd::NotSent);
             return;
         }
@@ -297,7 +300,7 @@
             this->done(std::move(this->answer));
         else
             this->done(Error { .code = make_error_code(ErrorCode::Unavailable),
-                .step = end == CallEnd::NotSent ? "connect" : "read-answer",
+                .step = end == CallEnd::NotSent ? connectStep : "read-answer",
                 .peer = this->address,
                 .detail = {} });
     }
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -49,7 +49,9 @@
 struct OutboundCall {
     std::string address; ///< "ip:port"
     std::string bytes; ///< head and body as they are written to the connection
-    Milliseconds connectTimeout { 400 }; ///< allows several round trips between regions
+    /// Allows several round trips between regions. A connection that is there later is not used, even if this process
+    /// stood still meanwhile.
+    Milliseconds connectTimeout { 400 };
     Milliseconds maxIdle { 400 }; ///< longest idle time of a connection to reuse; negative for always a new connection
     bool keep { true }; ///< keep the connection for reuse; false for a peer that accepts few connections
 };
@@ -73,6 +75,9 @@
     bool keep { true }; ///< keep the connection for reuse; false for a peer that accepts few connections
 };
 
+/// Step of the error of a fetch of which no byte was sent.
+constexpr const char* connectStep = "connect";
+
 /// HTTP/1.1 client on the Asio loop that keeps idle connections for reuse, by address. Used by RelayLoop and
 /// LoaderLoop; EntryLoop, AgentLoop and hickoryctl use the blocking HttpConnection.
 class CallPool {
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -199,8 +199,9 @@
                          .maxAnswerBody = maxFetchedDocument,
                          .timeout = orderResponseTimeout },
         [this, version = effect.version](const Result<FetchResponse>& answer) {
-            this->dispatch(LoadOrderAnswered {
-                .version = version, .status = answer ? answer.value().head.status : std::uint16_t {} });
+            this->dispatch(LoadOrderAnswered { .version = version,
+                .status = answer ? answer.value().head.status : std::uint16_t {},
+                .sent = answer || answer.error().step != connectStep });
         });
 }
 
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -222,7 +222,8 @@
     constexpr std::uint16_t inEffect = 200;
     StageJob* job = findJob(state, event.version);
     effects.emplace_back(LogLine { .event = "order",
-        .fields = { { "version", std::to_string(event.version.value) }, { "status", std::to_string(event.status) },
+        .fields = { { "version", std::to_string(event.version.value) },
+            { "status", event.sent ? std::to_string(event.status) : "not-sent" },
             { "since_declared_ms", job ? std::to_string((now - job->declaredSince).value) : "dropped" } } });
     if (!job || job->order != OrderStep::Sent)
         return;
@@ -234,8 +235,8 @@
         return;
     }
     // Without a response the order may have been accepted; the next reports show whether it was.
-    if (event.status != 0)
-        job->order = OrderStep::None;
+    if (event.status != 0 || !event.sent)
+        withdrawOrder(*job);
 }
 
 } // namespace hickory
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -86,6 +86,7 @@
 struct LoadOrderAnswered {
     WeightsVersion version; ///< version that was ordered
     std::uint16_t status { 0 }; ///< HTTP status, 0 without a response
+    bool sent { true }; ///< false if no byte of it left this process
 };
 
 using StageEvent = std::variant<StageTick, FleetViewUpdated, LinkMeasured, EngineReportRead, ManifestFetched,
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace hickory;
@@ -299,3 +300,20 @@
     CHECK(runUntil(io, [&] { return sound->end.has_value(); }));
     CHECK(sound->end == CallEnd::Complete);
 }
+
+// Guards against a request that is sent late, on an old decision, by a process that stood still as it connected.
+TEST_CASE("A connection that is there after the connect timeout is not used", "[call-pool]")
+{
+    asio::io_context io;
+    FakeHttpServer server(io);
+    CallPool pool(io, {});
+    std::optional<Result<FetchResponse>> answer;
+    pool.fetch({ .address = server.address(), .target = "/", .connectTimeout = { 20 }, .timeout = { 500 } },
+        [&](const Result<FetchResponse>& result) { answer = result; });
+    // The kernel completes the connection meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    while (!answer)
+        io.run_one_for(std::chrono::milliseconds(100));
+    REQUIRE_FALSE(answer->ok());
+    CHECK(answer->error().step == connectStep);
+}
--- a/tests/unit_stage_check.cpp
+++ b/tests/unit_stage_check.cpp
@@ -282,3 +282,17 @@
     // It is fetched as soon as a source has room.
     CHECK(agent.state.jobs.front().pieces.at(piece->index).step == PieceStep::Missing);
 }
+
+// Guards against a version that waits for seconds although its load order never left the agent.
+TEST_CASE("An order that was not sent is prepared again at once", "[stage][check]")
+{
+    CheckFixture agent;
+    agent.checked(2);
+    agent.now += Milliseconds { 200 };
+    agent.reportStreams(0);
+    agent.unhandled = agent.confirm();
+    REQUIRE(agent.emitted<SendLoadOrder>());
+    const bool isSent = GENERATE(false, true);
+    agent.unhandled = agent.event(LoadOrderAnswered { .version = { 2 }, .status = 0, .sent = isSent });
+    CHECK(agent.emitted<CheckStagedPieces>() == !isSent);
+}
