Keep the pieces of another version out of a load order

Cause: an engine keeps one staged copy of a model, and takes it as it is when it accepts the order. (1) A write of a piece of a dropped version could still be on its way, on another connection, when the next version was read back, and replace a good piece after that. (2) A version that was declared within a second of the one before replaced its job even while the load order for that one was on its way; pieces of the newer version could then be staged before the engine accepted the order.

Change: staged pieces are read back for an order once no write of any version is in flight. A job whose order has not been answered is kept, so that nothing of the next version is staged before the answer.

In a sound run nothing waits: an agent's own writes have ended when all pieces are staged, and an order is answered within milliseconds.

--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -20,8 +20,8 @@
 /// Requests missing pieces of a version, up to the limits on requests in flight.
 /// @param sharedOnly requests only pieces that are fetched on behalf of other hosts as well
 void requestPieces(StageState& state, StageJob& job, bool sharedOnly, Milliseconds now, StageEffects& effects);
-/// Writes pieces that are held in memory to the engine's staging area.
-void stagePieces(StageJob& job, StageEffects& effects);
+/// Writes pieces of a job that are held in memory to the engine's staging area.
+void stagePieces(StageState& state, StageJob& job, StageEffects& effects);
 /// Creates the pieces of a job from its manifest, or schedules a retry.
 void applyManifest(StageState& state, const ManifestFetched& event, Milliseconds now);
 /// Records a fetched piece, or schedules a retry from the next source.
@@ -31,6 +31,8 @@
 /// Records the result of writing a piece to the staging area.
 void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, StageEffects& effects);
 
+/// @return whether a load order for a job was sent, which the engine has not refused
+bool isOrdered(const StageJob& job);
 /// Removes the first job and continues with the version declared after it. Pieces staged from now on do not affect
 /// what an accepted order loads.
 /// @param reason for the log
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -114,6 +114,8 @@
     effects.emplace_back(SendLoadOrder { .version = job.version, .expectedOrders = event.report->orders });
 }
 
+bool isOrdered(const StageJob& job) { return job.order == OrderStep::Sent || job.order == OrderStep::Answered; }
+
 bool isClearing(const StageState& state)
 {
     return state.report && (state.orderUnconfirmed || state.report->busy) && fewStreamsLeft(*state.report);
@@ -155,6 +157,9 @@
         dropFirstJob(state, "next-is-near", effects);
         return;
     }
+    // A write of an earlier version that is still on its way may replace a piece after it was read back.
+    if (state.writesInFlight > 0)
+        return;
     startOrderCheck(state, OrderStep::Checking, now, effects);
 }
 
@@ -228,6 +233,7 @@
     if (!job || job->order != OrderStep::Sent)
         return;
     if (event.status == accepted || event.status == inEffect) {
+        job->order = OrderStep::Answered;
         state.orderUnconfirmed = true;
         effects.emplace_back(AnnounceLoadOrder {});
         if (state.jobs.size() > 1)
@@ -235,8 +241,13 @@
         return;
     }
     // Without a response the order may have been accepted; the next reports show whether it was.
-    if (event.status != 0 || !event.sent)
+    if (event.status != 0 || !event.sent) {
         withdrawOrder(*job);
+        return;
+    }
+    job->order = OrderStep::Answered;
+    if (state.jobs.size() > 1)
+        dropFirstJob(state, "order-unanswered", effects);
 }
 
 } // namespace hickory
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -96,7 +96,7 @@
     }
 }
 
-void stagePieces(StageJob& job, StageEffects& effects)
+void stagePieces(StageState& state, StageJob& job, StageEffects& effects)
 {
     std::size_t inFlight = countStep(job, PieceStep::Staging);
     for (std::uint32_t index = 0; index < job.pieces.size() && inFlight < maxWritesInFlight; ++index) {
@@ -104,6 +104,7 @@
             continue;
         job.pieces[index].step = PieceStep::Staging;
         ++inFlight;
+        ++state.writesInFlight;
         effects.emplace_back(StagePiece { .version = job.version, .index = index });
     }
 }
@@ -181,6 +182,8 @@
 
 void applyStaged(StageState& state, const PieceStaged& event, Milliseconds now, StageEffects& effects)
 {
+    if (state.writesInFlight > 0)
+        --state.writesInFlight;
     StageJob* job = findJob(state, event.version);
     if (!job || event.index >= job->pieces.size())
         return;
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -24,8 +24,10 @@
     {
         if (version <= newestWanted(state))
             return;
-        const bool keepFirst = !state.jobs.empty() && !engineHolds(state, state.jobs.front().version)
-            && now - state.jobs.front().knownSince > keepFirstJobAfter;
+        const bool hasFirst = !state.jobs.empty() && !engineHolds(state, state.jobs.front().version);
+        // Until the engine has answered an order, pieces of another version must not replace those that it will load.
+        const bool keepFirst = hasFirst
+            && (now - state.jobs.front().knownSince > keepFirstJobAfter || state.jobs.front().order == OrderStep::Sent);
         state.jobs.resize(keepFirst ? 1 : 0);
         state.jobs.push_back(
             { .version = version, .knownSince = now, .declaredSince = declaredSince, .manifestRetryAt = now });
@@ -96,7 +98,7 @@
                 effects.emplace_back(LogLine { .event = "weights-in-service",
                     .fields = { { "version", std::to_string(first.value) },
                         { "after_ms", std::to_string((now - job.knownSince).value) } } });
-        } else if (job.order == OrderStep::Sent && !event.report->busy && now - job.orderAt > loadCompletionTimeout)
+        } else if (isOrdered(job) && !event.report->busy && now - job.orderAt > loadCompletionTimeout)
             job.order = OrderStep::None;
         confirmOrder(state, event, now, effects);
     }
@@ -131,7 +133,7 @@
         requestPieces(state, first, false, now, effects);
         if (state.jobs.size() > 1)
             requestPieces(state, state.jobs.back(), !allStaged(first), now, effects);
-        stagePieces(first, effects);
+        stagePieces(state, first, effects);
         advanceOrder(state, now, effects);
     }
 
@@ -217,7 +219,7 @@
         return true;
     return !state.jobs.empty()
         && (state.jobs.front().order == OrderStep::Announced || state.jobs.front().order == OrderStep::Rechecking
-            || state.jobs.front().order == OrderStep::Confirming || state.jobs.front().order == OrderStep::Sent);
+            || state.jobs.front().order == OrderStep::Confirming || isOrdered(state.jobs.front()));
 }
 
 Milliseconds loadOrderDelay(const StageState& state, WeightsVersion version)
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -47,7 +47,8 @@
     Announced, ///< entries were informed and the engine drains
     Rechecking, ///< as Announced, and staged pieces are read back again because the last check is too old
     Confirming, ///< the engine is asked whether it is still the process whose staged pieces were read back
-    Sent, ///< the order was sent to the engine
+    Sent, ///< the order was sent to the engine, which has not answered yet
+    Answered, ///< the engine accepted the order, or did not answer, so that it may have
 };
 
 /// What a read-back of staged pieces is for.
@@ -125,6 +126,7 @@
     std::optional<EngineReport> report; ///< empty when the last poll of the engine failed
     std::int64_t processStartedAt { 0 }; ///< start of the engine that holds the staged pieces, Unix ms, 0 before
     std::size_t fetchWindow { maxPiecesInFlight }; ///< piece requests that may be in flight, adapted to the link
+    std::size_t writesInFlight { 0 }; ///< pieces of any version that are being written to the staging area
     std::uint32_t checkRounds { 0 }; ///< read-backs started so far
     bool orderUnconfirmed { false }; ///< an order was accepted and no report has arrived since
     std::mt19937_64 random { 1 }; ///< seeded from the options
--- a/tests/unit_stage_check.cpp
+++ b/tests/unit_stage_check.cpp
@@ -296,3 +296,53 @@
     agent.unhandled = agent.event(LoadOrderAnswered { .version = { 2 }, .status = 0, .sent = isSent });
     CHECK(agent.emitted<CheckStagedPieces>() == !isSent);
 }
+
+// Guards against loading a piece of another version: a write that was on its way replaced it after the read-back.
+TEST_CASE("Staged pieces are read back once no write to the staging area is in flight", "[stage][check]")
+{
+    StageFixture agent;
+    agent.declare(1);
+    agent.peerHolds("10.1.0.2", 1);
+    agent.report(0);
+    auto effects = agent.event(ManifestFetched { .version = { 1 }, .pieceCount = pieceCount });
+    REQUIRE_FALSE(effects.empty());
+    const auto* piece = std::get_if<RequestPiece>(&effects.front());
+    REQUIRE(piece);
+    effects
+        = agent.event(PieceFetched { .version = { 1 }, .index = piece->index, .source = piece->source, .ok = true });
+    const std::uint32_t index = piece->index;
+    REQUIRE(contains<StagePiece>(effects));
+    // The write of version 1 is still on its way when all pieces of version 2 are staged.
+    agent.now += Milliseconds { 100 };
+    agent.completeRequests(agent.declare(2));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 2));
+    agent.completeRequests(agent.report(0));
+    REQUIRE(agent.state.jobs.front().version == WeightsVersion { 2 });
+    CHECK_FALSE(agent.emitted<CheckStagedPieces>());
+    agent.unhandled = agent.event(PieceStaged { .version = { 1 }, .index = index, .ok = true });
+    CHECK(agent.emitted<CheckStagedPieces>());
+}
+
+// Guards against pieces of a newer version that replace those which the engine is about to load.
+TEST_CASE("No piece of a newer version is staged until the engine has answered a load order", "[stage][check]")
+{
+    StageFixture agent;
+    agent.completeRequests(agent.declare(1));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 1));
+    agent.completeRequests(agent.report(0));
+    agent.completeRequests(agent.checked(1));
+    REQUIRE(agent.emitted<SendLoadOrder>());
+    agent.unhandled.clear();
+    agent.now += Milliseconds { 100 };
+    agent.completeRequests(agent.declare(2));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 2));
+    const StageJob& newer = agent.state.jobs.back();
+    REQUIRE(newer.version == WeightsVersion { 2 });
+    REQUIRE_FALSE(newer.pieces.empty());
+    CHECK(std::none_of(newer.pieces.begin(), newer.pieces.end(),
+        [](const PieceState& piece) { return piece.step == PieceStep::Staging || piece.step == PieceStep::Staged; }));
+    const std::uint16_t status = GENERATE(0, 202);
+    agent.event(LoadOrderAnswered { .version = { 1 }, .status = status });
+    REQUIRE(agent.state.jobs.size() == 1);
+    CHECK(agent.state.jobs.front().version == WeightsVersion { 2 });
+}
