--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -63,6 +63,15 @@
             .fields = { { "dependency", "store" }, { "table", table }, { "detail", detail } } };
     }
 
+    void recordLateAnswer(const char* table, const platform::LateAnswer& late)
+    {
+        writeLog({ .event = "late-answer",
+            .fields = { { "table", table }, { "kind", late.kind }, { "answered", storeVersionText(late.answered) },
+                { "held", storeVersionText(late.held) } } });
+        recordMetric({ .name = "late_answers_total",
+            .labels = "table=\"" + std::string(table) + "\",kind=\"" + late.kind + "\"" });
+    }
+
 } // namespace
 
 RelayLoop::RelayLoop(RelaySettings given, std::string path)
@@ -87,7 +96,8 @@
                           "dependency-regained", "operators", "after " + std::to_string(downFor.value) + " ms"));
                   },
               .onRestored
-              = [this](const StoreVersion& from, const StoreVersion& to) { this->onRestored("operators", from, to); } })
+              = [this](const StoreVersion& from, const StoreVersion& to) { this->onRestored("operators", from, to); },
+              .onLate = [](const platform::LateAnswer& late) { recordLateAnswer("operators", late); } })
     , upstreamRows(this->io, this->pool,
           { .address = this->settings.host.store,
               .table = platform::upstreamTable,
@@ -107,7 +117,8 @@
                   [this](const StoreVersion& from, const StoreVersion& to) {
                       this->onRestored("upstreams", from, to);
                       this->upstreamsRestored = true;
-                  } })
+                  },
+              .onLate = [](const platform::LateAnswer& late) { recordLateAnswer("upstreams", late); } })
     , state(makeRelayState(relayOptions(this->settings)))
     , tickTimer(this->io)
     , beaconTimer(this->io)
--- a/tests/unit_store_era.cpp
+++ b/tests/unit_store_era.cpp
@@ -23,7 +23,8 @@
                   .onConfirmed = [] {},
                   .onLost = [](const Error&) {},
                   .onRegained = [](Milliseconds) {},
-                  .onRestored = [this](const StoreVersion&, const StoreVersion&) { ++this->restores; } })
+                  .onRestored = [this](const StoreVersion&, const StoreVersion&) { ++this->restores; },
+                  .onLate = [](const platform::LateAnswer&) {} })
     {
     }
 
