--- a/tests/unit_table_late.cpp
+++ b/tests/unit_table_late.cpp
@@ -197,3 +197,42 @@
     store.follower.adopt(older);
     CHECK_FALSE(store.holds("leaves"));
 }
+
+// Guards against a row that stays for good because it was removed after its page of a table was read.
+TEST_CASE("A row that is removed between two pages is removed from the copy", "[table-late]")
+{
+    HeldStore store;
+    const bool isRemoved = GENERATE(true, false);
+    store.answer(store.nextRequest(), { 1, 50 }, row("a", 40) + "," + row("b", 41), true);
+    const FrontRequest second = store.nextRequest();
+    REQUIRE(second.head.target.find("from=b") != std::string::npos);
+    // By now the store has removed or changed the row "a".
+    store.answer(second, { 1, 60 }, row("c", 55));
+    const FrontRequest changes = store.nextRequest();
+    CHECK(queryNumber(changes.head.target, "after_rev") == 50);
+    store.answer(changes, { 1, 60 }, (isRemoved ? removal("a", 52) : row("a", 52)) + "," + row("c", 55));
+    store.nextRequest();
+    CHECK(store.holds("a") != isRemoved);
+    CHECK((isRemoved || store.follower.snapshot().rows.at("a").revision == 52));
+    CHECK(store.holds("b"));
+    CHECK(store.holds("c"));
+    CHECK(store.follower.snapshot().version == StoreVersion { 1, 60 });
+    CHECK(store.late.empty());
+}
+
+// Guards against pages that were read before a peer's copy arrived and replace it.
+TEST_CASE("Pages read before a peer's copy arrived do not replace it", "[table-late]")
+{
+    HeldStore store;
+    store.answer(store.nextRequest(), { 1, 50 }, row("leaves", 40) + "," + row("stays", 41), true);
+    const FrontRequest second = store.nextRequest();
+    TableChanges copy = peerChanges({ 1, 55 }, { "stays" });
+    copy.rows = { { .key = "stays", .value = "x", .revision = 41 } };
+    store.follower.adopt(copy);
+    store.answer(second, { 1, 60 }, row("t", 57));
+    const FrontRequest next = store.nextRequest();
+    CHECK(next.head.target.starts_with("/api/rows-feed"));
+    CHECK(queryNumber(next.head.target, "after_rev") == 55);
+    CHECK_FALSE(store.holds("leaves"));
+    CHECK(store.late.size() == 1);
+}
