--- a/tests/unit_table_late.cpp
+++ b/tests/unit_table_late.cpp
@@ -236,3 +236,17 @@
     CHECK_FALSE(store.holds("leaves"));
     CHECK(store.late.size() == 1);
 }
+
+// Guards against a copy that looks complete and current although nothing was ever read: weights that are read after it
+// would count as declared only then.
+TEST_CASE("The copy of a peer that has not read the table is not taken for an empty table", "[table-late]")
+{
+    HeldStore store;
+    const FrontRequest read = store.nextRequest();
+    store.follower.adopt({ .version = {}, .asOf = monotonicNow() });
+    CHECK(store.follower.snapshot().asOf == Milliseconds {});
+    CHECK(store.follower.unchangedUntil() == Milliseconds {});
+    store.answer(read, { 1, 50 }, row("a", 40));
+    store.nextRequest();
+    CHECK(store.holds("a"));
+}
