--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -75,9 +75,6 @@
     bool keep { true }; ///< keep the connection for reuse; false for a peer that accepts few connections
 };
 
-/// Step of the error of a fetch of which no byte was sent.
-constexpr const char* connectStep = "connect";
-
 /// HTTP/1.1 client on the Asio loop that keeps idle connections for reuse, by address. Used by RelayLoop and
 /// LoaderLoop; EntryLoop, AgentLoop and hickoryctl use the blocking HttpConnection.
 class CallPool {
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -25,6 +25,9 @@
 /// Makes ErrorCode convert to std::error_code.
 std::error_code make_error_code(ErrorCode code); // NOLINT(readability-identifier-naming): name fixed by the standard
 
+/// Error::step of a failed connection attempt, which means that nothing was sent.
+constexpr const char* connectStep = "connect";
+
 /// A failure, with the operation and the peer at which it occurred.
 struct Error {
     std::error_code code;
--- a/src/http_client_io.h
+++ b/src/http_client_io.h
@@ -14,9 +14,6 @@
 
 namespace hickory {
 
-/// Error::step of a failed connection attempt, which means that nothing was sent.
-constexpr const char* connectStep = "connect";
-
 /// One HTTP request of a client.
 struct HttpCall {
     std::string method { "GET" }; ///< GET, PUT, POST or DELETE
