Leave a resumed stream where it may be about to begin

The next engine's host has a narrow link (11 of them, 19 to 26 s): nothing comes for 0.8 to 1.2 s, the stream counts as not begun there, and is sent to a third engine, since a stream that its caller has in part used up an attempt only where it had begun. But the second engine begins it before the cancellation reaches it.

Change: without attempts left such a stream leaves an engine only after 2 s of silence, more than a sound upstream's (maxSoundSilence). Until then it waits there, as a begun stream does.

Ruled out: a backup beside the resumed stream (no backup in these traces), requests that had failed to connect (nothing ran there).

Evidence: the new test of unit_relay_begun failed before and passes; all 97 tests of the relay pass. Not shown to be gone: an engine that is silent for more than 2 s may still have begun the stream.

--- a/src/begun_request_func.cpp
+++ b/src/begun_request_func.cpp
@@ -22,10 +22,6 @@
         || (request.route->kind == CallKind::Stream && request.route->resumable && request.resumePointKnown);
 }
 
-bool hasAttemptLeft(const RelayRequest& request)
-{
-    const bool resumedUnbegun = request.headForwarded && request.active && mayTakeBack(request, *request.active);
-    return resumedUnbegun || request.sends < request.route->maxAttempts;
-}
+bool hasAttemptLeft(const RelayRequest& request) { return request.sends < request.route->maxAttempts; }
 
 } // namespace hickory
--- a/src/begun_request_func.h
+++ b/src/begun_request_func.h
@@ -35,8 +35,7 @@
 /// @return whether a request that may have run may be sent again
 bool isRepeatable(const RelayRequest& request);
 
-/// @return whether a further upstream may be given the request. A stream that its caller has in part uses up an attempt
-/// only at upstreams that began it.
+/// @return whether a further upstream may be given the request
 bool hasAttemptLeft(const RelayRequest& request);
 
 } // namespace hickory
--- a/src/relay_silence_cmd.cpp
+++ b/src/relay_silence_cmd.cpp
@@ -135,13 +135,23 @@
         enqueueRequest(state, request, now);
     }
 
+    /// @return whether a stream that its caller has in part may leave an engine that has not begun it although its
+    /// attempts are used up: it uses up none there. The engine must have been silent for longer than a sound one, else
+    /// it may be about to begin, behind a slow link, and then one more engine would run the stream than its route
+    /// allows.
+    bool mayLeaveUnbegun(const RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        return request.headForwarded && mayTakeBack(request, *request.active) && !mayStillBegin(state, request, now);
+    }
+
     /// @return whether a request may be sent elsewhere because its upstream is silent
     bool isHeldUp(const RelayState& state, const RelayRequest& request, Milliseconds now)
     {
         // An answer that ended, or a plain one whose head is here, is about to be whole.
         const bool isAnswered = request.active
             && (request.active->closedAt || (!isEngineRequest(request) && request.active->headReceived));
-        return request.active && !isAnswered && isRepeatable(request) && (request.backup || hasAttemptLeft(request))
+        return request.active && !isAnswered && isRepeatable(request)
+            && (request.backup || hasAttemptLeft(request) || mayLeaveUnbegun(state, request, now))
             && isTooSilent(state, request, now);
     }
 
--- a/tests/unit_relay_begun.cpp
+++ b/tests/unit_relay_begun.cpp
@@ -419,3 +419,31 @@
     relay.now += Milliseconds { 200 };
     CHECK(findEffect<SendToUpstream>(relay.event(RelayTick {})));
 }
+
+// Guards against a stream that runs at more engines than its route allows: the engine that it was resumed at, silent
+// behind a slow link, began it after it had been taken back from there.
+TEST_CASE("A resumed stream without attempts left stays at an engine that may be about to begin it", "[relay][begun]")
+{
+    BegunStream stream;
+    RelayFixture& relay = stream.relay;
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine") });
+    const auto second = sendTo(
+        relay.event(ResponseEnded { .call = stream.call, .send = stream.send, .end = SendResult::Broken }), "e2");
+    REQUIRE(second);
+    REQUIRE(relay.state.requests.at(stream.call).sends == relay.state.requests.at(stream.call).route->maxAttempts);
+    relay.list({ RelayFixture::upstream("e1", "engine"), RelayFixture::upstream("e2", "engine"),
+        RelayFixture::upstream("e3", "engine") });
+    const auto moves = [&](Milliseconds time) { return sendTo(stream.silence(time), "e3").has_value(); };
+    CHECK_FALSE(moves(maxSoundSilence - Milliseconds { 100 }));
+    SECTION("it begins")
+    {
+        CHECK_FALSE(
+            endsCall(relay.event(ResponseStarted {
+                         .call = stream.call, .send = second->send, .status = 200, .sealed = true, .stream = true }),
+                stream.call));
+        stream.send = second->send;
+        stream.progress("20");
+        CHECK(findEffect<FinishResponse>(relay.event(ResponseEnded { .call = stream.call, .send = second->send })));
+    }
+    SECTION("it is silent for longer than a sound engine") { CHECK(moves({ 600 })); }
+}
