Start a soak upstream that runs already only once

Traced: a planned leave and a crash of the same upstream overlapped, and the end of the faults ran both of their starts. The second one gave the running stand-in another id and left the row of the first in the store, so entries sent requests to an id that nobody answered for (421). No upstream does that; the other two places that start one ask whether it runs. This one does so now; all checks are as they were.

Evidence: the entries' logs list plain4-2 and plain4-3 at one address at the same millisecond, and get 421 from there.

--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -718,7 +718,11 @@
         this->logFault(planned ? "upstream leaves" : "upstream crashes", now);
         if (!planned) {
             upstream.crash();
-            this->schedule(until, [&upstream] { upstream.start(false); });
+            // It may have been started already, if two faults overlap.
+            this->schedule(until, [&upstream] {
+                if (!upstream.running())
+                    upstream.start(false);
+            });
             return;
         }
         constexpr Milliseconds drainTime { 2500 };
