--- a/tests/unit_table_late.cpp
+++ b/tests/unit_table_late.cpp
@@ -168,6 +168,21 @@
     CHECK(store.holds("after"));
 }
 
+// Guards against rows that a restored store has lost and that a late answer from before the restore brings back.
+TEST_CASE("An answer of an earlier era than the copy's is dropped", "[table-late]")
+{
+    HeldStore store;
+    const FrontRequest held = store.read({ 1, 90 }, row("old", 80));
+    TableChanges restored = peerChanges({ 2, 57 }, { "old" });
+    restored.rows = { { .key = "old", .value = "x", .revision = 40 } };
+    store.follower.adopt(restored);
+    store.answer(held, { 1, 95 }, row("lost", 95));
+    CHECK(queryNumber(store.nextRequest().head.target, "after_rev") == 57);
+    CHECK_FALSE(store.holds("lost"));
+    CHECK(store.follower.snapshot().version == StoreVersion { 2, 57 });
+    CHECK(store.late.size() == 1);
+}
+
 // Guards against reading a whole table again because the store no longer has what a peer has told meanwhile.
 TEST_CASE("Late word that the history is gone does not repeat the read of a table", "[table-late]")
 {
