Add the interfaces for home regions, evacuations, cold upstreams and stated load

The configuration's allowed_regions, cold_start_s and cold_per_s, the list's cold_left_ms, the load header and the rows under evacuate/ are decoded; entries know the region of each data centre, the memory of their process and the bounds for evacuations and cold upstreams from their settings.

--- a/src/relay_config_type.h
+++ b/src/relay_config_type.h
@@ -45,6 +45,7 @@
     std::uint32_t maxAttempts { 1 }; ///< sends to upstreams for one attempt of a caller
     bool keyless { false }; ///< requests need no API key
     bool resumable { false }; ///< a broken stream may continue at another upstream
+    std::vector<RegionId> homes; ///< its requests may be served only there; empty for anywhere
 };
 
 /// Capacity and speed of an engine, from the operators' configuration.
@@ -74,12 +75,16 @@
     double originMbps { 0 }; ///< bandwidth of the origin's link in Mbit/s, 0 when unknown
     std::string statusPath; ///< asked whether an upstream still runs; empty if it has no such path
     std::uint32_t maxConnections { 0 }; ///< connections that one upstream accepts from all its clients together
+    Milliseconds coldPeriod { 0 }; ///< an upstream that starts during traffic is cold for so long, 0 if never
+    /// Requests a second that a cold upstream takes from all entries together, 0 if upstreams are never cold.
+    double coldRequestsPerSecond { 0 };
 };
 
 /// A workspace of the operators' configuration.
 struct RelayWorkspace {
     WorkspaceId name; ///< unique
     std::optional<std::uint8_t> rank; ///< outweighs the route's rank, 0 is most urgent; empty counts as 1
+    std::vector<RegionId> homes; ///< its requests may be served only there; empty for anywhere
 };
 
 /// The operators' configuration as the relay uses it.
@@ -90,6 +95,7 @@
     std::vector<RelayWorkspace> workspaces; ///< requests need no key while it is empty
     std::unordered_map<std::string, std::size_t> keys; ///< API key to index in workspaces
     FrontLimits limits; ///< limits on what callers may send
+    std::vector<std::string> warnings; ///< fields that were not as they should be, and how they were read
 };
 
 /// @param host Host header as received, in any case and with or without port
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -34,6 +34,10 @@
             .retryRatio = settings.retryRatio,
             .retryExtra = settings.retryExtra,
             .retryWindow = settings.retryWindow,
+            .regions = settings.host.regions,
+            .maxEvacuationDelay = settings.maxEvacuationDelay,
+            .coldOverage = settings.coldOverage,
+            .coldSlack = settings.coldSlack,
             .seed = settings.host.seed };
     }
 
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -72,6 +72,8 @@
     void sendToOtherDataCentres(PeerBeacon beacon, const std::vector<std::string>& remoteTargets, Milliseconds now);
     void onBeacon(const PeerBeacon& beacon, const std::string& ip);
     void onOperatorRows(const std::vector<platform::TableRow>& changed);
+    /// Passes the evacuated data centres to the reducer if the copy of the operators' table names others than before.
+    void updateEvacuations();
     void onUpstreamRows(const std::vector<platform::TableRow>& changed);
     /// Called when the store came back from an older copy.
     void onRestored(const char* table, const StoreVersion& from, const StoreVersion& to);
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -317,6 +317,8 @@
         return;
     this->configText = text;
     this->front.setLimits(this->state.config->limits);
+    for (const std::string& warning : this->state.config->warnings)
+        writeLog({ .level = LogLevel::Warning, .event = "config-warning", .fields = { { "detail", warning } } });
 }
 
 std::optional<LostConfig> RelayLoop::lostConfig() const
@@ -337,8 +339,21 @@
     recordMetric({ .name = "store_restores_total", .labels = "table=\"" + std::string(table) + "\"" });
 }
 
+void RelayLoop::updateEvacuations()
+{
+    constexpr std::string_view prefix = platform::evacuationKeyPrefix;
+    EvacuationsUpdated event;
+    const std::map<std::string, platform::TableRow>& rows = this->operatorRows.snapshot().rows;
+    for (auto row = rows.lower_bound(std::string(prefix)); row != rows.end() && row->first.starts_with(prefix); ++row)
+        event.dataCentres.insert({ row->first.substr(prefix.size()) });
+    if (event.dataCentres != this->state.evacuated)
+        this->dispatch(event);
+}
+
 void RelayLoop::onOperatorRows(const std::vector<platform::TableRow>& changed)
 {
+    // First, so that a configuration that comes with an evacuation sends nothing there.
+    this->updateEvacuations();
     for (const platform::TableRow& row : changed) {
         if (row.deleted)
             continue;
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -1,5 +1,6 @@
 #include "relay_reduce_func.h"
 
+#include "evacuation_cmd.h"
 #include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -154,6 +155,7 @@
                        applyProbe(state, probed);
                        applyStillProbe(state, probed, now, effects);
                    },
+                   [&](const EvacuationsUpdated& update) { applyEvacuations(state, update, now, effects); },
                    [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
         event);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -34,6 +34,10 @@
     Milliseconds retryWindow { 10000 }; ///< time over which first sends and retries are counted
     RelayRoutePolicy routePolicy { RelayRoutePolicy::PredictedLatency }; ///< how an upstream is chosen
     RelayQueuePolicy queuePolicy { RelayQueuePolicy::Urgency }; ///< order of each service's queue
+    std::map<DataCentreId, RegionId> regions; ///< region of each data centre
+    Milliseconds maxEvacuationDelay { 5000 }; ///< an evacuated data centre gets nothing new after this time
+    double coldOverage { 1.0 }; ///< a cold upstream bears this multiple of its rate in any one second
+    double coldSlack { 0 }; ///< requests that it bears in addition
     std::uint64_t seed { 1 }; ///< seed of the random choices
 };
 
@@ -197,6 +201,7 @@
     CrashState crashes; ///< crashes of upstreams and the requests behind them
     UpstreamStandings standings; ///< what upstreams said of themselves
     UpstreamPauses pauses; ///< those that have not ended, and some that have
+    std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -196,6 +196,12 @@
     ProbeResult result { ProbeResult::Unreachable };
     Milliseconds startedAt { 0 }; ///< when the probe began
     bool mustAnswer { false }; ///< as in ProbeUpstream
+    UpstreamNotice notice; ///< what the upstream says of itself in its answer
+};
+
+/// Operators evacuated data centres, or took them back. What is evacuated gets nothing new.
+struct EvacuationsUpdated {
+    std::set<DataCentreId> dataCentres; ///< all that are evacuated now
 };
 
 /// Another entry told what it knows about crashes of upstreams.
@@ -206,7 +212,7 @@
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReportsReceived, PeerLoadsReceived, DataCentreLoadsReceived,
     EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed,
-    CrashNewsReceived, UpstreamNoticesReceived>;
+    CrashNewsReceived, UpstreamNoticesReceived, EvacuationsUpdated>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -208,6 +208,13 @@
         for (const std::string& seed : host.seeds)
             if (!isAddress(seed, false))
                 reader.fail("seeds", "\"" + seed + "\" is not an address; expected \"ip:port\"");
+        for (const std::string& region : reader.texts("regions")) {
+            const std::size_t split = region.find('=');
+            if (split == std::string::npos || split == 0 || split + 1 == region.size())
+                reader.fail("regions", "\"" + region + "\" is not of the form \"DATA-CENTRE=REGION\"");
+            else
+                host.regions[{ region.substr(0, split) }] = { region.substr(split + 1) };
+        }
         host.logLevel = reader.choice("log_level", host.logLevel, asSpan<LogLevel>(logLevelNames));
         host.seed = static_cast<std::uint64_t>(reader.integer("seed", 0, seedRange));
         reader.finish();
@@ -232,6 +239,13 @@
         settings.retryExtra = reader.number("retry_extra", settings.retryExtra, retryExtraRange);
         settings.retryWindow = Milliseconds { millisecondsPerSecond }
             * static_cast<std::int64_t>(reader.number("retry_window_s", 10, durationSecondsRange));
+        settings.maxEvacuationDelay
+            = { reader.integer("evacuate_ms", settings.maxEvacuationDelay.value, maxDelayRange) };
+        settings.coldOverage = reader.number("cold_overage", settings.coldOverage, coldOverageRange);
+        settings.coldSlack = reader.number("cold_slack", settings.coldSlack, coldSlackRange);
+        settings.memoryMb = reader.number("memory_mb", settings.memoryMb, memoryMbRange);
+        settings.maxDescriptors
+            = static_cast<std::uint32_t>(reader.integer("max_fds", settings.maxDescriptors, descriptorsRange));
         reader.finish();
     }
 
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -5,6 +5,7 @@
 #include "log_type.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,8 @@
     std::string store; ///< "ip:port" of the platform's store
     /// Control addresses ("ip:port") of some entries, used to join; some may be outdated.
     std::vector<std::string> seeds;
+    /// Region of each data centre, key regions: "DATA-CENTRE=REGION" each.
+    std::map<DataCentreId, RegionId> regions;
     LogLevel logLevel { LogLevel::Info }; ///< lowest severity written
     std::uint64_t seed { 0 }; ///< random seed, 0 chooses one and logs it
 };
@@ -127,6 +130,12 @@
     double retryRatio { 0.2 }; ///< retries allowed per request, over all entries together
     double retryExtra { 100 }; ///< retries allowed in a window in addition to retryRatio, over all entries together
     Milliseconds retryWindow { 10000 }; ///< retry_window_s: time over which requests and retries are counted
+    /// evacuate_ms: maximum time until an evacuated data centre gets nothing new.
+    Milliseconds maxEvacuationDelay { 5000 };
+    double coldOverage { 1.0 }; ///< cold_overage: multiple of its rate that a cold upstream bears in any one second
+    double coldSlack { 0 }; ///< cold_slack: requests that it bears in addition
+    double memoryMb { 512 }; ///< memory_mb: memory that this process may use, in MB
+    std::uint32_t maxDescriptors { 8192 }; ///< max_fds: file descriptors that this process may open
 };
 
 /// Settings of hickory-agent when it only loads weights, table [loader].
--- a/src/table/settings_limits.h
+++ b/src/table/settings_limits.h
@@ -66,6 +66,10 @@
 constexpr IntegerRange linkRateRange { 0, 1LL << 40U }; ///< bytes per second, 0 for no limit
 constexpr NumberRange linkShareRange { 0.05, 1.0 }; ///< fraction of the link that chunk transfers may use
 constexpr IntegerRange agentQueueRange { 0, 10000 }; ///< requests
+constexpr NumberRange coldOverageRange { 1.0, 1000.0 }; ///< multiple of a rate
+constexpr NumberRange coldSlackRange { 0.0, 1e6 }; ///< requests
+constexpr NumberRange memoryMbRange { 32.0, 1e6 }; ///< memory of a process, MB
+constexpr IntegerRange descriptorsRange { 256, 10'000'000 }; ///< file descriptors of a process
 constexpr IntegerRange leaseRange { 500, 600000 }; ///< milliseconds
 /// Seconds for which a call row is kept. Except in tests, a value above the longest deadline of a request, retries
 /// included, should be chosen: until then the outcome of a call may still be needed.
--- a/src/upstream_entry_type.h
+++ b/src/upstream_entry_type.h
@@ -32,6 +32,7 @@
     bool leaving { false }; ///< accepts no new requests
     std::vector<HeldModel> models; ///< weights that it holds, engines only
     std::int64_t processStartedAt { 0 }; ///< start of the process, Unix ms; differs after a restart under the same id
+    Milliseconds coldLeft { 0 }; ///< how much longer it is cold, as of its last row
 
     bool operator==(const UpstreamEntry&) const = default;
 };
--- a/src/upstream_notice_type.h
+++ b/src/upstream_notice_type.h
@@ -14,12 +14,23 @@
 /// Hash of an upstream's id and the start of its process: identifies one run of it in messages between entries.
 using UpstreamProcessId = NumberId<struct UpstreamProcessTag>;
 
+/// Load of an upstream as it states it.
+struct StatedLoad {
+    std::uint32_t running { 0 }; ///< requests in its slots
+    std::uint32_t waiting { 0 }; ///< requests in its queue
+    std::uint32_t slots { 0 }; ///< requests that it runs concurrently
+    /// How long work takes on its host at this moment, relative to the usual time; empty if it does not state that.
+    std::optional<double> slowdown;
+};
+
 /// What an upstream says of itself in the head of an answer.
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; ///< most that it takes from all entries together; empty for no limit
     bool leaving { false }; ///< it is about to stop and takes no new requests
     /// It turned a request away and wants no other of this entry for so long; 0 for none.
     Milliseconds pause { 0 };
+    std::optional<StatedLoad> load; ///< empty if it does not state its load
+    std::optional<Milliseconds> coldLeft; ///< how much longer it is cold; empty if it does not state that
 };
 
 /// What an entry knows that a process of an upstream said of itself, and what follows for its own sends.
