Run requests only in their homes and outside evacuated data centres

Cause: routes and workspaces may name the regions in which their requests are served, and operators evacuate data centres; nothing acted on either.

Change: canRun(), which every way to an upstream passes, asks mayRunIn(). The regions that a request may use are computed at its arrival and whenever a configuration comes into force, whose homes bind in addition. Data centres of unknown region are in no home.

--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -2,6 +2,7 @@
 
 #include "begun_request_func.h"
 #include "digest_func.h"
+#include "home_region_func.h"
 #include "relay_admit_func.h"
 #include "table/relay_limits.h"
 #include "upstream_notice_func.h"
@@ -51,6 +52,8 @@
     {
         if (!view.listed || view.entry.leaving || view.entry.service != request.service)
             return false;
+        if (!mayRunIn(state, request.allowed, view.entry.dataCentre))
+            return false;
         if (request.excludedUpstreams.contains(view.entry.id) || !maySendBefore(state, view, request.leavesAt))
             return false;
         const Milliseconds pauseEnd = pausedUntil(state, view);
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -1,6 +1,7 @@
 #include "relay_reduce_func.h"
 
 #include "evacuation_cmd.h"
+#include "home_region_cmd.h"
 #include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -34,6 +35,7 @@
         }
         state.config = event.config;
         state.configWrittenIn = event.writtenIn;
+        updateAllowedRegions(state);
         effects.emplace_back(LogLine { .event = "config-in-force",
             .fields = { { "version", std::to_string(event.config->version.value) },
                 { "era", std::to_string(event.writtenIn.era) },
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "home_region_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -117,6 +118,8 @@
     if (!authorize(state, request, now, effects))
         return;
     const RelayRoute& route = *request.route;
+    request.allowed = allowedRegions(request, state.config.get());
+    state.hasHomes = state.hasHomes || request.allowed;
     request.service = drawService(route, state.random);
     request.traits = traitsOf(request.metadata);
     request.objectiveAt = request.arrivedAt + route.objective;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -80,6 +80,9 @@
     auto operator<=>(const QueueKey&) const = default;
 };
 
+/// Regions in which a request may be served, sorted by name; nothing for anywhere, an empty list for nowhere.
+using AllowedRegions = std::optional<std::vector<RegionId>>;
+
 /// A request without a complete response.
 struct RelayRequest {
     CallId call;
@@ -88,6 +91,7 @@
     const RelayRoute* route { nullptr }; ///< route that matched at arrival
     ServiceId service; ///< service of the drawn route share
     WorkspaceId workspace; ///< owner of the API key, empty on routes without keys
+    AllowedRegions allowed; ///< from the homes of its route and workspace, at arrival and now
     std::uint8_t urgency { 0 }; ///< from the ranks of workspace and route, 0 is first
     RequestTraits traits; ///< what it may have in common with requests that crash upstreams
     Milliseconds arrivedAt; ///< when its first byte was read
@@ -202,6 +206,7 @@
     UpstreamStandings standings; ///< what upstreams said of themselves
     UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
+    bool hasHomes { false }; ///< the configuration in force or a request has homes
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
