Refuse and queue requests by their homes, empty evacuated data centres, and name entries of the homes

Cause: requests with homes shared all predictions and one queue with the others, so that a flood at one home blocked all; what lay unbegun in an evacuated data centre stayed there; lookups sent callers to entries of any region.

Change: requests that homes and evacuations keep from all listed upstreams are refused at once, queued ones when the configuration, the list or the evacuations change: 503 if they cannot have run, else 502. Predicted wait, queue limit, stated limits, pauses and waits for weights count only what may run the request. A pass over the queue remembers which regions had no room. An evacuation takes back what an engine has not begun and may be repeated, at once where there is room elsewhere, else after half of evacuate_ms. Lookups for hosts whose routes have homes name entries of these and of the caller's region. Without homes and evacuations the former paths are taken.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -1,6 +1,8 @@
 #include "relay_admit_func.h"
 
 #include "begun_request_func.h"
+#include "home_region_func.h"
+#include "queue_share_func.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
 #include "upstream_notice_func.h"
@@ -13,8 +15,6 @@
 
 namespace {
 
-    constexpr std::int64_t millisecondsPerSecond = 1000;
-
     const EngineProfile* engineProfileOf(const RelayRequest& request)
     {
         const auto service = request.config->services.find(request.service);
@@ -70,6 +70,13 @@
         return {};
     }
 
+    /// @return whether an upstream may run a request once its state allows it
+    bool isCandidate(const RelayState& state, const RelayUpstream& view, const RelayRequest& request)
+    {
+        return view.listed && !view.entry.leaving && view.entry.service == request.service
+            && mayRunIn(state, request.allowed, view.entry.dataCentre);
+    }
+
     /// @return when an engine of the service is expected to have usable weights, or nothing if none is listed or it
     /// takes much longer than it should
     std::optional<Milliseconds> expectedWeightsAt(
@@ -78,7 +85,7 @@
         std::map<DataCentreId, std::size_t> hosts;
         bool isLoading = false;
         for (const auto& [id, view] : state.upstreams) {
-            if (!view.listed || view.entry.leaving || view.entry.service != request.service)
+            if (!isCandidate(state, view, request))
                 continue;
             ++hosts[view.entry.dataCentre];
             isLoading = isLoading || now < view.orderPendingUntil || (view.report && view.report->busy);
@@ -86,8 +93,11 @@
         if (hosts.empty())
             return std::nullopt;
         const auto service = state.services.find(request.service);
-        const Milliseconds since
-            = service == state.services.end() ? now : service->second.withoutWeightsSince.value_or(now);
+        Milliseconds since = now;
+        if (service != state.services.end()) {
+            const auto known = service->second.withoutWeightsSince.find(request.allowed);
+            since = known == service->second.withoutWeightsSince.end() ? now : known->second;
+        }
         const Milliseconds copy = copyTime(*request.config, profile);
         const auto most = std::max_element(
             hosts.begin(), hosts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
@@ -141,24 +151,12 @@
 
 Milliseconds predictQueueWait(const RelayState& state, const RelayRequest& request, Milliseconds now)
 {
-    const auto service = state.services.find(request.service);
-    if (service == state.services.end())
-        return {};
-    const RelayServiceState& view = service->second;
-    const QueueKey key = makeQueueKey(request, state.options.queuePolicy, now);
-    const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
-    const auto recent = std::count_if(view.dispatchTimes.begin(), view.dispatchTimes.end(),
-        [&](Milliseconds at) { return now - at < dispatchRateWindow; });
-    double rate = std::max(minDispatchRate, static_cast<double>(recent));
-    if (const std::optional<double> limit = limitedRate(state, request.service))
-        rate = std::max(std::min(rate, *limit), minLimitedRate);
-    return { static_cast<std::int64_t>(static_cast<double>(ahead) * millisecondsPerSecond / rate) };
+    return waitBehind(state, request, makeQueueKey(request, state.options.queuePolicy, now), now);
 }
 
 bool mayQueue(const RelayState& state, const RelayRequest& request, Milliseconds now)
 {
-    const auto service = state.services.find(request.service);
-    if (service != state.services.end() && service->second.queue.size() >= maxQueuedPerService)
+    if (queuedAgainst(state, request) >= maxQueuedPerService)
         return false;
     const Milliseconds left = request.deadlineAt - now - expectedServiceTime(request);
     const Milliseconds wait = pauseLeft(state, request, now) + predictQueueWait(state, request, now);
@@ -175,10 +173,8 @@
         return false;
     std::size_t slots = 0;
     for (const auto& [id, view] : state.upstreams)
-        slots += view.listed && !view.entry.leaving && view.entry.service == request.service ? view.entry.slots : 0;
-    const auto service = state.services.find(request.service);
-    const std::size_t waiting = service == state.services.end() ? 0 : service->second.queue.size();
-    return waiting < slots / 2 / std::max<std::size_t>(state.entryCount, 1);
+        slots += isCandidate(state, view, request) ? view.entry.slots : 0;
+    return queuedAgainst(state, request) < slots / 2 / std::max<std::size_t>(state.entryCount, 1);
 }
 
 bool cannotMeetDeadline(const RelayRequest& request, Milliseconds now)
@@ -210,8 +206,9 @@
     if (state.drainEndsAt)
         return drainRetryAfter;
     const std::int64_t maxDelay = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
-    const std::int64_t pause = noUpstream ? (firstPauseEnd(state, request.service, now).value_or(now) - now).value
-                                          : pauseLeft(state, request, now).value;
+    const std::int64_t pause = noUpstream
+        ? (firstPauseEnd(state, request.service, request.allowed, now).value_or(now) - now).value
+        : pauseLeft(state, request, now).value;
     const std::int64_t wait = noUpstream
         ? (pause > 0 ? std::min(pause, maxDelay) : maxDelay)
         : std::min(std::max(predictQueueWait(state, request, now), minRetryAfter).value, maxDelay);
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -19,7 +19,8 @@
 
 /// Predicts how long a request would wait in its service's queue, so that under overload a request that cannot be
 /// served in time is refused at once instead of at its deadline.
-/// @return predicted wait, from the number of requests before it and the recent rate of dispatches
+/// @return predicted wait, from the requests before it that may use the same upstreams and the recent rate of
+/// dispatches
 Milliseconds predictQueueWait(const RelayState& state, const RelayRequest& request, Milliseconds now);
 
 /// @return whether a request may be queued: the queue is not full and the predicted wait leaves time to serve it
--- a/src/relay_control_io.cpp
+++ b/src/relay_control_io.cpp
@@ -1,4 +1,5 @@
 #include "fleet_view_func.h"
+#include "lookup_home_func.h"
 #include "metrics_io.h"
 #include "peer_table_func.h"
 #include "platform_decode_func.h"
@@ -19,11 +20,16 @@
 void RelayLoop::onLookup(const FrontRequest& request)
 {
     constexpr std::size_t maxAddresses = 64;
-    std::vector<std::string> addresses;
+    std::vector<LookupEntry> entries;
     if (this->ready())
-        addresses.push_back(this->settings.front);
+        entries.push_back({ .front = this->settings.front, .dataCentre = this->settings.host.dataCentre });
     for (const PeerInfo& entry : liveEntries(this->peers, monotonicNow()))
-        if (entry.ready && addresses.size() < maxAddresses)
+        if (entry.ready)
+            entries.push_back({ .front = entry.front, .dataCentre = entry.dataCentre });
+    std::vector<std::string> addresses;
+    for (const LookupEntry& entry : chooseLookupEntries(
+             this->state.config.get(), this->state.options.regions, decodeLookupQuery(request.head.target), entries))
+        if (addresses.size() < maxAddresses)
             addresses.push_back(entry.front);
     // During an outage of the store no entry is ready, but those with a configuration still serve routes without a key.
     if (addresses.empty() && this->drainingSince.value == 0 && this->state.config)
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -345,7 +345,8 @@
     EvacuationsUpdated event;
     const std::map<std::string, platform::TableRow>& rows = this->operatorRows.snapshot().rows;
     for (auto row = rows.lower_bound(std::string(prefix)); row != rows.end() && row->first.starts_with(prefix); ++row)
-        event.dataCentres.insert({ row->first.substr(prefix.size()) });
+        event.dataCentres.insert(platform::decodeEvacuation(row->first, row->second.value).dataCentre);
+    event.dataCentres.erase(DataCentreId {});
     if (event.dataCentres != this->state.evacuated)
         this->dispatch(event);
 }
@@ -368,6 +369,11 @@
             const platform::TableSnapshot& copy = this->operatorRows.snapshot();
             this->useConfig(
                 config.value(), row.value, { .era = copy.version.era, .isExact = platform::isWrittenInEra(copy, row) });
+        } else if (row.key.starts_with(platform::evacuationKeyPrefix)) {
+            if (const std::string warning = platform::decodeEvacuation(row.key, row.value).warning; !warning.empty())
+                writeLog({ .level = LogLevel::Warning,
+                    .event = "evacuation-odd",
+                    .fields = { { "row", row.key }, { "detail", warning } } });
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
             Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
             if (declared) {
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -41,6 +41,7 @@
                 { "era", std::to_string(event.writtenIn.era) },
                 { "routes", std::to_string(event.config->routes.size()) },
                 { "keys", std::to_string(event.config->keys.size()) } } });
+        refuseShutOut(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
 
@@ -109,6 +110,7 @@
         cancelSilentSends(state, now, effects);
         probeStillUpstreams(state, now, effects);
         cancelOutdatedSends(state, now, effects);
+        leaveEvacuated(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
 
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -1,6 +1,7 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
 #include "home_region_func.h"
+#include "queue_share_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -87,15 +88,19 @@
     /// Queues a request that no upstream can run until engines have loaded weights, or refuses it.
     void awaitWeights(RelayState& state, RelayRequest& request, Milliseconds now, RelayEffects& effects)
     {
+        if (const char* reason = shutOutReason(shutOutCause(state, request.service, request.allowed))) {
+            refuseRequest(state, request, statusUnavailable, reason, now, effects);
+            return;
+        }
         RelayServiceState& service = state.services[request.service];
-        service.withoutWeightsSince = service.withoutWeightsSince.value_or(now);
+        const Milliseconds since = service.withoutWeightsSince.try_emplace(request.allowed, now).first->second;
         if (!mayAwaitWeights(state, request, now)) {
             refuseRequest(state, request, statusUnavailable, "no-upstream", now, effects);
             return;
         }
         LogLine line = requestLogLine("hold", request, now);
         line.fields.emplace_back("reason", "weights");
-        line.fields.emplace_back("without_weights_ms", std::to_string((now - *service.withoutWeightsSince).value));
+        line.fields.emplace_back("without_weights_ms", std::to_string((now - since).value));
         line.fields.emplace_back("queued", std::to_string(service.queue.size()));
         effects.emplace_back(std::move(line));
         enqueueRequest(state, request, now);
@@ -132,7 +137,6 @@
     request.leavesAt = route.patience.value > 0 ? request.arrivedAt + route.patience : request.deadlineAt;
     request.lastEventId = request.metadata.resumeAfter;
     RelayRequest& stored = state.requests.emplace(request.call, std::move(request)).first->second;
-    RelayServiceState& service = state.services[stored.service];
     if (findQuarantine(state.crashes, stored.traits, now)) {
         refuseRequest(state, stored, statusUnavailable, "quarantined", now, effects);
         return;
@@ -142,9 +146,7 @@
         return;
     }
     const bool held = !mayTry(state, stored, now);
-    const bool isFirst = service.queue.empty()
-        || (service.queue.begin()->first.fresh && stored.urgency < service.queue.begin()->first.urgency);
-    if (!held && isFirst) {
+    if (!held && isFirstInQueue(state, stored)) {
         if (const auto upstream = chooseUpstream(state, stored, now, true)) {
             sendRequest(state, stored, *upstream, now, effects);
             return;
@@ -175,14 +177,21 @@
 void enqueueRequest(RelayState& state, RelayRequest& request, Milliseconds now)
 {
     request.queued = makeQueueKey(request, state.options.queuePolicy, now);
-    state.services[request.service].queue[*request.queued] = request.call;
+    RelayServiceState& service = state.services[request.service];
+    service.queue[*request.queued] = request.call;
+    ++service.queuedByRegions[request.allowed];
 }
 
 void removeFromQueue(RelayState& state, RelayRequest& request)
 {
-    if (request.queued)
-        state.services[request.service].queue.erase(*request.queued);
+    if (!request.queued)
+        return;
+    RelayServiceState& service = state.services[request.service];
+    service.queue.erase(*request.queued);
     request.queued.reset();
+    const auto counted = service.queuedByRegions.find(request.allowed);
+    if (--counted->second == 0)
+        service.queuedByRegions.erase(counted);
 }
 
 namespace {
@@ -271,6 +280,7 @@
 void dispatchWaiting(RelayState& state, const ServiceId& service, Milliseconds now, RelayEffects& effects)
 {
     auto& queue = state.services[service].queue;
+    NoRoom noRoom;
     for (auto next = queue.begin(); next != queue.end();) {
         RelayRequest& request = state.requests.at(next->second);
         ++next; // the request may leave the queue
@@ -282,12 +292,18 @@
         if (!mayTry(state, request, now) || now < request.waitsUntil
             || (request.owesRetry && !mayRetry(retries, state.options, state.entryCount, now)))
             continue;
+        if (isWithoutRoom(noRoom, request.allowed))
+            continue;
         const auto upstream = chooseUpstream(state, request, now, true);
         const bool mayRunNowhere = request.mayHaveRun && !chooseUpstream(state, request, now, false);
         if (!upstream && (hasBegun(request) || mayRunNowhere))
             continue; // it waits as long as it has time, and others need not wait for it
-        if (!upstream)
-            return;
+        if (!upstream) {
+            recordNoRoom(noRoom, request);
+            if (!state.hasHomes || areAllWithoutRoom(noRoom, state.services[service]))
+                return;
+            continue;
+        }
         if (mayEnd(request, EndCause::Stopping) && !request.mayHaveRun && !mayBegin(state, request, now)) {
             refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
             continue;
--- a/src/relay_retry_cmd.cpp
+++ b/src/relay_retry_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "home_region_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -68,11 +69,14 @@
     const bool trialFailed = failure == SendFailure::CutOff && state.crashes.trial == request.call
         && suspicionHold(state.crashes, request.traits, now);
     const bool quarantined = findQuarantine(state.crashes, request.traits, now) != nullptr;
+    // What an upstream has begun waits: the evacuation may end, or the list name another one in its homes.
+    const char* shutOut = begun ? nullptr : shutOutReason(shutOutCause(state, request.service, request.allowed));
     if (!begun && !request.mayHaveRun && !mayBegin(state, request, now)) {
         refuseRequest(state, request, statusUnavailable, "stopping", now, effects);
         return;
     }
-    if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed) {
+    if (repeatable && attemptsLeft && !isTurnedAway && now < request.deadlineAt && !quarantined && !trialFailed
+        && !shutOut) {
         if (isTurnedAwayAgain && !begun) {
             // Each further send takes a place in the retry budget, which other requests need as well.
             request.waitsUntil = now + turnedAwayWait(request.turnedAway);
@@ -109,7 +113,10 @@
         }
     }
     refuseRequest(state, request, request.mayHaveRun ? statusBadGateway : statusUnavailable,
-        quarantined ? "quarantined" : reason, now, effects);
+        quarantined   ? "quarantined"
+            : shutOut ? shutOut
+                      : reason,
+        now, effects);
 }
 
 } // namespace hickory
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,5 +1,6 @@
 #include "begun_request_func.h"
 #include "crash_func.h"
+#include "home_region_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -211,13 +212,15 @@
     {
         RelayUpstream& view = state.upstreams.at(upstream);
         RelayServiceState& service = state.services[request.service];
-        service.withoutWeightsSince.reset();
+        std::erase_if(service.withoutWeightsSince, [&](const auto& item) {
+            return allowsRegion(item.first, regionOf(state.options.regions, view.entry.dataCentre));
+        });
         const std::uint32_t earlierSends = request.sends + request.turnedAway;
         if (earlierSends == 0)
             countFirstSend(service.retries, now, state.options.retryWindow);
-        service.dispatchTimes.push_back(now);
-        while (!service.dispatchTimes.empty() && now - service.dispatchTimes.front() > dispatchRateWindow)
-            service.dispatchTimes.pop_front();
+        service.dispatches.push_back({ .at = now, .dataCentre = view.entry.dataCentre });
+        while (!service.dispatches.empty() && now - service.dispatches.front().at > dispatchRateWindow)
+            service.dispatches.pop_front();
         ++request.sends;
         const ActiveSend send {
             .send = { ++state.lastSend }, .upstream = upstream, .sentAt = now, .lastProgressAt = now
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -169,10 +169,17 @@
 struct RelayServiceState {
     std::map<QueueKey, CallId> queue; ///< waiting requests in the order in which they are dispatched
     RetryWindow retries; ///< counts for the retry budget
-    std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
+    /// A send to an upstream of the service.
+    struct Dispatch {
+        Milliseconds at; ///< when the decision was made
+        DataCentreId dataCentre; ///< of the upstream
+    };
+    std::deque<Dispatch> dispatches; ///< sends within dispatchRateWindow, oldest first
     double meanAnswerMs { 0 }; ///< moving average of the time from a send to its whole success, 0 before the first
-    /// First request since the last send for which no engine had usable weights; empty before one.
-    std::optional<Milliseconds> withoutWeightsSince;
+    /// By the regions that requests may use: the first request since the last send there for which no engine had usable
+    /// weights.
+    std::map<AllowedRegions, Milliseconds> withoutWeightsSince;
+    std::map<AllowedRegions, std::size_t> queuedByRegions; ///< waiting requests by the regions that they may use
 };
 
 /// What an entry knows about one declared version of a model's weights.
@@ -206,6 +213,7 @@
     UpstreamStandings standings; ///< what upstreams said of themselves
     UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
+    std::map<DataCentreId, Milliseconds> evacuatedSince; ///< when this entry learned that each of these is evacuated
     bool hasHomes { false }; ///< the configuration in force or a request has homes
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -1,3 +1,4 @@
+#include "home_region_cmd.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
@@ -92,6 +93,7 @@
         view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
     }
     std::erase_if(state.delisted, [&](const auto& item) { return now - item.second.delistedAt > delistedMaxAge; });
+    refuseShutOut(state, now, effects);
     dispatchAllWaiting(state, now, effects);
 }
 
--- a/src/upstream_notice_func.cpp
+++ b/src/upstream_notice_func.cpp
@@ -1,6 +1,7 @@
 #include "upstream_notice_func.h"
 
 #include "digest_func.h"
+#include "home_region_func.h"
 #include "table/upstream_notice_limits.h"
 
 #include <algorithm>
@@ -86,23 +87,26 @@
     return !standing || !standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1;
 }
 
-std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now)
+std::optional<Milliseconds> firstPauseEnd(
+    const RelayState& state, const ServiceId& service, const AllowedRegions& allowed, Milliseconds now)
 {
     std::optional<Milliseconds> first;
     for (const auto& [id, view] : state.upstreams) {
         const Milliseconds until = pausedUntil(state, view);
-        if (view.listed && view.entry.service == service && until > now)
+        if (view.listed && view.entry.service == service && until > now
+            && mayRunIn(state, allowed, view.entry.dataCentre))
             first = std::min(first.value_or(until), until);
     }
     return first;
 }
 
-std::optional<double> limitedRate(const RelayState& state, const ServiceId& service)
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service, const AllowedRegions& allowed)
 {
     double rate = 0;
     bool any = false;
     for (const auto& [id, view] : state.upstreams) {
-        if (!view.listed || view.entry.leaving || view.entry.service != service)
+        if (!view.listed || view.entry.leaving || view.entry.service != service
+            || !mayRunIn(state, allowed, view.entry.dataCentre))
             continue;
         const UpstreamStanding* standing = findStanding(state, view);
         if (standing && standing->leavesSince)
--- a/src/upstream_notice_func.h
+++ b/src/upstream_notice_func.h
@@ -33,14 +33,17 @@
 /// @param latest when the request is of no use any more
 bool maySendBefore(const RelayState& state, const RelayUpstream& view, Milliseconds latest);
 
+/// @param allowed regions in which upstreams count
 /// @return when the first pause of an upstream of a service ends, or nothing if none pauses
-std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now);
+std::optional<Milliseconds> firstPauseEnd(
+    const RelayState& state, const ServiceId& service, const AllowedRegions& allowed, Milliseconds now);
 
 /// @return whether this entry may send the upstream a request now
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
+/// @param allowed regions in which upstreams count
 /// @return requests a second that all upstreams of a service take from this entry, or nothing if one has no limit
-std::optional<double> limitedRate(const RelayState& state, const ServiceId& service);
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service, const AllowedRegions& allowed);
 
 /// @param whole also lists what has not changed lately, for entries that started since
 /// @return what this entry knows that upstreams said of themselves, for the other entries; bounded, newest first
--- a/tests/unit_platform_decode.cpp
+++ b/tests/unit_platform_decode.cpp
@@ -152,3 +152,49 @@
     CHECK(order.find(R"("expected":2)") != std::string::npos);
     CHECK(order.find(R"("version":4)") != std::string::npos);
 }
+
+// Guards against a restriction that is lost because it cannot be read: requests would be served where nobody allowed
+// it.
+TEST_CASE("Odd values of allowed_regions allow no region or only what can be read", "[platform][home-region]")
+{
+    const auto decoded = [](const std::string& value) {
+        const auto config = platform::decodeConfig(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/",
+        "kind":"idempotent",)"
+            + value + R"("timeout_ms":6000,"service":"x"}],"services":[{"name":"x"}],
+              "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3,"idle_timeout_ms":4},
+              "tenants":[{"name":"t",)"
+            + value + R"("api_keys":["k"]}]})");
+        REQUIRE(config);
+        CHECK(config.value().routes.at(0).timeout == Milliseconds { 6000 });
+        CHECK(config.value().workspaces.at(0).homes == config.value().routes.at(0).homes);
+        return config.value();
+    };
+    using Homes = std::vector<RegionId>;
+    const auto homesOf = [&](const std::string& value) { return decoded(value).routes.at(0).homes; };
+    CHECK(homesOf("") == Homes {});
+    CHECK(homesOf(R"("allowed_regions":null,)") == Homes {});
+    CHECK(homesOf(R"("allowed_regions":[],)") == Homes {});
+    CHECK(homesOf(R"("allowed_regions":["a","b"],)") == Homes { { "a" }, { "b" } });
+    CHECK(decoded(R"("allowed_regions":["a"],)").warnings.empty());
+    const Homes nowhere(1);
+    for (const char* value : { "\"a\"", "7", "true", "{}", "[7]", "[\"\"]", "[null]", "[[\"a\"]]" }) {
+        const std::string row = std::string("\"allowed_regions\":") + value + ",";
+        CHECK(homesOf(row) == nowhere);
+        CHECK(decoded(row).warnings.size() == 2);
+    }
+    CHECK(homesOf(R"("allowed_regions":["a",7],)") == Homes { { "a" } });
+    CHECK(decoded(R"("allowed_regions":["a",7],)").warnings.size() == 2);
+}
+
+// Guards against an evacuation that is not carried out because its value is odd.
+TEST_CASE("A row evacuates the data centre that its key names, whatever its value", "[platform][evacuation]")
+{
+    CHECK(platform::decodeEvacuation("evacuate/a1", "{}").dataCentre.value == "a1");
+    CHECK(platform::decodeEvacuation("evacuate/a1", "{}").warning.empty());
+    for (const char* value : { "", "null", "[]", "1", "not JSON", "{" }) {
+        CHECK(platform::decodeEvacuation("evacuate/a1", value).dataCentre.value == "a1");
+        CHECK_FALSE(platform::decodeEvacuation("evacuate/a1", value).warning.empty());
+    }
+    CHECK(platform::decodeEvacuation("evacuate/", "{}").dataCentre.empty());
+    CHECK_FALSE(platform::decodeEvacuation("evacuate/", "{}").warning.empty());
+}
