--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -1,6 +1,7 @@
 #include "relay_reduce_func.h"
 
 #include "evacuation_cmd.h"
+#include "home_region_cmd.h"
 #include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -34,11 +35,13 @@
         }
         state.config = event.config;
         state.configWrittenIn = event.writtenIn;
+        updateAllowedRegions(state);
         effects.emplace_back(LogLine { .event = "config-in-force",
             .fields = { { "version", std::to_string(event.config->version.value) },
                 { "era", std::to_string(event.writtenIn.era) },
                 { "routes", std::to_string(event.config->routes.size()) },
                 { "keys", std::to_string(event.config->keys.size()) } } });
+        refuseShutOut(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
 
@@ -107,6 +110,7 @@
         cancelSilentSends(state, now, effects);
         probeStillUpstreams(state, now, effects);
         cancelOutdatedSends(state, now, effects);
+        leaveEvacuated(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
 
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -80,6 +80,9 @@
     auto operator<=>(const QueueKey&) const = default;
 };
 
+/// Regions in which a request may be served, sorted by name; nothing for anywhere, an empty list for nowhere.
+using AllowedRegions = std::optional<std::vector<RegionId>>;
+
 /// A request without a complete response.
 struct RelayRequest {
     CallId call;
@@ -88,6 +91,7 @@
     const RelayRoute* route { nullptr }; ///< route that matched at arrival
     ServiceId service; ///< service of the drawn route share
     WorkspaceId workspace; ///< owner of the API key, empty on routes without keys
+    AllowedRegions allowed; ///< from the homes of its route and workspace, at arrival and now
     std::uint8_t urgency { 0 }; ///< from the ranks of workspace and route, 0 is first
     RequestTraits traits; ///< what it may have in common with requests that crash upstreams
     Milliseconds arrivedAt; ///< when its first byte was read
@@ -165,10 +169,17 @@
 struct RelayServiceState {
     std::map<QueueKey, CallId> queue; ///< waiting requests in the order in which they are dispatched
     RetryWindow retries; ///< counts for the retry budget
-    std::deque<Milliseconds> dispatchTimes; ///< sends within dispatchRateWindow, oldest first
+    /// A send to an upstream of the service.
+    struct Dispatch {
+        Milliseconds at; ///< when the decision was made
+        DataCentreId dataCentre; ///< of the upstream
+    };
+    std::deque<Dispatch> dispatches; ///< sends within dispatchRateWindow, oldest first
     double meanAnswerMs { 0 }; ///< moving average of the time from a send to its whole success, 0 before the first
-    /// First request since the last send for which no engine had usable weights; empty before one.
-    std::optional<Milliseconds> withoutWeightsSince;
+    /// By the regions that requests may use: the first request since the last send there for which no engine had usable
+    /// weights.
+    std::map<AllowedRegions, Milliseconds> withoutWeightsSince;
+    std::map<AllowedRegions, std::size_t> queuedByRegions; ///< waiting requests by the regions that they may use
 };
 
 /// What an entry knows about one declared version of a model's weights.
@@ -202,6 +213,8 @@
     UpstreamStandings standings; ///< what upstreams said of themselves
     UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
+    std::map<DataCentreId, Milliseconds> evacuatedSince; ///< when this entry learned that each of these is evacuated
+    bool hasHomes { false }; ///< the configuration in force or a request has homes
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
