Let tests of refusals stop where nothing was refused

Cause: with the refusal taken out, unit_evacuation ended with a null pointer instead of a failed check.

Change: the status is required before the effect is looked into.

--- a/tests/unit_evacuation.cpp
+++ b/tests/unit_evacuation.cpp
@@ -162,10 +162,10 @@
     const CallId waiting = relay.lastCallId();
     REQUIRE(relay.state.requests.at(waiting).queued);
     const auto effects = relay.evacuate({ a1 });
-    CHECK(refusal(effects) == "503 evacuated");
+    REQUIRE(refusal(effects) == "503 evacuated");
     CHECK(findEffect<RefuseCall>(effects)->call == waiting);
     const auto refused = relay.request("/read/");
-    CHECK(refusal(refused) == "503 evacuated");
+    REQUIRE(refusal(refused) == "503 evacuated");
     const Milliseconds retryAfter = findEffect<RefuseCall>(refused)->retryAfter;
     CHECK(retryAfter > Milliseconds { 0 });
     CHECK(retryAfter <= Milliseconds { 2000 });
--- a/tests/unit_home_region.cpp
+++ b/tests/unit_home_region.cpp
@@ -78,7 +78,7 @@
     relay.listAt({ "a1", "b1" }, "plain");
     relay.home(2, "/read/", { { "a" } }, { { "b" } });
     const auto effects = relay.request("/read/");
-    CHECK(refusal(effects) == "503 home-regions");
+    REQUIRE(refusal(effects) == "503 home-regions");
     const Milliseconds retryAfter = findEffect<RefuseCall>(effects)->retryAfter;
     CHECK(retryAfter > Milliseconds { 0 });
     CHECK(retryAfter <= Milliseconds { 2000 });
@@ -221,7 +221,7 @@
     relay.fill("/read/");
     const CallId waiting = relay.lastCallId();
     const auto effects = relay.listAt({ "a1" }, "plain");
-    CHECK(refusal(effects) == "503 home-regions");
+    REQUIRE(refusal(effects) == "503 home-regions");
     CHECK(findEffect<RefuseCall>(effects)->call == waiting);
 }
 
