Spread requests over engines that state how slow they are

Cause: entries of a data centre choose on loads that are 100 to 300 ms old.

Change, only for services whose upstreams state a slowdown: entries and engines lie on a ring, and an entry prefers the engines near it; prompts that others reported count as read after the time that they take; a stated slowdown counts while it is young and decays over 600 ms; running and waiting requests are a lower bound. The agent puts the slowdown that its engine states into its reports. A slowdown that is stated causes no message of its own.

--- a/src/engine_news_func.cpp
+++ b/src/engine_news_func.cpp
@@ -35,7 +35,7 @@
         KnownEngine& known = found->second;
         if (!isNew && !supersedes(reported, known, now))
             continue;
-        const bool changed = isNew || changedBeyondLoad(known.reported, reported);
+        const bool changed = isNew || changedBeyondLoad(known.reported, reported, news.slowdownVaries);
         known.reported = reported;
         known.reported.age = {};
         known.readAt = now - reported.age;
--- a/src/engine_news_func.h
+++ b/src/engine_news_func.h
@@ -25,6 +25,8 @@
     std::map<std::string, KnownEngine> engines; ///< by address of the engine
     bool relayAtOnce { false }; ///< one of toRelay differs in more than load from the one before
     bool summarizeAtOnce { false }; ///< a report differs in more than load from what other data centres were sent
+    /// Engines state their slowdown, which varies many times a second: it travels with regular beacons only.
+    bool slowdownVaries { false };
 };
 
 /// Records reports. One that is not newer than the report known is dropped: two homes pass on the same report, and one
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -5,6 +5,7 @@
 #include "log_io.h"
 #include "metrics_io.h"
 #include "platform_names.h"
+#include "platform_wire_func.h"
 #include "program_func.h"
 #include "table/answer_limits.h"
 #include "table/loader_limits.h"
@@ -245,7 +246,7 @@
     }
     const bool toAll = this->reportsSent++ % reportsPerReportToAll == 0
         || this->lastReported.has_value() != beacon.engine.has_value()
-        || (beacon.engine && changedBeyondLoad(*this->lastReported, *beacon.engine));
+        || (beacon.engine && changedBeyondLoad(*this->lastReported, *beacon.engine, this->statesSlowdown));
     if (toAll)
         this->lastReported = beacon.engine;
     else
@@ -355,6 +356,10 @@
                 const auto report = platform::decodeReport(answer.value().body);
                 if (report) {
                     event.report = report.value();
+                    const std::optional<StatedLoad> load = platform::decodeLoad(answer.value().head);
+                    this->statesSlowdown = load && load->slowdown;
+                    if (this->statesSlowdown)
+                        event.report->slowdown = std::max(event.report->slowdown, *load->slowdown);
                     ++this->reportSequence;
                     this->reportReadAt = monotonicNow();
                 }
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -124,6 +124,7 @@
     Incarnation incarnation; ///< start of the process, Unix ms
     std::string entry; ///< control address of the entry to poll for the fleet view, empty before the first
     std::optional<EngineReported> lastReported; ///< last report that all home entries were sent
+    bool statesSlowdown { false }; ///< the last report of the engine came with a slowdown that varies
     std::uint32_t reportsSent { 0 }; ///< beacons with a report since start
     std::vector<HostId> homes; ///< entries that the last report went to
     std::uint32_t reportSequence { 0 }; ///< reports read, and announcements of load orders, since start
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -212,13 +212,13 @@
     return live;
 }
 
-bool changedBeyondLoad(const EngineReported& before, const EngineReported& after)
+bool changedBeyondLoad(const EngineReported& before, const EngineReported& after, bool slowdownVaries)
 {
     constexpr double slowdownStep = 0.25; ///< smaller changes do not affect the choice of an upstream
     return before.orderPending != after.orderPending || before.clearing != after.clearing
         || before.report.busy != after.report.busy || before.report.processStartedAt != after.report.processStartedAt
         || before.report.models != after.report.models
-        || std::abs(before.report.slowdown - after.report.slowdown) > slowdownStep;
+        || (!slowdownVaries && std::abs(before.report.slowdown - after.report.slowdown) > slowdownStep);
 }
 
 bool isStorePoller(const HostId& self, const std::vector<HostId>& entries)
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -91,8 +91,9 @@
 
 /// @param before previous report of an engine
 /// @param after later report of the same engine
+/// @param slowdownVaries the engines state their slowdown, which varies many times a second: it does not count then
 /// @return whether they differ in more than the number of requests: in weights, orders, restart or slowdown
-bool changedBeyondLoad(const EngineReported& before, const EngineReported& after);
+bool changedBeyondLoad(const EngineReported& before, const EngineReported& after, bool slowdownVaries);
 
 /// @return other entries that were heard from within the live timeout, or a longer one if heard indirectly
 std::vector<PeerInfo> liveEntries(const PeerTable& table, Milliseconds now);
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -6,6 +6,7 @@
 #include "relay_loop_io.h"
 #include "table/relay_limits.h"
 #include "table/relay_loop_limits.h"
+#include "upstream_load_func.h"
 #include "upstream_notice_func.h"
 
 #include <algorithm>
@@ -76,6 +77,7 @@
     if (reports.empty())
         return;
     const Milliseconds now = monotonicNow();
+    news.slowdownVaries = anyStatesSlowdown(this->state, now);
     std::vector<EngineReported> recorded = recordReports(news, reports, fromAgent, now);
     if (!recorded.empty())
         this->dispatch(EngineReportsReceived { .reports = std::move(recorded) });
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -4,6 +4,8 @@
 #include "digest_func.h"
 #include "relay_admit_func.h"
 #include "table/relay_limits.h"
+#include "table/upstream_load_limits.h"
+#include "upstream_load_func.h"
 #include "upstream_notice_func.h"
 
 #include <algorithm>
@@ -73,8 +75,41 @@
         return view.report && now - view.reportedAt < reportMaxAge ? view.report->slowdown : 1.0;
     }
 
+    /// How a choice is spread over the upstreams of a service that state slowdowns.
+    struct Spread {
+        std::size_t count { 0 }; ///< upstreams of the service in this data centre
+        std::size_t next { 0 }; ///< number of the next one, in the order of their ids
+    };
+
+    bool isInDataCentre(const RelayState& state, const RelayUpstream& view, const ServiceId& service)
+    {
+        return view.listed && view.entry.service == service && view.entry.dataCentre == state.options.dataCentre;
+    }
+
+    /// @return nothing if the upstreams of the service state no slowdowns
+    std::optional<Spread> makeSpread(const RelayState& state, const ServiceId& service, Milliseconds now)
+    {
+        if (!statesSlowdown(state, service, now))
+            return std::nullopt;
+        const auto count = std::count_if(state.upstreams.begin(), state.upstreams.end(),
+            [&](const auto& item) { return isInDataCentre(state, item.second, service); });
+        return Spread { .count = static_cast<std::size_t>(count) };
+    }
+
+    /// Adds what an upstream stated of itself to the load that entries know of.
+    /// @return cost of the upstream's distance from this entry
+    double applyStatedLoad(const RelayState& state, const RelayUpstream& view, const Spread& spread, std::size_t index,
+        EngineLoad& load, Milliseconds now)
+    {
+        load.requests = std::max(load.requests, view.sent + statedByOthers(view, now));
+        load.slowdown = expectedSlowdown(view, now);
+        return view.entry.dataCentre == state.options.dataCentre
+            ? farthestPenaltyMs * ringDistance(state.entryPosition, index, spread.count)
+            : elsewherePenaltyMs;
+    }
+
     double scoreUpstream(const RelayState& state, const RelayUpstream& view, const RelayRequest& request,
-        const EngineProfile* profile, const EngineLoad& load, Milliseconds now)
+        const EngineProfile* profile, const EngineLoad& load, std::optional<double> distanceCost)
     {
         if (state.options.routePolicy == RelayRoutePolicy::LeastRequests)
             return view.sent;
@@ -85,14 +120,15 @@
             cost += otherDataCentrePenaltyMs;
         // A congested link or a slow host shows in requests that wait longer than any queue explains.
         cost += static_cast<double>(std::max(view.longestWait - expectedWait, Milliseconds {}).value);
+        // With the request itself, as a slow upstream delays it also when it has no other.
+        if (!profile && distanceCost)
+            return cost + plainRequestMs * load.slowdown * (load.requests + 1) / std::max(view.entry.slots, 1U);
         if (!profile)
             return cost + plainRequestMs * load.requests / std::max<std::uint32_t>(view.entry.slots, 1);
         if (request.mayHaveRun && willLoad(state, view, request.metadata.model))
             cost += loadAheadPenaltyMs;
-        return cost + jitterMs * jitter(request, view)
-            + predictFirstToken(*profile,
-                { .requests = load.requests, .prefillTokens = load.prefillTokens, .slowdown = slowdownOf(view, now) },
-                request.metadata.promptTokens);
+        return cost + distanceCost.value_or(jitterMs * jitter(request, view))
+            + predictFirstToken(*profile, load, request.metadata.promptTokens);
     }
 
     bool wasHeardLately(const RelayUpstream& view, Milliseconds now)
@@ -186,7 +222,7 @@
     return load.slowdown * (passMs / 2 + prefillMs + slotMs + running * 2.0);
 }
 
-EngineLoad upstreamLoad(const RelayState& state, const RelayUpstream& view, Milliseconds now)
+EngineLoad upstreamLoad(const RelayState& state, const RelayUpstream& view, Milliseconds now, double tokensPerMs)
 {
     EngineLoad load { .requests = view.sent, .prefillTokens = view.prefillTokens, .slowdown = slowdownOf(view, now) };
     for (const auto& [host, peer] : state.peers) {
@@ -194,7 +230,7 @@
         if (now - peer.receivedAt >= reportMaxAge || found == peer.loads.end())
             continue;
         load.requests += found->second.sent;
-        load.prefillTokens += found->second.prefillTokens;
+        load.prefillTokens += unreadAfter(found->second.prefillTokens, tokensPerMs, now - peer.receivedAt);
     }
     const auto dataCentre = state.dataCentres.find(view.entry.dataCentre);
     if (dataCentre == state.dataCentres.end() || now - dataCentre->second.receivedAt >= reportMaxAge)
@@ -210,8 +246,8 @@
     load.requests = std::max(load.requests,
         since(total->second.sent, view.sent, std::min(view.advertised.sent, view.previousAdvertised.sent)));
     load.prefillTokens = std::max(load.prefillTokens,
-        since(total->second.prefillTokens, view.prefillTokens,
-            std::min(view.advertised.prefillTokens, view.previousAdvertised.prefillTokens)));
+        since(unreadAfter(total->second.prefillTokens, tokensPerMs, now - dataCentre->second.receivedAt),
+            view.prefillTokens, std::min(view.advertised.prefillTokens, view.previousAdvertised.prefillTokens)));
     return load;
 }
 
@@ -240,7 +276,10 @@
     const bool heardOnly = profile && mustHaveRoom && needsHeardEngine(state, request, now);
     const RelayUpstream* best = nullptr;
     double bestScore = 0;
+    std::optional<Spread> spread = mustHaveRoom ? makeSpread(state, request.service, now) : std::nullopt;
     for (const auto& [id, view] : state.upstreams) {
+        const std::size_t index
+            = spread && isInDataCentre(state, view, request.service) ? spread->next++ : std::size_t { 0 };
         if (!canRun(state, view, request, now))
             continue;
         if (!mustHaveRoom)
@@ -256,11 +295,14 @@
             continue;
         if (profile && view.unbegun >= std::max(maxUnbegun / std::max(1U, state.entryCount), minUnbegunShare))
             continue;
-        const EngineLoad load = upstreamLoad(state, view, now);
+        EngineLoad load = upstreamLoad(state, view, now, spread && profile ? profile->prefillTokensPerMs : 0);
+        std::optional<double> distanceCost;
+        if (spread)
+            distanceCost = applyStatedLoad(state, view, *spread, index, load, now);
         const std::uint8_t rank = request.mayHaveRun ? std::uint8_t { 0 } : request.route->rank;
         if (load.requests >= requestLimit(view.entry.slots, rank, profile != nullptr))
             continue;
-        const double cost = scoreUpstream(state, view, request, profile, load, now);
+        const double cost = scoreUpstream(state, view, request, profile, load, distanceCost);
         if (!best || cost < bestScore) {
             best = &view;
             bestScore = cost;
--- a/src/relay_place_func.h
+++ b/src/relay_place_func.h
@@ -35,8 +35,10 @@
 /// @return whether an upstream has requests of this entry in flight and sent nothing for longer than they explain
 bool isStalled(const RelayUpstream& view, bool engine, Milliseconds now);
 
+/// @param tokensPerMs prompt tokens that the engine is expected to have read in each ms since others reported theirs; 0
+/// to count them as reported
 /// @return requests of all entries in flight at an upstream, as far as this entry knows
-EngineLoad upstreamLoad(const RelayState& state, const RelayUpstream& view, Milliseconds now);
+EngineLoad upstreamLoad(const RelayState& state, const RelayUpstream& view, Milliseconds now, double tokensPerMs = 0);
 
 /// Limits the load of an upstream by rank, so that a flood of requests of other ranks leaves some slots of an engine
 /// free for rank 0: a request of that rank that waits for a slot misses its objective.
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -4,6 +4,7 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "upstream_load_func.h"
 #include "upstream_notice_cmd.h"
 #include "wire_head_type.h"
 
@@ -233,6 +234,10 @@
         line.fields.emplace_back("try", std::to_string(earlierSends + 1));
         line.fields.emplace_back("load", std::to_string(upstreamLoad(state, view, now).requests));
         line.fields.emplace_back("slots", std::to_string(view.entry.slots));
+        if (const auto age = slowdownAge(view, now); age && statesSlowdown(state, request.service, now)) {
+            line.fields.emplace_back("slowdown", std::to_string(expectedSlowdown(view, now)));
+            line.fields.emplace_back("load_age_ms", std::to_string(age->value));
+        }
         if (const HeldModel* held = heldModel(view, request.metadata.model)) {
             line.fields.emplace_back("weights", std::to_string(held->version.value));
             line.fields.emplace_back(
@@ -336,6 +341,8 @@
     // Another process may have answered for the address, or something that is no answer of an upstream.
     if (event.status != statusMisdirected && (event.sealed || event.notRun || event.notice.pause.value > 0))
         recordNotice(state, view, event.notice, now, effects);
+    if (event.status != statusMisdirected && (event.sealed || event.notRun))
+        recordStatedLoad(state, view, event.notice.load, now);
     // After a pause one request at a time shows whether it takes more. What was sent before does not.
     view.onProbation = send.sentAt < pausedUntil(state, view);
     if (event.notRun || event.status == statusMisdirected) {
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -144,6 +144,9 @@
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
     Milliseconds orderPendingUntil { 0 }; ///< gets no new work before: it is about to receive a load order
     bool clearing { false }; ///< as last reported: its load waits only for the requests that still run there
+    std::optional<StatedLoad> statedLoad; ///< load that it last stated in an answer to this entry
+    Milliseconds statedLoadAt { 0 }; ///< when that answer arrived
+    std::uint32_t statedByOthers { 0 }; ///< running and waiting requests of statedLoad that were not this entry's
 };
 
 /// Health of a failing upstream that left the list. It is kept because a lease that expired on a congested link is
@@ -169,6 +172,8 @@
     double meanAnswerMs { 0 }; ///< moving average of the time from a send to its whole success, 0 before the first
     /// First request since the last send for which no engine had usable weights; empty before one.
     std::optional<Milliseconds> withoutWeightsSince;
+    /// When an upstream of it last stated a slowdown in an answer to this entry; starts far in the past.
+    Milliseconds slowdownStatedAt { -1000000 };
 };
 
 /// What an entry knows about one declared version of a model's weights.
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -1,6 +1,7 @@
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
+#include "upstream_load_func.h"
 #include "upstream_notice_func.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
     void resetUpstreamHealth(RelayUpstream& view)
     {
         view.report.reset();
+        view.statedLoad.reset();
         view.failures = 0;
         view.onProbation = false;
         view.standsStill = false;
@@ -170,6 +172,8 @@
         return;
     RelayUpstream& view = found->second;
     view.probing = false;
+    if (event.result == ProbeResult::Accepted)
+        recordStatedLoad(state, view, event.notice.load, now);
     if (event.result != ProbeResult::Accepted) {
         // What it sent while it was asked is an answer as well.
         if (!view.standsStill && view.answeredAt >= event.startedAt)
