--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -148,6 +148,9 @@
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
     Milliseconds orderPendingUntil { 0 }; ///< gets no new work before: it is about to receive a load order
     bool clearing { false }; ///< as last reported: its load waits only for the requests that still run there
+    std::optional<StatedLoad> statedLoad; ///< load that it last stated in an answer to this entry
+    Milliseconds statedLoadAt { 0 }; ///< when that answer arrived
+    std::uint32_t statedByOthers { 0 }; ///< running and waiting requests of statedLoad that were not this entry's
 };
 
 /// Health of a failing upstream that left the list. It is kept because a lease that expired on a congested link is
@@ -180,6 +183,8 @@
     /// weights.
     std::map<AllowedRegions, Milliseconds> withoutWeightsSince;
     std::map<AllowedRegions, std::size_t> queuedByRegions; ///< waiting requests by the regions that they may use
+    /// When an upstream of it last stated a slowdown in an answer to this entry; starts far in the past.
+    Milliseconds slowdownStatedAt { -1000000 };
 };
 
 /// What an entry knows about one declared version of a model's weights.
