Pace the loads of a rollout over the time that the bound leaves

Cause: with fixed turns the engines of a service load between 38 and 72 in 100 of the bound, although the bound of 13.4 s leaves more. An engine that skipped an overtaken version loaded the next one by the next one's turns, after the bound of the skipped version, and entries could not use it in between.

Change: a host's turn lies between the moment at which its own pieces are staged and the latest safe beginning of a load, in an order that interleaves data centres. Idle engines load earlier, an eighth of a data centre at a time. The next version inherits the bound of a version that it replaces, and a host whose turn comes when the next version is nearly there loads that one instead. This applies only where the time that the bound leaves after the copy and the exchange of pieces is at least the fixed spread (34 in 100 of the bound); bounds of about 8 s with an origin of 7.5 Mbit/s keep the fixed turns.

--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -36,8 +36,9 @@
 /// Removes the first job and continues with the version declared after it. Pieces staged from now on do not affect
 /// what an accepted order loads.
 /// @param reason for the log
+/// @param skipped the engine will not load its version: the next one must be in service by its bound
 /// @pre there are two jobs
-void dropFirstJob(StageState& state, const char* reason, StageEffects& effects);
+void dropFirstJob(StageState& state, const char* reason, bool skipped, StageEffects& effects);
 /// @return whether the first version can no longer be in service before the second one must be
 /// @pre there are two jobs
 bool firstJobIsTooLate(const StageState& state, Milliseconds now);
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -1,4 +1,5 @@
 #include "stage_cmd.h"
+#include "stage_pace_func.h"
 #include "stage_reduce_func.h"
 #include "table/stage_limits.h"
 
@@ -18,6 +19,8 @@
     {
         if (state.jobs.size() < 2 || state.jobs.back().pieces.empty())
             return false;
+        if (isPaced(state, state.jobs.front()))
+            return maySkipFirst(state, now);
         const StageJob& next = state.jobs.back();
         const std::size_t held = countStep(next, PieceStep::Held) + countStep(next, PieceStep::Staged);
         const Milliseconds latest
@@ -87,6 +90,27 @@
                 job.pieces[index].step = PieceStep::Staged;
     }
 
+    /// Computes this host's turn once all pieces are staged.
+    /// @return whether the engine may be ordered to load a version, as far as the order of hosts is concerned
+    bool mayLoadNow(const StageState& state, StageJob& job, Milliseconds now, StageEffects& effects)
+    {
+        if (!isPaced(state, job))
+            return now - job.declaredSince >= loadOrderDelay(state, job.version);
+        if (!job.turn) {
+            job.turn = makeLoadTurn(state, job, now);
+            if (job.loadsAtOnce)
+                job.turn->at = now;
+            const auto sinceDeclared
+                = [&](Milliseconds moment) { return std::to_string((moment - job.declaredSince).value); };
+            effects.emplace_back(LogLine { .event = "load-turn",
+                .fields = { { "version", std::to_string(job.version.value) }, { "staged_ms", sinceDeclared(now) },
+                    { "turn_ms", sinceDeclared(job.turn->at) }, { "before", std::to_string(job.turn->before) },
+                    { "hosts", std::to_string(job.turn->hosts) }, { "end_ms", sinceDeclared(job.turn->end) },
+                    { "skipped", job.loadsAtOnce ? "true" : "false" } } });
+        }
+        return now >= job.turn->at || mayLoadWhileIdle(state, job, now);
+    }
+
     /// @return whether so few streams are left at the engine that other engines can take them over
     bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxMovedStreams; }
 
@@ -121,8 +145,14 @@
     return state.report && (state.orderUnconfirmed || state.report->busy) && fewStreamsLeft(*state.report);
 }
 
-void dropFirstJob(StageState& state, const char* reason, StageEffects& effects)
+void dropFirstJob(StageState& state, const char* reason, bool skipped, StageEffects& effects)
 {
+    StageJob& next = state.jobs.back();
+    if (skipped) {
+        inheritBound(next, state.jobs.front());
+        next.loadsAtOnce = true;
+        next.turn.reset();
+    }
     effects.emplace_back(LogLine { .event = "weights-next",
         .fields = { { "version", std::to_string(state.jobs.back().version.value) }, { "reason", reason } } });
     state.jobs.erase(state.jobs.begin());
@@ -151,10 +181,10 @@
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
         return;
-    if (!engineHasNoWeights(state) && now - job.declaredSince < loadOrderDelay(state, job.version))
+    if (!engineHasNoWeights(state) && !mayLoadNow(state, job, now, effects))
         return;
     if (!engineHasNoWeights(state) && nextIsAlmostComplete(state, now)) {
-        dropFirstJob(state, "next-is-near", effects);
+        dropFirstJob(state, "next-is-near", true, effects);
         return;
     }
     // A write of an earlier version that is still on its way may replace a piece after it was read back.
@@ -237,7 +267,7 @@
         state.orderUnconfirmed = true;
         effects.emplace_back(AnnounceLoadOrder {});
         if (state.jobs.size() > 1)
-            dropFirstJob(state, "order-accepted", effects);
+            dropFirstJob(state, "order-accepted", false, effects);
         return;
     }
     // Without a response the order may have been accepted; the next reports show whether it was.
@@ -247,7 +277,7 @@
     }
     job->order = OrderStep::Answered;
     if (state.jobs.size() > 1)
-        dropFirstJob(state, "order-unanswered", effects);
+        dropFirstJob(state, "order-unanswered", false, effects);
 }
 
 } // namespace hickory
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -2,6 +2,7 @@
 
 #include "overloaded_type.h"
 #include "stage_cmd.h"
+#include "stage_pace_func.h"
 #include "stage_partner_func.h"
 #include "stage_source_func.h"
 #include "table/stage_limits.h"
@@ -28,9 +29,18 @@
         // Until the engine has answered an order, pieces of another version must not replace those that it will load.
         const bool keepFirst = hasFirst
             && (now - state.jobs.front().knownSince > keepFirstJobAfter || state.jobs.front().order == OrderStep::Sent);
+        StageJob job { .version = version,
+            .knownSince = now,
+            .declaredSince = declaredSince,
+            .boundFrom = declaredSince,
+            .manifestRetryAt = now };
+        if (!state.jobs.empty() && isPaced(state, state.jobs.back()))
+            job.previousEnd = safeLoadEnd(state, state.jobs.back());
+        for (std::size_t dropped = keepFirst ? 1 : 0; dropped < state.jobs.size(); ++dropped)
+            if (!engineHolds(state, state.jobs[dropped].version))
+                inheritBound(job, state.jobs[dropped]);
         state.jobs.resize(keepFirst ? 1 : 0);
-        state.jobs.push_back(
-            { .version = version, .knownSince = now, .declaredSince = declaredSince, .manifestRetryAt = now });
+        state.jobs.push_back(std::move(job));
         effects.emplace_back(LogLine { .event = "weights-wanted",
             .fields = { { "model", state.model.value }, { "version", std::to_string(version.value) },
                 { "unseen_ms", std::to_string((now - declaredSince).value) },
@@ -94,10 +104,15 @@
         StageJob& job = state.jobs.front();
         if (engineHolds(state, first)) {
             withdrawOrder(job);
-            if (!heldBefore)
+            if (!heldBefore) {
                 effects.emplace_back(LogLine { .event = "weights-in-service",
                     .fields = { { "version", std::to_string(first.value) },
                         { "after_ms", std::to_string((now - job.knownSince).value) } } });
+                effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Observe,
+                    .name = "weights_delay_ms",
+                    .labels = {},
+                    .value = static_cast<double>((now - job.declaredSince).value) });
+            }
         } else if (isOrdered(job) && !event.report->busy && now - job.orderAt > loadCompletionTimeout)
             job.order = OrderStep::None;
         confirmOrder(state, event, now, effects);
@@ -119,9 +134,9 @@
         if (state.jobs.empty() || !state.report)
             return;
         if (state.jobs.size() > 1 && engineHolds(state, state.jobs.front().version))
-            dropFirstJob(state, "in-service", effects);
+            dropFirstJob(state, "in-service", false, effects);
         if (state.jobs.size() > 1 && firstJobIsTooLate(state, now))
-            dropFirstJob(state, "too-late", effects);
+            dropFirstJob(state, "too-late", true, effects);
         // A host whose engine holds the version needs the manifest too, to verify the pieces that it offers.
         for (StageJob& job : state.jobs)
             requestManifest(state, job, now, effects);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -4,6 +4,7 @@
 #include "table/stage_limits.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -65,6 +66,15 @@
     Milliseconds startedAt { 0 };
 };
 
+/// When a host loads a version in a paced rollout, see makeLoadTurn().
+struct LoadTurn {
+    Milliseconds at { 0 }; ///< preparing the load begins then
+    std::int64_t before { 0 }; ///< hosts of the service that come before this one
+    std::int64_t hosts { 1 }; ///< hosts of the service, this one included
+    std::int64_t beforeHere { 0 }; ///< hosts of this data centre that come before this one
+    Milliseconds end { 0 }; ///< latest safe beginning of a load
+};
+
 /// Pieces that another agent announced.
 struct PeerHoldings {
     Milliseconds receivedAt; ///< arrival of its last announcement
@@ -76,6 +86,11 @@
     WeightsVersion version;
     Milliseconds knownSince { 0 }; ///< when this agent learned that the version was declared
     Milliseconds declaredSince { 0 }; ///< earliest moment at which it may have been declared, knownSince when unknown
+    /// Its bound counts from then: declaredSince, or that of an older version which is skipped in favour of this one.
+    Milliseconds boundFrom { 0 };
+    Milliseconds previousEnd { 0 }; ///< safeLoadEnd() of the paced rollout that it overtook, 0 without one
+    bool loadsAtOnce { false }; ///< this host's turn came already, for a version that it skipped
+    std::optional<LoadTurn> turn; ///< empty until all pieces are staged, and where the rollout is not paced
     bool manifestKnown { false }; ///< the digests of its pieces are known
     bool readBackEnded { false }; ///< pieces that were staged before this process started were read back
     Milliseconds readBackAt { 0 }; ///< they are not read back before this time
--- /dev/null
+++ b/tests/unit_rollout_pace.cpp
@@ -0,0 +1,149 @@
+#include "rollout_simulation.h"
+#include "stage_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+namespace {
+
+constexpr Milliseconds usableUntil { 12800 }; ///< entries use older weights until this long after a declaration
+
+/// @return last load of a version since the first declaration
+Milliseconds lastLoad(const RolloutResult& result, std::uint64_t version)
+{
+    return result.loadedAt.contains(version) ? result.loadedAt.at(version).back() : Milliseconds {};
+}
+
+/// @return whether agents with these settings pace a rollout
+bool isPacedWith(Milliseconds allowed, double originMbps, std::uint32_t pieces, std::uint32_t pieceBytes)
+{
+    StageState state = makeStageState({ .ip = "10.1.0.1", .dataCentre = { "a" }, .maxWeightsDelay = allowed });
+    state.originMbps = originMbps;
+    return isPaced(state, { .pieceBytes = pieceBytes, .pieces = std::vector<PieceState>(pieces) });
+}
+
+} // namespace
+
+// Guards against a change of deployments whose bound leaves no time for pacing, and of those that tell no bandwidth.
+TEST_CASE("A rollout is paced only where the bound leaves more time than the fixed turns use", "[stage][pace]")
+{
+    constexpr std::uint32_t pieceBytes = 24576;
+    for (const std::uint32_t copy : { 2'300'000U, 3'100'000U })
+        for (const std::int64_t allowed : { 7500, 8000, 8500 }) {
+            INFO("bound " << allowed << " ms, copy of " << copy << " bytes");
+            CHECK_FALSE(isPacedWith({ allowed }, 7.5, copy / pieceBytes, pieceBytes));
+        }
+    CHECK(isPacedWith({ 10000 }, 7.3, 96, pieceBytes));
+    CHECK(isPacedWith({ 13400 }, 4.38, 96, pieceBytes));
+    CHECK_FALSE(isPacedWith({ 13400 }, 0, 96, pieceBytes));
+    CHECK_FALSE(isPacedWith({ 13400 }, 4.38, 0, 0));
+}
+
+// Guards against a rollout that takes so many engines out of service at once that the others are full: with fixed
+// turns 21 of 76 are, 12 of 26 in one data centre.
+TEST_CASE("Loads are spread over the time that the bound leaves and over data centres", "[stage][pace]")
+{
+    const RolloutResult fixed = RolloutSimulation({ .originMbps = 0 }).run();
+    const RolloutResult paced = RolloutSimulation({}).run();
+    CHECK(fixed.mostOut() == 21);
+    CHECK(paced.mostOut() <= 17);
+    for (const char* name : { "a", "b", "c" })
+        CHECK(paced.mostOut(DataCentreId { name }) <= 7);
+    CHECK(paced.loadsOf(2) == 76);
+    CHECK(paced.outdated == 0);
+    CHECK(lastLoad(paced, 2) < usableUntil);
+    CHECK(paced.worstTwoSeconds() >= fixed.worstTwoSeconds());
+    // Entries move the last few streams of each engine, as before: no more than three for each load.
+    CHECK(paced.mostMovedIn10s <= 3 * 76);
+}
+
+// Guards against streams that begin late during a rollout under a load that leaves little room.
+TEST_CASE("Streams begin on time during a paced rollout with 85 in 100 of the slots in use", "[stage][pace]")
+{
+    CHECK(RolloutSimulation({ .load = 0.85 }).run().worstTwoSeconds() >= 0.99);
+}
+
+TEST_CASE("Idle engines load before their turns, a few of each data centre at a time", "[stage][pace]")
+{
+    const RolloutResult paced = RolloutSimulation({ .load = 0 }).run();
+    const RolloutResult busy = RolloutSimulation({}).run();
+    CHECK(paced.loadsOf(2) == 76);
+    CHECK(lastLoad(paced, 2) + Milliseconds { 2000 } < lastLoad(busy, 2));
+    for (const char* name : { "a", "b", "c" })
+        CHECK(paced.mostOut(DataCentreId { name }) <= 8);
+}
+
+// Guards against missing the bound, or against a pile-up shortly before it, when an origin that is away delays the
+// pieces.
+TEST_CASE("The schedule compresses when pieces arrive late", "[stage][pace]")
+{
+    for (const std::int64_t late : { 7000, 8000 }) {
+        INFO("pieces at the first host after " << late << " ms");
+        const RolloutResult paced = RolloutSimulation({ .firstPieces = { late }, .lastPieces = { late + 2000 } }).run();
+        CHECK(paced.loadsOf(2) == 76);
+        CHECK(paced.outdated == 0);
+        CHECK(lastLoad(paced, 2) < usableUntil);
+    }
+}
+
+// The origin is away for 6 s: some pieces arrive too late for the bound, and the engines load as soon as they can.
+TEST_CASE("Engines load at once when the pieces arrive close to the bound", "[stage][pace]")
+{
+    const RolloutOptions late { .firstPieces = { 10000 }, .lastPieces = { 12000 } };
+    RolloutOptions unpaced = late;
+    unpaced.originMbps = 0;
+    const RolloutResult paced = RolloutSimulation(late).run();
+    const RolloutResult fixed = RolloutSimulation(unpaced).run();
+    CHECK(paced.loadsOf(2) == 76);
+    CHECK(lastLoad(paced, 2) <= lastLoad(fixed, 2));
+    CHECK(paced.outdated <= fixed.outdated);
+}
+
+// Guards against a schedule in which hosts wait for one that is gone.
+TEST_CASE("A host that dies in its turn delays no other host", "[stage][pace]")
+{
+    const RolloutResult all = RolloutSimulation({}).run();
+    const std::size_t dead = 5;
+    const RolloutResult result
+        = RolloutSimulation({ .diesAt = { { dead, all.turns[dead] + Milliseconds { 300 } } } }).run();
+    CHECK(result.loads[dead].empty());
+    CHECK(result.loadsOf(2) == 75);
+    CHECK(lastLoad(result, 2) < usableUntil);
+    for (std::size_t number = 0; number < all.turns.size(); ++number)
+        CHECK(result.turns[number].value == Approx(all.turns[number].value).margin(1));
+}
+
+TEST_CASE("A host that learns late of a version loads it by the bound", "[stage][pace]")
+{
+    const std::size_t host = 9;
+    const RolloutResult result = RolloutSimulation({ .learnsAfter = { { host, { 10000 } } } }).run();
+    CHECK(result.loads[host] == std::vector<std::uint64_t> { 2 });
+    CHECK(result.outdated == 0);
+    CHECK(lastLoad(result, 2) < usableUntil);
+}
+
+// Guards against engines that skip a version and load the next one only after the bound of the skipped one: entries
+// cannot use them in between. With fixed turns 19 of 76 engines are affected.
+TEST_CASE("A version that is overtaken is skipped as far as its bound allows", "[stage][pace]")
+{
+    for (const std::int64_t after : { 500, 1500, 2500, 4000, 6000 }) {
+        INFO("next version after " << after << " ms");
+        const RolloutResult result = RolloutSimulation({ .declaredAt = { { 0 }, { after } }, .end = { 22000 } }).run();
+        CHECK(result.outdated == 0);
+        CHECK(result.loadsOf(3) == 76);
+        CHECK(result.loadsOf(2) < 76);
+        CHECK(lastLoad(result, 3) < Milliseconds { after } + usableUntil);
+    }
+    const RolloutResult result = RolloutSimulation({ .declaredAt = { { 0 }, { 4000 } }, .end = { 20000 } }).run();
+    CHECK(result.mostOut() <= 20);
+}
+
+// Guards against a version that is dropped unseen from between two others, and with it its bound.
+TEST_CASE("Of three versions in quick succession each bound holds", "[stage][pace]")
+{
+    const RolloutResult result
+        = RolloutSimulation({ .declaredAt = { { 0 }, { 2000 }, { 4000 } }, .end = { 22000 } }).run();
+    CHECK(result.outdated == 0);
+    CHECK(result.loadsOf(4) == 76);
+}
