Keep the origin's link to one version of a paced rollout at a time

Cause: pieces of a version that overtakes another were requested at the rate of the whole link while the first was still being sent, so that both arrived late, and requests that wait for over 1.5 s are repeated by other hosts. Found by reading; copies that the origin sends were not measured.

Change: agents request pieces of the second version once the origin has had the time to send the first one, only where the first one's rollout is paced.

--- a/src/stage_pace_func.cpp
+++ b/src/stage_pace_func.cpp
@@ -77,6 +77,14 @@
     return left >= allowed * loadSpreadPercent / percent;
 }
 
+Milliseconds originFreeAt(const StageState& state, const StageJob& job)
+{
+    const StageJob& first = state.jobs.front();
+    if (first.version >= job.version || !isPaced(state, first))
+        return {};
+    return first.knownSince + originTime(state, first, first.pieces.size());
+}
+
 Milliseconds safeLoadEnd(const StageState& state, const StageJob& job)
 {
     return job.boundFrom + state.options.maxWeightsDelay - reservedTime;
--- a/src/stage_pace_func.h
+++ b/src/stage_pace_func.h
@@ -12,6 +12,13 @@
 /// not known
 bool isPaced(const StageState& state, const StageJob& job);
 
+/// Keeps the origin's link to one version at a time: with two, the pieces of the first arrive later, and requests that
+/// wait there for longer than originRound are sent again by other hosts.
+/// @param job version whose pieces are to be requested
+/// @return moment from which the origin has sent its copy of a paced version that is being brought into service before
+/// this one; 0 when there is none
+Milliseconds originFreeAt(const StageState& state, const StageJob& job);
+
 /// @return latest moment at which preparing a load may begin: its engine then holds the weights before entries stop
 /// using older ones, also if it has to drain for the longest time
 Milliseconds safeLoadEnd(const StageState& state, const StageJob& job);
--- a/src/stage_source_func.cpp
+++ b/src/stage_source_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_source_func.h"
 
 #include "digest_func.h"
+#include "stage_pace_func.h"
 #include "stage_partner_func.h"
 #include "table/stage_limits.h"
 
@@ -100,7 +101,8 @@
             return std::nullopt;
         return sourceOf(leastLoadedSource(state, otherDataCentres, offset));
     }
-    const Milliseconds dueAt = job.knownSince + originRequestDelay(state, job, piece);
+    const Milliseconds dueAt
+        = std::max(job.knownSince, originFreeAt(state, job)) + originRequestDelay(state, job, piece);
     if (now < dueAt)
         return std::nullopt;
     return isDesignated(state, state.fleet.all, piece + job.version.value, elapsedRounds(dueAt, originRound, now))
--- a/tests/unit_rollout_pace.cpp
+++ b/tests/unit_rollout_pace.cpp
@@ -1,5 +1,5 @@
 #include "rollout_simulation.h"
-#include "stage_fixture.h"
+#include "stage_source_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -147,3 +147,33 @@
     CHECK(result.outdated == 0);
     CHECK(result.loadsOf(4) == 76);
 }
+
+// Guards against an origin that sends pieces of two versions at the same time: the first version arrives later, and
+// other hosts repeat requests that wait there for long.
+TEST_CASE("Pieces of an overtaking version are requested once the origin has sent the version before", "[stage][pace]")
+{
+    for (const bool known : { true, false }) {
+        INFO("bandwidth of the origin " << (known ? "known" : "not known"));
+        StageState state
+            = makeStageState({ .ip = "10.1.0.1", .dataCentre = { "a" }, .maxWeightsDelay = Milliseconds { 13400 } });
+        FleetView view {
+            .model = { "model" }, .originAddress = "10.9.0.1:1", .originMbps = known ? 4.38 : 0, .declared = { 2 }
+        };
+        view.hosts.push_back({ .ip = "10.1.0.1", .dataCentre = { "a" } });
+        const Milliseconds begin { 100000 };
+        reduceStage(state, FleetViewUpdated { .view = view }, begin);
+        reduceStage(state, ManifestFetched { .version = { 2 }, .pieceCount = 96, .pieceBytes = 24576 }, begin);
+        const Milliseconds second = begin + Milliseconds { 2000 };
+        view.declared = { 3 };
+        reduceStage(state, FleetViewUpdated { .view = view }, second);
+        reduceStage(state, ManifestFetched { .version = { 3 }, .pieceCount = 96, .pieceBytes = 24576 }, second);
+        REQUIRE(state.jobs.size() == 2);
+        // A copy takes 4.3 s.
+        const auto mayRequest = [&](std::size_t job, std::int64_t after) {
+            return chooseSource(state, state.jobs.at(job), 0, begin + Milliseconds { after }).has_value();
+        };
+        CHECK(mayRequest(0, 2000));
+        CHECK(mayRequest(1, 4200) == !known);
+        CHECK(mayRequest(1, 4400));
+    }
+}
