Limit what all entries together send to cold upstreams

Cause: cold_start_s, cold_per_s, cold_left_ms and Cold-Ms were decoded, and nothing acted on them. An upstream that has just started crashes above cold_per_s x cold_overage + cold_slack requests in a second, summed over all entries.

Change: an upstream is cold as its row, an answer or a probe states, and for cold_start_s after it was added to the list, restarted, was silent, accepted no connection or came back from an evacuation. The entries share its rate: K of them (rendezvous hashing of entry and upstream) send n requests in any second each, K n <= rate + 1; the rest of the bound is for entries that misjudge their share. Entries that start or stood still wait 1.5 s. After the cold time the rate rises in four steps over one more cold period. The share and allowance code of named limits is now limit_share_func and serves both. EntryCountUpdated names the other entries, UpstreamsUpdated the rows that are new and since when, probes pass on the head of the answer.

--- a/src/probe_io.cpp
+++ b/src/probe_io.cpp
@@ -1,6 +1,7 @@
 #include "probe_io.h"
 
 #include "tcp_link_io.h"
+#include "wire_parser_func.h"
 
 #include <array>
 #include <memory>
@@ -23,16 +24,28 @@
             && (answer.substr(statusAt).starts_with("502") || answer.substr(statusAt).starts_with("504"));
     }
 
+    constexpr std::size_t maxHeadBytes = 4096; ///< of an answer; the heads of status reports take a few hundred
+
     /// A probe in progress. Its callbacks keep it alive.
-    struct Probe : std::enable_shared_from_this<Probe> {
+    struct Probe : std::enable_shared_from_this<Probe>, WireSink {
         Probe(asio::io_context& io, const ProbeOptions& options, std::function<void(ProbeResult)> done)
             : options(options)
             , done(std::move(done))
             , socket(io)
             , timer(io)
+            , parser(WireKind::Response, maxHeadBytes)
         {
         }
 
+        void onHead(WireHead&& head) override
+        {
+            this->headRead = true;
+            if (this->options.onHead)
+                this->options.onHead(head);
+        }
+        void onBody(std::string_view) override { }
+        void onComplete() override { }
+
         void connect(const asio::ip::tcp::endpoint& endpoint)
         {
             this->closeAfter(this->options.timeout);
@@ -59,14 +72,29 @@
             this->closeAfter(this->options.statusPath.empty() ? probeHold : this->options.timeout);
             this->socket.async_read_some(asio::buffer(this->answer),
                 [self = this->shared_from_this()](const std::error_code& code, std::size_t size) {
-                    self->timer.cancel();
                     const bool isSilent = self->options.mustAnswer && !self->options.statusPath.empty();
                     const bool isKept
                         = self->expired ? !isSilent : !code && !isGatewayFailure({ self->answer.data(), size });
-                    self->done(isKept ? ProbeResult::Accepted : ProbeResult::Unreachable);
+                    self->readHead(isKept ? ProbeResult::Accepted : ProbeResult::Unreachable, code ? 0 : size);
                 });
         }
 
+        /// Parses what has arrived, and reads on until the head is complete. The first bytes have decided the result.
+        /// @param size bytes that were just read, 0 if nothing can be read
+        void readHead(ProbeResult result, std::size_t size)
+        {
+            if (size > 0)
+                this->parser.feed({ this->answer.data(), size }, *this);
+            if (size == 0 || this->headRead || this->parser.fault()) {
+                this->timer.cancel();
+                this->done(result);
+                return;
+            }
+            this->socket.async_read_some(asio::buffer(this->answer),
+                [self = this->shared_from_this(), result](
+                    const std::error_code& code, std::size_t read) { self->readHead(result, code ? 0 : read); });
+        }
+
         void closeAfter(Milliseconds delay)
         {
             this->expired = false;
@@ -85,7 +113,9 @@
         asio::ip::tcp::socket socket;
         asio::steady_timer timer;
         bool expired { false }; ///< the time of the current step is over
-        std::array<char, 64> answer {}; ///< its first bytes; the rest is not read
+        std::array<char, 512> answer {}; ///< what was read last
+        WireParser parser; ///< of the answer
+        bool headRead { false }; ///< the head of the answer is complete
     };
 
 } // namespace
--- a/src/probe_io.h
+++ b/src/probe_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay_type.h"
+#include "wire_head_type.h"
 
 #include <asio.hpp>
 #include <functional>
@@ -15,6 +16,7 @@
     bool mustAnswer { false }; ///< a connection that is kept without an answer to the request counts as unreachable
     Milliseconds timeout { 400 }; ///< for the connection, after which the address counts as unreachable; also how long
                                   ///< a connection without an answer must be kept
+    std::function<void(const WireHead&)> onHead; ///< called at most once, before the end, with the head of an answer
 };
 
 /// Connects to an address and asks for a path, or waits briefly whether the connection is kept. Anything that accepts
--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -146,12 +146,15 @@
         return {};
     const RelayServiceState& view = service->second;
     const QueueKey key = makeQueueKey(request, state.options.queuePolicy, now);
-    const auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
+    auto ahead = std::distance(view.queue.begin(), view.queue.lower_bound(key));
     const auto recent = std::count_if(view.dispatchTimes.begin(), view.dispatchTimes.end(),
         [&](Milliseconds at) { return now - at < dispatchRateWindow; });
     double rate = std::max(minDispatchRate, static_cast<double>(recent));
-    if (const std::optional<double> limit = limitedRate(state, request.service))
+    if (const std::optional<double> limit = limitedRate(state, request.service, now)) {
         rate = std::max(std::min(rate, *limit), minLimitedRate);
+        // Other entries share the limits of all upstreams: the request itself waits until one has warmed up.
+        ahead += *limit == 0 ? 1 : 0;
+    }
     return { static_cast<std::int64_t>(static_cast<double>(ahead) * millisecondsPerSecond / rate) };
 }
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -28,7 +28,8 @@
 
     RelayOptions relayOptions(const RelaySettings& settings)
     {
-        return { .dataCentre = settings.host.dataCentre,
+        return { .host = settings.host.host,
+            .dataCentre = settings.host.dataCentre,
             .keyConfigMaxAge = settings.maxRevocationDelay * keyConfigMaxAgePercent / 100,
             .weightsGracePeriod = settings.maxWeightsDelay - weightsMargin,
             .retryRatio = settings.retryRatio,
@@ -227,16 +228,7 @@
         this->front.abort(abort->call, abort->reason);
         this->forget(abort->call);
     } else if (const auto* probe = std::get_if<ProbeUpstream>(&effect))
-        probeConnection(this->io,
-            { .address = probe->address,
-                .statusPath = probe->statusPath,
-                .mustAnswer = probe->mustAnswer,
-                .timeout = probe->timeout },
-            [this, upstream = probe->upstream, mustAnswer = probe->mustAnswer, startedAt = monotonicNow()](
-                ProbeResult result) {
-                this->dispatch(UpstreamProbed {
-                    .upstream = upstream, .result = result, .startedAt = startedAt, .mustAnswer = mustAnswer });
-            });
+        this->probe(*probe);
     else if (const auto* news = std::get_if<AnnounceCrashNews>(&effect))
         this->announceCrashNews(news->learned);
     else if (const auto* line = std::get_if<LogLine>(&effect))
@@ -245,6 +237,22 @@
         recordMetric(*sample);
 }
 
+void RelayLoop::probe(const ProbeUpstream& effect)
+{
+    auto probed = std::make_shared<UpstreamProbed>(
+        UpstreamProbed { .upstream = effect.upstream, .startedAt = monotonicNow(), .mustAnswer = effect.mustAnswer });
+    probeConnection(this->io,
+        { .address = effect.address,
+            .statusPath = effect.statusPath,
+            .mustAnswer = effect.mustAnswer,
+            .timeout = effect.timeout,
+            .onHead = [probed](const WireHead& head) { probed->notice = platform::decodeResponseHead(head).notice; } },
+        [this, probed](ProbeResult result) {
+            probed->result = result;
+            this->dispatch(*probed);
+        });
+}
+
 void RelayLoop::send(const SendToUpstream& effect)
 {
     const auto found = this->calls.find(effect.call);
@@ -389,8 +397,11 @@
     const std::vector<PeerInfo> live = liveEntries(this->peers, now);
     const auto before = std::count_if(
         live.begin(), live.end(), [&](const PeerInfo& entry) { return entry.host < this->settings.host.host; });
-    this->dispatch(EntryCountUpdated {
-        .entryCount = static_cast<std::uint32_t>(live.size() + 1), .position = static_cast<std::uint32_t>(before) });
+    EntryCountUpdated counted { .entryCount = static_cast<std::uint32_t>(live.size() + 1),
+        .position = static_cast<std::uint32_t>(before) };
+    for (const PeerInfo& entry : live)
+        counted.others.push_back(entry.host);
+    this->dispatch(counted);
     if (wasWritten(this->settingsFile))
         this->reload();
     bool listChanged = false;
@@ -404,7 +415,7 @@
         listChanged = true;
     }
     if (listChanged)
-        this->publishUpstreams();
+        this->publishUpstreams({}, std::nullopt);
     this->armTimer(this->sweepTimer, sweepPeriod, &RelayLoop::sweep);
 }
 
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -47,6 +47,7 @@
     /// Applies an event to the state and carries out its effects.
     void dispatch(const RelayEvent& event);
     void apply(const RelayEffect& effect);
+    void probe(const ProbeUpstream& effect);
     void send(const SendToUpstream& effect);
     void forwardResponse(const ForwardResponse& effect);
     void refuse(const RefuseCall& effect);
@@ -89,7 +90,9 @@
     /// From now on confirmations of the copy of the store count.
     void endConfigComparison();
     /// Passes the current list of upstreams to the reducer.
-    void publishUpstreams();
+    /// @param rewritten upstreams whose rows were written since the last list
+    /// @param writtenAfter as in UpstreamsUpdated
+    void publishUpstreams(std::set<UpstreamId> rewritten, std::optional<Milliseconds> writtenAfter);
     /// @return whether this entry is one of those that poll the store on behalf of all
     bool pollsStore(Milliseconds now) const;
     /// Requests a peer's copies of the store's tables, unless such a request is pending.
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -405,6 +405,7 @@
     if (knownAt.value != 0 && now - knownAt > maxListAge)
         this->relistingUntil = now + relistGracePeriod;
     bool listChanged = false;
+    std::set<UpstreamId> rewritten;
     const bool isRestored = std::exchange(this->upstreamsRestored, false);
     if (isRestored)
         this->relistingUntil = now + relistGracePeriod;
@@ -432,7 +433,10 @@
         if (entry) {
             // Most changes are heartbeats, which only renew the lease.
             const auto known = this->upstreams.find(row.key);
-            listChanged = listChanged || known == this->upstreams.end() || !(known->second == entry.value());
+            const auto view = this->state.upstreams.find({ row.key });
+            const bool isCold = view != this->state.upstreams.end() && view->second.cold;
+            listChanged = listChanged || known == this->upstreams.end() || !(known->second == entry.value()) || isCold;
+            rewritten.insert({ row.key });
             this->upstreams[row.key] = entry.value();
         } else {
             listChanged = true;
@@ -442,13 +446,15 @@
                 .fields = { { "upstream", row.key }, { "error", entry.error().text() } } });
         }
     }
+    // The copy held all rows that were written before it was confirmed, unless the store came back from an older one.
     if (listChanged)
-        this->publishUpstreams();
+        this->publishUpstreams(
+            std::move(rewritten), isRestored || knownAt.value == 0 ? std::nullopt : std::optional(knownAt));
 }
 
-void RelayLoop::publishUpstreams()
+void RelayLoop::publishUpstreams(std::set<UpstreamId> rewritten, std::optional<Milliseconds> writtenAfter)
 {
-    UpstreamsUpdated event;
+    UpstreamsUpdated event { .rewritten = std::move(rewritten), .writtenAfter = writtenAfter };
     for (const auto& [key, entry] : this->upstreams)
         event.entries.push_back(entry);
     event.entries = currentUpstreams(event.entries);
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -1,5 +1,6 @@
 #include "relay_reduce_func.h"
 
+#include "cold_start_cmd.h"
 #include "evacuation_cmd.h"
 #include "overloaded_type.h"
 #include "relay_cmd.h"
@@ -107,6 +108,7 @@
         cancelSilentSends(state, now, effects);
         probeStillUpstreams(state, now, effects);
         cancelOutdatedSends(state, now, effects);
+        updateColdStarts(state, now, effects);
         dispatchAllWaiting(state, now, effects);
     }
 
@@ -123,6 +125,7 @@
 std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now)
 {
     RelayEffects effects;
+    noteEventTime(state, now);
     std::visit(Overloaded {
                    [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
                    [&](const RelayCallerDisconnected& disconnected) {
@@ -153,6 +156,7 @@
                    [&](const UpstreamProbed& probed) {
                        confirmAnswers(state, probed, now, effects);
                        applyProbe(state, probed);
+                       applyColdProbe(state, probed, now, effects);
                        applyStillProbe(state, probed, now, effects);
                    },
                    [&](const EvacuationsUpdated& update) { applyEvacuations(state, update, now, effects); },
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -1,4 +1,5 @@
 #include "begun_request_func.h"
+#include "cold_start_cmd.h"
 #include "crash_func.h"
 #include "relay_admit_func.h"
 #include "relay_budget_func.h"
@@ -147,6 +148,7 @@
             return;
         }
     }
+    countHeldByCold(state, stored, now, effects);
     if (!chooseUpstream(state, stored, now, false)) {
         awaitWeights(state, stored, now, effects);
         return;
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -1,4 +1,5 @@
 #include "begun_request_func.h"
+#include "cold_start_cmd.h"
 #include "crash_func.h"
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
@@ -109,6 +110,13 @@
         return isSuccess(send.status) ? send.sealed && continuesStream : !request.headForwarded;
     }
 
+    /// An upstream that accepts no connection may have started again once it accepts one.
+    void recordNoConnection(RelayState& state, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+    {
+        if (const auto view = state.upstreams.find(upstream); view != state.upstreams.end())
+            assumeCold(state, view->second, ColdCause::Silence, now, effects);
+    }
+
     /// Ends the send in flight: completes the request, retries it or refuses it.
     /// @param end not Unconfirmed
     void endSend(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
@@ -135,6 +143,8 @@
         if (end == SendResult::Broken)
             recordBrokenSend(state, request, *request.active, now, effects);
         recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
+        if (notSent)
+            recordNoConnection(state, upstream, now, effects);
         request.excludedUpstreams.insert(upstream);
         releaseSend(state, request, false, effects);
         if (notSent) {
@@ -160,6 +170,8 @@
             recordUpstreamResponse(state, upstream, false);
         else
             recordUpstreamFailure(state, upstream, notSent ? "connect" : "broken", now, effects);
+        if (notSent)
+            recordNoConnection(state, upstream, now, effects);
         request.excludedUpstreams.insert(upstream);
         if (notSent)
             --request.sends;
@@ -327,7 +339,8 @@
     view.answeredAt = now;
     if (!send.headReceived)
         --view.unbegun;
-    view.standsStill = false;
+    if (std::exchange(view.standsStill, false))
+        assumeCold(state, view, ColdCause::Silence, now, effects);
     send.headReceived = true;
     send.status = event.status;
     send.sealed = event.sealed;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cold_start_type.h"
 #include "crash_state_type.h"
 #include "relay_type.h"
 
@@ -26,6 +27,7 @@
 /// Settings that the relay's decisions depend on. The process replaces all defaults below but the two policies by
 /// values from its settings; the other policies are baselines for comparison in tests.
 struct RelayOptions {
+    HostId host; ///< this host
     DataCentreId dataCentre; ///< data centre of this host; upstreams elsewhere must gain enough time to be chosen
     Milliseconds keyConfigMaxAge { 4400 }; ///< requests with a key need a configuration confirmed within it
     Milliseconds weightsGracePeriod { 6000 }; ///< older weights may be used this long after newer ones were declared
@@ -144,6 +146,7 @@
     Milliseconds fullUntil { 0 }; ///< gets no new work before: it refused a request without running it
     Milliseconds orderPendingUntil { 0 }; ///< gets no new work before: it is about to receive a load order
     bool clearing { false }; ///< as last reported: its load waits only for the requests that still run there
+    std::optional<ColdStart> cold; ///< empty if it is known to be warm
 };
 
 /// Health of a failing upstream that left the list. It is kept because a lease that expired on a congested link is
@@ -202,6 +205,10 @@
     UpstreamStandings standings; ///< what upstreams said of themselves
     UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
+    std::map<UpstreamId, DelistedCold> delistedCold; ///< upstreams with cold starts that left the list lately
+    ColdSharers coldSharers; ///< entries that share the limits of cold upstreams
+    std::uint32_t coldCount { 0 }; ///< listed upstreams that are cold, as last published
+    bool upstreamsListed { false }; ///< a list of upstreams was read that was not empty
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     /// Most live entries lately: one that was not heard for a moment still sends.
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -93,6 +93,10 @@
 /// The platform's list of upstreams changed.
 struct UpstreamsUpdated {
     std::vector<UpstreamEntry> entries; ///< the whole list
+    /// Upstreams whose rows were written since the last list. Empty if that is not known: each row counts as new.
+    std::optional<std::set<UpstreamId>> rewritten;
+    /// These rows were written after this moment, on this process's clock. Empty if that is not known.
+    std::optional<Milliseconds> writtenAfter;
 };
 
 /// Position of a report among those of one host's agent. Later ones are greater.
@@ -141,6 +145,7 @@
 struct EntryCountUpdated {
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t position { 0 }; ///< live entries whose hosts come before this one's by name
+    std::vector<HostId> others; ///< hosts of the other live entries
 };
 
 /// Another entry told what upstreams said of themselves.
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -1,3 +1,4 @@
+#include "cold_start_cmd.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
 #include "table/relay_limits.h"
@@ -24,6 +25,7 @@
         view.fullUntil = {};
         view.orderPendingUntil = {};
         view.clearing = false;
+        view.cold.reset();
     }
 
     /// Puts an upstream that is listed again back on probation, if it failed before it left the list and its process
@@ -58,22 +60,31 @@
         listed.insert(entry.id);
         const auto [found, added] = state.upstreams.try_emplace(entry.id);
         RelayUpstream& view = found->second;
+        const bool restarted = !added && view.entry.processStartedAt != entry.processStartedAt;
+        const bool relisted = !added && !view.listed;
         if (added) {
             view.key = loadKey(entry.id);
             restoreDelistedHealth(state, view, entry);
             effects.emplace_back(upstreamLogLine("upstream-listed", entry));
         } else {
-            if (view.entry.processStartedAt != entry.processStartedAt) {
+            if (restarted) {
                 resetUpstreamHealth(view);
                 recordUpstreamEnd(state, entry.id);
             }
-            if (view.entry.leaving != entry.leaving || view.entry.processStartedAt != entry.processStartedAt)
+            if (view.entry.leaving != entry.leaving || restarted)
                 effects.emplace_back(upstreamLogLine("upstream-changed", entry));
         }
         view.entry = entry;
         view.process = upstreamProcessId(entry.id, entry.processStartedAt);
         view.listed = true;
+        if (restarted && entry.coldLeft.value == 0)
+            assumeCold(state, view, ColdCause::Restarted, now, effects);
+        else if (added || relisted)
+            beginListedCold(state, view, event.writtenAfter, now, effects);
+        else if (restarted || !event.rewritten || event.rewritten->contains(entry.id))
+            applyColdRow(state, view, event.writtenAfter, now, effects);
     }
+    state.upstreamsListed = state.upstreamsListed || !event.entries.empty();
     for (auto view = state.upstreams.begin(); view != state.upstreams.end();) {
         if (listed.contains(view->first)) {
             ++view;
@@ -82,6 +93,7 @@
         if (view->second.listed) {
             effects.emplace_back(upstreamLogLine("upstream-gone", view->second.entry));
             recordUpstreamEnd(state, view->first);
+            keepDelistedCold(state, view->second, now);
         }
         if (view->second.listed && view->second.onProbation)
             state.delisted[view->first] = { .processStartedAt = view->second.entry.processStartedAt,
@@ -108,8 +120,10 @@
         // The report is about an earlier or later process than the listed one.
         if (view.entry.processStartedAt != 0 && reported.report.processStartedAt != 0
             && view.entry.processStartedAt != reported.report.processStartedAt) {
-            if (reported.report.processStartedAt > view.entry.processStartedAt)
+            if (reported.report.processStartedAt > view.entry.processStartedAt) {
                 recordUpstreamEnd(state, id);
+                assumeCold(state, view, ColdCause::Restarted, now, effects);
+            }
             continue;
         }
         view.report = reported.report;
@@ -182,6 +196,8 @@
     view.probedAt = now;
     if (!std::exchange(view.standsStill, false))
         return;
+    if (!event.notice.coldLeft)
+        assumeCold(state, view, ColdCause::Silence, now, effects);
     effects.emplace_back(LogLine { .event = "upstream-answers", .fields = { { "upstream", event.upstream.value } } });
     dispatchWaiting(state, view.entry.service, now, effects);
 }
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -1,5 +1,7 @@
 #include "upstream_notice_cmd.h"
 
+#include "cold_start_cmd.h"
+#include "table/cold_start_limits.h"
 #include "table/upstream_notice_limits.h"
 
 #include <algorithm>
@@ -56,16 +58,16 @@
             return;
         // The allowance grows from nothing: what was sent before the limit was known is on its way.
         const bool isFirst = !standing.requestsPerSecond;
-        standing.allowance = isFirst || !limit ? 0 : std::min(standing.allowance, 1.0);
-        standing.refilledAt = now;
+        standing.allowance
+            = { .requests = isFirst || !limit ? 0 : std::min(standing.allowance.requests, 1.0), .refilledAt = now };
         standing.changedAt = now;
         LogLine line { .event = "upstream-limit",
             .fields = { { "upstream", upstreamName(state, process) }, { "requests_per_second", limitText(limit) },
                 { "before", limitText(standing.requestsPerSecond) }, { "source", source },
                 { "entries", std::to_string(state.highestEntryCount) } } };
         standing.requestsPerSecond = limit;
-        if (limit)
-            line.fields.emplace_back("share", limitText(limitShare(state, standing, process)));
+        if (const std::optional<SharedLimit> shared = namedLimit(state, standing, process))
+            line.fields.emplace_back("share", limitText(shareOf(*shared)));
         effects.emplace_back(std::move(line));
         effects.emplace_back(noticeMetric("limit", source));
     }
@@ -87,8 +89,11 @@
 } // namespace
 
 void recordNotice(
-    RelayState& state, const RelayUpstream& view, const UpstreamNotice& notice, Milliseconds now, RelayEffects& effects)
+    RelayState& state, RelayUpstream& view, const UpstreamNotice& notice, Milliseconds now, RelayEffects& effects)
 {
+    if (notice.coldLeft)
+        applyColdStatement(state, view,
+            { .left = *notice.coldLeft, .madeAfter = now - coldRowMaxAge, .cause = ColdCause::Answer }, now, effects);
     setLimit(state, view.process, notice.requestsPerSecond, now, "answer", now, effects);
     if (notice.leaving)
         setLeaving(state, view.process, now, "answer", now, effects);
@@ -113,26 +118,26 @@
     }
 }
 
-void countSend(RelayState& state, const RelayUpstream& view, Milliseconds now)
+void countSend(RelayState& state, RelayUpstream& view, Milliseconds now)
 {
+    countColdSend(state, view, now);
     const auto found = state.standings.find(view.process);
-    if (found == state.standings.end() || !found->second.requestsPerSecond)
+    if (found == state.standings.end())
         return;
-    UpstreamStanding& standing = found->second;
-    standing.allowance = allowanceAt(state, standing, view.process, now) - 1;
-    standing.refilledAt = now;
+    if (const std::optional<SharedLimit> limit = namedLimit(state, found->second, view.process))
+        spendAllowance(*limit, found->second.allowance, 1, now);
 }
 
 void applyEntryCount(RelayState& state, const EntryCountUpdated& event, Milliseconds now)
 {
     std::map<UpstreamProcessId, double> sharesBefore;
     for (auto& [process, standing] : state.standings) {
-        if (!standing.requestsPerSecond)
+        const std::optional<SharedLimit> limit = namedLimit(state, standing, process);
+        if (!limit)
             continue;
         // The time until now counts at the share that this entry had.
-        standing.allowance = allowanceAt(state, standing, process, now);
-        standing.refilledAt = now;
-        sharesBefore[process] = limitShare(state, standing, process);
+        spendAllowance(*limit, standing.allowance, 0, now);
+        sharesBefore[process] = shareOf(*limit);
     }
     state.entryCount = event.entryCount;
     state.entryPosition = event.position;
@@ -143,9 +148,10 @@
     // The entries that had this share until now may just have used it up.
     for (const auto& [process, before] : sharesBefore) {
         UpstreamStanding& standing = state.standings.at(process);
-        if (before == 0 && limitShare(state, standing, process) > 0)
-            standing.allowance = 0;
+        if (before == 0 && shareOf(*namedLimit(state, standing, process)) > 0)
+            standing.allowance.requests = 0;
     }
+    applyColdEntries(state, event, now);
 }
 
 void forgetStandings(RelayState& state, Milliseconds now)
--- a/src/upstream_notice_func.cpp
+++ b/src/upstream_notice_func.cpp
@@ -1,5 +1,6 @@
 #include "upstream_notice_func.h"
 
+#include "cold_start_func.h"
 #include "digest_func.h"
 #include "table/upstream_notice_limits.h"
 
@@ -10,8 +11,6 @@
 
 namespace {
 
-    constexpr double millisecondsPerSecond = 1000.0;
-
     std::uint32_t sharingEntries(const RelayState& state) { return std::max(1U, state.highestEntryCount); }
 
     /// @return requests beyond a limit that all entries together may send at once
@@ -52,38 +51,41 @@
                                                                                       : found->second.until;
 }
 
-double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process)
-{
-    const std::uint32_t sharing = entriesThatShare(state, *standing.requestsPerSecond);
-    const std::uint64_t turn = (state.entryPosition + process.value) % std::max(1U, state.entryCount);
-    return turn < sharing ? *standing.requestsPerSecond / sharing : 0;
-}
-
-double allowanceAt(
-    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process, Milliseconds now)
+std::optional<SharedLimit> namedLimit(
+    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process)
 {
+    if (!standing.requestsPerSecond)
+        return std::nullopt;
     const double limit = *standing.requestsPerSecond;
-    const double most = std::max(1.0, fleetBurst(limit) / entriesThatShare(state, limit));
-    const double passed = static_cast<double>((now - standing.refilledAt).value) / millisecondsPerSecond;
-    return std::min(most, standing.allowance + passed * limitShare(state, standing, process));
+    const std::uint32_t sharing = entriesThatShare(state, limit);
+    const std::uint64_t turn = (state.entryPosition + process.value) % std::max(1U, state.entryCount);
+    return SharedLimit { .requestsPerSecond = limit,
+        .sharers = sharing,
+        .sharesHere = turn < sharing,
+        .most = std::max(1.0, fleetBurst(limit) / sharing) };
 }
 
 bool maySendBefore(const RelayState& state, const RelayUpstream& view, Milliseconds latest)
 {
     if (pausedUntil(state, view) >= latest)
         return false;
+    // A cold upstream may have warmed up by then.
+    if (const std::optional<SharedLimit> cold = coldLimit(state, view, latest); cold && shareOf(*cold) == 0)
+        return false;
     const UpstreamStanding* standing = findStanding(state, view);
     if (!standing)
         return true;
-    return !standing->leavesSince && (!standing->requestsPerSecond || limitShare(state, *standing, view.process) > 0);
+    const std::optional<SharedLimit> limit = namedLimit(state, *standing, view.process);
+    return !standing->leavesSince && (!limit || shareOf(*limit) > 0);
 }
 
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now)
 {
-    if (now < pausedUntil(state, view))
+    if (now < pausedUntil(state, view) || isHeldByCold(state, view, now))
         return false;
     const UpstreamStanding* standing = findStanding(state, view);
-    return !standing || !standing->requestsPerSecond || allowanceAt(state, *standing, view.process, now) >= 1;
+    const std::optional<SharedLimit> limit = standing ? namedLimit(state, *standing, view.process) : std::nullopt;
+    return !limit || allowanceAt(*limit, standing->allowance, now) >= 1;
 }
 
 std::optional<Milliseconds> firstPauseEnd(const RelayState& state, const ServiceId& service, Milliseconds now)
@@ -97,7 +99,7 @@
     return first;
 }
 
-std::optional<double> limitedRate(const RelayState& state, const ServiceId& service)
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service, Milliseconds now)
 {
     double rate = 0;
     bool any = false;
@@ -107,10 +109,12 @@
         const UpstreamStanding* standing = findStanding(state, view);
         if (standing && standing->leavesSince)
             continue;
-        if (!standing || !standing->requestsPerSecond)
+        const std::optional<SharedLimit> named = standing ? namedLimit(state, *standing, view.process) : std::nullopt;
+        const std::optional<SharedLimit> cold = coldLimit(state, view, now);
+        if (!named && !cold)
             return std::nullopt;
         any = true;
-        rate += limitShare(state, *standing, view.process);
+        rate += !cold ? shareOf(*named) : !named ? shareOf(*cold) : std::min(shareOf(*named), shareOf(*cold));
     }
     return any ? std::optional(rate) : std::nullopt;
 }
--- a/src/upstream_notice_func.h
+++ b/src/upstream_notice_func.h
@@ -17,14 +17,10 @@
 /// @return when the pause ends that an upstream asked for; in the past if it has not
 Milliseconds pausedUntil(const RelayState& state, const RelayUpstream& view);
 
-/// @return requests a second that this entry may send to a process: its share of a limit that the process named for all
-/// entries. 0 where the limit is too low for so many entries and others use it.
-double limitShare(const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process);
-
-/// @return requests that this entry may send to a process at once
-/// @pre the process has named a limit
-double allowanceAt(
-    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process, Milliseconds now);
+/// @return the limit that a process named for all entries, or nothing. Where it is too low for so many entries, the
+/// first of a rotation share it.
+std::optional<SharedLimit> namedLimit(
+    const RelayState& state, const UpstreamStanding& standing, UpstreamProcessId process);
 
 /// @return id of the upstream that a process is a run of, for the log
 std::string upstreamName(const RelayState& state, UpstreamProcessId process);
@@ -39,8 +35,9 @@
 /// @return whether this entry may send the upstream a request now
 bool maySendNow(const RelayState& state, const RelayUpstream& view, Milliseconds now);
 
-/// @return requests a second that all upstreams of a service take from this entry, or nothing if one has no limit
-std::optional<double> limitedRate(const RelayState& state, const ServiceId& service);
+/// @return requests a second that all upstreams of a service take from this entry, or nothing if one has no limit: it
+/// named none and is not cold
+std::optional<double> limitedRate(const RelayState& state, const ServiceId& service, Milliseconds now);
 
 /// @param whole also lists what has not changed lately, for entries that started since
 /// @return what this entry knows that upstreams said of themselves, for the other entries; bounded, newest first
--- a/src/upstream_notice_type.h
+++ b/src/upstream_notice_type.h
@@ -2,6 +2,7 @@
 
 #include "clock_type.h"
 #include "id_type.h"
+#include "limit_share_func.h"
 
 #include <cstdint>
 #include <map>
@@ -39,8 +40,7 @@
     Milliseconds limitSaidAt; ///< when it said so
     std::optional<Milliseconds> leavesSince; ///< when it said that it leaves, which it never takes back
     Milliseconds changedAt; ///< when this entry last learned something new
-    double allowance { 0 }; ///< requests that this entry may send at once, of its share of the limit
-    Milliseconds refilledAt; ///< when the allowance was last computed
+    LimitAllowance allowance; ///< of this entry's share of the limit
 };
 
 /// By process. Only of processes that have said something of themselves.
