--- a/src/evacuation_cmd.cpp
+++ b/src/evacuation_cmd.cpp
@@ -1,6 +1,7 @@
 #include "evacuation_cmd.h"
 
 #include "begun_request_func.h"
+#include "cold_start_cmd.h"
 #include "home_region_cmd.h"
 #include "relay_budget_func.h"
 
@@ -116,6 +117,10 @@
         effects.emplace_back(std::move(line));
         return true;
     });
+    // Its engines may have become cold just before it was evacuated.
+    for (const DataCentreId& dataCentre : state.evacuated)
+        if (!event.dataCentres.contains(dataCentre))
+            assumeDataCentreCold(state, dataCentre, now, effects);
     state.evacuated = event.dataCentres;
     effects.emplace_back(MetricSample { .kind = MetricSample::Kind::Gauge,
         .name = "evacuated_data_centres",
--- a/src/queue_share_func.cpp
+++ b/src/queue_share_func.cpp
@@ -40,7 +40,7 @@
                 return now - sent.at < dispatchRateWindow && mayRunIn(state, allowed, sent.dataCentre);
             });
         const double rate = std::max(minDispatchRate, static_cast<double>(recent));
-        const std::optional<double> limit = limitedRate(state, service, allowed);
+        const std::optional<double> limit = limitedRate(state, service, allowed, now);
         return limit ? std::max(std::min(rate, *limit), minLimitedRate) : rate;
     }
 
@@ -78,9 +78,14 @@
         return {};
     std::map<AllowedRegions, double> ahead;
     const auto end = service->queue.lower_bound(key);
+    // Other entries share the limits of all upstreams: the request itself waits until one has warmed up.
+    const bool hasNoShare = limitedRate(state, request.service, request.allowed, now) == 0.0;
     if (!state.hasHomes)
-        return { static_cast<std::int64_t>(static_cast<double>(std::distance(service->queue.begin(), end))
+        return { static_cast<std::int64_t>(
+            static_cast<double>(std::distance(service->queue.begin(), end) + (hasNoShare ? 1 : 0))
             * millisecondsPerSecond / dispatchRate(state, *service, request.service, request.allowed, now)) };
+    if (hasNoShare)
+        ++ahead[request.allowed];
     for (auto item = service->queue.begin(); item != end; ++item)
         ++ahead[state.requests.at(item->second).allowed];
     for (auto& [allowed, time] : ahead)
--- a/tests/unit_home_region.cpp
+++ b/tests/unit_home_region.cpp
@@ -401,9 +401,9 @@
     const AllowedRegions b = std::vector<RegionId> { { "b" } };
     relay.event(UpstreamNoticesReceived { .peer = { "other" },
         .reports = { { .process = upstreamProcessId({ "b1-plain" }, 0), .requestsPerSecond = 3.0 } } });
-    CHECK_FALSE(limitedRate(relay.state, plain, std::nullopt));
-    CHECK_FALSE(limitedRate(relay.state, plain, a));
-    CHECK(limitedRate(relay.state, plain, b) == 3.0);
+    CHECK_FALSE(limitedRate(relay.state, plain, std::nullopt, relay.now));
+    CHECK_FALSE(limitedRate(relay.state, plain, a, relay.now));
+    CHECK(limitedRate(relay.state, plain, b, relay.now) == 3.0);
     relay.state.pauses["b1-plain:1"] = { .service = plain, .until = relay.now + Milliseconds { 500 } };
     CHECK(firstPauseEnd(relay.state, plain, b, relay.now) == relay.now + Milliseconds { 500 });
     CHECK_FALSE(firstPauseEnd(relay.state, plain, a, relay.now));
