--- a/tests/entry_rig.h
+++ b/tests/entry_rig.h
@@ -97,7 +97,8 @@
                             << "\"\npeer_port = 8010\nstore = \"" << this->addressPrefix << "250:8081\"\nseeds = ["
                             << seeds << "]\n[relay]\nfront = \"" << ip << ":8000\"\nreadiness = \"" << ip
                             << ":8001\"\nlookup = \"" << ip << ":8002\"\ncontrol = \"" << ip
-                            << ":8003\"\nrevoke_ms = 5000\nweights_ms = 6000\ngrace_s = " << this->graceSeconds << "\n";
+                            << ":8003\"\nrevoke_ms = 5000\nweights_ms = 6000\ngrace_s = " << this->graceSeconds << "\n"
+                            << this->relaySettings;
         this->entries[number].start(
             { this->buildFolder + "/hickory-entry", "--settings", path }, this->logFolder + "/" + name + ".log");
         constexpr Milliseconds startTimeout { 10000 };
@@ -161,6 +162,7 @@
 
     std::uint64_t attempts { 0 }; ///< requests sent so far
     int graceSeconds { 8 }; ///< grace_s of entries that are started from now on
+    std::string relaySettings; ///< further lines of their table [relay], each ended by a newline
 
 private:
     std::string buildFolder;
