Bound the memory and descriptors that callers hold

Cause: bytes held for callers had no bound. A hundred bodies that stop one byte short, heads of thousands of short lines, refused bodies that were kept while their connections lingered, and answers that nobody reads grew until memory ended.

Change: one budget from memory_mb and max_fds (caller_memory_func, carried out by FrontServer): connections, heads, bodies, the copy that is sent and unsent answers are counted with their capacity. A declared length over the limit gets 413, one over the budget 503 with Retry-After, both before the body is read. What holds most without progress is closed first. A part is kept for small connections, another and descriptors of their own for readiness, lookups and peers. Requests behind more than 64 KB of answers that were not taken wait. Ended connections keep no request. Accepting goes on 20 ms after EMFILE. Queues of links release what was written, and the allocator returns large blocks. The agent gets a budget as well.

Ruled out: charging declared lengths at once (docs/design/untrusted-callers.md).

--- a/src/answer_memory_func.cpp
+++ b/src/answer_memory_func.cpp
@@ -12,7 +12,7 @@
 
 bool HeldAnswer::mayGoOn() const
 {
-    return this->bytes <= maxHeldWhenShort || (this->bytes <= maxPlainAnswer && this->total.held <= maxHeldAnswers);
+    return this->bytes <= maxHeldWhenShort || (this->bytes <= maxPlainAnswer && this->total.held <= this->total.limit);
 }
 
 } // namespace hickory
--- a/src/answer_memory_func.h
+++ b/src/answer_memory_func.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "table/answer_limits.h"
+
 #include <cstddef>
 
 namespace hickory {
@@ -7,6 +9,7 @@
 /// What the unfinished answers of a process hold in memory.
 struct AnswerMemory {
     std::size_t held { 0 }; ///< bytes of all answers
+    std::size_t limit { maxHeldAnswers }; ///< bytes above which large answers are broken off; see answerBudget()
 };
 
 /// Bytes of one unfinished answer. Counts them in an AnswerMemory for as long as it exists.
--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -168,7 +168,7 @@
 void CallPool::writeRequest(const ConnectionPointer& connection)
 {
     connection->link->write(connection->bytes);
-    connection->bytes.clear();
+    std::string().swap(connection->bytes); // a large body must not be kept with an idle connection
 }
 
 void CallPool::onData(const ConnectionPointer& connection, std::string_view bytes)
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -1,11 +1,7 @@
-#include "front_io.h"
-
+#include "front_connection_io.h"
 #include "guard_func.h"
-#include "wire_parser_func.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace hickory {
 
@@ -16,106 +12,15 @@
     constexpr std::uint16_t statusTooLarge = 413;
     constexpr std::uint16_t statusUnavailable = 503;
     constexpr std::uint16_t statusHeadTooLarge = 431;
+    constexpr std::size_t keptBytes = 8192; ///< capacity for received bytes that an idle connection keeps: one read
     constexpr Milliseconds lingerTime { 1000 }; ///< after the last byte to a connection that was ended
     constexpr std::size_t maxLingering = 1024; ///< ended connections that are read on; more are closed at once
     constexpr std::size_t maxDiscarded = 8U << 20U; ///< bytes read from an ended connection before it is closed
     constexpr int listenBacklog
         = 1024; ///< when it is full, SYN packets are dropped and callers retry only after a second or more
 
-    /// @return the line that precedes a chunk of the given size
-    std::string chunkHead(std::size_t size)
-    {
-        std::array<char, 20> text {};
-        const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
-        return std::string(text.data(), end) + "\r\n";
-    }
-
 } // namespace
 
-std::string_view reasonPhrase(std::uint16_t status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 202:
-        return "Accepted";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 421:
-        return "Misdirected Request";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
-/// One connection of a caller and the request being read from it.
-struct FrontServer::Connection : WireSink {
-    Connection(std::uint64_t number, const FrontLimits& limits)
-        : number(number)
-        , parser(WireKind::Request, limits.headBytes.value)
-        , limits(limits)
-    {
-    }
-
-    /// @return whether a request has arrived in part, or whole and unread
-    bool isReading() const
-    {
-        return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
-    }
-    void onHead(WireHead&& received) override
-    {
-        this->request.head = std::move(received);
-        const std::string* expect = this->request.head.find("Expect");
-        if (expect && equalNames(*expect, "100-continue"))
-            this->link->write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    void onBody(std::string_view bytes) override
-    {
-        if (this->request.body.size() + bytes.size() > this->limits.bodyBytes.value)
-            this->bodyTooLarge = true;
-        else
-            this->request.body.append(bytes);
-    }
-    void onComplete() override { this->complete = true; }
-
-    std::uint64_t number; ///< key in FrontServer::connections
-    std::uint16_t port { 0 }; ///< local port that the connection was accepted at
-    std::shared_ptr<TcpLink> link;
-    WireParser parser;
-    FrontLimits limits; ///< in force when the request being read began, or when the connection became idle
-    std::string unread; ///< bytes received and not yet parsed
-    FrontRequest request; ///< request being read, incomplete until `complete` is set
-    bool bodyTooLarge { false }; ///< the body exceeded its limit
-    bool complete { false }; ///< the request was read in full and not yet delivered
-    bool ended { false }; ///< the connection was removed from the server
-    bool refused { false }; ///< ended by refuse(); the rest of the request may follow
-    CallId call; ///< delivered request whose answer is not complete, 0 for none
-    bool chunked { false }; ///< the answer in progress has a chunked body
-    bool closeAfter { false }; ///< close the connection after the answer
-    Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
-    Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
-    std::size_t discarded { 0 }; ///< bytes read since the connection was ended
-    Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
-};
-
 FrontServer::FrontServer(asio::io_context& io, const LinkOptions& link, Handlers handlers)
     : io(io)
     , link(link)
@@ -125,7 +30,7 @@
 
 FrontServer::~FrontServer() = default;
 
-Result<std::uint16_t> FrontServer::listen(const std::string& address)
+Result<std::uint16_t> FrontServer::listen(const std::string& address, bool internal)
 {
     const auto endpoint = parseEndpoint(address);
     std::error_code code = make_error_code(ErrorCode::InvalidSettings);
@@ -141,41 +46,69 @@
         if (!code) {
             const std::uint16_t port = acceptor->local_endpoint().port();
             this->acceptors.push_back(std::move(acceptor));
-            this->accept(*this->acceptors.back());
+            this->accept(*this->acceptors.back(), internal);
             return port;
         }
     }
     return Error { .code = code, .step = "listen", .peer = address, .detail = {} };
 }
 
-void FrontServer::accept(asio::ip::tcp::acceptor& acceptor)
+void FrontServer::accept(asio::ip::tcp::acceptor& acceptor, bool internal)
 {
-    acceptor.async_accept([this, &acceptor](const std::error_code& code, asio::ip::tcp::socket socket) {
+    acceptor.async_accept([this, &acceptor, internal](const std::error_code& code, asio::ip::tcp::socket socket) {
         if (code == asio::error::operation_aborted)
             return;
-        if (!code) {
-            std::error_code ignored; // a connection that is already closed is detected by its first read
-            const auto local = socket.local_endpoint(ignored);
-            auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits);
-            connection->port = local.port();
-            connection->since = monotonicNow();
-            connection->link = std::make_shared<TcpLink>(std::move(socket), this->link);
-            this->connections[connection->number] = connection;
-            connection->link->start([this, connection](std::string_view bytes) { this->onData(connection, bytes); },
-                [this, connection](LinkEnd how) {
-                    if (how == LinkEnd::Broken)
-                        connection->link->close(); // what is queued cannot be written
-                    else
-                        connection->link->closeAfterWrite();
-                    this->removeConnection(connection);
-                });
-        }
+        const bool isExhausted = code == asio::error::no_descriptors || code == std::errc::too_many_files_open_in_system
+            || code == asio::error::no_buffer_space || code == asio::error::no_memory;
+        if (!code)
+            this->open(std::move(socket), internal);
         // It may have been closed since the connection was accepted.
-        if (acceptor.is_open())
-            this->accept(acceptor);
+        if (!acceptor.is_open())
+            return;
+        if (isExhausted)
+            this->acceptLater(acceptor, internal);
+        else
+            this->accept(acceptor, internal);
     });
 }
 
+void FrontServer::open(asio::ip::tcp::socket socket, bool internal)
+{
+    std::error_code ignored; // a connection that is already closed is detected by its first read
+    const auto local = socket.local_endpoint(ignored);
+    const bool hasDescriptor = mayOpen(*this->memory, internal) || this->replaceOne(internal);
+    auto connection = std::make_shared<Connection>(++this->lastNumber, this->limits, this->memory, internal);
+    connection->port = local.port();
+    connection->since = monotonicNow();
+    connection->progressAt = connection->since;
+    connection->link = std::make_shared<TcpLink>(std::move(socket), this->link);
+    if (!hasDescriptor || !this->makeRoom(connection, connectionCost)) {
+        const CloseReason reason = hasDescriptor ? CloseReason::Memory : CloseReason::Descriptors;
+        this->reportClosed(*connection, reason);
+        connection->ended = true;
+        connection->link->close();
+        return;
+    }
+    this->updateHeld(*connection);
+    this->connections[connection->number] = connection;
+    connection->link->onWritten([this, connection] {
+        connection->progressAt = monotonicNow();
+        this->updateHeld(*connection);
+        if (connection->ended || connection->call.value != 0 || connection->isBackedUp())
+            return;
+        connection->link->pauseReading(false);
+        this->parse(connection);
+    });
+    connection->link->start([this, connection](std::string_view bytes) { this->onData(connection, bytes); },
+        [this, connection](LinkEnd how) {
+            if (how == LinkEnd::Broken)
+                connection->link->close(); // what is queued cannot be written
+            else
+                connection->link->closeAfterWrite();
+            this->removeConnection(connection);
+        });
+}
+
 void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
 {
     constexpr std::size_t maxPipelined = 64U << 10U; // bytes received ahead before reading pauses
@@ -186,15 +119,19 @@
                 .port = connection->port,
                 .age = monotonicNow() - connection->since });
         connection->discarded += bytes.size();
-        if (connection->discarded > maxDiscarded)
+        this->discardedTogether += bytes.size();
+        if (connection->discarded > maxDiscarded || this->discardedTogether > maxDiscardedTogether)
             connection->link->close();
         return;
     }
     connection->unread.append(bytes);
-    if (connection->call.value != 0) {
-        // A pipelined request is parsed after the answer to the current one is complete.
+    if (connection->call.value != 0 || connection->isBackedUp()) {
+        // A pipelined request is parsed after the answer to the current one is complete, and its caller has taken most
+        // of the answers before.
         if (connection->unread.size() > maxPipelined)
             connection->link->pauseReading(true);
+        this->updateHeld(*connection);
+        this->scheduleRelief();
         return;
     }
     this->parse(connection);
@@ -203,7 +140,7 @@
 void FrontServer::parse(const ConnectionPointer& connection)
 {
     Connection& current = *connection;
-    if (current.unread.empty() || current.ended || current.call.value != 0)
+    if (current.unread.empty() || current.ended || current.call.value != 0 || current.isBackedUp())
         return;
     if (!current.parser.inMessage()) {
         current.since = monotonicNow();
@@ -211,17 +148,20 @@
         current.request = {};
         current.request.firstByteAt = current.since;
         current.limits = this->limits;
+        current.declaredBytes = current.headBytes = current.newBytes = 0;
+        current.progressAt = current.since;
         current.parser.setMaxHeadBytes(current.limits.headBytes.value);
     }
     const std::size_t used = current.parser.feed(current.unread, current);
     current.unread.erase(0, used);
+    if (current.unread.empty() && current.unread.capacity() > keptBytes)
+        std::string().swap(current.unread);
+    this->updateHeld(current);
     if (current.parser.fault())
         this->refuse(connection,
             *current.parser.fault() == WireFault::HeadTooLarge ? statusHeadTooLarge : statusBadRequest,
             CloseReason::Refused);
-    else if (current.bodyTooLarge)
-        this->refuse(connection, statusTooLarge, CloseReason::Refused);
-    else if (current.complete)
+    else if (!this->refuseOversized(connection) && current.complete)
         this->deliver(connection);
 }
 
@@ -235,7 +175,13 @@
     current.request.port = current.port;
     const CallId call = current.call;
     this->calls[call] = connection;
+    // The request, and a copy while it is sent to an upstream.
+    current.inFlightBytes = 2 * (current.headBytes + current.request.body.capacity());
+    current.headBytes = 0;
     const bool isHandled = guarded("request", "caller", [&] { this->handlers.onRequest(std::move(current.request)); });
+    std::string().swap(current.request.body); // if the handler left it
+    if (!current.ended)
+        this->updateHeld(current);
     // An upstream may have it already: the close of the connection promises nothing.
     if (!isHandled) {
         this->reportClosed(current, CloseReason::UnexpectedError);
@@ -249,7 +195,10 @@
     this->reportClosed(*connection, reason);
     connection->refused = true;
     connection->closeAfter = true;
-    this->sendHead(connection, status, {}, 0);
+    std::vector<WireHeader> headers;
+    if (reason == CloseReason::Memory || reason == CloseReason::Descriptors)
+        headers.push_back({ "Retry-After", std::to_string(shortageRetryAfter.value / 1000) });
+    this->sendHead(connection, status, headers, 0);
     this->endConnection(connection);
 }
 
@@ -264,6 +213,7 @@
 
 void FrontServer::sweepLingering(Milliseconds now)
 {
+    this->discardedTogether = 0;
     for (const ConnectionPointer& connection : this->closing) {
         if (connection->link->pending() > 0)
             continue;
@@ -280,12 +230,14 @@
     const bool inRequest = connection.call.value == 0 && connection.parser.inMessage();
     if (!this->handlers.onConnectionClosed || connection.ended)
         return;
-    if (connection.call.value == 0 && reason != CloseReason::Refused && !connection.isReading())
+    const bool isAlwaysReported
+        = reason == CloseReason::Refused || reason == CloseReason::Memory || reason == CloseReason::Descriptors;
+    if (connection.call.value == 0 && !isAlwaysReported && !connection.isReading())
         return;
     this->handlers.onConnectionClosed({ .reason = reason,
         .detail = detail,
         .call = connection.call,
-        .head = inRequest || reason == CloseReason::Refused ? connection.request.head : WireHead {},
+        .head = inRequest || isAlwaysReported ? connection.request.head : WireHead {},
         .inRequest = inRequest,
         .unparsed = connection.unread.size(),
         .unread = connection.link->unreadBytes(),
@@ -300,6 +252,9 @@
     connection->ended = true;
     const CallId call = connection->call;
     connection->call = {};
+    connection->releaseRequest();
+    connection->progressAt = monotonicNow();
+    this->updateHeld(*connection);
     this->connections.erase(connection->number);
     if (connection->link->pending() == 0 && !connection->link->isLingering())
         connection->link->close();
@@ -309,109 +264,6 @@
         this->handlers.onCallerDisconnected(call);
 }
 
-FrontServer::ConnectionPointer FrontServer::find(CallId id) const
-{
-    const auto found = this->calls.find(id);
-    return found == this->calls.end() ? nullptr : found->second;
-}
-
-void FrontServer::sendHead(const ConnectionPointer& connection, std::uint16_t status,
-    const std::vector<WireHeader>& headers, std::optional<std::size_t> length, BodyFraming framing)
-{
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
-    text.append(reasonPhrase(status));
-    text += "\r\n";
-    for (const WireHeader& header : headers)
-        text.append(header.name).append(": ").append(header.value).append("\r\n");
-    if (length)
-        text += "Content-Length: " + std::to_string(*length) + "\r\n";
-    else if (framing == BodyFraming::Chunks)
-        text += "Transfer-Encoding: chunked\r\n";
-    connection->chunked = !length && framing == BodyFraming::Chunks;
-    const bool drains = this->draining && connection->unread.empty() && connection->link->unreadBytes() == 0;
-    connection->closeAfter = connection->closeAfter || drains || framing == BodyFraming::Connection;
-    if (connection->closeAfter)
-        text += "Connection: close\r\n";
-    text += "\r\n";
-    connection->link->write(text);
-}
-
-void FrontServer::answer(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, std::string_view body)
-{
-    const ConnectionPointer connection = this->find(id);
-    if (!connection)
-        return;
-    this->sendHead(connection, status, headers, body.size());
-    if (!body.empty())
-        connection->link->write(body);
-    this->completeAnswer(id, connection);
-}
-
-void FrontServer::begin(CallId id, std::uint16_t status, const std::vector<WireHeader>& headers, BodyFraming framing)
-{
-    if (const ConnectionPointer connection = this->find(id))
-        this->sendHead(connection, status, headers, std::nullopt, framing);
-}
-
-void FrontServer::body(CallId id, std::string_view bytes)
-{
-    const ConnectionPointer connection = this->find(id);
-    if (!connection || bytes.empty())
-        return;
-    if (!connection->chunked) {
-        connection->link->write(bytes);
-        return;
-    }
-    std::string chunk = chunkHead(bytes.size());
-    chunk.append(bytes).append("\r\n");
-    connection->link->write(chunk);
-}
-
-void FrontServer::finish(CallId id)
-{
-    const ConnectionPointer connection = this->find(id);
-    if (!connection)
-        return;
-    if (connection->chunked)
-        connection->link->write("0\r\n\r\n");
-    this->completeAnswer(id, connection);
-}
-
-void FrontServer::completeAnswer(CallId id, const ConnectionPointer& connection)
-{
-    this->calls.erase(id);
-    connection->call = {};
-    connection->since = monotonicNow();
-    connection->unreadUntil = {};
-    connection->limits = this->limits;
-    if (connection->closeAfter) {
-        this->reportClosed(*connection, CloseReason::AfterAnswer);
-        this->endConnection(connection);
-        return;
-    }
-    connection->link->pauseReading(false);
-    if (!connection->unread.empty())
-        asio::post(this->io, [this, connection] { this->parse(connection); });
-}
-
-void FrontServer::abort(CallId id, const std::string& why)
-{
-    const ConnectionPointer connection = this->find(id);
-    if (!connection)
-        return;
-    this->reportClosed(*connection, CloseReason::Aborted, why);
-    this->calls.erase(id);
-    connection->call = {};
-    connection->link->reset();
-    this->removeConnection(connection);
-}
-
-std::size_t FrontServer::pending(CallId id) const
-{
-    const ConnectionPointer connection = this->find(id);
-    return connection ? connection->link->pending() : 0;
-}
-
 bool FrontServer::hasUnsent()
 {
     this->sweepLingering(monotonicNow());
@@ -447,6 +299,7 @@
 {
     constexpr Milliseconds unreadTime { 1000 };
     this->sweepLingering(now);
+    this->relieve();
     std::vector<ConnectionPointer> expired;
     for (const auto& [number, connection] : this->connections) {
         if (connection->call.value != 0)
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller_memory_func.h"
 #include "clock_type.h"
 #include "error_type.h"
 #include "id_type.h"
@@ -49,6 +50,8 @@
     Aborted, ///< see FrontServer::abort()
     AfterAnswer, ///< an answer announced it
     UnexpectedError, ///< the handling of a request failed
+    Memory, ///< memory for callers was short
+    Descriptors, ///< descriptors for callers' connections were short
     Crossed, ///< it had been ended before, with nothing on it, and bytes arrived that crossed its end
 };
 
@@ -83,8 +86,13 @@
 
     /// Starts to accept connections; may be called for several addresses.
     /// @param address "ip:port", port 0 lets the kernel choose
+    /// @param internal connections there count apart from callers', and get a further part of the memory
     /// @return the bound port, or the error
-    Result<std::uint16_t> listen(const std::string& address);
+    Result<std::uint16_t> listen(const std::string& address, bool internal = false);
+    /// Sets what callers may hold. Without a call there is no limit.
+    void setBudget(const CallerBudget& budget) { this->memory->budget = budget; }
+    /// @return bytes that callers hold
+    std::size_t heldBytes() const { return this->memory->held; }
     /// Sets the limits of later requests. Callers act on the limits that they know: a request that is being read and a
     /// connection that is idle keep theirs. Longer times hold at once.
     void setLimits(const FrontLimits& limits) { this->limits = limits; }
@@ -130,7 +138,31 @@
     using ConnectionPointer = std::shared_ptr<Connection>;
 
     /// Accepts connections until the acceptor is closed.
-    void accept(asio::ip::tcp::acceptor& acceptor);
+    void accept(asio::ip::tcp::acceptor& acceptor, bool internal);
+    /// Takes over an accepted connection, or closes it if there is no room for it.
+    void open(asio::ip::tcp::socket socket, bool internal);
+    /// Accepts connections again after a pause: the kernel had no descriptor.
+    void acceptLater(asio::ip::tcp::acceptor& acceptor, bool internal);
+    /// Counts what a connection holds now.
+    void updateHeld(Connection& connection);
+    /// Closes others until a connection may hold more.
+    /// @param more bytes in addition to those that are counted for it
+    /// @return whether it may hold them
+    bool makeRoom(const ConnectionPointer& connection, std::size_t more);
+    /// Closes connections until memory is not short, or none may be closed.
+    void relieve();
+    /// Calls relieve() from the loop, if memory is short.
+    void scheduleRelief();
+    /// @return the connections that may be considered for closing
+    std::vector<HoldingConnection> holdings() const;
+    /// Closes one connection because memory or descriptors are short.
+    void closeForShortage(std::uint64_t number, CloseReason reason);
+    /// Closes a connection of the same kind to make way for a new one.
+    /// @return whether one was closed
+    bool replaceOne(bool internal);
+    /// Refuses a request whose declared length, or what was read of it, is more than the limits or the budget allow.
+    /// @return whether it was refused
+    bool refuseOversized(const ConnectionPointer& connection);
     void onData(const ConnectionPointer& connection, std::string_view bytes);
     /// Parses received bytes until a request is complete or invalid.
     void parse(const ConnectionPointer& connection);
@@ -163,6 +195,10 @@
     std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors; ///< one for each address passed to listen()
     std::unordered_map<std::uint64_t, ConnectionPointer> connections; ///< open connections by Connection::number
     std::unordered_map<CallId, ConnectionPointer> calls; ///< connections by the request in progress on them
+    std::shared_ptr<CallerMemory> memory { std::make_shared<CallerMemory>() }; ///< what callers hold
+    Milliseconds nextSearch { 0 }; ///< no connection to close is looked for before, since none was found
+    bool reliefScheduled { false }; ///< relieve() is about to be called
+    std::size_t discardedTogether { 0 }; ///< bytes read from ended connections since the last sweep
     std::vector<ConnectionPointer> closing; ///< removed from `connections`, their links not closed yet
     std::uint64_t lastNumber { 0 }; ///< last number given to a connection or request
     bool draining { false }; ///< startDrain() was called
--- a/src/front_log_func.cpp
+++ b/src/front_log_func.cpp
@@ -22,6 +22,10 @@
         return "after-answer";
     case CloseReason::UnexpectedError:
         return "unexpected-error";
+    case CloseReason::Memory:
+        return "memory";
+    case CloseReason::Descriptors:
+        return "descriptors";
     case CloseReason::Crossed:
         return "crossed";
     }
--- a/src/host_program_func.h
+++ b/src/host_program_func.h
@@ -30,6 +30,7 @@
     if (arguments.check)
         return exitSuccess;
     std::signal(SIGPIPE, SIG_IGN);
+    returnFreedBlocks();
     HostSettings& host = settings.value().host;
     host.seed = host.seed != 0 ? host.seed : std::random_device {}();
     startBufferedLog(program, host.host.value, host.logLevel);
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -7,6 +7,7 @@
 #include "platform_names.h"
 #include "program_func.h"
 #include "table/answer_limits.h"
+#include "table/caller_limits.h"
 #include "table/loader_limits.h"
 #include "table/relay_loop_limits.h"
 
@@ -48,6 +49,7 @@
     , signals(this->io, SIGTERM, SIGINT, SIGHUP)
     , incarnation { static_cast<std::uint64_t>(wallNow().value) }
 {
+    this->front.setBudget(callerBudget(agentMemoryMb, agentDescriptors));
     for (const std::string& seed : this->settings.host.seeds)
         this->peers.seeds.insert(seed.substr(0, seed.rfind(':')));
     this->peers.liveTimeout = entryLiveTimeout;
@@ -376,6 +378,9 @@
 void LoaderLoop::onFleetPollTimer()
 {
     this->requestFleetView();
+    recordMetric({ .kind = MetricSample::Kind::Gauge,
+        .name = "caller_memory_bytes",
+        .value = static_cast<double>(this->front.heldBytes()) });
     this->pool.sweep(monotonicNow());
     this->front.sweep(monotonicNow());
     this->peerSocket.publishCounts();
--- a/src/program_func.cpp
+++ b/src/program_func.cpp
@@ -1,9 +1,12 @@
 #include "program_func.h"
 
+#include "table/caller_limits.h"
+
 #include <cxxopts.hpp>
 
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace hickory {
 
@@ -43,6 +46,8 @@
     }
 }
 
+void returnFreedBlocks() { mallopt(M_MMAP_THRESHOLD, mmapThreshold); }
+
 LogLine listeningLine(const ProcessSettings& process, unsigned rpcPort, unsigned httpPort)
 {
     const auto withPort = [](const std::string& listen, unsigned port) {
--- a/src/program_func.h
+++ b/src/program_func.h
@@ -32,6 +32,10 @@
 std::optional<ProgramArguments> parseArguments(
     int count, char** values, const std::string& program, const std::string& description, int& exitCode);
 
+/// Makes the allocator return large blocks to the kernel when they are freed, so that the memory of the process follows
+/// what it holds. To be called before the first large allocation.
+void returnFreedBlocks();
+
 /// @param process settings with the configured addresses, whose ports may be 0
 /// @param rpcPort bound port for RPC
 /// @param httpPort bound port for HTTP
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -131,19 +131,26 @@
     , signals(this->io, SIGTERM, SIGINT, SIGHUP)
     , incarnation { static_cast<std::uint64_t>(wallNow().value) }
 {
+    this->applyMemoryLimits();
     for (const std::string& seed : this->settings.host.seeds)
         this->peers.seeds.insert(seed.substr(0, seed.rfind(':')));
 }
 
 RelayLoop::~RelayLoop() = default;
 
+void RelayLoop::applyMemoryLimits()
+{
+    this->front.setBudget(callerBudget(this->settings.memoryMb, this->settings.maxDescriptors));
+    this->answerMemory.limit = answerBudget(this->settings.memoryMb);
+}
+
 bool RelayLoop::open()
 {
     bool failed = false;
     boundPort(this->front.listen(this->settings.front), failed);
-    this->readinessPort = boundPort(this->front.listen(this->settings.readiness), failed);
-    this->lookupPort = boundPort(this->front.listen(this->settings.lookup), failed);
-    this->controlPort = boundPort(this->front.listen(this->settings.control), failed);
+    this->readinessPort = boundPort(this->front.listen(this->settings.readiness, true), failed);
+    this->lookupPort = boundPort(this->front.listen(this->settings.lookup, true), failed);
+    this->controlPort = boundPort(this->front.listen(this->settings.control, true), failed);
     if (const auto error = this->peerSocket.open(this->settings.host.ip, this->settings.host.peerPort)) {
         writeLog({ .level = LogLevel::Error, .event = "listen-failed", .fields = { { "error", error->text() } } });
         failed = true;
@@ -378,6 +385,9 @@
 {
     const Milliseconds now = monotonicNow();
     this->front.sweep(now);
+    recordMetric({ .kind = MetricSample::Kind::Gauge,
+        .name = "caller_memory_bytes",
+        .value = static_cast<double>(this->front.heldBytes()) });
     this->pool.sweep(now);
     this->peerSocket.publishCounts();
     removeSilentPeers(this->peers, now);
@@ -421,6 +431,7 @@
     this->settings = read.value();
     this->settings.host.seed = seed;
     this->state.options = relayOptions(this->settings);
+    this->applyMemoryLimits();
 }
 
 void RelayLoop::startDrain()
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -41,6 +41,8 @@
     struct Call;
     struct UpstreamCall;
 
+    /// Derives from the settings what callers and answers may hold.
+    void applyMemoryLimits();
     /// Opens all listening sockets.
     /// @return whether all could be opened; failures are logged
     bool open();
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -90,33 +90,64 @@
 {
     if (!this->socket.is_open() || this->closing)
         return;
+    // What the socket takes at once is not copied into the queue.
+    if (this->pending() == 0 && !this->writing) {
+        const std::optional<std::size_t> written = this->writeSome(bytes);
+        this->queue.append(bytes.substr(written.value_or(0)));
+        if (written && this->pending() > 0)
+            this->waitWritable();
+        return;
+    }
+    this->trimQueue();
     this->queue.append(bytes);
     if (!this->writing)
         this->flush();
 }
 
-void TcpLink::flush()
+std::optional<std::size_t> TcpLink::writeSome(std::string_view bytes)
 {
-    while (this->queueOffset < this->queue.size()) {
+    std::size_t written = 0;
+    while (written < bytes.size()) {
         std::error_code code;
-        const std::size_t count = this->socket.write_some(
-            asio::buffer(this->queue.data() + this->queueOffset, this->queue.size() - this->queueOffset), code);
-        this->queueOffset += count;
-        if (code == asio::error::would_block || code == asio::error::try_again) {
-            this->waitWritable();
-            return;
-        }
+        written += this->socket.write_some(asio::buffer(bytes.data() + written, bytes.size() - written), code);
+        if (code == asio::error::would_block || code == asio::error::try_again)
+            break;
         if (code) {
             // The kernel reports a reset once: a read that comes after a failed write may see the end of the file.
             this->writeFailed = true;
             // Report the end asynchronously, so that callers of write() are not re-entered.
             asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->end(LinkEnd::Broken); });
-            return;
+            return std::nullopt;
         }
     }
-    this->queue.clear();
-    this->queueOffset = 0;
-    if (this->closing)
+    return written;
+}
+
+void TcpLink::trimQueue()
+{
+    constexpr std::size_t keptCapacity = 16U << 10U;
+    if (this->pending() == 0) {
+        this->queue.clear();
+        this->queueOffset = 0;
+        if (this->queue.capacity() > keptCapacity)
+            this->queue.shrink_to_fit();
+    } else if (this->queueOffset > keptCapacity && this->queueOffset > this->queue.size() / 2) {
+        // A peer that never takes all of it would let the queue grow for ever.
+        this->queue.erase(0, this->queueOffset);
+        this->queueOffset = 0;
+    }
+}
+
+void TcpLink::flush()
+{
+    const std::optional<std::size_t> written = this->writeSome(std::string_view(this->queue).substr(this->queueOffset));
+    if (!written)
+        return;
+    this->queueOffset += *written;
+    this->trimQueue();
+    if (this->pending() > 0)
+        this->waitWritable();
+    else if (this->closing)
         this->endSending();
 }
 
@@ -137,8 +168,11 @@
             self->writing = false;
             if (code)
                 self->end(LinkEnd::Broken);
-            else if (self->socket.is_open())
+            else if (self->socket.is_open()) {
                 self->flush();
+                if (const auto written = self->writtenHandler)
+                    written();
+            }
         });
 }
 
@@ -147,6 +181,7 @@
     if (!this->inDataHandler)
         this->onData = nullptr;
     this->onEnd = nullptr;
+    this->writtenHandler = nullptr;
     std::error_code code;
     this->socket.close(code);
 }
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -42,6 +42,8 @@
     /// @param end called once when the connection ends other than by close(), closeAfterWrite() or reset(); not
     /// after lingerAfterWrite()
     void start(OnData data, OnEnd end);
+    /// @param written called after queued bytes were written, not from within write()
+    void onWritten(std::function<void()> written) { this->writtenHandler = std::move(written); }
     /// Sends bytes, queueing them if necessary; ignored after closeAfterWrite(). Errors are reported through OnEnd,
     /// never from within this call.
     void write(std::string_view bytes);
@@ -60,6 +62,8 @@
 
     /// @return bytes queued and not yet taken by the kernel
     std::size_t pending() const { return this->queue.size() - this->queueOffset; }
+    /// @return memory that queued bytes take
+    std::size_t queueCapacity() const { return this->queue.capacity(); }
     /// @return received bytes that the kernel holds and that were not read
     std::size_t unreadBytes() const;
     /// @return whether the connection stays open for reading after lingerAfterWrite()
@@ -72,6 +76,11 @@
     void readSome();
     /// Writes as much of the queue as the socket takes.
     void flush();
+    /// Writes as much as the socket takes.
+    /// @return bytes written, or nothing if the connection is broken
+    std::optional<std::size_t> writeSome(std::string_view bytes);
+    /// Releases memory of bytes that were written.
+    void trimQueue();
     /// Ends the connection, or only its sending side, after closeAfterWrite() or lingerAfterWrite().
     void endSending();
     /// Continues flush() when the socket is writable.
@@ -94,6 +103,7 @@
     bool inDataHandler { false }; ///< onData is running, so that close() must not destroy it
     OnData onData; ///< see start(); empty after close()
     OnEnd onEnd; ///< see start(); empty after its call or close()
+    std::function<void()> writtenHandler; ///< see onWritten(); may be empty
 };
 
 /// @param text "ip:port"
--- a/src/wire_parser_func.cpp
+++ b/src/wire_parser_func.cpp
@@ -176,6 +176,20 @@
     return !current.inMessage;
 }
 
+std::size_t WireParser::headMemory() const
+{
+    if (!this->state->inMessage || this->state->headComplete)
+        return 0;
+    // A string that grows allocates up to twice its length.
+    return this->state->head.headers.capacity() * sizeof(WireHeader) + 2 * this->state->headBytes;
+}
+
+void WireParser::dropHead()
+{
+    this->state->head = {};
+    this->state->headBytes = 0;
+}
+
 std::optional<WireFault> WireParser::fault() const { return this->state->fault; }
 bool WireParser::keepAlive() const { return this->state->keepAlive; }
 bool WireParser::inMessage() const { return this->state->inMessage; }
--- a/src/wire_parser_func.h
+++ b/src/wire_parser_func.h
@@ -54,6 +54,10 @@
     /// @return whether no message was cut off: the connection ended between two messages or at the end of such a body
     bool finish(WireSink& sink);
 
+    /// @return bytes that the head being parsed takes in memory, at most
+    std::size_t headMemory() const;
+    /// Releases that memory. Nothing may be parsed afterwards.
+    void dropHead();
     /// @return the reason why parsing failed, empty when it did not
     std::optional<WireFault> fault() const;
     /// @return whether the last complete message allows another one on the same connection
