Check and compare configuration documents of the platform

Cause: a document of the platform could only be checked by submitting it: entries reject or reinterpret it, and name at most the first fault. `config diff` lists what changes, what callers lose first. Exit codes: 0 nothing found, 1 findings or differences, 2 unreadable or bad usage.

--- a/src/ctl_cmd.h
+++ b/src/ctl_cmd.h
@@ -38,4 +38,8 @@
 /// `publish FILE`: uploads model weights and their manifest to the platform.
 CtlResult runPublish(const CtlOptions& options);
 
+/// `config check FILE` and `config diff FILE --against FILE`: examines a configuration document of the platform
+/// locally. Exit codes: 0 nothing found, 1 findings or differences, 2 a document cannot be read or bad usage.
+CtlResult runDocument(const CtlOptions& options);
+
 } // namespace hickory
--- a/src/ctl_options_func.cpp
+++ b/src/ctl_options_func.cpp
@@ -26,9 +26,12 @@
   explain REQUEST        print the log lines in --logs DIR about one request id, and the crashes that it was refused for,
                          ordered by time
   publish FILE           upload model weights and their manifest; prints the digest for the configuration
+  config check FILE      check a configuration document of the platform (JSON); --upstreams FILE, --regions LIST
+  config diff FILE       list what a document changes relative to --against FILE, for callers most important first
 
 FILE may be - for standard input.
 Exit codes: 0 success, 1 failure, 2 bad usage or settings, 3 conflict, 4 unavailable.
+Exit codes of config: 0 nothing found, 1 findings or differences, 2 a document cannot be read or bad usage.
 )";
 
     cxxopts::Options makeParser()
@@ -55,6 +58,9 @@
         add("data", "request: body, or @FILE to read it from a file", text());
         add("method", "request: HTTP method (default: POST)", text());
         add("logs", "explain: directory with the logs of all processes (default: the current directory)", text());
+        add("upstreams", "config check: JSON object with a row of the table of upstreams for each id", text());
+        add("regions", "config check: regions that exist, REGION or DATA-CENTRE=REGION,...", text());
+        add("against", "config diff: document in force, to compare with", text());
         add("platform", "publish: http://ip:port of the platform", text());
         add("model", "publish: model name", text());
         add("version", "publish: model version; without a command: show the program's version", text());
@@ -140,6 +146,9 @@
             options.method = text("method");
         if (parsed.count("logs") > 0)
             options.logs = text("logs");
+        options.upstreams = text("upstreams");
+        options.regions = text("regions");
+        options.against = text("against");
         options.platform = text("platform");
         options.model = text("model");
         options.version = text("version");
--- a/src/ctl_type.h
+++ b/src/ctl_type.h
@@ -30,6 +30,9 @@
     std::string data; ///< request: body, or "@" and the path of a file that holds it
     std::string method { "POST" }; ///< request: HTTP method of the request
     std::string logs { "." }; ///< explain: directory that is searched recursively for log files
+    std::string upstreams; ///< config check: path of a JSON object with a row for each upstream; none if empty
+    std::string regions; ///< config check: REGION or DATA-CENTRE=REGION, separated by commas; not known if empty
+    std::string against; ///< config diff: path of the document to compare with
     std::string platform; ///< publish: URL of the platform
     std::string model; ///< publish: model name
     std::string version; ///< publish: model version
--- a/src/hickoryctl_main.cpp
+++ b/src/hickoryctl_main.cpp
@@ -16,7 +16,7 @@
     CtlResult (*run)(const CtlOptions&); ///< implementation, called with validated arguments
 };
 
-constexpr std::array<Command, 11> commands { {
+constexpr std::array<Command, 12> commands { {
     { "check", 1, runCheck },
     { "diff", 1, runDiff },
     { "apply", 1, runApply },
@@ -28,6 +28,7 @@
     { "request", 2, runRequest },
     { "explain", 1, runExplain },
     { "publish", 1, runPublish },
+    { "config", 2, runDocument },
 } };
 
 } // namespace
