Name every unreadable field of a configuration document

Cause: of a row with two unreadable fields only the row was named. Change: each member of a row is decoded alone within a sound row, also in `engine` and `limits`; rows that are no objects are said to be so.

--- a/src/config_check_func.cpp
+++ b/src/config_check_func.cpp
@@ -3,6 +3,7 @@
 #include "platform_decode_func.h"
 
 #include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -54,48 +55,89 @@
         return std::string(kind) + " " + (named ? name->get<std::string>() : "#" + std::to_string(index + 1));
     }
 
-    /// The decoder's message for a value of a wrong type does not name the field. It is the one of which another value
-    /// makes the row readable.
-    /// @param row with a fault
-    /// @param faultOf decodes a document with the row; empty if it can be read
-    /// @return "NAME: ", or nothing if more than one field is at fault
-    template <typename FaultOf> std::string faultyField(const Json& row, const FaultOf& faultOf)
+    using FaultOf = std::function<std::string(const Json&)>;
+
+    /// Reports each member of an object that cannot be read, by decoding it as the only one of the object in a sound
+    /// one.
+    /// @param sound readable object with all members that are required
+    /// @param place beginning of each report
+    /// @param faultOf decodes a document with an object in this place; empty if it can be read
+    void locateFaults(
+        const Json& object, const Json& sound, const std::string& place, const FaultOf& faultOf, Findings& faults)
     {
-        if (!row.is_object())
-            return "";
-        static const std::vector<Json> values { "x", 1, true, Json::array(), Json::object(),
-            Json::array({ { { "service", "x" }, { "weight", 1 } } }) };
-        for (const auto& item : row.items()) {
-            Json other = row;
-            other.erase(item.key());
-            bool readable = faultOf(other).empty();
-            for (const Json& value : values) {
-                other[item.key()] = value;
-                readable = readable || faultOf(other).empty();
+        const std::size_t earlierFaults = faults.size();
+        if (object.is_object()) {
+            for (const auto& item : object.items()) {
+                const auto decodeMember = [&](const Json& member) {
+                    Json probe = sound;
+                    probe[item.key()] = member;
+                    return faultOf(probe);
+                };
+                const std::string fault = decodeMember(item.value());
+                if (fault.empty())
+                    continue;
+                const std::string memberPlace = place + item.key() + ": ";
+                if (const auto inner = sound.find(item.key()); inner != sound.end() && inner->is_object())
+                    locateFaults(item.value(), *inner, memberPlace, decodeMember, faults);
+                else
+                    faults.push_back(memberPlace + fault);
+            }
+            for (const auto& item : sound.items()) {
+                Json probe = sound;
+                probe.erase(item.key());
+                if (const std::string fault = faultOf(probe); !fault.empty() && !object.contains(item.key()))
+                    faults.push_back(place + fault);
             }
-            if (readable)
-                return item.key() + ": ";
         }
-        return "";
+        if (const std::string fault = faultOf(object); faults.size() == earlierFaults && !fault.empty())
+            faults.push_back(place + (object.is_object() ? fault : "not a JSON object"));
     }
 
-    /// Decodes each row of a list alone, and reports those that cannot be read.
+    /// @return a document that can be read
+    Json soundDocument()
+    {
+        return { { "version", 1 }, { "routes", Json::array() }, { "services", Json::array() },
+            { "limits", Json::object() } };
+    }
+
+    /// @return a readable route with the members that a route needs
+    Json soundRoute(const Json& row)
+    {
+        Json route { { "host", "h" }, { "prefix", "/" }, { "kind", "idempotent" }, { "timeout_ms", 1 } };
+        if (row.is_object() && row.contains("traffic_split"))
+            route["traffic_split"] = Json::array({ { { "service", "s" }, { "weight", 1 } } });
+        else
+            route["service"] = "s";
+        return route;
+    }
+
+    Json soundService(const Json& /*row*/)
+    {
+        const Json engine { { "slots", 1 }, { "step_ms", 1 }, { "read_per_s", 1 }, { "models", Json::array() },
+            { "usual", Json::object() } };
+        return { { "name", "s" }, { "engine", engine } };
+    }
+
+    Json soundWorkspace(const Json& /*row*/) { return { { "name", "w" }, { "api_keys", Json::array() } }; }
+
+    /// Decodes each row of a list alone, and reports what cannot be read.
     /// @param list member of the document
-    void locateRowFaults(const Json& document, const char* list, const char* kind, Findings& faults)
+    /// @param sound readable row
+    void locateRowFaults(
+        const Json& document, const char* list, const char* kind, Json (*sound)(const Json&), Findings& faults)
     {
         const auto rows = document.find(list);
         if (rows == document.end() || !rows->is_array())
             return;
-        const auto faultOf = [&](const Json& row) {
-            Json alone { { "version", 1 }, { "routes", Json::array() }, { "services", Json::array() } };
-            alone[list] = Json::array({ row });
-            return decodeFault(alone);
-        };
-        for (std::size_t index = 0; index < rows->size(); ++index) {
-            const Json& row = rows->at(index);
-            if (const std::string fault = faultOf(row); !fault.empty())
-                faults.push_back(placeOf(kind, row, index) + ": " + faultyField(row, faultOf) + fault);
-        }
+        for (std::size_t index = 0; index < rows->size(); ++index)
+            locateFaults(
+                rows->at(index), sound(rows->at(index)), placeOf(kind, rows->at(index), index) + ": ",
+                [&](const Json& row) {
+                    Json alone = soundDocument();
+                    alone[list] = Json::array({ row });
+                    return decodeFault(alone);
+                },
+                faults);
     }
 
     /// Reports what cannot be read outside the rows.
@@ -104,17 +146,7 @@
         for (const char* list : { "routes", "services", "tenants" })
             if (document.contains(list) && document.at(list).is_array())
                 document[list] = Json::array();
-        if (const auto limits = document.find("limits"); limits != document.end() && limits->is_object()) {
-            const auto faultOf = [](const Json& row) {
-                return decodeFault(Json {
-                    { "version", 1 }, { "routes", Json::array() }, { "services", Json::array() }, { "limits", row } });
-            };
-            if (const std::string fault = faultOf(*limits); !fault.empty())
-                faults.push_back("limits: " + faultyField(*limits, faultOf) + fault);
-            document.erase("limits");
-        }
-        if (const std::string fault = decodeFault(document); !fault.empty())
-            faults.push_back("document: " + faultyField(document, decodeFault) + fault);
+        locateFaults(document, soundDocument(), "document: ", decodeFault, faults);
     }
 
     std::string join(const Findings& lines)
@@ -347,9 +379,9 @@
         return config;
     Findings faults;
     locateOtherFaults(document.value(), faults);
-    locateRowFaults(document.value(), "routes", "route", faults);
-    locateRowFaults(document.value(), "services", "service", faults);
-    locateRowFaults(document.value(), "tenants", "workspace", faults);
+    locateRowFaults(document.value(), "routes", "route", soundRoute, faults);
+    locateRowFaults(document.value(), "services", "service", soundService, faults);
+    locateRowFaults(document.value(), "tenants", "workspace", soundWorkspace, faults);
     if (faults.empty())
         faults.push_back("document: " + config.error().detail);
     return documentError(join(faults));
--- a/tests/unit_config_check.cpp
+++ b/tests/unit_config_check.cpp
@@ -110,9 +110,24 @@
     document["limits"]["max_body_bytes"] = "4 MB";
     document["routes"][0]["traffic_split"][1].erase("weight");
     CHECK(errorOf(document.dump())
-        == "limits: max_body_bytes: type must be number, but is string\n"
+        == "document: limits: max_body_bytes: type must be number, but is string\n"
            "document: version: type must be number, but is string\n"
            "route chat: traffic_split: key 'weight' not found");
+    document = soundDocument();
+    document["routes"][0]["traffic_split"] = Json::array();
+    document["routes"][1]["host"] = 5;
+    document["routes"][1]["timeout_ms"] = nullptr;
+    document["routes"][1].erase("service");
+    document["services"][0]["engine"] = { { "slots", "12" }, { "step_ms", 6.7 }, { "read_per_s", 30600 } };
+    document["services"][1] = "y";
+    CHECK(errorOf(document.dump())
+        == "route chat: traffic_split: route names no service\n"
+           "route book: host: type must be string, but is number\n"
+           "route book: timeout_ms: type must be number, but is null\n"
+           "route book: key 'service' not found\n"
+           "service x: engine: slots: type must be number, but is string\n"
+           "service x: engine: key 'models' not found\n"
+           "service #2: not a JSON object");
     CHECK(errorOf("[]") == "document is not a JSON object");
 }
 
