Serve the list of upstreams apart from large operators' rows

A request for a peer's tables carried both tables and was given up after 400 ms. A configuration of 2,000 routes is half a MB: the request failed again and again, and the list of upstreams with it. Large rows are now left out of the answer and fetched by a request of their own, with 2.5 s. The unit test fails without it: the list did not come alone.

--- a/src/peer_table_func.cpp
+++ b/src/peer_table_func.cpp
@@ -3,6 +3,7 @@
 #include "query_func.h"
 
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace hickory {
 
@@ -11,6 +12,9 @@
     using Json = nlohmann::json;
 
     constexpr std::size_t maxToldVersions = 8; ///< of a model; older ones have long been replaced
+    /// Bytes of the operators' rows that are sent along with the list of upstreams: a configuration of 400 routes. Six
+    /// entries fetch so many over 24 Mbit/s in a quarter of a second.
+    constexpr std::size_t maxPromptOperatorRows = 128U << 10U;
     constexpr Milliseconds clockResolution { 1 }; ///< the difference of two rounded times may be that much too small
 
     /// @param held version of the requesting process
@@ -48,6 +52,14 @@
         return changes;
     }
 
+    /// @return bytes of the rows that changed since a version
+    std::size_t changedBytes(const platform::TableSnapshot& copy, const StoreVersion& held)
+    {
+        const platform::TableChanges changes = platform::changesSince(copy, held);
+        return std::accumulate(changes.rows.begin(), changes.rows.end(), std::size_t { 0 },
+            [](std::size_t sum, const platform::TableRow& row) { return sum + row.value.size(); });
+    }
+
     Json encodeDeclared(const std::map<ModelId, DeclaredWeights>& declared, Milliseconds now)
     {
         Json encoded = Json::array();
@@ -90,7 +102,7 @@
 {
     return std::string(peerTablesPath) + "?operators=" + std::to_string(held.operators.revision) + "&operators_era="
         + std::to_string(held.operators.era) + "&upstreams=" + std::to_string(held.upstreams.revision)
-        + "&upstreams_era=" + std::to_string(held.upstreams.era);
+        + "&upstreams_era=" + std::to_string(held.upstreams.era) + (held.large ? "&large=1" : "");
 }
 
 PeerVersions decodePeerVersions(const std::string& target)
@@ -98,15 +110,23 @@
     const auto read = [&](const std::string& name) {
         return StoreVersion { .era = queryNumber(target, name + "_era"), .revision = queryNumber(target, name) };
     };
-    return { .operators = read("operators"), .upstreams = read("upstreams") };
+    return {
+        .operators = read("operators"), .upstreams = read("upstreams"), .large = queryNumber(target, "large") == 1
+    };
 }
 
 std::string encodePeerTables(const ServedTables& tables, const PeerVersions& held, Milliseconds now)
 {
-    Json document { { "operators", encodeTable(tables.operators, held.operators, now) },
-        { "upstreams", encodeTable(tables.upstreams, held.upstreams, now) },
+    Json document { { "upstreams", encodeTable(tables.upstreams, held.upstreams, now) },
         { "weights", encodeDeclared(tables.declared, now) } };
-    if (const auto& lost = tables.lostConfig)
+    const bool isLeftOut = !held.large
+        && changedBytes(tables.operators, held.operators) + (tables.lostConfig ? tables.lostConfig->text.size() : 0)
+            > maxPromptOperatorRows;
+    if (isLeftOut)
+        document["operators_large"] = true;
+    else
+        document["operators"] = encodeTable(tables.operators, held.operators, now);
+    if (const auto& lost = tables.lostConfig; lost && !isLeftOut)
         document["lost_config"]
             = { { "text", lost->text }, { "era", lost->writtenIn.era }, { "exact", lost->writtenIn.isExact } };
     // Rows written by other programs may contain bytes that are not UTF-8, which JSON cannot hold.
@@ -125,7 +145,10 @@
             lostConfig = { .text = lost.at("text").get<std::string>(),
                 .writtenIn = { .era = lost.at("era").get<std::uint64_t>(), .isExact = lost.at("exact").get<bool>() } };
         }
-        return PeerTables { .operators = decodeTable(document.at("operators"), sentAt),
+        const bool isLarge = document.value("operators_large", false);
+        return PeerTables { .operators
+            = isLarge ? platform::TableChanges {} : decodeTable(document.at("operators"), sentAt),
+            .operatorsLarge = isLarge,
             .upstreams = decodeTable(document.at("upstreams"), sentAt),
             .lostConfig = std::move(lostConfig),
             .declared = decodeDeclared(document.value("weights", Json::array()), sentAt) };
--- a/src/peer_table_func.h
+++ b/src/peer_table_func.h
@@ -19,6 +19,8 @@
 struct PeerVersions {
     StoreVersion operators; ///< operators' table: configuration and declared weights
     StoreVersion upstreams; ///< table of live upstreams
+    /// The operators' rows are wanted even if they are large. The list of upstreams must not wait behind them.
+    bool large { false };
 };
 
 /// A configuration in force that the store has lost. Processes that start learn it from the others only.
@@ -38,6 +40,7 @@
 /// Changes in a peer's copies of both tables since the versions in the request.
 struct PeerTables {
     platform::TableChanges operators; ///< operators' table: configuration and declared weights
+    bool operatorsLarge { false }; ///< the changes of the operators' table were left out; to be requested as large
     platform::TableChanges upstreams; ///< table of live upstreams
     std::optional<LostConfig> lostConfig; ///< as in ServedTables
     std::vector<PeerWeights> declared; ///< declared weights that the peer knows; none if it runs an older program
@@ -54,6 +57,9 @@
 /// @return the versions in it; 0 for one that is missing
 PeerVersions decodePeerVersions(const std::string& target);
 
+/// Load pattern: all entries fetch a configuration of thousands of routes at the same moment, over links that the list
+/// of upstreams needs as well. Operators' rows of more than maxPromptOperatorRows are left out unless they were asked
+/// for.
 /// @param held versions of the requesting process
 /// @return JSON with the age of each copy, the changes since these versions, and the newest versions of each model
 /// with the time since they are known not to have been declared yet
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -99,6 +99,9 @@
     bool pollsStore(Milliseconds now) const;
     /// Requests a peer's copies of the store's tables, unless such a request is pending.
     void fetchPeerTables(const PeerInfo& peer, Milliseconds now);
+    /// @param large as in PeerVersions
+    void requestPeerTables(const PeerInfo& peer, bool large, Milliseconds now);
+    void adoptPeerTables(const PeerInfo& peer, const PeerTables& tables);
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
     void announceOperatorTable();
     /// Passes reports of engines to the reducer, and on to the entries of this data centre at once if an engine changed
@@ -189,6 +192,7 @@
     bool exiting { false }; ///< only drainFlushDelay is left
     std::string operatorRowsSource { "store" }; ///< while a copy is adopted: host of the peer that it came from
     bool peerFetchPending { false }; ///< a request for a peer's tables is in flight
+    bool largeFetchPending { false }; ///< a request for large rows of operators is in flight, beside such requests
     bool askAnyEntry { false }; ///< the last such request of refreshTables() went to any entry
     int exitCode { 0 }; ///< result of run()
 };
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -283,32 +283,52 @@
     if (this->peerFetchPending || peer.control.empty())
         return;
     this->peerFetchPending = true;
+    this->requestPeerTables(peer, false, now);
+}
+
+void RelayLoop::requestPeerTables(const PeerInfo& peer, bool large, Milliseconds now)
+{
+    bool& pending = large ? this->largeFetchPending : this->peerFetchPending;
     const PeerVersions have { .operators = this->operatorRows.snapshot().version,
-        .upstreams = this->upstreamRows.snapshot().version };
-    this->pool.fetch({ .address = peer.control, .target = peerTablesTarget(have), .timeout = peerTablesTimeout },
-        [this, now, name = peer.host.value](const Result<FetchResponse>& answer) {
-            this->peerFetchPending = false;
+        .upstreams = this->upstreamRows.snapshot().version,
+        .large = large };
+    this->pool.fetch({ .address = peer.control,
+                         .target = peerTablesTarget(have),
+                         .timeout = large ? largeTablesTimeout : peerTablesTimeout },
+        [this, now, peer, &pending](const Result<FetchResponse>& answer) {
+            pending = false;
             const Result<PeerTables> tables = decodePeerTables(answer, now);
             if (!tables) {
                 writeLog({ .level = LogLevel::Warning,
                     .event = "peer-tables-failed",
-                    .fields = { { "peer", name }, { "error", tables.error().text() } } });
+                    .fields = { { "peer", peer.host.value }, { "error", tables.error().text() } } });
                 return;
             }
-            const std::string store = std::exchange(this->operatorRowsSource, name);
-            this->operatorRows.adopt(tables.value().operators);
-            this->operatorRowsSource = store;
-            if (const auto& lost = tables.value().lostConfig) {
-                const Result<RelayConfig> config = platform::decodeConfig(lost->text);
-                if (config)
-                    this->useConfig(config.value(), lost->text, lost->writtenIn);
-            }
-            // After the rows, so that of a version in both the later moment counts.
-            this->dispatch(PeerWeightsReceived { .peer = { name }, .declared = tables.value().declared });
-            this->upstreamRows.adopt(tables.value().upstreams);
+            this->adoptPeerTables(peer, tables.value());
         });
 }
 
+void RelayLoop::adoptPeerTables(const PeerInfo& peer, const PeerTables& tables)
+{
+    if (!tables.operatorsLarge) {
+        const std::string store = std::exchange(this->operatorRowsSource, peer.host.value);
+        this->operatorRows.adopt(tables.operators);
+        this->operatorRowsSource = store;
+        if (const auto& lost = tables.lostConfig) {
+            const Result<RelayConfig> config = platform::decodeConfig(lost->text);
+            if (config)
+                this->useConfig(config.value(), lost->text, lost->writtenIn);
+        }
+    }
+    // After the rows, so that of a version in both the later moment counts.
+    this->dispatch(PeerWeightsReceived { .peer = peer.host, .declared = tables.declared });
+    this->upstreamRows.adopt(tables.upstreams);
+    if (tables.operatorsLarge && !this->largeFetchPending) {
+        this->largeFetchPending = true;
+        this->requestPeerTables(peer, true, monotonicNow());
+    }
+}
+
 // The platform's store ------------------------------------------------------------------------------------------
 
 void RelayLoop::useConfig(const RelayConfig& config, const std::string& text, const WrittenEra& writtenIn)
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -83,6 +83,9 @@
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
 constexpr Milliseconds peerTablesTimeout { 400 }; ///< of a request for a peer's tables
+/// The same where the operators' rows are large: a configuration of 2,000 routes is half a MB, and twenty entries may
+/// fetch it over 24 Mbit/s at the same time. A request that is given up early would be sent from the start again.
+constexpr Milliseconds largeTablesTimeout { 2500 };
 /// Idle time after which a kept connection to an upstream is not reused: upstreams that announce no idle timeout close
 /// connections after some seconds.
 constexpr Milliseconds maxReuseIdle { 2000 };
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -310,6 +310,36 @@
     CHECK_FALSE(tables.value().upstreams.keys);
 }
 
+// Guards against a list of upstreams that waits behind a configuration of thousands of routes: entries then sent
+// requests to upstreams that had left 3 s before.
+TEST_CASE("A peer leaves out large operators' rows unless they are asked for", "[peer]")
+{
+    platform::TableSnapshot operators { .version = { .revision = 9 }, .asOf = { 900 } };
+    operators.rows["config"] = { .key = "config", .value = std::string(500'000, 'x'), .revision = 8 };
+    platform::TableSnapshot upstreams { .version = { .revision = 9 }, .asOf = { 950 } };
+    upstreams.rows["i-1"] = { .key = "i-1", .value = "{}", .revision = 9 };
+    const auto fetch = [&](bool large, std::uint64_t revision) {
+        const PeerVersions held = decodePeerVersions(peerTablesTarget(
+            { .operators = { .revision = revision }, .upstreams = { .revision = 3 }, .large = large }));
+        const FetchResponse answer { .body
+            = encodePeerTables({ .operators = operators, .upstreams = upstreams, .declared = {} }, held, { 1000 }) };
+        return decodePeerTables(Result<FetchResponse>(answer), { 70000 });
+    };
+    const auto prompt = fetch(false, 3);
+    REQUIRE(prompt);
+    CHECK(prompt.value().operatorsLarge);
+    CHECK(prompt.value().operators.rows.empty());
+    CHECK(prompt.value().upstreams.rows.size() == 1);
+    const auto whole = fetch(true, 3);
+    REQUIRE(whole);
+    CHECK_FALSE(whole.value().operatorsLarge);
+    CHECK(whole.value().operators.rows.at(0).value.size() == 500'000);
+    const auto unchanged = fetch(false, 9);
+    REQUIRE(unchanged);
+    CHECK_FALSE(unchanged.value().operatorsLarge);
+    CHECK(unchanged.value().operators.version == StoreVersion { .revision = 9 });
+}
+
 // Guards against a bound of declared weights that comes out too late at a peer, and one that is lost on the way.
 TEST_CASE("Declared weights reach a peer with moments that are not after those of the sender", "[peer]")
 {
