Mark slowdowns that an engine stated in its agent's reports

Cause: an entry took each change of an engine's slowdown as urgent unless an answer to itself had stated one in the last 10 s, so entries without own traffic sent beacons many times a second.

Change: the agent marks the slowdown as stated (EngineReported::slowdownStated, a new Bool in the beacon), and changedBeyondLoad() leaves it out. Agents of an older program don't send the mark; for these the former rule applies.

The number of datagrams was not measured.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -33,6 +33,7 @@
   sequence @12 :UInt32;     # reports that this agent process had read or changed, this one included
   ageMs @13 :UInt32;        # time since it was read
   clearing @14 :Bool;       # the load order waits for the requests that still run
+  slowdownStated @15 :Bool; # the engine stated its slowdown in the answer that was read, so it varies many times a second
 }
 
 struct Pieces {
--- a/src/engine_news_func.h
+++ b/src/engine_news_func.h
@@ -25,7 +25,8 @@
     std::map<std::string, KnownEngine> engines; ///< by address of the engine
     bool relayAtOnce { false }; ///< one of toRelay differs in more than load from the one before
     bool summarizeAtOnce { false }; ///< a report differs in more than load from what other data centres were sent
-    /// Engines state their slowdown, which varies many times a second: it travels with regular beacons only.
+    /// Engines state their slowdown in answers to this entry: changes of it travel with regular beacons only, also
+    /// where the agent is of an older program, whose reports do not say that it was stated.
     bool slowdownVaries { false };
 };
 
--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -222,6 +222,7 @@
             .report = *this->state.report,
             .orderPending = orderPending(this->state),
             .clearing = isClearing(this->state),
+            .slowdownStated = this->statesSlowdown,
             .order = { .agentStart = this->incarnation, .sequence = this->reportSequence },
             .age = now - this->reportReadAt };
     std::vector<PeerInfo> homes
--- a/src/peer_codec_func.cpp
+++ b/src/peer_codec_func.cpp
@@ -48,6 +48,7 @@
         out.setAddress(engine.address);
         out.setOrdering(engine.orderPending);
         out.setClearing(engine.clearing);
+        out.setSlowdownStated(engine.slowdownStated);
         out.setBusy(engine.report.busy);
         out.setOrders(engine.report.orders);
         out.setWaiting(engine.report.waiting);
@@ -73,6 +74,7 @@
         engine.address = in.getAddress().cStr();
         engine.orderPending = in.getOrdering();
         engine.clearing = in.getClearing();
+        engine.slowdownStated = in.getSlowdownStated();
         engine.report.busy = in.getBusy();
         engine.report.orders = in.getOrders();
         engine.report.waiting = in.getWaiting();
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -218,7 +218,8 @@
     return before.orderPending != after.orderPending || before.clearing != after.clearing
         || before.report.busy != after.report.busy || before.report.processStartedAt != after.report.processStartedAt
         || before.report.models != after.report.models
-        || (!slowdownVaries && std::abs(before.report.slowdown - after.report.slowdown) > slowdownStep);
+        || (!slowdownVaries && !after.slowdownStated
+            && std::abs(before.report.slowdown - after.report.slowdown) > slowdownStep);
 }
 
 bool isStorePoller(const HostId& self, const std::vector<HostId>& entries)
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -91,7 +91,8 @@
 
 /// @param before previous report of an engine
 /// @param after later report of the same engine
-/// @param slowdownVaries the engines state their slowdown, which varies many times a second: it does not count then
+/// @param slowdownVaries the engines state their slowdown, which varies many times a second: it does not count then, as
+/// where the later report says so itself
 /// @return whether they differ in more than the number of requests: in weights, orders, restart or slowdown
 bool changedBeyondLoad(const EngineReported& before, const EngineReported& after, bool slowdownVaries);
 
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -113,6 +113,8 @@
     bool orderPending { false }; ///< the agent is about to send the engine a load order: send no new work for now
     /// The load waits only for the few requests that still run there: those that can go on elsewhere should.
     bool clearing { false };
+    /// The engine stated its slowdown in the answer that was read: it varies many times a second.
+    bool slowdownStated { false };
     EngineReportOrder order; ///< reports reach an entry on several ways and may overtake each other
     Milliseconds age { 0 }; ///< time since the agent read it
 };
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -89,7 +89,8 @@
             .slowdown = 1.5,
             .processStartedAt = 5 },
         .orderPending = true,
-        .clearing = true };
+        .clearing = true,
+        .slowdownStated = true };
     beacon.engines = { *beacon.engine };
     beacon.engines[0].order = { .agentStart = { 9 }, .sequence = 44 };
     beacon.engines[0].age = { 120 };
@@ -112,6 +113,7 @@
     CHECK(decoded.value().engine->report.models.at(0).version == WeightsVersion { 4 });
     CHECK(decoded.value().engine->orderPending);
     CHECK(decoded.value().engine->clearing);
+    CHECK(decoded.value().engine->slowdownStated);
     CHECK(decoded.value().pieces.at(0) == beacon.pieces.at(0));
     CHECK(decoded.value().wantsPieces);
     CHECK(decoded.value().engines.at(0).order == beacon.engines[0].order);
--- a/tests/unit_placement_stale.cpp
+++ b/tests/unit_placement_stale.cpp
@@ -204,6 +204,29 @@
     CHECK(news.relayAtOnce);
 }
 
+// Guards against datagrams for each change of slowdown from entries that got no answer of an engine lately.
+TEST_CASE("A slowdown that the report calls stated causes no messages at an entry without own traffic", "[placement]")
+{
+    EngineNews news;
+    EngineReported reported {
+        .address = "10.0.0.1:1", .report = { .processStartedAt = 1 }, .slowdownStated = true, .order = { { 1 }, 1 }
+    };
+    recordReports(news, { reported }, true, { 1000 });
+    takeReportsToRelay(news, { 1000 });
+    takeReportsForSummary(news, true, { 1000 });
+    reported.report.slowdown = 2.5;
+    ++reported.order.sequence;
+    CHECK(recordReports(news, { reported }, true, { 1150 }).size() == 1);
+    CHECK_FALSE(news.relayAtOnce);
+    CHECK_FALSE(news.summarizeAtOnce);
+    // A slowdown that the engine did not state is a fault of it, which entries must know at once.
+    reported.slowdownStated = false;
+    reported.report.slowdown = 1.0;
+    ++reported.order.sequence;
+    recordReports(news, { reported }, true, { 1300 });
+    CHECK(news.relayAtOnce);
+}
+
 TEST_CASE("Entries lie evenly on the ring, however many there are", "[placement]")
 {
     // The engine that is nearest to most entries must not be nearest to many more than its share.
