Keep an ordered version's bound, turns of late versions and the choice of pacing

Cause: after an order that was not answered, or not yet confirmed, the next version took its turn over its own bound although the engine is unusable from the end of the first one's. Hosts that gave up a late version all loaded the next one at once. Whether a rollout is paced was decided anew at each call, from the bandwidth of the last fleet view.

Change: the next version has the bound of the ordered one until the engine reports that it holds that. "too-late" passes on the bound and resets the turn; only "next-is-near" loads at once. isPaced() is decided when the manifest becomes known.

--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -6,6 +6,13 @@
 
 using StageEffects = std::vector<StageEffect>;
 
+/// What became of the first of two versions when its job is removed.
+enum class FirstJobEnd : std::uint8_t {
+    InService, ///< the engine holds it
+    Ordered, ///< its load was ordered, and no report shows yet that the engine holds it
+    Skipped, ///< it will not be loaded
+};
+
 // Steps of reduceStage(). Each appends the actions to take to `effects`.
 
 /// @return number of pieces of a job that are at the given step
@@ -36,9 +43,9 @@
 /// Removes the first job and continues with the version declared after it. Pieces staged from now on do not affect
 /// what an accepted order loads.
 /// @param reason for the log
-/// @param skipped the engine will not load its version: the next one must be in service by its bound
+/// @param end what became of its version, which decides whether its bound passes to the next one
 /// @pre there are two jobs
-void dropFirstJob(StageState& state, const char* reason, bool skipped, StageEffects& effects);
+void dropFirstJob(StageState& state, const char* reason, FirstJobEnd end, StageEffects& effects);
 /// @return whether the first version can no longer be in service before the second one must be
 /// @pre there are two jobs
 bool firstJobIsTooLate(const StageState& state, Milliseconds now);
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -145,14 +145,14 @@
     return state.report && (state.orderUnconfirmed || state.report->busy) && fewStreamsLeft(*state.report);
 }
 
-void dropFirstJob(StageState& state, const char* reason, bool skipped, StageEffects& effects)
+void dropFirstJob(StageState& state, const char* reason, FirstJobEnd end, StageEffects& effects)
 {
     StageJob& next = state.jobs.back();
-    if (skipped) {
+    if (end == FirstJobEnd::Skipped) {
         inheritBound(next, state.jobs.front());
-        next.loadsAtOnce = true;
         next.turn.reset();
-    }
+    } else if (end == FirstJobEnd::Ordered)
+        inheritBoundUntilHeld(next, state.jobs.front());
     effects.emplace_back(LogLine { .event = "weights-next",
         .fields = { { "version", std::to_string(state.jobs.back().version.value) }, { "reason", reason } } });
     state.jobs.erase(state.jobs.begin());
@@ -184,7 +184,8 @@
     if (!engineHasNoWeights(state) && !mayLoadNow(state, job, now, effects))
         return;
     if (!engineHasNoWeights(state) && nextIsAlmostComplete(state, now)) {
-        dropFirstJob(state, "next-is-near", true, effects);
+        dropFirstJob(state, "next-is-near", FirstJobEnd::Skipped, effects);
+        state.jobs.front().loadsAtOnce = true;
         return;
     }
     // A write of an earlier version that is still on its way may replace a piece after it was read back.
@@ -267,7 +268,7 @@
         state.orderUnconfirmed = true;
         effects.emplace_back(AnnounceLoadOrder {});
         if (state.jobs.size() > 1)
-            dropFirstJob(state, "order-accepted", false, effects);
+            dropFirstJob(state, "order-accepted", FirstJobEnd::Ordered, effects);
         return;
     }
     // Without a response the order may have been accepted; the next reports show whether it was.
@@ -277,7 +278,7 @@
     }
     job->order = OrderStep::Answered;
     if (state.jobs.size() > 1)
-        dropFirstJob(state, "order-unanswered", false, effects);
+        dropFirstJob(state, "order-unanswered", FirstJobEnd::Ordered, effects);
 }
 
 } // namespace hickory
--- a/src/stage_pace_func.cpp
+++ b/src/stage_pace_func.cpp
@@ -70,6 +70,9 @@
 
 bool isPaced(const StageState& state, const StageJob& job)
 {
+    // A fleet view of an entry that knows another bandwidth, or none, must not change the schedule halfway.
+    if (job.paced)
+        return *job.paced;
     if (state.originMbps <= 0 || job.pieces.empty() || job.pieceBytes == 0)
         return false;
     const Milliseconds allowed = state.options.maxWeightsDelay;
@@ -80,14 +83,14 @@
 Milliseconds originFreeAt(const StageState& state, const StageJob& job)
 {
     const StageJob& first = state.jobs.front();
-    if (first.version >= job.version || !isPaced(state, first))
+    if (first.version >= job.version || state.originMbps <= 0 || !isPaced(state, first))
         return {};
     return first.knownSince + originTime(state, first, first.pieces.size());
 }
 
 Milliseconds safeLoadEnd(const StageState& state, const StageJob& job)
 {
-    return job.boundFrom + state.options.maxWeightsDelay - reservedTime;
+    return boundBegin(job) + state.options.maxWeightsDelay - reservedTime;
 }
 
 LoadTurn makeLoadTurn(const StageState& state, const StageJob& job, Milliseconds now)
@@ -103,7 +106,7 @@
         begin = job.previousEnd;
     const Milliseconds fixedSpread = state.options.maxWeightsDelay * loadSpreadPercent / percent;
     if (turn.end - now < fixedSpread * minSchedulePercent / percent) {
-        turn.at = std::max(now, std::min(job.boundFrom + loadOrderDelay(state, job.version), turn.end));
+        turn.at = std::max(now, std::min(boundBegin(job) + loadOrderDelay(state, job.version), turn.end));
         return turn;
     }
     // With few hosts it is enough that they load one after the other.
@@ -138,6 +141,25 @@
 void inheritBound(StageJob& job, const StageJob& skipped)
 {
     job.boundFrom = std::min(job.boundFrom, skipped.boundFrom);
+    if (!job.ordered)
+        job.ordered = skipped.ordered;
+}
+
+Milliseconds boundBegin(const StageJob& job)
+{
+    return job.ordered ? std::min(job.boundFrom, job.ordered->boundFrom) : job.boundFrom;
+}
+
+void inheritBoundUntilHeld(StageJob& job, const StageJob& first)
+{
+    job.ordered = { .version = first.version, .boundFrom = boundBegin(first) };
+    job.turn.reset();
+}
+
+void confirmOrdered(StageJob& job)
+{
+    job.ordered.reset();
+    job.turn.reset();
 }
 
 } // namespace hickory
--- a/src/stage_pace_func.h
+++ b/src/stage_pace_func.h
@@ -9,7 +9,7 @@
 /// otherwise it would bring the loads closer together.
 /// @return whether what remains of the bound after the origin has sent a copy, hosts have exchanged it, and before the
 /// last engine must begin, is at least as long as the fixed spread; false while the manifest or the origin's link is
-/// not known
+/// not known. Once the manifest is known, the answer for a job stays as it was then.
 bool isPaced(const StageState& state, const StageJob& job);
 
 /// Keeps the origin's link to one version at a time: with two, the pieces of the first arrive later, and requests that
@@ -44,4 +44,16 @@
 /// @param skipped job of the older version
 void inheritBound(StageJob& job, const StageJob& skipped);
 
+/// @return moment from which the bound of a job counts, with that of a version whose order is not confirmed
+Milliseconds boundBegin(const StageJob& job);
+
+/// Makes a job responsible for the bound of an older version whose load was ordered, until the engine reports that it
+/// holds it: an order that was not answered, or failed, leaves the engine unusable from the end of that bound.
+/// @param first job of the older version
+void inheritBoundUntilHeld(StageJob& job, const StageJob& first);
+
+/// Ends inheritBoundUntilHeld(): the engine reported that it holds the older version.
+/// @pre job.ordered has a value
+void confirmOrdered(StageJob& job);
+
 } // namespace hickory
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -1,5 +1,6 @@
 #include "digest_func.h"
 #include "stage_cmd.h"
+#include "stage_pace_func.h"
 #include "stage_partner_func.h"
 #include "stage_source_func.h"
 #include "table/stage_limits.h"
@@ -123,6 +124,8 @@
     job->manifestKnown = true;
     job->pieceBytes = event.pieceBytes;
     job->pieces.assign(event.pieceCount, {});
+    if (!job->paced)
+        job->paced = isPaced(state, *job);
 }
 
 void applyPiece(StageState& state, const PieceFetched& event, Milliseconds now, StageEffects& effects)
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -102,6 +102,8 @@
         if (state.jobs.empty())
             return;
         StageJob& job = state.jobs.front();
+        if (job.ordered && engineHolds(state, job.ordered->version))
+            confirmOrdered(job);
         if (engineHolds(state, first)) {
             withdrawOrder(job);
             if (!heldBefore) {
@@ -134,9 +136,9 @@
         if (state.jobs.empty() || !state.report)
             return;
         if (state.jobs.size() > 1 && engineHolds(state, state.jobs.front().version))
-            dropFirstJob(state, "in-service", false, effects);
+            dropFirstJob(state, "in-service", FirstJobEnd::InService, effects);
         if (state.jobs.size() > 1 && firstJobIsTooLate(state, now))
-            dropFirstJob(state, "too-late", true, effects);
+            dropFirstJob(state, "too-late", FirstJobEnd::Skipped, effects);
         // A host whose engine holds the version needs the manifest too, to verify the pieces that it offers.
         for (StageJob& job : state.jobs)
             requestManifest(state, job, now, effects);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -81,6 +81,12 @@
     std::vector<PieceSet> sets; ///< one for each version
 };
 
+/// A version that the engine was ordered to load, while it is not known whether it did.
+struct OrderedVersion {
+    WeightsVersion version;
+    Milliseconds boundFrom { 0 }; ///< its bound counts from then
+};
+
 /// A version that is being brought into service.
 struct StageJob {
     WeightsVersion version;
@@ -88,6 +94,8 @@
     Milliseconds declaredSince { 0 }; ///< earliest moment at which it may have been declared, knownSince when unknown
     /// Its bound counts from then: declaredSince, or that of an older version which is skipped in favour of this one.
     Milliseconds boundFrom { 0 };
+    /// The version before it, ordered last: its bound applies until the engine reports that it holds that version.
+    std::optional<OrderedVersion> ordered;
     Milliseconds previousEnd { 0 }; ///< safeLoadEnd() of the paced rollout that it overtook, 0 without one
     bool loadsAtOnce { false }; ///< this host's turn came already, for a version that it skipped
     std::optional<LoadTurn> turn; ///< empty until all pieces are staged, and where the rollout is not paced
@@ -98,6 +106,7 @@
     std::uint32_t manifestFailures { 0 }; ///< failed manifest requests
     Milliseconds manifestRetryAt { 0 }; ///< the manifest is not requested again before this time
     std::uint32_t pieceBytes { 0 }; ///< size of a piece in bytes, 0 until the manifest is known
+    std::optional<bool> paced; ///< isPaced() when the manifest became known, empty before
     std::vector<PieceState> pieces; ///< empty until the manifest is known
     StageCheck check;
     OrderStep order { OrderStep::None };
--- a/tests/unit_rollout_pace.cpp
+++ b/tests/unit_rollout_pace.cpp
@@ -23,6 +23,32 @@
     return isPaced(state, { .pieceBytes = pieceBytes, .pieces = std::vector<PieceState>(pieces) });
 }
 
+constexpr Milliseconds declared { 100000 }; ///< when version 2 of twoVersions() was declared
+constexpr Milliseconds bound { 13400 }; ///< of twoVersions()
+
+/// @param apart time between the declarations
+/// @return state of an agent that brings version 2 into service, and has version 3 after it; both rollouts are paced
+StageState twoVersions(OrderStep order, Milliseconds apart)
+{
+    StageState state = makeStageState({ .ip = "10.1.0.1", .dataCentre = { "a" }, .maxWeightsDelay = bound });
+    state.originMbps = 4.38;
+    state.model = { "model" };
+    state.report = EngineReport { .models = { { .model = { "model" }, .version = { 1 }, .whole = true } } };
+    for (const std::uint64_t version : { 2U, 3U }) {
+        const Milliseconds at = version == 2 ? declared : declared + apart;
+        state.jobs.push_back({ .version = { version },
+            .knownSince = at,
+            .declaredSince = at,
+            .boundFrom = at,
+            .manifestKnown = true,
+            .pieceBytes = 24576,
+            .pieces = std::vector<PieceState>(96) });
+    }
+    state.jobs.front().order = order;
+    state.jobs.front().orderAt = declared + Milliseconds { 8000 };
+    return state;
+}
+
 } // namespace
 
 // Guards against a change of deployments whose bound leaves no time for pacing, and of those that tell no bandwidth.
@@ -177,3 +203,59 @@
         CHECK(mayRequest(1, 4400));
     }
 }
+
+// Guards against an engine that is unusable from the end of the first version's bound, because its order was lost and
+// the second version takes its turn over its own whole bound.
+TEST_CASE("The bound of an ordered version passes to the next one until the engine holds it", "[stage][pace]")
+{
+    constexpr Milliseconds apart { 4000 };
+    const std::uint16_t status = GENERATE(0, 202);
+    INFO("answer to the order " << status);
+    StageState state = twoVersions(OrderStep::Sent, apart);
+    const Milliseconds firstEnd = safeLoadEnd(state, state.jobs.front());
+    Milliseconds now = declared + Milliseconds { 8100 };
+    reduceStage(state, LoadOrderAnswered { .version = { 2 }, .status = status, .sent = true }, now);
+    REQUIRE(state.jobs.size() == 1);
+    REQUIRE(state.jobs.front().version == WeightsVersion { 3 });
+    CHECK(safeLoadEnd(state, state.jobs.front()) == firstEnd);
+    CHECK_FALSE(state.jobs.front().loadsAtOnce);
+    now += Milliseconds { 500 };
+    EngineReport report = *state.report;
+    reduceStage(state, EngineReportRead { .report = report, .requestedAt = now }, now);
+    CHECK(safeLoadEnd(state, state.jobs.front()) == firstEnd);
+    state.jobs.front().turn = LoadTurn { .at = now };
+    report.models = { { .model = { "model" }, .version = { 2 }, .whole = true } };
+    reduceStage(state, EngineReportRead { .report = report, .requestedAt = now }, now);
+    CHECK(safeLoadEnd(state, state.jobs.front()) == firstEnd + apart);
+    CHECK_FALSE(state.jobs.front().turn);
+}
+
+// Guards against hosts that have all given up a late version and load the next one together.
+TEST_CASE("A version that is too late passes on its bound but not its turn", "[stage][pace]")
+{
+    constexpr Milliseconds apart { 1000 };
+    StageState state = twoVersions(OrderStep::None, apart);
+    state.jobs.back().turn = LoadTurn {};
+    const Milliseconds firstEnd = safeLoadEnd(state, state.jobs.front());
+    reduceStage(state, StageTick {}, declared + apart + bound * 9 / 10);
+    REQUIRE(state.jobs.size() == 1);
+    CHECK_FALSE(state.jobs.front().loadsAtOnce);
+    CHECK_FALSE(state.jobs.front().turn);
+    CHECK(safeLoadEnd(state, state.jobs.front()) == firstEnd);
+}
+
+// Guards against a rollout that changes its schedule halfway, when a fleet view of another entry tells no bandwidth.
+TEST_CASE("Whether a rollout is paced is decided when its manifest is known", "[stage][pace]")
+{
+    StageState state = makeStageState({ .ip = "10.1.0.1", .dataCentre = { "a" }, .maxWeightsDelay = bound });
+    const bool known = GENERATE(true, false);
+    FleetView view { .model = { "model" }, .originAddress = "10.9.0.1:1", .originMbps = 4.38, .declared = { 2 } };
+    view.hosts.push_back({ .ip = "10.1.0.1", .dataCentre = { "a" } });
+    view.originMbps = known ? 4.38 : 0;
+    reduceStage(state, FleetViewUpdated { .view = view }, declared);
+    reduceStage(state, ManifestFetched { .version = { 2 }, .pieceCount = 96, .pieceBytes = 24576 }, declared);
+    CHECK(isPaced(state, state.jobs.front()) == known);
+    view.originMbps = known ? 0 : 4.38;
+    reduceStage(state, FleetViewUpdated { .view = view }, declared + Milliseconds { 1000 });
+    CHECK(isPaced(state, state.jobs.front()) == known);
+}
