Hold back changed ring places and spread plain upstreams by distance

Cause: each entry that joined or left moved the places of all entries after it by name, in all data centres. Equally loaded plain upstreams that state slowdowns tied, and all entries chose the first by id. Each choice counted the upstreams of the service again.

Change: the place counts the live entries of the own data centre, and a changed one counts after 5 s (at once in the first 5 s). A tenth of the distance counts at plain upstreams of services that state slowdowns. Upstreams are numbered when the list changes.

Full unit run: 522 of 523 passed; unit_entry_http.cpp:115 failed once under load and passed three of three alone.

--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -407,8 +407,12 @@
     const std::vector<PeerInfo> live = liveEntries(this->peers, now);
     const auto before = std::count_if(
         live.begin(), live.end(), [&](const PeerInfo& entry) { return entry.host < this->settings.host.host; });
+    const auto beforeHere = std::count_if(live.begin(), live.end(), [&](const PeerInfo& entry) {
+        return entry.host < this->settings.host.host && entry.dataCentre == this->settings.host.dataCentre;
+    });
     EntryCountUpdated counted { .entryCount = static_cast<std::uint32_t>(live.size() + 1),
-        .position = static_cast<std::uint32_t>(before) };
+        .position = static_cast<std::uint32_t>(before),
+        .positionHere = static_cast<std::uint32_t>(beforeHere) };
     for (const PeerInfo& entry : live)
         counted.others.push_back(entry.host);
     this->dispatch(counted);
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -78,36 +78,14 @@
         return view.report && now - view.reportedAt < reportMaxAge ? view.report->slowdown : 1.0;
     }
 
-    /// How a choice is spread over the upstreams of a service that state slowdowns.
-    struct Spread {
-        std::size_t count { 0 }; ///< upstreams of the service in this data centre
-        std::size_t next { 0 }; ///< number of the next one, in the order of their ids
-    };
-
-    bool isInDataCentre(const RelayState& state, const RelayUpstream& view, const ServiceId& service)
-    {
-        return view.listed && view.entry.service == service && view.entry.dataCentre == state.options.dataCentre;
-    }
-
-    /// @return nothing if the upstreams of the service state no slowdowns
-    std::optional<Spread> makeSpread(const RelayState& state, const ServiceId& service, Milliseconds now)
-    {
-        if (!statesSlowdown(state, service, now))
-            return std::nullopt;
-        const auto count = std::count_if(state.upstreams.begin(), state.upstreams.end(),
-            [&](const auto& item) { return isInDataCentre(state, item.second, service); });
-        return Spread { .count = static_cast<std::size_t>(count) };
-    }
-
     /// Adds what an upstream stated of itself to the load that entries know of.
     /// @return cost of the upstream's distance from this entry
-    double applyStatedLoad(const RelayState& state, const RelayUpstream& view, const Spread& spread, std::size_t index,
-        EngineLoad& load, Milliseconds now)
+    double applyStatedLoad(const RelayState& state, const RelayUpstream& view, EngineLoad& load, Milliseconds now)
     {
         load.requests = std::max(load.requests, view.sent + statedByOthers(view, now));
         load.slowdown = expectedSlowdown(view, now);
         return view.entry.dataCentre == state.options.dataCentre
-            ? farthestPenaltyMs * ringDistance(state.entryPosition, index, spread.count)
+            ? farthestPenaltyMs * ringDistance(state.ringPosition.position, view.ringIndex, view.ringCount)
             : elsewherePenaltyMs;
     }
 
@@ -125,7 +103,8 @@
         cost += static_cast<double>(std::max(view.longestWait - expectedWait, Milliseconds {}).value);
         // With the request itself, as a slow upstream delays it also when it has no other.
         if (!profile && distanceCost)
-            return cost + plainRequestMs * load.slowdown * (load.requests + 1) / std::max(view.entry.slots, 1U);
+            return cost + *distanceCost * plainDistanceShare
+                + plainRequestMs * load.slowdown * (load.requests + 1) / std::max(view.entry.slots, 1U);
         if (!profile)
             return cost + plainRequestMs * load.requests / std::max<std::uint32_t>(view.entry.slots, 1);
         if (request.mayHaveRun && willLoad(state, view, request.metadata.model))
@@ -279,10 +258,8 @@
     const bool heardOnly = profile && mustHaveRoom && needsHeardEngine(state, request, now);
     const RelayUpstream* best = nullptr;
     double bestScore = 0;
-    std::optional<Spread> spread = mustHaveRoom ? makeSpread(state, request.service, now) : std::nullopt;
+    const bool spread = mustHaveRoom && statesSlowdown(state, request.service, now);
     for (const auto& [id, view] : state.upstreams) {
-        const std::size_t index
-            = spread && isInDataCentre(state, view, request.service) ? spread->next++ : std::size_t { 0 };
         if (!canRun(state, view, request, now))
             continue;
         if (!mustHaveRoom)
@@ -301,7 +278,7 @@
         EngineLoad load = upstreamLoad(state, view, now, spread && profile ? profile->prefillTokensPerMs : 0);
         std::optional<double> distanceCost;
         if (spread)
-            distanceCost = applyStatedLoad(state, view, *spread, index, load, now);
+            distanceCost = applyStatedLoad(state, view, load, now);
         const std::uint8_t rank = request.mayHaveRun ? std::uint8_t { 0 } : request.route->rank;
         if (load.requests >= requestLimit(view.entry.slots, rank, profile != nullptr))
             continue;
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -154,6 +154,8 @@
     Milliseconds statedLoadAt { 0 }; ///< when that answer arrived
     std::uint32_t statedByOthers { 0 }; ///< running and waiting requests of statedLoad that were not this entry's
     std::optional<ColdStart> cold; ///< empty if it is known to be warm
+    std::uint32_t ringIndex { 0 }; ///< its number among ringCount, if it is in this data centre
+    std::uint32_t ringCount { 0 }; ///< listed upstreams of its service in this data centre
 };
 
 /// Health of a failing upstream that left the list. It is kept because a lease that expired on a congested link is
@@ -204,6 +206,14 @@
 /// Declared versions of one model's weights, oldest first.
 using DeclaredWeights = std::map<WeightsVersion, DeclaredVersion>;
 
+/// Place of this entry among the live entries of its data centre, by which it chooses its nearest upstreams.
+struct RingPosition {
+    std::uint32_t position { 0 }; ///< in use
+    std::uint32_t counted { 0 }; ///< as last counted
+    Milliseconds changedAt { 0 }; ///< when the count last changed; the position follows once it has lasted
+    std::optional<Milliseconds> firstAt; ///< first count; empty before
+};
+
 /// All state of the relay's reducer.
 struct RelayState {
     RelayOptions options; ///< from the settings
@@ -229,6 +239,7 @@
     bool upstreamsListed { false }; ///< a list of upstreams was read that was not empty
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
+    RingPosition ringPosition; ///< from EntryCountUpdated::positionHere
     /// Most live entries lately: one that was not heard for a moment still sends.
     std::uint32_t highestEntryCount { 1 };
     Milliseconds highestEntryCountAt { -1000000 }; ///< when that many were last counted; starts far in the past
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -147,6 +147,7 @@
 struct EntryCountUpdated {
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
     std::uint32_t position { 0 }; ///< live entries whose hosts come before this one's by name
+    std::uint32_t positionHere { 0 }; ///< of these, those of this entry's data centre
     std::vector<HostId> others; ///< hosts of the other live entries
 };
 
--- a/src/relay_upstream_cmd.cpp
+++ b/src/relay_upstream_cmd.cpp
@@ -107,6 +107,7 @@
         view = view->second.sent == 0 ? state.upstreams.erase(view) : std::next(view);
     }
     std::erase_if(state.delisted, [&](const auto& item) { return now - item.second.delistedAt > delistedMaxAge; });
+    numberUpstreams(state);
     refuseShutOut(state, now, effects);
     dispatchAllWaiting(state, now, effects);
 }
--- a/src/table/upstream_load_limits.h
+++ b/src/table/upstream_load_limits.h
@@ -20,5 +20,11 @@
 /// The same for an upstream of another data centre, in addition to the cost of traffic there: half of it, the mean over
 /// those of this data centre, so that it is chosen no sooner than before.
 constexpr double elsewherePenaltyMs = farthestPenaltyMs / 2;
+/// Part of the cost of distance that counts at plain upstreams: up to 10 ms, one request at one with 6 slots. Without
+/// it all entries choose the first of equally loaded ones.
+constexpr double plainDistanceShare = 0.1;
+/// How long a changed place of this entry must last before it counts: longer than a restart with its first beacons, and
+/// than an entry that is not heard for a moment.
+constexpr Milliseconds ringPositionHold { 5000 };
 
 } // namespace hickory
--- a/src/upstream_load_func.cpp
+++ b/src/upstream_load_func.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace hickory {
 
@@ -87,4 +88,28 @@
     return 2 * std::min(distance, 1 - distance);
 }
 
+void recordRingPosition(RingPosition& position, std::uint32_t counted, Milliseconds now)
+{
+    if (!position.firstAt)
+        position.firstAt = now;
+    if (position.counted != counted) {
+        position.counted = counted;
+        position.changedAt = now;
+    }
+    if (now - *position.firstAt < ringPositionHold || now - position.changedAt >= ringPositionHold)
+        position.position = counted;
+}
+
+void numberUpstreams(RelayState& state)
+{
+    std::map<ServiceId, std::uint32_t> counts;
+    for (auto& [id, view] : state.upstreams)
+        if (view.listed && view.entry.dataCentre == state.options.dataCentre)
+            view.ringIndex = counts[view.entry.service]++;
+    for (auto& [id, view] : state.upstreams) {
+        const auto found = counts.find(view.entry.service);
+        view.ringCount = found != counts.end() ? found->second : 0;
+    }
+}
+
 } // namespace hickory
--- a/src/upstream_load_func.h
+++ b/src/upstream_load_func.h
@@ -38,10 +38,20 @@
 /// Spreads the entries of a data centre over its upstreams, so that entries with the same information do not choose the
 /// same one. Entries and upstreams lie on a ring, at points that are spread evenly over it. An entry prefers the
 /// upstreams near its own point: it knows their load best, since much of it is its own.
-/// @param entryPosition as in EntryCountUpdated
+/// @param entryPosition of the entry among those of its data centre, as in RingPosition
 /// @param index number of the upstream among those of its service and data centre, in the order of their ids
 /// @param count number of these upstreams
 /// @return distance between entry and upstream, 0 to 1
 double ringDistance(std::uint32_t entryPosition, std::size_t index, std::size_t count);
 
+/// Records this entry's place among the entries of its data centre. A changed place counts after ringPositionHold, so
+/// that an entry which restarts does not move those after it by name: each move opens new connections, and until all
+/// have moved, two entries prefer the same upstreams. Right after the start, while entries become known, it counts at
+/// once.
+/// @param counted as in EntryCountUpdated::positionHere
+void recordRingPosition(RingPosition& position, std::uint32_t counted, Milliseconds now);
+
+/// Numbers the listed upstreams of each service in this data centre, for ringDistance().
+void numberUpstreams(RelayState& state);
+
 } // namespace hickory
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -3,6 +3,7 @@
 #include "cold_start_cmd.h"
 #include "table/cold_start_limits.h"
 #include "table/upstream_notice_limits.h"
+#include "upstream_load_func.h"
 
 #include <algorithm>
 #include <map>
@@ -141,6 +142,7 @@
     }
     state.entryCount = event.entryCount;
     state.entryPosition = event.position;
+    recordRingPosition(state.ringPosition, event.positionHere, now);
     if (event.entryCount >= state.highestEntryCount || now - state.highestEntryCountAt >= entryCountMemory) {
         state.highestEntryCount = event.entryCount;
         state.highestEntryCountAt = now;
--- a/tests/placement_simulation.h
+++ b/tests/placement_simulation.h
@@ -20,7 +20,7 @@
     std::array<double, 3> share { 1, 1, 1 }; ///< of arrivals in each data centre, relative to its number of entries
     double slowShare { 0.15 }; ///< share of periods in which an engine is slow
     double slowdown { 2.5 }; ///< duration of its work then
-    bool statesSlowdown { true }; ///< engines state the slowness in answers and to their agents
+    bool statesSlowdown { true }; ///< engines state the slowdown in answers and to their agents
     Milliseconds newsAge { 200 }; ///< mean age of loads and reports; they are between half and one and a half as old
     Milliseconds length { 12000 }; ///< how long requests arrive
     std::uint64_t seed { 1 }; ///< of arrivals, prompts and slow periods
@@ -88,7 +88,8 @@
                 this->deliver(entry, UpstreamsUpdated { listed });
                 this->deliver(entry,
                     EntryCountUpdated { .entryCount = static_cast<std::uint32_t>(count),
-                        .position = static_cast<std::uint32_t>(entry) });
+                        .position = static_cast<std::uint32_t>(entry),
+                        .positionHere = static_cast<std::uint32_t>(number) });
             }
     }
 
--- a/tests/unit_placement_stale.cpp
+++ b/tests/unit_placement_stale.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace hickory;
 
 namespace {
@@ -227,6 +229,79 @@
     CHECK(news.relayAtOnce);
 }
 
+// Guards against an entry that joins, or restarts, and moves the preferred engines of all entries after it by name.
+TEST_CASE("An entry keeps its place on the ring while others come and go for a moment", "[placement]")
+{
+    RelayFixture relay;
+    relay.event(EntryCountUpdated { .entryCount = 40, .position = 30, .positionHere = 5 });
+    CHECK(relay.state.ringPosition.position == 5);
+    SECTION("entries elsewhere do not count")
+    {
+        relay.now += ringPositionHold * 2;
+        relay.event(EntryCountUpdated { .entryCount = 41, .position = 31, .positionHere = 5 });
+        CHECK(relay.state.ringPosition.position == 5);
+    }
+    SECTION("right after the start the count is still growing")
+    {
+        relay.now += Milliseconds { 500 };
+        relay.event(EntryCountUpdated { .entryCount = 40, .position = 32, .positionHere = 7 });
+        CHECK(relay.state.ringPosition.position == 7);
+    }
+    SECTION("one that restarts does not count, one that stays does")
+    {
+        relay.now += ringPositionHold * 2;
+        relay.event(EntryCountUpdated { .entryCount = 39, .position = 29, .positionHere = 4 });
+        relay.now += ringPositionHold - Milliseconds { 1 };
+        relay.event(EntryCountUpdated { .entryCount = 39, .position = 29, .positionHere = 4 });
+        CHECK(relay.state.ringPosition.position == 5);
+        relay.event(EntryCountUpdated { .entryCount = 40, .position = 30, .positionHere = 5 });
+        relay.now += ringPositionHold * 2;
+        relay.event(EntryCountUpdated { .entryCount = 41, .position = 31, .positionHere = 6 });
+        CHECK(relay.state.ringPosition.position == 5);
+        relay.now += ringPositionHold;
+        relay.event(EntryCountUpdated { .entryCount = 41, .position = 31, .positionHere = 6 });
+        CHECK(relay.state.ringPosition.position == 6);
+    }
+}
+
+// Guards against entries that all choose the plain upstream that is first by its id.
+TEST_CASE("Entries spread over equally loaded plain upstreams that state slowdowns", "[placement]")
+{
+    const auto chosenBy = [](std::uint32_t entry, std::optional<double> slowdown) {
+        RelayFixture relay({ .dataCentre = { "a" } });
+        relay.event(EntryCountUpdated { .entryCount = 12, .position = entry, .positionHere = entry });
+        std::vector<UpstreamEntry> plain;
+        for (const char* id : { "p1", "p2", "p3", "p4", "p5", "p6", "p7" })
+            plain.push_back(RelayFixture::upstream(id, "plain"));
+        relay.list(std::move(plain));
+        answerWith(relay, "/read/", loadNotice(slowdown));
+        return answerWith(relay, "/read/", loadNotice(slowdown));
+    };
+    std::set<std::string> spread;
+    std::set<std::string> usual;
+    for (std::uint32_t entry = 0; entry < 12; ++entry) {
+        spread.insert(chosenBy(entry, 1.0));
+        usual.insert(chosenBy(entry, {}));
+    }
+    CHECK(spread.size() >= 5);
+    CHECK(usual.size() == 1);
+}
+
+TEST_CASE("Upstreams are numbered by service among the listed ones of this data centre", "[placement]")
+{
+    RelayFixture relay({ .dataCentre = { "a" } });
+    UpstreamEntry elsewhere = RelayFixture::upstream("e2", "engine");
+    elsewhere.dataCentre = { "elsewhere" };
+    relay.list({ RelayFixture::upstream("e1", "engine"), elsewhere, RelayFixture::upstream("e3", "engine"),
+        RelayFixture::upstream("p1", "plain") });
+    CHECK(relay.state.upstreams.at({ "e3" }).ringIndex == 1);
+    CHECK(relay.state.upstreams.at({ "e3" }).ringCount == 2);
+    CHECK(relay.state.upstreams.at({ "p1" }).ringIndex == 0);
+    relay.list({ elsewhere, RelayFixture::upstream("e3", "engine") });
+    CHECK(relay.state.upstreams.at({ "e3" }).ringIndex == 0);
+    CHECK(relay.state.upstreams.at({ "e3" }).ringCount == 1);
+}
+
 TEST_CASE("Entries lie evenly on the ring, however many there are", "[placement]")
 {
     // The engine that is nearest to most entries must not be nearest to many more than its share.
