Keep answers and idle connections when callers' memory is short

Cause: an ended connection counted as free although its caller had not taken its answer, and was closed so that the answer could look complete. Requests that were refused all the same closed 16 idle connections each. Idle connections whose next request had arrived were closed. One interval held for three kinds of search.

Change: such an ended connection counts as stalled and is reset. Connections are closed only if at most 16 of them suffice; large ones are counted separately; a complete body is trimmed. 8 KB are read behind a request in progress. The time to take a backlog begins with it. Relief closes 16 per call and allows for the internal reserve. A replaced connection is not counted any more. Retry-After is 0.2 s.

--- a/src/caller_memory_func.cpp
+++ b/src/caller_memory_func.cpp
@@ -4,6 +4,7 @@
 #include "table/caller_limits.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hickory {
 
@@ -16,6 +17,20 @@
         return connection.use != ConnectionUse::Waiting && now - connection.progressAt >= stalledTime;
     }
 
+    /// @return bytes over the limit if `more` are added to `held`
+    std::size_t excess(std::size_t held, std::size_t more, std::size_t limit)
+    {
+        if (held <= limit)
+            return more - std::min(more, limit - held);
+        return held - limit + std::min(more, std::numeric_limits<std::size_t>::max() - held);
+    }
+
+    bool mayClose(const HoldingConnection& connection, Milliseconds now)
+    {
+        return connection.use == ConnectionUse::Ended || connection.use == ConnectionUse::Idle
+            || isStalled(connection, now);
+    }
+
     /// @return order in which connections are closed for their descriptors, lowest first
     int replaceRank(ConnectionUse use)
     {
@@ -59,7 +74,9 @@
 
 void HeldForCaller::set(std::size_t newBytes)
 {
+    const auto large = [](std::size_t bytes) { return bytes > smallConnection ? bytes : 0; };
     this->total->held = this->total->held - this->own + newBytes;
+    this->total->large = this->total->large - large(this->own) + large(newBytes);
     this->own = newBytes;
 }
 
@@ -72,14 +89,21 @@
 }
 
 bool mayHold(const CallerMemory& memory, std::size_t own, std::size_t more, bool internal)
+{
+    const MissingMemory missing = missingMemory(memory, own, more, internal);
+    return missing.bytes == 0 && missing.large == 0;
+}
+
+MissingMemory missingMemory(const CallerMemory& memory, std::size_t own, std::size_t more, bool internal)
 {
     const CallerBudget& budget = memory.budget;
-    std::size_t limit = budget.bytes;
-    if (own > smallConnection || more > smallConnection - own)
-        limit -= budget.smallReserve;
-    else if (internal)
-        limit += budget.internalReserve;
-    return memory.held <= limit && more <= limit - memory.held;
+    if (own <= smallConnection && more <= smallConnection - own)
+        return { .bytes = excess(memory.held, more, budget.bytes + (internal ? budget.internalReserve : 0)) };
+    // A connection that becomes large counts there with all that it holds.
+    const std::size_t before = own > smallConnection ? 0 : own;
+    const std::size_t newLarge = more + std::min(before, std::numeric_limits<std::size_t>::max() - more);
+    return { .bytes = excess(memory.held, more, budget.bytes),
+        .large = excess(memory.large, newLarge, budget.bytes - budget.smallReserve) };
 }
 
 bool mayOpen(const CallerMemory& memory, bool internal)
@@ -88,15 +112,29 @@
                     : memory.connections < memory.budget.connections;
 }
 
-std::optional<std::uint64_t> connectionToFree(const std::vector<HoldingConnection>& connections, Milliseconds now)
+std::vector<HoldingConnection> connectionsToFree(const std::vector<HoldingConnection>& connections, Milliseconds now)
 {
-    const HoldingConnection* most = nullptr;
-    for (const HoldingConnection& connection : connections) {
-        const bool isFree = connection.use == ConnectionUse::Ended || connection.use == ConnectionUse::Idle;
-        if ((isFree || isStalled(connection, now)) && (!most || connection.bytes > most->bytes))
-            most = &connection;
+    std::vector<HoldingConnection> order;
+    std::copy_if(connections.begin(), connections.end(), std::back_inserter(order),
+        [&](const HoldingConnection& connection) { return connection.bytes > 0 && mayClose(connection, now); });
+    std::sort(order.begin(), order.end(), [](const HoldingConnection& left, const HoldingConnection& right) {
+        return left.bytes != right.bytes ? left.bytes > right.bytes : left.progressAt < right.progressAt;
+    });
+    return order;
+}
+
+std::optional<std::size_t> closesNeeded(
+    const std::vector<HoldingConnection>& order, const MissingMemory& missing, std::size_t most)
+{
+    MissingMemory freed;
+    for (std::size_t count = 0;; ++count) {
+        if (freed.bytes >= missing.bytes && freed.large >= missing.large)
+            return count;
+        if (count == std::min(most, order.size()))
+            return std::nullopt;
+        freed.bytes += order[count].bytes;
+        freed.large += order[count].bytes > smallConnection ? order[count].bytes : 0;
     }
-    return most ? std::optional(most->number) : std::nullopt;
 }
 
 std::optional<std::uint64_t> connectionToReplace(
@@ -109,9 +147,7 @@
         return leftRank != rightRank ? leftRank < rightRank : left.progressAt < right.progressAt;
     };
     for (const HoldingConnection& connection : connections) {
-        const bool isFree = connection.use == ConnectionUse::Ended || connection.use == ConnectionUse::Idle;
-        if (connection.internal == internal && (isFree || isStalled(connection, now))
-            && (!first || isBefore(connection, *first)))
+        if (connection.internal == internal && mayClose(connection, now) && (!first || isBefore(connection, *first)))
             first = &connection;
     }
     return first ? std::optional(first->number) : std::nullopt;
--- a/src/caller_memory_func.h
+++ b/src/caller_memory_func.h
@@ -33,6 +33,7 @@
 struct CallerMemory {
     CallerBudget budget;
     std::size_t held { 0 }; ///< bytes of all connections
+    std::size_t large { 0 }; ///< of these, bytes of connections that hold more than smallConnection
     std::size_t connections { 0 }; ///< callers' connections
     std::size_t internalConnections { 0 }; ///< those at internal ports
 };
@@ -64,6 +65,15 @@
 /// @return whether it may hold them
 bool mayHold(const CallerMemory& memory, std::size_t own, std::size_t more, bool internal);
 
+/// Bytes that must be freed before a connection may hold more.
+struct MissingMemory {
+    std::size_t bytes { 0 }; ///< of any connections
+    std::size_t large { 0 }; ///< of connections that hold more than smallConnection
+};
+
+/// @return what is missing for mayHold() with the same arguments to be true
+MissingMemory missingMemory(const CallerMemory& memory, std::size_t own, std::size_t more, bool internal);
+
 /// @param internal the connection is at an internal port
 /// @return whether another connection may be open
 bool mayOpen(const CallerMemory& memory, bool internal);
@@ -81,15 +91,21 @@
 struct HoldingConnection {
     std::uint64_t number { 0 };
     ConnectionUse use { ConnectionUse::Idle };
-    std::size_t bytes { 0 }; ///< held for it
+    std::size_t bytes { 0 }; ///< held for it that closing it frees
     Milliseconds progressAt { 0 }; ///< when its caller last made progress, or when it became idle or was ended
     bool internal { false }; ///< it is at an internal port
 };
 
-/// Chooses the connection to close if memory is short: the one that holds most among those that were ended, are idle,
-/// or made no progress for stalledTime. One whose request is being served is never chosen.
-/// @return its number, or nothing
-std::optional<std::uint64_t> connectionToFree(const std::vector<HoldingConnection>& connections, Milliseconds now);
+/// Chooses connections to close if memory is short: those that were ended, are idle, or made no progress for
+/// stalledTime. One whose request is being served is never chosen.
+/// @return the one that holds most first; among equals, the one without progress for longest
+std::vector<HoldingConnection> connectionsToFree(const std::vector<HoldingConnection>& connections, Milliseconds now);
+
+/// @param order see connectionsToFree()
+/// @param most connections that may be closed at once
+/// @return how many of the first to close so that nothing is missing, or nothing if `most` of them do not suffice
+std::optional<std::size_t> closesNeeded(
+    const std::vector<HoldingConnection>& order, const MissingMemory& missing, std::size_t most);
 
 /// Chooses the connection to close if descriptors are short: an ended one, else the one that has been idle longest,
 /// else the one that made no progress for longest, if that is stalledTime.
--- a/src/front_answer_io.cpp
+++ b/src/front_answer_io.cpp
@@ -75,7 +75,7 @@
     if (connection->closeAfter)
         text += "Connection: close\r\n";
     text += "\r\n";
-    connection->link->write(text);
+    connection->send(text);
     this->updateHeld(*connection);
 }
 
@@ -86,7 +86,7 @@
         return;
     this->sendHead(connection, status, headers, body.size());
     if (!body.empty())
-        connection->link->write(body);
+        connection->send(body);
     this->completeAnswer(id, connection);
 }
 
@@ -102,11 +102,11 @@
     if (!connection || bytes.empty())
         return;
     if (!connection->chunked)
-        connection->link->write(bytes);
+        connection->send(bytes);
     else {
         std::string chunk = chunkHead(bytes.size());
         chunk.append(bytes).append("\r\n");
-        connection->link->write(chunk);
+        connection->send(chunk);
     }
     this->updateHeld(*connection);
     this->scheduleRelief();
@@ -118,7 +118,7 @@
     if (!connection)
         return;
     if (connection->chunked)
-        connection->link->write("0\r\n\r\n");
+        connection->send("0\r\n\r\n");
     this->completeAnswer(id, connection);
 }
 
--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -4,6 +4,7 @@
 #include "table/caller_limits.h"
 #include "wire_parser_func.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace hickory {
@@ -43,6 +44,8 @@
             this->bodyTooLarge = true;
         if (this->bodyTooLarge)
             return;
+        if (this->request.body.empty())
+            this->request.body.reserve(this->firstCapacity());
         this->request.body.append(bytes);
         this->newBytes += bytes.size();
         if (this->newBytes < progressBytes)
@@ -50,7 +53,31 @@
         this->newBytes = 0;
         this->progressAt = monotonicNow();
     }
-    void onComplete() override { this->complete = true; }
+    void onComplete() override
+    {
+        this->complete = true;
+        // A body in chunks has up to twice its size in memory.
+        if (this->request.body.capacity() > smallConnection)
+            this->request.body.shrink_to_fit();
+    }
+    /// @return capacity of a new body that a few doublings make its declared length
+    std::size_t firstCapacity() const
+    {
+        std::size_t capacity = this->declaredBytes;
+        std::size_t doublings = 0;
+        for (; capacity > progressBytes; capacity /= 2)
+            ++doublings;
+        return doublings == 0 ? capacity : (this->declaredBytes >> doublings) + 1;
+    }
+    /// Sends bytes of an answer.
+    void send(std::string_view bytes)
+    {
+        const bool wasTaken = this->link->pending() == 0;
+        this->link->write(bytes);
+        // The caller's time to take them begins now.
+        if (wasTaken && this->link->pending() > 0)
+            this->progressAt = monotonicNow();
+    }
 
     /// @return bytes that the connection takes in memory
     std::size_t cost() const
@@ -74,15 +101,18 @@
             .bytes = this->held.bytes(),
             .progressAt = this->progressAt,
             .internal = this->internal };
-        if (this->ended)
-            result.use = ConnectionUse::Ended;
-        else if (this->link->pending() > (this->call.value == 0 ? 0 : maxUnsentAnswers))
+        // A complete answer that was not taken could look complete after a close, even if the connection was ended.
+        if (this->link->pending() > (this->call.value == 0 ? 0 : maxUnsentAnswers))
             result.use = ConnectionUse::Unsent;
+        else if (this->ended)
+            result.use = ConnectionUse::Ended;
         else if (this->call.value != 0)
             result.use = ConnectionUse::Waiting;
-        else if (this->parser.inMessage() || !this->unread.empty())
+        else if (this->parser.inMessage() || !this->unread.empty()) {
             result.use = ConnectionUse::Reading;
-        else
+            // It is refused and stays open for a moment.
+            result.bytes -= std::min(result.bytes, connectionCost);
+        } else
             result.progressAt = this->since;
         return result;
     }
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -19,6 +19,12 @@
     constexpr int listenBacklog
         = 1024; ///< when it is full, SYN packets are dropped and callers retry only after a second or more
 
+    /// @return seconds with one decimal
+    std::string retryAfterSeconds(Milliseconds time)
+    {
+        return std::to_string(time.value / 1000) + "." + std::to_string(time.value % 1000 / 100);
+    }
+
 } // namespace
 
 FrontServer::FrontServer(asio::io_context& io, const LinkOptions& link, Handlers handlers)
@@ -111,7 +117,6 @@
 
 void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
 {
-    constexpr std::size_t maxPipelined = 64U << 10U; // bytes received ahead before reading pauses
     if (connection->ended) {
         if (connection->discarded == 0 && !connection->refused && this->handlers.onConnectionClosed)
             this->handlers.onConnectionClosed({ .reason = CloseReason::Crossed,
@@ -121,7 +126,7 @@
         connection->discarded += bytes.size();
         this->discardedTogether += bytes.size();
         if (connection->discarded > maxDiscarded || this->discardedTogether > maxDiscardedTogether)
-            connection->link->close();
+            this->dropEnded(connection);
         return;
     }
     connection->unread.append(bytes);
@@ -197,7 +202,7 @@
     connection->closeAfter = true;
     std::vector<WireHeader> headers;
     if (reason == CloseReason::Memory || reason == CloseReason::Descriptors)
-        headers.push_back({ "Retry-After", std::to_string(shortageRetryAfter.value / 1000) });
+        headers.push_back({ "Retry-After", retryAfterSeconds(shortageRetryAfter) });
     this->sendHead(connection, status, headers, 0);
     this->endConnection(connection);
 }
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -149,14 +149,19 @@
     /// @param more bytes in addition to those that are counted for it
     /// @return whether it may hold them
     bool makeRoom(const ConnectionPointer& connection, std::size_t more);
-    /// Closes connections until memory is not short, or none may be closed.
+    /// Closes some connections if memory is short, and goes on later if that did not suffice.
     void relieve();
     /// Calls relieve() from the loop, if memory is short.
     void scheduleRelief();
     /// @return the connections that may be considered for closing
     std::vector<HoldingConnection> holdings() const;
+    /// @return whether callers hold more than they may
+    bool isOverBudget() const;
     /// Closes one connection because memory or descriptors are short.
-    void closeForShortage(std::uint64_t number, CloseReason reason);
+    /// @return whether it was closed; an idle one whose next request has arrived is not
+    bool closeForShortage(std::uint64_t number, CloseReason reason);
+    /// Closes an ended connection at once and stops counting it.
+    void dropEnded(const ConnectionPointer& connection);
     /// Closes a connection of the same kind to make way for a new one.
     /// @return whether one was closed
     bool replaceOne(bool internal);
@@ -196,7 +201,11 @@
     std::unordered_map<std::uint64_t, ConnectionPointer> connections; ///< open connections by Connection::number
     std::unordered_map<CallId, ConnectionPointer> calls; ///< connections by the request in progress on them
     std::shared_ptr<CallerMemory> memory { std::make_shared<CallerMemory>() }; ///< what callers hold
-    Milliseconds nextSearch { 0 }; ///< no connection to close is looked for before, since none was found
+    Milliseconds nextFreeSearch { 0 }; ///< no memory is looked for before, since too little was found
+    std::size_t missedBytes { 0 }; ///< least number of bytes that were looked for in vain; less may still be found
+    Milliseconds nextRelief { 0 }; ///< relieve() looks for no connection before, since it found none
+    Milliseconds nextReplace { 0 }; ///< no caller's connection to replace is looked for before, since none was found
+    Milliseconds nextInternalReplace { 0 }; ///< the same for those at internal ports
     bool reliefScheduled { false }; ///< relieve() is about to be called
     std::size_t discardedTogether { 0 }; ///< bytes read from ended connections since the last sweep
     std::vector<ConnectionPointer> closing; ///< removed from `connections`, their links not closed yet
--- a/src/front_shortage_io.cpp
+++ b/src/front_shortage_io.cpp
@@ -10,7 +10,7 @@
 
     constexpr std::uint16_t statusTooLarge = 413;
     constexpr std::uint16_t statusUnavailable = 503;
-    constexpr int maxClosedAtOnce = 16; ///< connections closed for one other: each needs a search through all
+    constexpr int maxReplaceAttempts = 4; ///< searches for one connection: each visits all
 
 } // namespace
 
@@ -39,83 +39,130 @@
     return all;
 }
 
-void FrontServer::closeForShortage(std::uint64_t number, CloseReason reason)
+void FrontServer::dropEnded(const ConnectionPointer& connection)
+{
+    // An answer that was not taken must not look complete.
+    if (connection->link->pending() > 0)
+        connection->link->reset();
+    else
+        connection->link->close();
+    std::erase(this->closing, connection);
+    connection->held.set(0);
+}
+
+bool FrontServer::closeForShortage(std::uint64_t number, CloseReason reason)
 {
     const auto ended = std::find_if(this->closing.begin(), this->closing.end(),
         [&](const ConnectionPointer& connection) { return connection->number == number; });
     if (ended != this->closing.end()) {
-        const ConnectionPointer connection = *ended;
-        this->closing.erase(ended);
-        connection->link->close();
-        connection->held.set(0);
-        return;
+        this->dropEnded(ConnectionPointer(*ended));
+        return true;
     }
     const auto found = this->connections.find(number);
     if (found == this->connections.end())
-        return;
+        return false;
     const ConnectionPointer connection = found->second;
-    if (connection->holding().use == ConnectionUse::Reading) {
+    const ConnectionUse use = connection->holding().use;
+    if (use == ConnectionUse::Idle && connection->link->unreadBytes() > 0)
+        return false;
+    if (use == ConnectionUse::Reading) {
         // Its request was never complete, so it did not run.
         this->refuse(connection, statusUnavailable, reason);
         if (reason == CloseReason::Descriptors)
-            connection->link->close();
-        return;
+            this->dropEnded(connection);
+        return true;
     }
     this->reportClosed(*connection, reason);
-    // An answer that was not taken must not look complete.
+    if (use == ConnectionUse::Idle && (reason == CloseReason::Descriptors || this->closing.size() < maxUncounted)) {
+        // A request that crosses the close must not take from its caller what it has not read yet. For descriptors, the
+        // next connection that is opened closes this one if it is still there: there is one more at most.
+        this->endConnection(connection);
+        if (reason == CloseReason::Memory)
+            connection->held.set(0);
+        return true;
+    }
     if (connection->link->pending() > 0)
         connection->link->reset();
-    else
-        connection->link->close();
     this->removeConnection(connection);
-    connection->held.set(0);
+    this->dropEnded(connection);
+    return true;
 }
 
 bool FrontServer::replaceOne(bool internal)
 {
     const Milliseconds now = monotonicNow();
-    if (now < this->nextSearch)
+    Milliseconds& next = internal ? this->nextInternalReplace : this->nextReplace;
+    if (now < next)
         return false;
-    const auto chosen = connectionToReplace(this->holdings(), internal, now);
-    if (!chosen)
-        this->nextSearch = now + searchInterval;
-    else
-        this->closeForShortage(*chosen, CloseReason::Descriptors);
-    return chosen.has_value();
+    std::vector<HoldingConnection> all = this->holdings();
+    for (int attempt = 0; attempt < maxReplaceAttempts; ++attempt) {
+        const auto chosen = connectionToReplace(all, internal, now);
+        if (!chosen)
+            break;
+        if (this->closeForShortage(*chosen, CloseReason::Descriptors))
+            return true;
+        std::erase_if(all, [&](const HoldingConnection& connection) { return connection.number == *chosen; });
+    }
+    next = now + searchInterval;
+    return false;
 }
 
 bool FrontServer::makeRoom(const ConnectionPointer& connection, std::size_t more)
 {
-    for (int closed = 0; !mayHold(*this->memory, connection->held.bytes(), more, connection->internal); ++closed) {
-        const Milliseconds now = monotonicNow();
-        if (closed == maxClosedAtOnce || now < this->nextSearch)
-            return false;
-        const auto chosen = connectionToFree(this->holdings(), now);
-        if (!chosen)
-            this->nextSearch = now + searchInterval;
-        if (!chosen || *chosen == connection->number)
-            return false;
-        this->closeForShortage(*chosen, CloseReason::Memory);
+    const MissingMemory missing = missingMemory(*this->memory, connection->held.bytes(), more, connection->internal);
+    const std::size_t missed = std::max(missing.bytes, missing.large);
+    if (missed == 0)
+        return true;
+    const Milliseconds now = monotonicNow();
+    const bool isRepeated = now < this->nextFreeSearch;
+    if (isRepeated && missed >= this->missedBytes)
+        return false;
+    const std::vector<HoldingConnection> order = connectionsToFree(this->holdings(), now);
+    const auto count = closesNeeded(order, missing, maxClosedAtOnce);
+    const auto isOwn = [&](const HoldingConnection& other) { return other.number == connection->number; };
+    // None is closed for a request that is refused all the same.
+    if (!count || std::any_of(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(*count), isOwn)) {
+        this->missedBytes = isRepeated ? std::min(this->missedBytes, missed) : missed;
+        this->nextFreeSearch = now + searchInterval;
+        return false;
     }
-    return true;
+    std::size_t closed = 0;
+    for (const HoldingConnection& other : order) {
+        if (closed == maxClosedAtOnce || mayHold(*this->memory, connection->held.bytes(), more, connection->internal))
+            break;
+        if (!isOwn(other) && this->closeForShortage(other.number, CloseReason::Memory))
+            ++closed;
+    }
+    return mayHold(*this->memory, connection->held.bytes(), more, connection->internal);
+}
+
+bool FrontServer::isOverBudget() const
+{
+    return this->memory->held > this->memory->budget.bytes + this->memory->budget.internalReserve;
 }
 
 void FrontServer::relieve()
 {
     this->reliefScheduled = false;
     const Milliseconds now = monotonicNow();
-    while (this->memory->held > this->memory->budget.bytes && now >= this->nextSearch) {
-        const auto chosen = connectionToFree(this->holdings(), now);
-        if (chosen)
-            this->closeForShortage(*chosen, CloseReason::Memory);
-        else
-            this->nextSearch = now + searchInterval;
+    if (!this->isOverBudget() || now < this->nextRelief)
+        return;
+    std::size_t closed = 0;
+    for (const HoldingConnection& connection : connectionsToFree(this->holdings(), now)) {
+        if (closed == maxClosedAtOnce || !this->isOverBudget())
+            break;
+        if (this->closeForShortage(connection.number, CloseReason::Memory))
+            ++closed;
     }
+    if (closed == 0)
+        this->nextRelief = now + searchInterval;
+    else
+        this->scheduleRelief();
 }
 
 void FrontServer::scheduleRelief()
 {
-    if (this->reliefScheduled || this->memory->held <= this->memory->budget.bytes)
+    if (this->reliefScheduled || !this->isOverBudget())
         return;
     this->reliefScheduled = true;
     asio::post(this->io, [this] { this->relieve(); });
--- a/src/table/caller_limits.h
+++ b/src/table/caller_limits.h
@@ -34,10 +34,17 @@
 constexpr Milliseconds stalledTime { 500 };
 /// If no connection could be closed, none is looked for again for this long: a search visits all connections.
 constexpr Milliseconds searchInterval { 20 };
+/// Connections that are closed at once when memory is short.
+constexpr std::size_t maxClosedAtOnce = 16;
+/// Idle connections closed for memory that are read on for a moment without being counted: 768 KB at most.
+constexpr std::size_t maxUncounted = 64;
+/// Bytes received behind a request in progress, above which its connection is not read: one read.
+constexpr std::size_t maxPipelined = 8U << 10U;
 /// Bytes of answers that a caller has not taken, above which its next request is not read.
 constexpr std::size_t maxUnsentAnswers = 64U << 10U;
 /// When a caller that was refused since memory or descriptors are short may try again.
-constexpr Milliseconds shortageRetryAfter { 1000 };
+/// Callers wait for a third of their remaining time at most: longer, and most would give up.
+constexpr Milliseconds shortageRetryAfter { 200 };
 /// Bytes read from ended connections between two sweeps, all together. Above it those that go on sending are closed.
 constexpr std::size_t maxDiscardedTogether = 16U << 20U;
 /// Time until connections are accepted again after the kernel had no descriptor left.
