Mend the findings of the review on homes, evacuations and cold upstreams

An entry that stood still sent by its old copy of the operators' table until the next fetch: after a gap of 0.6 s without an event nothing is sent until a later answer confirms the table, for at most 1.5 s, only with evacuate_ms in the settings or homes in use. What nothing else may run stays at an evacuated engine. The counterpart of a route in a newer configuration is found by name, host and prefix, then host and prefix, then a unique name. No home is blamed where no upstream is listed. Only a refused or reset connection, or two time-outs in a row, count as a restart. A reload of the settings refuses what then has no home.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -28,6 +28,20 @@
 
 } // namespace
 
+namespace {
+
+    /// @param code of a connect that failed, was closed at its time-out or ended after it
+    ConnectFailure connectFailureOf(const std::error_code& code)
+    {
+        if (code == std::errc::connection_refused || code == std::errc::connection_reset)
+            return ConnectFailure::Refused;
+        const bool isUnanswered = !code || code == asio::error::operation_aborted || code == std::errc::timed_out
+            || code == std::errc::host_unreachable;
+        return isUnanswered ? ConnectFailure::Unanswered : ConnectFailure::Local;
+    }
+
+} // namespace
+
 /// A connection to a server and the call that uses it.
 struct CallPool::Connection : WireSink {
     Connection()
@@ -155,6 +169,7 @@
         // If this process stood still, the connection may be there before the timer is handled. What the request was
         // decided on is as old as the decision.
         if (code || !socket->is_open() || monotonicNow() > until) {
+            connection->sink->onConnectFailed(connectFailureOf(code));
             this->endCall(connection, CallEnd::NotSent);
             return;
         }
--- a/src/call_pool_io.h
+++ b/src/call_pool_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answer_end_func.h"
+#include "connect_failure_type.h"
 #include "error_type.h"
 #include "id_type.h"
 #include "table/answer_limits.h"
@@ -41,6 +42,8 @@
     /// The next bytes of the body, without transfer coding.
     /// @return whether the answer may go on; if not, the call ends as broken
     virtual bool onBody(std::string_view bytes) = 0;
+    /// No connection could be opened. onEnd() follows with CallEnd::NotSent.
+    virtual void onConnectFailed(ConnectFailure) { }
     /// The call has ended. Called once, unless it is cancelled.
     virtual void onEnd(CallEnd end) = 0;
 };
--- a/src/cold_start_cmd.cpp
+++ b/src/cold_start_cmd.cpp
@@ -45,6 +45,26 @@
             .labels = "service=\"" + view.entry.service.value + "\",reason=\"" + coldCauseName(cause) + "\"" });
     }
 
+    /// Forgets entries that were not heard for coldEntryMemory, and notes whether most of them vanished together.
+    /// @return how many others remain
+    std::uint32_t forgetSilentSharers(ColdSharers& sharers, Milliseconds now)
+    {
+        const auto lost
+            = std::erase_if(sharers.others, [&](const auto& other) { return now - other.second >= coldEntryMemory; });
+        sharers.lostAt.insert(sharers.lostAt.end(), lost, now);
+        while (!sharers.lostAt.empty() && now - sharers.lostAt.front() > coldEntryMemory)
+            sharers.lostAt.pop_front();
+        const auto left = static_cast<std::uint32_t>(sharers.others.size());
+        const double all = sharers.highestCount;
+        if (static_cast<double>(sharers.lostAt.size()) > coldCutOffPart * all)
+            sharers.isCutOff = true;
+        else if (sharers.isCutOff && left + 1 >= (1 - coldCutOffPart) * all) {
+            sharers.isCutOff = false;
+            sharers.highestCountAt = now;
+        }
+        return left;
+    }
+
     /// Logs the end of a cold time, once.
     void recordWarm(RelayUpstream& view, Milliseconds warmUp, Milliseconds now, RelayEffects& effects)
     {
@@ -78,6 +98,8 @@
     for (auto& [id, view] : state.upstreams)
         if (view.listed && view.entry.dataCentre == dataCentre)
             assumeCold(state, view, ColdCause::Evacuation, now, effects);
+    // One that is listed again must not pass for as warm as it was before.
+    std::erase_if(state.delistedCold, [&](const auto& item) { return item.second.dataCentre == dataCentre; });
 }
 
 void applyColdStatement(
@@ -142,8 +164,10 @@
 void keepDelistedCold(RelayState& state, const RelayUpstream& view, Milliseconds now)
 {
     if (coldServiceOf(state, view.entry.service))
-        state.delistedCold[view.entry.id]
-            = { .processStartedAt = view.entry.processStartedAt, .cold = view.cold, .delistedAt = now };
+        state.delistedCold[view.entry.id] = { .processStartedAt = view.entry.processStartedAt,
+            .cold = view.cold,
+            .dataCentre = view.entry.dataCentre,
+            .delistedAt = now };
 }
 
 void applyColdProbe(RelayState& state, const UpstreamProbed& event, Milliseconds now, RelayEffects& effects)
@@ -173,9 +197,12 @@
     ColdSharers& sharers = state.coldSharers;
     for (const HostId& host : event.others)
         sharers.others[stableHash("cold", host.value)] = now;
-    std::erase_if(sharers.others, [&](const auto& other) { return now - other.second >= coldEntryMemory; });
-    const std::uint32_t count = std::max(event.entryCount, static_cast<std::uint32_t>(sharers.others.size() + 1));
-    if (count >= sharers.highestCount || now - sharers.highestCountAt >= coldCountMemory) {
+    const std::uint32_t count = std::max(event.entryCount, forgetSilentSharers(sharers, now) + 1);
+    // Not all entries that started together are heard at once.
+    if (count > sharers.highestCount && now < sharers.settlesUntil)
+        sharers.mayShareFrom = std::max(sharers.mayShareFrom, std::min(now + coldSettleTime, sharers.settlesUntil));
+    const bool mayForget = !sharers.isCutOff && now - sharers.highestCountAt >= coldCountMemory;
+    if (count >= sharers.highestCount || mayForget) {
         sharers.highestCount = count;
         sharers.highestCountAt = now;
     }
@@ -193,14 +220,15 @@
     }
 }
 
-void noteEventTime(RelayState& state, Milliseconds now)
+bool noteEventTime(RelayState& state, Milliseconds now)
 {
     ColdSharers& sharers = state.coldSharers;
     const std::optional<Milliseconds> before = std::exchange(sharers.lastEventAt, now);
     const Milliseconds gap = before ? now - *before : Milliseconds {};
     if (before && gap < standstillGap)
-        return;
+        return false;
     sharers.mayShareFrom = now + coldSettleTime;
+    sharers.settlesUntil = now + coldMaxSettleTime;
     // It could not hear the others meanwhile.
     for (auto& [host, heardAt] : sharers.others)
         heardAt += gap;
@@ -214,6 +242,7 @@
                 .sendsFrom = now,
                 .entriesBefore = countEntriesBefore(state, view.key),
                 .allowance = { .requests = 1, .refilledAt = now } };
+    return before.has_value();
 }
 
 void updateColdStarts(RelayState& state, Milliseconds now, RelayEffects& effects)
--- a/src/cold_start_cmd.h
+++ b/src/cold_start_cmd.h
@@ -33,7 +33,8 @@
 void applyColdEntries(RelayState& state, const EntryCountUpdated& event, Milliseconds now);
 /// Notices that this process has just started or stood still: what it knows of other entries and of upstreams is out of
 /// date.
-void noteEventTime(RelayState& state, Milliseconds now);
+/// @return whether it stood still
+bool noteEventTime(RelayState& state, Milliseconds now);
 /// Ends cold times and warm-ups that are over.
 void updateColdStarts(RelayState& state, Milliseconds now, RelayEffects& effects);
 /// Counts a request that was not sent at once although a cold upstream might have run it.
--- a/src/cold_start_type.h
+++ b/src/cold_start_type.h
@@ -5,6 +5,7 @@
 #include "limit_share_func.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -45,6 +46,7 @@
 struct DelistedCold {
     std::int64_t processStartedAt { 0 }; ///< start of its process, Unix ms
     std::optional<ColdStart> cold; ///< empty if it was warm
+    DataCentreId dataCentre; ///< where it runs
     Milliseconds delistedAt; ///< when it left the list
 };
 
@@ -53,8 +55,12 @@
     std::map<std::uint64_t, Milliseconds> others; ///< when each other one was last heard, by hash of its host
     std::uint32_t highestCount { 1 }; ///< most entries lately, this one included
     Milliseconds highestCountAt { -1000000 }; ///< when that many were last counted; starts far in the past
+    std::deque<Milliseconds> lostAt; ///< when others were given up, within coldEntryMemory; oldest first
+    /// Most of the others vanished together and have not come back: highestCount stays.
+    bool isCutOff { false };
     std::optional<Milliseconds> lastEventAt; ///< last event of the reducer, empty before the first
     Milliseconds mayShareFrom; ///< this entry sends nothing to cold upstreams before
+    Milliseconds settlesUntil; ///< until then each entry that is heard for the first time defers mayShareFrom
 };
 
 } // namespace hickory
--- a/src/evacuation_cmd.cpp
+++ b/src/evacuation_cmd.cpp
@@ -3,7 +3,9 @@
 #include "begun_request_func.h"
 #include "cold_start_cmd.h"
 #include "home_region_cmd.h"
+#include "relay_admit_func.h"
 #include "relay_budget_func.h"
+#include "relay_place_func.h"
 
 #include <algorithm>
 
@@ -63,6 +65,10 @@
             retryElsewhere(state, request, SendFailure::TakenBack, reason, now, effects);
             return;
         }
+        // If nothing else may run it, it would be refused, although the upstream there still serves it.
+        if (!request.headForwarded && !chooseUpstream(state, request, now, false)
+            && !mayAwaitWeights(state, request, now))
+            return;
         // Without a place in the retry budget it would be refused, and there it may still be served.
         if (!isRepeatable(request) || !hasAttemptLeft(request)
             || !mayRetry(state.services[request.service].retries, state.options, state.entryCount, now))
--- a/src/home_region_cmd.cpp
+++ b/src/home_region_cmd.cpp
@@ -9,15 +9,15 @@
 
 void updateAllowedRegions(RelayState& state)
 {
-    const bool hadHomes = state.hasHomes;
-    state.hasHomes = hasHomes(*state.config);
-    if (!hadHomes && !state.hasHomes)
+    const bool hadHomes = state.homesInUse;
+    state.homesInUse = hasHomes(*state.config);
+    if (!hadHomes && !state.homesInUse)
         return;
     for (auto& [service, view] : state.services)
         view.queuedByRegions.clear();
     for (auto& [call, request] : state.requests) {
         request.allowed = allowedRegions(request, state.config.get());
-        state.hasHomes = state.hasHomes || request.allowed;
+        state.homesInUse = state.homesInUse || request.allowed;
         if (request.queued)
             ++state.services[request.service].queuedByRegions[request.allowed];
     }
@@ -27,7 +27,7 @@
 {
     constexpr std::uint16_t statusBadGateway = 502;
     constexpr std::uint16_t statusUnavailable = 503;
-    if (!state.hasHomes && state.evacuated.empty())
+    if (!state.homesInUse && state.evacuated.empty())
         return;
     std::map<std::pair<ServiceId, AllowedRegions>, ShutOut> causes;
     std::vector<std::pair<CallId, const char*>> refused;
--- a/src/home_region_func.cpp
+++ b/src/home_region_func.cpp
@@ -1,5 +1,7 @@
 #include "home_region_func.h"
 
+#include "table/relay_limits.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -21,14 +23,32 @@
         return regions;
     }
 
-    /// @return the route of another configuration that has the name of a route, or its host and prefix if it has none
-    const RelayRoute* findSameRoute(const RelayConfig& config, const RelayRoute& route)
+    bool isNameUnique(const RelayConfig& config, const std::string& name)
+    {
+        return std::count_if(config.routes.begin(), config.routes.end(), [&](const RelayRoute& route) {
+            return route.name == name;
+        }) == 1;
+    }
+
+    /// @param before configuration that the route belongs to
+    /// @return the route's counterpart in another configuration: that of the same name, host and prefix, else of the
+    /// same host and prefix, else of the same name if only one route has it in either configuration; or nullptr
+    const RelayRoute* findSameRoute(const RelayConfig& config, const RelayRoute& route, const RelayConfig& before)
     {
-        const auto found = std::find_if(config.routes.begin(), config.routes.end(), [&](const RelayRoute& other) {
-            return other.name == route.name
-                && (!route.name.empty() || (other.host == route.host && other.prefix == route.prefix));
-        });
-        return found == config.routes.end() ? nullptr : &*found;
+        const RelayRoute* samePlace = nullptr;
+        const RelayRoute* sameName = nullptr;
+        for (const RelayRoute& other : config.routes) {
+            const bool isSamePlace = other.host == route.host && other.prefix == route.prefix;
+            if (isSamePlace && other.name == route.name)
+                return &other;
+            if (isSamePlace && !samePlace)
+                samePlace = &other;
+            if (other.name == route.name)
+                sameName = &other;
+        }
+        if (samePlace || !sameName || route.name.empty())
+            return samePlace;
+        return isNameUnique(config, route.name) && isNameUnique(before, route.name) ? sameName : nullptr;
     }
 
     AllowedRegions workspaceRegions(const RelayConfig& config, const WorkspaceId& workspace)
@@ -76,7 +96,7 @@
         = intersectRegions(asAllowed(request.route->homes), workspaceRegions(*request.config, request.workspace));
     if (!inForce || inForce == request.config.get())
         return allowed;
-    if (const RelayRoute* route = findSameRoute(*inForce, *request.route))
+    if (const RelayRoute* route = findSameRoute(*inForce, *request.route, *request.config))
         allowed = intersectRegions(allowed, asAllowed(route->homes));
     return intersectRegions(allowed, workspaceRegions(*inForce, request.workspace));
 }
@@ -102,11 +122,17 @@
     return !allowed || allowsRegion(allowed, regionOf(state.options.regions, dataCentre));
 }
 
+bool awaitsOperatorsTable(const RelayState& state, Milliseconds now)
+{
+    return state.tableUnconfirmed && (state.options.evacuationsConfigured || state.homesInUse)
+        && now - *state.resumedAt < operatorsTableWait;
+}
+
 ShutOut shutOutCause(const RelayState& state, const ServiceId& service, const AllowedRegions& allowed)
 {
     if (!allowed && state.evacuated.empty())
         return ShutOut::None;
-    ShutOut cause = allowed ? ShutOut::Homes : ShutOut::None;
+    ShutOut cause = ShutOut::None;
     for (const auto& [id, view] : state.upstreams) {
         if (!view.listed || view.entry.leaving || view.entry.service != service)
             continue;
@@ -114,6 +140,8 @@
             return ShutOut::None;
         if (allowsRegion(allowed, regionOf(state.options.regions, view.entry.dataCentre)))
             cause = ShutOut::Evacuation;
+        else if (cause == ShutOut::None)
+            cause = ShutOut::Homes;
     }
     return cause;
 }
--- a/src/home_region_func.h
+++ b/src/home_region_func.h
@@ -34,6 +34,10 @@
 /// @return whether a data centre is in the homes of a request and is not evacuated
 bool mayRunIn(const RelayState& state, const AllowedRegions& allowed, const DataCentreId& dataCentre);
 
+/// Whether evacuations and homes may have changed unnoticed while this process stood still, so that nothing may be
+/// sent. False where operators of the deployment restrict nothing, and after the longest wait for a confirmation.
+bool awaitsOperatorsTable(const RelayState& state, Milliseconds now);
+
 /// Why no listed upstream of a request's service may run it, whatever its load and health.
 enum class ShutOut : std::uint8_t {
     None, ///< one may run it, or none is listed at all
--- a/src/queue_share_func.cpp
+++ b/src/queue_share_func.cpp
@@ -68,7 +68,7 @@
     const RelayServiceState* service = findService(state, request.service);
     if (!service)
         return 0;
-    return state.hasHomes ? leastInRegion(state, request, service->queuedByRegions) : service->queue.size();
+    return state.homesInUse ? leastInRegion(state, request, service->queuedByRegions) : service->queue.size();
 }
 
 Milliseconds waitBehind(const RelayState& state, const RelayRequest& request, const QueueKey& key, Milliseconds now)
@@ -80,7 +80,7 @@
     const auto end = service->queue.lower_bound(key);
     // Other entries share the limits of all upstreams: the request itself waits until one has warmed up.
     const bool hasNoShare = limitedRate(state, request.service, request.allowed, now) == 0.0;
-    if (!state.hasHomes)
+    if (!state.homesInUse)
         return { static_cast<std::int64_t>(
             static_cast<double>(std::distance(service->queue.begin(), end) + (hasNoShare ? 1 : 0))
             * millisecondsPerSecond / dispatchRate(state, *service, request.service, request.allowed, now)) };
@@ -99,7 +99,7 @@
     if (!service || service->queue.empty())
         return true;
     const auto goesBefore = [&](const QueueKey& first) { return first.fresh && request.urgency < first.urgency; };
-    if (!state.hasHomes)
+    if (!state.homesInUse)
         return goesBefore(service->queue.begin()->first);
     const auto competes = [&](const auto& item) { return overlaps(item.first, request.allowed); };
     if (std::none_of(service->queuedByRegions.begin(), service->queuedByRegions.end(), competes))
--- a/src/relay_call_io.h
+++ b/src/relay_call_io.h
@@ -71,9 +71,12 @@
         return this->held.mayGoOn();
     }
 
+    void onConnectFailed(ConnectFailure failure) override { this->failure = failure; }
+
     void onEnd(CallEnd end) override
     {
-        this->loop.dispatch(ResponseEnded { .call = this->call, .send = this->sendId, .end = this->sendResult(end) });
+        this->loop.dispatch(ResponseEnded {
+            .call = this->call, .send = this->sendId, .end = this->sendResult(end), .failure = this->failure });
     }
 
     SendResult sendResult(CallEnd end) const
@@ -105,6 +108,7 @@
     EventSplitter splitter; ///< cuts a stream into whole events
     bool stream { false }; ///< the response is a stream of events
     std::size_t streamedBytes { 0 }; ///< bytes of its whole events
+    ConnectFailure failure { ConnectFailure::Local }; ///< why no connection was opened, if none was
     HeldAnswer held; ///< what this answer holds in memory
 };
 
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -37,6 +37,7 @@
             .retryWindow = settings.retryWindow,
             .regions = settings.host.regions,
             .maxEvacuationDelay = settings.maxEvacuationDelay,
+            .evacuationsConfigured = settings.evacuationsConfigured,
             .coldOverage = settings.coldOverage,
             .coldSlack = settings.coldSlack,
             .seed = settings.host.seed };
@@ -442,6 +443,7 @@
     this->settings = read.value();
     this->settings.host.seed = seed;
     this->state.options = relayOptions(this->settings);
+    this->dispatch(SettingsReloaded {});
     this->applyMemoryLimits();
 }
 
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -374,7 +374,7 @@
         } else if (row.key.starts_with(platform::evacuationKeyPrefix)) {
             if (const std::string warning = platform::decodeEvacuation(row.key, row.value).warning; !warning.empty())
                 writeLog({ .level = LogLevel::Warning,
-                    .event = "evacuation-odd",
+                    .event = "evacuation-row-invalid",
                     .fields = { { "row", row.key }, { "detail", warning } } });
         } else if (row.key.starts_with(platform::weightsKeyPrefix)) {
             Result<WeightsDeclared> declared = platform::decodeWeights(row.value);
--- a/src/relay_place_func.cpp
+++ b/src/relay_place_func.cpp
@@ -271,6 +271,8 @@
 std::optional<UpstreamId> chooseUpstream(
     const RelayState& state, const RelayRequest& request, Milliseconds now, bool mustHaveRoom)
 {
+    if (mustHaveRoom && awaitsOperatorsTable(state, now))
+        return std::nullopt;
     const auto service = request.config->services.find(request.service);
     const EngineProfile* profile
         = service != request.config->services.end() && service->second.engine && !request.metadata.model.empty()
--- a/src/relay_reduce_func.cpp
+++ b/src/relay_reduce_func.cpp
@@ -3,6 +3,7 @@
 #include "cold_start_cmd.h"
 #include "evacuation_cmd.h"
 #include "home_region_cmd.h"
+#include "home_region_func.h"
 #include "overloaded_type.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
@@ -46,6 +47,17 @@
         dispatchAllWaiting(state, now, effects);
     }
 
+    void applyConfirmed(RelayState& state, const ConfigConfirmed& event, Milliseconds now, RelayEffects& effects)
+    {
+        state.configConfirmedAt = std::max(state.configConfirmedAt, event.asOf);
+        if (!state.tableUnconfirmed || event.asOf < *state.resumedAt)
+            return;
+        const bool wasHeld = awaitsOperatorsTable(state, now);
+        state.tableUnconfirmed = false;
+        if (wasHeld)
+            dispatchAllWaiting(state, now, effects);
+    }
+
     LogLine weightsLogLine(const ModelId& model, WeightsVersion version, const std::string& source,
         std::optional<Milliseconds> notBefore, Milliseconds now)
     {
@@ -129,7 +141,10 @@
 std::vector<RelayEffect> reduceRelay(RelayState& state, const RelayEvent& event, Milliseconds now)
 {
     RelayEffects effects;
-    noteEventTime(state, now);
+    if (noteEventTime(state, now)) {
+        state.resumedAt = now;
+        state.tableUnconfirmed = true;
+    }
     std::visit(Overloaded {
                    [&](const CallArrived& arrived) { admitRequest(state, arrived, now, effects); },
                    [&](const RelayCallerDisconnected& disconnected) {
@@ -151,9 +166,7 @@
                        forgetStandings(state, now);
                    },
                    [&](const UpstreamNoticesReceived& received) { applyNotices(state, received, now, effects); },
-                   [&](const ConfigConfirmed& confirmed) {
-                       state.configConfirmedAt = std::max(state.configConfirmedAt, confirmed.asOf);
-                   },
+                   [&](const ConfigConfirmed& confirmed) { applyConfirmed(state, confirmed, now, effects); },
                    [&](const WeightsDeclared& declared) { applyWeights(state, declared, now, effects); },
                    [&](const PeerWeightsReceived& told) { applyPeerWeights(state, told, now, effects); },
                    [&](const DrainStarted& drain) { applyDrain(state, drain, now, effects); },
@@ -164,6 +177,13 @@
                        applyStillProbe(state, probed, now, effects);
                    },
                    [&](const EvacuationsUpdated& update) { applyEvacuations(state, update, now, effects); },
+                   [&](const SettingsReloaded&) {
+                       // A data centre may have moved to another region.
+                       if (!state.homesInUse)
+                           return;
+                       refuseShutOut(state, now, effects);
+                       dispatchAllWaiting(state, now, effects);
+                   },
                    [&](const CrashNewsReceived& received) { applyCrashNews(state, received, now, effects); },
                },
         event);
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -125,7 +125,7 @@
         return;
     const RelayRoute& route = *request.route;
     request.allowed = allowedRegions(request, state.config.get());
-    state.hasHomes = state.hasHomes || request.allowed;
+    state.homesInUse = state.homesInUse || request.allowed;
     request.service = drawService(route, state.random);
     request.traits = traitsOf(request.metadata);
     request.objectiveAt = request.arrivedAt + route.objective;
@@ -302,7 +302,7 @@
             continue; // it waits as long as it has time, and others need not wait for it
         if (!upstream) {
             recordNoRoom(noRoom, request);
-            if (!state.hasHomes || areAllWithoutRoom(noRoom, state.services[service]))
+            if (!state.homesInUse || areAllWithoutRoom(noRoom, state.services[service]))
                 return;
             continue;
         }
--- a/src/relay_send_cmd.cpp
+++ b/src/relay_send_cmd.cpp
@@ -5,6 +5,7 @@
 #include "relay_budget_func.h"
 #include "relay_cmd.h"
 #include "relay_place_func.h"
+#include "table/cold_start_limits.h"
 #include "table/relay_limits.h"
 #include "upstream_load_func.h"
 #include "upstream_notice_cmd.h"
@@ -112,16 +113,26 @@
         return isSuccess(send.status) ? send.sealed && continuesStream : !request.headForwarded;
     }
 
-    /// An upstream that accepts no connection may have started again once it accepts one.
-    void recordNoConnection(RelayState& state, const UpstreamId& upstream, Milliseconds now, RelayEffects& effects)
+    /// An upstream that accepts no connection may have started again once it accepts one. A single time-out may be a
+    /// lost packet, and after a standstill of this process the fault is its own.
+    void recordNoConnection(
+        RelayState& state, const UpstreamId& upstream, ConnectFailure failure, Milliseconds now, RelayEffects& effects)
     {
-        if (const auto view = state.upstreams.find(upstream); view != state.upstreams.end())
-            assumeCold(state, view->second, ColdCause::Silence, now, effects);
+        constexpr std::uint32_t minUnanswered = 2;
+        const auto view = state.upstreams.find(upstream);
+        if (view == state.upstreams.end() || failure == ConnectFailure::Local)
+            return;
+        const bool stoodStill = state.resumedAt && now - *state.resumedAt < coldSettleTime;
+        if (failure == ConnectFailure::Unanswered && (stoodStill || ++view->second.unansweredConnects < minUnanswered))
+            return;
+        assumeCold(state, view->second, ColdCause::Silence, now, effects);
     }
 
     /// Ends the send in flight: completes the request, retries it or refuses it.
     /// @param end not Unconfirmed
-    void endSend(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
+    /// @param failure for NotSent
+    void endSend(RelayState& state, RelayRequest& request, SendResult end, ConnectFailure failure, Milliseconds now,
+        RelayEffects& effects)
     {
         const UpstreamId upstream = request.active->upstream;
         const std::uint16_t status = request.active->status;
@@ -146,7 +157,7 @@
             recordBrokenSend(state, request, *request.active, now, effects);
         recordUpstreamFailure(state, upstream, notSent ? "connect" : isComplete ? "unsealed" : "broken", now, effects);
         if (notSent)
-            recordNoConnection(state, upstream, now, effects);
+            recordNoConnection(state, upstream, failure, now, effects);
         request.excludedUpstreams.insert(upstream);
         releaseSend(state, request, false, effects);
         if (notSent) {
@@ -162,7 +173,8 @@
     }
 
     /// Ends the backup of a request, which goes on with its send in flight.
-    void endBackup(RelayState& state, RelayRequest& request, SendResult end, Milliseconds now, RelayEffects& effects)
+    void endBackup(RelayState& state, RelayRequest& request, SendResult end, ConnectFailure failure, Milliseconds now,
+        RelayEffects& effects)
     {
         const UpstreamId upstream = request.backup->upstream;
         const bool notSent = end == SendResult::NotSent;
@@ -173,7 +185,7 @@
         else
             recordUpstreamFailure(state, upstream, notSent ? "connect" : "broken", now, effects);
         if (notSent)
-            recordNoConnection(state, upstream, now, effects);
+            recordNoConnection(state, upstream, failure, now, effects);
         request.excludedUpstreams.insert(upstream);
         if (notSent)
             --request.sends;
@@ -345,6 +357,7 @@
     recordUpstreamAlive(state, upstream, send.sentAt);
     view.lastHeardAt = now;
     view.answeredAt = now;
+    view.unansweredConnects = 0;
     if (!send.headReceived)
         --view.unbegun;
     if (std::exchange(view.standsStill, false))
@@ -434,13 +447,13 @@
         const bool isAnswer = event.end == SendResult::Complete && isValidAnswer(*request, *request->backup)
             && request->backup->status < statusServerError;
         if (!isAnswer) {
-            endBackup(state, *request, event.end, now, effects);
+            endBackup(state, *request, event.end, event.failure, now, effects);
             return;
         }
         keepSend(state, *request, event.send, now, effects);
     }
     if (event.end != SendResult::Unconfirmed) {
-        endSend(state, *request, event.end, now, effects);
+        endSend(state, *request, event.end, event.failure, now, effects);
         return;
     }
     releaseBackup(state, *request, true, effects);
@@ -476,7 +489,8 @@
         if (!isComplete)
             effects.emplace_back(MetricSample { .name = "unconfirmed_answers_total",
                 .labels = "probe=\"" + std::string(probeResultName(event.result)) + "\"" });
-        endSend(state, found->second, isComplete ? SendResult::Complete : SendResult::Broken, now, effects);
+        endSend(state, found->second, isComplete ? SendResult::Complete : SendResult::Broken, ConnectFailure::Refused,
+            now, effects);
     }
     if (asksAgain)
         probeForAnswers(state, event.upstream, effects);
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -38,6 +38,8 @@
     RelayQueuePolicy queuePolicy { RelayQueuePolicy::Urgency }; ///< order of each service's queue
     std::map<DataCentreId, RegionId> regions; ///< region of each data centre
     Milliseconds maxEvacuationDelay { 5000 }; ///< an evacuated data centre gets nothing new after this time
+    /// The settings name the delay, so that operators of this deployment may evacuate data centres.
+    bool evacuationsConfigured { false };
     double coldOverage { 1.0 }; ///< a cold upstream bears this multiple of its rate in any one second
     double coldSlack { 0 }; ///< requests that it bears in addition
     std::uint64_t seed { 1 }; ///< seed of the random choices
@@ -139,6 +141,7 @@
     Milliseconds longestWait { 0 }; ///< longest time that a send in flight has waited for its head
     Milliseconds ejectedUntil { 0 }; ///< gets no new work before
     std::uint32_t failures { 0 }; ///< ejections since the last success
+    std::uint32_t unansweredConnects { 0 }; ///< connections in a row that were not answered in time
     /// Failed, or asked for a pause, and has not answered otherwise since: gets maxProbationRequests at a time.
     bool onProbation { false };
     /// It was silent while requests waited there, so it or its host may have stopped: what is sent now would lie there.
@@ -222,7 +225,11 @@
     UpstreamPauses pauses; ///< those that have not ended, and some that have
     std::set<DataCentreId> evacuated; ///< data centres whose upstreams get nothing new
     std::map<DataCentreId, Milliseconds> evacuatedSince; ///< when this entry learned that each of these is evacuated
-    bool hasHomes { false }; ///< the configuration in force or a request has homes
+    std::optional<Milliseconds> resumedAt; ///< when this process last continued after a standstill, if it ever did
+    /// The copy of the operators' table has not been confirmed since resumedAt: evacuations and homes may be out of
+    /// date.
+    bool tableUnconfirmed { false };
+    bool homesInUse { false }; ///< the configuration in force or a request has homes
     std::map<UpstreamId, DelistedCold> delistedCold; ///< upstreams with cold starts that left the list lately
     ColdSharers coldSharers; ///< entries that share the limits of cold upstreams
     std::uint32_t coldCount { 0 }; ///< listed upstreams that are cold, as last published
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connect_failure_type.h"
 #include "crash_type.h"
 #include "log_type.h"
 #include "relay_config_type.h"
@@ -79,6 +80,7 @@
     CallId call;
     SendId send;
     SendResult end { SendResult::Complete }; ///< whether the response is whole
+    ConnectFailure failure { ConnectFailure::Refused }; ///< why no byte left this process, for SendResult::NotSent
 };
 
 /// Periodic timer event, on which time limits are checked.
@@ -214,10 +216,13 @@
     CrashNews news; ///< merged into what is known
 };
 
+/// The settings were read again; the options are the new ones.
+struct SettingsReloaded { };
+
 using RelayEvent = std::variant<CallArrived, RelayCallerDisconnected, ResponseStarted, StreamProgressed, ResponseEnded,
     RelayTick, ConfigUpdated, UpstreamsUpdated, EngineReportsReceived, PeerLoadsReceived, DataCentreLoadsReceived,
     EntryCountUpdated, ConfigConfirmed, WeightsDeclared, PeerWeightsReceived, DrainStarted, UpstreamProbed,
-    CrashNewsReceived, UpstreamNoticesReceived, EvacuationsUpdated>;
+    CrashNewsReceived, UpstreamNoticesReceived, EvacuationsUpdated, SettingsReloaded>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -239,8 +239,10 @@
         settings.retryExtra = reader.number("retry_extra", settings.retryExtra, retryExtraRange);
         settings.retryWindow = Milliseconds { millisecondsPerSecond }
             * static_cast<std::int64_t>(reader.number("retry_window_s", 10, durationSecondsRange));
-        settings.maxEvacuationDelay
-            = { reader.integer("evacuate_ms", settings.maxEvacuationDelay.value, maxDelayRange) };
+        const std::int64_t evacuationDelay = reader.integer("evacuate_ms", 0, maxDelayRange);
+        settings.evacuationsConfigured = evacuationDelay != 0;
+        if (settings.evacuationsConfigured)
+            settings.maxEvacuationDelay = { evacuationDelay };
         settings.coldOverage = reader.number("cold_overage", settings.coldOverage, coldOverageRange);
         settings.coldSlack = reader.number("cold_slack", settings.coldSlack, coldSlackRange);
         settings.memoryMb = reader.number("memory_mb", settings.memoryMb, memoryMbRange);
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -132,6 +132,7 @@
     Milliseconds retryWindow { 10000 }; ///< retry_window_s: time over which requests and retries are counted
     /// evacuate_ms: maximum time until an evacuated data centre gets nothing new.
     Milliseconds maxEvacuationDelay { 5000 };
+    bool evacuationsConfigured { false }; ///< evacuate_ms is present
     double coldOverage { 1.0 }; ///< cold_overage: multiple of its rate that a cold upstream bears in any one second
     double coldSlack { 0 }; ///< cold_slack: requests that it bears in addition
     double memoryMb { 512 }; ///< memory_mb: memory that this process may use, in MB
--- a/src/table/cold_start_limits.h
+++ b/src/table/cold_start_limits.h
@@ -20,6 +20,12 @@
 /// An entry that has just started or stood still sends nothing to cold upstreams for so long: it has heard the other
 /// entries by then (a beacon a second lists all) and they have heard it.
 constexpr Milliseconds coldSettleTime { 1500 };
+/// So long after its start an entry still defers its first sends to cold upstreams for each entry that it hears for the
+/// first time: where all start together, some know only a part of the others after coldSettleTime.
+constexpr Milliseconds coldMaxSettleTime { 10000 };
+/// An entry that loses more than this part of all entries within coldEntryMemory is cut off from them: they go on
+/// sending, so it keeps the size of its share. Fewer than these die together, e.g. on one host.
+constexpr double coldCutOffPart = 0.25;
 /// A process without an event for so long stood still, since it has a tick each 20 ms. Peers regard an entry as gone
 /// after 1 s without a beacon, and its last one may have been 0.25 s old.
 constexpr Milliseconds standstillGap { 600 };
--- a/src/table/relay_limits.h
+++ b/src/table/relay_limits.h
@@ -32,6 +32,10 @@
 /// For hosts to learn which weights to load, to check the pieces, and for entries to learn that they are loaded.
 constexpr Milliseconds weightsNewsTime { 400 };
 
+/// After a standstill an entry waits so long for a confirmation of the operators' table before it sends by its last
+/// copy: the table is fetched every 0.3 s, with time-outs of 0.4 s to connect, so that two attempts fit.
+constexpr Milliseconds operatorsTableWait { 1500 };
+
 constexpr double minLimitedRate = 0.01; ///< the same when the upstreams' own limits are known
 /// Requests that an engine has not begun are taken back from it when it sent nothing for this long: a pass of a full
 /// engine takes 70 ms, one of an engine at a fifth of the speed 350 ms.
--- a/tests/unit_cold_start.cpp
+++ b/tests/unit_cold_start.cpp
@@ -152,6 +152,12 @@
         const Entry& self = this->entries.at(own);
         if (this->now < self.deafUntil && this->now >= self.deafFrom + Milliseconds { 1000 })
             return others;
+        if (this->discovery.value > 0) {
+            const auto known = static_cast<std::size_t>((this->now - self.startedAt).value / this->discovery.value);
+            for (std::size_t step = 1; step < this->entries.size() && step <= known; ++step)
+                others.push_back(hostOf((own + step) % this->entries.size()));
+            return others;
+        }
         const bool isNew = this->now - self.startedAt < Milliseconds { 1000 } && this->now > Milliseconds { 101000 };
         for (const auto& [index, entry] : this->entries) {
             const bool isGone = entry.frozenUntil > this->now && this->now - entry.relay.now > Milliseconds { 1000 };
@@ -230,6 +236,7 @@
     Milliseconds now { 100000 };
     std::size_t ticks { 0 };
     std::size_t ticksPerRequest { 5 };
+    Milliseconds discovery { 0 }; ///< for each other entry that one hears after the other, 0 to hear all at once
     UpstreamEntry row { coldUpstream("p1") };
     Milliseconds rowWrittenAt;
     std::map<std::size_t, Milliseconds> rowAt; ///< when an entry reads the newest row
@@ -612,3 +619,127 @@
     REQUIRE(findEffect<RefuseCall>(effects));
     CHECK(findEffect<RefuseCall>(effects)->status == 503);
 }
+
+namespace {
+
+/// Counts these others and itself, as each sweep does.
+void hear(RelayFixture& relay, std::size_t firstOther, std::size_t lastOther)
+{
+    EntryCountUpdated counted;
+    for (std::size_t other = firstOther; other <= lastOther; ++other)
+        counted.others.push_back(hostOf(other));
+    counted.entryCount = static_cast<std::uint32_t>(counted.others.size() + 1);
+    relay.event(counted);
+}
+
+} // namespace
+
+// Guards against entries that take the shares of those that they don't hear, who go on sending.
+TEST_CASE("An entry that is cut off from others keeps the size of its share", "[relay][cold]")
+{
+    RelayFixture relay = coldRelay();
+    hear(relay, 1, 15);
+    const auto listen = [&](std::size_t lastOther, int sweeps) {
+        for (int sweep = 0; sweep < sweeps; ++sweep) {
+            wait(relay, { 500 });
+            hear(relay, 1, lastOther);
+        }
+    };
+    SECTION("from all")
+    {
+        listen(0, 300);
+        CHECK(relay.state.coldSharers.highestCount == 16);
+    }
+    SECTION("from half")
+    {
+        listen(7, 300);
+        CHECK(relay.state.coldSharers.highestCount == 16);
+    }
+    SECTION("and hears them again before some are stopped")
+    {
+        listen(7, 60);
+        listen(15, 10);
+        for (std::size_t left = 14; left >= 10; --left)
+            listen(left, 30);
+        listen(10, 300);
+        CHECK(relay.state.coldSharers.highestCount == 11);
+    }
+}
+
+// Guards against shares sized for the few entries that each has heard 1.5 s after all started together.
+TEST_CASE("Entries that start together and hear of each other slowly keep to a cold limit", "[relay][cold]")
+{
+    ColdFleet fleet(16);
+    fleet.discovery = Milliseconds { 400 };
+    fleet.write(coldUpstream("p1", { 20000 }));
+    const Milliseconds from = fleet.now;
+    fleet.play({ 12000 });
+    CAPTURE(fleet.mostSends(from));
+    CHECK(static_cast<double>(fleet.mostSends(from)) <= bearable);
+    CHECK(fleet.sendsSince(fleet.now - Milliseconds { 3000 }) > 0);
+}
+
+// Guards against a full load for an engine that left the list while its data centre was evacuated, and may have turned
+// cold like the others there.
+TEST_CASE("What was delisted is cold as well when its data centre returns", "[relay][cold]")
+{
+    RelayFixture relay = coldRelay();
+    UpstreamEntry elsewhere = coldUpstream("p2");
+    elsewhere.dataCentre = { "b" };
+    relay.list({ coldUpstream("p1"), elsewhere });
+    relay.event(EvacuationsUpdated { .dataCentres = { { "a" } } });
+    relay.list({ elsewhere });
+    relay.event(EvacuationsUpdated {});
+    wait(relay, { 3000 });
+    relay.list({ coldUpstream("p1"), elsewhere });
+    CHECK(isCold(relay, "p1"));
+    CHECK_FALSE(isCold(relay, "p2"));
+}
+
+// Guards against sound upstreams that get a cold share because this process or a single packet failed.
+TEST_CASE("Only what shows that an upstream accepts no connections makes it cold", "[relay][cold]")
+{
+    RelayFixture relay = coldRelay();
+    relay.list({ coldUpstream("p1") });
+    wait(relay, { 2000 });
+    const auto fail = [&](ConnectFailure failure) {
+        const auto effects = relay.request("/read/");
+        const auto* send = findEffect<SendToUpstream>(effects);
+        REQUIRE(send);
+        relay.event(
+            ResponseEnded { .call = send->call, .send = send->send, .end = SendResult::NotSent, .failure = failure });
+        const bool cold = isCold(relay, "p1");
+        wait(relay, { 5000 });
+        return cold;
+    };
+    SECTION("local failures never")
+    {
+        CHECK_FALSE(fail(ConnectFailure::Local));
+        CHECK_FALSE(fail(ConnectFailure::Local));
+    }
+    SECTION("a second time-out in a row")
+    {
+        CHECK_FALSE(fail(ConnectFailure::Unanswered));
+        CHECK(fail(ConnectFailure::Unanswered));
+    }
+    SECTION("no time-outs between which it answered")
+    {
+        CHECK_FALSE(fail(ConnectFailure::Unanswered));
+        CHECK(answerAll(relay, relay.request("/read/")) == 1);
+        CHECK_FALSE(fail(ConnectFailure::Unanswered));
+    }
+    SECTION("no time-outs of a process that stood still")
+    {
+        CHECK_FALSE(fail(ConnectFailure::Unanswered));
+        const auto effects = relay.request("/read/");
+        const auto* send = findEffect<SendToUpstream>(effects);
+        REQUIRE(send);
+        relay.now += Milliseconds { 700 };
+        relay.event(ResponseEnded { .call = send->call,
+            .send = send->send,
+            .end = SendResult::NotSent,
+            .failure = ConnectFailure::Unanswered });
+        CHECK((!viewOf(relay, "p1").cold || viewOf(relay, "p1").cold->unconfirmed));
+    }
+    SECTION("a refusal at once") { CHECK(fail(ConnectFailure::Refused)); }
+}
--- a/tests/unit_evacuation.cpp
+++ b/tests/unit_evacuation.cpp
@@ -251,3 +251,89 @@
     CHECK(findEffect<SendToUpstream>(effects)->call == urgent);
     CHECK(countEffects<SendToUpstream>(effects) == 2);
 }
+
+namespace {
+
+/// A relay whose upstreams in a1 and b1 are full and for which a request waits.
+struct ResumedRelay : RegionRelay {
+    explicit ResumedRelay(bool evacuationsConfigured)
+    {
+        this->state.options.evacuationsConfigured = evacuationsConfigured;
+        this->listAt({ "a1", "b1" }, "plain");
+        this->sends = this->fill("/read/");
+    }
+
+    void standStill() { this->now += Milliseconds { 3000 }; }
+
+    /// Completes a send to a data centre.
+    std::vector<RelayEffect> finishAt(const std::string& dataCentre)
+    {
+        const auto found = std::find_if(this->sends.begin(), this->sends.end(),
+            [&](const SendToUpstream& send) { return send.upstream.value == dataCentre + "-plain"; });
+        REQUIRE(found != this->sends.end());
+        const SendToUpstream send = *found;
+        this->sends.erase(found);
+        return this->finish(send, false);
+    }
+
+    std::vector<SendToUpstream> sends;
+};
+
+} // namespace
+
+// Guards against an entry that stood still while operators evacuated a data centre, and sends there by its old copy of
+// the table before it reads the new one.
+TEST_CASE("After a standstill nothing is sent until the operators' table is confirmed", "[evacuation]")
+{
+    ResumedRelay relay(true);
+    relay.standStill();
+    CHECK(sentTo(relay.finishAt("a1")).empty());
+    CHECK(sentTo(relay.request("/read/")).empty());
+    CHECK(sentTo(relay.pass({ 300 })).empty());
+    // An answer that was on its way before the standstill confirms nothing.
+    CHECK(sentTo(relay.event(ConfigConfirmed { .asOf = relay.now - Milliseconds { 2000 } })).empty());
+    CHECK(sentTo(relay.evacuate({ a1 })).empty());
+    CHECK(sentTo(relay.finishAt("b1")).empty());
+    CHECK(sentTo(relay.event(ConfigConfirmed { .asOf = relay.now })) == "b1-plain");
+    CHECK(sentTo(relay.pass({ 2000 })).empty());
+}
+
+// Guards against an entry that waits for a confirmation although neither the store nor a peer answers.
+TEST_CASE("After a standstill an entry that reaches nobody sends by its last copy", "[evacuation]")
+{
+    ResumedRelay relay(true);
+    relay.standStill();
+    CHECK(sentTo(relay.finishAt("a1")).empty());
+    CHECK(sentTo(relay.pass({ 1480 })).empty());
+    // An upstream that was silent for long gets nothing.
+    CHECK(sentTo(relay.finishAt("a1")).empty());
+    CHECK(sentTo(relay.pass({ 40 })) == "a1-plain");
+}
+
+// Guards against a delay in deployments whose operators restrict nothing.
+TEST_CASE("A standstill holds back no sends without evacuations and homes", "[evacuation]")
+{
+    ResumedRelay relay(false);
+    relay.standStill();
+    CHECK(sentTo(relay.finishAt("a1")) == "a1-plain");
+}
+
+// Guards against sending outside homes that operators narrowed while the entry stood still.
+TEST_CASE("After a standstill narrowed homes bind before the first send", "[evacuation][home-region]")
+{
+    ResumedRelay relay(false);
+    relay.home(2, "/read/", { { "a" }, { "b" } });
+    relay.standStill();
+    CHECK(sentTo(relay.finishAt("a1")).empty());
+}
+
+// Guards against a refusal of what the evacuated engine would have served, because nothing else may run it.
+TEST_CASE("What only an evacuated engine may run stays there", "[evacuation]")
+{
+    UnbegunAtEvacuated relay;
+    relay.evacuate({ a1 });
+    const auto effects = relay.pass({ 4000 });
+    CHECK(findEffect<CancelSend>(effects) == nullptr);
+    CHECK(findEffect<RefuseCall>(effects) == nullptr);
+    CHECK(relay.state.requests.contains(relay.send.call));
+}
--- a/tests/unit_home_region.cpp
+++ b/tests/unit_home_region.cpp
@@ -408,3 +408,121 @@
     CHECK(firstPauseEnd(relay.state, plain, b, relay.now) == relay.now + Milliseconds { 500 });
     CHECK_FALSE(firstPauseEnd(relay.state, plain, a, relay.now));
 }
+
+namespace {
+
+/// A relay with two queued requests, of the routes /read/ and /book/, which then get these homes.
+struct TwoRoutes : RegionRelay {
+    TwoRoutes()
+    {
+        this->listAt({ "a1", "b1" }, "plain");
+        this->fill("/read/");
+        this->read = this->lastCallId();
+        this->request("/book/");
+        this->book = this->lastCallId();
+    }
+
+    /// Puts a configuration in force with these names and homes of /read/ and /book/.
+    void update(std::uint64_t version, const std::vector<std::pair<std::string, std::vector<RegionId>>>& routes)
+    {
+        auto made = config(version);
+        for (RelayRoute& route : made->routes)
+            for (std::size_t i = 0; i < routes.size(); ++i)
+                if (route.prefix == (i == 0 ? "/read/" : "/book/")) {
+                    route.name = routes[i].first;
+                    route.homes = routes[i].second;
+                }
+        this->event(ConfigUpdated { .config = made });
+    }
+
+    CallId read; ///< request of /read/
+    CallId book; ///< request of /book/
+};
+
+const AllowedRegions onlyA = std::vector<RegionId> { { "a" } };
+const AllowedRegions onlyB = std::vector<RegionId> { { "b" } };
+
+} // namespace
+
+// Guards against homes that are lost because an update renames their route.
+TEST_CASE("Homes of a renamed route bind requests that wait", "[home-region]")
+{
+    TwoRoutes relay;
+    relay.update(2, { { "reading", { { "b" } } }, { "/book/", {} } });
+    CHECK(relay.state.requests.at(relay.read).allowed == onlyB);
+    CHECK_FALSE(relay.state.requests.at(relay.book).allowed);
+}
+
+// Guards against the homes of another route of the same name: a request would run nowhere, or outside its homes.
+TEST_CASE("Routes of one name keep their own homes", "[home-region]")
+{
+    RegionRelay relay;
+    relay.listAt({ "a1", "b1" }, "plain");
+    const auto make = [](std::uint64_t version) {
+        auto made = RelayFixture::config(version);
+        for (RelayRoute& route : made->routes) {
+            route.name = "route";
+            if (route.prefix == "/read/")
+                route.homes = { { "a" } };
+            if (route.prefix == "/book/")
+                route.homes = { { "b" } };
+        }
+        return made;
+    };
+    relay.event(ConfigUpdated { .config = make(2) });
+    relay.fill("/read/");
+    const CallId read = relay.lastCallId();
+    relay.fill("/book/");
+    const CallId book = relay.lastCallId();
+    relay.event(ConfigUpdated { .config = make(3) });
+    REQUIRE(relay.state.requests.contains(read));
+    REQUIRE(relay.state.requests.contains(book));
+    CHECK(relay.state.requests.at(read).allowed == onlyA);
+    CHECK(relay.state.requests.at(book).allowed == onlyB);
+    // Without its own route a request is not bound by another that happens to be the only one left of that name.
+    auto left = make(4);
+    std::erase_if(left->routes, [](const RelayRoute& route) { return route.prefix != "/read/"; });
+    relay.event(ConfigUpdated { .config = left });
+    REQUIRE(relay.state.requests.contains(book));
+    CHECK(relay.state.requests.at(book).allowed == onlyB);
+}
+
+// Guards against homes that are lost because an update moves a route to another prefix.
+TEST_CASE("A route that moves is found by its name", "[home-region]")
+{
+    TwoRoutes relay;
+    auto moved = RelayFixture::config(2);
+    for (RelayRoute& route : moved->routes)
+        if (route.prefix == "/read/") {
+            route.prefix = "/reading/";
+            route.homes = { { "b" } };
+        }
+    relay.event(ConfigUpdated { .config = moved });
+    CHECK(relay.state.requests.at(relay.read).allowed == onlyB);
+}
+
+// Guards against blaming homes for a service that has no upstream at all, e.g. before the first list is read.
+TEST_CASE("Homes shut out nothing where no upstream is listed", "[home-region]")
+{
+    RegionRelay relay;
+    CHECK(shutOutCause(relay.state, { "plain" }, onlyA) == ShutOut::None);
+    relay.listAt({ "b1" }, "plain");
+    CHECK(shutOutCause(relay.state, { "plain" }, onlyA) == ShutOut::Homes);
+    CHECK(shutOutCause(relay.state, { "engine" }, onlyA) == ShutOut::None);
+    relay.evacuate({ { "b1" } });
+    CHECK(shutOutCause(relay.state, { "plain" }, onlyA) == ShutOut::Homes);
+    CHECK(shutOutCause(relay.state, { "plain" }, onlyB) == ShutOut::Evacuation);
+}
+
+// Guards against queued requests that wait for their deadline after a reload of the settings left them without a home.
+TEST_CASE("Queued requests are refused when a reload moves their home away", "[home-region]")
+{
+    RegionRelay relay;
+    relay.listAt({ "a1", "b1" }, "plain");
+    relay.home(2, "/read/", { { "b" } });
+    relay.fill("/read/");
+    relay.state.options.regions[{ "b1" }] = { "c" };
+    const auto effects = relay.event(SettingsReloaded {});
+    REQUIRE(refusal(effects) == "503 home-regions");
+    CHECK(findEffect<RefuseCall>(effects)->call == relay.lastCallId());
+}
