--- a/review/common-2/replica.h
+++ b/review/common-2/replica.h
@@ -50,7 +50,7 @@
         , id(id)
         , service(service)
         , born(unixMs())
-        , server(address, [this](const Request& request) { return this->handle(request); })
+        , server(address, [this](const Request& request, int) { return this->handle(request); })
         , registration(store, id, [this, address](std::uint64_t sequence) {
             return Json { { "service", this->service }, { "address", address }, { "zone", "noord-a" }, { "version", "v1" },
                 { "slots", 6 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "sequence", sequence },
@@ -118,7 +118,7 @@
 public:
     Origin(Record& record, const std::string& address)
         : record(record)
-        , server(address, [this](const Request& request) { return this->handle(request); })
+        , server(address, [this](const Request& request, int) { return this->handle(request); })
     {
     }
 
@@ -187,7 +187,7 @@
         this->born = unixMs();
         this->id = "i-" + this->name + "-" + std::to_string(++this->starts);
         this->server = std::make_unique<Server>(
-            this->address, [this](const Request& request) { return this->handle(request); });
+            this->address, [this](const Request& request, int handle) { return this->handle(request, handle); });
         this->registration = std::make_unique<Registration>(
             this->store, this->id, [this](std::uint64_t sequence) { return this->row(sequence); });
         this->record.line("replica " + this->id + " starts, "
@@ -208,6 +208,11 @@
     /// Called when an order arrives. Returns how long it takes until the order is accepted and answered; the replica
     /// handles other requests meanwhile.
     std::function<std::int64_t(const Json& order)> orderDelay;
+    /// Sends an answer from an event on: calls `send` with bytes and the time to wait before. Ends early once that
+    /// returns false, as the channel is closed. Returns whether the answer is whole. Empty for whole answers at once.
+    std::function<bool(int first, const std::string& attempt,
+        const std::function<bool(const std::string& bytes, std::int64_t waitMs)>& send)>
+        stream;
 
 private:
     /// Loads the staged data as it is now.
@@ -258,9 +263,11 @@
         return row;
     }
 
-    std::string handle(const Request& request)
+    std::optional<std::string> handle(const Request& request, int handle)
     {
         const std::string path = request.path();
+        if (this->stream && !path.starts_with("/api/"))
+            return this->runInSteps(request, handle);
         if (path == "/api/order") {
             const std::int64_t delay = this->orderDelay ? this->orderDelay(Json::parse(request.body)) : 0;
             this->record.line("replica " + this->id + " gets order " + request.body
@@ -300,6 +307,33 @@
         return answerText(202, "");
     }
 
+    /// Sends an answer event by event, with the pauses of `stream`.
+    std::optional<std::string> runInSteps(const Request& request, int handle)
+    {
+        const std::string attempt = request.header("Attempt-Id");
+        {
+            const std::lock_guard guard(this->mutex);
+            if (this->version == 0 || request.header("Expect-Replica") != this->id)
+                return answerText(421, "", { { "Replica-Id", this->id }, { "Attempt-Id", attempt } });
+        }
+        const std::string after = request.header("Last-Event-Id");
+        const int first = after.empty() ? 1 : std::stoi(after) + 1;
+        ++this->runs;
+        this->record.line("replica " + this->id + " begins " + attempt
+            + (after.empty() ? "" : " after event " + after));
+        const bool ended = this->stream(first, attempt, [&](const std::string& bytes, std::int64_t waitMs) {
+            const std::int64_t until = nowMs() + waitMs;
+            while (nowMs() < until) {
+                if (isClosed(handle))
+                    return false;
+                sleepMs(10);
+            }
+            return sendAll(handle, bytes);
+        });
+        this->record.line("replica " + this->id + (ended ? " ends " : " loses the channel of ") + attempt);
+        return ended ? std::nullopt : std::optional<std::string>(std::string {});
+    }
+
     std::string run(const Request& request)
     {
         const std::string attempt = request.header("Attempt-Id");
--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -201,6 +201,14 @@
     }
 }
 
+/// @return whether the peer has closed the connection
+inline bool isClosed(int handle)
+{
+    char byte;
+    const ssize_t count = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 inline sockaddr_in endpointOf(const std::string& address)
 {
     const std::size_t colon = address.rfind(':');
@@ -214,8 +222,8 @@
 /// HTTP server with a thread for each connection. Requests have a length or no body.
 class Server {
 public:
-    /// @return the bytes of the answer; empty to close the connection without one
-    using Handler = std::function<std::string(const Request&)>;
+    /// @return the bytes of the answer; empty to close the connection without one; nothing if it has sent the answer
+    using Handler = std::function<std::optional<std::string>(const Request&, int handle)>;
 
     Server(const std::string& address, Handler handler)
         : handler(std::move(handler))
@@ -307,8 +315,8 @@
             if (!body)
                 return;
             request.body = *body;
-            const std::string answer = this->handler(request);
-            if (answer.empty() || !sendAll(handle, answer))
+            const std::optional<std::string> answer = this->handler(request, handle);
+            if (answer && (answer->empty() || !sendAll(handle, *answer)))
                 return;
             if (strcasecmp(request.header("Connection").c_str(), "close") == 0)
                 return;
@@ -400,7 +408,7 @@
 class Store {
 public:
     explicit Store(const std::string& address)
-        : server(address, [this](const Request& request) { return this->handle(request); })
+        : server(address, [this](const Request& request, int) { return this->handle(request); })
     {
     }
 
