--- a/src/stage_cmd.h
+++ b/src/stage_cmd.h
@@ -40,11 +40,10 @@
 
 /// @return whether a load order for a job was sent, which the engine has not refused
 bool isOrdered(const StageJob& job);
-/// Removes the first job and continues with the version declared after it. Pieces staged from now on do not affect
-/// what an accepted order loads.
+/// Removes the first job and continues with the version declared after it.
 /// @param reason for the log
 /// @param end what became of its version, which decides whether its bound passes to the next one
-/// @pre there are two jobs
+/// @pre there are two jobs, and no order for the first one is open
 void dropFirstJob(StageState& state, const char* reason, FirstJobEnd end, StageEffects& effects);
 /// @return whether the first version can no longer be in service before the second one must be
 /// @pre there are two jobs
@@ -64,6 +63,10 @@
 void withdrawOrder(StageJob& job);
 /// Announces the load order when the read-back succeeded, or marks bad pieces for staging again.
 void applyChecked(StageState& state, const StagedPiecesChecked& event, Milliseconds now, StageEffects& effects);
+/// Settles the open order by a report, or repeats it while the report shows that it was not accepted. A repeated order
+/// expects the same count, so the engine accepts only one of them.
+/// @pre there is a job and the engine's report is known
+void applyReportToOrder(StageState& state, const EngineReportRead& event, Milliseconds now, StageEffects& effects);
 /// Applies the engine's response to a load order.
 void applyOrder(StageState& state, const LoadOrderAnswered& event, Milliseconds now, StageEffects& effects);
 
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -1,4 +1,5 @@
 #include "stage_cmd.h"
+#include "stage_open_order_func.h"
 #include "stage_pace_func.h"
 #include "stage_reduce_func.h"
 #include "table/stage_limits.h"
@@ -111,6 +112,26 @@
         return now >= job.turn->at || mayLoadWhileIdle(state, job, now);
     }
 
+    /// @param shownBy "answer" or "report"
+    void recordSettled(WeightsVersion version, OrderOutcome outcome, const char* shownBy, StageEffects& effects)
+    {
+        effects.emplace_back(LogLine { .event = "order-settled",
+            .fields = { { "version", std::to_string(version.value) },
+                { "outcome", outcome == OrderOutcome::Accepted ? "accepted" : "void" }, { "shown_by", shownBy } } });
+    }
+
+    /// @pre the engine has accepted the order for the first job
+    void acceptOrder(StageState& state, Milliseconds now, StageEffects& effects)
+    {
+        StageJob& job = state.jobs.front();
+        withdrawOrder(job); // with a read-back for a repeated order
+        job.order = OrderStep::Accepted;
+        job.orderAt = now;
+        effects.emplace_back(AnnounceLoadOrder {});
+        if (state.jobs.size() > 1)
+            dropFirstJob(state, "order-accepted", FirstJobEnd::Ordered, effects);
+    }
+
     /// @return whether so few streams are left at the engine that other engines can take them over
     bool fewStreamsLeft(const EngineReport& report) { return report.running + report.waiting <= maxMovedStreams; }
 
@@ -135,10 +156,14 @@
     }
     job.order = OrderStep::Sent;
     job.orderAt = now;
+    openOrder(state, job.version, *event.report);
     effects.emplace_back(SendLoadOrder { .version = job.version, .expectedOrders = event.report->orders });
 }
 
-bool isOrdered(const StageJob& job) { return job.order == OrderStep::Sent || job.order == OrderStep::Answered; }
+bool isOrdered(const StageJob& job)
+{
+    return job.order == OrderStep::Sent || job.order == OrderStep::Unanswered || job.order == OrderStep::Accepted;
+}
 
 bool isClearing(const StageState& state)
 {
@@ -163,7 +188,8 @@
     const StageJob& first = state.jobs.front();
     const std::int64_t usedPercent = (now - state.jobs.back().declaredSince).value * percent
         / std::max<std::int64_t>(state.options.maxWeightsDelay.value, 1);
-    return first.order == OrderStep::None && usedPercent > (allStaged(first) ? orderCutoffPercent : fetchCutoffPercent);
+    return first.order == OrderStep::None && !state.openOrder
+        && usedPercent > (allStaged(first) ? orderCutoffPercent : fetchCutoffPercent);
 }
 
 void advanceOrder(StageState& state, Milliseconds now, StageEffects& effects)
@@ -183,7 +209,7 @@
         return;
     if (!engineHasNoWeights(state) && !mayLoadNow(state, job, now, effects))
         return;
-    if (!engineHasNoWeights(state) && nextIsAlmostComplete(state, now)) {
+    if (!engineHasNoWeights(state) && !state.openOrder && nextIsAlmostComplete(state, now)) {
         dropFirstJob(state, "next-is-near", FirstJobEnd::Skipped, effects);
         state.jobs.front().loadsAtOnce = true;
         return;
@@ -191,6 +217,9 @@
     // A write of an earlier version that is still on its way may replace a piece after it was read back.
     if (state.writesInFlight > 0)
         return;
+    // Two answers could not be told apart.
+    if (state.openOrder && !state.openOrder->unansweredSince)
+        return;
     startOrderCheck(state, OrderStep::Checking, now, effects);
 }
 
@@ -252,33 +281,48 @@
     effects.emplace_back(AnnounceLoadOrder {});
 }
 
+void applyReportToOrder(StageState& state, const EngineReportRead& event, Milliseconds now, StageEffects& effects)
+{
+    if (!state.openOrder)
+        return;
+    const WeightsVersion version = state.openOrder->version;
+    const OrderOutcome outcome = settleByReport(state, event);
+    if (outcome != OrderOutcome::Open)
+        recordSettled(version, outcome, "report", effects);
+    StageJob& job = state.jobs.front();
+    // While an answer is awaited, it decides how the job goes on.
+    if (job.version != version || job.order == OrderStep::Sent)
+        return;
+    if (outcome == OrderOutcome::Accepted && !engineHolds(state, version))
+        acceptOrder(state, now, effects);
+    else if (outcome == OrderOutcome::Open && job.order == OrderStep::Unanswered && !event.report->busy
+        && event.requestedAt > job.orderAt)
+        startOrderCheck(state, OrderStep::Rechecking, now, effects);
+}
+
 void applyOrder(StageState& state, const LoadOrderAnswered& event, Milliseconds now, StageEffects& effects)
 {
-    constexpr std::uint16_t accepted = 202;
-    constexpr std::uint16_t inEffect = 200;
     StageJob* job = findJob(state, event.version);
     effects.emplace_back(LogLine { .event = "order",
         .fields = { { "version", std::to_string(event.version.value) },
             { "status", event.sent ? std::to_string(event.status) : "not-sent" },
             { "since_declared_ms", job ? std::to_string((now - job->declaredSince).value) : "dropped" } } });
+    const bool wasOpen = state.openOrder && state.openOrder->version == event.version;
+    const OrderOutcome outcome = settleByAnswer(state, event, now);
+    if (wasOpen && outcome != OrderOutcome::Open)
+        recordSettled(event.version, outcome, "answer", effects);
     if (!job || job->order != OrderStep::Sent)
         return;
-    if (event.status == accepted || event.status == inEffect) {
-        job->order = OrderStep::Answered;
-        state.orderUnconfirmed = true;
-        effects.emplace_back(AnnounceLoadOrder {});
-        if (state.jobs.size() > 1)
-            dropFirstJob(state, "order-accepted", FirstJobEnd::Ordered, effects);
-        return;
-    }
-    // Without a response the order may have been accepted; the next reports show whether it was.
-    if (event.status != 0 || !event.sent) {
+    const OrderAnswer answer = readOrderAnswer(event);
+    if (answer == OrderAnswer::Refused)
         withdrawOrder(*job);
-        return;
+    else if (outcome == OrderOutcome::Open) {
+        job->order = OrderStep::Unanswered;
+        job->orderAt = now;
+    } else { // accepted, as the answer or a report before it shows
+        state.orderUnconfirmed = answer == OrderAnswer::Accepted;
+        acceptOrder(state, now, effects);
     }
-    job->order = OrderStep::Answered;
-    if (state.jobs.size() > 1)
-        dropFirstJob(state, "order-unanswered", FirstJobEnd::Ordered, effects);
 }
 
 } // namespace hickory
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -1,5 +1,6 @@
 #include "digest_func.h"
 #include "stage_cmd.h"
+#include "stage_open_order_func.h"
 #include "stage_pace_func.h"
 #include "stage_partner_func.h"
 #include "stage_source_func.h"
@@ -99,6 +100,8 @@
 
 void stagePieces(StageState& state, StageJob& job, StageEffects& effects)
 {
+    if (!mayStage(state, job.version))
+        return;
     std::size_t inFlight = countStep(job, PieceStep::Staging);
     for (std::uint32_t index = 0; index < job.pieces.size() && inFlight < maxWritesInFlight; ++index) {
         if (job.pieces[index].step != PieceStep::Held)
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -2,6 +2,7 @@
 
 #include "overloaded_type.h"
 #include "stage_cmd.h"
+#include "stage_open_order_func.h"
 #include "stage_pace_func.h"
 #include "stage_partner_func.h"
 #include "stage_source_func.h"
@@ -26,9 +27,9 @@
         if (version <= newestWanted(state))
             return;
         const bool hasFirst = !state.jobs.empty() && !engineHolds(state, state.jobs.front().version);
-        // Until the engine has answered an order, pieces of another version must not replace those that it will load.
-        const bool keepFirst = hasFirst
-            && (now - state.jobs.front().knownSince > keepFirstJobAfter || state.jobs.front().order == OrderStep::Sent);
+        // While an order is open, pieces of another version must not replace those that the engine would load.
+        const bool keepFirst
+            = hasFirst && (now - state.jobs.front().knownSince > keepFirstJobAfter || !mayStage(state, version));
         StageJob job { .version = version,
             .knownSince = now,
             .declaredSince = declaredSince,
@@ -101,6 +102,7 @@
         }
         if (state.jobs.empty())
             return;
+        applyReportToOrder(state, event, now, effects);
         StageJob& job = state.jobs.front();
         if (job.ordered && engineHolds(state, job.ordered->version))
             confirmOrdered(job);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -49,7 +49,8 @@
     Rechecking, ///< as Announced, and staged pieces are read back again because the last check is too old
     Confirming, ///< the engine is asked whether it is still the process whose staged pieces were read back
     Sent, ///< the order was sent to the engine, which has not answered yet
-    Answered, ///< the engine accepted the order, or did not answer, so that it may have
+    Unanswered, ///< no answer came, and no report shows yet whether the engine accepted the order
+    Accepted, ///< the engine accepted the order
 };
 
 /// What a read-back of staged pieces is for.
@@ -87,6 +88,16 @@
     Milliseconds boundFrom { 0 }; ///< its bound counts from then
 };
 
+/// A load order that the engine may accept now or later, see stage_open_order_func.h.
+struct OpenOrder {
+    WeightsVersion version; ///< the staged version, which it loads
+    std::uint64_t expectedOrders { 0 }; ///< the engine accepts it only while it has accepted so many
+    std::int64_t processStartedAt { 0 }; ///< start of the engine that it was sent to, Unix ms
+    bool repeated { false }; ///< an earlier order with the same count is open too
+    std::optional<Milliseconds> unansweredSince; ///< when its answer was given up, empty until then
+    bool outlived { false }; ///< the process reported after that, so no later process can have received the order
+};
+
 /// A version that is being brought into service.
 struct StageJob {
     WeightsVersion version;
@@ -152,6 +163,7 @@
     std::size_t fetchWindow { maxPiecesInFlight }; ///< piece requests that may be in flight, adapted to the link
     std::size_t writesInFlight { 0 }; ///< pieces of any version that are being written to the staging area
     std::uint32_t checkRounds { 0 }; ///< read-backs started so far
+    std::optional<OpenOrder> openOrder; ///< while set, only pieces of its version may be staged
     bool orderUnconfirmed { false }; ///< an order was accepted and no report has arrived since
     std::mt19937_64 random { 1 }; ///< seeded from the options
 };
