--- a/src/loader_loop_io.cpp
+++ b/src/loader_loop_io.cpp
@@ -125,6 +125,8 @@
         this->stagePiece(*stage);
     else if (const auto* check = std::get_if<CheckStagedPieces>(&effect))
         this->checkStagedPieces(*check);
+    else if (const auto* inspect = std::get_if<InspectStagedPieces>(&effect))
+        this->inspectStagedPieces(*inspect);
     else if (std::holds_alternative<AnnounceLoadOrder>(effect)) {
         ++this->reportSequence; // the report may have been sent before without the order
         this->sendBeacon();
--- a/src/loader_loop_io.h
+++ b/src/loader_loop_io.h
@@ -52,7 +52,7 @@
         std::string bytes; ///< content of the whole piece
         std::size_t sent { 0 }; ///< bytes already passed to the connection
     };
-    struct CheckRun;
+    struct StagedRead;
 
     /// Passes an event to the reducer and applies the resulting effects.
     void dispatch(const StageEvent& event);
@@ -61,8 +61,9 @@
     void fetchPiece(const RequestPiece& effect);
     void stagePiece(const StagePiece& effect);
     void checkStagedPieces(const CheckStagedPieces& effect);
+    void inspectStagedPieces(const InspectStagedPieces& effect);
     /// Reads back the next piece of a check, or ends the check after the last one.
-    void checkNext(const std::shared_ptr<CheckRun>& run);
+    void readNextStaged(const std::shared_ptr<StagedRead>& read);
     void sendLoadOrder(const SendLoadOrder& effect);
     /// Keeps a piece in memory if it matches its digest.
     /// @return whether it was kept
--- a/src/loader_weights_io.cpp
+++ b/src/loader_weights_io.cpp
@@ -148,44 +148,62 @@
         });
 }
 
-/// Progress of reading back all staged pieces.
-struct LoaderLoop::CheckRun {
+/// Progress of reading staged pieces, in the order of their indices.
+struct LoaderLoop::StagedRead {
     WeightsVersion version; ///< version whose digests are used
-    std::uint32_t round { 0 }; ///< of the effect that asked for it
+    bool stopsAtMissing { false }; ///< it ends with the first piece that the engine does not hold
+    std::function<void(const StagedRead&)> ended;
     std::uint32_t next { 0 }; ///< index of the next piece to read
     std::vector<std::uint32_t> bad; ///< indices of pieces that are missing or do not match
+    bool anyMissing { false };
+    bool failed { false }; ///< cut short: the engine did not respond, or the version is no longer held
 };
 
 void LoaderLoop::checkStagedPieces(const CheckStagedPieces& effect)
 {
-    this->checkNext(std::make_shared<CheckRun>(CheckRun { .version = effect.version, .round = effect.round }));
+    this->readNextStaged(std::make_shared<StagedRead>(
+        StagedRead { .version = effect.version, .ended = [this, round = effect.round](const StagedRead& read) {
+                        this->dispatch(StagedPiecesChecked {
+                            .version = read.version, .round = round, .bad = read.bad, .failed = read.failed });
+                    } }));
 }
 
-void LoaderLoop::checkNext(const std::shared_ptr<CheckRun>& run)
+void LoaderLoop::inspectStagedPieces(const InspectStagedPieces& effect)
 {
-    const auto found = this->held.find(run->version.value);
-    if (found == this->held.end() || run->next >= found->second.digests.size()) {
-        // Not from within the effect that asked for the check: its event may ask for the next one.
-        asio::post(this->io, [this, run, failed = found == this->held.end()] {
-            this->dispatch(StagedPiecesChecked {
-                .version = run->version, .round = run->round, .bad = run->bad, .failed = failed });
-        });
+    this->readNextStaged(std::make_shared<StagedRead>(StagedRead {
+        .version = effect.version, .stopsAtMissing = true, .ended = [this](const StagedRead& read) {
+            const bool whole = !read.failed && !read.anyMissing;
+            this->dispatch(StagedPiecesInspected {
+                .version = read.version, .whole = whole, .matches = whole && read.bad.empty(), .failed = read.failed });
+        } }));
+}
+
+void LoaderLoop::readNextStaged(const std::shared_ptr<StagedRead>& read)
+{
+    const auto found = this->held.find(read->version.value);
+    if (found == this->held.end() || read->next >= found->second.digests.size()) {
+        read->failed = found == this->held.end();
+        // Not from within the effect that asked for it: its event may ask for the next one.
+        asio::post(this->io, [read] { read->ended(*read); });
         return;
     }
     this->pool.fetch({ .address = this->settings.engine,
-                         .target = platform::stageGetTarget(this->state.model, run->next),
+                         .target = platform::stageGetTarget(this->state.model, read->next),
                          .maxAnswerBody = maxFetchedPiece,
                          .timeout = engineTimeout },
-        [this, run](const Result<FetchResponse>& answer) {
-            const auto version = this->held.find(run->version.value);
-            if (!answer || version == this->held.end()) {
-                this->dispatch(StagedPiecesChecked { .version = run->version, .round = run->round, .failed = true });
+        [this, read](const Result<FetchResponse>& answer) {
+            const auto version = this->held.find(read->version.value);
+            read->failed = !answer || version == this->held.end();
+            const bool isMissing = !read->failed && !succeeded(answer);
+            read->anyMissing = read->anyMissing || isMissing;
+            if (read->failed || (isMissing && read->stopsAtMissing)) {
+                read->ended(*read);
                 return;
             }
-            if (!succeeded(answer) || !this->storeVerifiedPiece(run->version, run->next, answer.value().body))
-                run->bad.push_back(run->next);
-            ++run->next;
-            this->checkNext(run);
+            if (isMissing || !this->storeVerifiedPiece(read->version, read->next, answer.value().body))
+                read->bad.push_back(read->next);
+            ++read->next;
+            this->readNextStaged(read);
         });
 }
 
--- a/src/stage_open_order_func.cpp
+++ b/src/stage_open_order_func.cpp
@@ -1,6 +1,7 @@
 #include "stage_open_order_func.h"
 
 #include "stage_reduce_func.h"
+#include "table/stage_limits.h"
 
 namespace hickory {
 
@@ -9,6 +10,7 @@
     OrderOutcome settle(StageState& state, OrderOutcome outcome)
     {
         state.openOrder.reset();
+        state.formerStaging = FormerStaging::Settled;
         return outcome;
     }
 
@@ -34,7 +36,7 @@
 
 void openOrder(StageState& state, WeightsVersion version, const EngineReport& confirmed)
 {
-    const bool repeated = state.openOrder && state.openOrder->version == version;
+    const bool repeated = isOpenFor(state, version);
     state.openOrder = OpenOrder { .version = version,
         .expectedOrders = confirmed.orders,
         .processStartedAt = confirmed.processStartedAt,
@@ -43,7 +45,7 @@
 
 OrderOutcome settleByAnswer(StageState& state, const LoadOrderAnswered& event, Milliseconds now)
 {
-    if (!state.openOrder || state.openOrder->version != event.version)
+    if (!isOpenFor(state, event.version))
         return OrderOutcome::Void;
     const OrderAnswer answer = readOrderAnswer(event);
     if (answer == OrderAnswer::Accepted)
@@ -77,9 +79,50 @@
     return OrderOutcome::Open;
 }
 
-bool mayStage(const StageState& state, WeightsVersion version)
+void suspectFormerOrder(StageState& state, const EngineReportRead& event, Milliseconds now)
 {
-    return !state.openOrder || state.openOrder->version == version;
+    if (state.formerStaging != FormerStaging::Unknown || !event.report)
+        return;
+    state.formerStaging = FormerStaging::ToInspect;
+    state.inspectAt = now;
+    // Whatever count it expects, it is not higher than this one, and only at this one it may still be accepted.
+    state.openOrder = OpenOrder { .expectedOrders = event.report->orders,
+        .processStartedAt = event.report->processStartedAt,
+        .repeated = true,
+        .unansweredSince = now };
 }
 
+void applyInspection(StageState& state, const StagedPiecesInspected& event, Milliseconds now)
+{
+    if (state.formerStaging != FormerStaging::Inspecting || !state.openOrder)
+        return;
+    const bool isWanted = !state.jobs.empty() && state.jobs.front().version == event.version;
+    if (event.failed || (event.matches && !isWanted)) {
+        state.formerStaging = FormerStaging::ToInspect;
+        state.inspectAt = event.failed ? now + readBackRetryDelay : now;
+    } else if (!event.whole)
+        settle(state, OrderOutcome::Void);
+    else if (event.matches) {
+        state.openOrder->version = event.version;
+        state.formerStaging = FormerStaging::Settled;
+    } else
+        state.formerStaging = FormerStaging::OtherVersion;
+}
+
+bool expireFormerOrder(StageState& state, Milliseconds now)
+{
+    if (state.formerStaging == FormerStaging::Settled || !state.openOrder
+        || now - *state.openOrder->unansweredSince < formerOrderTime)
+        return false;
+    settle(state, OrderOutcome::Void);
+    return true;
+}
+
+bool isOpenFor(const StageState& state, WeightsVersion version)
+{
+    return state.openOrder && state.openOrder->version == version;
+}
+
+bool mayStage(const StageState& state, WeightsVersion version) { return !state.openOrder || isOpenFor(state, version); }
+
 } // namespace hickory
--- a/src/stage_open_order_func.h
+++ b/src/stage_open_order_func.h
@@ -36,6 +36,21 @@
 /// @pre the report is the state's
 OrderOutcome settleByReport(StageState& state, const EngineReportRead& event);
 
+/// Assumes that a former process of this agent has sent an order, whose version is not known.
+/// @param event the first report of the engine
+void suspectFormerOrder(StageState& state, const EngineReportRead& event, Milliseconds now);
+
+/// Applies what the staging area holds. If that is the wanted version, the order is adopted: the order for it is
+/// repeated. If a piece is missing, no former process has ordered anything: it would have read all pieces back.
+void applyInspection(StageState& state, const StagedPiecesInspected& event, Milliseconds now);
+
+/// Gives up waiting for a former order whose version is not known. Nothing proves that it is not accepted later.
+/// @return whether it did so
+bool expireFormerOrder(StageState& state, Milliseconds now);
+
+/// @return whether an order for a version is open
+bool isOpenFor(const StageState& state, WeightsVersion version);
+
 /// @return whether pieces of a version may be written to the staging area: no order for another version is open
 bool mayStage(const StageState& state, WeightsVersion version);
 
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -188,7 +188,7 @@
     const StageJob& first = state.jobs.front();
     const std::int64_t usedPercent = (now - state.jobs.back().declaredSince).value * percent
         / std::max<std::int64_t>(state.options.maxWeightsDelay.value, 1);
-    return first.order == OrderStep::None && !state.openOrder
+    return first.order == OrderStep::None && !isOpenFor(state, first.version)
         && usedPercent > (allStaged(first) ? orderCutoffPercent : fetchCutoffPercent);
 }
 
@@ -207,9 +207,11 @@
     }
     if (job.order != OrderStep::None || !allStaged(job) || state.report->busy || state.orderUnconfirmed)
         return;
-    if (!engineHasNoWeights(state) && !mayLoadNow(state, job, now, effects))
+    // A newer version waits for the outcome of an open order, which only another order may bring about.
+    const bool keepsNewerWaiting = isOpenFor(state, job.version) && state.jobs.size() > 1;
+    if (!engineHasNoWeights(state) && !keepsNewerWaiting && !mayLoadNow(state, job, now, effects))
         return;
-    if (!engineHasNoWeights(state) && !state.openOrder && nextIsAlmostComplete(state, now)) {
+    if (!engineHasNoWeights(state) && !isOpenFor(state, job.version) && nextIsAlmostComplete(state, now)) {
         dropFirstJob(state, "next-is-near", FirstJobEnd::Skipped, effects);
         state.jobs.front().loadsAtOnce = true;
         return;
@@ -307,7 +309,7 @@
         .fields = { { "version", std::to_string(event.version.value) },
             { "status", event.sent ? std::to_string(event.status) : "not-sent" },
             { "since_declared_ms", job ? std::to_string((now - job->declaredSince).value) : "dropped" } } });
-    const bool wasOpen = state.openOrder && state.openOrder->version == event.version;
+    const bool wasOpen = isOpenFor(state, event.version);
     const OrderOutcome outcome = settleByAnswer(state, event, now);
     if (wasOpen && outcome != OrderOutcome::Open)
         recordSettled(event.version, outcome, "answer", effects);
--- a/src/stage_reduce_func.cpp
+++ b/src/stage_reduce_func.cpp
@@ -28,8 +28,9 @@
             return;
         const bool hasFirst = !state.jobs.empty() && !engineHolds(state, state.jobs.front().version);
         // While an order is open, pieces of another version must not replace those that the engine would load.
-        const bool keepFirst
-            = hasFirst && (now - state.jobs.front().knownSince > keepFirstJobAfter || !mayStage(state, version));
+        const bool keepFirst = hasFirst
+            && (now - state.jobs.front().knownSince > keepFirstJobAfter
+                || isOpenFor(state, state.jobs.front().version));
         StageJob job { .version = version,
             .knownSince = now,
             .declaredSince = declaredSince,
@@ -100,6 +101,7 @@
             state.processStartedAt = event.report->processStartedAt;
             requireRestaging(state);
         }
+        suspectFormerOrder(state, event, now);
         if (state.jobs.empty())
             return;
         applyReportToOrder(state, event, now, effects);
@@ -141,6 +143,8 @@
             dropFirstJob(state, "in-service", FirstJobEnd::InService, effects);
         if (state.jobs.size() > 1 && firstJobIsTooLate(state, now))
             dropFirstJob(state, "too-late", FirstJobEnd::Skipped, effects);
+        if (expireFormerOrder(state, now))
+            effects.emplace_back(LogLine { .level = LogLevel::Warning, .event = "former-order-expired", .fields = {} });
         // A host whose engine holds the version needs the manifest too, to verify the pieces that it offers.
         for (StageJob& job : state.jobs)
             requestManifest(state, job, now, effects);
@@ -152,6 +156,10 @@
         requestPieces(state, first, false, now, effects);
         if (state.jobs.size() > 1)
             requestPieces(state, state.jobs.back(), !allStaged(first), now, effects);
+        if (state.formerStaging == FormerStaging::ToInspect && first.manifestKnown && now >= state.inspectAt) {
+            state.formerStaging = FormerStaging::Inspecting;
+            effects.emplace_back(InspectStagedPieces { .version = first.version });
+        }
         stagePieces(state, first, effects);
         advanceOrder(state, now, effects);
     }
@@ -264,6 +272,7 @@
                    [&](const PeerPiecesReceived& pieces) { applyPeerPiecesReceived(state, pieces, now); },
                    [&](const PieceStaged& staged) { applyStaged(state, staged, now, effects); },
                    [&](const StagedPiecesChecked& checked) { applyChecked(state, checked, now, effects); },
+                   [&](const StagedPiecesInspected& inspected) { applyInspection(state, inspected, now); },
                    [&](const LoadOrderAnswered& answered) { applyOrder(state, answered, now, effects); },
                },
         event);
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -90,7 +90,7 @@
 
 /// A load order that the engine may accept now or later, see stage_open_order_func.h.
 struct OpenOrder {
-    WeightsVersion version; ///< the staged version, which it loads
+    WeightsVersion version; ///< the staged version, which it loads; 0 when a former process may have sent it
     std::uint64_t expectedOrders { 0 }; ///< the engine accepts it only while it has accepted so many
     std::int64_t processStartedAt { 0 }; ///< start of the engine that it was sent to, Unix ms
     bool repeated { false }; ///< an earlier order with the same count is open too
@@ -98,6 +98,16 @@
     bool outlived { false }; ///< the process reported after that, so no later process can have received the order
 };
 
+/// What is known of the staging area that a former process of this agent left behind. If it holds a whole version, that
+/// process may have ordered it.
+enum class FormerStaging : std::uint8_t {
+    Unknown, ///< the engine has not reported yet
+    ToInspect, ///< it is read once the manifest of the wanted version is known
+    Inspecting, ///< it is being read
+    OtherVersion, ///< it holds a whole version, not the wanted one
+    Settled, ///< the order was settled or adopted, or there was none
+};
+
 /// A version that is being brought into service.
 struct StageJob {
     WeightsVersion version;
@@ -163,6 +173,8 @@
     std::size_t fetchWindow { maxPiecesInFlight }; ///< piece requests that may be in flight, adapted to the link
     std::size_t writesInFlight { 0 }; ///< pieces of any version that are being written to the staging area
     std::uint32_t checkRounds { 0 }; ///< read-backs started so far
+    FormerStaging formerStaging { FormerStaging::Unknown };
+    Milliseconds inspectAt { 0 }; ///< the staging area is not read before this time
     std::optional<OpenOrder> openOrder; ///< while set, only pieces of its version may be staged
     bool orderUnconfirmed { false }; ///< an order was accepted and no report has arrived since
     std::mt19937_64 random { 1 }; ///< seeded from the options
--- a/src/stage_type.h
+++ b/src/stage_type.h
@@ -82,6 +82,14 @@
     bool failed { false }; ///< the check was cut short: the engine did not respond, or the version is no longer held
 };
 
+/// The pieces that were staged before this process started were read.
+struct StagedPiecesInspected {
+    WeightsVersion version; ///< version whose digests were used
+    bool whole { false }; ///< the engine holds as many pieces as the version has
+    bool matches { false }; ///< all of them are of this version
+    bool failed { false }; ///< the engine did not respond, or the version is no longer held
+};
+
 /// A load order to the engine ended.
 struct LoadOrderAnswered {
     WeightsVersion version; ///< version that was ordered
@@ -90,7 +98,7 @@
 };
 
 using StageEvent = std::variant<StageTick, FleetViewUpdated, LinkMeasured, EngineReportRead, ManifestFetched,
-    PieceFetched, PeerPiecesReceived, PieceStaged, StagedPiecesChecked, LoadOrderAnswered>;
+    PieceFetched, PeerPiecesReceived, PieceStaged, StagedPiecesChecked, StagedPiecesInspected, LoadOrderAnswered>;
 
 // Effects ---------------------------------------------------------------------------------------------------------
 
@@ -119,6 +127,11 @@
     std::uint32_t round { 0 }; ///< counts read-backs; one in progress is of no use any more
 };
 
+/// Read the staged pieces up to the first one that is missing. Ends with StagedPiecesInspected.
+struct InspectStagedPieces {
+    WeightsVersion version; ///< version whose digests are used
+};
+
 /// Send a beacon at once: entries stop sending new work before the load order, and move what the load waits for.
 struct AnnounceLoadOrder { };
 
@@ -131,7 +144,7 @@
     std::uint64_t expectedOrders { 0 }; ///< orders that the engine has accepted so far, from its last report
 };
 
-using StageEffect = std::variant<RequestManifest, RequestPiece, StagePiece, CheckStagedPieces, AnnounceLoadOrder,
-    PollReport, SendLoadOrder, LogLine, MetricSample>;
+using StageEffect = std::variant<RequestManifest, RequestPiece, StagePiece, CheckStagedPieces, InspectStagedPieces,
+    AnnounceLoadOrder, PollReport, SendLoadOrder, LogLine, MetricSample>;
 
 } // namespace hickory
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -85,6 +85,9 @@
 /// When a newer version is declared, work on the current one goes on if it began longer ago than this, and is dropped
 /// otherwise. By then the origin has sent most of its copy of the current version.
 constexpr Milliseconds keepFirstJobAfter { 1000 };
+/// After its start an agent stages nothing for this long if the staging area holds a whole version other than the
+/// wanted one: a process before it may have ordered that one. Pieces of the wanted version take longer to arrive.
+constexpr Milliseconds formerOrderTime { 3000 };
 /// Percentage of the newer version's pieces that must be held for the older version to be skipped, i.e. not loaded. The
 /// remaining pieces arrive within a second.
 constexpr std::int64_t skipMinHeldPercent = 60;
--- a/tests/rollout_simulation.h
+++ b/tests/rollout_simulation.h
@@ -310,6 +310,8 @@
                 engine.checked = check->version;
             } else if (std::holds_alternative<PollReport>(effect))
                 this->poll(number);
+            else if (const auto* inspect = std::get_if<InspectStagedPieces>(&effect))
+                this->dispatch(number, StagedPiecesInspected { .version = inspect->version, .whole = true });
             else if (const auto* order = std::get_if<SendLoadOrder>(&effect)) {
                 engine.ordered = order->version.value;
                 ++engine.orders;
--- a/tests/stage_fixture.h
+++ b/tests/stage_fixture.h
@@ -15,6 +15,7 @@
     StageState state;
     Milliseconds now { 100000 }; ///< time of the next event
     std::uint64_t orders { 0 }; ///< orders that the engine has accepted, as it reports
+    std::uint64_t formerVersion { 0 }; ///< staged wholly before this agent started, 0 for none
     std::int64_t processStartedAt { 1 }; ///< start of the engine, as it reports
 
     explicit StageFixture(const std::string& ip = "10.1.0.1")
@@ -59,6 +60,10 @@
                         .version = piece->version, .index = piece->index, .source = piece->source, .ok = true }));
                 else if (const auto* stage = std::get_if<StagePiece>(&effect))
                     add(this->event(PieceStaged { .version = stage->version, .index = stage->index, .ok = true }));
+                else if (const auto* inspect = std::get_if<InspectStagedPieces>(&effect))
+                    add(this->event(StagedPiecesInspected { .version = inspect->version,
+                        .whole = this->formerVersion > 0,
+                        .matches = this->formerVersion == inspect->version.value }));
                 else if (std::holds_alternative<PollReport>(effect))
                     add(this->event(EngineReportRead { .report = this->state.report, .requestedAt = this->now }));
                 else
--- a/tests/unit_stage_check.cpp
+++ b/tests/unit_stage_check.cpp
@@ -271,6 +271,7 @@
     agent.peerHolds("10.1.0.2", 1);
     agent.report(0);
     const auto effects = agent.event(ManifestFetched { .version = { 1 }, .pieceCount = pieceCount });
+    agent.event(StagedPiecesInspected { .version = { 1 } }); // nothing was staged before
     REQUIRE_FALSE(effects.empty());
     const auto* piece = std::get_if<RequestPiece>(&effects.front());
     REQUIRE(piece);
@@ -305,6 +306,7 @@
     agent.peerHolds("10.1.0.2", 1);
     agent.report(0);
     auto effects = agent.event(ManifestFetched { .version = { 1 }, .pieceCount = pieceCount });
+    agent.event(StagedPiecesInspected { .version = { 1 } }); // nothing was staged before
     REQUIRE_FALSE(effects.empty());
     const auto* piece = std::get_if<RequestPiece>(&effects.front());
     REQUIRE(piece);
--- a/tests/unit_stage_open_order.cpp
+++ b/tests/unit_stage_open_order.cpp
@@ -214,3 +214,102 @@
     agent.answer(status);
     CHECK_FALSE(agent.state.openOrder);
 }
+
+namespace {
+
+/// A new process of an agent whose engine serves version 1. Version 3 was declared, and this process has its pieces.
+/// @param staged version that was staged wholly by the process before, 0 for none
+struct NewProcessFixture : StageFixture {
+    explicit NewProcessFixture(std::uint64_t staged)
+    {
+        this->formerVersion = staged;
+        this->orders = 4;
+        this->completeRequests(this->report(1));
+        this->completeRequests(this->declare(3));
+        this->completeRequests(this->peerHolds("10.1.0.2", 3));
+        this->completeRequests(this->event(StageTick {}));
+    }
+
+    void reportCount(std::uint64_t count)
+    {
+        this->now += Milliseconds { 10 };
+        EngineReport report { .orders = count, .processStartedAt = this->processStartedAt };
+        report.models.push_back({ .model = { "model" }, .version = { 1 } });
+        this->completeRequests(this->event(EngineReportRead { .report = report, .requestedAt = this->now }));
+    }
+
+    bool isStaged() const
+    {
+        const auto& pieces = this->state.jobs.front().pieces;
+        return !pieces.empty() && std::all_of(pieces.begin(), pieces.end(), [](const PieceState& piece) {
+            return piece.step == PieceStep::Staged;
+        });
+    }
+
+    bool isUntouched() const
+    {
+        for (const StageJob& job : this->state.jobs)
+            for (const PieceState& piece : job.pieces)
+                if (piece.step == PieceStep::Staging || piece.step == PieceStep::Staged)
+                    return false;
+        return true;
+    }
+};
+
+} // namespace
+
+// Guards against an agent that was killed with an order open: its next process stages over what the order loads.
+TEST_CASE("A new process stages nothing over a whole version that may have been ordered", "[stage][order]")
+{
+    NewProcessFixture agent(2);
+    CHECK(agent.isUntouched());
+    SECTION("until the engine has accepted an order")
+    {
+        agent.reportCount(5);
+        agent.completeRequests(agent.event(StageTick {}));
+        CHECK(agent.isStaged());
+    }
+    SECTION("until the engine has restarted")
+    {
+        agent.reportCount(4);
+        CHECK(agent.isUntouched());
+        agent.processStartedAt = 2;
+        agent.reportCount(0);
+        agent.completeRequests(agent.event(StageTick {}));
+        CHECK(agent.isStaged());
+    }
+    SECTION("for some time, which proves nothing")
+    {
+        agent.now += formerOrderTime - Milliseconds { 1 };
+        agent.completeRequests(agent.event(StageTick {}));
+        CHECK(agent.isUntouched());
+        agent.now += Milliseconds { 1 };
+        agent.completeRequests(agent.event(StageTick {}));
+        CHECK(agent.isStaged());
+    }
+}
+
+// Guards against a delay where the process before cannot have ordered anything.
+TEST_CASE("A new process stages at once over a version that is not whole", "[stage][order]")
+{
+    NewProcessFixture agent(0);
+    CHECK(agent.isStaged());
+    CHECK_FALSE(agent.state.openOrder);
+}
+
+// Guards against a newer version that is staged over the wanted one, which the process before may have ordered.
+TEST_CASE("A new process adopts the order for the wanted version", "[stage][order]")
+{
+    NewProcessFixture agent(3);
+    CHECK(agent.isStaged());
+    agent.now += Milliseconds { 100 };
+    agent.unhandled.clear();
+    agent.completeRequests(agent.declare(4));
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 4));
+    REQUIRE(agent.state.jobs.size() == 2);
+    CHECK(agent.state.jobs.front().version == WeightsVersion { 3 });
+    // It is ordered at once, because version 4 waits.
+    CHECK(agent.emitted<CheckStagedPieces>());
+    agent.reportCount(5);
+    CHECK(agent.state.jobs.front().version == WeightsVersion { 4 });
+}
