Send callers back late while all entries stop

Cause: a stopping entry names a Retry-After of 20 ms because another entry can take the caller at once. While all entries are restarted a second apart none can, and the caller's retry is used up.

Change: an entry that stops and hears no ready one names the longest delay that callers follow, with jitter.

The new case of unit_relay_stopping fails at line 126 without the change.

--- a/src/relay_admit_func.cpp
+++ b/src/relay_admit_func.cpp
@@ -112,6 +112,17 @@
         return std::max(since + usual, now + weightsNewsTime);
     }
 
+    /// @return the longest delay that the caller of a request follows, with jitter
+    Milliseconds latestReturn(RelayState& state, const RelayRequest& request, Milliseconds now)
+    {
+        // Not request.deadlineAt, which the end of the drain limits.
+        Milliseconds callerLeaves = request.timeoutAt;
+        if (request.metadata.timeout.value > 0)
+            callerLeaves = std::min(callerLeaves, request.arrivedAt + request.metadata.timeout);
+        const std::int64_t delay = std::max<std::int64_t>((callerLeaves - now).value / retryAfterDivisor, 1);
+        return { delay * 3 / 4 + std::uniform_int_distribution<std::int64_t>(0, delay / 4)(state.random) };
+    }
+
     /// @return the longest time that a request is predicted to take, or nothing if nothing limits it
     std::optional<Milliseconds> longestServiceTime(const RelayRequest& request)
     {
@@ -204,9 +215,8 @@
 
 Milliseconds retryAfterDelay(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now)
 {
-    // Another entry can take the caller at once.
     if (state.drainEndsAt)
-        return drainRetryAfter;
+        return state.anyOtherReady ? drainRetryAfter : latestReturn(state, request, now);
     const std::int64_t maxDelay = std::max<std::int64_t>((request.deadlineAt - now).value / retryAfterDivisor, 1);
     const std::int64_t pause = noUpstream
         ? (firstPauseEnd(state, request.service, request.allowed, now).value_or(now) - now).value
--- a/src/relay_admit_func.h
+++ b/src/relay_admit_func.h
@@ -41,7 +41,8 @@
 
 /// Decides what a process that stops may still pass on. Another entry can take what it refuses at once, so it takes
 /// only what ends before the drain: by the deadline of its caller or route, or, if it came early in the drain and its
-/// caller could repeat it, by prediction. No prediction holds for certain, as an upstream may be silent again and again.
+/// caller could repeat it, by prediction. No prediction holds for certain, as an upstream may be silent again and
+/// again.
 /// @return whether a request that no upstream has begun may be sent to one now; always true unless this process stops
 bool mayBegin(const RelayState& state, const RelayRequest& request, Milliseconds now);
 
@@ -49,6 +50,8 @@
 /// not return together. It never exceeds a share of the request's remaining time, because callers ignore longer delays.
 /// Callers return only once, so where no upstream can run the request they get the longest delay that they follow.
 /// Where all upstreams pause, the delay ends no sooner than the first pause if it may be that long.
+/// A process that stops sends callers to another entry at once. Load pattern: all entries are restarted a second apart,
+/// and none takes requests for some seconds; then it sends them back as late as they follow.
 /// @param noUpstream no upstream of the service could run the request now
 /// @return delay from now
 Milliseconds retryAfterDelay(RelayState& state, const RelayRequest& request, bool noUpstream, Milliseconds now);
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -414,8 +414,10 @@
     EntryCountUpdated counted { .entryCount = static_cast<std::uint32_t>(live.size() + 1),
         .position = static_cast<std::uint32_t>(before),
         .positionHere = static_cast<std::uint32_t>(beforeHere) };
-    for (const PeerInfo& entry : live)
+    for (const PeerInfo& entry : live) {
         counted.others.push_back(entry.host);
+        counted.anyOtherReady = counted.anyOtherReady || entry.ready;
+    }
     this->dispatch(counted);
     if (wasWritten(this->settingsFile))
         this->reload();
--- a/src/relay_state_type.h
+++ b/src/relay_state_type.h
@@ -246,6 +246,7 @@
     std::uint32_t coldCount { 0 }; ///< listed upstreams that are cold, as last published
     bool upstreamsListed { false }; ///< a list of upstreams was read that was not empty
     std::uint32_t entryCount { 1 }; ///< live entries of the fleet, this one included
+    bool anyOtherReady { true }; ///< as in EntryCountUpdated
     std::uint32_t entryPosition { 0 }; ///< as in EntryCountUpdated
     RingPosition ringPosition; ///< from EntryCountUpdated::positionHere
     /// Most live entries lately: one that was not heard for a moment still sends.
--- a/src/relay_type.h
+++ b/src/relay_type.h
@@ -151,6 +151,7 @@
     std::uint32_t position { 0 }; ///< live entries whose hosts come before this one's by name
     std::uint32_t positionHere { 0 }; ///< of these, those of this entry's data centre
     std::vector<HostId> others; ///< hosts of the other live entries
+    bool anyOtherReady { false }; ///< one of them accepts requests from callers
 };
 
 /// Another entry told what upstreams said of themselves.
--- a/src/upstream_notice_cmd.cpp
+++ b/src/upstream_notice_cmd.cpp
@@ -142,6 +142,7 @@
     }
     state.entryCount = event.entryCount;
     state.entryPosition = event.position;
+    state.anyOtherReady = event.anyOtherReady;
     recordRingPosition(state.ringPosition, event.positionHere, now);
     if (event.entryCount >= state.highestEntryCount || now - state.highestEntryCountAt >= entryCountMemory) {
         state.highestEntryCount = event.entryCount;
--- a/tests/unit_relay_stopping.cpp
+++ b/tests/unit_relay_stopping.cpp
@@ -108,6 +108,25 @@
     CHECK(isSent(effects));
 }
 
+// Guards against callers that use up their only retry at once while all entries are restarted.
+TEST_CASE("A stopping relay sends callers back late if no other entry takes requests", "[relay][drain]")
+{
+    StoppingRelay relay({ 8000 });
+    const bool anyOtherReady = GENERATE(true, false);
+    relay.event(EntryCountUpdated { .entryCount = 2, .others = { { "entry-2" } }, .anyOtherReady = anyOtherReady });
+    relay.now += Milliseconds { 4000 };
+    relay.confirmConfig();
+    const auto effects = relay.arrive("/letters/", { 6000 }, 100);
+    const auto* refusal = findEffect<RefuseCall>(effects);
+    REQUIRE(refusal);
+    if (anyOtherReady)
+        CHECK(refusal->retryAfter == drainRetryAfter);
+    else {
+        CHECK(refusal->retryAfter <= Milliseconds { 2000 });
+        CHECK(refusal->retryAfter >= Milliseconds { 1500 });
+    }
+}
+
 // Guards against requests that come back from a full upstream while the process stops and are passed on once more.
 TEST_CASE("A request that an upstream did not run is refused if the drain may cut it", "[relay][drain]")
 {
