--- a/src/config_check_func.cpp
+++ b/src/config_check_func.cpp
@@ -232,8 +232,12 @@
             if (route.keyless && anyNeedsKey)
                 findings.push_back(
                     routePlace(config, route) + ": public: needs no key, while other routes of the document do");
-        if (anyNeedsKey && config.workspaces.empty())
-            findings.push_back("tenants: no workspace, so no route needs a key");
+        if (anyNeedsKey && !config.needsKeys)
+            findings.push_back("tenants: no such list, so no route needs a key");
+        else if (anyNeedsKey && config.workspaces.empty())
+            findings.push_back(
+                "tenants: the list is empty, so no key is valid and every route that is not public refuses "
+                "all requests");
     }
 
     /// Reads what decoding loses: repeated rows, repeated keys and figures that are raised to a minimum.
--- a/src/config_compare_func.cpp
+++ b/src/config_compare_func.cpp
@@ -188,10 +188,13 @@
                 };
                 fields.compare(Weight::Limit, "priority", rank(old), rank(now));
             });
-        if (before.workspaces.empty() != after.workspaces.empty())
+        if (before.needsKeys != after.needsKeys)
             differences.push_back({ .weight = Weight::Access,
-                .line = after.workspaces.empty() ? "changed keys: no route needs a key any more"
-                                                 : "changed keys: routes that are not public now need a key" });
+                .line = after.needsKeys ? "changed keys: routes that are not public now need a key"
+                                        : "changed keys: no route needs a key any more" });
+        const auto allowsNoKey = [](const RelayConfig& config) { return config.needsKeys && config.keys.empty(); };
+        if (allowsNoKey(after) && !allowsNoKey(before))
+            differences.push_back({ .weight = Weight::Access, .line = "changed keys: no key is valid any more" });
     }
 
     void compareKeys(const RelayConfig& before, const RelayConfig& after, Differences& differences)
--- a/src/relay_config_type.h
+++ b/src/relay_config_type.h
@@ -92,7 +92,8 @@
     ConfigVersion version; ///< a newer configuration has a greater one
     std::vector<RelayRoute> routes; ///< in any order: the longest matching prefix wins
     std::map<ServiceId, RelayService> services; ///< by name
-    std::vector<RelayWorkspace> workspaces; ///< requests need no key while it is empty
+    bool needsKeys { false }; ///< the document has a list of workspaces; if that is empty, no key is valid
+    std::vector<RelayWorkspace> workspaces;
     std::unordered_map<std::string, std::size_t> keys; ///< API key to index in workspaces
     FrontLimits limits; ///< limits on what callers may send
     std::vector<std::string> warnings; ///< fields that were not as they should be, and how they were read
--- a/src/relay_request_cmd.cpp
+++ b/src/relay_request_cmd.cpp
@@ -72,7 +72,7 @@
             return age < maxConfigAgeForDenial ? refuse(statusNotFound, "no-route")
                                                : refuse(statusUnavailable, "stale-config");
         request.urgency = computeUrgency(std::nullopt, request.route->rank);
-        if (request.route->keyless || request.config->workspaces.empty())
+        if (request.route->keyless || !request.config->needsKeys)
             return true;
         if (age > state.options.keyConfigMaxAge)
             return refuse(statusUnavailable, "stale-config");
@@ -120,7 +120,9 @@
 
 void admitRequest(RelayState& state, const CallArrived& event, Milliseconds now, RelayEffects& effects)
 {
-    RelayRequest request { .call = event.call, .metadata = event.metadata, .arrivedAt = event.firstByteAt, .admittedAt = now };
+    RelayRequest request {
+        .call = event.call, .metadata = event.metadata, .arrivedAt = event.firstByteAt, .admittedAt = now
+    };
     if (!authorize(state, request, now, effects))
         return;
     const RelayRoute& route = *request.route;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -58,6 +58,7 @@
             .models = { { "model" } } };
         made->services[{ "engine" }] = { .name = { "engine" }, .engine = engine, .statusPath = "/status" };
         made->services[{ "plain" }] = { .name = { "plain" } };
+        made->needsKeys = true;
         made->workspaces.push_back({ .name = { "desk" } });
         made->keys["key"] = 0;
         return made;
--- a/tests/unit_platform_decode.cpp
+++ b/tests/unit_platform_decode.cpp
@@ -153,6 +153,26 @@
     CHECK(order.find(R"("version":4)") != std::string::npos);
 }
 
+// Guards against requests that run with any key, or none, once the last workspace or key was taken away (review/8).
+TEST_CASE("An empty list of tenants is kept apart from an absent one", "[platform]")
+{
+    const auto decoded = [](const std::string& tenants) {
+        return platform::decodeConfig(R"({"version":7,"routes":[],"services":[])" + tenants + "}");
+    };
+    const auto absent = decoded("");
+    REQUIRE(absent);
+    CHECK_FALSE(absent.value().needsKeys);
+    for (const char* tenants : { R"([])", R"([{"name":"t","api_keys":[]}])", R"([{"name":"t","api_keys":[""]}])" }) {
+        const auto config = decoded(R"(,"tenants":)" + std::string(tenants));
+        REQUIRE(config);
+        CHECK(config.value().needsKeys);
+        CHECK(config.value().keys.empty());
+    }
+    for (const char* tenants : { "null", "{}", "7", R"("t")", R"([{"name":"t","api_keys":null}])",
+             R"([{"name":"t","api_keys":"k"}])", R"([{"name":"t"}])" })
+        CHECK_FALSE(decoded(R"(,"tenants":)" + std::string(tenants)));
+}
+
 // Guards against a restriction that is lost because it cannot be read: requests would be served where nobody allowed
 // it.
 TEST_CASE("Odd values of allowed_regions allow no region or only what can be read", "[platform][home-region]")
--- a/tests/unit_relay_request.cpp
+++ b/tests/unit_relay_request.cpp
@@ -43,6 +43,30 @@
     CHECK(findEffect<SendToUpstream>(relay.request("/letters/")));
 }
 
+// Guards against requests that run with any key, or none, once the last workspace was taken away (review/8).
+TEST_CASE("With an empty list of workspaces only public routes serve", "[relay]")
+{
+    RelayFixture relay;
+    relay.list({ RelayFixture::upstream("p1", "plain"), RelayFixture::upstream("p2", "plain") });
+    const bool needsKeys = GENERATE(true, false);
+    auto config = RelayFixture::config(2);
+    config->needsKeys = needsKeys;
+    config->workspaces.clear();
+    config->keys.clear();
+    config->routes.back().keyless = true; // /book/
+    relay.event(ConfigUpdated { .config = config });
+    for (const char* key : { "key", "other", "" }) {
+        INFO("key \"" << key << '"');
+        const auto effects = relay.request("/read/", key);
+        if (needsKeys) {
+            REQUIRE(findEffect<RefuseCall>(effects));
+            CHECK(findEffect<RefuseCall>(effects)->status == 401);
+        } else
+            CHECK(findEffect<SendToUpstream>(effects));
+        CHECK(findEffect<SendToUpstream>(relay.request("/book/", key)));
+    }
+}
+
 // Guards against accepting a key that was revoked while the entry could not read the configuration.
 TEST_CASE("Requests with a key are refused once the configuration was not confirmed for too long", "[relay]")
 {
