--- a/tests/unit_platform_wire.cpp
+++ b/tests/unit_platform_wire.cpp
@@ -87,6 +87,22 @@
     CHECK(parts.back() == decodedParts(partText(keptParts) + ",0:1").at(0));
 }
 
+// Guards against a caller whose time is up and whose request runs for as long as the route allows.
+TEST_CASE("A time of 0 or less is the shortest, and no time is no limit", "[platform]")
+{
+    const auto timeOf = [](const char* value) {
+        WireHead head { .method = "GET", .target = "/" };
+        if (value)
+            head.headers.push_back({ .name = "Deadline-Ms", .value = value });
+        return platform::decodeRequest(head).timeout;
+    };
+    CHECK(timeOf(nullptr) == Milliseconds { 0 });
+    CHECK(timeOf("soon") == Milliseconds { 0 });
+    CHECK(timeOf("250") == Milliseconds { 250 });
+    CHECK(timeOf("0") == Milliseconds { 1 });
+    CHECK(timeOf("-5") == Milliseconds { 1 });
+}
+
 // Guards against a list of parts that an upstream receives changed or not at all.
 TEST_CASE("The list of prompt parts is forwarded unchanged", "[platform]")
 {
