--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -129,6 +129,7 @@
     bool bodyTooLarge { false }; ///< the body exceeded its limit
     bool complete { false }; ///< the request was read in full and not yet delivered
     bool ended { false }; ///< the connection was removed from the server
+    bool endedIdle { false }; ///< ended between requests, so that what arrives is a request that crossed the end
     bool refused { false }; ///< ended by refuse(); the rest of the request may follow
     CallId call; ///< delivered request whose answer is not complete, 0 for none
     bool chunked { false }; ///< the answer in progress has a chunked body
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -123,6 +123,10 @@
                 .unparsed = bytes.size(),
                 .port = connection->port,
                 .age = monotonicNow() - connection->since });
+        if (connection->endedIdle) {
+            this->endCrossed(connection);
+            return;
+        }
         connection->discarded += bytes.size();
         this->discardedTogether += bytes.size();
         if (connection->discarded > maxDiscarded || this->discardedTogether > maxDiscardedTogether)
@@ -216,6 +220,23 @@
     this->removeConnection(connection);
 }
 
+void FrontServer::endIdle(const ConnectionPointer& connection, CloseReason reason)
+{
+    this->reportClosed(*connection, reason);
+    connection->endedIdle = !connection->isReading();
+    this->endConnection(connection);
+}
+
+void FrontServer::endCrossed(const ConnectionPointer& connection)
+{
+    // A reset could take an answer that the caller has not read yet; after this time it has.
+    if (monotonicNow() - connection->since >= lingerTime)
+        connection->link->reset();
+    else
+        connection->link->close();
+    this->dropEnded(connection);
+}
+
 void FrontServer::sweepLingering(Milliseconds now)
 {
     this->discardedTogether = 0;
@@ -295,8 +316,7 @@
             this->refuse(connection, statusUnavailable, CloseReason::Drain);
             continue;
         }
-        this->reportClosed(*connection, CloseReason::Drain);
-        this->endConnection(connection);
+        this->endIdle(connection, CloseReason::Drain);
     }
 }
 
@@ -327,8 +347,7 @@
             this->refuse(connection, statusRequestTimeout, CloseReason::RequestTimeout);
             continue;
         }
-        this->reportClosed(*connection, CloseReason::Idle);
-        this->endConnection(connection);
+        this->endIdle(connection, CloseReason::Idle);
     }
 }
 
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -177,6 +177,11 @@
     void refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason);
     /// Passes a connection that is about to be ended to Handlers::onConnectionClosed, if anything is on it.
     void reportClosed(const Connection& connection, CloseReason reason, const std::string& detail = {}) const;
+    /// Ends a connection between two requests.
+    void endIdle(const ConnectionPointer& connection, CloseReason reason);
+    /// Closes a connection that was ended between two requests and on which another one has arrived. Its caller has not
+    /// noticed the end and waits for an answer: only a close tells it that none comes.
+    void endCrossed(const ConnectionPointer& connection);
     /// Ends a connection once what was written to it has been sent. It is read on for a moment, so that the kernel
     /// does not reset it before its caller has read that.
     void endConnection(const ConnectionPointer& connection);
--- a/tests/unit_front_close.cpp
+++ b/tests/unit_front_close.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace hickory;
@@ -331,6 +332,35 @@
     CHECK(rig.closed[0].unparsed == plainRequest.size());
 }
 
+// Guards against callers that wait for an answer that does not come: a request that crossed the end of its connection
+// was read, and the connection stayed open for up to 1.5 s.
+TEST_CASE("A request that crosses the end of an idle connection ends it at once", "[front][front-close]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    send(caller, plainRequest);
+    CHECK(rig.receive(caller).ends_with("done"));
+    const bool atDrain = GENERATE(true, false);
+    if (atDrain)
+        rig.server->closeIdle();
+    else {
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(1100)); // the caller has certainly read its answer by then
+        rig.server->sweep(monotonicNow() + Milliseconds { 60000 });
+    }
+    rig.run();
+    CHECK(rig.server->isLingering());
+    send(caller, plainRequest);
+    rig.run();
+    REQUIRE(rig.closed.size() == 1);
+    CHECK(rig.closed[0].reason == CloseReason::Crossed);
+    CHECK_FALSE(rig.server->isLingering());
+    std::error_code code;
+    if (!atDrain)
+        asio::write(caller, asio::buffer(plainRequest), code);
+    CHECK(!code == atDrain); // a reset
+}
+
 // Guards against connections of callers that left, which are kept for ever and hold up the exit.
 TEST_CASE("A connection whose caller leaves before it has read its answer is closed", "[front][front-close]")
 {
