--- a/src/relay_control_io.cpp
+++ b/src/relay_control_io.cpp
@@ -54,7 +54,8 @@
             encodePeerTables({ .operators = this->operatorRows.snapshot(),
                                  .upstreams = this->upstreamRows.snapshot(),
                                  .declared = this->state.declared,
-                                 .lostConfig = this->lostConfig() },
+                                 .lostConfig = this->lostConfig(),
+                                 .config = &this->configHistory },
                 have, monotonicNow()));
     } else
         this->front.answer(request.id, statusNotFound, {}, "no such page\n");
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -101,7 +101,7 @@
     void fetchPeerTables(const PeerInfo& peer, Milliseconds now);
     /// @param large as in PeerVersions
     void requestPeerTables(const PeerInfo& peer, bool large, Milliseconds now);
-    void adoptPeerTables(const PeerInfo& peer, const PeerTables& tables);
+    void adoptPeerTables(const PeerInfo& peer, PeerTables tables);
     /// Sends beacons at once after operators changed something, so that peers fetch it without waiting.
     void announceOperatorTable();
     /// Passes reports of engines to the reducer, and on to the entries of this data centre at once if an engine changed
@@ -158,6 +158,7 @@
     };
     std::map<std::string, KnownReport> upstreamReports; ///< by key of the row
     bool upstreamsRestored { false }; ///< the next changes of the list come from a restored store
+    RowHistory configHistory; ///< of the configuration's row
     std::string configText; ///< configuration in force as operators wrote it, empty before the first
     /// Another entry was heard whose configuration is not later, or none was heard in time. Until then the
     /// configuration counts as unconfirmed: a restored store may have lost the one that the fleet has in force.
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -297,19 +297,22 @@
                          .timeout = large ? largeTablesTimeout : peerTablesTimeout },
         [this, now, peer, &pending](const Result<FetchResponse>& answer) {
             pending = false;
-            const Result<PeerTables> tables = decodePeerTables(answer, now);
+            Result<PeerTables> tables = decodePeerTables(answer, now);
             if (!tables) {
                 writeLog({ .level = LogLevel::Warning,
                     .event = "peer-tables-failed",
                     .fields = { { "peer", peer.host.value }, { "error", tables.error().text() } } });
                 return;
             }
-            this->adoptPeerTables(peer, tables.value());
+            this->adoptPeerTables(peer, std::move(tables.value()));
         });
 }
 
-void RelayLoop::adoptPeerTables(const PeerInfo& peer, const PeerTables& tables)
+void RelayLoop::adoptPeerTables(const PeerInfo& peer, PeerTables tables)
 {
+    // The copy may have moved on since it was asked for, or never had the former row.
+    if (!resolvePatches(tables, this->operatorRows.snapshot()))
+        tables.operatorsLarge = true;
     if (!tables.operatorsLarge) {
         const std::string store = std::exchange(this->operatorRowsSource, peer.host.value);
         this->operatorRows.adopt(tables.operators);
@@ -381,6 +384,7 @@
         if (row.deleted)
             continue;
         if (row.key == platform::configKey) {
+            recordRow(this->configHistory, row, this->operatorRows.snapshot().version.era);
             const Result<RelayConfig> config = platform::decodeConfig(row.value);
             if (!config) {
                 writeLog({ .level = LogLevel::Error,
