--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -373,8 +373,10 @@
         if (code || !this->active.contains(id))
             return;
         this->cancel(id);
-        sink->done(Error {
-            .code = make_error_code(ErrorCode::Timeout), .step = "read-answer", .peer = sink->address, .detail = {} });
+        sink->done(Error { .code = make_error_code(ErrorCode::Timeout),
+            .step = sink->answer.body.empty() ? "read-answer" : readBodyStep,
+            .peer = sink->address,
+            .detail = {} });
     });
 }
 
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -27,6 +27,8 @@
 
 /// Error::step of a failed connection attempt, which means that nothing was sent.
 constexpr const char* connectStep = "connect";
+/// Error::step of an answer that was given up when a part of its body had arrived.
+constexpr const char* readBodyStep = "read-body";
 
 /// A failure, with the operation and the peer at which it occurred.
 struct Error {
--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -240,6 +240,16 @@
     return std::clamp(pollerDelay * (static_cast<std::int64_t>(entries) / entriesPerDelay), pollerDelay, maxDelay);
 }
 
+std::optional<PeerInfo> tableReader(const std::vector<PeerInfo>& live, const PeerInfo& self)
+{
+    const auto rank = [](const PeerInfo& entry) { return stableHash("table-reader", entry.host.value); };
+    const PeerInfo* first = &self;
+    for (const PeerInfo& entry : live)
+        if (entry.ready && entry.dataCentre == self.dataCentre && rank(entry) < rank(*first))
+            first = &entry;
+    return first == &self ? std::nullopt : std::optional(*first);
+}
+
 std::vector<PeerInfo> tableSources(const std::vector<PeerInfo>& live, const DataCentreId& dataCentre)
 {
     std::vector<HostId> ready;
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -112,6 +112,14 @@
 /// the pollers notice the store's return, and copies come from them
 Milliseconds storeRetryDelay(bool isPoller, std::size_t entries);
 
+/// Load pattern: the followers' answers are late for a moment, all copies of a data centre become too old together, and
+/// all its entries read a configuration of thousands of routes from the store at once, over a link that is too narrow
+/// for that.
+/// @param live other live entries
+/// @return the entry of this data centre that polls the store first when copies are too old, and from which the others
+/// copy then; empty if that is this entry
+std::optional<PeerInfo> tableReader(const std::vector<PeerInfo>& live, const PeerInfo& self);
+
 /// @param live other live entries
 /// @param dataCentre data centre of the requesting entry
 /// @return entries to request copies of the store's tables from: followers of the same data centre, or all followers
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -194,7 +194,7 @@
     std::string operatorRowsSource { "store" }; ///< while a copy is adopted: host of the peer that it came from
     bool peerFetchPending { false }; ///< a request for a peer's tables is in flight
     bool largeFetchPending { false }; ///< a request for large rows of operators is in flight, beside such requests
-    bool askAnyEntry { false }; ///< the last such request of refreshTables() went to any entry
+    std::uint32_t staleRounds { 0 }; ///< calls of refreshTables() since the tables are too old, 0 while they are not
     int exitCode { 0 }; ///< result of run()
 };
 
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -261,18 +261,24 @@
 void RelayLoop::refreshTables()
 {
     const Milliseconds now = monotonicNow();
-    const bool stale
-        = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf) > storeFallbackAge;
+    const Milliseconds age = now - std::min(this->operatorRows.snapshot().asOf, this->upstreamRows.snapshot().asOf);
+    const bool stale = age > storeFallbackAge;
     const bool follows = this->pollsStore(now);
     const std::vector<PeerInfo> live = liveEntries(this->peers, now);
+    const std::optional<PeerInfo> reader = tableReader(live, this->self());
+    const bool fallsBack = stale && (!reader || age > storeFallbackAge + storeFallbackDelay);
     const Milliseconds retryDelay = storeRetryDelay(follows, live.size() + 1);
     for (platform::TableFollower* rows : { &this->operatorRows, &this->upstreamRows }) {
         rows->setRetryDelay(retryDelay);
-        rows->setPolling(follows || stale);
+        rows->setPolling(follows || fallsBack);
     }
     // The entries that poll the store know first that it is back; if they cannot reach it, others may.
-    this->askAnyEntry = stale && !this->askAnyEntry;
-    const std::vector<PeerInfo> sources = this->askAnyEntry ? live : tableSources(live, this->settings.host.dataCentre);
+    this->staleRounds = stale ? this->staleRounds + 1 : 0;
+    std::vector<PeerInfo> sources = tableSources(live, this->settings.host.dataCentre);
+    if (reader && this->staleRounds % staleSources == 1)
+        sources = { *reader };
+    else if (this->staleRounds % staleSources == 2)
+        sources = live;
     if ((!follows || stale) && !sources.empty())
         this->fetchPeerTables(sources[this->state.random() % sources.size()], now);
     this->armTimer(this->tablesTimer, tablesPeriod, &RelayLoop::refreshTables);
--- a/src/table/relay_loop_limits.h
+++ b/src/table/relay_loop_limits.h
@@ -72,6 +72,8 @@
 /// the store are seen.
 constexpr Milliseconds tablesPeriod { 300 };
 constexpr Milliseconds storeFallbackAge { 1200 }; ///< an entry polls the store itself once its tables are older
+/// The other entries of a data centre wait so much longer for the first of them to have read the tables.
+constexpr Milliseconds storeFallbackDelay { 500 };
 static_assert(
     maxListAge > upstreamPollTimeout * 2 + tablesPeriod * 2, "an unchanged list must not look like an outage");
 static_assert(storeFallbackAge > upstreamPollTimeout + upstreamDebounce + tablesPeriod + Milliseconds { 200 },
@@ -82,6 +84,8 @@
 static_assert(configComparisonTime > beaconPeriod * 3, "a lost beacon must not end the comparison");
 constexpr std::size_t minStorePollers = 2; ///< least number of entries that poll the store on behalf of all
 constexpr std::size_t entriesPerStorePoller = 16; ///< keeps the requests that a follower answers below 60 a second
+/// While its tables are too old an entry asks the reader of its data centre, any entry and a follower in turn.
+constexpr std::uint32_t staleSources = 3;
 constexpr Milliseconds peerTablesTimeout { 400 }; ///< of a request for a peer's tables
 /// The same where the operators' rows are large: a configuration of 2,000 routes is half a MB, and twenty entries may
 /// fetch it over 24 Mbit/s at the same time. A request that is given up early would be sent from the start again.
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -312,6 +312,31 @@
     CHECK_FALSE(tables.value().upstreams.keys);
 }
 
+// Guards against all entries of a data centre that read the store at once because the followers were late for a moment.
+TEST_CASE("One entry of each data centre reads the tables first when copies are too old", "[peer]")
+{
+    const auto entry = [](const char* host, const char* dataCentre, bool ready = true) {
+        PeerInfo info { .host = { host }, .dataCentre = { dataCentre } };
+        info.ready = ready;
+        return info;
+    };
+    const std::vector<PeerInfo> all { entry("a1", "a"), entry("a2", "a"), entry("a3", "a"), entry("b1", "b") };
+    std::map<std::string, int> named;
+    for (std::size_t self = 0; self < all.size(); ++self) {
+        std::vector<PeerInfo> others = all;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+        const std::optional<PeerInfo> reader = tableReader(others, all[self]);
+        ++named[reader ? reader->host.value : all[self].host.value];
+        CHECK((!reader || reader->dataCentre == all[self].dataCentre));
+    }
+    // All entries of a data centre name the same one.
+    REQUIRE(named.size() == 2);
+    CHECK(named["b1"] == 1);
+    // One that is not ready, or that is not heard, is no reader.
+    CHECK_FALSE(tableReader({ entry("b1", "b") }, entry("a1", "a")));
+    CHECK_FALSE(tableReader({ entry("a2", "a", false), entry("a3", "a", false) }, entry("a1", "a")));
+}
+
 // Guards against a list of upstreams that waits behind a configuration of thousands of routes: entries then sent
 // requests to upstreams that had left 3 s before.
 TEST_CASE("A peer leaves out large operators' rows unless they are asked for", "[peer]")
--- a/tests/unit_table_late.cpp
+++ b/tests/unit_table_late.cpp
@@ -15,13 +15,17 @@
 /// A store whose answers a test writes one by one, and a follower of its table "servers". An answer may be held up
 /// while the follower's copy moves on.
 struct HeldStore {
-    HeldStore()
+    explicit HeldStore(Milliseconds wait = { 5000 }, Milliseconds responseGrace = { 500 })
         : front(this->io, {},
             { .onRequest = [this](FrontRequest&& request) { this->requests.push_back(std::move(request)); },
                 .onCallerDisconnected = [](CallId) {} })
         , address("127.0.0.1:" + std::to_string(this->front.listen("127.0.0.1:0").value()))
         , follower(this->io, this->pool,
-              { .address = this->address, .table = "servers", .wait = { 5000 }, .retryDelay = { 5 } },
+              { .address = this->address,
+                  .table = "servers",
+                  .wait = wait,
+                  .responseGrace = responseGrace,
+                  .retryDelay = { 5 } },
               { .onChange
                   = [this](const auto& rows) { this->changed.insert(this->changed.end(), rows.begin(), rows.end()); },
                   .onConfirmed = [] {},
@@ -98,6 +102,33 @@
 
 } // namespace
 
+// Guards against a follower that never gets a large row over a narrow link: it gave each answer up after the same time
+// and asked for all of it again (ratiba-hub-grown, CONFIG).
+TEST_CASE("A follower waits longer for an answer each time that one did not come in time", "[platform][table-late]")
+{
+    HeldStore store({ 50 }, { 50 });
+    const FrontRequest first = store.read({ .revision = 3 }, row("a", 3));
+    store.answer(first, { .revision = 4 }, row("b", 4));
+    // Each answer begins at once and takes 250 ms.
+    std::deque<std::pair<Milliseconds, CallId>> answers;
+    const Milliseconds until = monotonicNow() + Milliseconds { 3000 };
+    while (!store.holds("c") && monotonicNow() < until) {
+        store.io.restart();
+        store.io.run_for(std::chrono::milliseconds(5));
+        for (; !store.requests.empty(); store.requests.pop_front()) {
+            const CallId call = store.requests.front().id;
+            answers.emplace_back(monotonicNow() + Milliseconds { 250 }, call);
+            store.front.begin(call, 200, { { "Store-Era", "0" } });
+            store.front.body(call, R"({"rows":[)");
+        }
+        for (; !answers.empty() && answers.front().first <= monotonicNow(); answers.pop_front()) {
+            store.front.body(answers.front().second, row("c", 5) + R"(],"ver":5})");
+            store.front.finish(answers.front().second);
+        }
+    }
+    CHECK(store.holds("c"));
+}
+
 // Guards against an upstream that comes back for good because an answer from before its removal was held up.
 TEST_CASE("A late answer does not bring back a row that a peer's copy removed", "[table-late]")
 {
