--- a/src/wire_parser_func.cpp
+++ b/src/wire_parser_func.cpp
@@ -46,14 +46,35 @@
     bool keepAlive { false }; ///< the last complete message allows another one on the connection
     std::size_t headBytes { 0 }; ///< bytes of the head parsed so far
     std::size_t maxHeadBytes { 0 }; ///< limit of headBytes
+    std::string statusLine; ///< beginning of the first line of a response, up to maxStatusLine bytes
+    bool statusLineRead { false }; ///< the first line of the message has ended
     std::optional<WireFault> fault; ///< reason why parsing failed
     WireSink* sink { nullptr }; ///< set only during feed() and finish()
+
+    /// Keeps the beginning of a response's first line, of which the library tells only a number.
+    void readStatusLine(std::string_view bytes);
 };
 
 namespace {
 
     template <typename State> State& stateOf(http_parser* parser) { return *static_cast<State*>(parser->data); }
 
+    constexpr std::size_t maxStatusLine = 24; ///< more than the version, a status and the blanks around them
+
+    /// @return whether a status line has a status of three digits from 100 to 599. The library takes any number up to
+    /// 999, whatever its digits, and what is below 200 for an interim answer, after which another one follows.
+    bool hasStatus(std::string_view line)
+    {
+        const std::size_t blank = line.find(' ');
+        const std::size_t first = blank == std::string_view::npos ? blank : line.find_first_not_of(' ', blank);
+        if (first == std::string_view::npos)
+            return false;
+        const std::string_view status = line.substr(first, line.find_first_of(" \r", first) - first);
+        constexpr std::size_t digits = 3;
+        return status.size() == digits && status.find_first_not_of("0123456789") == std::string_view::npos
+            && status.front() >= '1' && status.front() <= '5';
+    }
+
     /// @return http_parser callbacks that work on a parser's state. A template, because WireParser::State is private.
     template <typename State> http_parser_settings makeCallbacks()
     {
@@ -101,6 +122,8 @@
                 state.head.method = http_method_str(static_cast<http_method>(parser->method));
             state.head.status = static_cast<std::uint16_t>(parser->status_code);
             constexpr int rejectMessage = -1;
+            if (parser->type == HTTP_RESPONSE && !hasStatus(state.statusLine))
+                return rejectMessage;
             for (const WireHeader& header : state.head.headers)
                 if (header.name.find_first_of(" \t") != std::string::npos)
                     return rejectMessage; // parsers disagree on "Transfer-Encoding :", which allows request smuggling
@@ -127,6 +150,21 @@
 
 } // namespace
 
+void WireParser::State::readStatusLine(std::string_view bytes)
+{
+    if (!this->inMessage) {
+        this->statusLine.clear();
+        this->statusLineRead = false;
+    }
+    if (this->statusLineRead)
+        return;
+    if (this->statusLine.empty()) // the library skips blank lines before a message
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    const std::size_t end = bytes.find('\n');
+    this->statusLineRead = end != std::string_view::npos;
+    this->statusLine.append(bytes.substr(0, std::min(end, maxStatusLine - this->statusLine.size())));
+}
+
 WireParser::WireParser(WireKind kind, std::size_t maxHeadBytes)
     : state(std::make_unique<State>())
 {
@@ -146,6 +184,8 @@
     if (current.fault)
         return 0;
     http_parser_pause(&current.parser, 0);
+    if (current.parser.type == HTTP_RESPONSE)
+        current.readStatusLine(bytes);
     current.sink = &sink;
     const std::size_t used = http_parser_execute(&current.parser, &callbacks, bytes.data(), bytes.size());
     current.sink = nullptr;
--- a/tests/tool_answer_end.cpp
+++ b/tests/tool_answer_end.cpp
@@ -1,7 +1,7 @@
 // Runs one hickory-entry before stand-in upstreams that end their answers in every framing and at every kind of place,
-// inside the head too: whole, cut by a close, a reset or the end of the process. Checks that no caller takes a part of
-// an answer for the whole one, and that a whole answer, or one that another upstream can complete, arrives whole. Exit
-// code 1 otherwise.
+// inside the head too: whole, cut by a close, a reset or the end of the process; and with statuses that are none.
+// Checks that no caller takes a part of an answer for the whole one, and that a whole answer, or one that another
+// upstream can complete, arrives whole. Exit code 1 otherwise.
 
 #include "call_pool_io.h"
 #include "scenario_process.h"
@@ -74,6 +74,8 @@
     StreamType type { StreamType::Usual };
     Ending ending { Ending::Whole };
     std::size_t cut { 0 }; ///< bytes of the body that are sent
+    std::string status { "200" }; ///< of the first upstream's answer
+    bool everywhere { false }; ///< the other upstream answers with that status too
     std::optional<std::size_t> headShare; ///< percent of the head that is sent, without a body; empty for all of it
     int runs { 0 }; ///< times that an upstream got it
 
@@ -83,10 +85,14 @@
         std::string name = std::string(text(kindNames, this->kind)) + ", " + text(framingNames, this->framing) + ", ";
         if (isStream(this->kind))
             name += std::string(text(typeNames, this->type)) + ", ";
+        if (this->hasOddStatus())
+            return name + "status \"" + this->status + "\"" + (this->everywhere ? " everywhere" : "");
         return name + text(endingNames, this->ending) + " after "
             + (this->headShare ? std::to_string(*this->headShare) + " percent of the head"
                                : std::to_string(this->cut) + " bytes");
     }
+    /// @return whether the upstream's answer is none in the protocol
+    bool hasOddStatus() const { return this->status != "200"; }
     std::string attempt() const { return "attempt-" + std::to_string(this->number); }
     std::string prefix() const { return "/case" + std::to_string(this->number) + "/"; }
     std::string service() const { return "service" + std::to_string(this->number); }
@@ -157,8 +163,10 @@
         }
         Case& request = this->cases.at(std::stoul(attempt->substr(attempt->rfind('-') + 1)));
         const std::string* resumed = session->head.find("Last-Event-Id");
-        std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + *attempt + "\r\nReplica-Seal: seal\r\n";
-        if (request.runs++ > 0) {
+        const bool isFirst = request.runs++ == 0;
+        std::string head = "HTTP/1.1 " + (isFirst || request.everywhere ? request.status : "200")
+            + " OK\r\nAttempt-Id: " + *attempt + "\r\nReplica-Seal: seal\r\n";
+        if (!isFirst) {
             const std::string body
                 = isStream(request.kind) ? eventsAfter(resumed ? std::stoi(*resumed) : 0) : request.wholeBody();
             if (isStream(request.kind))
@@ -256,9 +264,36 @@
                 for (const Ending ending : { Ending::Whole, Ending::Close, Ending::Reset, Ending::Crash })
                     if (isStream(kind) || type == StreamType::Usual)
                         add({ .kind = kind, .framing = framing, .type = type, .ending = ending });
+    for (const RouteKind kind :
+        { RouteKind::ResumableStream, RouteKind::Stream, RouteKind::Idempotent, RouteKind::NonIdempotent })
+        for (const char* status : { "000", "020", "099", "20", "0200", "2000", "-20", "+200", "abc", "", "600", "999" })
+            for (const Framing framing : { Framing::Length, Framing::Chunks, Framing::None })
+                for (const bool everywhere : { false, true }) {
+                    if (framing != Framing::Length && status != std::string_view("000"))
+                        continue;
+                    Case made { .number = cases.size(), .kind = kind, .framing = framing, .status = status };
+                    made.everywhere = everywhere;
+                    made.cut = made.wholeBody().size();
+                    cases.push_back(made);
+                }
     return cases;
 }
 
+/// @return what is wrong with the answer to a request whose upstream answered with a status that is none, empty if
+/// nothing
+std::string oddStatusProblem(const Case& request, const Caller& caller)
+{
+    if (caller.end != CallEnd::Complete)
+        return "has no end"; // neither a part nor the bytes that are no answer
+    const std::uint16_t status = caller.head.status;
+    if (request.repeatable() && !request.everywhere)
+        return status == 200 && caller.body == request.wholeBody() ? ""
+                                                                   : "is not served, status " + std::to_string(status);
+    // It may have run, and its caller need not wait until its time is up.
+    constexpr std::uint16_t failed = 502;
+    return status == failed ? "" : "has the status " + std::to_string(status);
+}
+
 /// Starts the entry, sends the requests of all cases and checks the answers.
 class AnswerEndTest {
 public:
@@ -375,7 +410,9 @@
         const std::string whole = request.wholeBody();
         const bool complete = caller.end == CallEnd::Complete && caller.head.status == 200;
         std::string problem;
-        if (!caller.end)
+        if (request.hasOddStatus())
+            problem = oddStatusProblem(request, caller);
+        else if (!caller.end)
             problem = "has no end";
         else if (complete && caller.body != whole && !request.looksWhole())
             problem = "is framed as complete and has " + std::to_string(caller.body.size()) + " of "
@@ -384,7 +421,7 @@
             problem = "has other bytes";
         else if (!complete && !request.looksWhole() && (request.ending == Ending::Whole || request.repeatable()))
             problem = "is not complete, status " + std::to_string(caller.head.status);
-        else if (request.runs > 1 && !request.repeatable())
+        if (problem.empty() && request.runs > 1 && !request.repeatable())
             problem = "ran twice";
         if (problem.empty())
             return;
--- a/tests/unit_wire_parser.cpp
+++ b/tests/unit_wire_parser.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 
 using namespace hickory;
@@ -86,6 +87,42 @@
     CHECK(parser.fault() == WireFault::HeadTooLarge);
 }
 
+// Guards against callers that wait until their time is up for what follows an answer without a status, which was taken
+// for an interim one (issue 55, MIXED).
+TEST_CASE("A response has a status of three digits from 100 to 599", "[wire]")
+{
+    const auto feed = [](const std::string& line, std::size_t step) {
+        WireParser parser(WireKind::Response, maxHeadBytes);
+        MessageCollector sink;
+        const std::string text = line + "\r\nContent-Length: 0\r\n\r\n";
+        for (std::size_t from = 0; from < text.size() && !parser.fault(); from += step)
+            parser.feed(std::string_view(text).substr(from, step), sink);
+        return parser.fault() ? std::optional<std::uint16_t>() : std::optional(sink.head.status);
+    };
+    for (const std::size_t step : { 1U, 7U, 100U }) {
+        for (const char* status : { "000", "020", "099", "0", "20", "0200", "2000", "200000", "-20", "+200", "2x0",
+                 "abc", "", "600", "999", "1000" })
+            CHECK_FALSE(feed("HTTP/1.1 " + std::string(status) + " OK", step));
+        CHECK_FALSE(feed("HTTP/1.1 000", step));
+        CHECK_FALSE(feed("\r\n\r\nHTTP/1.1 000 OK", step));
+        CHECK_FALSE(feed("HTTP/1.1", step));
+        for (const std::uint16_t status : { 100, 103, 200, 204, 404, 500, 599 }) {
+            CHECK(feed("HTTP/1.1 " + std::to_string(status) + " Some long reason of more than a few words", step)
+                == status);
+            CHECK(feed("HTTP/1.0 " + std::to_string(status), step) == status);
+            CHECK(feed("\r\nHTTP/1.1 " + std::to_string(status) + " ", step) == status);
+        }
+    }
+    // After an interim answer too.
+    WireParser parser(WireKind::Response, maxHeadBytes);
+    MessageCollector sink;
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::size_t used = parser.feed(text, sink);
+    CHECK(sink.messages == 1);
+    parser.feed(std::string_view(text).substr(used), sink);
+    CHECK(parser.fault() == WireFault::Malformed);
+}
+
 // Guards against a response that is never completed because it has neither a length nor chunks.
 TEST_CASE("A response without a length ends with the connection", "[wire]")
 {
