--- a/src/stage_open_order_func.cpp
+++ b/src/stage_open_order_func.cpp
@@ -3,6 +3,8 @@
 #include "stage_reduce_func.h"
 #include "table/stage_limits.h"
 
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
@@ -118,6 +120,12 @@
     return true;
 }
 
+bool mayBeOverwritten(const StageState& state, WeightsVersion version, Milliseconds now)
+{
+    return std::any_of(state.lateWrites.begin(), state.lateWrites.end(),
+        [&](const auto& write) { return write.first != version && now - write.second < lateWriteTime; });
+}
+
 bool isOpenFor(const StageState& state, WeightsVersion version)
 {
     return state.openOrder && state.openOrder->version == version;
--- a/src/stage_open_order_func.h
+++ b/src/stage_open_order_func.h
@@ -48,6 +48,9 @@
 /// @return whether it did so
 bool expireFormerOrder(StageState& state, Milliseconds now);
 
+/// @return whether a write of another version, which was given up, may still replace a piece of this one
+bool mayBeOverwritten(const StageState& state, WeightsVersion version, Milliseconds now);
+
 /// @return whether an order for a version is open
 bool isOpenFor(const StageState& state, WeightsVersion version);
 
--- a/src/stage_order_cmd.cpp
+++ b/src/stage_order_cmd.cpp
@@ -217,7 +217,7 @@
         return;
     }
     // A write of an earlier version that is still on its way may replace a piece after it was read back.
-    if (state.writesInFlight > 0)
+    if (state.writesInFlight > 0 || mayBeOverwritten(state, job.version, now))
         return;
     // Two answers could not be told apart.
     if (state.openOrder && !state.openOrder->unansweredSince)
--- a/src/stage_piece_cmd.cpp
+++ b/src/stage_piece_cmd.cpp
@@ -190,6 +190,9 @@
 {
     if (state.writesInFlight > 0)
         --state.writesInFlight;
+    if (!event.ok && event.inMemory)
+        state.lateWrites[event.version] = now;
+    std::erase_if(state.lateWrites, [&](const auto& write) { return now - write.second >= lateWriteTime; });
     StageJob* job = findJob(state, event.version);
     if (!job || event.index >= job->pieces.size())
         return;
--- a/src/stage_state_type.h
+++ b/src/stage_state_type.h
@@ -171,6 +171,7 @@
     std::optional<EngineReport> report; ///< empty when the last poll of the engine failed
     std::int64_t processStartedAt { 0 }; ///< start of the engine that holds the staged pieces, Unix ms, 0 before
     std::size_t fetchWindow { maxPiecesInFlight }; ///< piece requests that may be in flight, adapted to the link
+    std::map<WeightsVersion, Milliseconds> lateWrites; ///< last write of a version that ended without success
     std::size_t writesInFlight { 0 }; ///< pieces of any version that are being written to the staging area
     std::uint32_t checkRounds { 0 }; ///< read-backs started so far
     FormerStaging formerStaging { FormerStaging::Unknown };
--- a/src/table/stage_limits.h
+++ b/src/table/stage_limits.h
@@ -85,6 +85,8 @@
 /// When a newer version is declared, work on the current one goes on if it began longer ago than this, and is dropped
 /// otherwise. By then the origin has sent most of its copy of the current version.
 constexpr Milliseconds keepFirstJobAfter { 1000 };
+/// No load is ordered for this long after a write of another version was given up: the engine may carry it out late.
+constexpr Milliseconds lateWriteTime { 3000 };
 /// After its start an agent stages nothing for this long if the staging area holds a whole version other than the
 /// wanted one: a process before it may have ordered that one. Pieces of the wanted version take longer to arrive.
 constexpr Milliseconds formerOrderTime { 3000 };
--- a/tests/unit_stage_check.cpp
+++ b/tests/unit_stage_check.cpp
@@ -325,6 +325,34 @@
     CHECK(agent.emitted<CheckStagedPieces>());
 }
 
+// Guards against the same for a write that was given up: its engine was slow, and carried it out after the read-back.
+TEST_CASE("No load is ordered shortly after a write of another version was given up", "[stage][check]")
+{
+    StageFixture agent;
+    agent.declare(1);
+    agent.peerHolds("10.1.0.2", 1);
+    agent.report(0);
+    const auto effects = agent.event(ManifestFetched { .version = { 1 }, .pieceCount = pieceCount });
+    agent.event(StagedPiecesInspected { .version = { 1 } }); // nothing was staged before
+    const auto* piece = std::get_if<RequestPiece>(&effects.front());
+    REQUIRE(piece);
+    const std::uint32_t index = piece->index;
+    agent.event(PieceFetched { .version = { 1 }, .index = index, .source = piece->source, .ok = true });
+    agent.now += Milliseconds { 100 };
+    agent.completeRequests(agent.declare(2));
+    const std::uint64_t givenUp = GENERATE(1, 2);
+    agent.event(PieceStaged { .version = { givenUp }, .index = index });
+    agent.completeRequests(agent.peerHolds("10.1.0.2", 2));
+    agent.completeRequests(agent.report(0));
+    REQUIRE(agent.state.jobs.front().version == WeightsVersion { 2 });
+    // A late write of the same version does no harm.
+    CHECK(agent.emitted<CheckStagedPieces>() == (givenUp == 2));
+    agent.now += lateWriteTime;
+    agent.state.peerHoldings["10.1.0.2"].receivedAt = agent.now;
+    agent.completeRequests(agent.event(StageTick {}));
+    CHECK(agent.emitted<CheckStagedPieces>());
+}
+
 // Guards against pieces of a newer version that replace those which the engine is about to load.
 TEST_CASE("No piece of a newer version is staged until the engine has answered a load order", "[stage][check]")
 {
