Fetch a large configuration through one entry of each data centre

Cause: the first copy of a configuration of 1,650 routes, 322 KB, crossed the link between data centres once for each entry that has no follower beside it: 13 times over 3 MB/s.

Change: large rows are requested from the reader of the data centre, the same entry that reads the store first; after four attempts from the entry that told of them.

The new case of unit_peer_codec tests the choice; the function is new, so there is no run of it on the code before.

--- a/src/peer_state_func.cpp
+++ b/src/peer_state_func.cpp
@@ -250,6 +250,16 @@
     return first == &self ? std::nullopt : std::optional(*first);
 }
 
+PeerInfo largeRowsSource(
+    const std::vector<PeerInfo>& live, const PeerInfo& self, const PeerInfo& told, std::uint32_t attempts)
+{
+    // Attempts are a tablesPeriod apart, and a configuration must be in force here within some seconds.
+    constexpr std::uint32_t maxReaderAttempts = 4;
+    if (told.dataCentre == self.dataCentre || attempts >= maxReaderAttempts)
+        return told;
+    return tableReader(live, self).value_or(told);
+}
+
 std::vector<PeerInfo> tableSources(const std::vector<PeerInfo>& live, const DataCentreId& dataCentre)
 {
     std::vector<HostId> ready;
--- a/src/peer_state_type.h
+++ b/src/peer_state_type.h
@@ -120,6 +120,16 @@
 /// copy then; empty if that is this entry
 std::optional<PeerInfo> tableReader(const std::vector<PeerInfo>& live, const PeerInfo& self);
 
+/// Load pattern: operators add thousands of routes, and the entries of a data centre without a follower fetch them at
+/// the same moment over the link between data centres.
+/// @param live other live entries
+/// @param told entry that told of large rows
+/// @param attempts requests for large rows since the copy last changed
+/// @return entry to request the rows from: the reader of this data centre, or `told` if that is here, if this entry is
+/// the reader or if the reader did not have them after maxReaderAttempts
+PeerInfo largeRowsSource(
+    const std::vector<PeerInfo>& live, const PeerInfo& self, const PeerInfo& told, std::uint32_t attempts);
+
 /// @param live other live entries
 /// @param dataCentre data centre of the requesting entry
 /// @return entries to request copies of the store's tables from: followers of the same data centre, or all followers
--- a/src/relay_loop_io.h
+++ b/src/relay_loop_io.h
@@ -193,6 +193,7 @@
     bool exiting { false }; ///< only drainFlushDelay is left
     std::string operatorRowsSource { "store" }; ///< while a copy is adopted: host of the peer that it came from
     bool peerFetchPending { false }; ///< a request for a peer's tables is in flight
+    std::uint32_t largeAttempts { 0 }; ///< requests for large rows of operators since the copy of them last changed
     bool largeFetchPending { false }; ///< a request for large rows of operators is in flight, beside such requests
     std::uint32_t staleRounds { 0 }; ///< calls of refreshTables() since the tables are too old, 0 while they are not
     int exitCode { 0 }; ///< result of run()
--- a/src/relay_peers_io.cpp
+++ b/src/relay_peers_io.cpp
@@ -297,6 +297,7 @@
 {
     // First, so that a configuration that comes with an evacuation sends nothing there.
     this->updateEvacuations();
+    this->largeAttempts = 0;
     for (const platform::TableRow& row : changed) {
         if (row.deleted)
             continue;
--- a/src/relay_tables_io.cpp
+++ b/src/relay_tables_io.cpp
@@ -96,7 +96,9 @@
     this->upstreamRows.adopt(tables.upstreams);
     if (tables.operatorsLarge && !this->largeFetchPending) {
         this->largeFetchPending = true;
-        this->requestPeerTables(peer, true, monotonicNow());
+        const Milliseconds now = monotonicNow();
+        this->requestPeerTables(
+            largeRowsSource(liveEntries(this->peers, now), this->self(), peer, this->largeAttempts++), true, now);
     }
 }
 
--- a/tests/unit_peer_codec.cpp
+++ b/tests/unit_peer_codec.cpp
@@ -337,6 +337,29 @@
     CHECK_FALSE(tableReader({ entry("a2", "a", false), entry("a3", "a", false) }, entry("a1", "a")));
 }
 
+// Guards against a large configuration that crosses the link between data centres once for each entry.
+TEST_CASE("Large rows are fetched through the reader of the data centre", "[peer]")
+{
+    const auto entry = [](const char* host, const char* dataCentre) {
+        PeerInfo info { .host = { host }, .dataCentre = { dataCentre } };
+        info.ready = true;
+        return info;
+    };
+    const PeerInfo follower = entry("f", "far");
+    const std::vector<PeerInfo> here { entry("a1", "a"), entry("a2", "a"), entry("a3", "a") };
+    int fromAfar = 0;
+    for (std::size_t self = 0; self < here.size(); ++self) {
+        std::vector<PeerInfo> others = here;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+        others.push_back(follower);
+        fromAfar += largeRowsSource(others, here[self], follower, 0).host == follower.host ? 1 : 0;
+        // The reader may be cut off, and an entry of this data centre may have the rows already.
+        CHECK(largeRowsSource(others, here[self], follower, 4).host == follower.host);
+        CHECK(largeRowsSource(others, here[self], others[0], 0).host == others[0].host);
+    }
+    CHECK(fromAfar == 1);
+}
+
 // Guards against a list of upstreams that waits behind a configuration of thousands of routes: entries then sent
 // requests to upstreams that had left 3 s before.
 TEST_CASE("A peer leaves out large operators' rows unless they are asked for", "[peer]")
