Record how long callers leave connections idle, and log requests that come late on them

The log could not tell why a request crosses the end of an idle connection. connection-closed now names the time since the last answer, the limit, the answers before and the bytes that are not acknowledged; hickory_caller_idle_ms and connection-reused-late have the same for requests that arrive in time, but later than four fifths of the limit. That tells a late clock of the caller (bytes unacknowledged), a wrong limit and a first request apart. No decision depends on it.

--- a/src/front_answer_io.cpp
+++ b/src/front_answer_io.cpp
@@ -128,6 +128,7 @@
     connection->call = {};
     connection->since = monotonicNow();
     connection->unreadUntil = {};
+    ++connection->answers;
     connection->limits = this->limits;
     connection->inFlightBytes = 0;
     connection->progressAt = connection->since;
--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -25,6 +25,14 @@
     {
         return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
     }
+    /// @return the connection as it is between two requests
+    IdleConnection idleState(const FrontLimits& current, Milliseconds now) const
+    {
+        return { .answers = this->answers,
+            .time = now - this->since,
+            .limit = std::max(this->limits.idleTimeout, current.idleTimeout),
+            .unacknowledged = this->link->unacknowledgedBytes() };
+    }
     void onHead(WireHead&& received) override
     {
         this->request.head = std::move(received);
@@ -135,6 +143,7 @@
     bool chunked { false }; ///< the answer in progress has a chunked body
     bool closeAfter { false }; ///< close the connection after the answer
     Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
+    std::uint32_t answers { 0 }; ///< complete answers sent
     Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
     std::size_t discarded { 0 }; ///< bytes read since the connection was ended
     Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -122,7 +122,8 @@
             this->handlers.onConnectionClosed({ .reason = CloseReason::Crossed,
                 .unparsed = bytes.size(),
                 .port = connection->port,
-                .age = monotonicNow() - connection->since });
+                .age = monotonicNow() - connection->since,
+                .idle = connection->idleState(this->limits, monotonicNow()) });
         if (connection->endedIdle) {
             this->endCrossed(connection);
             return;
@@ -152,9 +153,11 @@
     if (current.unread.empty() || current.ended || current.call.value != 0 || current.isBackedUp())
         return;
     if (!current.parser.inMessage()) {
-        current.since = monotonicNow();
-        current.unreadUntil = {};
+        const Milliseconds now = monotonicNow();
         current.request = {};
+        current.request.before = current.idleState(this->limits, now);
+        current.since = now;
+        current.unreadUntil = {};
         current.request.firstByteAt = current.since;
         current.limits = this->limits;
         current.declaredBytes = current.headBytes = current.newBytes = 0;
@@ -268,7 +271,9 @@
         .unparsed = connection.unread.size(),
         .unread = connection.link->unreadBytes(),
         .port = connection.port,
-        .age = monotonicNow() - connection.since });
+        .age = monotonicNow() - connection.since,
+        .idle = connection.call.value == 0 && !inRequest ? connection.idleState(this->limits, monotonicNow())
+                                                         : connection.request.before });
 }
 
 void FrontServer::removeConnection(const ConnectionPointer& connection)
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -26,11 +26,20 @@
     Milliseconds idleTimeout { 15000 }; ///< longest time that a connection may stay open between requests
 };
 
+/// What a connection was between two requests.
+struct IdleConnection {
+    std::uint32_t answers { 0 }; ///< complete answers sent on it before
+    Milliseconds time { 0 }; ///< time from the end of the last answer, or the accept, to the next request
+    Milliseconds limit { 0 }; ///< longest such time that the server allowed
+    std::size_t unacknowledged { 0 }; ///< bytes of answers that the caller's host had not confirmed at its end
+};
+
 /// A complete request of a caller.
 struct FrontRequest {
     CallId id; ///< identifies the request when it is answered
     std::uint16_t port { 0 }; ///< local port that it arrived at
     Milliseconds firstByteAt { 0 }; ///< monotonic time at which its first byte was read
+    IdleConnection before; ///< its connection, before its first byte
     WireHead head; ///< start line and headers
     std::string body; ///< without transfer coding
 };
@@ -66,6 +75,7 @@
     std::size_t unread { 0 }; ///< bytes that the kernel held
     std::uint16_t port { 0 }; ///< local port
     Milliseconds age { 0 }; ///< time since the request being read began, or since the connection became idle
+    IdleConnection idle; ///< as it was ended, or before the request that it held
 };
 
 /// HTTP/1.1 server on the Asio loop, used by RelayLoop and LoaderLoop; EntryLoop and AgentLoop use the servers of
--- a/src/front_log_func.cpp
+++ b/src/front_log_func.cpp
@@ -1,10 +1,23 @@
 #include "front_log_func.h"
 
+#include "front_idle_func.h"
 #include "log_io.h"
 #include "metrics_io.h"
 
 namespace hickory {
 
+namespace {
+
+    void appendIdleFields(LogLine& line, const IdleConnection& idle)
+    {
+        line.fields.emplace_back("idle_ms", std::to_string(idle.time.value));
+        line.fields.emplace_back("limit_ms", std::to_string(idle.limit.value));
+        line.fields.emplace_back("answers", std::to_string(idle.answers));
+        line.fields.emplace_back("unacknowledged", std::to_string(idle.unacknowledged));
+    }
+
+} // namespace
+
 const char* closeReasonName(CloseReason reason)
 {
     switch (reason) {
@@ -51,9 +64,28 @@
     line.fields.emplace_back("unread", std::to_string(closed.unread));
     line.fields.emplace_back("port", std::to_string(closed.port));
     line.fields.emplace_back("age_ms", std::to_string(closed.age.value));
+    appendIdleFields(line, closed.idle);
     return line;
 }
 
+LogLine lateReuseLogLine(const IdleConnection& before, const std::string& request)
+{
+    LogLine line { .event = "connection-reused-late", .fields = { { "request", request } } };
+    appendIdleFields(line, before);
+    return line;
+}
+
+void recordReuse(const IdleConnection& before, const std::string& request)
+{
+    if (before.answers == 0)
+        return;
+    recordMetric({ .kind = MetricSample::Kind::Observe,
+        .name = "caller_idle_ms",
+        .value = static_cast<double>(before.time.value) });
+    if (before.time > reusableTime(before.limit))
+        writeLog(lateReuseLogLine(before, request));
+}
+
 void recordClosed(const ClosedConnection& closed, const std::string& request)
 {
     writeLog(closedLogLine(closed, request));
--- a/src/front_log_func.h
+++ b/src/front_log_func.h
@@ -18,4 +18,11 @@
 /// @param request as in closedLogLine()
 void recordClosed(const ClosedConnection& closed, const std::string& request);
 
+/// @return the log line of a request on a connection that had been idle for longer than reusableTime()
+LogLine lateReuseLogLine(const IdleConnection& before, const std::string& request);
+
+/// Records how long a kept connection had been idle when its next request began, and logs a late one.
+/// @param request id of that request
+void recordReuse(const IdleConnection& before, const std::string& request);
+
 } // namespace hickory
--- a/src/relay_loop_io.cpp
+++ b/src/relay_loop_io.cpp
@@ -343,6 +343,7 @@
         this->front.answer(request.id, statusBadRequest, {}, "a request needs a host and an id\n");
         return;
     }
+    recordReuse(request.before, event.metadata.attemptId);
     event.metadata.wholeRequest = wholeRequestTrait(request.head.method, event.metadata, request.body);
     auto call = std::make_shared<Call>();
     call->head = std::move(request.head);
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -1,8 +1,10 @@
 #include "tcp_link_io.h"
 
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace hickory {
@@ -211,6 +213,14 @@
     return this->socket.available(code);
 }
 
+std::size_t TcpLink::unacknowledgedBytes()
+{
+    int bytes = 0;
+    if (!this->socket.is_open() || ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
 void TcpLink::reset()
 {
     std::error_code code;
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -66,6 +66,8 @@
     std::size_t queueCapacity() const { return this->queue.capacity(); }
     /// @return received bytes that the kernel holds and that were not read
     std::size_t unreadBytes() const;
+    /// @return written bytes that the peer's kernel has not acknowledged, 0 for a closed socket
+    std::size_t unacknowledgedBytes();
     /// @return whether the connection stays open for reading after lingerAfterWrite()
     bool isLingering() const { return this->lingering && this->socket.is_open(); }
     /// @return whether the socket is open
--- a/tests/unit_front_close.cpp
+++ b/tests/unit_front_close.cpp
@@ -32,6 +32,7 @@
     void onRequest(const FrontRequest& request)
     {
         this->lastCall = request.id;
+        this->lastBefore = request.before;
         if (request.head.target == "/begin")
             this->server->begin(request.id, 200, {});
         else if (request.head.target == "/large")
@@ -82,6 +83,7 @@
     std::vector<ClosedConnection> closed;
     std::uint16_t port { 0 };
     CallId lastCall;
+    IdleConnection lastBefore; ///< of the last request
     std::error_code lastError; ///< how the last receive() ended
 };
 
@@ -151,16 +153,44 @@
 
 TEST_CASE("The log line of a closed connection tells what was on it", "[front][front-close]")
 {
-    const LogLine line = closedLogLine(
-        { .reason = CloseReason::RequestTimeout, .inRequest = true, .unread = 12, .port = 8080, .age = { 3001 } },
-        "abc");
+    const LogLine line
+        = closedLogLine({ .reason = CloseReason::RequestTimeout,
+                            .inRequest = true,
+                            .unread = 12,
+                            .port = 8080,
+                            .age = { 3001 },
+                            .idle = { .answers = 3, .time = { 200 }, .limit = { 15000 }, .unacknowledged = 7 } },
+            "abc");
     CHECK(line.event == "connection-closed");
     const std::vector<std::pair<std::string, std::string>> expected { { "reason", "request-timeout" },
         { "request", "abc" }, { "in", "head" }, { "unparsed", "0" }, { "unread", "12" }, { "port", "8080" },
-        { "age_ms", "3001" } };
+        { "age_ms", "3001" }, { "idle_ms", "200" }, { "limit_ms", "15000" }, { "answers", "3" },
+        { "unacknowledged", "7" } };
     CHECK(line.fields == expected);
 }
 
+TEST_CASE("A request tells how long its connection had been idle", "[front][front-close]")
+{
+    FrontRig rig;
+    rig.server->setLimits({ .idleTimeout = { 4000 } });
+    auto caller = rig.connect();
+    for (std::uint32_t answers = 0; answers < 2; ++answers) {
+        rig.run();
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        send(caller, plainRequest);
+        REQUIRE(rig.receive(caller).starts_with("HTTP/1.1 200"));
+        CHECK(rig.lastBefore.answers == answers);
+        CHECK(rig.lastBefore.limit == Milliseconds { 4000 });
+        CHECK(rig.lastBefore.time.value >= 50);
+        CHECK(rig.lastBefore.unacknowledged == 0);
+    }
+    const LogLine line = lateReuseLogLine(rig.lastBefore, "abc");
+    CHECK(line.event == "connection-reused-late");
+    REQUIRE(line.fields.size() == 5);
+    CHECK(line.fields[1].first == "idle_ms");
+    CHECK(line.fields[3] == std::pair<std::string, std::string> { "answers", "1" });
+}
+
 // Guards against requests that arrive while the process stands still, and whose connections are closed before they are
 // read once it goes on.
 TEST_CASE("A request that lies unread when its connection's time is up is answered", "[front][front-close]")
