Tell callers how long they may leave a connection unused

Cause: an entry ends a connection after idle_timeout_ms, but its callers do not read the configuration and no answer said so; told nothing, they reuse connections that were idle for up to 20 s.

Each answer that keeps its connection now states four fifths of the limit in whole seconds (Keep-Alive), and the connection is kept for the limit that was stated even if a configuration lowers it before the answer ends.

--- a/src/front_answer_io.cpp
+++ b/src/front_answer_io.cpp
@@ -1,4 +1,5 @@
 #include "front_connection_io.h"
+#include "front_idle_func.h"
 
 #include <array>
 #include <charconv>
@@ -74,6 +75,11 @@
     connection->closeAfter = connection->closeAfter || drains || framing == BodyFraming::Connection;
     if (connection->closeAfter)
         text += "Connection: close\r\n";
+    else {
+        // Callers do not read the configuration; without this they act on a limit of their own.
+        text += "Keep-Alive: " + keepAliveValue(this->limits.idleTimeout) + "\r\n";
+        connection->statedIdleTimeout = this->limits.idleTimeout;
+    }
     text += "\r\n";
     connection->send(text);
     this->updateHeld(*connection);
@@ -130,6 +136,7 @@
     connection->unreadUntil = {};
     ++connection->answers;
     connection->limits = this->limits;
+    connection->limits.idleTimeout = std::max(this->limits.idleTimeout, connection->statedIdleTimeout);
     connection->inFlightBytes = 0;
     connection->progressAt = connection->since;
     this->updateHeld(*connection);
--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -144,6 +144,7 @@
     bool closeAfter { false }; ///< close the connection after the answer
     Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
     std::uint32_t answers { 0 }; ///< complete answers sent
+    Milliseconds statedIdleTimeout { 0 }; ///< idle time-out on which the last statement to the caller was based
     Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
     std::size_t discarded { 0 }; ///< bytes read since the connection was ended
     Milliseconds unreadUntil { 0 }; ///< end of the time in which what lay unread at the limit may complete the request
--- a/src/front_idle_func.cpp
+++ b/src/front_idle_func.cpp
@@ -10,4 +10,10 @@
     return limit * reusableFifths / fifths;
 }
 
+std::string keepAliveValue(Milliseconds limit)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    return "timeout=" + std::to_string(reusableTime(limit).value / millisecondsPerSecond);
+}
+
 } // namespace hickory
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -23,7 +23,8 @@
     Bytes headBytes { 16384 }; ///< largest start line and headers; a larger head is answered with 431
     Bytes bodyBytes { 4U << 20U }; ///< largest body; a larger one is answered with 413
     Milliseconds headTimeout { 3000 }; ///< longest time from the first to the last byte of a request
-    Milliseconds idleTimeout { 15000 }; ///< longest time that a connection may stay open between requests
+    /// Longest time that a connection may stay open between requests. Answers state four fifths of it in whole seconds.
+    Milliseconds idleTimeout { 15000 };
 };
 
 /// What a connection was between two requests.
--- /dev/null
+++ b/tests/unit_front_idle.cpp
@@ -0,0 +1,63 @@
+#include "front_fixture.h"
+#include "front_idle_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickory;
+
+// Guards against callers that are not told when their connection ends, and send their next request into its end.
+TEST_CASE("An answer states how long its connection may be left unused", "[front][front-idle]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    const std::string limits = "\r\nKeep-Alive: timeout=12\r\n";
+
+    SECTION("complete and begun answers")
+    {
+        send(caller, plainRequest);
+        CHECK(rig.receive(caller).find(limits) != std::string::npos);
+        send(caller, "GET /begin HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(rig.receive(caller).find(limits) != std::string::npos);
+    }
+    SECTION("a new limit from the next answer on")
+    {
+        send(caller, plainRequest);
+        rig.receive(caller);
+        rig.server->setLimits({ .idleTimeout = { 4999 } });
+        send(caller, plainRequest);
+        CHECK(rig.receive(caller).find("\r\nKeep-Alive: timeout=3\r\n") != std::string::npos);
+    }
+    SECTION("not where the connection ends with the answer")
+    {
+        const bool drains = GENERATE(true, false);
+        if (drains)
+            rig.server->startDrain();
+        send(caller, drains ? plainRequest : "nonsense\r\n\r\n");
+        const std::string answer = rig.receive(caller);
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(answer.find("Keep-Alive") == std::string::npos);
+    }
+}
+
+TEST_CASE("The stated time leaves a fifth of the limit for the way of answers and requests", "[front][front-idle]")
+{
+    CHECK(keepAliveValue({ 15000 }) == "timeout=12");
+    CHECK(keepAliveValue({ 1249 }) == "timeout=0");
+    CHECK(keepAliveValue({ 0 }) == "timeout=0");
+}
+
+// Guards against a configuration that lowers the limit after it was stated at the start of a long answer.
+TEST_CASE("A connection stays open for the limit that its answer stated at its start", "[front][front-idle]")
+{
+    FrontRig rig;
+    rig.server->setLimits({ .idleTimeout = { 20000 } });
+    auto caller = rig.connect();
+    send(caller, "GET /begin HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(rig.receive(caller).find("timeout=16") != std::string::npos);
+    rig.server->setLimits({ .idleTimeout = { 5000 } });
+    rig.server->finish(rig.lastCall);
+    rig.receive(caller);
+    rig.server->sweep(monotonicNow() + Milliseconds { 19000 });
+    send(caller, plainRequest);
+    CHECK(rig.receive(caller).starts_with("HTTP/1.1 200"));
+}
