Count a connection's idle time from when its last answer was acknowledged

A caller counts from when it has read the end of its answer. The entry counted from when it handed that end to its socket, so a caller that reads slowly, or whose link is full, found its connection closed before the time that the answer states. The case in unit_front_idle fails without the change: the connection is closed under the slow reader.

--- a/src/front_answer_io.cpp
+++ b/src/front_answer_io.cpp
@@ -135,6 +135,7 @@
     connection->since = monotonicNow();
     connection->unreadUntil = {};
     ++connection->answers;
+    connection->taken = false;
     connection->limits = this->limits;
     connection->limits.idleTimeout = std::max(this->limits.idleTimeout, connection->statedIdleTimeout);
     connection->inFlightBytes = 0;
--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -25,6 +25,13 @@
     {
         return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
     }
+    /// @return whether the caller's host has acknowledged all answers. Its caller counts the idle time from when it has
+    /// read the last one, which is later.
+    bool isTaken()
+    {
+        this->taken = this->taken || (this->link->pending() == 0 && this->link->unacknowledgedBytes() == 0);
+        return this->taken;
+    }
     /// @return the connection as it is between two requests
     IdleConnection idleState(const FrontLimits& current, Milliseconds now) const
     {
@@ -142,8 +149,11 @@
     CallId call; ///< delivered request whose answer is not complete, 0 for none
     bool chunked { false }; ///< the answer in progress has a chunked body
     bool closeAfter { false }; ///< close the connection after the answer
-    Milliseconds since { 0 }; ///< monotonic time at which the request being read began, or the connection became idle
+    /// Monotonic time at which the request being read began, or the connection became idle: its last answer had ended,
+    /// or was last seen not acknowledged.
+    Milliseconds since { 0 };
     std::uint32_t answers { 0 }; ///< complete answers sent
+    bool taken { true }; ///< see isTaken()
     Milliseconds statedIdleTimeout { 0 }; ///< idle time-out on which the last statement to the caller was based
     Milliseconds lingersUntil { 0 }; ///< monotonic time, 0 before its last byte was sent
     std::size_t discarded { 0 }; ///< bytes read since the connection was ended
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -335,6 +335,8 @@
         if (connection->call.value != 0)
             continue;
         const bool inRequest = connection->parser.inMessage();
+        if (!inRequest && !connection->isTaken())
+            connection->since = now;
         const auto limitOf
             = [&](const FrontLimits& given) { return inRequest ? given.headTimeout : given.idleTimeout; };
         const Milliseconds limit = std::max(limitOf(connection->limits), limitOf(this->limits));
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -23,14 +23,15 @@
     Bytes headBytes { 16384 }; ///< largest start line and headers; a larger head is answered with 431
     Bytes bodyBytes { 4U << 20U }; ///< largest body; a larger one is answered with 413
     Milliseconds headTimeout { 3000 }; ///< longest time from the first to the last byte of a request
-    /// Longest time that a connection may stay open between requests. Answers state four fifths of it in whole seconds.
+    /// Longest time that a connection may stay open between requests, from when the caller's host has acknowledged the
+    /// last answer. Answers state four fifths of it in whole seconds.
     Milliseconds idleTimeout { 15000 };
 };
 
 /// What a connection was between two requests.
 struct IdleConnection {
     std::uint32_t answers { 0 }; ///< complete answers sent on it before
-    Milliseconds time { 0 }; ///< time from the end of the last answer, or the accept, to the next request
+    Milliseconds time { 0 }; ///< time from the accept or the last answer, as far as the caller's host confirmed it
     Milliseconds limit { 0 }; ///< longest such time that the server allowed
     std::size_t unacknowledged { 0 }; ///< bytes of answers that the caller's host had not confirmed at its end
 };
--- a/tests/unit_front_idle.cpp
+++ b/tests/unit_front_idle.cpp
@@ -61,3 +61,30 @@
     send(caller, plainRequest);
     CHECK(rig.receive(caller).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against a caller that reads its answer slowly and whose connection ends before the time that the answer
+// states.
+TEST_CASE("The idle time begins when the caller's host has the whole answer", "[front][front-idle]")
+{
+    FrontRig rig;
+    rig.server->setLimits({ .idleTimeout = { 1000 } });
+    asio::ip::tcp::socket caller(rig.callers);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({ asio::ip::make_address("127.0.0.1"), rig.port });
+    send(caller, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    rig.run();
+    const Milliseconds start = monotonicNow();
+    constexpr Milliseconds slowFor { 5000 };
+    for (Milliseconds past { 0 }; past <= slowFor; past += Milliseconds { 500 })
+        rig.server->sweep(start + past);
+    CHECK(rig.receive(caller).size() > largeAnswer);
+    rig.server->sweep(start + slowFor + Milliseconds { 900 });
+    send(caller, plainRequest);
+    CHECK(rig.receive(caller).ends_with("done"));
+    // From here on nothing is on the way.
+    rig.server->sweep(monotonicNow());
+    rig.server->sweep(monotonicNow() + Milliseconds { 1100 });
+    rig.receive(caller);
+    CHECK(rig.lastError == asio::error::eof);
+}
