Leave a request unread that crosses the end of an idle connection

Callers saw a request end with a closed connection and could not know whether it had run (LOST): the entry had ended the connection, read the request all the same and threw it away. A request that was not read has not run, and callers repeat it whatever it is. An idle connection is now ended without reading on: its link waits for bytes, and the first ones reset it, as a read did before, but they stay in the kernel. Where the caller may not have read its last answer (idle for less than a second, or not acknowledged) it is read on as before, since a reset could take that answer.

The new case in unit_front_idle fails without the change.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -118,12 +118,8 @@
 void FrontServer::onData(const ConnectionPointer& connection, std::string_view bytes)
 {
     if (connection->ended) {
-        if (connection->discarded == 0 && !connection->refused && this->handlers.onConnectionClosed)
-            this->handlers.onConnectionClosed({ .reason = CloseReason::Crossed,
-                .unparsed = bytes.size(),
-                .port = connection->port,
-                .age = monotonicNow() - connection->since,
-                .idle = connection->idleState(this->limits, monotonicNow()) });
+        if (connection->discarded == 0 && !connection->refused)
+            this->reportCrossed(*connection, bytes.size());
         if (connection->endedIdle) {
             this->endCrossed(connection);
             return;
@@ -227,12 +223,23 @@
 {
     this->reportClosed(*connection, reason);
     connection->endedIdle = !connection->isReading();
-    this->endConnection(connection);
+    // A reset could take an answer that the caller has not read yet; after this time it has.
+    const bool isAnswerRead
+        = connection->answers == 0 || (connection->isTaken() && monotonicNow() - connection->since >= lingerTime);
+    if (!connection->endedIdle || !isAnswerRead || this->closing.size() >= maxLingering) {
+        this->endConnection(connection);
+        return;
+    }
+    // A request that was not read has not run, and callers may repeat it whatever it is.
+    connection->link->lingerUnread([this, connection] {
+        this->reportCrossed(*connection, 0);
+        this->endCrossed(connection);
+    });
+    this->removeConnection(connection);
 }
 
 void FrontServer::endCrossed(const ConnectionPointer& connection)
 {
-    // A reset could take an answer that the caller has not read yet; after this time it has.
     if (monotonicNow() - connection->since >= lingerTime)
         connection->link->reset();
     else
@@ -276,6 +283,19 @@
                                                          : connection.request.before });
 }
 
+void FrontServer::reportCrossed(const Connection& connection, std::size_t received) const
+{
+    if (!this->handlers.onConnectionClosed)
+        return;
+    const Milliseconds now = monotonicNow();
+    this->handlers.onConnectionClosed({ .reason = CloseReason::Crossed,
+        .unparsed = received,
+        .unread = connection.link->unreadBytes(),
+        .port = connection.port,
+        .age = now - connection.since,
+        .idle = connection.idleState(this->limits, now) });
+}
+
 void FrontServer::removeConnection(const ConnectionPointer& connection)
 {
     if (connection->ended)
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -63,7 +63,7 @@
     UnexpectedError, ///< the handling of a request failed
     Memory, ///< memory for callers was short
     Descriptors, ///< descriptors for callers' connections were short
-    Crossed, ///< it had been ended before, with nothing on it, and bytes arrived that crossed its end
+    Crossed, ///< it had been ended before, with nothing on it, and bytes arrived that crossed its end; see endIdle()
 };
 
 /// A connection that the server ended while it held a request or bytes that had not been read.
@@ -189,7 +189,10 @@
     void refuse(const ConnectionPointer& connection, std::uint16_t status, CloseReason reason);
     /// Passes a connection that is about to be ended to Handlers::onConnectionClosed, if anything is on it.
     void reportClosed(const Connection& connection, CloseReason reason, const std::string& detail = {}) const;
-    /// Ends a connection between two requests.
+    /// Passes a connection that was ended, and on which bytes have arrived since, to Handlers::onConnectionClosed.
+    /// @param received bytes that were read
+    void reportCrossed(const Connection& connection, std::size_t received) const;
+    /// Ends a connection between two requests. Where its caller has read all answers, the next request is left unread.
     void endIdle(const ConnectionPointer& connection, CloseReason reason);
     /// Closes a connection that was ended between two requests and on which another one has arrived. Its caller has not
     /// noticed the end and waits for an answer: only a close tells it that none comes.
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace hickory {
 
@@ -72,6 +73,10 @@
     this->socket.async_read_some(
         asio::buffer(this->buffer), [self = this->shared_from_this()](const std::error_code& code, std::size_t count) {
             self->reading = false;
+            if (code == asio::error::operation_aborted && self->onUnread) {
+                self->waitUnread();
+                return;
+            }
             if (code) {
                 const bool closed = code == asio::error::eof && !self->writeFailed;
                 self->end(closed ? LinkEnd::Closed : LinkEnd::Broken);
@@ -84,7 +89,10 @@
             }
             if (!self->socket.is_open())
                 self->onData = nullptr;
-            self->readSome();
+            if (self->onUnread)
+                self->waitUnread();
+            else
+                self->readSome();
         });
 }
 
@@ -183,6 +191,7 @@
     if (!this->inDataHandler)
         this->onData = nullptr;
     this->onEnd = nullptr;
+    this->onUnread = nullptr;
     this->writtenHandler = nullptr;
     std::error_code code;
     this->socket.close(code);
@@ -207,6 +216,34 @@
         this->endSending();
 }
 
+void TcpLink::lingerUnread(std::function<void()> arrived)
+{
+    if (this->closing || !this->socket.is_open())
+        return;
+    this->closing = true;
+    this->lingering = true;
+    this->onEnd = nullptr;
+    this->onUnread = std::move(arrived);
+    std::error_code code; // a connection that is gone is closed by the wait
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, code);
+    if (this->reading)
+        this->socket.cancel(code); // its handler waits
+    else
+        this->waitUnread();
+}
+
+void TcpLink::waitUnread()
+{
+    this->socket.async_wait(
+        asio::ip::tcp::socket::wait_read, [self = this->shared_from_this()](const std::error_code& code) {
+            const auto arrived = std::exchange(self->onUnread, nullptr);
+            if (!code && arrived && self->unreadBytes() > 0)
+                arrived();
+            else
+                self->end(code ? LinkEnd::Broken : LinkEnd::Closed);
+        });
+}
+
 std::size_t TcpLink::unreadBytes() const
 {
     std::error_code code; // a closed socket has none
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -55,6 +55,10 @@
     /// Ends the sending side after all queued bytes have been written, and goes on reading until the peer closes: bytes
     /// left unread would make the kernel send a reset, which can take from the peer what it has not read yet.
     void lingerAfterWrite();
+    /// Ends the sending side and leaves unread what the peer sends from now on, so that a request which crosses the end
+    /// was not read. Only while nothing is queued. To be followed by close() or reset().
+    /// @param arrived called once, when bytes arrive; not when the peer closes its side, which closes the connection
+    void lingerUnread(std::function<void()> arrived);
     /// Closes the connection with a reset, so that the peer cannot take a partial body for a complete one.
     void reset();
     /// Stops or resumes reading, for flow control.
@@ -76,6 +80,8 @@
 private:
     /// Starts a read unless one is in progress or reading is paused.
     void readSome();
+    /// Waits for bytes of the peer without reading them, after lingerUnread().
+    void waitUnread();
     /// Writes as much of the queue as the socket takes.
     void flush();
     /// Writes as much as the socket takes.
@@ -103,6 +109,7 @@
     bool closing { false }; ///< closeAfterWrite() or lingerAfterWrite() was called
     bool lingering { false }; ///< lingerAfterWrite() was called, and the peer has not closed its side
     bool inDataHandler { false }; ///< onData is running, so that close() must not destroy it
+    std::function<void()> onUnread; ///< see lingerUnread(); empty before it and after its call
     OnData onData; ///< see start(); empty after close()
     OnEnd onEnd; ///< see start(); empty after its call or close()
     std::function<void()> writtenHandler; ///< see onWritten(); may be empty
--- a/tests/unit_front_idle.cpp
+++ b/tests/unit_front_idle.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace hickory;
 
 // Guards against callers that are not told when their connection ends, and send their next request into its end.
@@ -88,3 +90,51 @@
     rig.receive(caller);
     CHECK(rig.lastError == asio::error::eof);
 }
+
+// Guards against a request that is read and thrown away: its caller can't know that it has not run.
+TEST_CASE("A request that crosses the end of an idle connection is not read", "[front][front-idle]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    const bool isFirst = GENERATE(true, false);
+    rig.run();
+    if (!isFirst) {
+        send(caller, plainRequest);
+        CHECK(rig.receive(caller).ends_with("done"));
+        rig.server->sweep(monotonicNow());
+        std::this_thread::sleep_for(std::chrono::milliseconds(1100)); // by then it has certainly read its answer
+    }
+    const CallId before = rig.lastCall;
+    if (GENERATE(true, false))
+        rig.server->sweep(monotonicNow() + Milliseconds { 60000 });
+    else
+        rig.server->closeIdle();
+    rig.run();
+    send(caller, plainRequest);
+    rig.run();
+    CHECK(rig.lastCall == before);
+    REQUIRE(rig.closed.size() == 1);
+    CHECK(rig.closed[0].reason == CloseReason::Crossed);
+    CHECK(rig.closed[0].unparsed == 0);
+    CHECK(rig.closed[0].unread == plainRequest.size());
+    CHECK(rig.closed[0].idle.answers == (isFirst ? 0 : 1));
+    CHECK_FALSE(rig.server->isLingering());
+    std::error_code code;
+    asio::write(caller, asio::buffer(plainRequest), code);
+    CHECK(code); // a reset
+}
+
+TEST_CASE("An ended connection is forgotten when its caller closes it", "[front][front-idle]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    rig.run();
+    rig.server->sweep(monotonicNow() + Milliseconds { 60000 });
+    rig.run();
+    REQUIRE(rig.server->isLingering());
+    caller.close();
+    rig.run();
+    rig.server->sweep(monotonicNow());
+    CHECK_FALSE(rig.server->isLingering());
+    CHECK(rig.closed.empty());
+}
