Test idle callers beyond the memory and the descriptors

300 callers get an answer each and stay idle, before a server with 4 MB (122 connections fit into the budget) and before one with 256 descriptors (96). Beyond the memory they keep to the budget: bytes, sockets and open connections, and each further caller is answered. Beyond the descriptors each caller is answered too, but 198 connections stay open, 96 and half of the other 204: by reading, replaceOne() drops the connection that it ended for the caller before, and does not end another. No code changed.

--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,6 +59,31 @@
         return answer;
     }
 
+    /// Connects a caller and has its request answered, without waiting longer than that takes.
+    /// @return the connection; closed if no answer came
+    asio::ip::tcp::socket askOnce()
+    {
+        asio::ip::tcp::socket caller(this->callers);
+        caller.connect({ asio::ip::make_address("127.0.0.1"), this->port });
+        asio::write(caller, asio::buffer(smallRequest));
+        const Milliseconds until = monotonicNow() + Milliseconds { 1000 };
+        while (caller.available() == 0 && monotonicNow() < until)
+            this->poll();
+        std::string answer(caller.available(), '\0');
+        asio::read(caller, asio::buffer(answer));
+        if (!answer.starts_with("HTTP/1.1 200"))
+            caller.close();
+        return caller;
+    }
+
+    void poll()
+    {
+        this->io.restart();
+        this->io.poll();
+    }
+
+    inline static const std::string smallRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+
     asio::io_context io; ///< of the server
     asio::io_context callers;
     std::unique_ptr<FrontServer> server;
@@ -82,6 +109,106 @@
     return code;
 }
 
+/// @return whether the server has ended its side of a connection
+bool isEnded(asio::ip::tcp::socket& caller)
+{
+    std::string part(1, '\0');
+    std::error_code code;
+    caller.non_blocking(true);
+    caller.read_some(asio::buffer(part), code);
+    caller.non_blocking(false);
+    return code && code != asio::error::would_block;
+}
+
+/// @return sockets that this process has open
+std::size_t openSockets()
+{
+    std::size_t count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+        std::error_code ignored; // the descriptor of the iteration itself
+        if (std::filesystem::read_symlink(entry, ignored).native().starts_with("socket:"))
+            ++count;
+    }
+    return count;
+}
+
+/// Idle connections of a rig's callers.
+struct IdleCrowd {
+    explicit IdleCrowd(ShortageRig& rig)
+        : rig(rig)
+    {
+    }
+
+    /// Lets callers come one after the other, each of which gets an answer and then sends nothing.
+    void add(std::size_t count)
+    {
+        for (std::size_t done = 0; done < count; ++done) {
+            this->callers.push_back(this->rig.askOnce());
+            REQUIRE(this->callers.back().is_open());
+            this->mostHeld = std::max(this->mostHeld, this->rig.server->heldBytes());
+            this->mostSockets = std::max(this->mostSockets, this->serverSockets());
+        }
+    }
+    /// @return connections that the server has open, with those that it ended and reads on
+    std::size_t serverSockets() const { return openSockets() - this->before - this->callers.size(); }
+    /// @return connections that the server has not ended
+    std::size_t open()
+    {
+        return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(),
+            [](asio::ip::tcp::socket& caller) { return !isEnded(caller); }));
+    }
+
+    ShortageRig& rig;
+    std::size_t before { openSockets() };
+    std::vector<asio::ip::tcp::socket> callers;
+    std::size_t mostHeld { 0 }; ///< bytes, after any of the answers
+    std::size_t mostSockets { 0 }; ///< of the server, after any of the answers
+};
+
+/// What an idle crowd meets the limit of, and how many connections that leaves.
+struct CrowdLimit {
+    CloseReason reason;
+    CallerBudget budget;
+    std::size_t connections; ///< that fit in
+    std::size_t lingering; ///< connections in addition that were ended and are read on
+};
+
+CrowdLimit fewDescriptors()
+{
+    const CallerBudget budget = callerBudget(64, 256);
+    return { CloseReason::Descriptors, budget, budget.connections, 1 };
+}
+
+CrowdLimit littleMemory()
+{
+    const CallerBudget budget = callerBudget(4, 4096);
+    return { CloseReason::Memory, budget, budget.bytes / connectionCost, maxUncounted };
+}
+
+/// Checks that a server keeps to its budget before more idle callers than it has room for, and serves further ones.
+void checkIdleCrowd(const CrowdLimit& limit)
+{
+    constexpr std::size_t crowdSize = 300;
+    REQUIRE(limit.connections < crowdSize / 2);
+    ShortageRig rig;
+    rig.server->setBudget(limit.budget);
+    IdleCrowd crowd(rig);
+    crowd.add(crowdSize);
+    CHECK(rig.delivered == crowdSize);
+    CHECK(crowd.mostHeld <= limit.budget.bytes);
+    CHECK(crowd.mostSockets <= limit.connections + limit.lingering);
+    const std::size_t open = crowd.open();
+    CHECK(open <= limit.connections);
+    CHECK(open >= limit.connections * 3 / 4); // no more are closed than needed
+    CHECK(rig.reasons == std::vector(crowdSize - open, limit.reason));
+    // Those that were ended are read on for a second.
+    rig.server->sweep(monotonicNow());
+    rig.server->sweep(monotonicNow() + Milliseconds { 1000 });
+    CHECK(crowd.serverSockets() == open);
+    crowd.add(1);
+    CHECK(crowd.serverSockets() <= limit.connections + limit.lingering);
+    CHECK(rig.server->heldBytes() <= limit.budget.bytes);
+}
 } // namespace
 
 // Guards against bodies that are read although they are refused in the end.
@@ -269,3 +396,15 @@
     auto third = rig.connect();
     CHECK(rig.ask(third, start + empty).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against connections that are kept for idle callers and lock out those that come later.
+TEST_CASE("Idle callers beyond the memory make way for further ones", "[front][front-shortage]")
+{
+    checkIdleCrowd(littleMemory());
+}
+
+// Guards against connections over the budget: of two that come at the limit, only one has another closed.
+TEST_CASE("Idle callers beyond the descriptors make way for further ones", "[.][front-shortage-crowd]")
+{
+    checkIdleCrowd(fewDescriptors());
+}
