Test requests that cross a close for memory or descriptors

A caller sends its next request just as its idle connection has been closed because memory or descriptors are short. The cases ask that the request is not read, that it is reported as crossed and reaches no handler, and that the connection is reset within 100 ms; the same for the callers of an idle crowd whose connections made way. No code changed.

--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <memory>
+#include <poll.h>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,11 @@
                                                 this->server->answer(request.id, 200, {}, this->body);
                                         },
                 .onCallerDisconnected = [](CallId) {},
-                .onConnectionClosed
-                = [this](const ClosedConnection& connection) { this->reasons.push_back(connection.reason); } });
+                .onConnectionClosed =
+                    [this](const ClosedConnection& connection) {
+                        this->reasons.push_back(connection.reason);
+                        this->lastClosed = connection;
+                    } });
         this->port = this->server->listen("127.0.0.1:0").value();
     }
 
@@ -82,12 +86,34 @@
         this->io.poll();
     }
 
+    /// Runs the server until a caller's connection was reset.
+    /// @return whether that was within closeTime
+    bool runUntilReset(asio::ip::tcp::socket& caller)
+    {
+        const Milliseconds until = monotonicNow() + closeTime;
+        while (!isReset(caller)) {
+            if (monotonicNow() >= until)
+                return false;
+            this->poll();
+        }
+        return true;
+    }
+
+    /// @return whether the kernel of the caller has got a reset
+    static bool isReset(asio::ip::tcp::socket& caller)
+    {
+        pollfd state { .fd = caller.native_handle(), .events = 0, .revents = 0 };
+        return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLHUP | POLLERR)) != 0;
+    }
+
+    static constexpr Milliseconds closeTime { 100 }; ///< in which a caller whose request is not read gets a reset
     inline static const std::string smallRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
 
     asio::io_context io; ///< of the server
     asio::io_context callers;
     std::unique_ptr<FrontServer> server;
     std::vector<CloseReason> reasons; ///< of the connections that were closed
+    ClosedConnection lastClosed; ///< last of them
     std::uint16_t port { 0 };
     int delivered { 0 }; ///< requests that the handler got
     CallId last; ///< last of them
@@ -97,6 +123,7 @@
 
 const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
 const std::string empty = "Content-Length: 0\r\n\r\n";
+constexpr int answerReadTime = 1100; ///< ms after which a caller has certainly read its answer
 constexpr std::size_t manyBytes = 24U << 20U; ///< more than the kernel holds for a caller that reads nothing
 
 /// @return how reading from a connection ends
@@ -408,3 +435,58 @@
 {
     checkIdleCrowd(fewDescriptors());
 }
+
+// Guards against a caller that waits in vain for the answer to a request that crossed the close of its connection.
+TEST_CASE("A request that crosses a close for memory or descriptors is not read, and its connection is reset",
+    "[.][front-shortage-crossed]")
+{
+    const CloseReason reason = GENERATE(CloseReason::Memory, CloseReason::Descriptors);
+    CAPTURE(reason == CloseReason::Memory);
+    ShortageRig rig;
+    if (reason == CloseReason::Memory)
+        rig.server->setBudget({ .bytes = 2 * connectionCost });
+    else
+        rig.server->setBudget({ .connections = 1 });
+    auto first = rig.askOnce();
+    rig.run(answerReadTime);
+    auto second = rig.connect();
+    REQUIRE(rig.reasons == std::vector { reason });
+    asio::write(first, asio::buffer(rig.smallRequest));
+    CHECK(rig.runUntilReset(first));
+    CHECK(isEnded(first));
+    CHECK_FALSE(rig.server->isLingering());
+    CHECK(rig.reasons == std::vector { reason, CloseReason::Crossed });
+    CHECK(rig.lastClosed.unparsed == 0);
+    CHECK(rig.lastClosed.unread == rig.smallRequest.size());
+    CHECK(rig.delivered == 1);
+    CHECK(rig.ask(second, rig.smallRequest).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("Callers of an idle crowd whose connections made way get a reset when they send again",
+    "[.][front-shortage-crossed]")
+{
+    constexpr std::size_t newcomers = 41; // odd: the last of them has a connection ended, not dropped
+    const CrowdLimit limit = GENERATE(fewDescriptors(), littleMemory());
+    CAPTURE(limit.reason == CloseReason::Memory);
+    ShortageRig rig;
+    rig.server->setBudget(limit.budget);
+    IdleCrowd crowd(rig);
+    crowd.add(limit.connections);
+    rig.run(answerReadTime);
+    crowd.add(newcomers);
+    const int delivered = rig.delivered;
+    std::size_t ended = 0;
+    std::size_t notReset = 0;
+    for (asio::ip::tcp::socket& caller : crowd.callers) {
+        if (!isEnded(caller))
+            continue;
+        ++ended;
+        asio::write(caller, asio::buffer(rig.smallRequest));
+        if (!rig.runUntilReset(caller))
+            ++notReset;
+    }
+    CHECK(ended > 0);
+    CAPTURE(ended);
+    CHECK(notReset == 0);
+    CHECK(rig.delivered == delivered);
+}
