--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <filesystem>
 #include <memory>
+#include <poll.h>
 #include <string>
 #include <vector>
 
@@ -24,8 +27,11 @@
                                                 this->server->answer(request.id, 200, {}, this->body);
                                         },
                 .onCallerDisconnected = [](CallId) {},
-                .onConnectionClosed
-                = [this](const ClosedConnection& connection) { this->reasons.push_back(connection.reason); } });
+                .onConnectionClosed =
+                    [this](const ClosedConnection& connection) {
+                        this->reasons.push_back(connection.reason);
+                        this->lastClosed = connection;
+                    } });
         this->port = this->server->listen("127.0.0.1:0").value();
     }
 
@@ -57,10 +63,57 @@
         return answer;
     }
 
+    /// Connects a caller and has its request answered, without waiting longer than that takes.
+    /// @return the connection; closed if no answer came
+    asio::ip::tcp::socket askOnce()
+    {
+        asio::ip::tcp::socket caller(this->callers);
+        caller.connect({ asio::ip::make_address("127.0.0.1"), this->port });
+        asio::write(caller, asio::buffer(smallRequest));
+        const Milliseconds until = monotonicNow() + Milliseconds { 1000 };
+        while (caller.available() == 0 && monotonicNow() < until)
+            this->poll();
+        std::string answer(caller.available(), '\0');
+        asio::read(caller, asio::buffer(answer));
+        if (!answer.starts_with("HTTP/1.1 200"))
+            caller.close();
+        return caller;
+    }
+
+    void poll()
+    {
+        this->io.restart();
+        this->io.poll();
+    }
+
+    /// Runs the server until a caller's connection was reset.
+    /// @return whether that was within closeTime
+    bool runUntilReset(asio::ip::tcp::socket& caller)
+    {
+        const Milliseconds until = monotonicNow() + closeTime;
+        while (!isReset(caller)) {
+            if (monotonicNow() >= until)
+                return false;
+            this->poll();
+        }
+        return true;
+    }
+
+    /// @return whether the kernel of the caller has got a reset
+    static bool isReset(asio::ip::tcp::socket& caller)
+    {
+        pollfd state { .fd = caller.native_handle(), .events = 0, .revents = 0 };
+        return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLHUP | POLLERR)) != 0;
+    }
+
+    static constexpr Milliseconds closeTime { 100 }; ///< in which a caller whose request is not read gets a reset
+    inline static const std::string smallRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+
     asio::io_context io; ///< of the server
     asio::io_context callers;
     std::unique_ptr<FrontServer> server;
     std::vector<CloseReason> reasons; ///< of the connections that were closed
+    ClosedConnection lastClosed; ///< last of them
     std::uint16_t port { 0 };
     int delivered { 0 }; ///< requests that the handler got
     CallId last; ///< last of them
@@ -70,6 +123,7 @@
 
 const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
 const std::string empty = "Content-Length: 0\r\n\r\n";
+constexpr int answerReadTime = 1100; ///< ms after which a caller has certainly read its answer
 constexpr std::size_t manyBytes = 24U << 20U; ///< more than the kernel holds for a caller that reads nothing
 
 /// @return how reading from a connection ends
@@ -82,6 +136,106 @@
     return code;
 }
 
+/// @return whether the server has ended its side of a connection
+bool isEnded(asio::ip::tcp::socket& caller)
+{
+    std::string part(1, '\0');
+    std::error_code code;
+    caller.non_blocking(true);
+    caller.read_some(asio::buffer(part), code);
+    caller.non_blocking(false);
+    return code && code != asio::error::would_block;
+}
+
+/// @return sockets that this process has open
+std::size_t openSockets()
+{
+    std::size_t count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+        std::error_code ignored; // the descriptor of the iteration itself
+        if (std::filesystem::read_symlink(entry, ignored).native().starts_with("socket:"))
+            ++count;
+    }
+    return count;
+}
+
+/// Idle connections of a rig's callers.
+struct IdleCrowd {
+    explicit IdleCrowd(ShortageRig& rig)
+        : rig(rig)
+    {
+    }
+
+    /// Lets callers come one after the other, each of which gets an answer and then sends nothing.
+    void add(std::size_t count)
+    {
+        for (std::size_t done = 0; done < count; ++done) {
+            this->callers.push_back(this->rig.askOnce());
+            REQUIRE(this->callers.back().is_open());
+            this->mostHeld = std::max(this->mostHeld, this->rig.server->heldBytes());
+            this->mostSockets = std::max(this->mostSockets, this->serverSockets());
+        }
+    }
+    /// @return connections that the server has open, with those that it ended and reads on
+    std::size_t serverSockets() const { return openSockets() - this->before - this->callers.size(); }
+    /// @return connections that the server has not ended
+    std::size_t open()
+    {
+        return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(),
+            [](asio::ip::tcp::socket& caller) { return !isEnded(caller); }));
+    }
+
+    ShortageRig& rig;
+    std::size_t before { openSockets() };
+    std::vector<asio::ip::tcp::socket> callers;
+    std::size_t mostHeld { 0 }; ///< bytes, after any of the answers
+    std::size_t mostSockets { 0 }; ///< of the server, after any of the answers
+};
+
+/// What an idle crowd meets the limit of, and how many connections that leaves.
+struct CrowdLimit {
+    CloseReason reason;
+    CallerBudget budget;
+    std::size_t connections; ///< that fit in
+    std::size_t lingering; ///< connections in addition that were ended and are read on
+};
+
+CrowdLimit fewDescriptors()
+{
+    const CallerBudget budget = callerBudget(64, 256);
+    return { CloseReason::Descriptors, budget, budget.connections, 1 };
+}
+
+CrowdLimit littleMemory()
+{
+    const CallerBudget budget = callerBudget(4, 4096);
+    return { CloseReason::Memory, budget, budget.bytes / connectionCost, maxUncounted };
+}
+
+/// Checks that a server keeps to its budget before more idle callers than it has room for, and serves further ones.
+void checkIdleCrowd(const CrowdLimit& limit)
+{
+    constexpr std::size_t crowdSize = 300;
+    REQUIRE(limit.connections < crowdSize / 2);
+    ShortageRig rig;
+    rig.server->setBudget(limit.budget);
+    IdleCrowd crowd(rig);
+    crowd.add(crowdSize);
+    CHECK(rig.delivered == crowdSize);
+    CHECK(crowd.mostHeld <= limit.budget.bytes);
+    CHECK(crowd.mostSockets <= limit.connections + limit.lingering);
+    const std::size_t open = crowd.open();
+    CHECK(open <= limit.connections);
+    CHECK(open >= limit.connections * 3 / 4); // no more are closed than needed
+    CHECK(rig.reasons == std::vector(crowdSize - open, limit.reason));
+    // Those that were ended are read on for a second.
+    rig.server->sweep(monotonicNow());
+    rig.server->sweep(monotonicNow() + Milliseconds { 1000 });
+    CHECK(crowd.serverSockets() == open);
+    crowd.add(1);
+    CHECK(crowd.serverSockets() <= limit.connections + limit.lingering);
+    CHECK(rig.server->heldBytes() <= limit.budget.bytes);
+}
 } // namespace
 
 // Guards against bodies that are read although they are refused in the end.
@@ -269,3 +423,70 @@
     auto third = rig.connect();
     CHECK(rig.ask(third, start + empty).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against connections that are kept for idle callers and lock out those that come later.
+TEST_CASE("Idle callers beyond the memory make way for further ones", "[front][front-shortage]")
+{
+    checkIdleCrowd(littleMemory());
+}
+
+// Guards against connections over the budget: of two that come at the limit, only one has another closed.
+TEST_CASE("Idle callers beyond the descriptors make way for further ones", "[.][front-shortage-crowd]")
+{
+    checkIdleCrowd(fewDescriptors());
+}
+
+// Guards against a caller that waits in vain for the answer to a request that crossed the close of its connection.
+TEST_CASE("A request that crosses a close for memory or descriptors is not read, and its connection is reset",
+    "[.][front-shortage-crossed]")
+{
+    const CloseReason reason = GENERATE(CloseReason::Memory, CloseReason::Descriptors);
+    CAPTURE(reason == CloseReason::Memory);
+    ShortageRig rig;
+    if (reason == CloseReason::Memory)
+        rig.server->setBudget({ .bytes = 2 * connectionCost });
+    else
+        rig.server->setBudget({ .connections = 1 });
+    auto first = rig.askOnce();
+    rig.run(answerReadTime);
+    auto second = rig.connect();
+    REQUIRE(rig.reasons == std::vector { reason });
+    asio::write(first, asio::buffer(rig.smallRequest));
+    CHECK(rig.runUntilReset(first));
+    CHECK(isEnded(first));
+    CHECK_FALSE(rig.server->isLingering());
+    CHECK(rig.reasons == std::vector { reason, CloseReason::Crossed });
+    CHECK(rig.lastClosed.unparsed == 0);
+    CHECK(rig.lastClosed.unread == rig.smallRequest.size());
+    CHECK(rig.delivered == 1);
+    CHECK(rig.ask(second, rig.smallRequest).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("Callers of an idle crowd whose connections made way get a reset when they send again",
+    "[.][front-shortage-crossed]")
+{
+    constexpr std::size_t newcomers = 41; // odd: the last of them has a connection ended, not dropped
+    const CrowdLimit limit = GENERATE(fewDescriptors(), littleMemory());
+    CAPTURE(limit.reason == CloseReason::Memory);
+    ShortageRig rig;
+    rig.server->setBudget(limit.budget);
+    IdleCrowd crowd(rig);
+    crowd.add(limit.connections);
+    rig.run(answerReadTime);
+    crowd.add(newcomers);
+    const int delivered = rig.delivered;
+    std::size_t ended = 0;
+    std::size_t notReset = 0;
+    for (asio::ip::tcp::socket& caller : crowd.callers) {
+        if (!isEnded(caller))
+            continue;
+        ++ended;
+        asio::write(caller, asio::buffer(rig.smallRequest));
+        if (!rig.runUntilReset(caller))
+            ++notReset;
+    }
+    CHECK(ended > 0);
+    CAPTURE(ended);
+    CHECK(notReset == 0);
+    CHECK(rig.delivered == delivered);
+}
