End connections for memory or descriptors as idle ones

A caller whose idle connection makes way for another, and whose next request crosses that close, waited for up to 1.5 s: closeForShortage() ended the connection without endIdle(), so the request was read, thrown away, and the connection kept until its time to linger was over. Such a connection is now ended by endIdle(): the request is left unread and the connection reset.

--- a/src/front_shortage_io.cpp
+++ b/src/front_shortage_io.cpp
@@ -72,15 +72,15 @@
             this->dropEnded(connection);
         return true;
     }
-    this->reportClosed(*connection, reason);
     if (use == ConnectionUse::Idle && (reason == CloseReason::Descriptors || this->closing.size() < maxUncounted)) {
         // A request that crosses the close must not take from its caller what it has not read yet. For descriptors, the
         // next connection that is opened closes this one if it is still there: there is one more at most.
-        this->endConnection(connection);
+        this->endIdle(connection, reason);
         if (reason == CloseReason::Memory)
             connection->held.set(0);
         return true;
     }
+    this->reportClosed(*connection, reason);
     if (connection->link->pending() > 0)
         connection->link->reset();
     this->removeConnection(connection);
--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -438,7 +438,7 @@
 
 // Guards against a caller that waits in vain for the answer to a request that crossed the close of its connection.
 TEST_CASE("A request that crosses a close for memory or descriptors is not read, and its connection is reset",
-    "[.][front-shortage-crossed]")
+    "[front][front-shortage]")
 {
     const CloseReason reason = GENERATE(CloseReason::Memory, CloseReason::Descriptors);
     CAPTURE(reason == CloseReason::Memory);
@@ -462,8 +462,8 @@
     CHECK(rig.ask(second, rig.smallRequest).starts_with("HTTP/1.1 200"));
 }
 
-TEST_CASE("Callers of an idle crowd whose connections made way get a reset when they send again",
-    "[.][front-shortage-crossed]")
+TEST_CASE(
+    "Callers of an idle crowd whose connections made way get a reset when they send again", "[front][front-shortage]")
 {
     constexpr std::size_t newcomers = 41; // odd: the last of them has a connection ended, not dropped
     const CrowdLimit limit = GENERATE(fewDescriptors(), littleMemory());
