--- a/src/front_shortage_io.cpp
+++ b/src/front_shortage_io.cpp
@@ -95,16 +95,25 @@
     if (now < next)
         return false;
     std::vector<HoldingConnection> all = this->holdings();
+    bool isOneDropped = false;
     for (int attempt = 0; attempt < maxReplaceAttempts; ++attempt) {
         const auto chosen = connectionToReplace(all, internal, now);
         if (!chosen)
             break;
-        if (this->closeForShortage(*chosen, CloseReason::Descriptors))
+        const auto found = std::find_if(
+            all.begin(), all.end(), [&](const HoldingConnection& connection) { return connection.number == *chosen; });
+        const bool isEnded = found->use == ConnectionUse::Ended;
+        all.erase(found);
+        if (!this->closeForShortage(*chosen, CloseReason::Descriptors))
+            continue;
+        // An ended one may have made way for an earlier connection.
+        if (!isEnded)
             return true;
-        std::erase_if(all, [&](const HoldingConnection& connection) { return connection.number == *chosen; });
+        isOneDropped = true;
     }
-    next = now + searchInterval;
-    return false;
+    if (!isOneDropped)
+        next = now + searchInterval;
+    return isOneDropped;
 }
 
 bool FrontServer::makeRoom(const ConnectionPointer& connection, std::size_t more)
--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -431,7 +431,7 @@
 }
 
 // Guards against connections over the budget: of two that come at the limit, only one has another closed.
-TEST_CASE("Idle callers beyond the descriptors make way for further ones", "[.][front-shortage-crowd]")
+TEST_CASE("Idle callers beyond the descriptors make way for further ones", "[front][front-shortage]")
 {
     checkIdleCrowd(fewDescriptors());
 }
