--- a/tests/tool_idle_reuse.cpp
+++ b/tests/tool_idle_reuse.cpp
@@ -410,7 +410,8 @@
             this->idleTime = this->now - this->readAt;
             this->allowedTime = this->usable;
             this->sentLate = this->usable - *this->idleTime <= lateTime;
-            this->sentOutlived = this->headAt<this->stage.loweredAt&&* this->idleTime> loweredLimit;
+            const bool isPast = this->idleTime.value() > loweredLimit;
+            this->sentOutlived = isPast && this->headAt < this->stage.loweredAt;
         } else {
             this->connection.emplace(this->stage.rig.io, this->stage.rig.front(1),
                 this->kind.delayed ? this->stage.delay : Milliseconds {}, this->kind.answer == Answer::Large);
