Do not reuse a connection whose end lies unread in the kernel

CallPool took an idle connection for open until the loop had read its end. A request sent after a close or reset had arrived ended as broken, so one that may not be repeated was given up as possibly run, and bytes that a server had sent before the request were taken for the answer to it (a 408 for a fetch). The pool now looks into the kernel's buffer before it reuses a connection.

Both tests failed before: Broken instead of Complete after a close and a reset, status 408 instead of 200 after an answer to no request.

--- a/src/call_pool_io.cpp
+++ b/src/call_pool_io.cpp
@@ -112,7 +112,8 @@
         connections.pop_back();
         const Milliseconds age = now - connection->idleSince;
         const bool withinPeerLimit = !connection->idleLimit || age + keepAliveMargin < *connection->idleLimit;
-        if (connection->link->open() && age <= maxIdle && withinPeerLimit)
+        // The end of the connection may have arrived while the loop was busy: no answer would come to a request on it.
+        if (age <= maxIdle && withinPeerLimit && connection->link->quiet())
             return connection;
         connection->link->close();
     }
--- a/src/tcp_link_io.cpp
+++ b/src/tcp_link_io.cpp
@@ -1,5 +1,6 @@
 #include "tcp_link_io.h"
 
+#include <cerrno>
 #include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -213,6 +214,15 @@
     return this->socket.available(code);
 }
 
+bool TcpLink::quiet()
+{
+    if (!this->socket.is_open())
+        return false;
+    char byte = 0;
+    const auto count = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::size_t TcpLink::unacknowledgedBytes()
 {
     int bytes = 0;
--- a/src/tcp_link_io.h
+++ b/src/tcp_link_io.h
@@ -66,6 +66,9 @@
     std::size_t queueCapacity() const { return this->queue.capacity(); }
     /// @return received bytes that the kernel holds and that were not read
     std::size_t unreadBytes() const;
+    /// @return whether the connection is open and the kernel holds neither bytes nor an end from the peer that were not
+    /// read
+    bool quiet();
     /// @return written bytes that the peer's kernel has not acknowledged, 0 for a closed socket
     std::size_t unacknowledgedBytes();
     /// @return whether the connection stays open for reading after lingerAfterWrite()
--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -1,6 +1,7 @@
 #include "call_pool_io.h"
 #include "endless_server.h"
 #include "table/answer_limits.h"
+#include "table/relay_loop_limits.h"
 
 #include <catch2/catch.hpp>
 
@@ -117,6 +118,73 @@
     std::optional<CallEnd> end; ///< how the call ended, empty before
 };
 
+constexpr const char* shortAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* shortRequest = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+
+/// How a peer ends a connection.
+struct PeerEnd {
+    const char* what;
+    const char* bytes; ///< sent before the end
+    bool reset;
+};
+
+/// Server whose connections the test handles itself, outside the loop of the pool.
+struct ManualServer {
+    ManualServer()
+        : acceptor(this->io, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        this->acceptor.non_blocking(true);
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+
+    /// Accepts the next connection, if one waits and the one before has ended.
+    /// @return whether a connection is open
+    bool accept()
+    {
+        std::error_code code;
+        if (!this->socket.is_open()) {
+            this->acceptor.accept(this->socket, code);
+            this->received = 0;
+        }
+        return this->socket.is_open();
+    }
+
+    /// Reads what has arrived.
+    /// @return whether a request has arrived since the last answer
+    bool read()
+    {
+        std::error_code code;
+        std::array<char, 4096> buffer {};
+        if (this->socket.available(code) > 0)
+            this->received += this->socket.read_some(asio::buffer(buffer), code);
+        return this->received > 0;
+    }
+
+    void answer(const std::string& bytes)
+    {
+        this->write(bytes);
+        this->received = 0;
+    }
+
+    void write(const std::string& bytes) { asio::write(this->socket, asio::buffer(bytes)); }
+
+    void end(const PeerEnd& how)
+    {
+        this->write(how.bytes);
+        if (how.reset)
+            this->socket.set_option(asio::socket_base::linger(true, 0));
+        this->socket.close();
+        // The loopback device delivers this at once; the pause is for a busy machine.
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+
+    asio::io_context io; ///< runs nothing: all calls are blocking ones
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket { this->io }; ///< connection accepted last
+    std::size_t received { 0 }; ///< bytes since the last answer
+};
+
 /// Runs the loop until a condition holds or one second has passed.
 /// @return whether the condition holds
 template <typename Condition> bool runUntil(asio::io_context& io, const Condition& condition)
@@ -129,6 +197,18 @@
     return condition();
 }
 
+/// Sends a request on a new connection, answers it and waits until the connection is idle.
+void openIdle(asio::io_context& io, CallPool& pool, ManualServer& server)
+{
+    const auto sink = std::make_shared<CountingSink>(true);
+    pool.send({ .address = server.address(), .bytes = shortRequest }, sink);
+    REQUIRE(runUntil(io, [&] { return server.accept(); }));
+    REQUIRE(runUntil(io, [&] { return server.read(); }));
+    server.answer(shortAnswer);
+    REQUIRE(runUntil(io, [&] { return sink->end.has_value(); }));
+    REQUIRE(sink->end == CallEnd::Complete);
+}
+
 } // namespace
 
 // Guards against idle connections to an origin that accepts only 48 of them: when dozens of hosts fetch from it, those
@@ -317,3 +397,53 @@
     REQUIRE_FALSE(answer->ok());
     CHECK(answer->error().step == connectStep);
 }
+
+// Guards against a request that is sent over a connection whose end lies unread in the kernel: it cannot be answered,
+// and one that may not be repeated would be given up although it did not run.
+TEST_CASE("A connection that its peer has ended is not reused, though the loop has not read its end", "[call-pool]")
+{
+    const std::vector<PeerEnd> ends {
+        { "closed", "", false },
+        { "reset", "", true },
+        { "closed after an answer to no request", "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", false },
+    };
+    for (const PeerEnd& end : ends) {
+        for (const Milliseconds maxIdle : { maxReuseIdle, maxReuseIdleNonIdempotent }) {
+            INFO(end.what << ", at most " << maxIdle.value << " ms idle");
+            asio::io_context io;
+            ManualServer server;
+            CallPool pool(io, {});
+            openIdle(io, pool, server);
+            server.end(end);
+            const auto sink = std::make_shared<CountingSink>(true);
+            pool.send({ .address = server.address(), .bytes = shortRequest, .maxIdle = maxIdle }, sink);
+            if (runUntil(io, [&] { return sink->end || server.accept(); }) && !sink->end) {
+                CHECK(runUntil(io, [&] { return server.read(); }));
+                server.answer(shortAnswer);
+            }
+            CHECK(runUntil(io, [&] { return sink->end.has_value(); }));
+            CHECK(sink->end == CallEnd::Complete);
+            CHECK(sink->bytes == 2);
+            CHECK(pool.opened() == 2);
+        }
+    }
+}
+
+TEST_CASE("What a server sent before a request is not taken for the answer to it", "[call-pool]")
+{
+    asio::io_context io;
+    ManualServer server;
+    CallPool pool(io, {});
+    openIdle(io, pool, server);
+    server.end({ "", "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", false });
+    std::optional<Result<FetchResponse>> answer;
+    pool.fetch({ .address = server.address(), .target = "/" },
+        [&](const Result<FetchResponse>& received) { answer = received; });
+    if (runUntil(io, [&] { return answer || server.accept(); }) && !answer) {
+        CHECK(runUntil(io, [&] { return server.read(); }));
+        server.answer(shortAnswer);
+    }
+    REQUIRE(runUntil(io, [&] { return answer.has_value(); }));
+    REQUIRE(answer->ok());
+    CHECK(answer->value().head.status == 200);
+}
