Test requests of the call pool that cross the end of their connection

They end as broken, once, and the next one gets a new connection; and a stated Keep-Alive time ends reuse 400 ms early.

--- a/tests/unit_call_pool.cpp
+++ b/tests/unit_call_pool.cpp
@@ -447,3 +447,59 @@
     REQUIRE(answer->ok());
     CHECK(answer->value().head.status == 200);
 }
+
+// The request is on the way as the connection ends: the peer may have read it.
+TEST_CASE("A request that crosses the end of its connection ends as broken, once", "[call-pool]")
+{
+    struct OnceSink : CountingSink {
+        OnceSink()
+            : CountingSink(true)
+        {
+        }
+        void onEnd(CallEnd how) override
+        {
+            ++this->ends;
+            CountingSink::onEnd(how);
+        }
+        int ends { 0 };
+    };
+    const std::vector<PeerEnd> ends { { "closed", "", false }, { "reset", "", true } };
+    for (const PeerEnd& end : ends) {
+        for (const bool isRead : { false, true }) {
+            for (const Milliseconds maxIdle : { maxReuseIdle, maxReuseIdleNonIdempotent }) {
+                INFO(end.what << (isRead ? ", read" : ", unread") << ", at most " << maxIdle.value << " ms idle");
+                asio::io_context io;
+                ManualServer server;
+                CallPool pool(io, {});
+                openIdle(io, pool, server);
+                const auto sink = std::make_shared<OnceSink>();
+                pool.send({ .address = server.address(), .bytes = shortRequest, .maxIdle = maxIdle }, sink);
+                if (isRead)
+                    CHECK(runUntil(io, [&] { return server.read(); }));
+                server.end(end);
+                CHECK(runUntil(io, [&] { return sink->end.has_value(); }));
+                CHECK(sink->end == CallEnd::Broken);
+                CHECK(pool.opened() == 1);
+                openIdle(io, pool, server);
+                CHECK(pool.opened() == 2);
+                CHECK(sink->ends == 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("A connection is not reused shortly before the end of the idle time that its peer states", "[call-pool]")
+{
+    asio::io_context io;
+    ManualServer server;
+    CallPool pool(io, {});
+    const auto sink = std::make_shared<CountingSink>(true);
+    pool.send({ .address = server.address(), .bytes = shortRequest }, sink);
+    REQUIRE(runUntil(io, [&] { return server.accept(); }));
+    REQUIRE(runUntil(io, [&] { return server.read(); }));
+    server.answer("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(runUntil(io, [&] { return sink->end.has_value(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(650));
+    pool.send({ .address = server.address(), .bytes = shortRequest, .maxIdle = maxReuseIdle }, sink);
+    CHECK(pool.opened() == 2);
+}
