Change the idle limit of callers' connections in the soak

The soak's configurations had no limits, so no connection ended as idle in its runs. Each version now has one of two short limits; its callers keep connections for as long as the entry tells them.

--- a/tests/tool_soak.cpp
+++ b/tests/tool_soak.cpp
@@ -316,6 +316,8 @@
                     { { "name", "desk" }, { "health_path", "/api/health" } },
                     { { "name", "archive" }, { "health_path", "/api/health" } },
                     { { "name", "origin" }, { "origin", this->addressPrefix + "249:8081" }, { "link_mbps", 50.0 } } } },
+            // Callers keep connections for as long as they are told, up to their own 2 s.
+            { "limits", { { "idle_timeout_ms", this->writtenConfigVersion % 2 == 0 ? 1500 : 2600 } } },
             { "tenants", { { { "name", "callers" }, { "api_keys", this->keys } } } } };
         this->writtenConfig = config.dump();
         this->store.put("op", "config", this->writtenConfig);
