Test that an ended connection's place is used before an idle one is closed

Fails on this commit: since each new connection at the limit of descriptors closes an idle one, though the connection dropped before it had not made way for another one and its place suffices.

--- a/tests/unit_front_shortage.cpp
+++ b/tests/unit_front_shortage.cpp
@@ -490,3 +490,21 @@
     CHECK(notReset == 0);
     CHECK(rig.delivered == delivered);
 }
+
+// Guards against callers that lose a connection though the place of one that had been ended before was enough.
+TEST_CASE("No idle connection makes way where one that was ended before suffices", "[front][front-shortage]")
+{
+    ShortageRig rig;
+    rig.server->setBudget({ .connections = 2 });
+    auto first = rig.connect();
+    CHECK(rig.ask(first, rig.smallRequest).starts_with("HTTP/1.1 200"));
+    auto ended = rig.connect();
+    CHECK(rig.ask(ended, start + "Connection: close\r\n" + empty).starts_with("HTTP/1.1 200"));
+    REQUIRE(rig.server->isLingering());
+    auto next = rig.connect();
+    CHECK(rig.reasons.empty());
+    CHECK_FALSE(rig.server->isLingering());
+    CHECK_FALSE(isEnded(first));
+    CHECK(rig.ask(first, rig.smallRequest).starts_with("HTTP/1.1 200"));
+    CHECK(rig.ask(next, rig.smallRequest).starts_with("HTTP/1.1 200"));
+}
