Close no idle connection where the place of an ended one suffices

replaceOne() went on to an idle connection after each ended one that it dropped, in case that one had made way for an earlier connection. One that was ended after its answer, or as idle, had not: its place is free, and the idle connection is kept.

--- a/src/front_shortage_io.cpp
+++ b/src/front_shortage_io.cpp
@@ -107,7 +107,7 @@
         if (!this->closeForShortage(*chosen, CloseReason::Descriptors))
             continue;
         // An ended one may have made way for an earlier connection.
-        if (!isEnded)
+        if (!isEnded || mayOpen(*this->memory, internal))
             return true;
         isOneDropped = true;
     }
