Test a request right behind an answer that began before the drain

Fails on this commit (section "sent at once"): the answer stated Keep-Alive, and closeIdle(false) ends its connection as soon as it has ended. The next request is read, reported as crossed and thrown away.

--- a/tests/unit_front_idle.cpp
+++ b/tests/unit_front_idle.cpp
@@ -138,3 +138,33 @@
     CHECK_FALSE(rig.server->isLingering());
     CHECK(rig.closed.empty());
 }
+
+// Guards against a request that is read and thrown away: an answer that began before the drain does not announce the
+// close, and its caller sends the next request at once.
+TEST_CASE("A request right behind an answer that began before the drain is answered", "[front][front-idle]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    send(caller, "GET /begin HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(rig.receive(caller).find("Keep-Alive: timeout=12") != std::string::npos);
+    rig.server->startDrain();
+    rig.server->finish(rig.lastCall);
+    rig.server->closeIdle(false);
+    rig.receive(caller);
+    SECTION("sent at once")
+    {
+        send(caller, plainRequest);
+        const std::string answer = rig.receive(caller);
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(rig.closed.empty());
+    }
+    SECTION("not sent")
+    {
+        rig.server->sweep(monotonicNow());
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(1100)); // by then the caller has certainly read its answer
+        rig.server->closeIdle(false);
+    }
+    CHECK_FALSE(rig.server->hasConnections());
+}
