Leave connections open in a drain whose callers are reading their last answer

An answer that began before the drain states how long its connection may be used, and the connection was ended with the next tick. The end of the drain is bounded as before.

--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -219,14 +219,17 @@
     this->removeConnection(connection);
 }
 
+bool FrontServer::hasReadAnswers(Connection& connection)
+{
+    return connection.answers == 0 || (connection.isTaken() && monotonicNow() - connection.since >= lingerTime);
+}
+
 void FrontServer::endIdle(const ConnectionPointer& connection, CloseReason reason)
 {
     this->reportClosed(*connection, reason);
     connection->endedIdle = !connection->isReading();
-    // A reset could take an answer that the caller has not read yet; after this time it has.
-    const bool isAnswerRead
-        = connection->answers == 0 || (connection->isTaken() && monotonicNow() - connection->since >= lingerTime);
-    if (!connection->endedIdle || !isAnswerRead || this->closing.size() >= maxLingering) {
+    // A reset could take an answer that the caller has not read yet.
+    if (!connection->endedIdle || !hasReadAnswers(*connection) || this->closing.size() >= maxLingering) {
         this->endConnection(connection);
         return;
     }
@@ -334,7 +337,8 @@
     }
     std::vector<ConnectionPointer> idle;
     for (const auto& [number, connection] : this->connections)
-        if (connection->call.value == 0 && (readingToo || !connection->isReading()))
+        // A caller that just got an answer may send its next request on it, unless the answer announced the close.
+        if (connection->call.value == 0 && (readingToo || (!connection->isReading() && hasReadAnswers(*connection))))
             idle.push_back(connection);
     for (const ConnectionPointer& connection : idle) {
         if (connection->parser.inMessage()) {
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -135,7 +135,7 @@
     bool isLingering() const { return !this->closing.empty(); }
     /// Stops accepting and closes the connections that have no request in progress.
     /// @param readingToo also those on which a request has arrived in part, which is refused with status 503, or whole
-    ///   and unread
+    ///   and unread, and those whose callers may still be reading the last answer
     void closeIdle(bool readingToo = true);
     /// @return whether any connection is open
     bool hasConnections() const { return !this->connections.empty(); }
@@ -192,6 +192,8 @@
     /// Passes a connection that was ended, and on which bytes have arrived since, to Handlers::onConnectionClosed.
     /// @param received bytes that were read
     void reportCrossed(const Connection& connection, std::size_t received) const;
+    /// @return whether a caller has certainly read all answers: its host has had them for about a second
+    static bool hasReadAnswers(Connection& connection);
     /// Ends a connection between two requests. Where its caller has read all answers, the next request is left unread.
     void endIdle(const ConnectionPointer& connection, CloseReason reason);
     /// Closes a connection that was ended between two requests and on which another one has arrived. Its caller has not
