Test that a crossing request does not cost its caller the answer before

Fails on this commit: the reset goes by the time since the answer was written, and takes what the caller's host has not acknowledged yet.

--- a/tests/unit_front_idle.cpp
+++ b/tests/unit_front_idle.cpp
@@ -168,3 +168,23 @@
     }
     CHECK_FALSE(rig.server->hasConnections());
 }
+
+// Guards against a reset that takes an answer from a caller which sends its next request before it has read it.
+TEST_CASE("A request that crosses the end does not cost its caller the answer before", "[front][front-idle]")
+{
+    FrontRig rig;
+    asio::ip::tcp::socket caller(rig.callers);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({ asio::ip::make_address("127.0.0.1"), rig.port });
+    const bool isAcknowledged = GENERATE(true, false);
+    send(caller, isAcknowledged ? plainRequest : "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    rig.run();
+    if (!isAcknowledged)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1100)); // more than it takes to read an answer
+    rig.server->closeIdle();
+    send(caller, plainRequest);
+    rig.run();
+    CHECK(rig.receive(caller).size() > (isAcknowledged ? 0 : largeAnswer));
+    CHECK(rig.lastError == asio::error::eof);
+}
