--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -243,7 +243,7 @@
 
 void FrontServer::endCrossed(const ConnectionPointer& connection)
 {
-    if (monotonicNow() - connection->since >= lingerTime)
+    if (hasReadAnswers(*connection))
         connection->link->reset();
     else
         connection->link->close();
