Leave a crossing request unread whenever the answer before it is acknowledged

The second of wait protected an answer from the reset; the acknowledgement does, and a caller that sends its next request has read the answer before. The new case in unit_front_idle fails without the change: no reset, and the request is read.

--- a/src/front_connection_io.h
+++ b/src/front_connection_io.h
@@ -20,11 +20,10 @@
     {
     }
 
+    /// @return whether bytes of a request were read
+    bool holdsBytes() const { return this->parser.inMessage() || !this->unread.empty(); }
     /// @return whether a request has arrived in part, or whole and unread
-    bool isReading() const
-    {
-        return this->parser.inMessage() || !this->unread.empty() || this->link->unreadBytes() > 0;
-    }
+    bool isReading() const { return this->holdsBytes() || this->link->unreadBytes() > 0; }
     /// @return whether the caller's host has acknowledged all answers. Its caller counts the idle time from when it has
     /// read the last one, which is later.
     bool isTaken()
--- a/src/front_io.cpp
+++ b/src/front_io.cpp
@@ -227,12 +227,16 @@
 void FrontServer::endIdle(const ConnectionPointer& connection, CloseReason reason)
 {
     this->reportClosed(*connection, reason);
-    connection->endedIdle = !connection->isReading();
-    // A reset could take an answer that the caller has not read yet.
-    if (!connection->endedIdle || !hasReadAnswers(*connection) || this->closing.size() >= maxLingering) {
+    connection->endedIdle = !connection->holdsBytes();
+    // A reset could take an answer that the caller's host has not got yet.
+    if (!connection->endedIdle || !connection->isTaken() || this->closing.size() >= maxLingering) {
         this->endConnection(connection);
         return;
     }
+    if (connection->link->unreadBytes() > 0) {
+        this->removeConnection(connection);
+        return;
+    }
     // A request that was not read has not run, and callers may repeat it whatever it is.
     connection->link->lingerUnread([this, connection] {
         this->reportCrossed(*connection, 0);
@@ -243,7 +247,7 @@
 
 void FrontServer::endCrossed(const ConnectionPointer& connection)
 {
-    if (hasReadAnswers(*connection))
+    if (connection->isTaken())
         connection->link->reset();
     else
         connection->link->close();
--- a/src/front_io.h
+++ b/src/front_io.h
@@ -194,7 +194,8 @@
     void reportCrossed(const Connection& connection, std::size_t received) const;
     /// @return whether a caller has certainly read all answers: its host has had them for about a second
     static bool hasReadAnswers(Connection& connection);
-    /// Ends a connection between two requests. Where its caller has read all answers, the next request is left unread.
+    /// Ends a connection between two requests. Where its caller's host has all answers, the next request is left
+    /// unread.
     void endIdle(const ConnectionPointer& connection, CloseReason reason);
     /// Closes a connection that was ended between two requests and on which another one has arrived. Its caller has not
     /// noticed the end and waits for an answer: only a close tells it that none comes.
--- a/tests/unit_front_idle.cpp
+++ b/tests/unit_front_idle.cpp
@@ -188,3 +188,31 @@
     CHECK(rig.receive(caller).size() > (isAcknowledged ? 0 : largeAnswer));
     CHECK(rig.lastError == asio::error::eof);
 }
+
+// Guards against a request that is read and thrown away since its caller had an answer just before.
+TEST_CASE("A request that crosses the end right behind an answer is not read", "[front][front-idle]")
+{
+    FrontRig rig;
+    auto caller = rig.connect();
+    send(caller, plainRequest);
+    CHECK(rig.receive(caller).ends_with("done"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300)); // for an acknowledgement that was delayed
+    const CallId before = rig.lastCall;
+    const bool isEarly = GENERATE(true, false);
+    if (isEarly)
+        send(caller, plainRequest); // lies in the kernel when the process stops
+    rig.server->closeIdle();
+    rig.run();
+    if (!isEarly)
+        send(caller, plainRequest);
+    rig.run();
+    CHECK(rig.lastCall == before);
+    REQUIRE(rig.closed.size() == 1);
+    CHECK(rig.closed[0].reason == (isEarly ? CloseReason::Drain : CloseReason::Crossed));
+    CHECK(rig.closed[0].unparsed == 0);
+    CHECK(rig.closed[0].unread == plainRequest.size());
+    CHECK_FALSE(rig.server->isLingering());
+    std::error_code code;
+    asio::write(caller, asio::buffer(plainRequest), code);
+    CHECK(code); // a reset
+}
