--- a/review/common-3/deadly_stream.cpp
+++ b/review/common-3/deadly_stream.cpp
@@ -1,5 +1,5 @@
-// A request crashes each engine that runs it, shortly after its first token, and comes again. Do the entries go on to
-// hand it to engines?
+// A request crashes each engine that runs it, and comes again. Do the entries go on to hand it to engines? It strikes
+// shortly after its first token, or before it, and the engine ends at once, or falls silent and ends a little later.
 
 #include "rig.h"
 
@@ -18,13 +18,21 @@
 constexpr std::int64_t duration = 50000;
 constexpr int allowedRetries = 3;
 
-/// An engine in a process of its own: engine ADDRESS ID BORN CRASH. A request whose body is "deadly" ends the process:
-/// just after its event number CRASH was sent, 0 for before the first one.
-int runEngine(const std::string& address, const std::string& id, const std::string& born, int crash)
+/// An engine in a process of its own: engine ADDRESS ID BORN CRASH SILENT. A request whose body is "deadly" ends the
+/// process: just after its event number CRASH was sent, 0 for before the first one. For SILENT ms before its end it
+/// says nothing.
+int runEngine(
+    const std::string& address, const std::string& id, const std::string& born, int crash, std::int64_t silent)
 {
+    std::atomic<bool> isSilent { false };
+    const auto keepSilent = [&isSilent] {
+        while (isSilent)
+            sleepMs(1000);
+    };
     std::mutex mutex;
     int running = 0;
     Server server(address, [&](const Message& request, Link& link) {
+        keepSilent();
         const std::string target = request.target();
         if (target == "/api/report") {
             const std::lock_guard lock(mutex);
@@ -57,13 +65,17 @@
             sleepMs(eventGap);
             if (deadly && event - first >= crash) {
                 std::cout << unixMs() << " " << id << " crashes" << std::endl;
+                isSilent = true;
+                sleepMs(silent);
                 ::_exit(134);
             }
+            keepSilent();
             const std::string text = "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             sent = !link.gone() && link.send(size + text + "\r\n");
         }
+        keepSilent();
         const std::lock_guard lock(mutex);
         --running;
         return sent && link.send("0\r\n\r\n");
@@ -72,7 +84,7 @@
         sleepMs(1000);
 }
 
-int runCase(const std::string& self, Record& record, int crash)
+int runCase(const std::string& self, Record& record, int crash, std::int64_t silent)
 {
     Site site;
     site.entries = entryCount;
@@ -98,8 +110,8 @@
     const auto startEngine = [&](int engine) {
         const std::string address = site.ip(20 + engine) + ":8001";
         born[engine] = unixMs();
-        engines[engine].start(
-            { self, "engine", address, id(engine), std::to_string(born[engine]), std::to_string(crash) },
+        engines[engine].start({ self, "engine", address, id(engine), std::to_string(born[engine]),
+                                  std::to_string(crash), std::to_string(silent) },
             site.folder + "/engines.log");
         store.put("servers", id(engine),
             Json { { "service", "llm-pool" }, { "address", address }, { "zone", "harju-a" }, { "version", 1 },
@@ -168,7 +180,7 @@
                 engines[engine].id = 0;
                 downSince[engine] = now;
             }
-            if (downSince[engine] != 0 && now - downSince[engine] >= downTime) {
+            if (downSince[engine] != 0 && now - downSince[engine] >= downTime - silent) {
                 downSince[engine] = 0;
                 startEngine(engine);
             }
@@ -215,11 +227,13 @@
 
 int main(int count, char** values)
 try {
-    if (count == 6 && std::string(values[1]) == "engine")
-        return runEngine(values[2], values[3], values[4], std::atoi(values[5]));
+    if (count == 7 && std::string(values[1]) == "engine")
+        return runEngine(values[2], values[3], values[4], std::atoi(values[5]), std::atoi(values[6]));
     limitTime(115);
     Record record(values[1]);
-    std::_Exit(runCase(std::filesystem::absolute(values[0]).string(), record, count > 2 ? std::atoi(values[2]) : 1));
+    const int crash = count > 2 ? std::atoi(values[2]) : 1;
+    const std::int64_t silent = count > 3 ? std::atoi(values[3]) : 0;
+    std::_Exit(runCase(std::filesystem::absolute(values[0]).string(), record, crash, silent));
 } catch (const std::exception& error) {
     std::cerr << error.what() << std::endl;
     return 2;
