--- a/review/common-3/foreign_row.cpp
+++ b/review/common-3/foreign_row.cpp
@@ -1,5 +1,7 @@
-// Another writer puts a row with missing fields into the list of replicas, under the id of a replica of another
-// service. Do the entries hand it requests that the configuration sends elsewhere?
+// Another writer puts rows into the list of replicas. Without a mode: a row with missing fields, under the id of a
+// replica of another service; do the entries hand it requests that the configuration sends elsewhere? With the mode
+// "hide": whole rows of a service that the configuration doesn't name, with the addresses of the replicas; do the
+// entries go on to use the replicas?
 
 #include "rig.h"
 
@@ -22,7 +24,7 @@
     std::int64_t nextBeat { 0 };
 };
 
-int runCase(Record& record)
+int runCase(Record& record, bool hides)
 {
     Site site;
     site.entries = entryCount;
@@ -110,6 +112,19 @@
                 beat(replica);
         if (hasTrouble() && foreign < std::size(foreignAt) && now - begin >= foreignAt[foreign]) {
             ++foreign;
+            for (std::size_t index = 0; hides && index < replicas.size(); ++index) {
+                const std::string key = "audit-" + std::to_string(index);
+                const std::string row = Json { { "service", "audit" }, { "address", replicas[index].address },
+                    { "zone", "harju-a" }, { "version", 1 }, { "slots", 6 }, { "state", "ready" },
+                    { "cold_left_ms", 0 }, { "sequence", 1 },
+                    { "born", unixMs() } }.dump();
+                store.put("servers", key, row);
+                record.line("another writer: servers/" + key + " = " + row);
+            }
+            if (hides) {
+                foreign = std::size(foreignAt);
+                continue;
+            }
             const Replica& taken = replicas.back();
             const std::string row = Json { { "service", "ledger-api" }, { "address", taken.address },
                 { "zone", "harju-a" }, { "slots", 6 },
@@ -122,11 +137,20 @@
             const int id = ++call;
             const bool payment = id % 4 != 0;
             callers.emplace_back([&, id, payment] {
-                const Answer answer = rig::call(site.front(1 + id % entryCount),
-                    requestText("POST", payment ? "/payments/2f" : "/notes/2f", "desk.example",
-                        "Attempt-Id: c" + std::to_string(id) + "\r\nDeadline-Ms: " + std::to_string(timeout) + "\r\n",
-                        "text"),
-                    timeout);
+                const std::int64_t until = nowMs() + timeout;
+                Answer answer;
+                for (int attempt = 1; attempt <= 2 && until - nowMs() > 300; ++attempt) {
+                    answer = rig::call(site.front(1 + (id + attempt) % entryCount),
+                        requestText("POST", payment ? "/payments/2f" : "/notes/2f", "desk.example",
+                            "Attempt-Id: c" + std::to_string(id) + "-" + std::to_string(attempt)
+                                + "\r\nDeadline-Ms: " + std::to_string(until - nowMs()) + "\r\n",
+                            "text"),
+                        until - nowMs());
+                    if (!answer.complete || answer.head.status() != 503)
+                        break;
+                    const double wait = std::atof(answer.head.header("retry-after").c_str());
+                    sleepMs(std::min<std::int64_t>(static_cast<std::int64_t>(wait * 1000), (until - nowMs()) / 3));
+                }
                 const std::lock_guard lock(mutex);
                 ++results[std::string(payment ? "payment: " : "note: ")
                     + (answer.complete ? std::to_string(answer.head.status()) : answer.end)];
@@ -142,16 +166,25 @@
     for (const auto& [what, count] : results)
         record.line(what + ": " + std::to_string(count));
     record.line(std::to_string(misrouted) + " requests were run by a service to which no config sends them");
-    return misrouted > 0 ? 1 : 0;
+    int owed = 0;
+    int served = 0;
+    for (const auto& [what, count] : results) {
+        owed += count;
+        served += what.ends_with(": 200") ? count : 0;
+    }
+    const int percent = 100 * (owed - served) / std::max(owed, 1);
+    record.line("refused and failed: " + std::to_string(percent) + "% of those owed"
+        + (percent > 60 ? "   GATE BROKEN: more than 60%" : ""));
+    return (hides ? percent > 60 : misrouted > 0) ? 1 : 0;
 }
 
 } // namespace
 
-int main(int, char** values)
+int main(int count, char** values)
 try {
     limitTime(60);
     Record record(values[1]);
-    std::_Exit(runCase(record));
+    std::_Exit(runCase(record, count > 2 && std::string(values[2]) == "hide"));
 } catch (const std::exception& error) {
     std::cerr << error.what() << std::endl;
     return 2;
