--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -354,12 +354,6 @@
         this->changed.notify_all();
         return nowMs();
     }
-    void remove(const std::string& table, const std::string& key)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->tables[table][key] = { {}, ++this->version, true };
-        this->changed.notify_all();
-    }
 
 private:
     struct Row {
@@ -520,28 +514,11 @@
                             << "retry_extra = 106\nretry_window_s = 10\nmemory_mb = 520\nmax_fds = 8200\n";
         return path;
     }
-    /// Settings as deploy/agent.toml gives them on a small deployment.
-    std::string agentSettings(int host, const std::string& service) const
-    {
-        const std::string ip = this->ip(host);
-        const std::string path = this->folder + "/agent-" + std::to_string(host) + ".toml";
-        std::ofstream(path) << "[host]\nname = \"side-a-" << host
-                            << "\"\nplace = \"harju-a\"\nregion = \"harju\"\nip = \"" << ip
-                            << "\"\npeer_port = 7700\nstore = \"" << this->store() << "\"\nseeds = [" << this->seeds()
-                            << "]\n\n[loader]\nengine = \"" << ip << ":8001\"\nservice = \"" << service
-                            << "\"\nlink_mbps = 7.6\nweights_ms = 8000\n";
-        return path;
-    }
     void startEntry(Process& process, int entry) const
     {
         process.start({ "target/hickory-entry" }, this->folder + "/entry-" + std::to_string(entry) + ".log",
             this->entrySettings(entry));
     }
-    void startAgent(Process& process, int host, const std::string& service) const
-    {
-        process.start({ "target/hickory-agent" }, this->folder + "/agent-" + std::to_string(host) + ".log",
-            this->agentSettings(host, service));
-    }
     void awaitReady(int entry) const
     {
         const std::int64_t until = nowMs() + 15000;
