--- a/review/common-3/deadly_stream.cpp
+++ b/review/common-3/deadly_stream.cpp
@@ -18,6 +18,22 @@
 constexpr std::int64_t duration = 50000;
 constexpr int allowedRetries = 3;
 
+/// Writes a line to the log that all engines share, in one piece.
+void logLine(const std::string& text)
+{
+    const std::string line = std::to_string(unixMs()) + " " + text + "\n";
+    if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+        ::_exit(3);
+}
+
+/// How the request strikes and comes again.
+struct Deadly {
+    int crash { 1 }; ///< number of the event after which it strikes, 0 for before the first one
+    std::int64_t silent { 0 }; ///< ms for which the engine says nothing before it ends
+    int copies { 1 }; ///< sent at once, through different entries
+    std::int64_t gap { 1500 }; ///< ms between two times at which it comes
+};
+
 /// An engine in a process of its own: engine ADDRESS ID BORN CRASH SILENT. A request whose body is "deadly" ends the
 /// process: just after its event number CRASH was sent, 0 for before the first one. For SILENT ms before its end it
 /// says nothing.
@@ -55,7 +71,7 @@
                 return link.send(answerText(503, echo + "Not-Executed: 1\r\n", ""));
             ++running;
             if (deadly)
-                std::cout << unixMs() << " " << id << " runs " << attempt << " from event " << first << std::endl;
+                logLine(id + " runs " + attempt + " from event " + std::to_string(first));
         }
         bool sent = true;
         if (!deadly || crash > 0)
@@ -64,7 +80,7 @@
         for (int event = first; event <= events && sent; ++event) {
             sleepMs(eventGap);
             if (deadly && event - first >= crash) {
-                std::cout << unixMs() << " " << id << " crashes" << std::endl;
+                logLine(id + " crashes");
                 isSilent = true;
                 sleepMs(silent);
                 ::_exit(134);
@@ -84,7 +100,7 @@
         sleepMs(1000);
 }
 
-int runCase(const std::string& self, Record& record, int crash, std::int64_t silent)
+int runCase(const std::string& self, Record& record, const Deadly& way)
 {
     Site site;
     site.entries = entryCount;
@@ -111,7 +127,7 @@
         const std::string address = site.ip(20 + engine) + ":8001";
         born[engine] = unixMs();
         engines[engine].start({ self, "engine", address, id(engine), std::to_string(born[engine]),
-                                  std::to_string(crash), std::to_string(silent) },
+                                  std::to_string(way.crash), std::to_string(way.silent) },
             site.folder + "/engines.log");
         store.put("servers", id(engine),
             Json { { "service", "llm-pool" }, { "address", address }, { "zone", "harju-a" }, { "version", 1 },
@@ -169,18 +185,21 @@
             });
         }
         if (hasTrouble() && now >= nextDeadly) {
-            nextDeadly += 1500;
-            const int number = ++deadly;
-            callers.emplace_back([&send, number] {
-                send("deadly-" + std::to_string(number), 1 + number % entryCount, "5c1e07a2:40,dead0001:500", "deadly");
-            });
+            nextDeadly += way.gap;
+            for (int copy = 0; copy < way.copies; ++copy) {
+                const int number = ++deadly;
+                callers.emplace_back([&send, number] {
+                    send("deadly-" + std::to_string(number), 1 + number % entryCount, "5c1e07a2:40,dead0001:500",
+                        "deadly");
+                });
+            }
         }
         for (int engine = 0; engine < engineCount; ++engine) {
             if (downSince[engine] == 0 && engines[engine].ended()) {
                 engines[engine].id = 0;
                 downSince[engine] = now;
             }
-            if (downSince[engine] != 0 && now - downSince[engine] >= downTime - silent) {
+            if (downSince[engine] != 0 && now - downSince[engine] >= downTime - way.silent) {
                 downSince[engine] = 0;
                 startEngine(engine);
             }
@@ -231,9 +250,16 @@
         return runEngine(values[2], values[3], values[4], std::atoi(values[5]), std::atoi(values[6]));
     limitTime(115);
     Record record(values[1]);
-    const int crash = count > 2 ? std::atoi(values[2]) : 1;
-    const std::int64_t silent = count > 3 ? std::atoi(values[3]) : 0;
-    std::_Exit(runCase(std::filesystem::absolute(values[0]).string(), record, crash, silent));
+    Deadly way;
+    if (count > 2)
+        way.crash = std::atoi(values[2]);
+    if (count > 3)
+        way.silent = std::atoi(values[3]);
+    if (count > 4)
+        way.copies = std::atoi(values[4]);
+    if (count > 5)
+        way.gap = std::atoi(values[5]);
+    std::_Exit(runCase(std::filesystem::absolute(values[0]).string(), record, way));
 } catch (const std::exception& error) {
     std::cerr << error.what() << std::endl;
     return 2;
